--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+# Commands for developers; `make help` lists them.
+PYTHON ?= python3.11
+VENV ?= .venv
+BIN = $(VENV)/bin
+DEPLOYMENT ?= hoardline
+
+.PHONY: help venv test lint format generate check-generated unit demo \
+	binary smoke bench capacity explore clean
+
+help:  ## List the targets.
+	@grep -E '^[a-z-]+:.*## ' Makefile | sed 's/:.*## /\t/'
+
+venv: $(VENV)/installed  ## Create the virtual environment.
+
+$(VENV)/installed: requirements/run.txt requirements/dev.txt
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install -q -r requirements/dev.txt
+	touch $@
+
+test: venv lint check-generated unit  ## Everything that CI runs.
+
+lint: venv  ## Formatter and linters, as checks.
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/flake8 buckthorntack tools benchmarks
+
+format: venv  ## Apply the formatter and the safe fixes.
+	$(BIN)/ruff check --fix -q . || true
+	$(BIN)/ruff format .
+
+generate: venv  ## Write the generated code anew.
+	$(BIN)/python -m tools.generate
+
+check-generated: venv  ## Fail if the generated code is out of date.
+	$(BIN)/python -m tools.generate --check
+
+unit: venv  ## Unit tests, doctests and the fault matrix.
+	$(BIN)/python -m pytest
+
+clean:  ## Remove what the targets made.
+	rm -rf build dist .venv
--- /dev/null
+++ b/buckthorntack/schema/_generated/__init__.py
@@ -0,0 +1,1 @@
+"""Types generated from the schemas; see tools/generate.py."""
--- /dev/null
+++ b/buckthorntack/schema/documents.py
@@ -0,0 +1,85 @@
+"""JSON documents met from outside; generated, do not edit."""
+
+from buckthorntack.schema._generated.admin_documents import AdminInterface
+from buckthorntack.schema._generated.admin_documents import Change
+from buckthorntack.schema._generated.admin_documents import ChangeResult
+from buckthorntack.schema._generated.admin_documents import Finding
+from buckthorntack.schema._generated.admin_documents import NamedObject
+from buckthorntack.schema._generated.admin_documents import ObjectName
+from buckthorntack.schema._generated.backend_documents import Announcement
+from buckthorntack.schema._generated.backend_documents import (
+    AnnouncementAnswer,
+)
+from buckthorntack.schema._generated.backend_documents import BackendInterface
+from buckthorntack.schema._generated.backend_documents import CacheEvent
+from buckthorntack.schema._generated.backend_documents import EngineOrder
+from buckthorntack.schema._generated.backend_documents import EngineOrderAnswer
+from buckthorntack.schema._generated.backend_documents import LoadReport
+from buckthorntack.schema._generated.backend_documents import Outcome
+from buckthorntack.schema._generated.objects_documents import BackendServerPool
+from buckthorntack.schema._generated.objects_documents import CallerCredential
+from buckthorntack.schema._generated.objects_documents import DeploymentTerms
+from buckthorntack.schema._generated.objects_documents import FailureDomain
+from buckthorntack.schema._generated.objects_documents import ModelVersion
+from buckthorntack.schema._generated.objects_documents import Objects
+from buckthorntack.schema._generated.objects_documents import Organisation
+from buckthorntack.schema._generated.objects_documents import Priority
+from buckthorntack.schema._generated.objects_documents import Quota
+from buckthorntack.schema._generated.objects_documents import Region
+from buckthorntack.schema._generated.objects_documents import ResidencyRule
+from buckthorntack.schema._generated.objects_documents import Service
+from buckthorntack.schema._generated.objects_documents import ServiceCall
+from buckthorntack.schema._generated.settings_documents import HttpSettings
+from buckthorntack.schema._generated.settings_documents import KeySettings
+from buckthorntack.schema._generated.settings_documents import LedgerHome
+from buckthorntack.schema._generated.settings_documents import LimitSettings
+from buckthorntack.schema._generated.settings_documents import LinkSettings
+from buckthorntack.schema._generated.settings_documents import LogSettings
+from buckthorntack.schema._generated.settings_documents import NodeAddress
+from buckthorntack.schema._generated.settings_documents import Settings
+from buckthorntack.schema._generated.settings_documents import SettingsFile
+from buckthorntack.schema._generated.settings_documents import TimingSettings
+from buckthorntack.schema._generated.settings_documents import (
+    WeightStoreSettings,
+)
+
+__all__ = [
+    "AdminInterface",
+    "Announcement",
+    "AnnouncementAnswer",
+    "BackendInterface",
+    "BackendServerPool",
+    "CacheEvent",
+    "CallerCredential",
+    "Change",
+    "ChangeResult",
+    "DeploymentTerms",
+    "EngineOrder",
+    "EngineOrderAnswer",
+    "FailureDomain",
+    "Finding",
+    "HttpSettings",
+    "KeySettings",
+    "LedgerHome",
+    "LimitSettings",
+    "LinkSettings",
+    "LoadReport",
+    "LogSettings",
+    "ModelVersion",
+    "NamedObject",
+    "NodeAddress",
+    "ObjectName",
+    "Objects",
+    "Organisation",
+    "Outcome",
+    "Priority",
+    "Quota",
+    "Region",
+    "ResidencyRule",
+    "Service",
+    "ServiceCall",
+    "Settings",
+    "SettingsFile",
+    "TimingSettings",
+    "WeightStoreSettings",
+]
--- /dev/null
+++ b/buckthorntack/schema/messages.py
@@ -0,0 +1,37 @@
+"""Messages between our own processes; generated, do not edit."""
+
+from buckthorntack.schema._generated.forwarding import ForwardAlive
+from buckthorntack.schema._generated.forwarding import ForwardBody
+from buckthorntack.schema._generated.forwarding import ForwardCancel
+from buckthorntack.schema._generated.forwarding import ForwardChunk
+from buckthorntack.schema._generated.forwarding import ForwardCredit
+from buckthorntack.schema._generated.forwarding import ForwardEnd
+from buckthorntack.schema._generated.forwarding import ForwardHead
+from buckthorntack.schema._generated.forwarding import ForwardHeader
+from buckthorntack.schema._generated.forwarding import ForwardRequest
+from buckthorntack.schema._generated.links import Ping
+from buckthorntack.schema._generated.links import Pong
+from buckthorntack.schema._generated.membership import DomainSummary
+from buckthorntack.schema._generated.membership import EntryRecord
+from buckthorntack.schema._generated.membership import ServerLoad
+from buckthorntack.schema._generated.membership import ServerRecord
+from buckthorntack.schema._generated.membership import ServiceSummary
+
+__all__ = [
+    "DomainSummary",
+    "EntryRecord",
+    "ForwardAlive",
+    "ForwardBody",
+    "ForwardCancel",
+    "ForwardChunk",
+    "ForwardCredit",
+    "ForwardEnd",
+    "ForwardHead",
+    "ForwardHeader",
+    "ForwardRequest",
+    "Ping",
+    "Pong",
+    "ServerLoad",
+    "ServerRecord",
+    "ServiceSummary",
+]
--- /dev/null
+++ b/buckthorntack/schema/tests/test_codec.py
@@ -0,0 +1,47 @@
+import pytest
+
+from buckthorntack import schema
+from buckthorntack.schema import messages
+
+
+def test_round_trip_of_nested_message():
+    load = messages.ServerLoad(1, 2, 0.5, 10)
+    record = messages.ServerRecord(
+        server_id="s1",
+        incarnation=3,
+        sequence=4,
+        state="ready",
+        pool="p",
+        service="pitchwriter",
+        model_versions=["m"],
+        adapters=[],
+        role="both",
+        region="fukuoka",
+        failure_domain="fukuoka-a",
+        url="http://127.0.0.1:1",
+        slots=4,
+        lease_ms=2000,
+        load=load,
+    )
+    assert schema.decode(*schema.encode(record)) == record
+
+
+@pytest.mark.parametrize(
+    ("name", "payload"),
+    [
+        (b"NoSuchMessage", b"\x90"),
+        (b"Ping", b"\x91\xa1x"),
+        (b"Ping", b"\x90"),
+        (b"Ping", b"\xc1"),
+        (b"Ping", b""),
+    ],
+)
+def test_malformed_is_refused(name, payload):
+    with pytest.raises(schema.MalformedMessageError, match=";"):
+        schema.decode(name, payload)
+
+
+def test_document_faults_are_told_together():
+    document = {"name": "NOT VALID", "regions": [], "extra": 1}
+    findings = schema.validate_document("objects", "ResidencyRule", document)
+    assert len(findings) == 3
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools for developers."""
