Add links between processes over CURVE, and HTTP listeners

Cause: every later part sends typed messages between processes. Change: one-way links over ROUTER and DEALER sockets, control and bulk apart, a shaper for delay, bandwidth and cuts, listeners on uvicorn that stop gracefully. Ruled out: a ZAP domain that the authenticator was not told of refuses all peers in silence; the test of a foreign key guards the other side.

--- /dev/null
+++ b/buckthorntack/transport/_events.py
@@ -0,0 +1,39 @@
+"""Log events of links and listeners."""
+
+import logbook
+
+from buckthorntack import events
+
+LINK_LISTENING = events.declare(
+    1200,
+    "link_listening",
+    logbook.INFO,
+    "The process takes messages of other nodes at this address.",
+)
+MESSAGE_REFUSED = events.declare(
+    1201,
+    "message_refused",
+    logbook.WARNING,
+    "A message from another node could not be decoded and was dropped.",
+    "upgrade the node that is behind, or look for a foreign sender",
+)
+LINK_REFUSED = events.declare(
+    1202,
+    "link_refused",
+    logbook.WARNING,
+    "A peer presented a public key that is not accepted.",
+    "finish the key rotation on that node, or look for an intruder",
+)
+MESSAGE_UNHANDLED = events.declare(
+    1203,
+    "message_unhandled",
+    logbook.WARNING,
+    "A message reached a node that does not hold the role for it.",
+    "compare the roles in the settings of both nodes",
+)
+HTTP_LISTENING = events.declare(
+    1204,
+    "http_listening",
+    logbook.INFO,
+    "An HTTP listener takes connections.",
+)
--- /dev/null
+++ b/buckthorntack/transport/_http.py
@@ -0,0 +1,126 @@
+"""HTTP listeners on uvicorn that stop gracefully."""
+
+import asyncio
+import contextlib
+import socket
+
+import uvicorn
+
+from buckthorntack import events
+from buckthorntack.transport import _events
+
+BACKLOG_CONNECTIONS = 2048
+START_POLL_SECONDS = 0.005
+
+
+def bind_listener(address):
+    """Bind a listening socket.
+
+    :param address: IP address and port; port 0 takes a free one.
+    :returns: the bound socket.
+    :raises OSError: the address cannot be bound.
+    """
+    host, _, port = address.rpartition(":")
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((host.strip("[]"), int(port)))
+    return listener
+
+
+def listener_url(listener, scheme="http"):
+    """Base URL of a bound socket.
+
+    :param listener: the socket.
+    :param scheme: ``http`` or ``https``.
+    """
+    host, port = listener.getsockname()[:2]
+    shown = f"[{host}]" if ":" in host else host
+    return f"{scheme}://{shown}:{port}"
+
+
+class _Server(uvicorn.Server):
+    """uvicorn without signal handlers: the process owns them."""
+
+    @contextlib.contextmanager
+    def capture_signals(self):
+        """Leave signals to the process."""
+        yield
+
+
+class HttpListener:
+    """Serves an ASGI application until its context ends.
+
+    Leaving the context is graceful: no new connections are taken, and
+    requests in progress are answered to their end.
+
+    :param app: ASGI application.
+    :param listener: bound socket; owned from here on.
+    :param certificate_file: TLS certificate chain, or ``None``.
+    :param private_key_file: key of the certificate, or ``None``.
+    :param header_bytes: largest request head.
+    """
+
+    def __init__(
+        self,
+        app,
+        listener,
+        certificate_file=None,
+        private_key_file=None,
+        header_bytes=16384,
+    ):
+        self.app = app
+        self.listener = listener
+        self.certificate_file = certificate_file
+        self.private_key_file = private_key_file
+        self.header_bytes = header_bytes
+        self._server = None
+        self._serving = None
+        self._log = events.EventLog("transport")
+
+    @property
+    def url(self):
+        """Base URL of the listener."""
+        scheme = "https" if self.certificate_file else "http"
+        return listener_url(self.listener, scheme)
+
+    async def __aenter__(self):
+        config = uvicorn.Config(
+            self.app,
+            lifespan="off",
+            log_config=None,
+            access_log=False,
+            backlog=BACKLOG_CONNECTIONS,
+            http="httptools",
+            ws="none",
+            server_header=False,
+            date_header=False,
+            ssl_certfile=self.certificate_file,
+            ssl_keyfile=self.private_key_file,
+        )
+        self._server = _Server(config)
+        self._serving = asyncio.create_task(
+            self._server.serve(sockets=[self.listener])
+        )
+        while not self._server.started:
+            if self._serving.done():
+                self._serving.result()
+            await asyncio.sleep(START_POLL_SECONDS)
+        self._log.write(_events.HTTP_LISTENING, url=self.url)
+        return self
+
+    async def __aexit__(self, *exc_info):
+        await self.stop()
+
+    async def stop(self):
+        """Take no new connections and finish the requests in progress."""
+        self._server.should_exit = True
+        await self._serving
+
+    async def kill(self):
+        """Drop all connections at once, as a crash would."""
+        self._server.should_exit = True
+        self._server.force_exit = True
+        for connection in list(self._server.server_state.connections):
+            connection.transport.abort()
+        await self._serving
--- /dev/null
+++ b/buckthorntack/transport/tests/test_links.py
@@ -0,0 +1,94 @@
+import asyncio
+import datetime
+
+from buckthorntack import clock
+from buckthorntack import transport
+from buckthorntack.schema import messages
+
+
+async def _until(condition):
+    while not condition():
+        await asyncio.sleep(0.005)
+
+
+async def _exchange(sender_keys, receiver_keys, count):
+    received = []
+
+    def handle(sender, message):
+        received.append((sender, message))
+
+    source = clock.SystemClock()
+    receiver = transport.LinkTask(
+        "b", "127.0.0.1:0", receiver_keys, {}, handle, source
+    )
+    async with receiver:
+        addresses = {"b": receiver.address}
+        sender = transport.LinkTask(
+            "a", "127.0.0.1:0", sender_keys, addresses, handle, source
+        )
+        async with sender:
+            for number in range(count):
+                await _until(lambda n=number: _sent(sender, n))
+            await _until(lambda: len(received) == count)
+    return received
+
+
+def _sent(sender, number):
+    return sender.send("b", messages.Ping(sent_at_ms=number))
+
+
+def test_messages_arrive_in_order_from_a_named_sender():
+    keys = transport.new_link_keys()
+    received = asyncio.run(_exchange(keys, keys, 500))
+    assert [sender for sender, _ in received] == ["a"] * 500
+    assert [message.sent_at_ms for _, message in received] == list(range(500))
+
+
+def test_foreign_key_is_refused():
+    async def attempt():
+        ours = transport.new_link_keys()
+        theirs = transport.new_link_keys()
+        foreign = transport.LinkKeys(
+            ours.public_key, theirs.secret_key, (ours.public_key,)
+        )
+        try:
+            async with asyncio.timeout(1):
+                await _exchange(foreign, ours, 1)
+        except TimeoutError:
+            return "refused"
+        return "accepted"
+
+    assert asyncio.run(attempt()) == "refused"
+
+
+def test_unknown_peer_is_no_error():
+    async def attempt():
+        keys = transport.new_link_keys()
+        task = transport.LinkTask(
+            "a", "127.0.0.1:0", keys, {}, None, clock.SystemClock()
+        )
+        async with task:
+            return task.send("nobody", messages.Ping(sent_at_ms=1))
+
+    assert asyncio.run(attempt()) is False
+
+
+def test_shaper_delays_by_distance_and_queue_and_cuts():
+    cut = set()
+    shaper = transport.LinkShaper(
+        region="kumamoto",
+        region_of={"a": "fukuoka", "b": "kumamoto"}.get,
+        delay=datetime.timedelta(milliseconds=55),
+        local_delay=datetime.timedelta(milliseconds=1),
+        bytes_per_second=1_000_000,
+        busy_until={},
+        cut=cut,
+    )
+    now = datetime.timedelta(seconds=1)
+    assert shaper.arrival("b", 10, now) == datetime.timedelta(milliseconds=1)
+    first = shaper.arrival("a", 100_000, now)
+    second = shaper.arrival("a", 100_000, now)
+    assert first == datetime.timedelta(milliseconds=155)
+    assert second == datetime.timedelta(milliseconds=255)
+    cut.add(("fukuoka", "kumamoto"))
+    assert shaper.arrival("a", 1, now) is None
