Add operators' objects: the check of a whole set and the read view

Cause: entry and control VMs need a checked, compact set of objects. Change: buckthorntack.objects reads folders of JSON with comments, checks a whole set or a change to a checked one with named rules, and gives PublishedSet for lookups.

--- /dev/null
+++ b/buckthorntack/objects/__init__.py
@@ -0,0 +1,27 @@
+"""Operators' objects: reading, the check of a whole set, the read view."""
+
+from buckthorntack.objects._check import check
+from buckthorntack.objects._check import check_change
+from buckthorntack.objects._check import rules
+from buckthorntack.objects._findings import format_finding
+from buckthorntack.objects._folder import check_folder
+from buckthorntack.objects._folder import load_folder
+from buckthorntack.objects._folder import LoadedFolder
+from buckthorntack.objects._folder import parse_json
+from buckthorntack.objects._kinds import KINDS
+from buckthorntack.objects._published import PublishedSet
+from buckthorntack.objects._registry import Rule
+
+__all__ = [
+    "KINDS",
+    "LoadedFolder",
+    "PublishedSet",
+    "Rule",
+    "check",
+    "check_change",
+    "check_folder",
+    "format_finding",
+    "load_folder",
+    "parse_json",
+    "rules",
+]
--- /dev/null
+++ b/buckthorntack/objects/_folder.py
@@ -0,0 +1,120 @@
+"""Reading operators' objects from a folder of JSON files with comments."""
+
+import json
+import pathlib
+from typing import NamedTuple
+
+import json5
+
+from buckthorntack.objects import _check
+from buckthorntack.objects import _findings
+from buckthorntack.schema import documents
+
+_ENDING = ".json"
+
+
+class LoadedFolder(NamedTuple):
+    """What was read from a folder."""
+
+    named_objects: list[documents.NamedObject]
+    #: File of each object, by kind and name; of equal names the last.
+    files: dict[tuple[str, str], str]
+    findings: list[documents.Finding]
+
+
+class _DuplicateFieldError(ValueError):
+    """A JSON object names a field twice."""
+
+
+def _fields(pairs):
+    fields = dict(pairs)
+    if len(fields) == len(pairs):
+        return fields
+    names = [name for name, _ in pairs]
+    twice = sorted({name for name in names if names.count(name) > 1})
+    raise _DuplicateFieldError(f"field {', '.join(twice)} is given twice")
+
+
+def parse_json(text):
+    """Parse JSON with comments.
+
+    Text without comments takes a much faster parser.
+
+    :param text: the text.
+    :returns: the parsed value.
+    :raises ValueError: it is not JSON, or an object names a field twice.
+
+    >>> parse_json('{"a": 1}  // one')
+    {'a': 1}
+    """
+    try:
+        return json.loads(text, object_pairs_hook=_fields)
+    except json.JSONDecodeError:
+        return json5.loads(text, object_pairs_hook=_fields)
+
+
+def load_folder(path) -> LoadedFolder:
+    """Read all ``*.json`` files of a folder.
+
+    Each file holds one ``{"kind": ..., "object": ...}`` or a list of them.
+
+    :param path: the folder.
+    :returns: the objects, where they came from, and what could not be read.
+    """
+    folder = pathlib.Path(path)
+    loaded = LoadedFolder([], {}, [])
+    files = sorted(folder.glob(f"*{_ENDING}")) if folder.is_dir() else []
+    if not files:
+        loaded.findings.append(
+            _file_finding(
+                str(folder),
+                f"no folder with *{_ENDING} files",
+                "name the folder that holds the objects",
+            )
+        )
+    for file in files:
+        _load_file(file, loaded)
+    return loaded
+
+
+def _load_file(file, loaded):
+    try:
+        content = parse_json(file.read_text(encoding="utf-8"))
+    except (ValueError, OSError, RecursionError) as error:
+        remedy = "mend the file; it must be JSON with comments in UTF-8"
+        loaded.findings.append(_file_finding(file.name, str(error), remedy))
+        return
+    entries = content if isinstance(content, list) else [content]
+    for entry in entries:
+        loaded.named_objects.append(entry)
+        loaded.files[_key(entry)] = file.name
+
+
+def _key(entry):
+    if not isinstance(entry, dict):
+        return ("", "")
+    document = entry.get("object")
+    name = document.get("name") if isinstance(document, dict) else ""
+    return (str(entry.get("kind", "")), str(name or ""))
+
+
+def _file_finding(file, message, remedy):
+    found = _findings.finding("file", "", "", "", message, remedy)
+    found["file"] = file
+    return found
+
+
+def check_folder(path) -> LoadedFolder:
+    """Read a folder and check the set it holds.
+
+    :param path: the folder.
+    :returns: as :func:`load_folder`, with the findings of the check, each
+        with its file.
+    """
+    loaded = load_folder(path)
+    findings = _check.check(loaded.named_objects)
+    for found in findings:
+        file = loaded.files.get((found["kind"], found["name"]))
+        if file is not None:
+            found["file"] = file
+    return loaded._replace(findings=[*loaded.findings, *findings])
--- /dev/null
+++ b/buckthorntack/objects/_index.py
@@ -0,0 +1,165 @@
+"""Tables of rows by kind and name, with the lookups derived from them."""
+
+import collections
+import functools
+
+from buckthorntack.objects import _kinds
+from buckthorntack.objects import _rows
+
+
+class ObjectIndex:
+    """Rows by kind and name; not changed once it is in use.
+
+    :param tables: dictionary of rows by name, for each kind.
+    :param broken: (kind, name) of objects left out because of their shape.
+    """
+
+    def __init__(self, tables, broken=frozenset()):
+        self.tables = tables
+        self.broken = broken
+
+    def get(self, kind, name):
+        """Row of an object.
+
+        :param kind: its kind.
+        :param name: its name.
+        :returns: the row, or ``None``.
+        """
+        return self.tables[kind].get(name)
+
+    def rows(self, kind):
+        """All rows of a kind.
+
+        :param kind: the kind.
+        """
+        return self.tables[kind].values()
+
+    @functools.cached_property
+    def domains_by_region(self):
+        """Names of failure domains, by region."""
+        domains = collections.defaultdict(set)
+        for row in self.rows("FailureDomain"):
+            domains[row.region].add(row.name)
+        return {region: frozenset(names) for region, names in domains.items()}
+
+    @functools.cached_property
+    def pools_by_service(self):
+        """Rows of pools, by service."""
+        pools = collections.defaultdict(list)
+        for row in self.rows("BackendServerPool"):
+            pools[row.service].append(row)
+        return dict(pools)
+
+    @functools.cached_property
+    def regions_by_service(self):
+        """Regions in which any pool of a service may run, by service."""
+        regions = collections.defaultdict(set)
+        for row in self.rows("BackendServerPool"):
+            regions[row.service] |= self.regions_of_domains(
+                row.failure_domains
+            )
+        return {name: frozenset(found) for name, found in regions.items()}
+
+    def regions_of_domains(self, names):
+        """Regions of failure domains.
+
+        :param names: names of failure domains; unknown ones are left out.
+        :returns: set of region names.
+        """
+        rows = (self.get("FailureDomain", name) for name in names)
+        return {row.region for row in rows if row is not None}
+
+    @functools.cached_property
+    def residency(self):
+        """Allowed regions, by residency rule."""
+        rows = self.rows("ResidencyRule")
+        return {row.name: frozenset(row.regions) for row in rows}
+
+    @functools.cached_property
+    def models(self):
+        """Service and model version, by ``model`` and ``model@version``."""
+        found = {}
+        for service in self.rows("Service"):
+            for name in service.model_versions or ():
+                row = self.get("ModelVersion", name)
+                if row is None:
+                    continue
+                target = (service.name, name)
+                found.setdefault(row.model, target)
+                found.setdefault(f"{row.model}@{row.version}", target)
+        return found
+
+    @functools.cached_property
+    def credentials(self):
+        """Rows of credentials, by hash of the token."""
+        rows = self.rows("CallerCredential")
+        return {row.token_sha256: row for row in rows}
+
+    @functools.cached_property
+    def shared_hashes(self):
+        """Names of credentials that share a hash, by hash."""
+        if len(self.credentials) == len(self.tables["CallerCredential"]):
+            return {}
+        names = collections.defaultdict(list)
+        for row in self.rows("CallerCredential"):
+            names[row.token_sha256].append(row.name)
+        return {key: found for key, found in names.items() if len(found) > 1}
+
+
+def build_index(named_objects, broken=frozenset()):
+    """Build the index of a set.
+
+    :param named_objects: objects of valid shape; of equal names the last
+        counts.
+    :param broken: (kind, name) of objects left out because of their shape.
+    :returns: an :class:`ObjectIndex`.
+    """
+    empty = ObjectIndex({kind: {} for kind in _kinds.KINDS}, broken)
+    return changed_index(empty, named_objects, ())
+
+
+def changed_index(index, put, remove):
+    """Index of a set with some objects changed.
+
+    :param index: index of the set before.
+    :param put: objects created or replaced.
+    :param remove: names of objects removed.
+    :returns: a new index that shares what is unchanged.
+    """
+    tables = dict(index.tables)
+    touched = {entry["kind"] for entry in (*put, *remove)}
+    for kind in touched:
+        tables[kind] = dict(tables[kind])
+    for entry in remove:
+        tables[entry["kind"]].pop(entry["name"], None)
+    lists = {}
+    for entry in sorted(put, key=_place_of_kind):
+        row = _pack_shared(tables, entry["kind"], entry["object"], lists)
+        tables[entry["kind"]][row.name] = row
+    result = ObjectIndex(tables, index.broken)
+    if "CallerCredential" not in touched:
+        vars(result)["credentials"] = index.credentials
+    return result
+
+
+def _place_of_kind(entry):
+    return _kinds.KINDS.index(entry["kind"])
+
+
+def _pack_shared(tables, kind, document, lists):
+    """Pack an object so that equal names and lists are held only once."""
+    row = _rows.pack(kind, document)
+    shared = {}
+    for field, target in _kinds.references_of(kind).items():
+        value = getattr(row, field)
+        if isinstance(value, str):
+            shared[field] = _shared_name(tables[target], value)
+        elif value is not None:
+            names = tuple(_shared_name(tables[target], n) for n in value)
+            shared[field] = lists.setdefault(names, names)
+    return row._replace(**shared) if shared else row
+
+
+def _shared_name(table, name):
+    row = table.get(name)
+    return name if row is None else row.name
--- /dev/null
+++ b/buckthorntack/objects/_published.py
@@ -0,0 +1,246 @@
+"""Read view of a published set of objects."""
+
+from collections.abc import Iterable
+from typing import Any
+
+from buckthorntack.objects import _index
+from buckthorntack.objects import _kinds
+from buckthorntack.objects import _rows
+from buckthorntack.schema import documents
+
+_CALL_PATTERN_END = "/*"
+
+
+class PublishedSet:
+    """A checked set of objects, compact in memory and never changed.
+
+    The documents that it returns must not be altered.
+
+    :param revision: revision of the configuration.
+    :param named_objects: objects for which :func:`check` found nothing.
+
+    >>> published = PublishedSet(7, [
+    ...     {"kind": "Region", "object": {"name": "fukuoka"}},
+    ...     {"kind": "FailureDomain",
+    ...      "object": {"name": "fukuoka-a", "region": "fukuoka"}}])
+    >>> published.region_of("fukuoka-a")
+    'fukuoka'
+    """
+
+    def __init__(
+        self,
+        revision: int,
+        named_objects: Iterable[documents.NamedObject] = (),
+    ):
+        self.revision = revision
+        self.index = _index.build_index(named_objects)
+
+    def with_changes(
+        self,
+        revision: int,
+        put: Iterable[documents.NamedObject],
+        remove: Iterable[documents.ObjectName],
+    ) -> "PublishedSet":
+        """Set with some objects changed, sharing the others.
+
+        :param revision: revision of the new set.
+        :param put: objects created or replaced.
+        :param remove: names of objects removed.
+        :returns: a new set; this one stays as it is.
+        """
+        changed = PublishedSet(revision)
+        changed.index = _index.changed_index(
+            self.index, list(put), list(remove)
+        )
+        return changed
+
+    def named_objects(self) -> Iterable[documents.NamedObject]:
+        """All objects, by kind and in the order they were put."""
+        for kind in _kinds.KINDS:
+            for row in self.index.rows(kind):
+                yield {"kind": kind, "object": _rows.unpack(kind, row)}
+
+    def __len__(self):
+        return sum(len(table) for table in self.index.tables.values())
+
+    def get(self, kind: str, name: str) -> dict[str, Any] | None:
+        """An object of any kind.
+
+        :param kind: its kind.
+        :param name: its name.
+        :returns: the object, or ``None``.
+        """
+        row = self.index.tables.get(kind, {}).get(name)
+        return None if row is None else _rows.unpack(kind, row)
+
+    def organisation(self, name: str) -> documents.Organisation | None:
+        """An organisation.
+
+        :param name: its name.
+        :returns: the organisation, or ``None``.
+        """
+        return self.get("Organisation", name)
+
+    def credential(
+        self, token_sha256: str | bytes
+    ) -> documents.CallerCredential | None:
+        """The credential of a token; whether it expired is not looked at.
+
+        :param token_sha256: hash of the token, hexadecimal or as bytes.
+        :returns: the credential, or ``None``.
+        """
+        if isinstance(token_sha256, str):
+            token_sha256 = bytes.fromhex(token_sha256)
+        row = self.index.credentials.get(token_sha256)
+        return None if row is None else _rows.unpack("CallerCredential", row)
+
+    def allowed_regions(self, organisation: str) -> frozenset[str]:
+        """Regions in which an organisation's requests may be served.
+
+        :param organisation: name of the organisation.
+        :returns: names of regions; none for an unknown organisation.
+        """
+        row = self.index.get("Organisation", organisation)
+        if row is None:
+            return frozenset()
+        return self.index.residency.get(row.residency_rule, frozenset())
+
+    def may_use(self, organisation: str, service: str) -> bool:
+        """Whether an organisation may use a service.
+
+        :param organisation: name of the organisation.
+        :param service: name of the service.
+        """
+        row = self.index.get("Organisation", organisation)
+        return row is not None and service in row.services
+
+    def resolve_model(self, model: str) -> tuple[str, str] | None:
+        """What serves a model.
+
+        :param model: ``model`` for its default version, or
+            ``model@version``.
+        :returns: names of the service and of the model version, or ``None``.
+        """
+        return self.index.models.get(model)
+
+    def models_for(self, organisation: str) -> list[str]:
+        """Models that an organisation may ask for.
+
+        :param organisation: name of the organisation.
+        :returns: sorted names of models, with and without version.
+        """
+        row = self.index.get("Organisation", organisation)
+        services = () if row is None else row.services
+        models = self.index.models.items()
+        return sorted(name for name, found in models if found[0] in services)
+
+    def service(self, name: str) -> documents.Service | None:
+        """A service.
+
+        :param name: its name.
+        :returns: the service, or ``None``.
+        """
+        return self.get("Service", name)
+
+    def model_version(self, name: str) -> documents.ModelVersion | None:
+        """A model version.
+
+        :param name: its name.
+        :returns: the model version, or ``None``.
+        """
+        return self.get("ModelVersion", name)
+
+    def match_call(
+        self, service: str, method: str, path: str
+    ) -> documents.ServiceCall | None:
+        """The call of a plain service that a request makes.
+
+        An exact path goes before a pattern, a longer pattern before a
+        shorter one.
+
+        :param service: name of the service.
+        :param method: the request's method.
+        :param path: path below the service, without query.
+        :returns: the call, or ``None`` if the service does not list it.
+        """
+        row = self.index.get("Service", service)
+        calls = () if row is None else row.calls or ()
+        fitting = [
+            call
+            for call in calls
+            if call.method == method and _fits(call.path, path)
+        ]
+        if not fitting:
+            return None
+        best = max(fitting, key=lambda c: (c.path == path, len(c.path)))
+        return _rows.unpack("ServiceCall", best)
+
+    def pool(self, name: str) -> documents.BackendServerPool | None:
+        """A backend server pool.
+
+        :param name: its name.
+        :returns: the pool, or ``None``.
+        """
+        return self.get("BackendServerPool", name)
+
+    def pools_of(self, service: str) -> list[documents.BackendServerPool]:
+        """Pools that serve a service.
+
+        :param service: name of the service.
+        """
+        rows = self.index.pools_by_service.get(service, ())
+        return [_rows.unpack("BackendServerPool", row) for row in rows]
+
+    def terms(self, service: str) -> documents.DeploymentTerms | None:
+        """What is weighed when a service's requests are routed.
+
+        :param service: name of the service.
+        :returns: its terms, or ``None`` for an unknown service.
+        """
+        row = self.index.get("Service", service)
+        return None if row is None else self.get("DeploymentTerms", row.terms)
+
+    def priority(self, organisation: str) -> documents.Priority | None:
+        """Priority of an organisation.
+
+        :param organisation: name of the organisation.
+        :returns: its priority, or ``None`` for an unknown organisation.
+        """
+        row = self.index.get("Organisation", organisation)
+        return None if row is None else self.get("Priority", row.priority)
+
+    def quota(self, organisation: str) -> documents.Quota | None:
+        """Quota of an organisation.
+
+        :param organisation: name of the organisation.
+        :returns: its quota, or ``None`` for an unknown organisation.
+        """
+        row = self.index.get("Organisation", organisation)
+        return None if row is None else self.get("Quota", row.quota)
+
+    def region_of(self, failure_domain: str) -> str | None:
+        """Region of a failure domain.
+
+        :param failure_domain: its name.
+        :returns: name of the region, or ``None``.
+        """
+        row = self.index.get("FailureDomain", failure_domain)
+        return None if row is None else row.region
+
+    def failure_domains(self, region: str) -> frozenset[str]:
+        """Failure domains of a region.
+
+        :param region: name of the region.
+        """
+        return self.index.domains_by_region.get(region, frozenset())
+
+    def regions(self) -> frozenset[str]:
+        """Names of all regions."""
+        return frozenset(self.index.tables["Region"])
+
+
+def _fits(pattern, path):
+    if not pattern.endswith(_CALL_PATTERN_END):
+        return pattern == path
+    stem = pattern.removesuffix("*")
+    return path.startswith(stem) and len(path) > len(stem)
--- /dev/null
+++ b/buckthorntack/objects/_reference_rules.py
@@ -0,0 +1,33 @@
+"""Rules: what objects refer to must be there."""
+
+import functools
+
+from buckthorntack.objects import _findings
+from buckthorntack.objects import _kinds
+from buckthorntack.objects import _registry
+
+
+def _dangling(reference, row, index):
+    value = getattr(row, reference.field)
+    if value is None:
+        return
+    table = index.tables[reference.target]
+    names = (value,) if isinstance(value, str) else value
+    for name in names:
+        if name in table or (reference.target, name) in index.broken:
+            continue
+        yield _findings.finding(
+            "dangling_reference",
+            reference.kind,
+            row.name,
+            reference.field,
+            f"{reference.target} {name!r} is not in the set",
+            f"add {reference.target} {name!r}, or name another "
+            f"in {reference.field}",
+        )
+
+
+for _reference in _kinds.REFERENCES:
+    _registry.rule("dangling_reference", _reference.kind, [_reference.target])(
+        functools.partial(_dangling, _reference)
+    )
--- a/buckthorntack/schema/_generated/admin_documents.py
+++ b/buckthorntack/schema/_generated/admin_documents.py
@@ -50,6 +50,10 @@
     """
     message: str
     remedy: str
+    file: NotRequired[str]
+    """
+    File that the object was read from.
+    """
 
 
 class Change(TypedDict, closed=True):
--- a/buckthorntack/schema/_generated/objects_documents.py
+++ b/buckthorntack/schema/_generated/objects_documents.py
@@ -153,7 +153,7 @@
     method: Literal["GET", "POST", "PUT", "PATCH", "DELETE"]
     path: str
     """
-    Path below the service, starting with a slash.
+    Path below the service, starting with a slash; a trailing /* stands for all paths below.
     """
     idempotent: bool
     """
