--- a/buckthorntack/objects/_index.py
+++ b/buckthorntack/objects/_index.py
@@ -17,6 +17,7 @@
     def __init__(self, tables, broken=frozenset()):
         self.tables = tables
         self.broken = broken
+        self._unservable = {}
 
     def get(self, kind, name):
         """Row of an object.
@@ -75,6 +76,24 @@
         rows = self.rows("ResidencyRule")
         return {row.name: frozenset(row.regions) for row in rows}
 
+    def unservable(self, residency_rule, services):
+        """Services of which no pool lies within a residency rule.
+
+        :param residency_rule: name of a known residency rule.
+        :param services: names of services; unknown ones are left out.
+        :returns: tuple of names.
+        """
+        key = (residency_rule, services)
+        if key not in self._unservable:
+            allowed = self.residency[residency_rule]
+            self._unservable[key] = tuple(
+                name
+                for name in services
+                if name in self.tables["Service"]
+                and allowed.isdisjoint(self.regions_by_service.get(name, ()))
+            )
+        return self._unservable[key]
+
     @functools.cached_property
     def models(self):
         """Service and model version, by ``model`` and ``model@version``."""
--- a/buckthorntack/objects/_organisation_rules.py
+++ b/buckthorntack/objects/_organisation_rules.py
@@ -20,13 +20,13 @@
     :param organisation: row of the organisation.
     :param index: the set.
     """
-    allowed = index.residency.get(organisation.residency_rule)
-    if allowed is None:
+    if organisation.residency_rule not in index.residency:
         return
-    for name in organisation.services:
-        served = index.regions_by_service.get(name, frozenset())
-        if index.get("Service", name) is None or allowed & served:
-            continue
+    unservable = index.unservable(
+        organisation.residency_rule, organisation.services
+    )
+    for name in unservable:
+        allowed = index.residency[organisation.residency_rule]
         yield _findings.finding(
             "no_servable_pool",
             "Organisation",
--- a/buckthorntack/objects/_rows.py
+++ b/buckthorntack/objects/_rows.py
@@ -69,12 +69,10 @@
     for field, value in zip(row._fields, row, strict=True):
         if value is None:
             continue
-        if field in nested:
-            document[field] = [unpack(nested[field], item) for item in value]
-        elif isinstance(value, tuple):
-            document[field] = list(value)
+        if isinstance(value, tuple):
+            item_kind = nested.get(field)
+            value = [unpack(item_kind, v) if item_kind else v for v in value]
         elif isinstance(value, bytes):
-            document[field] = value.hex()
-        else:
-            document[field] = value
+            value = value.hex()
+        document[field] = value
     return document
--- a/buckthorntack/schema/_documents.py
+++ b/buckthorntack/schema/_documents.py
@@ -6,8 +6,6 @@
 from typing import Any
 from typing import NamedTuple
 
-import jsonschema
-
 _FOLDER = pathlib.Path(__file__).parent / "documents"
 
 
@@ -30,6 +28,8 @@
 
 @functools.cache
 def _validator(name, definition):
+    import jsonschema  # heavy, and needed only for faulty documents
+
     schema = document_schema(name)
     reference = {"$ref": f"#/$defs/{definition}", "$defs": schema["$defs"]}
     return jsonschema.Draft202012Validator(reference)
