--- a/buckthorntack/objects/__init__.py
+++ b/buckthorntack/objects/__init__.py
@@ -7,7 +7,6 @@
 from buckthorntack.objects._folder import check_folder
 from buckthorntack.objects._folder import load_folder
 from buckthorntack.objects._folder import LoadedFolder
-from buckthorntack.objects._folder import parse_json
 from buckthorntack.objects._kinds import KINDS
 from buckthorntack.objects._published import PublishedSet
 from buckthorntack.objects._registry import Rule
@@ -22,6 +21,5 @@
     "check_folder",
     "format_finding",
     "load_folder",
-    "parse_json",
     "rules",
 ]
--- a/buckthorntack/objects/_folder.py
+++ b/buckthorntack/objects/_folder.py
@@ -1,11 +1,9 @@
 """Reading operators' objects from a folder of JSON files with comments."""
 
-import json
 import pathlib
 from typing import NamedTuple
 
-import json5
-
+from buckthorntack import schema
 from buckthorntack.objects import _check
 from buckthorntack.objects import _findings
 from buckthorntack.schema import documents
@@ -22,37 +20,6 @@
     findings: list[documents.Finding]
 
 
-class _DuplicateFieldError(ValueError):
-    """A JSON object names a field twice."""
-
-
-def _fields(pairs):
-    fields = dict(pairs)
-    if len(fields) == len(pairs):
-        return fields
-    names = [name for name, _ in pairs]
-    twice = sorted({name for name in names if names.count(name) > 1})
-    raise _DuplicateFieldError(f"field {', '.join(twice)} is given twice")
-
-
-def parse_json(text):
-    """Parse JSON with comments.
-
-    Text without comments takes a much faster parser.
-
-    :param text: the text.
-    :returns: the parsed value.
-    :raises ValueError: it is not JSON, or an object names a field twice.
-
-    >>> parse_json('{"a": 1}  // one')
-    {'a': 1}
-    """
-    try:
-        return json.loads(text, object_pairs_hook=_fields)
-    except json.JSONDecodeError:
-        return json5.loads(text, object_pairs_hook=_fields)
-
-
 def load_folder(path) -> LoadedFolder:
     """Read all ``*.json`` files of a folder.
 
@@ -79,8 +46,8 @@
 
 def _load_file(file, loaded):
     try:
-        content = parse_json(file.read_text(encoding="utf-8"))
-    except (ValueError, OSError, RecursionError) as error:
+        content = schema.parse_json(file.read_text(encoding="utf-8"))
+    except (ValueError, OSError) as error:
         remedy = "mend the file; it must be JSON with comments in UTF-8"
         loaded.findings.append(_file_finding(file.name, str(error), remedy))
         return
--- a/buckthorntack/objects/_shape.py
+++ b/buckthorntack/objects/_shape.py
@@ -6,7 +6,6 @@
 """
 
 import functools
-import json
 import math
 from typing import Annotated
 from typing import Literal
@@ -143,19 +142,7 @@
             _text(document, "name"),
             path,
             message,
-            _remedy(kind, path),
+            schema.describe_field("objects", kind, path),
         )
         for path, message in found
     ]
-
-
-def _remedy(kind, path):
-    field = path.removeprefix("$.").split("[")[0].split(".")[0]
-    definition = _kinds.definition(kind)
-    field_schema = definition["properties"].get(field)
-    if field_schema is None:
-        known = ", ".join(definition["properties"])
-        needed = ", ".join(definition["required"])
-        return f"fields of {kind} are {known}; required are {needed}"
-    rules = {k: v for k, v in field_schema.items() if k != "description"}
-    return f"{field} must satisfy {json.dumps(rules)}"
--- a/buckthorntack/schema/__init__.py
+++ b/buckthorntack/schema/__init__.py
@@ -4,16 +4,20 @@
 from buckthorntack.schema._codec import encode
 from buckthorntack.schema._codec import MalformedMessageError
 from buckthorntack.schema._codec import message_types
+from buckthorntack.schema._documents import describe_field
 from buckthorntack.schema._documents import document_schema
 from buckthorntack.schema._documents import DocumentFinding
 from buckthorntack.schema._documents import validate_document
+from buckthorntack.schema._parsing import parse_json
 
 __all__ = [
     "DocumentFinding",
     "MalformedMessageError",
     "decode",
+    "describe_field",
     "document_schema",
     "encode",
     "message_types",
+    "parse_json",
     "validate_document",
 ]
--- a/buckthorntack/schema/_documents.py
+++ b/buckthorntack/schema/_documents.py
@@ -3,6 +3,7 @@
 import functools
 import json
 import pathlib
+import re
 from typing import Any
 from typing import NamedTuple
 
@@ -51,3 +52,40 @@
         DocumentFinding(error.json_path, error.message) for error in errors
     ]
     return sorted(findings)
+
+
+def describe_field(name: str, definition: str, path: str) -> str:
+    """Say what a field of a document must hold, for a remedy.
+
+    :param name: family of the document, such as ``settings``.
+    :param definition: kind of document, such as ``Settings``.
+    :param path: path of a finding, such as ``$.log.level``.
+    :returns: one sentence part.
+
+    >>> describe_field("objects", "Priority", "$.weight")
+    'weight must satisfy {"type": "number", "exclusiveMinimum": 0, \
+"maximum": 1000000000000}'
+    """
+    node = document_schema(name)["$defs"][definition]
+    field = definition
+    for part in re.findall(r"[^.\[\]$]+", path):
+        node = _resolve(name, node)
+        inner = node.get("items") if part.isdigit() else None
+        inner = inner or node.get("properties", {}).get(part)
+        if inner is None:
+            break
+        node, field = inner, part
+    node = _resolve(name, node)
+    if "properties" in node:
+        known = ", ".join(node["properties"])
+        needed = ", ".join(node.get("required", ())) or "none"
+        return f"fields of {field} are {known}; required are {needed}"
+    rules = {k: v for k, v in node.items() if k != "description"}
+    return f"{field} must satisfy {json.dumps(rules)}"
+
+
+def _resolve(name, node):
+    reference = node.get("$ref")
+    if reference is None:
+        return node
+    return document_schema(name)["$defs"][reference.rpartition("/")[2]]
--- a/buckthorntack/schema/_generated/settings_documents.py
+++ b/buckthorntack/schema/_generated/settings_documents.py
@@ -24,7 +24,7 @@
     """
     region: str
     failure_domain: str
-    roles: list[str]
+    roles: list[Literal["entry", "control"]]
 
 
 class LedgerHome(TypedDict, closed=True):
@@ -73,11 +73,11 @@
     """
     certificate_file: NotRequired[str]
     """
-    TLS certificate chain; plain HTTP without it.
+    TLS certificate chain; plain HTTP without it; a relative path starts at the folder of the settings file.
     """
     private_key_file: NotRequired[str]
     """
-    Key of the certificate.
+    Key of the certificate; a relative path starts at the folder of the settings file.
     """
 
 
@@ -88,15 +88,15 @@
 
     link_keys_file: str
     """
-    Key pairs of the links.
+    Key pairs of the links; a relative path starts at the folder of the settings file.
     """
     token_key_file: str
     """
-    Key that signs attempt ids.
+    Key that signs attempt ids; a relative path starts at the folder of the settings file.
     """
     operator_tokens_file: NotRequired[str]
     """
-    Hashed operator tokens with their roles.
+    Hashed operator tokens with their roles; a relative path starts at the folder of the settings file.
     """
 
 
@@ -183,7 +183,7 @@
     level: NotRequired[Literal["debug", "info", "notice", "warning", "error"]]
     file: NotRequired[str]
     """
-    File to append to; standard error without it.
+    File to append to; standard error without it; a relative path starts at the folder of the settings file.
     """
 
 
@@ -219,7 +219,7 @@
     """
     data_folder: str
     """
-    Folder for all durable state.
+    Folder for all durable state; a relative path starts at the folder of the settings file.
     """
     links: LinkSettings
     """
--- a/buckthorntack/schema/documents.py
+++ b/buckthorntack/schema/documents.py
@@ -16,6 +16,12 @@
 from buckthorntack.schema._generated.backend_documents import EngineOrderAnswer
 from buckthorntack.schema._generated.backend_documents import LoadReport
 from buckthorntack.schema._generated.backend_documents import Outcome
+from buckthorntack.schema._generated.keys_documents import KeyFiles
+from buckthorntack.schema._generated.keys_documents import LinkKeyFile
+from buckthorntack.schema._generated.keys_documents import LinkKeyPair
+from buckthorntack.schema._generated.keys_documents import OperatorToken
+from buckthorntack.schema._generated.keys_documents import OperatorTokenFile
+from buckthorntack.schema._generated.keys_documents import TokenKeyFile
 from buckthorntack.schema._generated.objects_documents import BackendServerPool
 from buckthorntack.schema._generated.objects_documents import CallerCredential
 from buckthorntack.schema._generated.objects_documents import DeploymentTerms
@@ -59,9 +65,12 @@
     "FailureDomain",
     "Finding",
     "HttpSettings",
+    "KeyFiles",
     "KeySettings",
     "LedgerHome",
     "LimitSettings",
+    "LinkKeyFile",
+    "LinkKeyPair",
     "LinkSettings",
     "LoadReport",
     "LogSettings",
@@ -70,6 +79,8 @@
     "NodeAddress",
     "ObjectName",
     "Objects",
+    "OperatorToken",
+    "OperatorTokenFile",
     "Organisation",
     "Outcome",
     "Priority",
@@ -81,5 +92,6 @@
     "Settings",
     "SettingsFile",
     "TimingSettings",
+    "TokenKeyFile",
     "WeightStoreSettings",
 ]
