--- /dev/null
+++ b/buckthorntack/control/tests/fakes.py
@@ -0,0 +1,113 @@
+"""A fake administration that keeps a set in memory."""
+
+import expression
+
+from buckthorntack import objects
+
+
+class FakeAdministration:
+    """Applies changes to a set in memory."""
+
+    def __init__(self, published=None):
+        self.published = published or objects.PublishedSet(0)
+        self.answers = {}
+        self.operators = []
+        self.members = ["node-0"]
+        #: Errors or exceptions to give before the calls are carried out.
+        self.faults = []
+        #: Errors to give after a change was carried out.
+        self.lost_answers = []
+
+    def _fault(self):
+        if not self.faults:
+            return None
+        fault = self.faults.pop(0)
+        if isinstance(fault, Exception) and not hasattr(fault, "number"):
+            raise fault
+        return expression.Error(fault)
+
+    async def apply(self, change, operator):
+        fault = self._fault()
+        if fault:
+            return fault
+        change_id = change["change_id"]
+        if change_id not in self.answers:
+            self.operators.append(operator)
+            self.answers[change_id] = self._decide(change)
+        if self.lost_answers:
+            return expression.Error(self.lost_answers.pop(0))
+        return expression.Ok(self.answers[change_id])
+
+    def _decide(self, change):
+        revision = self.published.revision
+        result = {"change_id": change["change_id"], "accepted": False}
+        if change["base_revision"] != revision:
+            return {**result, "revision": revision, "conflict": True}
+        put, remove = change.get("put", []), change.get("remove", [])
+        findings = objects.check_change(self.published, put, remove)
+        if findings:
+            return {**result, "revision": revision, "findings": findings}
+        self.published = self.published.with_changes(revision + 1, put, remove)
+        return {**result, "accepted": True, "revision": revision + 1}
+
+    async def objects(self, kind, name, linearizable):
+        fault = self._fault()
+        if fault:
+            return fault
+        found = [
+            entry
+            for entry in self.published.named_objects()
+            if kind in (None, entry["kind"])
+            and name in (None, entry["object"]["name"])
+        ]
+        revision = self.published.revision
+        return expression.Ok({"revision": revision, "objects": found})
+
+    async def history(self, after):
+        changes = [
+            {
+                "revision": answer["revision"],
+                "change_id": change_id,
+                "operator": "ana",
+                "accepted_at": "2026-01-01T00:00:00Z",
+            }
+            for change_id, answer in self.answers.items()
+            if answer["accepted"] and answer["revision"] > after
+        ]
+        return expression.Ok({"changes": changes})
+
+    async def status(self):
+        return expression.Ok(
+            {
+                "node_id": "node-0",
+                "revision": self.published.revision,
+                "has_quorum": True,
+                "leader": "node-0",
+                "replicas": self._replicas(),
+                "regions": [
+                    {
+                        "region": "fukuoka",
+                        "revision": self.published.revision,
+                        "nodes": 2,
+                        "nodes_behind": 0,
+                    }
+                ],
+            }
+        )
+
+    def _replicas(self):
+        return [
+            {"node_id": node_id, "role": "follower", "voter": True}
+            for node_id in self.members
+        ]
+
+    async def replicas(self):
+        return expression.Ok({"replicas": self._replicas()})
+
+    async def add_replica(self, node_id):
+        self.members.append(node_id)
+        return await self.replicas()
+
+    async def remove_replica(self, node_id):
+        self.members.remove(node_id)
+        return await self.replicas()
--- a/buckthorntack/objects/_check.py
+++ b/buckthorntack/objects/_check.py
@@ -71,7 +71,7 @@
     """Separate objects of right shape from others."""
     sound, broken, findings = [], set(), []
     for entry in named_objects:
-        if _is_sound(entry):
+        if _shape.is_sound(entry):
             sound.append(entry)
             continue
         found = _shape.shape_findings(entry)
@@ -83,15 +83,6 @@
     return sound, frozenset(broken), findings
 
 
-def _is_sound(entry):
-    if not isinstance(entry, dict) or entry.keys() != {"kind", "object"}:
-        return False
-    kind, document = entry["kind"], entry["object"]
-    if kind not in _kinds.KINDS or not isinstance(document, dict):
-        return False
-    return _shape.is_sound(kind, document)
-
-
 def _duplicates(named_objects):
     keys = ((e["kind"], e["object"]["name"]) for e in named_objects)
     for (kind, name), count in collections.Counter(keys).items():
--- a/buckthorntack/objects/_shape.py
+++ b/buckthorntack/objects/_shape.py
@@ -1,87 +1,28 @@
-"""Check of one object against the schema of its kind.
+"""Check of one object against the schema of its kind."""
 
-Most objects of a set are sound.  They are accepted by types that are built
-once from the schema; only an object that those types refuse goes through the
-slower validator, which tells all its faults.
-"""
-
-import functools
 import math
-from typing import Annotated
-from typing import Literal
-
-import msgspec
 
 from buckthorntack import schema
 from buckthorntack.objects import _findings
 from buckthorntack.objects import _kinds
 
-_SCALARS = {"string": str, "integer": int, "number": float, "boolean": bool}
-_LIMITS = {
-    "pattern": "pattern",
-    "minimum": "ge",
-    "maximum": "le",
-    "exclusiveMinimum": "gt",
-    "minItems": "min_length",
-}
-
-
-def _field_type(field_schema):
-    if "$ref" in field_schema:
-        return _struct(field_schema["$ref"].rpartition("/")[2])
-    if "enum" in field_schema:
-        return Literal[tuple(field_schema["enum"])]
-    if field_schema["type"] == "array":
-        base = list[_field_type(field_schema["items"])]
-    else:
-        base = _SCALARS[field_schema["type"]]
-    limits = {
-        name: field_schema[keyword]
-        for keyword, name in _LIMITS.items()
-        if keyword in field_schema
-    }
-    return Annotated[base, msgspec.Meta(**limits)] if limits else base
-
-
-@functools.cache
-def _struct(kind):
-    definition = _kinds.definition(kind)
-    fields = []
-    for field, field_schema in definition["properties"].items():
-        field_type = _field_type(field_schema)
-        if field in definition["required"]:
-            fields.append((field, field_type))
-        else:
-            optional = field_type | msgspec.UnsetType
-            fields.append((field, optional, msgspec.UNSET))
-    return msgspec.defstruct(
-        kind, fields, kw_only=True, forbid_unknown_fields=True
-    )
 
+def is_sound(entry):
+    """Whether an entry has the right shape, without telling why not.
 
-@functools.cache
-def _unique_fields(kind):
-    properties = _kinds.definition(kind)["properties"]
-    return [f for f, s in properties.items() if s.get("uniqueItems")]
-
-
-def is_sound(kind, document):
-    """Whether an object has the shape of its kind, without telling why not.
-
-    :param kind: a known kind.
-    :param document: the object.
+    :param entry: a ``NamedObject``, as parsed JSON.
 
-    >>> is_sound("Region", {"name": "fukuoka"})
+    >>> is_sound({"kind": "Region", "object": {"name": "fukuoka"}})
     True
-    >>> is_sound("Region", {"name": "FUKUOKA"})
+    >>> is_sound({"kind": "Planet", "object": {"name": "mars"}})
     False
     """
-    try:
-        msgspec.convert(document, _struct(kind))
-    except msgspec.ValidationError:
+    if not isinstance(entry, dict) or entry.keys() != {"kind", "object"}:
+        return False
+    kind, document = entry["kind"], entry["object"]
+    if kind not in _kinds.KINDS or not isinstance(document, dict):
         return False
-    lists = (document.get(field, ()) for field in _unique_fields(kind))
-    return all(len(set(found)) == len(found) for found in lists)
+    return schema.is_sound("objects", kind, document)
 
 
 def shape_findings(entry):
--- a/buckthorntack/objects/tests/test_check.py
+++ b/buckthorntack/objects/tests/test_check.py
@@ -224,9 +224,10 @@
 @pytest.mark.parametrize("seed", range(300))
 def test_quick_shape_check_agrees_with_validator(seed):
     entry = random_entry(random.Random(seed))
-    kind, document = entry["kind"], entry["object"]
-    faults = schema.validate_document("objects", kind, document)
-    assert _shape.is_sound(kind, document) == (faults == [])
+    faults = schema.validate_document(
+        "objects", entry["kind"], entry["object"]
+    )
+    assert _shape.is_sound(entry) == (faults == [])
 
 
 def test_change_with_wrong_removal_is_refused():
--- a/buckthorntack/schema/__init__.py
+++ b/buckthorntack/schema/__init__.py
@@ -9,6 +9,7 @@
 from buckthorntack.schema._documents import DocumentFinding
 from buckthorntack.schema._documents import validate_document
 from buckthorntack.schema._parsing import parse_json
+from buckthorntack.schema._quick import is_sound
 
 __all__ = [
     "DocumentFinding",
@@ -17,6 +18,7 @@
     "describe_field",
     "document_schema",
     "encode",
+    "is_sound",
     "message_types",
     "parse_json",
     "validate_document",
--- a/buckthorntack/schema/_generated/admin_documents.py
+++ b/buckthorntack/schema/_generated/admin_documents.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import Any
+from typing import Literal
 from typing import NotRequired
 
 from typing_extensions import TypedDict
@@ -56,6 +57,182 @@
     """
 
 
+class ObjectList(TypedDict, closed=True):
+    """
+    Objects of one revision.
+    """
+
+    revision: int
+    """
+    Revision they were read at.
+    """
+    objects: list[NamedObject]
+    """
+    Sorted by kind and name.
+    """
+
+
+class ChangeRecord(TypedDict, closed=True):
+    """
+    An accepted change.
+    """
+
+    revision: int
+    """
+    Revision it became.
+    """
+    change_id: str
+    operator: str
+    """
+    Name of the operator.
+    """
+    accepted_at: str
+    note: NotRequired[str]
+    put: NotRequired[list[ObjectName]]
+    """
+    Objects created or replaced.
+    """
+    remove: NotRequired[list[ObjectName]]
+    """
+    Objects removed.
+    """
+
+
+class History(TypedDict, closed=True):
+    """
+    Accepted changes, oldest first.
+    """
+
+    changes: list[ChangeRecord]
+    """
+    Changes after the revision asked for, as far as they are kept.
+    """
+
+
+class RegionStatus(TypedDict, closed=True):
+    """
+    How far a region follows the configuration.
+    """
+
+    region: str
+    revision: int
+    """
+    Lowest revision in force among its nodes that were heard of.
+    """
+    nodes: int
+    """
+    Nodes known in the region.
+    """
+    nodes_behind: int
+    """
+    Nodes not yet at the present revision, or not heard of.
+    """
+
+
+class ReplicaStatus(TypedDict, closed=True):
+    """
+    A replica of the configuration group.
+    """
+
+    node_id: str
+    role: str
+    """
+    leader, follower, candidate, learner or unknown.
+    """
+    voter: bool
+    match_index: NotRequired[int]
+    """
+    Last log entry it is known to hold.
+    """
+    reachable: NotRequired[bool]
+
+
+class Status(TypedDict, closed=True):
+    """
+    State of the configuration, as one control VM sees it.
+    """
+
+    node_id: str
+    """
+    Control VM that answers.
+    """
+    revision: int
+    """
+    Revision in force there.
+    """
+    has_quorum: bool
+    """
+    Whether changes can be accepted now.
+    """
+    leader: NotRequired[str]
+    """
+    Node id of the leader, if one is known.
+    """
+    replicas: list[ReplicaStatus]
+    """
+    Replicas of the configuration group.
+    """
+    regions: list[RegionStatus]
+    """
+    Which regions have confirmed the revision.
+    """
+
+
+class ReplicaList(TypedDict, closed=True):
+    """
+    Replicas of the configuration group.
+    """
+
+    replicas: list[ReplicaStatus]
+    """
+    All replicas.
+    """
+
+
+class ReplicaAddition(TypedDict, closed=True):
+    """
+    A replica to add; it votes once it has caught up.
+    """
+
+    node_id: str
+
+
+class AdminError(TypedDict, closed=True):
+    """
+    Why a call was refused.
+    """
+
+    number: int
+    """
+    Number in the event catalogue.
+    """
+    type: str
+    """
+    Machine-readable kind.
+    """
+    message: str
+    remedy: str
+    """
+    What to do about it.
+    """
+    run_state: Literal["not_run", "ran", "unknown"]
+    """
+    Whether the call may have taken effect.
+    """
+    retry_after_ms: NotRequired[int]
+    """
+    When to come back.
+    """
+
+
+class AdminErrorAnswer(TypedDict, closed=True):
+    """
+    Body of a refusal.
+    """
+
+    error: AdminError
+
+
 class Change(TypedDict, closed=True):
     """
     A whole-set change that an operator asks for.
--- /dev/null
+++ b/buckthorntack/schema/_quick.py
@@ -0,0 +1,88 @@
+"""Quick acceptance of documents of the right shape.
+
+Most documents are sound.  They are accepted by types that are built once
+from the schema; only a document that those types refuse needs the slower
+validator, which tells all its faults.
+"""
+
+import functools
+from typing import Annotated
+from typing import Any
+from typing import Literal
+
+import msgspec
+
+from buckthorntack.schema import _documents
+
+_SCALARS = {"string": str, "integer": int, "number": float, "boolean": bool}
+_LIMITS = {
+    "pattern": "pattern",
+    "minimum": "ge",
+    "maximum": "le",
+    "exclusiveMinimum": "gt",
+    "minItems": "min_length",
+    "minLength": "min_length",
+    "maxLength": "max_length",
+}
+
+
+def is_sound(name, definition, document) -> bool:
+    """Whether a document fits its schema, without telling why not.
+
+    :param name: family of the document, such as ``objects``.
+    :param definition: kind of document, such as ``Region``.
+    :param document: the parsed JSON.
+
+    >>> is_sound("objects", "Region", {"name": "fukuoka"})
+    True
+    >>> is_sound("objects", "Region", {"name": "FUKUOKA"})
+    False
+    """
+    try:
+        msgspec.convert(document, _struct(name, definition))
+    except msgspec.ValidationError:
+        return False
+    lists = (document.get(f, ()) for f in _unique_fields(name, definition))
+    return all(len(set(found)) == len(found) for found in lists)
+
+
+@functools.cache
+def _struct(name, definition):
+    found = _documents.document_schema(name)["$defs"][definition]
+    fields = []
+    for field, field_schema in found["properties"].items():
+        field_type = _field_type(name, field_schema)
+        if field in found["required"]:
+            fields.append((field, field_type))
+        else:
+            optional = field_type | msgspec.UnsetType
+            fields.append((field, optional, msgspec.UNSET))
+    return msgspec.defstruct(
+        definition, fields, kw_only=True, forbid_unknown_fields=True
+    )
+
+
+def _field_type(name, field_schema):
+    if "$ref" in field_schema:
+        return _struct(name, field_schema["$ref"].rpartition("/")[2])
+    if "enum" in field_schema:
+        return Literal[tuple(field_schema["enum"])]
+    if field_schema["type"] == "array":
+        base = list[_field_type(name, field_schema["items"])]
+    elif field_schema["type"] == "object":
+        base = dict[str, Any]
+    else:
+        base = _SCALARS[field_schema["type"]]
+    limits = {
+        limit: field_schema[keyword]
+        for keyword, limit in _LIMITS.items()
+        if keyword in field_schema
+    }
+    return Annotated[base, msgspec.Meta(**limits)] if limits else base
+
+
+@functools.cache
+def _unique_fields(name, definition):
+    found = _documents.document_schema(name)["$defs"][definition]
+    properties = found["properties"]
+    return [f for f, s in properties.items() if s.get("uniqueItems")]
--- a/buckthorntack/schema/documents.py
+++ b/buckthorntack/schema/documents.py
@@ -1,11 +1,21 @@
 """JSON documents met from outside; generated, do not edit."""
 
+from buckthorntack.schema._generated.admin_documents import AdminError
+from buckthorntack.schema._generated.admin_documents import AdminErrorAnswer
 from buckthorntack.schema._generated.admin_documents import AdminInterface
 from buckthorntack.schema._generated.admin_documents import Change
+from buckthorntack.schema._generated.admin_documents import ChangeRecord
 from buckthorntack.schema._generated.admin_documents import ChangeResult
 from buckthorntack.schema._generated.admin_documents import Finding
+from buckthorntack.schema._generated.admin_documents import History
 from buckthorntack.schema._generated.admin_documents import NamedObject
+from buckthorntack.schema._generated.admin_documents import ObjectList
 from buckthorntack.schema._generated.admin_documents import ObjectName
+from buckthorntack.schema._generated.admin_documents import RegionStatus
+from buckthorntack.schema._generated.admin_documents import ReplicaAddition
+from buckthorntack.schema._generated.admin_documents import ReplicaList
+from buckthorntack.schema._generated.admin_documents import ReplicaStatus
+from buckthorntack.schema._generated.admin_documents import Status
 from buckthorntack.schema._generated.backend_documents import Announcement
 from buckthorntack.schema._generated.backend_documents import (
     AnnouncementAnswer,
@@ -50,6 +60,8 @@
 )
 
 __all__ = [
+    "AdminError",
+    "AdminErrorAnswer",
     "AdminInterface",
     "Announcement",
     "AnnouncementAnswer",
@@ -58,12 +70,14 @@
     "CacheEvent",
     "CallerCredential",
     "Change",
+    "ChangeRecord",
     "ChangeResult",
     "DeploymentTerms",
     "EngineOrder",
     "EngineOrderAnswer",
     "FailureDomain",
     "Finding",
+    "History",
     "HttpSettings",
     "KeyFiles",
     "KeySettings",
@@ -77,6 +91,7 @@
     "ModelVersion",
     "NamedObject",
     "NodeAddress",
+    "ObjectList",
     "ObjectName",
     "Objects",
     "OperatorToken",
@@ -86,11 +101,16 @@
     "Priority",
     "Quota",
     "Region",
+    "RegionStatus",
+    "ReplicaAddition",
+    "ReplicaList",
+    "ReplicaStatus",
     "ResidencyRule",
     "Service",
     "ServiceCall",
     "Settings",
     "SettingsFile",
+    "Status",
     "TimingSettings",
     "TokenKeyFile",
     "WeightStoreSettings",
