--- /dev/null
+++ b/buckthorntack/cli/_client.py
@@ -0,0 +1,170 @@
+"""Client of the administration API."""
+
+import datetime
+
+import expression
+import httpx
+
+from buckthorntack import errors
+from buckthorntack.cli import _errors
+from buckthorntack.schema import documents
+
+_PREFIX = "/admin/v1"
+_TRY_SECONDS = 10
+_RETRY_PAUSE = datetime.timedelta(milliseconds=500)
+_TOO_MANY_REQUESTS = 429
+_CHANGE_ANSWERS = (200, 409, 422)
+_NEVER_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.InvalidURL)
+
+
+class AdminClient:
+    """Calls the control VMs in turn until one answers.
+
+    All calls are idempotent, a change by its change id, and so are sent
+    again after an answer was lost.
+
+    :param servers: base URLs of control VMs.
+    :param token: the operator's token.
+    :param clock: for the pauses between tries.
+    :param patience: how long to go on trying.
+    :param verify: what ``httpx`` takes to verify certificates.
+    :param transport: ``httpx`` transport, if not its own.
+    """
+
+    def __init__(
+        self, servers, token, clock, patience, verify=True, transport=None
+    ):
+        self._servers = tuple(server.rstrip("/") for server in servers)
+        self._token = token
+        self._clock = clock
+        self._patience = patience
+        self._verify = verify
+        self._transport = transport
+        self._http = None
+
+    async def __aenter__(self):
+        self._http = httpx.AsyncClient(
+            headers={"Authorization": f"Bearer {self._token}"},
+            timeout=_TRY_SECONDS,
+            trust_env=False,
+            verify=self._verify,
+            transport=self._transport,
+        )
+        return self
+
+    async def __aexit__(self, *_):
+        await self._http.aclose()
+
+    async def objects(
+        self, kind=None, name=None, linearizable=True
+    ) -> expression.Result[documents.ObjectList, _errors.CommandError]:
+        """Objects in force.
+
+        :param kind: only those of this kind, if given.
+        :param name: only the one of this name, if given.
+        :param linearizable: whether all accepted changes must be in.
+        """
+        path = "/".join(part for part in ("objects", kind, name) if part)
+        query = {"linearizable": str(linearizable).lower()}
+        return await self._call("GET", path, params=query)
+
+    async def apply(
+        self, change: documents.Change
+    ) -> expression.Result[documents.ChangeResult, _errors.CommandError]:
+        """Send a change, again under its change id after a lost answer.
+
+        :param change: the change.
+        """
+        return await self._call(
+            "POST", "changes", expected=_CHANGE_ANSWERS, json=change
+        )
+
+    async def history(
+        self, after
+    ) -> expression.Result[documents.History, _errors.CommandError]:
+        """Accepted changes.
+
+        :param after: only those of a later revision.
+        """
+        return await self._call("GET", "history", params={"after": after})
+
+    async def status(
+        self,
+    ) -> expression.Result[documents.Status, _errors.CommandError]:
+        """State of the configuration."""
+        return await self._call("GET", "status")
+
+    async def replicas(
+        self,
+    ) -> expression.Result[documents.ReplicaList, _errors.CommandError]:
+        """Replicas of the configuration group."""
+        return await self._call("GET", "replicas")
+
+    async def add_replica(
+        self, node_id
+    ) -> expression.Result[documents.ReplicaList, _errors.CommandError]:
+        """Add a replica.
+
+        :param node_id: a control VM.
+        """
+        return await self._call("POST", "replicas", json={"node_id": node_id})
+
+    async def remove_replica(
+        self, node_id
+    ) -> expression.Result[documents.ReplicaList, _errors.CommandError]:
+        """Remove a replica.
+
+        :param node_id: the replica.
+        """
+        return await self._call("DELETE", f"replicas/{node_id}")
+
+    async def _call(self, method, path, expected=(200,), **request):
+        """Try the servers in turn until one decides or patience ends."""
+        deadline = self._clock.monotonic() + self._patience
+        may_have_run = False
+        while True:
+            for server in self._servers:
+                url = f"{server}{_PREFIX}/{path}"
+                result = await self._try(method, url, expected, request)
+                if result.is_ok():
+                    return result
+                error = result.error
+                may_have_run |= error.run_state != errors.RunState.NOT_RUN
+                if may_have_run:
+                    error.run_state = errors.RunState.UNKNOWN
+                if not error.is_temporary:
+                    return result
+            if self._clock.monotonic() >= deadline:
+                return result
+            await self._clock.sleep(_RETRY_PAUSE)
+
+    async def _try(self, method, url, expected, request):
+        try:
+            answer = await self._http.request(method, url, **request)
+        except (httpx.TransportError, httpx.InvalidURL) as error:
+            return expression.Error(_unreachable(method, url, error))
+        try:
+            content = answer.json()
+        except ValueError:
+            content = None
+        if answer.status_code in expected and isinstance(content, dict):
+            return expression.Ok(content)
+        return expression.Error(_refusal(url, answer.status_code, content))
+
+
+def _unreachable(method, url, error):
+    fault = str(error) or type(error).__name__
+    unreachable = _errors.UnreachableError(f"{method} {url}: {fault}")
+    if isinstance(error, _NEVER_SENT):
+        unreachable.run_state = errors.RunState.NOT_RUN
+    return unreachable
+
+
+def _refusal(url, status, content):
+    try:
+        error = _errors.RefusedError(content["error"])
+    except (KeyError, TypeError, ValueError):
+        detail = f"{url}: status {status} is no answer of a control VM"
+        return _errors.UnreachableError(detail)
+    error.is_temporary = status >= 500 or status == _TOO_MANY_REQUESTS
+    return error
