--- a/Makefile
+++ b/Makefile
@@ -30,9 +30,11 @@
 
 generate: venv  ## Write the generated code anew.
 	$(BIN)/python -m tools.generate
+	$(BIN)/python -m tools.reference
 
 check-generated: venv  ## Fail if the generated code is out of date.
 	$(BIN)/python -m tools.generate --check
+	$(BIN)/python -m tools.reference --check
 
 unit: venv  ## Unit tests, doctests and the fault matrix.
 	$(BIN)/python -m pytest
--- a/buckthorntack/objects/__init__.py
+++ b/buckthorntack/objects/__init__.py
@@ -10,6 +10,7 @@
 from buckthorntack.objects._kinds import KINDS
 from buckthorntack.objects._published import PublishedSet
 from buckthorntack.objects._registry import Rule
+from buckthorntack.objects._registry import rule_meanings
 
 __all__ = [
     "KINDS",
@@ -21,5 +22,6 @@
     "check_folder",
     "format_finding",
     "load_folder",
+    "rule_meanings",
     "rules",
 ]
--- a/buckthorntack/objects/_organisation_rules.py
+++ b/buckthorntack/objects/_organisation_rules.py
@@ -59,15 +59,15 @@
         )
 
 
-@_registry.rule("credential_token", "CallerCredential")
-def credential_token(credential, _index):
+@_registry.rule("empty_token", "CallerCredential")
+def empty_token(credential, _index):
     """A credential's token is not empty.
 
     :param credential: row of the credential.
     """
     if credential.token_sha256 == _EMPTY_TOKEN_HASH:
         yield _findings.finding(
-            "credential_token",
+            "empty_token",
             "CallerCredential",
             credential.name,
             "token_sha256",
--- a/buckthorntack/objects/_reference_rules.py
+++ b/buckthorntack/objects/_reference_rules.py
@@ -8,6 +8,7 @@
 
 
 def _dangling(reference, row, index):
+    """What an object names is in the set."""
     value = getattr(row, reference.field)
     if value is None:
         return
@@ -28,6 +29,8 @@
 
 
 for _reference in _kinds.REFERENCES:
+    _check = functools.partial(_dangling, _reference)
+    _check.__doc__ = _dangling.__doc__
     _registry.rule("dangling_reference", _reference.kind, [_reference.target])(
-        functools.partial(_dangling, _reference)
+        _check
     )
--- a/buckthorntack/objects/_registry.py
+++ b/buckthorntack/objects/_registry.py
@@ -19,6 +19,24 @@
 
 RULES: list[Rule] = []
 
+#: Rules that are not looked at on a set of rows, with their meaning.
+READING_RULES = {
+    "file": "A file is JSON with comments in UTF-8.",
+    "object_shape": "Each entry has a kind and an object.",
+    "known_kind": "The kind of an object is known.",
+    "schema": "An object has the fields that its kind describes.",
+    "duplicate_name": "A name is unique within its kind.",
+    "removal": "A change removes only what is there and what it does not put.",
+}
+
+
+def rule_meanings():
+    """Meaning of each rule, by name, for the reference."""
+    meanings = dict(READING_RULES)
+    for known in RULES:
+        meanings[known.name] = known.check.__doc__.splitlines()[0]
+    return meanings
+
 
 def rule(name, subject="", reads=()):
     """Register the decorated function as a rule.
--- a/buckthorntack/objects/_service_rules.py
+++ b/buckthorntack/objects/_service_rules.py
@@ -41,29 +41,37 @@
         )
 
 
-@_registry.rule("service_calls", "Service")
-def service_calls(service, _index):
-    """Calls are listed once, with well-formed paths.
+@_registry.rule("duplicate_call", "Service")
+def duplicate_call(service, _index):
+    """A service lists a call once.
 
     :param service: row of the service.
     """
     seen = set()
     for place, call in enumerate(service.calls or ()):
-        path = f"calls[{place}]"
-        if (call.method, call.path) in seen:
+        if call[:2] in seen:
             yield _service_finding(
                 "duplicate_call",
                 service,
-                path,
+                f"calls[{place}]",
                 f"{call.method} {call.path} is listed twice",
                 "keep one of them",
             )
-        seen.add((call.method, call.path))
+        seen.add(call[:2])
+
+
+@_registry.rule("call_path", "Service")
+def call_path(service, _index):
+    """The path of a call is well-formed.
+
+    :param service: row of the service.
+    """
+    for place, call in enumerate(service.calls or ()):
         if not _is_path(call.path):
             yield _service_finding(
                 "call_path",
                 service,
-                f"{path}.path",
+                f"calls[{place}].path",
                 f"{call.path!r} is no path of a call",
                 "start with a slash, use no empty, '.' or '..' part, no "
                 "query, and * only as a trailing /*",
@@ -85,27 +93,14 @@
 
 @_registry.rule("model_offered_twice", reads=["Service", "ModelVersion"])
 def model_offered_twice(index):
-    """A model is offered by one service, each version once.
+    """A model is offered by one service only.
 
     :param index: the set.
     """
     services = collections.defaultdict(set)
     for service in index.rows("Service"):
-        versions = set()
-        for name in service.model_versions or ():
-            row = index.get("ModelVersion", name)
-            if row is None:
-                continue
+        for row in _versions_of(service, index):
             services[row.model].add(service.name)
-            if row[1:3] in versions:
-                yield _service_finding(
-                    "model_version_offered_twice",
-                    service,
-                    "model_versions",
-                    f"{row.model}@{row.version} is offered twice",
-                    "keep one of the model versions",
-                )
-            versions.add(row[1:3])
     for model, names in services.items():
         if len(names) > 1:
             yield _findings.finding(
@@ -118,15 +113,40 @@
             )
 
 
+@_registry.rule("model_version_offered_twice", "Service", ["ModelVersion"])
+def model_version_offered_twice(service, index):
+    """A service offers each version of a model once.
+
+    :param service: row of the service.
+    :param index: the set.
+    """
+    seen = set()
+    for row in _versions_of(service, index):
+        if (row.model, row.version) in seen:
+            yield _service_finding(
+                "model_version_offered_twice",
+                service,
+                "model_versions",
+                f"{row.model}@{row.version} is offered twice",
+                "keep one of the model versions",
+            )
+        seen.add((row.model, row.version))
+
+
+def _versions_of(service, index):
+    names = service.model_versions or ()
+    rows = (index.get("ModelVersion", name) for name in names)
+    return [row for row in rows if row is not None]
+
+
 @_registry.rule("service_without_pool", "Service", ["BackendServerPool"])
 def service_without_pool(service, index):
-    """Each service has a pool, each of its model versions too.
+    """A pool serves each service.
 
     :param service: row of the service.
     :param index: the set.
     """
-    pools = index.pools_by_service.get(service.name, ())
-    if not pools:
+    if service.name not in index.pools_by_service:
         yield _service_finding(
             "service_without_pool",
             service,
@@ -134,12 +154,19 @@
             "no backend server pool serves it",
             "add a BackendServerPool with this service, or remove it",
         )
-        return
-    loaded = set()
-    for pool in pools:
-        loaded.update(pool.model_versions or ())
+
+
+@_registry.rule("model_version_without_pool", "Service", ["BackendServerPool"])
+def model_version_without_pool(service, index):
+    """Some pool of a service may load each model version it offers.
+
+    :param service: row of the service.
+    :param index: the set.
+    """
+    pools = index.pools_by_service.get(service.name, ())
+    loaded = {name for pool in pools for name in pool.model_versions or ()}
     for name in service.model_versions or ():
-        if name not in loaded:
+        if pools and name not in loaded:
             yield _service_finding(
                 "model_version_without_pool",
                 service,
--- a/buckthorntack/objects/_topology_rules.py
+++ b/buckthorntack/objects/_topology_rules.py
@@ -31,37 +31,49 @@
 
 @_registry.rule("contradictory_priorities", reads=["Priority"])
 def contradictory_priorities(index):
-    """Priorities of equal rank differ in weight, within bounds.
+    """No two priorities have the same rank and weight.
 
     :param index: the set.
     """
-    rows = sorted(index.rows("Priority"), key=lambda row: row[1:] + row[:1])
-    for _, group in itertools.groupby(rows, key=lambda row: row.rank):
-        yield from _within_rank(list(group))
-
+    for group in _by_rank(index):
+        for one, other in itertools.pairwise(group):
+            if one.weight == other.weight:
+                yield _findings.finding(
+                    "contradictory_priorities",
+                    "Priority",
+                    other.name,
+                    "weight",
+                    f"rank and weight are those of priority {one.name!r}",
+                    "use one priority, or give them different ranks or "
+                    "weights",
+                )
+
+
+@_registry.rule("priority_weight_ratio", reads=["Priority"])
+def priority_weight_ratio(index):
+    """Weights of one rank differ at most a thousandfold.
 
-def _within_rank(group):
-    for one, other in itertools.pairwise(group):
-        if one.weight == other.weight:
+    :param index: the set.
+    """
+    for group in _by_rank(index):
+        lightest, heaviest = group[0], group[-1]
+        if heaviest.weight > MAX_WEIGHT_RATIO * lightest.weight:
             yield _findings.finding(
-                "contradictory_priorities",
+                "priority_weight_ratio",
                 "Priority",
-                other.name,
+                lightest.name,
                 "weight",
-                f"rank and weight are those of priority {one.name!r}",
-                "use one priority, or give them different ranks or weights",
+                f"priority {heaviest.name!r} of equal rank weighs more than "
+                f"{MAX_WEIGHT_RATIO} times as much, so this one would starve",
+                "use a lower rank instead of so small a weight",
             )
-    lightest, heaviest = group[0], group[-1]
-    if heaviest.weight > MAX_WEIGHT_RATIO * lightest.weight:
-        yield _findings.finding(
-            "priority_weight_ratio",
-            "Priority",
-            lightest.name,
-            "weight",
-            f"priority {heaviest.name!r} of equal rank weighs more than "
-            f"{MAX_WEIGHT_RATIO} times as much, so this one would starve",
-            "use a lower rank instead of so small a weight",
-        )
+
+
+def _by_rank(index):
+    """Priorities of each rank, from light to heavy."""
+    rows = sorted(index.rows("Priority"), key=lambda row: row[1:] + row[:1])
+    for _, group in itertools.groupby(rows, key=lambda row: row.rank):
+        yield list(group)
 
 
 @_registry.rule("quota_burst", "Quota")
--- a/buckthorntack/objects/tests/test_check.py
+++ b/buckthorntack/objects/tests/test_check.py
@@ -114,7 +114,7 @@
         {"organisation": "council", "token_sha256": COUNCIL_HASH},
     ),
     (
-        "credential_token",
+        "empty_token",
         ("CallerCredential", "council-key"),
         {"token_sha256": EMPTY_HASH},
     ),
@@ -146,11 +146,12 @@
         faults = schema.validate_document("admin", "Finding", found)
         assert faults == []
         assert found["message"] and found["remedy"]
+        assert found["rule"] in objects.rule_meanings()
 
 
 def test_every_rule_has_a_case():
     named = {rule.name for rule in objects.rules()}
-    assert named - {"service_calls"} <= {rule for rule, _, _ in CASES}
+    assert named <= {rule for rule, _, _ in CASES}
 
 
 @pytest.mark.parametrize(
--- a/buckthorntack/schema/_generated/objects_documents.py
+++ b/buckthorntack/schema/_generated/objects_documents.py
@@ -29,6 +29,9 @@
     """
 
     name: str
+    """
+    Unique among failure domains.
+    """
     region: str
     """
     Name of its region.
@@ -41,6 +44,9 @@
     """
 
     name: str
+    """
+    Unique among residency rules.
+    """
     regions: list[str]
     """
     Names of regions.
@@ -53,6 +59,9 @@
     """
 
     name: str
+    """
+    Unique among priorities.
+    """
     rank: int
     """
     0 goes first; shed last.
@@ -69,8 +78,17 @@
     """
 
     name: str
+    """
+    Unique among quotas.
+    """
     requests_per_second: float
+    """
+    Sustained rate of requests.
+    """
     burst_requests: int
+    """
+    Requests that may come at once; from one second of the rate to one hour of it.
+    """
     tokens_per_minute: int
     """
     Prompt and generated tokens.
@@ -83,6 +101,9 @@
     """
 
     name: str
+    """
+    Unique among organisations.
+    """
     residency_rule: str
     """
     Name of its residency rule.
@@ -107,6 +128,9 @@
     """
 
     name: str
+    """
+    Unique among credentials.
+    """
     organisation: str
     """
     Name of its organisation.
@@ -127,6 +151,9 @@
     """
 
     name: str
+    """
+    Unique among model versions.
+    """
     model: str
     """
     Name that callers ask for.
@@ -151,6 +178,9 @@
     """
 
     method: Literal["GET", "POST", "PUT", "PATCH", "DELETE"]
+    """
+    HTTP method.
+    """
     path: str
     """
     Path below the service, starting with a slash; a trailing /* stands for all paths below.
@@ -167,7 +197,13 @@
     """
 
     name: str
+    """
+    Unique among services; callers of a plain service name it.
+    """
     kind: Literal["model", "plain"]
+    """
+    Model engines, or a plain service.
+    """
     terms: str
     """
     Name of its deployment terms.
@@ -188,6 +224,9 @@
     """
 
     name: str
+    """
+    Unique among pools; backend servers announce it.
+    """
     service: str
     """
     Name of its service.
@@ -220,8 +259,17 @@
     """
 
     name: str
+    """
+    Unique among terms.
+    """
     tail_latency_weight: float
+    """
+    Weight of the expected time to the first token or answer.
+    """
     cost_weight: float
+    """
+    Weight of the pool's cost.
+    """
     share_away_weight: float
     """
     Weight of serving in another region.
--- a/buckthorntack/schema/_generated/settings_documents.py
+++ b/buckthorntack/schema/_generated/settings_documents.py
@@ -18,13 +18,25 @@
     """
 
     node_id: str
+    """
+    Unique among nodes.
+    """
     link_address: str
     """
     IP address and port.
     """
     region: str
+    """
+    Region of the node.
+    """
     failure_domain: str
+    """
+    Failure domain of the node.
+    """
     roles: list[Literal["entry", "control"]]
+    """
+    What the node does.
+    """
 
 
 class LedgerHome(TypedDict, closed=True):
@@ -37,6 +49,9 @@
     Prefix of idempotency keys.
     """
     region: str
+    """
+    Region of the home.
+    """
     replicas: list[str]
     """
     Node ids; all in the home's region.
@@ -180,7 +195,13 @@
     """
 
     format: NotRequired[Literal["text", "json"]]
+    """
+    Lines of text, or of JSON.
+    """
     level: NotRequired[Literal["debug", "info", "notice", "warning", "error"]]
+    """
+    Least level that is written.
+    """
     file: NotRequired[str]
     """
     File to append to; standard error without it; a relative path starts at the folder of the settings file.
@@ -193,7 +214,13 @@
     """
 
     bytes_per_second: float
+    """
+    Rate that all loads share.
+    """
     concurrent_loads: NotRequired[int]
+    """
+    Most loads at a time.
+    """
 
 
 class Settings(TypedDict, closed=True):
