Harden what operators and callers can write; rotate link keys in steps

A path with '..' or a hidden separator could match an idempotent pattern and reach a call that is not; a new link pair was used before peers could accept it; a pipe as secret file hung; foreign answers, tokens and control characters could end in tracebacks or reach the terminal. Change: match_call refuses such paths, rule contradictory_calls; link keys have a next pair (add, promote, drop); secret files are opened at once; the command line checks URLs, tokens and answers, and escapes what others wrote; quick acceptance looks into nested documents; faults of a body are bounded.

--- a/buckthorntack/cli/_client.py
+++ b/buckthorntack/cli/_client.py
@@ -1,11 +1,14 @@
 """Client of the administration API."""
 
 import datetime
+from typing import NamedTuple
+import urllib.parse
 
 import expression
 import httpx
 
 from buckthorntack import errors
+from buckthorntack import schema
 from buckthorntack.cli import _errors
 from buckthorntack.schema import documents
 
@@ -64,9 +67,10 @@
         :param name: only the one of this name, if given.
         :param linearizable: whether all accepted changes must be in.
         """
-        path = "/".join(part for part in ("objects", kind, name) if part)
+        parts = [urllib.parse.quote(part, "") for part in (kind, name) if part]
+        path = "/".join(["objects", *parts])
         query = {"linearizable": str(linearizable).lower()}
-        return await self._call("GET", path, params=query)
+        return await self._call("GET", path, "ObjectList", params=query)
 
     async def apply(
         self, change: documents.Change
@@ -76,7 +80,7 @@
         :param change: the change.
         """
         return await self._call(
-            "POST", "changes", expected=_CHANGE_ANSWERS, json=change
+            "POST", "changes", "ChangeResult", _CHANGE_ANSWERS, json=change
         )
 
     async def history(
@@ -86,19 +90,20 @@
 
         :param after: only those of a later revision.
         """
-        return await self._call("GET", "history", params={"after": after})
+        query = {"after": after}
+        return await self._call("GET", "history", "History", params=query)
 
     async def status(
         self,
     ) -> expression.Result[documents.Status, _errors.CommandError]:
         """State of the configuration."""
-        return await self._call("GET", "status")
+        return await self._call("GET", "status", "Status")
 
     async def replicas(
         self,
     ) -> expression.Result[documents.ReplicaList, _errors.CommandError]:
         """Replicas of the configuration group."""
-        return await self._call("GET", "replicas")
+        return await self._call("GET", "replicas", "ReplicaList")
 
     async def add_replica(
         self, node_id
@@ -107,7 +112,8 @@
 
         :param node_id: a control VM.
         """
-        return await self._call("POST", "replicas", json={"node_id": node_id})
+        body = {"node_id": node_id}
+        return await self._call("POST", "replicas", "ReplicaList", json=body)
 
     async def remove_replica(
         self, node_id
@@ -116,16 +122,18 @@
 
         :param node_id: the replica.
         """
-        return await self._call("DELETE", f"replicas/{node_id}")
+        path = f"replicas/{urllib.parse.quote(node_id, '')}"
+        return await self._call("DELETE", path, "ReplicaList")
 
-    async def _call(self, method, path, expected=(200,), **request):
+    async def _call(self, method, path, kind, expected=(200,), **request):
         """Try the servers in turn until one decides or patience ends."""
         deadline = self._clock.monotonic() + self._patience
         may_have_run = False
         while True:
             for server in self._servers:
                 url = f"{server}{_PREFIX}/{path}"
-                result = await self._try(method, url, expected, request)
+                answer = await self._try(method, url, request)
+                result = answer.bind(_Decoder(url, kind, expected))
                 if result.is_ok():
                     return result
                 error = result.error
@@ -138,18 +146,36 @@
                 return result
             await self._clock.sleep(_RETRY_PAUSE)
 
-    async def _try(self, method, url, expected, request):
+    async def _try(self, method, url, request):
         try:
             answer = await self._http.request(method, url, **request)
         except (httpx.TransportError, httpx.InvalidURL) as error:
             return expression.Error(_unreachable(method, url, error))
+        return expression.Ok(answer)
+
+
+class _Decoder(NamedTuple):
+    """Turns an answer into a document or an error."""
+
+    url: str
+    kind: str
+    expected: tuple[int, ...]
+
+    def __call__(self, answer):
         try:
             content = answer.json()
         except ValueError:
             content = None
-        if answer.status_code in expected and isinstance(content, dict):
+        if answer.status_code in self.expected and self._fits(content):
             return expression.Ok(content)
-        return expression.Error(_refusal(url, answer.status_code, content))
+        error = _refusal(self.url, answer.status_code, content)
+        return expression.Error(error)
+
+    def _fits(self, content):
+        """Whether all fields are there; newer ones may be there besides."""
+        definitions = schema.document_schema("admin")["$defs"]
+        required = definitions[self.kind]["required"]
+        return isinstance(content, dict) and content.keys() >= set(required)
 
 
 def _unreachable(method, url, error):
--- a/buckthorntack/cli/_commands/apply.py
+++ b/buckthorntack/cli/_commands/apply.py
@@ -116,7 +116,7 @@
         "base_revision": base,
         "put": found.put(),
         "remove": found.missing if arguments.prune else [],
-        "note": arguments.note,
+        "note": arguments.note.encode("utf-8", "replace").decode(),
     }
 
 
--- a/buckthorntack/cli/_commands/keys.py
+++ b/buckthorntack/cli/_commands/keys.py
@@ -35,42 +35,51 @@
         action="append",
         default=[],
         metavar="PUBLIC_KEY",
-        help="public key of a peer to let in; may be repeated; an existing "
-        "file keeps its pair",
+        help="public key of a peer to let in; may be repeated",
     )
     parser.add_argument(
-        "--new-pair",
-        action="store_true",
-        help="replace the pair of an existing file, still accepting the old "
-        "public key",
+        "--drop",
+        action="append",
+        default=[],
+        metavar="PUBLIC_KEY",
+        help="public key to let in no longer; may be repeated",
     )
+    _add_steps(parser, _LINK_STEPS)
     parser.set_defaults(make=_make_link)
     _output.add_output_option(parser)
 
 
-def _add_signing(kinds):
-    parser = kinds.add_parser("signing", help="keys that sign attempt ids")
-    parser.add_argument("file", help="token key file of the settings")
-    steps = parser.add_mutually_exclusive_group()
-    for step, what in _ROTATION_STEPS.items():
-        steps.add_argument(
+def _add_steps(parser, steps):
+    group = parser.add_mutually_exclusive_group()
+    for step, what in steps.items():
+        group.add_argument(
             f"--{step}",
             dest="step",
             action="store_const",
             const=step,
             help=what,
         )
-    parser.set_defaults(make=_make_signing)
-    _output.add_output_option(parser)
 
 
-_ROTATION_STEPS = {
+_LINK_STEPS = {
+    "add": "first step of a rotation: make the next pair",
+    "promote": "second step, when all peers accept it: use it",
+}
+_SIGNING_STEPS = {
     "add": "first step of a rotation: accept a new key",
     "promote": "second step, when all nodes have it: sign with it",
     "retire": "last step, when old attempts have ended: drop old keys",
 }
 
 
+def _add_signing(kinds):
+    parser = kinds.add_parser("signing", help="keys that sign attempt ids")
+    parser.add_argument("file", help="token key file of the settings")
+    _add_steps(parser, _SIGNING_STEPS)
+    parser.set_defaults(make=_make_signing)
+    _output.add_output_option(parser)
+
+
 def _add_operator(kinds):
     parser = kinds.add_parser("operator", help="token of an operator")
     parser.add_argument("file", help="operator tokens file of the settings")
@@ -113,26 +122,34 @@
 
 
 def _make_link(arguments):
+    present = _read_present(arguments.file, "LinkKeyFile")
+    content = _link_content(arguments, present)
+    _write(arguments.file, content)
+    document = {"file": arguments.file}
+    for field in ("current", "next"):
+        if field in content:
+            document[field] = content[field]["public_key"]
+    lines = [f"{field}: {value}" for field, value in document.items()]
+    return document, lines
+
+
+def _link_content(arguments, present):
     from buckthorntack import security
 
-    present = _read_present(arguments.file, "LinkKeyFile")
     if present is None:
-        content = security.generate_link_keys(arguments.accept)
-    elif arguments.new_pair:
-        accepted = {
-            *present["accepted_public_keys"],
-            present["current"]["public_key"],
-            *arguments.accept,
-        }
-        content = security.generate_link_keys(accepted)
-    elif arguments.accept:
-        content = security.accept_link_keys(present, arguments.accept)
-    else:
+        if arguments.step or arguments.drop:
+            raise _errors.UsageError(f"{arguments.file} is not there")
+        return security.generate_link_keys(arguments.accept)
+    if not (arguments.step or arguments.accept or arguments.drop):
         raise _errors.UsageError(f"{arguments.file} is there already")
-    _write(arguments.file, content)
-    public_key = content["current"]["public_key"]
-    document = {"file": arguments.file, "public_key": public_key}
-    return document, [f"public key: {public_key}"]
+    if arguments.step == "add":
+        present = security.add_link_pair(present)
+    elif arguments.step == "promote":
+        if "next" not in present:
+            raise _errors.UsageError(f"{arguments.file} has no next pair")
+        present = security.promote_link_pair(present)
+    accepted = security.accept_link_keys(present, arguments.accept)
+    return security.drop_link_keys(accepted, arguments.drop)
 
 
 def _make_signing(arguments):
--- a/buckthorntack/cli/_main.py
+++ b/buckthorntack/cli/_main.py
@@ -15,6 +15,9 @@
 _EPILOG = """exit codes: 0 done; 1 findings or differences; 2 wrong usage;
 3 no control VM answered; 4 another change came first; 5 refused"""
 
+#: Exit code after an interrupt from the keyboard, as shells give it.
+_INTERRUPTED = 130
+
 
 def make_parser() -> argparse.ArgumentParser:
     """Parser with all subcommands."""
@@ -57,6 +60,8 @@
         outcome = arguments.run(arguments, context)
         if inspect.isawaitable(outcome):
             outcome = asyncio.run(_wait(outcome))
+    except KeyboardInterrupt:
+        return _INTERRUPTED
     except errors.GatewayError as error:
         _output.write_error(context, arguments, error)
         return getattr(error, "exit_code", _exit_codes.ExitCode.USAGE)
--- a/buckthorntack/cli/_output.py
+++ b/buckthorntack/cli/_output.py
@@ -27,9 +27,29 @@
     :param lines: the result as lines of text.
     """
     if arguments.output == "json":
-        lines = [json.dumps(document, indent=2, ensure_ascii=False)]
+        print(json.dumps(document, indent=2), file=context.stdout)
+        return
     for line in lines:
-        print(line, file=context.stdout)
+        print(printable(line), file=context.stdout)
+
+
+def printable(text):
+    """Text with control characters and the like escaped, but line ends.
+
+    :param text: the text, which may come from others.
+    :returns: what a terminal can be given.
+
+    >>> printable("a\\x1b[31m")
+    'a\\\\x1b[31m'
+    """
+    return "".join(
+        letter if letter.isprintable() or letter == "\n" else _escape(letter)
+        for letter in text
+    )
+
+
+def _escape(letter):
+    return letter.encode("unicode_escape").decode("ascii")
 
 
 def write_error(context, arguments, error):
@@ -49,7 +69,8 @@
         }
         print(json.dumps({"error": content}, indent=2), file=context.stdout)
         return
-    print(f"buckthorntack {arguments.command}: {error}", file=context.stderr)
+    line = f"buckthorntack {arguments.command}: {error}"
+    print(printable(line), file=context.stderr)
 
 
 def table(header, rows):
--- a/buckthorntack/cli/_servers.py
+++ b/buckthorntack/cli/_servers.py
@@ -2,9 +2,12 @@
 
 import datetime
 import pathlib
+import urllib.parse
 
 from buckthorntack.cli import _errors
 
+_MAX_PATIENCE_SECONDS = 86400
+
 
 def add_server_options(parser):
     """Add the options that say where the control VMs are.
@@ -29,13 +32,20 @@
     )
     parser.add_argument(
         "--patience-s",
-        type=float,
+        type=_seconds,
         default=30.0,
         metavar="SECONDS",
         help="how long to go on trying (default: %(default)s)",
     )
 
 
+def _seconds(text):
+    value = float(text)
+    if not 0 <= value <= _MAX_PATIENCE_SECONDS:
+        raise ValueError(text)
+    return value
+
+
 def make_client(context, arguments):
     """Client as the options say.
 
@@ -53,6 +63,8 @@
     servers = arguments.server or named
     if not servers:
         raise _errors.UsageError("no control VM is named with --server")
+    for server in servers:
+        _require_url(server)
     token_file = arguments.token_file or context.environment.get(
         "BUCKTHORNTACK_TOKEN_FILE"
     )
@@ -61,9 +73,12 @@
     token = settings.read_secret(token_file)
     if token.is_error():
         raise _errors.UsageError(str(token.error))
+    text = token.ok.reveal().strip()
+    if not (text.isascii() and text.isprintable() and text):
+        raise _errors.UsageError(f"{token_file} does not hold a token")
     return _client.AdminClient(
         servers,
-        token.ok.reveal().strip(),
+        text,
         context.clock,
         datetime.timedelta(seconds=arguments.patience_s),
         _verify(arguments.ca_file),
@@ -71,6 +86,17 @@
     )
 
 
+def _require_url(server):
+    try:
+        url = urllib.parse.urlsplit(server)
+        is_url = url.scheme in ("http", "https") and bool(url.hostname)
+    except ValueError:
+        is_url = False
+    if not is_url:
+        detail = f"--server {server}: it is no URL like https://10.0.0.1:7443"
+        raise _errors.UsageError(detail)
+
+
 def _verify(ca_file):
     if ca_file is None:
         return True
--- a/buckthorntack/cli/tests/test_cli.py
+++ b/buckthorntack/cli/tests/test_cli.py
@@ -222,6 +222,26 @@
     assert admin.run("replicas", "add") == 2
 
 
+def test_what_others_wrote_is_escaped(operator, folder):
+    entry = '{"kind": "\\u001b[31m\\ud800", "object": {}}'
+    (folder / "other.json").write_text(entry)
+    assert operator.run("check", folder) == 1
+    operator.out.encode("ascii")
+    assert "\x1b" not in operator.out
+    assert operator.run("check", folder, "--output", "json") == 1
+    operator.out.encode("ascii")
+
+
+def test_answer_of_another_server_is_told(operator):
+    async def app(scope, receive, send):
+        await send({"type": "http.response.start", "status": 200})
+        await send({"type": "http.response.body", "body": b"{}"})
+
+    operator.transport = httpx.ASGITransport(app)
+    assert operator.run("status") == 3
+    assert "status 200 is no answer of a control VM" in operator.err
+
+
 @pytest.mark.parametrize(
     "argv",
     [
@@ -230,6 +250,8 @@
         ["check"],
         ["get", "--folder", "x", "Region"],
         ["get", "--ca-file", "/absent"],
+        ["get", "--server", "one:7443"],
+        ["get", "--patience-s", "nan"],
         ["get", "--token-file", "/absent"],
         ["history", "--after", "x"],
         ["keys", "operator", "f", "--name", "ana", "--role", "king"],
@@ -261,15 +283,22 @@
 
 def test_keys_make_files_that_load(operator, tmp_path):
     link, signing = tmp_path / "link", tmp_path / "signing"
+    assert operator.run("keys", "link", link, "--add") == 2
     assert operator.run("keys", "link", link) == 0
-    public_key = operator.out.split()[-1]
+    first = security.load_link_keys(link).ok
+    assert f"current: {first.public_key.decode()}" in operator.out
     assert operator.run("keys", "link", link) == 2
-    assert operator.run("keys", "link", link, "--new-pair") == 0
-    loaded = security.load_link_keys(link).ok
-    assert public_key.encode() in loaded.accepted_public_keys
-    assert loaded.public_key != public_key.encode()
-    assert operator.run("keys", "link", link, "--accept", "z" * 40) == 0
-    assert security.load_link_keys(link).ok.public_key == loaded.public_key
+    assert operator.run("keys", "link", link, "--promote") == 2
+    assert operator.run("keys", "link", link, "--add") == 0
+    assert security.load_link_keys(link).ok.public_key == first.public_key
+    assert operator.run("keys", "link", link, "--promote") == 0
+    second = security.load_link_keys(link).ok
+    assert second.public_key != first.public_key
+    assert first.public_key in second.accepted_public_keys
+    drop = ["--drop", first.public_key.decode(), "--accept", "z" * 40]
+    assert operator.run("keys", "link", link, *drop) == 0
+    third = security.load_link_keys(link).ok
+    assert third.accepted_public_keys == {second.public_key, b"z" * 40}
     assert operator.run("keys", "signing", signing, "--add") == 2
     assert operator.run("keys", "signing", signing) == 0
     for step in ("--add", "--promote", "--retire"):
--- a/buckthorntack/control/_admin.py
+++ b/buckthorntack/control/_admin.py
@@ -27,6 +27,8 @@
 #: Largest body of any other call.
 MAX_BODY_BYTES = 64 * 1024
 
+#: Most faults of a malformed body that are told.
+_MAX_FAULTS = 20
 _CONFLICT_STATUS = 409
 _FINDINGS_STATUS = 422
 _LOG = events.EventLog("control")
@@ -134,7 +136,9 @@
         return expression.Error(_errors.MalformedCallError(detail))
     if schema.is_sound("admin", definition, document):
         return expression.Ok(document)
-    faults = schema.validate_document("admin", definition, document)
+    faults = schema.validate_document(
+        "admin", definition, document, _MAX_FAULTS
+    )
     if not faults:
         return expression.Ok(document)
     detail = "; ".join(f"{fault.path}: {fault.message}" for fault in faults)
--- a/buckthorntack/objects/_published.py
+++ b/buckthorntack/objects/_published.py
@@ -5,6 +5,7 @@
 
 from buckthorntack.objects import _index
 from buckthorntack.objects import _kinds
+from buckthorntack.objects import _paths
 from buckthorntack.objects import _rows
 from buckthorntack.schema import documents
 
@@ -156,7 +157,8 @@
         """The call of a plain service that a request makes.
 
         An exact path goes before a pattern, a longer pattern before a
-        shorter one.
+        shorter one.  A path that a server might take for another one, such
+        as one with ``..``, matches nothing.
 
         :param service: name of the service.
         :param method: the request's method.
@@ -164,10 +166,11 @@
         :returns: the call, or ``None`` if the service does not list it.
         """
         row = self.index.get("Service", service)
-        calls = () if row is None else row.calls or ()
+        if row is None or not row.calls or not _paths.is_plain(path):
+            return None
         fitting = [
             call
-            for call in calls
+            for call in row.calls
             if call.method == method and _fits(call.path, path)
         ]
         if not fitting:
--- a/buckthorntack/objects/_service_rules.py
+++ b/buckthorntack/objects/_service_rules.py
@@ -60,6 +60,34 @@
         seen.add(call[:2])
 
 
+@_registry.rule("contradictory_calls", "Service")
+def contradictory_calls(service, _index):
+    """No idempotent pattern covers a call that is not idempotent.
+
+    :param service: row of the service.
+    """
+    calls = service.calls or ()
+    once = [call for call in calls if not call.idempotent]
+    for place, pattern in enumerate(calls):
+        if not (pattern.idempotent and pattern.path.endswith(PATTERN_END)):
+            continue
+        stem = pattern.path.removesuffix(PATTERN_END)
+        for call in once:
+            if call.method == pattern.method and _covers(stem, call.path):
+                yield _service_finding(
+                    "contradictory_calls",
+                    service,
+                    f"calls[{place}]",
+                    f"{pattern.method} {pattern.path} is idempotent and "
+                    f"covers {call.path}, which is not",
+                    "list the idempotent paths one by one",
+                )
+
+
+def _covers(stem, path):
+    return f"{path}/".startswith(f"{stem}/")
+
+
 @_registry.rule("call_path", "Service")
 def call_path(service, _index):
     """The path of a call is well-formed.
--- a/buckthorntack/objects/tests/test_check.py
+++ b/buckthorntack/objects/tests/test_check.py
@@ -61,6 +61,16 @@
     ("service_kind_fields", ("Service", "writer"), {"model_versions": None}),
     ("service_kind_fields", ("Service", "writer"), {"calls": [CALL]}),
     ("service_kind_fields", ("Service", "desk"), {"calls": []}),
+    (
+        "contradictory_calls",
+        ("Service", "desk"),
+        {
+            "calls": [
+                CALL | {"path": "/*"},
+                CALL | {"idempotent": False},
+            ]
+        },
+    ),
     ("duplicate_call", ("Service", "desk"), {"calls": [CALL, CALL]}),
     (
         "call_path",
--- a/buckthorntack/objects/tests/test_published.py
+++ b/buckthorntack/objects/tests/test_published.py
@@ -50,6 +50,17 @@
         ("GET", "/free/", None),
         ("GET", "/free", None),
         ("GET", "/free/today", "/free/today"),
+        ("GET", "/free/a%20b/", "/free/*"),
+        ("GET", "/free/../bookings", None),
+        ("GET", "/free//x", None),
+        ("GET", "/free/./x", None),
+        ("GET", "/free/..", None),
+        ("GET", "/free/%2E%2e/bookings", None),
+        ("GET", "/free/%252e%252e/bookings", None),
+        ("GET", "/free/..%2fbookings", None),
+        ("GET", "/free/a\\b", None),
+        ("GET", "/free/%00", None),
+        ("GET", "", None),
     ],
 )
 def test_match_call(method, path, matched):
--- a/buckthorntack/schema/_documents.py
+++ b/buckthorntack/schema/_documents.py
@@ -1,6 +1,7 @@
 """Validation of JSON documents from outside against their schemas."""
 
 import functools
+import itertools
 import json
 import pathlib
 import re
@@ -36,18 +37,20 @@
     return jsonschema.Draft202012Validator(reference)
 
 
-def validate_document(name, definition, document):
+def validate_document(name, definition, document, limit=None):
     """Check a document; all faults are told at once.
 
     :param name: family of the document, such as ``objects``.
     :param definition: kind of document, such as ``Organisation``.
     :param document: the parsed JSON.
+    :param limit: most faults to tell, if not all.
     :returns: list of :class:`DocumentFinding`, empty if there is no fault.
 
     >>> validate_document("objects", "Region", {"name": "fukuoka"})
     []
     """
     errors = _validator(name, definition).iter_errors(document)
+    errors = itertools.islice(errors, limit)
     findings = [
         DocumentFinding(error.json_path, error.message) for error in errors
     ]
--- a/buckthorntack/schema/_generated/keys_documents.py
+++ b/buckthorntack/schema/_generated/keys_documents.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import Literal
+from typing import NotRequired
 from typing import TypeAlias
 
 from typing_extensions import TypedDict
@@ -18,7 +19,13 @@
     """
 
     public_key: str
+    """
+    Known to peers.
+    """
     secret_key: str
+    """
+    Known to this node only.
+    """
 
 
 AcceptedPublicKey: TypeAlias = str
@@ -33,9 +40,13 @@
     """
     Pair that this node uses.
     """
+    next: NotRequired[LinkKeyPair]
+    """
+    Pair that this node will use after the next step of a rotation.
+    """
     accepted_public_keys: list[AcceptedPublicKey]
     """
-    Public keys of peers that are let in, besides the current one.
+    Public keys of peers that are let in, besides those of this file's pairs.
     """
 
 
@@ -59,6 +70,9 @@
     """
 
     name: str
+    """
+    Unique among operators.
+    """
     role: Literal["reader", "operator", "admin"]
     """
     A reader looks, an operator also changes objects, an admin also changes replicas.
@@ -75,3 +89,6 @@
     """
 
     operators: list[OperatorToken]
+    """
+    All operators.
+    """
--- a/buckthorntack/schema/_generated/objects_documents.py
+++ b/buckthorntack/schema/_generated/objects_documents.py
@@ -4,6 +4,7 @@
 
 from typing import Literal
 from typing import NotRequired
+from typing import TypeAlias
 
 from typing_extensions import TypedDict
 
@@ -145,6 +146,9 @@
     """
 
 
+Adapter: TypeAlias = str
+
+
 class ModelVersion(TypedDict, closed=True):
     """
     A version of a model that engines can load.
@@ -166,7 +170,7 @@
     """
     Size of its weights.
     """
-    adapters: NotRequired[list[str]]
+    adapters: NotRequired[list[Adapter]]
     """
     Adapters that may be loaded with it.
     """
--- a/buckthorntack/schema/_quick.py
+++ b/buckthorntack/schema/_quick.py
@@ -42,8 +42,7 @@
         msgspec.convert(document, _struct(name, definition))
     except msgspec.ValidationError:
         return False
-    lists = (document.get(f, ()) for f in _unique_fields(name, definition))
-    return all(len(set(found)) == len(found) for found in lists)
+    return _has_unique_lists(name, definition, document)
 
 
 @functools.cache
@@ -52,7 +51,7 @@
     fields = []
     for field, field_schema in found["properties"].items():
         field_type = _field_type(name, field_schema)
-        if field in found["required"]:
+        if field in found.get("required", ()):
             fields.append((field, field_type))
         else:
             optional = field_type | msgspec.UnsetType
@@ -81,8 +80,31 @@
     return Annotated[base, msgspec.Meta(**limits)] if limits else base
 
 
+def _has_unique_lists(name, definition, document):
+    """Whether lists that must hold each item once do so."""
+    fields, nested = _list_fields(name, definition)
+    for field in fields:
+        found = document.get(field, ())
+        if len(set(found)) != len(found):
+            return False
+    for field, inner in nested:
+        found = document.get(field, ())
+        parts = found if isinstance(found, list) else [found] * bool(found)
+        if not all(_has_unique_lists(name, inner, part) for part in parts):
+            return False
+    return True
+
+
 @functools.cache
-def _unique_fields(name, definition):
+def _list_fields(name, definition):
+    """Fields of unique items, and fields of documents that have such."""
     found = _documents.document_schema(name)["$defs"][definition]
-    properties = found["properties"]
-    return [f for f, s in properties.items() if s.get("uniqueItems")]
+    properties = found["properties"].items()
+    fields = [field for field, s in properties if s.get("uniqueItems")]
+    nested = []
+    for field, field_schema in properties:
+        reference = field_schema.get("items", field_schema).get("$ref", "")
+        inner = reference.rpartition("/")[2]
+        if inner and any(_list_fields(name, inner)):
+            nested.append((field, inner))
+    return fields, nested
--- a/buckthorntack/schema/tests/test_codec.py
+++ b/buckthorntack/schema/tests/test_codec.py
@@ -41,6 +41,32 @@
         schema.decode(name, payload)
 
 
+@pytest.mark.parametrize("roles", [[], ["entry"], ["entry", "entry"], "entry"])
+def test_quick_check_looks_into_nested_documents(roles):
+    node = {
+        "node_id": "a",
+        "link_address": "127.0.0.1:1",
+        "region": "r",
+        "failure_domain": "d",
+        "roles": roles,
+    }
+    document = {
+        "node_id": "a",
+        "roles": ["entry"],
+        "region": "r",
+        "failure_domain": "d",
+        "data_folder": "data",
+        "links": {"listen_address": "127.0.0.1:1"},
+        "nodes": [node],
+        "control": ["a"],
+        "ledger_homes": [],
+        "keys": {"link_keys_file": "l", "token_key_file": "t"},
+    }
+    is_sound = schema.is_sound("settings", "Settings", document)
+    faults = schema.validate_document("settings", "Settings", document)
+    assert is_sound == (not faults) == (roles == ["entry"])
+
+
 def test_document_faults_are_told_together():
     document = {"name": "NOT VALID", "regions": [], "extra": 1}
     findings = schema.validate_document("objects", "ResidencyRule", document)
--- a/buckthorntack/security/__init__.py
+++ b/buckthorntack/security/__init__.py
@@ -8,8 +8,10 @@
 from buckthorntack.security._errors import KeyFileError
 from buckthorntack.security._errors import RoleError
 from buckthorntack.security._key_files import accept_link_keys
+from buckthorntack.security._key_files import add_link_pair
 from buckthorntack.security._key_files import add_operator
 from buckthorntack.security._key_files import add_signing_key
+from buckthorntack.security._key_files import drop_link_keys
 from buckthorntack.security._key_files import format_key_file
 from buckthorntack.security._key_files import generate_link_keys
 from buckthorntack.security._key_files import generate_signing_keys
@@ -17,6 +19,7 @@
 from buckthorntack.security._key_files import load_attempt_signer
 from buckthorntack.security._key_files import load_link_keys
 from buckthorntack.security._key_files import load_operator_tokens
+from buckthorntack.security._key_files import promote_link_pair
 from buckthorntack.security._key_files import promote_signing_key
 from buckthorntack.security._key_files import read_key_file
 from buckthorntack.security._key_files import retire_signing_keys
@@ -41,9 +44,11 @@
     "Role",
     "RoleError",
     "accept_link_keys",
+    "add_link_pair",
     "add_operator",
     "add_signing_key",
     "bearer_token",
+    "drop_link_keys",
     "format_key_file",
     "generate_link_keys",
     "generate_signing_keys",
@@ -54,6 +59,7 @@
     "load_attempt_signer",
     "load_link_keys",
     "load_operator_tokens",
+    "promote_link_pair",
     "promote_signing_key",
     "read_key_file",
     "retire_signing_keys",
--- a/buckthorntack/security/_key_files.py
+++ b/buckthorntack/security/_key_files.py
@@ -35,13 +35,15 @@
     :param accepted: public keys of peers that are let in.
     :returns: a new pair with the accepted keys.
     """
+    pair = _generate_pair()
+    return {"current": pair, "accepted_public_keys": sorted(set(accepted))}
+
+
+def _generate_pair():
     import zmq  # needed only to make keys
 
     public_key, secret_key = (key.decode() for key in zmq.curve_keypair())
-    return {
-        "current": {"public_key": public_key, "secret_key": secret_key},
-        "accepted_public_keys": sorted(set(accepted)),
-    }
+    return {"public_key": public_key, "secret_key": secret_key}
 
 
 def accept_link_keys(content, accepted) -> documents.LinkKeyFile:
@@ -55,6 +57,39 @@
     return {**content, "accepted_public_keys": sorted(known)}
 
 
+def drop_link_keys(content, dropped) -> documents.LinkKeyFile:
+    """Content of a file of link keys that no longer lets in some peers.
+
+    :param content: content of the file now.
+    :param dropped: public keys that are no longer accepted.
+    :returns: the new content.
+    """
+    known = set(content["accepted_public_keys"]) - set(dropped)
+    return {**content, "accepted_public_keys": sorted(known)}
+
+
+def add_link_pair(content) -> documents.LinkKeyFile:
+    """First step of a rotation: a new pair that is not used yet.
+
+    :param content: content of the file now.
+    :returns: the new content; peers must accept the new public key before
+        the next step.
+    """
+    return {**content, "next": _generate_pair()}
+
+
+def promote_link_pair(content) -> documents.LinkKeyFile:
+    """Second step of a rotation: the new pair is used.
+
+    :param content: content of the file now, with a next pair.
+    :returns: the new content; the old public key stays accepted.
+    """
+    old = content["current"]["public_key"]
+    promoted = {**content, "current": content["next"]}
+    del promoted["next"]
+    return accept_link_keys(promoted, [old])
+
+
 def generate_signing_keys() -> documents.TokenKeyFile:
     """Content of a new file of keys that sign attempt ids."""
     return {"keys": [secrets.token_hex(_SIGNING_KEY_BYTES)]}
@@ -150,7 +185,8 @@
 
 def _link_keys(content):
     pair = content["current"]
-    accepted = [pair["public_key"], *content["accepted_public_keys"]]
+    own = [pair["public_key"], content.get("next", pair)["public_key"]]
+    accepted = [*own, *content["accepted_public_keys"]]
     return LinkKeys(
         pair["public_key"].encode(),
         pair["secret_key"].encode(),
--- a/buckthorntack/security/tests/test_key_files.py
+++ b/buckthorntack/security/tests/test_key_files.py
@@ -28,6 +28,22 @@
     assert len(more["accepted_public_keys"]) == 2
 
 
+def test_link_pair_is_rotated_in_steps(tmp_path):
+    before = security.generate_link_keys()
+    added = security.add_link_pair(before)
+    keys = security.load_link_keys(write(tmp_path, added)).ok
+    old, new = (added[step]["public_key"] for step in ("current", "next"))
+    assert keys.public_key == old.encode()
+    assert keys.accepted_public_keys == {old.encode(), new.encode()}
+    promoted = security.promote_link_pair(added)
+    keys = security.load_link_keys(write(tmp_path, promoted)).ok
+    assert keys.public_key == new.encode()
+    assert keys.accepted_public_keys == {old.encode(), new.encode()}
+    dropped = security.drop_link_keys(promoted, [old])
+    keys = security.load_link_keys(write(tmp_path, dropped)).ok
+    assert keys.accepted_public_keys == {new.encode()}
+
+
 def test_steps_of_a_rotation_accept_what_is_under_way(tmp_path):
     def signer(content):
         return security.load_attempt_signer(write(tmp_path, content)).ok
--- a/buckthorntack/settings/_secrets.py
+++ b/buckthorntack/settings/_secrets.py
@@ -46,7 +46,7 @@
         file, too large, or open to other users.
     """
     try:
-        with open(path, "rb") as file:
+        with open(path, "rb", opener=_open_at_once) as file:
             fault = _fault(os.fstat(file.fileno()))
             content = b"" if fault else file.read(MAX_SECRET_BYTES)
         text = content.decode("utf-8")
@@ -59,6 +59,11 @@
     return expression.Ok(Secret(text))
 
 
+def _open_at_once(path, flags):
+    """Open without waiting for a writer, should the file be a pipe."""
+    return os.open(path, flags | os.O_NONBLOCK)
+
+
 def _fault(status):
     if not stat.S_ISREG(status.st_mode):
         return "it is no regular file"
--- a/buckthorntack/settings/tests/test_settings.py
+++ b/buckthorntack/settings/tests/test_settings.py
@@ -180,4 +180,6 @@
     file.write_text("x" * 70_000)
     assert "larger" in str(settings.read_secret(file).error)
     assert settings.read_secret(tmp_path).is_error()
+    os.mkfifo(tmp_path / "pipe", 0o600)
+    assert "regular" in str(settings.read_secret(tmp_path / "pipe").error)
     assert settings.read_secret(tmp_path / "absent").is_error()
