--- /dev/null
+++ b/buckthorntack/membership/_antientropy.py
@@ -0,0 +1,228 @@
+"""Anti-entropy: two nodes compare digests and exchange what differs."""
+
+import collections
+
+from buckthorntack.membership import _digest
+from buckthorntack.schema import messages
+
+#: All that nodes of one failure domain share.
+DOMAIN = "failure_domain"
+#: What nodes of different failure domains share.
+WORLD = "world"
+
+SERVER = "server"
+ENTRY = "entry"
+SUMMARY = "domain"
+ITEM = "item"
+
+#: Separates kind and key of an item in a record key.
+_SEPARATOR = "\0"
+#: Most records asked for in one message.
+_MAX_PULL = 256
+
+
+class AntiEntropy:
+    """Compares digests with random peers.
+
+    :param state: the :class:`MembershipState` it works on.
+    :param deltas: the :class:`DeltaSpread` that sends server records.
+    :param relays: the :class:`SummarySpread` that sends summaries.
+    :param publishing: the :class:`ItemSpread` that sends items.
+    """
+
+    def __init__(self, state, deltas, relays, publishing):
+        self.state = state
+        self.deltas = deltas
+        self.relays = relays
+        self.publishing = publishing
+        self.due_at_ms = 0
+
+    def tick(self):
+        """Ask for what is about to lapse; start a comparison if due."""
+        self._pull_lapsing()
+        if self.state.now_ms < self.due_at_ms:
+            return
+        period_ms = self.state.timing.digest_ms
+        jitter_ms = self.state.rng.randrange(period_ms // 4 + 1)
+        self.due_at_ms = self.state.now_ms + period_ms - jitter_ms
+        peers = self.state.domain_peers()
+        if peers:
+            self.send_digest(self.state.rng.choice(peers).node_id, DOMAIN)
+        contacts = self.relays.contacts()
+        if contacts and self.relays.rank() is not None:
+            self.send_digest(self.state.rng.choice(contacts), WORLD)
+
+    def _pull_lapsing(self):
+        """Ask another peer for servers whose renewals do not arrive."""
+        state = self.state
+        peers = state.domain_peers()
+        soon_ms = state.now_ms + state.timing.server_lease_ms // 4
+        lapsing = [
+            messages.RecordKey(SERVER, held.record.server_id, *held.order)
+            for held in state.servers.held()
+            if state.now_ms < held.expires_at_ms <= soon_ms
+            and held.record.failure_domain == state.own.failure_domain
+        ]
+        if lapsing and peers:
+            self._pull(state.rng.choice(peers).node_id, lapsing)
+
+    def _pull(self, to, keys):
+        chosen = keys[:_MAX_PULL]
+        self.state.send(to, messages.MembershipPull, [], chosen)
+
+    def keys(self, scope):
+        """Keys of this node's records.
+
+        :param scope: :data:`DOMAIN` or :data:`WORLD`.
+        """
+        state = self.state
+        keys = [_summary_key(state.own.failure_domain)]
+        keys += [
+            _summary_key(summary.failure_domain)
+            for summary in state.summaries.records(state.now_ms)
+        ]
+        keys += [
+            messages.RecordKey(ITEM, _SEPARATOR.join(key), 0, version)
+            for key, version, _ in state.items.checksums()
+        ]
+        if scope == DOMAIN:
+            keys += [_entry_key(record) for record in state.domain_entries()]
+            keys += self._server_keys()
+        return keys
+
+    def _server_keys(self):
+        state = self.state
+        return [
+            messages.RecordKey(
+                SERVER,
+                held.record.server_id,
+                held.record.incarnation,
+                held.changed_sequence,
+            )
+            for held in state.servers.held()
+            if held.expires_at_ms > state.now_ms
+            and held.record.failure_domain == state.own.failure_domain
+        ]
+
+    def send_digest(self, to, scope):
+        """Start a comparison.
+
+        :param to: node to compare with.
+        :param scope: :data:`DOMAIN` or :data:`WORLD`.
+        """
+        hashes = _digest.buckets(self.keys(scope))
+        self.state.send(to, messages.MembershipDigest, scope, hashes)
+
+    def on_digest(self, sender, message):
+        """Answer with the keys in buckets that differ.
+
+        :param sender: node that started the comparison.
+        :param message: the message.
+        """
+        keys = self.keys(message.scope)
+        ours = _digest.buckets(keys)
+        numbers = _digest.differing(ours, message.buckets)
+        if not numbers:
+            return
+        chosen = [key for key in keys if _digest.bucket_of(key) in numbers]
+        self.state.send(
+            sender,
+            messages.MembershipDigestDetail,
+            message.scope,
+            numbers,
+            chosen,
+        )
+
+    def on_detail(self, sender, message):
+        """Ask for what this node lacks, send what the other lacks.
+
+        :param sender: node that answered the digest.
+        :param message: the message.
+        """
+        theirs = {_name(key): key for key in message.keys}
+        numbers = set(message.buckets)
+        ours = {
+            _name(key): key
+            for key in self.keys(message.scope)
+            if _digest.bucket_of(key) in numbers
+        }
+        wanted = [
+            key
+            for name, key in theirs.items()
+            if name not in ours or _version(key) > _version(ours[name])
+        ]
+        if wanted:
+            self._pull(sender, wanted)
+        offered = [
+            key
+            for name, key in ours.items()
+            if name not in theirs or _version(key) > _version(theirs[name])
+        ]
+        self.on_pull(sender, offered[:_MAX_PULL])
+
+    def on_pull(self, sender, keys):
+        """Send whole records.
+
+        :param sender: node that asks.
+        :param keys: keys of the records.
+        """
+        groups = collections.defaultdict(list)
+        for key in keys:
+            groups[key.kind].append(key)
+        self._send_servers(sender, groups[SERVER])
+        self._send_entries(sender, groups[ENTRY])
+        self._send_summaries(sender, groups[SUMMARY])
+        items = [tuple(key.key.split(_SEPARATOR, 1)) for key in groups[ITEM]]
+        found = self.publishing.current(k for k in items if len(k) == 2)
+        self.publishing.send(sender, found)
+
+    def _send_servers(self, sender, keys):
+        state = self.state
+        found = [state.servers.get(key.key) for key in keys]
+        live = [h for h in found if h and h.expires_at_ms > state.now_ms]
+        self.deltas.send_updates(sender, live)
+
+    def _send_entries(self, sender, keys):
+        state = self.state
+        names = {key.key for key in keys}
+        records = [
+            state.entries.at(name, state.now_ms)
+            for name in sorted(names)
+            if state.entries.get(name) is not None
+        ]
+        if state.own.node_id in names:
+            records.append(state.own_record())
+        if records:
+            state.send(sender, messages.MembershipEntries, records)
+
+    def _send_summaries(self, sender, keys):
+        state = self.state
+        names = {key.key for key in keys}
+        summaries = [
+            summary
+            for summary in state.summaries.records(state.now_ms)
+            if summary.failure_domain in names
+        ]
+        if state.own.failure_domain in names:
+            summaries.append(self.relays.own_summary())
+        if summaries:
+            self.relays.send(sender, summaries)
+
+
+def _summary_key(failure_domain):
+    """Key of a failure domain: only whether it is known is compared."""
+    return messages.RecordKey(SUMMARY, failure_domain, 0, 0)
+
+
+def _entry_key(record):
+    return messages.RecordKey(
+        ENTRY, record.node_id, record.incarnation, record.sequence
+    )
+
+
+def _name(key):
+    return key.kind, key.key
+
+
+def _version(key):
+    return key.incarnation, key.sequence
--- /dev/null
+++ b/buckthorntack/membership/_deltas.py
@@ -0,0 +1,372 @@
+"""Spread of backend servers and entry VMs by batched deltas.
+
+The entry VM that a backend server announces itself to sends its record, and
+later its renewals, straight to the other entry VMs of the failure domain and
+to a bounded number of entry VMs in other failure domains of the region.
+"""
+
+import zlib
+
+from expression import Error
+from expression import Ok
+
+from buckthorntack.membership import _commands
+from buckthorntack.membership import _errors
+from buckthorntack.membership import _servers
+from buckthorntack.schema import messages
+
+#: Batches in which a changed record is sent whole.
+_REPEATS = 3
+
+
+def record_of(document, service, region, lease_ms):
+    """Record of a backend server from its announcement.
+
+    :param document: a checked ``Announcement``.
+    :param service: name of the service its pool is for.
+    :param region: name of its region.
+    :param lease_ms: lease that it gets.
+    """
+    load = document.get("load", {})
+    return messages.ServerRecord(
+        server_id=document["server_id"],
+        incarnation=document["incarnation"],
+        sequence=document["sequence"],
+        state=document["state"],
+        pool=document["pool"],
+        service=service,
+        model_versions=list(document.get("model_versions", ())),
+        adapters=list(document.get("adapters", ())),
+        role=document.get("role", ""),
+        region=region,
+        failure_domain=document["failure_domain"],
+        url=document["url"],
+        slots=document["slots"],
+        lease_ms=lease_ms,
+        load=messages.ServerLoad(
+            load.get("running", 0),
+            load.get("waiting", 0),
+            float(load.get("cache_used_fraction", 0)),
+            load.get("lag_ms", 0),
+        ),
+    )
+
+
+class DeltaSpread:
+    """Sends and takes deltas.
+
+    :param state: the :class:`MembershipState` it works on.
+    """
+
+    def __init__(self, state):
+        self.state = state
+        self.renew_at_ms = 0
+        self._handles = {}
+        self._owned = {}
+        self._pending = {}
+        self._fresh = set()
+        self._peer_handles = {}
+        self._introduce = {}
+        self._own_repeats = _REPEATS
+
+    def announce(self, document, service):
+        """Take an announcement of a backend server.
+
+        :param document: a checked ``Announcement``.
+        :param service: name of the service its pool is for.
+        :returns: ``Result`` of the record or a ``GatewayError``.
+        """
+        state = self.state
+        own = state.own
+        if document["failure_domain"] != own.failure_domain:
+            detail = f"{document['server_id']} is not of {own.failure_domain}"
+            return Error(_errors.ForeignAnnouncementError(detail))
+        lease_ms = state.timing.server_lease_ms
+        record = record_of(document, service, own.region, lease_ms)
+        held = state.servers.get(record.server_id)
+        taken = state.servers.take(record, None, lease_ms, state.now_ms)
+        if taken is _servers.Taken.REPEATED or _is_same(held, record):
+            return Ok(record)
+        if taken is _servers.Taken.STALE:
+            detail = (
+                f"{record.server_id} announced incarnation "
+                f"{record.incarnation} sequence {record.sequence} late"
+            )
+            return Error(_errors.StaleAnnouncementError(detail))
+        if taken is _servers.Taken.FULL:
+            detail = f"no room for {record.server_id}"
+            return Error(_errors.TableFullError(detail))
+        self._own(record, taken)
+        self.tell(record, taken)
+        return Ok(record)
+
+    def _own(self, record, taken):
+        key = record.server_id
+        name = (key, record.incarnation)
+        if self._owned.get(key, (None, -1))[1] != record.incarnation:
+            handle = len(self._handles)
+            self._handles[handle] = name
+            self._owned[key] = (handle, record.incarnation)
+        if taken is _servers.Taken.RENEWED:
+            self._fresh.add(key)
+            return
+        self._pending[key] = (record, _REPEATS)
+        if record.state != _servers.READY:
+            self.flush()
+
+    def tell(self, record, taken):
+        """Collect what a taken record means to listeners.
+
+        :param record: the record.
+        :param taken: what it did.
+        """
+        if taken in (_servers.Taken.RENEWED, _servers.Taken.CHANGED):
+            self.state.tell_server(record.server_id)
+        if taken is _servers.Taken.WITHDRAWN:
+            removed = _commands.ServerRemoved(record.server_id, "withdrawn")
+            self.state.commands.append(removed)
+
+    def introduce(self, node_id):
+        """Send this node's own record with the next batch to a peer.
+
+        :param node_id: the peer.
+        """
+        self._introduce[node_id] = _REPEATS
+
+    def own_changed(self):
+        """Send this node's own record with the next batches to all."""
+        self._own_repeats = _REPEATS
+
+    def has_urgent(self):
+        """Whether something waits that is not a mere renewal."""
+        unsent = any(n == _REPEATS for _, n in self._pending.values())
+        return unsent or self._own_repeats == _REPEATS
+
+    def tick(self):
+        """Send what is due."""
+        if self.state.now_ms >= self.renew_at_ms:
+            self.renew_at_ms = self.state.now_ms + self.state.timing.renewal_ms
+            self.flush(with_renewals=True)
+        elif self.has_urgent():
+            self.flush()
+
+    def flush(self, with_renewals=False):
+        """Send a batch to each peer.
+
+        :param with_renewals: whether renewals go with it.
+        """
+        updates = [self._update(*pending) for pending in self._take_pending()]
+        renewals = self._take_renewals() if with_renewals else []
+        repeat_own = self._own_repeats > 0
+        self._own_repeats = max(0, self._own_repeats - 1)
+        for peer in self.peers():
+            with_entry = self._take_introduction(peer.node_id) or repeat_own
+            self._send(peer.node_id, with_entry, updates, renewals)
+
+    def _send(self, to, with_entry, updates, renewals):
+        state = self.state
+        state.send(
+            to,
+            messages.MembershipDelta,
+            [state.own_record()] if with_entry else [],
+            state.own.sequence,
+            state.own.in_flight,
+            updates,
+            renewals,
+        )
+
+    def _take_introduction(self, node_id):
+        left = self._introduce.pop(node_id, 0)
+        if left > 1:
+            self._introduce[node_id] = left - 1
+        return left > 0
+
+    def _take_pending(self):
+        pending = list(self._pending.values())
+        self._pending = {
+            record.server_id: (record, left - 1)
+            for record, left in pending
+            if left > 1
+        }
+        return [(record, left) for record, left in pending]
+
+    def _update(self, record, _left):
+        held = self.state.servers.get(record.server_id)
+        handle, _ = self._owned.get(record.server_id, (-1, 0))
+        if held is None or held.order < (record.incarnation, record.sequence):
+            record = record._replace(lease_ms=0)
+            return messages.ServerUpdate(handle, record.sequence, record)
+        return self.update_of(held)
+
+    def update_of(self, held):
+        """Whole record of a held server, as of now.
+
+        :param held: the held server.
+        """
+        key = held.record.server_id
+        handle, incarnation = self._owned.get(key, (-1, -1))
+        if incarnation != held.record.incarnation:
+            handle = -1
+        record = held.at(self.state.now_ms)
+        return messages.ServerUpdate(handle, held.changed_sequence, record)
+
+    def _take_renewals(self):
+        keys, self._fresh = sorted(self._fresh), set()
+        held = [self.state.servers.get(key) for key in keys]
+        return [self._renewal(h) for h in held if self._is_renewable(h)]
+
+    def _is_renewable(self, held):
+        if held is None or held.record.server_id in self._pending:
+            return False
+        owned = self._owned.get(held.record.server_id)
+        return owned is not None and owned[1] == held.record.incarnation
+
+    def _renewal(self, held):
+        record = held.at(self.state.now_ms)
+        load = record.load
+        return messages.ServerRenewal(
+            self._owned[record.server_id][0],
+            record.sequence,
+            held.changed_sequence,
+            record.lease_ms,
+            load.running,
+            load.waiting,
+            round(load.cache_used_fraction * 100),
+            load.age_ms,
+        )
+
+    def peers(self):
+        """Nodes that get deltas."""
+        own = self.state.own
+        near, far = [], []
+        for record in self.state.entries.records():
+            if record.failure_domain == own.failure_domain:
+                near.append(record)
+            elif record.region == own.region:
+                far.append(record)
+        fanout = self.state.timing.region_fanout
+        if len(far) > fanout:
+            far = sorted(far, key=self._rank)[:fanout]
+        return near + far
+
+    def _rank(self, record):
+        return zlib.crc32(
+            f"{self.state.own.node_id} {record.node_id}".encode()
+        )
+
+    def send_all(self, to):
+        """Send all records that this node takes announcements of.
+
+        :param to: the node.
+        """
+        held = [self.state.servers.get(key) for key in self._owned]
+        now_ms = self.state.now_ms
+        live = [h for h in held if h is not None and h.expires_at_ms > now_ms]
+        updates = [self.update_of(h) for h in live]
+        self._send(to, True, updates, [])
+
+    def forget_peer(self, peer):
+        """Drop the handles of a peer that has restarted or gone.
+
+        :param peer: the node.
+        """
+        self._peer_handles.pop(peer, None)
+
+    def on_delta(self, sender, delta, age_ms):
+        """Take a delta.
+
+        :param sender: node that sent it.
+        :param delta: the message.
+        :param age_ms: bound on its age, or ``None``.
+        """
+        state = self.state
+        entry_lease_ms = state.timing.entry_lease_ms - (age_ms or 0)
+        for entry in delta.entry:
+            state.take_entry(entry, entry_lease_ms)
+        known = state.entries.renew(
+            sender,
+            delta.stamp.incarnation,
+            delta.entry_sequence,
+            delta.in_flight,
+            state.now_ms,
+        )
+        if not known:
+            state.send(sender, messages.MembershipHello, state.own_record())
+        for update in delta.updates:
+            self._on_update(sender, update, age_ms)
+        self._on_renewals(sender, delta.renewals, age_ms)
+
+    def _on_update(self, sender, update, age_ms):
+        record = update.record
+        if record.region != self.state.own.region:
+            return
+        handles = self._peer_handles.setdefault(sender, {})
+        if update.handle >= 0:
+            handles[update.handle] = (record.server_id, record.incarnation)
+        taken = self.state.servers.take(
+            record,
+            update.changed_sequence,
+            lease_left_ms(record.lease_ms, age_ms),
+            self.state.now_ms,
+        )
+        self.tell(record, taken)
+
+    def _on_renewals(self, sender, renewals, age_ms):
+        needed = []
+        for renewal in renewals:
+            if not self._on_renewal(sender, renewal, age_ms):
+                needed.append(renewal.handle)
+        if needed:
+            self.state.send(sender, messages.MembershipPull, needed, [])
+
+    def _on_renewal(self, sender, renewal, age_ms):
+        name = self._peer_handles.get(sender, {}).get(renewal.handle)
+        if name is None:
+            return False
+        taken = self.state.servers.renew(
+            *name,
+            renewal,
+            lease_left_ms(renewal.lease_ms, age_ms),
+            self.state.now_ms,
+        )
+        if taken is _servers.Taken.RENEWED:
+            self.state.tell_server(name[0])
+        return taken is not None
+
+    def on_pull(self, sender, handles):
+        """Send the records of some handles.
+
+        :param sender: node that asks.
+        :param handles: handles that this node gave.
+        """
+        names = [self._handles[h] for h in handles if h in self._handles]
+        held = [self.state.servers.get(key) for key, _ in names]
+        updates = [self.update_of(h) for h in held if h is not None]
+        if updates:
+            self._send(sender, False, updates, [])
+
+    def send_updates(self, to, held):
+        """Send whole records to one node.
+
+        :param to: the node.
+        :param held: the held servers.
+        """
+        if held:
+            self._send(to, False, [self.update_of(h) for h in held], [])
+
+
+def lease_left_ms(lease_ms, age_ms):
+    """Lease left on arrival; none if the age of the message is unknown.
+
+    :param lease_ms: lease left when it was sent.
+    :param age_ms: bound on its age, or ``None``.
+
+    >>> lease_left_ms(2000, 150), lease_left_ms(2000, None)
+    (1850, 0)
+    """
+    return 0 if age_ms is None else max(0, lease_ms - age_ms)
+
+
+def _is_same(held, record):
+    order = (record.incarnation, record.sequence)
+    return held is not None and held.order == order
--- /dev/null
+++ b/buckthorntack/membership/_items.py
@@ -0,0 +1,84 @@
+"""Small records of the application that all nodes learn."""
+
+import collections
+from typing import NamedTuple
+import zlib
+
+from buckthorntack.schema import messages
+
+
+class _HeldItem(NamedTuple):
+    item: messages.Item
+    until_ms: int
+    checksum: int
+
+
+class ItemTable:
+    """Items by kind and key; the highest version wins.
+
+    :param timing: a :class:`MembershipTiming`.
+    """
+
+    def __init__(self, timing):
+        self.timing = timing
+        self._held = collections.OrderedDict()
+
+    def __len__(self):
+        return len(self._held)
+
+    def take(self, item, now_ms):
+        """Take an item; the oldest one goes if there are too many.
+
+        :param item: the item.
+        :param now_ms: monotonic time.
+        :returns: whether it is news.
+        """
+        if item.ttl_ms <= 0 or len(item.value) > self.timing.max_item_bytes:
+            return False
+        key = (item.kind, item.key)
+        held = self._held.get(key)
+        if held is not None and held.item.version >= item.version:
+            return False
+        checksum = zlib.crc32(f"{key} {item.version}".encode())
+        self._held[key] = _HeldItem(item, now_ms + item.ttl_ms, checksum)
+        self._held.move_to_end(key)
+        while len(self._held) > self.timing.max_items:
+            self._held.popitem(last=False)
+        return True
+
+    def get(self, kind, key, now_ms):
+        """An item with its time left, or ``None``.
+
+        :param kind: its kind.
+        :param key: its key.
+        :param now_ms: monotonic time.
+        """
+        held = self._held.get((kind, key))
+        return None if held is None else _at(held, now_ms)
+
+    def records(self, now_ms):
+        """All items with their time left.
+
+        :param now_ms: monotonic time.
+        """
+        items = [_at(held, now_ms) for held in self._held.values()]
+        return [item for item in items if item is not None]
+
+    def checksums(self):
+        """Kind and key, version and checksum of each item."""
+        for key, held in self._held.items():
+            yield key, held.item.version, held.checksum
+
+    def expire(self, now_ms):
+        """Drop items whose time is over.
+
+        :param now_ms: monotonic time.
+        """
+        over = [k for k, h in self._held.items() if h.until_ms <= now_ms]
+        for key in over:
+            del self._held[key]
+
+
+def _at(held, now_ms):
+    ttl_ms = held.until_ms - now_ms
+    return held.item._replace(ttl_ms=ttl_ms) if ttl_ms > 0 else None
--- /dev/null
+++ b/buckthorntack/membership/_relays.py
@@ -0,0 +1,163 @@
+"""Summaries between failure domains, sent by a few of their entry VMs."""
+
+from buckthorntack.membership import _commands
+from buckthorntack.membership import _deltas
+from buckthorntack.membership import _summaries
+from buckthorntack.schema import messages
+
+#: Entry VMs of a failure domain that send its summaries.
+_RELAYS = 2
+#: Summaries of which one names entry VMs.
+_ENTRIES_EVERY = 4
+#: Periods that a summary lasts.
+_LEASE_PERIODS = 4
+
+
+class SummarySpread:
+    """Sends and takes summaries.
+
+    :param state: the :class:`MembershipState` it works on.
+    """
+
+    def __init__(self, state):
+        self.state = state
+        self.due_at_ms = 0
+        self._sequence = 0
+        self._turn = 0
+        self._forward = set()
+
+    def domains(self):
+        """How many failure domains are known, with this one."""
+        return len(self.state.summaries) + 1
+
+    def period_ms(self):
+        """Present period of summaries."""
+        return self.state.timing.summary_period_ms(self.domains())
+
+    def rank(self):
+        """Place of this node among the relays, or ``None``."""
+        entries = self.state.domain_entries()
+        ids = sorted(record.node_id for record in entries)[:_RELAYS]
+        own = self.state.own.node_id
+        return ids.index(own) if own in ids else None
+
+    def tick(self):
+        """Send what is due."""
+        self._forward_in_domain()
+        if self.state.now_ms < self.due_at_ms:
+            return
+        self.due_at_ms = self.state.now_ms + self.period_ms()
+        self._turn += 1
+        rank = self.rank()
+        relays = min(_RELAYS, len(self.state.domain_entries()))
+        if rank is not None and self._turn % relays == rank:
+            self._send_own()
+
+    def own_summary(self, with_entries=True):
+        """Summary of this failure domain as of now.
+
+        :param with_entries: whether it names entry VMs.
+        """
+        state = self.state
+        own = state.own
+        entries = []
+        if with_entries:
+            entries = _summaries.choose_entries(
+                state.domain_entries(),
+                state.timing.summary_entries,
+                state.rng,
+            )
+        return messages.DomainSummary(
+            own.region,
+            own.failure_domain,
+            own.incarnation,
+            self._sequence,
+            entries,
+            _summaries.summarise_services(state.domain_servers()),
+            self.period_ms() * _LEASE_PERIODS,
+        )
+
+    def _send_own(self):
+        self._sequence += 1
+        with_entries = self._sequence % _ENTRIES_EVERY == 1
+        brief = self.own_summary(with_entries)
+        whole = brief if with_entries else self.own_summary()
+        for node_id in self.contacts():
+            self.send(node_id, [brief])
+        for node_id in self._unknown_seeds():
+            self.send(node_id, [whole])
+
+    def send(self, to, summaries):
+        """Send summaries to one node.
+
+        :param to: the node.
+        :param summaries: the summaries.
+        """
+        self.state.send(to, messages.MembershipSummaries, summaries)
+
+    def contacts(self, count=1):
+        """Random entry VMs of each other failure domain.
+
+        :param count: how many of each.
+        """
+        state = self.state
+        chosen = []
+        for summary in state.summaries.records(state.now_ms):
+            entries = summary.entries
+            some = state.rng.sample(entries, min(count, len(entries)))
+            chosen += [record.node_id for record in some]
+        return chosen
+
+    def _unknown_seeds(self):
+        """One random seed of each failure domain not yet heard of."""
+        state = self.state
+        groups = {}
+        for seed in state.seeds:
+            groups.setdefault(seed["failure_domain"], []).append(seed)
+        groups.pop(state.own.failure_domain, None)
+        return [
+            state.rng.choice(seeds)["node_id"]
+            for domain, seeds in groups.items()
+            if not self._reaches(domain)
+        ]
+
+    def _reaches(self, domain):
+        summary = self.state.summaries.get(domain, self.state.now_ms)
+        return summary is not None and bool(summary.entries)
+
+    def on_summaries(self, sender, message, age_ms):
+        """Take summaries; those from outside go on to this domain.
+
+        :param sender: node that sent them.
+        :param message: the message.
+        :param age_ms: bound on its age, or ``None``.
+        """
+        inside = self.state.is_domain_peer(sender)
+        for summary in message.summaries:
+            lease_ms = _deltas.lease_left_ms(summary.lease_ms, age_ms)
+            if self._take(summary, lease_ms) and not inside:
+                self._forward.add(summary.failure_domain)
+
+    def _take(self, summary, lease_ms):
+        state = self.state
+        if summary.failure_domain == state.own.failure_domain:
+            return False
+        if not state.summaries.take(summary, lease_ms, state.now_ms):
+            return False
+        held = state.summaries.get(summary.failure_domain, state.now_ms)
+        state.commands.append(_commands.SummaryChanged(held))
+        if summary.region == state.own.region:
+            entry_lease_ms = min(lease_ms, state.timing.entry_lease_ms)
+            for entry in summary.entries:
+                state.take_entry(entry, entry_lease_ms)
+        return True
+
+    def _forward_in_domain(self):
+        domains, self._forward = sorted(self._forward), set()
+        now_ms = self.state.now_ms
+        found = [self.state.summaries.get(d, now_ms) for d in domains]
+        summaries = [summary for summary in found if summary is not None]
+        if not summaries:
+            return
+        for peer in self.state.domain_peers():
+            self.send(peer.node_id, summaries)
--- /dev/null
+++ b/buckthorntack/membership/_servers.py
@@ -0,0 +1,207 @@
+"""Backend servers known to this node: their order, lease and load."""
+
+import datetime
+import enum
+from typing import NamedTuple
+
+from buckthorntack.membership import _floors
+from buckthorntack.schema import messages
+
+READY = "ready"
+DRAINING = "draining"
+WITHDRAWN = "withdrawn"
+
+
+class Taken(enum.Enum):
+    """What an announcement did."""
+
+    STALE = "stale"
+    REPEATED = "repeated"
+    RENEWED = "renewed"
+    CHANGED = "changed"
+    WITHDRAWN = "withdrawn"
+    FULL = "full"
+
+
+class HeldServer(NamedTuple):
+    """A backend server as held by this node."""
+
+    record: messages.ServerRecord
+    changed_sequence: int
+    expires_at_ms: int
+    load_at_ms: int
+    #: Whether its lease is counted as running.
+    listed: bool
+
+    @property
+    def order(self):
+        """What decides between two announcements."""
+        return self.record.incarnation, self.record.sequence
+
+    def at(self, now_ms):
+        """The record with lease and age of load as of now.
+
+        :param now_ms: monotonic time.
+        """
+        lease_ms = max(0, self.expires_at_ms - now_ms)
+        age_ms = max(0, now_ms - self.load_at_ms)
+        load = self.record.load._replace(age_ms=age_ms)
+        return self.record._replace(lease_ms=lease_ms, load=load)
+
+
+def _contents(record):
+    """Fields that a renewal does not carry."""
+    return record._replace(sequence=0, lease_ms=0, load=None)
+
+
+class ServerTable:
+    """Backend servers by id.
+
+    :param timing: a :class:`MembershipTiming`.
+    """
+
+    def __init__(self, timing):
+        self.timing = timing
+        self.floors = _floors.FloorTable(
+            timing.tombstone_ms, timing.max_tombstones
+        )
+        self._held = {}
+
+    def __len__(self):
+        return len(self._held)
+
+    def get(self, server_id):
+        """A held server, or ``None``.
+
+        :param server_id: its id.
+        """
+        return self._held.get(server_id)
+
+    def held(self):
+        """All held servers, also those whose lease has lapsed."""
+        return self._held.values()
+
+    def listed(self, now_ms):
+        """Records whose lease runs.
+
+        :param now_ms: monotonic time.
+        """
+        return [
+            held.at(now_ms)
+            for held in self._held.values()
+            if held.expires_at_ms > now_ms
+        ]
+
+    def take(self, record, changed_sequence, lease_ms, now_ms):
+        """Take a whole record.
+
+        :param record: the record.
+        :param changed_sequence: when its contents changed, or ``None`` to
+            compare them with those held.
+        :param lease_ms: lease left now.
+        :param now_ms: monotonic time.
+        :returns: a :class:`Taken`.
+        """
+        key = record.server_id
+        if not self.floors.admits(key, record.incarnation, record.sequence):
+            return Taken.STALE
+        held = self._held.get(key)
+        order = (record.incarnation, record.sequence)
+        if held is not None and order < held.order:
+            return Taken.STALE
+        if held is not None and order == held.order:
+            return self._take_again(held, lease_ms, now_ms)
+        if held is None and len(self._held) >= self.timing.max_servers:
+            return Taken.FULL
+        if record.state == WITHDRAWN:
+            self._bury(key, order, True, now_ms)
+            return Taken.WITHDRAWN
+        return self._put(held, record, changed_sequence, lease_ms, now_ms)
+
+    def _take_again(self, held, lease_ms, now_ms):
+        expires_at_ms = now_ms + lease_ms
+        if expires_at_ms <= held.expires_at_ms or lease_ms <= 0:
+            return Taken.REPEATED
+        again = held._replace(expires_at_ms=expires_at_ms, listed=True)
+        self._held[held.record.server_id] = again
+        return Taken.RENEWED
+
+    def _put(self, held, record, changed_sequence, lease_ms, now_ms):
+        same = held is not None and _contents(held.record) == _contents(record)
+        if changed_sequence is None:
+            changed_sequence = (
+                held.changed_sequence if same else record.sequence
+            )
+        self.floors.drop(record.server_id)
+        self._held[record.server_id] = HeldServer(
+            record,
+            changed_sequence,
+            now_ms + max(0, lease_ms),
+            now_ms - record.load.age_ms,
+            lease_ms > 0,
+        )
+        return Taken.RENEWED if same and held.listed else Taken.CHANGED
+
+    def renew(self, server_id, incarnation, renewal, lease_ms, now_ms):
+        """Take a renewal.
+
+        :param server_id: whose it is.
+        :param incarnation: its incarnation.
+        :param renewal: a ``ServerRenewal``.
+        :param lease_ms: lease left now.
+        :param now_ms: monotonic time.
+        :returns: a :class:`Taken`; ``None`` if the contents are needed.
+        """
+        held = self._held.get(server_id)
+        order = (incarnation, renewal.sequence)
+        if not self.floors.admits(server_id, *order):
+            return Taken.STALE
+        if held is None:
+            return None
+        if order < held.order:
+            return Taken.STALE
+        if (incarnation, renewal.changed_sequence) != (
+            held.record.incarnation,
+            held.changed_sequence,
+        ):
+            return None
+        if order == held.order:
+            return self._take_again(held, lease_ms, now_ms)
+        load = messages.ServerLoad(
+            renewal.running,
+            renewal.waiting,
+            renewal.cache_used_percent / 100,
+            renewal.load_age_ms,
+        )
+        record = held.record._replace(sequence=renewal.sequence, load=load)
+        return self._put(held, record, held.changed_sequence, lease_ms, now_ms)
+
+    def expire(self, now_ms):
+        """Unlist servers whose lease has lapsed, forget long lapsed ones.
+
+        :param now_ms: monotonic time.
+        :returns: ids that were unlisted now.
+        """
+        lapsed = []
+        for key, held in list(self._held.items()):
+            if held.expires_at_ms > now_ms:
+                continue
+            if held.listed:
+                self._held[key] = held._replace(listed=False)
+                lapsed.append(key)
+            if held.expires_at_ms + self.timing.lapsed_ms <= now_ms:
+                self._bury(key, held.order, False, now_ms)
+        self.floors.expire(now_ms)
+        return lapsed
+
+    def _bury(self, key, order, final, now_ms):
+        self._held.pop(key, None)
+        self.floors.put(key, *order, final, now_ms)
+
+
+def expires_at(held):
+    """When the lease of a held server ends, as monotonic time.
+
+    :param held: a :class:`HeldServer`.
+    """
+    return datetime.timedelta(milliseconds=held.expires_at_ms)
--- /dev/null
+++ b/buckthorntack/membership/_state.py
@@ -0,0 +1,102 @@
+"""What the parts of a membership view share."""
+
+from buckthorntack.membership import _commands
+from buckthorntack.membership import _entries
+from buckthorntack.membership import _items
+from buckthorntack.membership import _servers
+from buckthorntack.membership import _stamps
+from buckthorntack.membership import _summaries
+
+
+class MembershipState:
+    """Tables of a view and the commands that it has collected.
+
+    :param own: ``EntryRecord`` of this node.
+    :param seeds: ``NodeAddress`` documents of the settings.
+    :param timing: a :class:`MembershipTiming`.
+    :param rng: source of randomness.
+    """
+
+    def __init__(self, own, seeds, timing, rng):
+        self.own = own
+        self.seeds = [s for s in seeds if s["node_id"] != own.node_id]
+        self.timing = timing
+        self.rng = rng
+        self.now_ms = 0
+        self.commands = []
+        self.stamps = _stamps.StampBook(own.incarnation)
+        self.entries = _entries.EntryTable(timing)
+        self.servers = _servers.ServerTable(timing)
+        self.summaries = _summaries.SummaryTable()
+        self.items = _items.ItemTable(timing)
+
+    def take_commands(self):
+        """The commands collected so far."""
+        commands, self.commands = self.commands, []
+        return commands
+
+    def send(self, to, message_type, *fields):
+        """Collect a message to another node.
+
+        :param to: the node.
+        :param message_type: type of the message.
+        :param fields: its fields after the stamp.
+        """
+        stamp = self.stamps.stamp_for(to, self.now_ms)
+        message = message_type(stamp, *fields)
+        self.commands.append(_commands.SendMessage(to, message))
+
+    def own_record(self):
+        """The record of this node with a full lease."""
+        return self.own._replace(lease_ms=self.timing.entry_lease_ms)
+
+    def domain_peers(self):
+        """Other nodes of this failure domain, by record."""
+        return self.entries.of_domain(self.own.failure_domain)
+
+    def domain_entries(self):
+        """Records of all nodes of this failure domain, with this one."""
+        return [self.own_record(), *self.domain_peers()]
+
+    def is_domain_peer(self, node_id):
+        """Whether a node is known to be of this failure domain.
+
+        :param node_id: its id.
+        """
+        record = self.entries.get(node_id)
+        if record is None:
+            return False
+        return record.failure_domain == self.own.failure_domain
+
+    def domain_servers(self):
+        """Records of this failure domain's servers whose lease runs."""
+        return [
+            record
+            for record in self.servers.listed(self.now_ms)
+            if record.failure_domain == self.own.failure_domain
+        ]
+
+    def take_entry(self, record, lease_ms):
+        """Take the record of another entry VM.
+
+        :param record: the record.
+        :param lease_ms: lease left now.
+        """
+        if record.node_id == self.own.node_id:
+            return
+        if not self.entries.take(record, lease_ms, self.now_ms):
+            return
+        if self.entries.get(record.node_id) is None:
+            self.commands.append(_commands.EntryRemoved(record))
+        else:
+            self.commands.append(_commands.EntryChanged(record))
+
+    def tell_server(self, server_id):
+        """Collect the change of a backend server.
+
+        :param server_id: its id.
+        """
+        held = self.servers.get(server_id)
+        expires_at = _servers.expires_at(held)
+        record = held.at(self.now_ms)
+        self.commands.append(_commands.ServerChanged(record, expires_at))
--- /dev/null
+++ b/buckthorntack/membership/_summaries.py
@@ -0,0 +1,121 @@
+"""Summaries of failure domains."""
+
+import collections
+from typing import NamedTuple
+
+from buckthorntack.membership import _entries
+from buckthorntack.membership import _servers
+from buckthorntack.schema import messages
+
+
+class _HeldSummary(NamedTuple):
+    summary: messages.DomainSummary
+    expires_at_ms: int
+
+
+def summarise_services(records):
+    """What a failure domain's backend servers can do together.
+
+    :param records: ``ServerRecord`` of the failure domain.
+    :returns: a ``ServiceSummary`` for each service and model version.
+    """
+    groups = collections.defaultdict(list)
+    for record in records:
+        if record.state != _servers.READY:
+            continue
+        for model_version in record.model_versions or [""]:
+            groups[record.service, model_version].append(record)
+    return [
+        messages.ServiceSummary(
+            service,
+            model_version,
+            len(group),
+            sum(record.slots for record in group),
+            sum(record.load.running for record in group),
+            sum(record.load.waiting for record in group),
+        )
+        for (service, model_version), group in sorted(groups.items())
+    ]
+
+
+class SummaryTable:
+    """Summaries of other failure domains by name."""
+
+    def __init__(self):
+        self._held = {}
+
+    def __len__(self):
+        return len(self._held)
+
+    def records(self, now_ms):
+        """All summaries whose lease runs.
+
+        :param now_ms: monotonic time.
+        """
+        return [
+            held.summary._replace(lease_ms=held.expires_at_ms - now_ms)
+            for held in self._held.values()
+            if held.expires_at_ms > now_ms
+        ]
+
+    def get(self, failure_domain, now_ms):
+        """Summary of one failure domain, or ``None``.
+
+        :param failure_domain: its name.
+        :param now_ms: monotonic time.
+        """
+        held = self._held.get(failure_domain)
+        if held is None or held.expires_at_ms <= now_ms:
+            return None
+        return held.summary._replace(lease_ms=held.expires_at_ms - now_ms)
+
+    def take(self, summary, lease_ms, now_ms):
+        """Take a summary.
+
+        Of two from one sender the higher sequence is newer; of two from
+        different senders the one whose lease ends later.
+
+        :param summary: the summary.
+        :param lease_ms: lease left now.
+        :param now_ms: monotonic time.
+        :returns: whether it is news.
+        """
+        if lease_ms <= 0:
+            return False
+        expires_at_ms = now_ms + lease_ms
+        held = self._held.get(summary.failure_domain)
+        if held is not None and not _is_newer(summary, expires_at_ms, held):
+            return False
+        if held is not None and not summary.entries:
+            summary = summary._replace(entries=held.summary.entries)
+        held = _HeldSummary(summary, expires_at_ms)
+        self._held[summary.failure_domain] = held
+        return True
+
+    def expire(self, now_ms):
+        """Drop summaries whose lease has lapsed.
+
+        :param now_ms: monotonic time.
+        :returns: those dropped.
+        """
+        lapsed = [h for h in self._held.values() if h.expires_at_ms <= now_ms]
+        for held in lapsed:
+            del self._held[held.summary.failure_domain]
+        return [held.summary for held in lapsed]
+
+
+def _is_newer(summary, expires_at_ms, held):
+    if summary.incarnation == held.summary.incarnation:
+        return summary.sequence > held.summary.sequence
+    return expires_at_ms > held.expires_at_ms
+
+
+def choose_entries(records, count, rng):
+    """Entry VMs that a summary names, other ones each time.
+
+    :param records: all ``EntryRecord`` of the failure domain.
+    :param count: most of them.
+    :param rng: source of randomness.
+    """
+    ready = [r for r in records if r.state == _entries.READY]
+    return rng.sample(ready, min(count, len(ready)))
--- /dev/null
+++ b/buckthorntack/membership/_task.py
@@ -0,0 +1,227 @@
+"""The task that owns a node's membership view."""
+
+import asyncio
+import datetime
+import functools
+
+from buckthorntack import events
+from buckthorntack.membership import _commands
+from buckthorntack.membership import _entries
+from buckthorntack.membership import _events
+from buckthorntack.membership import _timing
+
+
+class MembershipTask:
+    """Runs a view: timer, messages, listeners.
+
+    Listeners are called with the change, a ``NamedTuple`` of this package;
+    register them with :meth:`listen`.
+
+    :param view: a :class:`MembershipView`.
+    :param sender: a ``Sender``.
+    :param clock: a ``Clock``.
+    :param timing: the view's :class:`MembershipTiming`.
+    """
+
+    def __init__(self, view, sender, clock, timing):
+        self.view = view
+        self.sender = sender
+        self.clock = clock
+        self.timing = timing
+        self._log = events.EventLog("membership")
+        self._listeners = []
+        self._runner = None
+        self._known = {}
+
+    async def __aenter__(self):
+        self._execute(self.view.tick(self._now()))
+        self._runner = asyncio.create_task(self._run())
+        return self
+
+    async def __aexit__(self, *_):
+        self._runner.cancel()
+        await asyncio.gather(self._runner, return_exceptions=True)
+        self.set_entry_state(_entries.STOPPED)
+
+    async def _run(self):
+        period = datetime.timedelta(milliseconds=self.timing.gossip_ms)
+        while True:
+            await self.clock.sleep(period)
+            self._execute(self.view.tick(self._now()))
+
+    def _now(self):
+        return self.clock.monotonic()
+
+    def listen(self, kind, listener):
+        """Call a listener on each change of one kind.
+
+        :param kind: such as :class:`ServerChanged`.
+        :param listener: called with the change.
+        """
+        self._listeners.append((kind, listener))
+
+    def deliver(self, sender, message):
+        """Take a message; does not block.
+
+        :param sender: authenticated node that sent it.
+        :param message: a message of membership.
+        """
+        self._execute(self.view.receive(sender, message, self._now()))
+
+    def announce(self, document, service):
+        """Take an announcement of a backend server.
+
+        :param document: a checked ``Announcement``.
+        :param service: name of the service its pool is for.
+        :returns: an ``AnnouncementAnswer``.
+        """
+        result, commands = self.view.announce(document, service, self._now())
+        self._execute(commands)
+        answer = {
+            "lease_ms": self.timing.server_lease_ms,
+            "renew_ms": self.timing.server_lease_ms // 3,
+            "accepted": result.is_ok(),
+        }
+        if result.is_error():
+            answer["reason"] = str(result.error)
+            self._log.write(
+                _events.ANNOUNCEMENT_REFUSED,
+                server=document["server_id"],
+                reason=answer["reason"],
+            )
+        return answer
+
+    def publish(self, item):
+        """Spread an item to all nodes.
+
+        :param item: the item.
+        :returns: ``Result`` of the item or a ``GatewayError``.
+        """
+        result, commands = self.view.publish(item, self._now())
+        self._execute(commands)
+        return result
+
+    def set_entry_state(self, entry_state):
+        """Change this node's state and tell its peers at once.
+
+        :param entry_state: ready, stopping or stopped.
+        """
+        self._execute(self.view.set_state(entry_state, self._now()))
+
+    def set_in_flight(self, in_flight):
+        """Tell peers how busy this node is.
+
+        :param in_flight: callers' requests in progress.
+        """
+        self.view.set_in_flight(in_flight)
+
+    def set_revision(self, revision):
+        """Tell peers which configuration is in force here.
+
+        :param revision: its revision.
+        """
+        self.view.set_revision(revision)
+
+    def servers(self):
+        """Backend servers of this region whose lease runs."""
+        return self.view.servers(self._now())
+
+    def summaries(self):
+        """Summaries of the other failure domains."""
+        return self.view.summaries(self._now())
+
+    def items(self, kind):
+        """Items of one kind.
+
+        :param kind: the kind.
+        """
+        return self.view.items(kind, self._now())
+
+    def members(self):
+        """All nodes of this region that are known, without this one."""
+        return self.view.members()
+
+    def entries_of(self, region):
+        """Entry VMs of a region that take requests.
+
+        :param region: its name.
+        """
+        return self.view.entries_of(region, self._now())
+
+    def entry_list(self, region, failure_domain=None):
+        """Entry VMs that callers shall use, in the order to try them.
+
+        :param region: the callers' region.
+        :param failure_domain: the callers' failure domain, or ``None``.
+        """
+        return self.view.entry_list(region, failure_domain, self._now())
+
+    def _execute(self, commands):
+        for command in commands:
+            self._perform(command)
+
+    @functools.singledispatchmethod
+    def _perform(self, command):
+        self._tell(command)
+
+    @_perform.register
+    def _(self, command: _commands.SendMessage):
+        self.sender.send(command.to, command.message)
+
+    @_perform.register
+    def _(self, command: _commands.ServerChanged):
+        record = command.record
+        known = (record.incarnation, record.state, record.model_versions)
+        if self._known.get(record.server_id) != known:
+            self._known[record.server_id] = known
+            self._log.write(
+                _events.SERVER_ADDED,
+                server=record.server_id,
+                incarnation=record.incarnation,
+                state=record.state,
+                model_versions=",".join(record.model_versions),
+            )
+        self._tell(command)
+
+    @_perform.register
+    def _(self, command: _commands.ServerRemoved):
+        self._known.pop(command.server_id, None)
+        self._log.write(
+            _events.SERVER_REMOVED,
+            server=command.server_id,
+            reason=command.reason,
+        )
+        self._tell(command)
+
+    @_perform.register
+    def _(self, command: _commands.EntryChanged):
+        self._log.write(
+            _events.ENTRY_CHANGED,
+            node=command.record.node_id,
+            state=command.record.state,
+        )
+        self._tell(command)
+
+    @_perform.register
+    def _(self, command: _commands.EntryRemoved):
+        self._log.write(_events.ENTRY_REMOVED, node=command.record.node_id)
+        self._tell(command)
+
+    @_perform.register
+    def _(self, command: _commands.SummaryRemoved):
+        domain = command.summary.failure_domain
+        self._log.write(_events.DOMAIN_SILENT, failure_domain=domain)
+        self._tell(command)
+
+    def _tell(self, command):
+        for kind, listener in self._listeners:
+            if isinstance(command, kind):
+                listener(command)
+
+
+def build_timing(settings):
+    """Timing of a process.
+
+    :param settings: the parsed settings.
+    """
+    return _timing.MembershipTiming.from_settings(settings.get("timing", {}))
--- /dev/null
+++ b/buckthorntack/membership/_view.py
@@ -0,0 +1,286 @@
+"""The membership view of one node: decisions without I/O."""
+
+import functools
+
+from buckthorntack.membership import _antientropy
+from buckthorntack.membership import _commands
+from buckthorntack.membership import _deltas
+from buckthorntack.membership import _entries
+from buckthorntack.membership import _publishing
+from buckthorntack.membership import _relays
+from buckthorntack.membership import _state
+from buckthorntack.membership import _timing
+from buckthorntack.schema import messages
+
+
+class MembershipView:
+    """What one node knows of backend servers and entry VMs.
+
+    Every method that takes ``now`` also returns the commands that its
+    caller shall execute, alone or in a pair after its result.
+
+    :param own: ``EntryRecord`` of this node; a ``caller_url`` that is empty
+        tells that it takes no callers.
+    :param seeds: ``NodeAddress`` documents of the settings.
+    :param timing: a :class:`MembershipTiming`.
+    :param rng: source of randomness.
+    """
+
+    def __init__(self, own, seeds, timing, rng):
+        state = _state.MembershipState(own, seeds, timing, rng)
+        self._state = state
+        self._deltas = _deltas.DeltaSpread(state)
+        self._relays = _relays.SummarySpread(state)
+        self._publishing = _publishing.ItemSpread(state, self._relays)
+        self._antientropy = _antientropy.AntiEntropy(
+            state, self._deltas, self._relays, self._publishing
+        )
+        self._seeds_due_at_ms = 0
+
+    @property
+    def own(self):
+        """The record of this node."""
+        return self._state.own_record()
+
+    def announce(self, document, service, now):
+        """Take an announcement of a backend server.
+
+        :param document: a checked ``Announcement``.
+        :param service: name of the service its pool is for.
+        :param now: monotonic time.
+        :returns: ``Result`` of the record or a ``GatewayError``; commands.
+        """
+        self._at(now)
+        result = self._deltas.announce(document, service)
+        return result, self._state.take_commands()
+
+    def publish(self, item, now):
+        """Take an item of this node's application.
+
+        :param item: the item.
+        :param now: monotonic time.
+        :returns: ``Result`` of the item or a ``GatewayError``; commands.
+        """
+        self._at(now)
+        result = self._publishing.publish(item)
+        return result, self._state.take_commands()
+
+    def set_state(self, entry_state, now):
+        """Change this node's state and tell its peers at once.
+
+        :param entry_state: ready, stopping or stopped.
+        :param now: monotonic time.
+        :returns: commands.
+        """
+        self._at(now)
+        self._change_own(state=entry_state)
+        self._deltas.flush()
+        return self._state.take_commands()
+
+    def set_revision(self, revision):
+        """Tell peers which configuration is in force here.
+
+        :param revision: its revision.
+        """
+        if revision != self._state.own.revision:
+            self._change_own(revision=revision)
+
+    def set_in_flight(self, in_flight):
+        """Tell peers how busy this node is.
+
+        :param in_flight: callers' requests in progress.
+        """
+        self._state.own = self._state.own._replace(in_flight=in_flight)
+
+    def _change_own(self, **fields):
+        own = self._state.own
+        fields["sequence"] = own.sequence + 1
+        self._state.own = own._replace(**fields)
+        self._deltas.own_changed()
+
+    def tick(self, now):
+        """Let time pass; call once each gossip period.
+
+        :param now: monotonic time.
+        :returns: commands.
+        """
+        self._at(now)
+        self._contact_seeds()
+        self._deltas.tick()
+        self._relays.tick()
+        self._publishing.tick()
+        self._antientropy.tick()
+        return self._state.take_commands()
+
+    def receive(self, sender, message, now):
+        """Take a message of another node.
+
+        :param sender: node that sent it.
+        :param message: the message.
+        :param now: monotonic time.
+        :returns: commands.
+        """
+        self._at(now)
+        state = self._state
+        if state.stamps.is_outdated(sender, message.stamp):
+            return state.take_commands()
+        age_ms = state.stamps.age_ms(message.stamp, state.now_ms)
+        is_new = state.stamps.note(sender, message.stamp, state.now_ms)
+        if is_new:
+            self._deltas.forget_peer(sender)
+            self._deltas.introduce(sender)
+        self._handle(message, sender, age_ms)
+        if is_new or age_ms is None:
+            self._answer_contact(sender, is_new)
+        return state.take_commands()
+
+    def _answer_contact(self, sender, is_new):
+        state = self._state
+        record = state.entries.get(sender)
+        if is_new and record is not None:
+            self._send_all(record)
+        else:
+            own = state.own_record()
+            state.send(sender, messages.MembershipHello, own)
+
+    def _send_all(self, record):
+        if record.region == self._state.own.region:
+            self._deltas.send_all(record.node_id)
+        if record.failure_domain == self._state.own.failure_domain:
+            scope = _antientropy.DOMAIN
+            self._antientropy.send_digest(record.node_id, scope)
+
+    @functools.singledispatchmethod
+    def _handle(self, message, sender, age_ms):
+        raise TypeError(f"{type(message).__name__} is not of membership")
+
+    @_handle.register
+    def _(self, message: messages.MembershipHello, sender, age_ms):
+        lease_ms = self._state.timing.entry_lease_ms - (age_ms or 0)
+        if message.entry.node_id == sender:
+            self._state.take_entry(message.entry, lease_ms)
+        self._deltas.introduce(sender)
+
+    @_handle.register
+    def _(self, message: messages.MembershipDelta, sender, age_ms):
+        self._deltas.on_delta(sender, message, age_ms)
+
+    @_handle.register
+    def _(self, message: messages.MembershipEntries, sender, age_ms):
+        for record in message.entries:
+            lease_ms = _deltas.lease_left_ms(record.lease_ms, age_ms)
+            self._state.take_entry(record, lease_ms)
+
+    @_handle.register
+    def _(self, message: messages.MembershipPull, sender, age_ms):
+        self._deltas.on_pull(sender, message.handles)
+        self._antientropy.on_pull(sender, message.keys)
+
+    @_handle.register
+    def _(self, message: messages.MembershipDigest, sender, age_ms):
+        self._antientropy.on_digest(sender, message)
+
+    @_handle.register
+    def _(self, message: messages.MembershipDigestDetail, sender, age_ms):
+        self._antientropy.on_detail(sender, message)
+
+    @_handle.register
+    def _(self, message: messages.MembershipSummaries, sender, age_ms):
+        self._relays.on_summaries(sender, message, age_ms)
+
+    @_handle.register
+    def _(self, message: messages.MembershipItems, sender, age_ms):
+        self._publishing.on_items(sender, message, age_ms)
+
+    def _at(self, now):
+        """Set the time and drop what has lapsed."""
+        state = self._state
+        state.now_ms = _timing.milliseconds(now)
+        for server_id in state.servers.expire(state.now_ms):
+            removed = _commands.ServerRemoved(server_id, "lease lapsed")
+            state.commands.append(removed)
+        for record in state.entries.expire(state.now_ms):
+            self._deltas.forget_peer(record.node_id)
+            state.commands.append(_commands.EntryRemoved(record))
+        for summary in state.summaries.expire(state.now_ms):
+            state.commands.append(_commands.SummaryRemoved(summary))
+        state.items.expire(state.now_ms)
+
+    def _contact_seeds(self):
+        """Greet seeds of this failure domain that are not known."""
+        state = self._state
+        if state.now_ms < self._seeds_due_at_ms:
+            return
+        self._seeds_due_at_ms = state.now_ms + state.timing.renewal_ms
+        for seed in state.seeds:
+            near = seed["failure_domain"] == state.own.failure_domain
+            if near and state.entries.get(seed["node_id"]) is None:
+                own = state.own_record()
+                state.send(seed["node_id"], messages.MembershipHello, own)
+
+    def servers(self, now):
+        """Backend servers of this region whose lease runs.
+
+        :param now: monotonic time.
+        """
+        return self._state.servers.listed(_timing.milliseconds(now))
+
+    def summaries(self, now):
+        """Summaries of the other failure domains.
+
+        :param now: monotonic time.
+        """
+        return self._state.summaries.records(_timing.milliseconds(now))
+
+    def items(self, kind, now):
+        """Items of one kind.
+
+        :param kind: the kind.
+        :param now: monotonic time.
+        """
+        items = self._state.items.records(_timing.milliseconds(now))
+        return [item for item in items if item.kind == kind]
+
+    def members(self):
+        """All nodes of this region that are known, without this one."""
+        return self._state.entries.records()
+
+    def entries_of(self, region, now):
+        """Entry VMs of a region that take requests.
+
+        :param region: its name.
+        :param now: monotonic time.
+        """
+        state = self._state
+        if region == state.own.region:
+            records = [state.own_record(), *state.entries.records()]
+        else:
+            summaries = self.summaries(now)
+            records = [
+                e for s in summaries if s.region == region for e in s.entries
+            ]
+        return [r for r in records if _takes_callers(r)]
+
+    def entry_list(self, region, failure_domain, now):
+        """Entry VMs that callers shall use, in the order to try them.
+
+        Those of the failure domain go first, then the less busy ones, at
+        random among equals.
+
+        :param region: the callers' region.
+        :param failure_domain: the callers' failure domain, or ``None``.
+        :param now: monotonic time.
+        """
+        records = self.entries_of(region, now)
+        self._state.rng.shuffle(records)
+        return sorted(
+            records,
+            key=lambda record: (
+                record.failure_domain != failure_domain,
+                record.in_flight.bit_length(),
+            ),
+        )
+
+
+def _takes_callers(record):
+    return record.state == _entries.READY and bool(record.caller_url)
--- a/buckthorntack/schema/_generated/membership.py
+++ b/buckthorntack/schema/_generated/membership.py
@@ -81,3 +81,143 @@
     entries: list[EntryRecord]
     services: list[ServiceSummary]
     lease_ms: int
+
+
+class MessageStamp(NamedTuple):
+    """
+    Lets the receiver bound the age of a message without a shared clock: it echoes the receiver's own last stamp.
+    """
+
+    incarnation: int
+    sent_at_ms: int
+    echo_incarnation: int
+    echo_sent_at_ms: int
+    echo_held_ms: int
+
+
+class ServerUpdate(NamedTuple):
+    """
+    A whole record of a backend server.
+    """
+
+    handle: int
+    changed_sequence: int
+    record: ServerRecord
+
+
+class ServerRenewal(NamedTuple):
+    """
+    Renewed lease and load of a backend server whose record the receiver has.
+    """
+
+    handle: int
+    sequence: int
+    changed_sequence: int
+    lease_ms: int
+    running: int
+    waiting: int
+    cache_used_percent: int
+    load_age_ms: int
+
+
+class MembershipDelta(NamedTuple):
+    """
+    Changes and renewals since the sender's last delta.
+    """
+
+    stamp: MessageStamp
+    entry: list[EntryRecord]
+    entry_sequence: int
+    in_flight: int
+    updates: list[ServerUpdate]
+    renewals: list[ServerRenewal]
+
+
+class MembershipHello(NamedTuple):
+    """
+    Introduces the sender, or asks for a fresh echo.
+    """
+
+    stamp: MessageStamp
+    entry: EntryRecord
+
+
+class MembershipEntries(NamedTuple):
+    """
+    Records of entry VMs that the receiver lacks.
+    """
+
+    stamp: MessageStamp
+    entries: list[EntryRecord]
+
+
+class RecordKey(NamedTuple):
+    """
+    Names one version of a record.
+    """
+
+    kind: str
+    key: str
+    incarnation: int
+    sequence: int
+
+
+class MembershipPull(NamedTuple):
+    """
+    Asks for whole records.
+    """
+
+    stamp: MessageStamp
+    handles: list[int]
+    keys: list[RecordKey]
+
+
+class MembershipDigest(NamedTuple):
+    """
+    Hashes of the sender's records, for anti-entropy.
+    """
+
+    stamp: MessageStamp
+    scope: str
+    buckets: list[int]
+
+
+class MembershipDigestDetail(NamedTuple):
+    """
+    Keys of the records in buckets that differ.
+    """
+
+    stamp: MessageStamp
+    scope: str
+    buckets: list[int]
+    keys: list[RecordKey]
+
+
+class MembershipSummaries(NamedTuple):
+    """
+    Summaries of failure domains.
+    """
+
+    stamp: MessageStamp
+    summaries: list[DomainSummary]
+
+
+class Item(NamedTuple):
+    """
+    A small record of the application that all nodes shall learn.
+    """
+
+    kind: str
+    key: str
+    value: bytes
+    version: int
+    ttl_ms: int
+
+
+class MembershipItems(NamedTuple):
+    """
+    Items that are new to the receiver.
+    """
+
+    stamp: MessageStamp
+    items: list[Item]
