--- a/buckthorntack/membership/_antientropy.py
+++ b/buckthorntack/membership/_antientropy.py
@@ -83,7 +83,7 @@
         ]
         keys += [
             messages.RecordKey(ITEM, _SEPARATOR.join(key), 0, version)
-            for key, version, _ in state.items.checksums()
+            for key, version in state.items.versions()
         ]
         if scope == DOMAIN:
             keys += [_entry_key(record) for record in state.domain_entries()]
@@ -110,7 +110,8 @@
         :param to: node to compare with.
         :param scope: :data:`DOMAIN` or :data:`WORLD`.
         """
-        hashes = _digest.buckets(self.keys(scope))
+        keys = self.keys(scope)
+        hashes = _digest.buckets(keys, _digest.bucket_count(len(keys)))
         self.state.send(to, messages.MembershipDigest, scope, hashes)
 
     def on_digest(self, sender, message):
@@ -120,16 +121,20 @@
         :param message: the message.
         """
         keys = self.keys(message.scope)
-        ours = _digest.buckets(keys)
-        numbers = _digest.differing(ours, message.buckets)
+        count = len(message.buckets)
+        if not 0 < count <= _digest.MAX_BUCKETS:
+            return
+        ours = _digest.buckets(keys, count)
+        numbers = set(_digest.differing(ours, message.buckets))
         if not numbers:
             return
-        chosen = [key for key in keys if _digest.bucket_of(key) in numbers]
+        chosen = [k for k in keys if _digest.bucket_of(k, count) in numbers]
         self.state.send(
             sender,
             messages.MembershipDigestDetail,
             message.scope,
-            numbers,
+            count,
+            sorted(numbers),
             chosen,
         )
 
@@ -139,12 +144,13 @@
         :param sender: node that answered the digest.
         :param message: the message.
         """
-        theirs = {_name(key): key for key in message.keys}
+        count = max(1, message.count)
         numbers = set(message.buckets)
+        theirs = {_name(key): key for key in message.keys}
         ours = {
             _name(key): key
             for key in self.keys(message.scope)
-            if _digest.bucket_of(key) in numbers
+            if _digest.bucket_of(key, count) in numbers
         }
         wanted = [
             key
@@ -195,6 +201,21 @@
         if records:
             state.send(sender, messages.MembershipEntries, records)
 
+    def send_entries(self, newcomer):
+        """Send a new node of the region the entry VMs it may not know.
+
+        :param newcomer: its record.
+        """
+        state = self.state
+        records = state.domain_peers()
+        is_near = newcomer.failure_domain == state.own.failure_domain
+        if is_near and self.relays.rank() is not None:
+            records = state.entries.records()
+        others = [r for r in records if r.node_id != newcomer.node_id]
+        if others:
+            found = [state.entries.at(r.node_id, state.now_ms) for r in others]
+            state.send(newcomer.node_id, messages.MembershipEntries, found)
+
     def _send_summaries(self, sender, keys):
         state = self.state
         names = {key.key for key in keys}
--- a/buckthorntack/membership/_deltas.py
+++ b/buckthorntack/membership/_deltas.py
@@ -61,19 +61,22 @@
     def __init__(self, state):
         self.state = state
         self.renew_at_ms = 0
+        self._last_handle = 0
         self._handles = {}
         self._owned = {}
+        self._heard = {}
         self._pending = {}
         self._fresh = set()
         self._peer_handles = {}
         self._introduce = {}
         self._own_repeats = _REPEATS
 
-    def announce(self, document, service):
+    def announce(self, document, service, age_ms):
         """Take an announcement of a backend server.
 
         :param document: a checked ``Announcement``.
         :param service: name of the service its pool is for.
+        :param age_ms: bound on its age, as far as it is known.
         :returns: ``Result`` of the record or a ``GatewayError``.
         """
         state = self.state
@@ -81,12 +84,11 @@
         if document["failure_domain"] != own.failure_domain:
             detail = f"{document['server_id']} is not of {own.failure_domain}"
             return Error(_errors.ForeignAnnouncementError(detail))
-        lease_ms = state.timing.server_lease_ms
+        lease_ms = max(0, state.timing.server_lease_ms - age_ms)
         record = record_of(document, service, own.region, lease_ms)
-        held = state.servers.get(record.server_id)
-        taken = state.servers.take(record, None, lease_ms, state.now_ms)
-        if taken is _servers.Taken.REPEATED or _is_same(held, record):
+        if _is_same(state.servers.get(record.server_id), record):
             return Ok(record)
+        taken = state.servers.take(record, None, lease_ms, state.now_ms)
         if taken is _servers.Taken.STALE:
             detail = (
                 f"{record.server_id} announced incarnation "
@@ -102,18 +104,30 @@
 
     def _own(self, record, taken):
         key = record.server_id
-        name = (key, record.incarnation)
-        if self._owned.get(key, (None, -1))[1] != record.incarnation:
-            handle = len(self._handles)
-            self._handles[handle] = name
-            self._owned[key] = (handle, record.incarnation)
-        if taken is _servers.Taken.RENEWED:
+        is_owned = key in self._owned
+        if self._owned.get(key, (0, -1))[1] != record.incarnation:
+            self._name(key, record.incarnation)
+        if is_owned and taken is _servers.Taken.RENEWED:
             self._fresh.add(key)
             return
         self._pending[key] = (record, _REPEATS)
         if record.state != _servers.READY:
             self.flush()
 
+    def _name(self, key, incarnation):
+        old_handle, _ = self._owned.get(key, (-1, -1))
+        self._handles.pop(old_handle, None)
+        self._last_handle += 1
+        self._handles[self._last_handle] = (key, incarnation)
+        self._owned[key] = (self._last_handle, incarnation)
+
+    def _forget_gone(self):
+        """Drop the handles of servers that are gone."""
+        for key in list(self._owned):
+            if self.state.servers.get(key) is None:
+                handle, _ = self._owned.pop(key)
+                self._handles.pop(handle, None)
+
     def tell(self, record, taken):
         """Collect what a taken record means to listeners.
 
@@ -147,6 +161,7 @@
         if self.state.now_ms >= self.renew_at_ms:
             self.renew_at_ms = self.state.now_ms + self.state.timing.renewal_ms
             self.flush(with_renewals=True)
+            self._forget_gone()
         elif self.has_urgent():
             self.flush()
 
@@ -162,6 +177,20 @@
         for peer in self.peers():
             with_entry = self._take_introduction(peer.node_id) or repeat_own
             self._send(peer.node_id, with_entry, updates, renewals)
+        if with_renewals:
+            self._answer_heard()
+
+    def _answer_heard(self):
+        """Show nodes that send deltas here that this node lives."""
+        now_ms = self.state.now_ms
+        chosen = {record.node_id for record in self.peers()}
+        self._heard = {
+            node_id: until_ms
+            for node_id, until_ms in self._heard.items()
+            if until_ms > now_ms and node_id not in chosen
+        }
+        for node_id in self._heard:
+            self._send(node_id, self._take_introduction(node_id), [], [])
 
     def _send(self, to, with_entry, updates, renewals):
         state = self.state
@@ -271,6 +300,7 @@
         :param peer: the node.
         """
         self._peer_handles.pop(peer, None)
+        self._introduce.pop(peer, None)
 
     def on_delta(self, sender, delta, age_ms):
         """Take a delta.
@@ -280,6 +310,8 @@
         :param age_ms: bound on its age, or ``None``.
         """
         state = self.state
+        lease_ms = state.timing.entry_lease_ms
+        self._heard[sender] = state.now_ms + lease_ms
         entry_lease_ms = state.timing.entry_lease_ms - (age_ms or 0)
         for entry in delta.entry:
             state.take_entry(entry, entry_lease_ms)
--- a/buckthorntack/membership/_items.py
+++ b/buckthorntack/membership/_items.py
@@ -2,7 +2,6 @@
 
 import collections
 from typing import NamedTuple
-import zlib
 
 from buckthorntack.schema import messages
 
@@ -10,7 +9,6 @@
 class _HeldItem(NamedTuple):
     item: messages.Item
     until_ms: int
-    checksum: int
 
 
 class ItemTable:
@@ -39,8 +37,7 @@
         held = self._held.get(key)
         if held is not None and held.item.version >= item.version:
             return False
-        checksum = zlib.crc32(f"{key} {item.version}".encode())
-        self._held[key] = _HeldItem(item, now_ms + item.ttl_ms, checksum)
+        self._held[key] = _HeldItem(item, now_ms + item.ttl_ms)
         self._held.move_to_end(key)
         while len(self._held) > self.timing.max_items:
             self._held.popitem(last=False)
@@ -64,10 +61,10 @@
         items = [_at(held, now_ms) for held in self._held.values()]
         return [item for item in items if item is not None]
 
-    def checksums(self):
-        """Kind and key, version and checksum of each item."""
+    def versions(self):
+        """Kind and key, and version of each item."""
         for key, held in self._held.items():
-            yield key, held.item.version, held.checksum
+            yield key, held.item.version
 
     def expire(self, now_ms):
         """Drop items whose time is over.
--- a/buckthorntack/membership/_relays.py
+++ b/buckthorntack/membership/_relays.py
@@ -9,6 +9,8 @@
 _RELAYS = 2
 #: Summaries of which one names entry VMs.
 _ENTRIES_EVERY = 4
+#: Summaries that name entry VMs after a change of them.
+_WHOLE_REPEATS = 2
 #: Periods that a summary lasts.
 _LEASE_PERIODS = 4
 
@@ -25,6 +27,9 @@
         self._sequence = 0
         self._turn = 0
         self._forward = set()
+        self._former = {}
+        self._unheard = {}
+        self._whole_left = 0
 
     def domains(self):
         """How many failure domains are known, with this one."""
@@ -48,6 +53,7 @@
             return
         self.due_at_ms = self.state.now_ms + self.period_ms()
         self._turn += 1
+        self._unheard.clear()
         rank = self.rank()
         relays = min(_RELAYS, len(self.state.domain_entries()))
         if rank is not None and self._turn % relays == rank:
@@ -70,6 +76,7 @@
         return messages.DomainSummary(
             own.region,
             own.failure_domain,
+            own.node_id,
             own.incarnation,
             self._sequence,
             entries,
@@ -80,11 +87,27 @@
     def _send_own(self):
         self._sequence += 1
         with_entries = self._sequence % _ENTRIES_EVERY == 1
+        with_entries = with_entries or self._whole_left > 0
+        self._whole_left = max(0, self._whole_left - 1)
         brief = self.own_summary(with_entries)
         whole = brief if with_entries else self.own_summary()
         for node_id in self.contacts():
-            self.send(node_id, [brief])
-        for node_id in self._unknown_seeds():
+            is_heard = self.state.stamps.has_seen(node_id)
+            self.send(node_id, [brief if is_heard else whole])
+        for node_id in self._unreached():
+            self.send(node_id, [whole])
+
+    def tell_entries(self):
+        """Tell other failure domains which entry VMs to use, at once.
+
+        The longer lease lets it win over what a relay has just sent.
+        """
+        self._sequence += 1
+        self._whole_left = _WHOLE_REPEATS
+        whole = self.own_summary()
+        longer_ms = whole.lease_ms + self.period_ms()
+        whole = whole._replace(lease_ms=longer_ms)
+        for node_id in self.contacts():
             self.send(node_id, [whole])
 
     def send(self, to, summaries):
@@ -93,8 +116,19 @@
         :param to: the node.
         :param summaries: the summaries.
         """
+        if not self.state.stamps.has_seen(to):
+            self._unheard[to] = summaries
         self.state.send(to, messages.MembershipSummaries, summaries)
 
+    def on_echo(self, node_id):
+        """Send again what a node could not know the age of.
+
+        :param node_id: the node, whose stamp can now be echoed.
+        """
+        summaries = self._unheard.pop(node_id, None)
+        if summaries is not None:
+            self.send(node_id, summaries)
+
     def contacts(self, count=1):
         """Random entry VMs of each other failure domain.
 
@@ -108,19 +142,32 @@
             chosen += [record.node_id for record in some]
         return chosen
 
-    def _unknown_seeds(self):
-        """One random seed of each failure domain not yet heard of."""
+    def _unreached(self):
+        """One node of each failure domain that is not heard of now.
+
+        Seeds, and entry VMs named by summaries that have lapsed.
+        """
         state = self.state
-        groups = {}
+        groups = {domain: list(ids) for domain, ids in self._former.items()}
         for seed in state.seeds:
-            groups.setdefault(seed["failure_domain"], []).append(seed)
+            ids = groups.setdefault(seed["failure_domain"], [])
+            ids.append(seed["node_id"])
         groups.pop(state.own.failure_domain, None)
         return [
-            state.rng.choice(seeds)["node_id"]
-            for domain, seeds in groups.items()
+            state.rng.choice(ids)
+            for domain, ids in groups.items()
             if not self._reaches(domain)
         ]
 
+    def expire(self):
+        """Drop summaries whose lease has lapsed, but keep the contacts."""
+        state = self.state
+        for summary in state.summaries.expire(state.now_ms):
+            ids = [record.node_id for record in summary.entries]
+            if ids:
+                self._former[summary.failure_domain] = ids
+            state.commands.append(_commands.SummaryRemoved(summary))
+
     def _reaches(self, domain):
         summary = self.state.summaries.get(domain, self.state.now_ms)
         return summary is not None and bool(summary.entries)
--- a/buckthorntack/membership/_stamps.py
+++ b/buckthorntack/membership/_stamps.py
@@ -78,6 +78,13 @@
         self._seen[peer] = _Seen(*order, now_ms)
         return seen is None or seen.incarnation < stamp.incarnation
 
+    def has_seen(self, peer):
+        """Whether messages to a peer can echo a stamp of it.
+
+        :param peer: the node.
+        """
+        return peer in self._seen
+
     def is_outdated(self, peer, stamp):
         """Whether a message is from a former life of its sender.
 
--- a/buckthorntack/membership/_state.py
+++ b/buckthorntack/membership/_state.py
@@ -86,7 +86,7 @@
             return
         if not self.entries.take(record, lease_ms, self.now_ms):
             return
-        if self.entries.get(record.node_id) is None:
+        if record.state == _entries.STOPPED:
             self.commands.append(_commands.EntryRemoved(record))
         else:
             self.commands.append(_commands.EntryChanged(record))
--- a/buckthorntack/membership/_summaries.py
+++ b/buckthorntack/membership/_summaries.py
@@ -105,11 +105,15 @@
 
 
 def _is_newer(summary, expires_at_ms, held):
-    if summary.incarnation == held.summary.incarnation:
-        return summary.sequence > held.summary.sequence
+    if summary.reporter == held.summary.reporter:
+        return _order(summary) > _order(held.summary)
     return expires_at_ms > held.expires_at_ms
 
 
+def _order(summary):
+    return summary.incarnation, summary.sequence
+
+
 def choose_entries(records, count, rng):
     """Entry VMs that a summary names, other ones each time.
 
--- a/buckthorntack/membership/_task.py
+++ b/buckthorntack/membership/_task.py
@@ -81,6 +81,7 @@
             "lease_ms": self.timing.server_lease_ms,
             "renew_ms": self.timing.server_lease_ms // 3,
             "accepted": result.is_ok(),
+            "echo": self.view.echo(self._now()),
         }
         if result.is_error():
             answer["reason"] = str(result.error)
--- a/buckthorntack/membership/_timing.py
+++ b/buckthorntack/membership/_timing.py
@@ -47,7 +47,7 @@
     #: Largest bytes of items in one message.
     max_batch_bytes: int = 16_384
     #: Entry VMs of other failure domains of the region sent deltas.
-    region_fanout: int = 32
+    region_fanout: int = 16
     #: Entry VMs named by a summary.
     summary_entries: int = 3
 
--- a/buckthorntack/membership/_view.py
+++ b/buckthorntack/membership/_view.py
@@ -51,9 +51,30 @@
         :returns: ``Result`` of the record or a ``GatewayError``; commands.
         """
         self._at(now)
-        result = self._deltas.announce(document, service)
+        age_ms = self._announcement_age_ms(document)
+        result = self._deltas.announce(document, service, age_ms)
         return result, self._state.take_commands()
 
+    def echo(self, now):
+        """Echo for the answer to an announcement.
+
+        :param now: monotonic time.
+        """
+        own = self._state.own
+        now_ms = _timing.milliseconds(now)
+        return f"{own.node_id}/{own.incarnation}/{now_ms}"
+
+    def _announcement_age_ms(self, document):
+        """Bound on the age of an announcement; 0 if it is unknown."""
+        own = self._state.own
+        prefix = f"{own.node_id}/{own.incarnation}/"
+        echo = document.get("echo", "")
+        number = echo.removeprefix(prefix)
+        if not echo.startswith(prefix) or not number.isdecimal():
+            return 0
+        held_ms = document.get("echo_age_ms", 0)
+        return max(0, self._state.now_ms - int(number) - held_ms)
+
     def publish(self, item, now):
         """Take an item of this node's application.
 
@@ -75,6 +96,7 @@
         self._at(now)
         self._change_own(state=entry_state)
         self._deltas.flush()
+        self._relays.tell_entries()
         return self._state.take_commands()
 
     def set_revision(self, revision):
@@ -105,6 +127,7 @@
         :returns: commands.
         """
         self._at(now)
+        self._expire()
         self._contact_seeds()
         self._deltas.tick()
         self._relays.tick()
@@ -122,7 +145,11 @@
         """
         self._at(now)
         state = self._state
+        if message.stamp.echo_incarnation > state.own.incarnation:
+            self._outgrow(message.stamp.echo_incarnation)
         if state.stamps.is_outdated(sender, message.stamp):
+            own = state.own_record()
+            state.send(sender, messages.MembershipHello, own)
             return state.take_commands()
         age_ms = state.stamps.age_ms(message.stamp, state.now_ms)
         is_new = state.stamps.note(sender, message.stamp, state.now_ms)
@@ -134,6 +161,15 @@
             self._answer_contact(sender, is_new)
         return state.take_commands()
 
+    def _outgrow(self, incarnation):
+        """Take an incarnation above one that peers remember.
+
+        :param incarnation: the highest that they remember of this node.
+        """
+        state = self._state
+        self._change_own(incarnation=incarnation + 1)
+        state.stamps.incarnation = incarnation + 1
+
     def _answer_contact(self, sender, is_new):
         state = self._state
         record = state.entries.get(sender)
@@ -144,8 +180,10 @@
             state.send(sender, messages.MembershipHello, own)
 
     def _send_all(self, record):
-        if record.region == self._state.own.region:
-            self._deltas.send_all(record.node_id)
+        if record.region != self._state.own.region:
+            return
+        self._deltas.send_all(record.node_id)
+        self._antientropy.send_entries(record)
         if record.failure_domain == self._state.own.failure_domain:
             scope = _antientropy.DOMAIN
             self._antientropy.send_digest(record.node_id, scope)
@@ -160,6 +198,7 @@
         if message.entry.node_id == sender:
             self._state.take_entry(message.entry, lease_ms)
         self._deltas.introduce(sender)
+        self._relays.on_echo(sender)
 
     @_handle.register
     def _(self, message: messages.MembershipDelta, sender, age_ms):
@@ -193,17 +232,18 @@
         self._publishing.on_items(sender, message, age_ms)
 
     def _at(self, now):
-        """Set the time and drop what has lapsed."""
+        self._state.now_ms = _timing.milliseconds(now)
+
+    def _expire(self):
+        """Drop what has lapsed."""
         state = self._state
-        state.now_ms = _timing.milliseconds(now)
         for server_id in state.servers.expire(state.now_ms):
             removed = _commands.ServerRemoved(server_id, "lease lapsed")
             state.commands.append(removed)
         for record in state.entries.expire(state.now_ms):
             self._deltas.forget_peer(record.node_id)
             state.commands.append(_commands.EntryRemoved(record))
-        for summary in state.summaries.expire(state.now_ms):
-            state.commands.append(_commands.SummaryRemoved(summary))
+        self._relays.expire()
         state.items.expire(state.now_ms)
 
     def _contact_seeds(self):
--- a/buckthorntack/schema/_generated/backend_documents.py
+++ b/buckthorntack/schema/_generated/backend_documents.py
@@ -51,6 +51,10 @@
     renew_ms: int
     accepted: bool
     reason: NotRequired[str]
+    echo: NotRequired[str]
+    """
+    To be sent with the next announcement.
+    """
 
 
 class Outcome(TypedDict, closed=True):
@@ -136,3 +140,11 @@
     """
     Cache events since the last announcement; may have gaps.
     """
+    echo: NotRequired[str]
+    """
+    The echo of the last answer, so that a late announcement is recognised.
+    """
+    echo_age_ms: NotRequired[int]
+    """
+    Time since that answer arrived.
+    """
--- a/buckthorntack/schema/_generated/membership.py
+++ b/buckthorntack/schema/_generated/membership.py
@@ -76,6 +76,7 @@
 
     region: str
     failure_domain: str
+    reporter: str
     incarnation: int
     sequence: int
     entries: list[EntryRecord]
@@ -189,6 +190,7 @@
 
     stamp: MessageStamp
     scope: str
+    count: int
     buckets: list[int]
     keys: list[RecordKey]
 
