--- /dev/null
+++ b/buckthorntack/routing/_ejection.py
@@ -0,0 +1,39 @@
+"""Ejection of backend servers that fail repeatedly."""
+
+
+class Ejection:
+    """Failures of one server and how long it is left out for them.
+
+    :param settings: ``RouterSettings``.
+    """
+
+    __slots__ = ("_ejections", "_failures", "settings", "until_s")
+
+    def __init__(self, settings):
+        self.settings = settings
+        self.until_s = None
+        self._failures = 0
+        self._ejections = 0
+
+    def succeeded(self):
+        """Note an attempt that went well."""
+        self._failures = 0
+        self._ejections = 0
+
+    def failed(self, now_s):
+        """Note a failed attempt.
+
+        :param now_s: the time.
+        :returns: whether the server is to be ejected for it.
+        """
+        self._failures += 1
+        if self._failures < self.settings.eject_after_failures:
+            return False
+        duration_ms = min(
+            self.settings.ejection_ms * 2**self._ejections,
+            self.settings.longest_ejection_ms,
+        )
+        self._failures = 0
+        self._ejections = min(self._ejections + 1, 16)
+        self.until_s = now_s + duration_ms / 1e3
+        return True
--- /dev/null
+++ b/buckthorntack/routing/_events.py
@@ -0,0 +1,32 @@
+"""Log events of routing decisions."""
+
+import logbook
+
+from buckthorntack import events
+
+ROUTED = events.declare(
+    800,
+    "request_routed",
+    logbook.INFO,
+    "a request was given to a backend server of this region",
+)
+FORWARDED = events.declare(
+    801,
+    "request_forwarded",
+    logbook.INFO,
+    "a request was handed to another failure domain",
+)
+REFUSED = events.declare(
+    802,
+    "routing_refused",
+    logbook.WARNING,
+    "no backend server may or can run a request; it was not run",
+    "see the error's remedy; check servers and residency rules",
+)
+EJECTED = events.declare(
+    803,
+    "server_ejected",
+    logbook.WARNING,
+    "a backend server failed repeatedly and is left out for a while",
+    "look at the backend server's own log",
+)
--- /dev/null
+++ b/buckthorntack/routing/tests/test_router.py
@@ -0,0 +1,199 @@
+"""The router's filters, scores, forwarding and ejection."""
+
+import random
+
+import pytest
+
+from buckthorntack import errors
+from buckthorntack import routing
+from buckthorntack.routing.tests import _records
+
+FAILED = routing.AttemptOutcome.FAILED
+
+
+@pytest.fixture
+def router():
+    settings = routing.RouterSettings()
+    return routing.Router("fukuoka", "fukuoka-a", settings, random.Random(1))
+
+
+def at(value):
+    return _records.seconds(value)
+
+
+def chosen(router, now=1.0, **fields):
+    return router.choose(_records.request(**fields), at(now)).ok
+
+
+def test_prefers_the_less_loaded_server(router):
+    router.update_server(_records.server("s1", running=8, waiting=4), at(0))
+    router.update_server(_records.server("s2", running=1), at(0))
+    names = {chosen(router).server_id for _ in range(20)}
+    assert names == {"s2"}
+
+
+def test_counts_own_requests_that_a_late_report_misses(router):
+    router.update_server(_records.server("s1", running=0, age_ms=0), at(0))
+    router.update_server(_records.server("s2", running=3, age_ms=0), at(0))
+    for number in range(12):
+        router.attempt_started("s1", f"a{number}", 100, at(1))
+    late = _records.server("s1", sequence=2, running=0, age_ms=1000)
+    router.update_server(late, at(1.5))
+    assert chosen(router, 1.6).server_id == "s2"
+
+
+def test_finished_requests_no_longer_count(router):
+    router.update_server(_records.server("s1"), at(0))
+    router.update_server(_records.server("s2", running=3), at(0))
+    for number in range(12):
+        router.attempt_started("s1", f"a{number}", 100, at(1))
+        router.attempt_finished("s1", f"a{number}", FAILED, at(1))
+    router.update_server(_records.server("s1", sequence=2), at(1.1))
+    load = chosen(router, 1.2).reasons.load
+    assert load in (0, 3)
+
+
+def test_prefers_a_cached_prefix(router):
+    hashes = routing.prefix_hashes(b"pack" * 20000)
+    for name in ("s1", "s2", "s3"):
+        router.update_server(_records.server(name), at(0))
+    texts = [routing.hash_text(value) for value in hashes]
+    stored = {"sequence": 0, "kind": "stored", "prefix_hashes": texts}
+    router.cache_events("s2", [stored], at(0))
+    decision = chosen(router, prefix_hashes=hashes, prompt_tokens=20000)
+    assert decision.server_id == "s2"
+    assert decision.reasons.cached_share == 1.0
+
+
+def test_a_restarted_server_has_a_cold_cache(router):
+    hashes = routing.prefix_hashes(b"pack" * 20000)
+    router.update_server(_records.server("s1"), at(0))
+    assert chosen(router, prefix_hashes=hashes).server_id == "s1"
+    router.update_server(_records.server("s1", incarnation=2), at(0.5))
+    share = chosen(router, prefix_hashes=hashes).reasons.cached_share
+    assert share == 0.0
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"state": "draining"},
+        {"state": "withdrawn"},
+        {"lease_ms": 500},
+        {"service": "vergedesk"},
+        {"model_versions": ["writer-1"]},
+        {"region": "kumamoto"},
+    ],
+)
+def test_leaves_out_servers_that_must_not_run_it(router, fields):
+    router.update_server(_records.server("s1", **fields), at(0))
+    error = router.choose(_records.request(), at(1)).error
+    assert isinstance(error, routing.NoServerError)
+    assert error.run_state is errors.RunState.NOT_RUN
+    assert error.retry_after_ms > 0
+
+
+def test_an_older_record_does_not_bring_a_server_back(router):
+    router.update_server(_records.server("s1", sequence=5), at(0))
+    drain = _records.server("s1", sequence=6, state="draining")
+    router.update_server(drain, at(0.1))
+    router.update_server(_records.server("s1", sequence=5), at(0.2))
+    assert router.choose(_records.request(), at(0.3)).is_error()
+
+
+def test_excluded_servers_are_named(router):
+    router.update_server(_records.server("s1"), at(0))
+    request = _records.request(excluded_servers=frozenset({"s1"}))
+    error = router.choose(request, at(1)).error
+    assert isinstance(error, routing.ExcludedError)
+    assert "s1" in str(error)
+
+
+def test_forwards_what_cannot_run_here(router):
+    router.update_summary(_records.summary("kumamoto"), at(0))
+    decision = chosen(router)
+    assert decision.region == "kumamoto"
+    assert decision.entries == ("entry-kumamoto",)
+
+
+def test_never_forwards_a_forwarded_request(router):
+    router.update_summary(_records.summary("kumamoto"), at(0))
+    request = _records.request(origin_region="kagoshima")
+    assert router.choose(request, at(1)).is_error()
+
+
+def test_residency_goes_before_everything(router):
+    router.update_server(_records.server("s1"), at(0))
+    router.update_summary(_records.summary("kumamoto"), at(0))
+    request = _records.request(allowed_regions=frozenset({"kagoshima"}))
+    error = router.choose(request, at(1)).error
+    assert isinstance(error, routing.ResidencyError)
+
+
+def test_forwards_only_when_clearly_better(router):
+    router.update_server(_records.server("s1", running=8), at(0))
+    router.update_summary(_records.summary("kumamoto"), at(0))
+    assert isinstance(chosen(router), routing.RouteLocal)
+    crowded = _records.server("s1", sequence=2, running=8, waiting=24)
+    router.update_server(crowded, at(1))
+    assert isinstance(chosen(router, 1.1), routing.RouteForward)
+
+
+def test_own_bytes_on_a_link_count(router):
+    router.region_link("kumamoto", at(0.11), 70e6)
+    router.update_server(_records.server("s1", running=8, waiting=14), at(0))
+    router.update_summary(_records.summary("kumamoto", slots=400), at(0))
+    request = _records.request(body_bytes=16_000_000)
+    decision = chosen(router)
+    assert isinstance(decision, routing.RouteForward)
+    for number in range(5):
+        router.forward_started(decision, f"f{number}", request, at(1))
+    assert isinstance(chosen(router), routing.RouteLocal)
+
+
+def test_failing_server_is_ejected_and_returns(router):
+    router.update_server(_records.server("s1", lease_ms=90000), at(0))
+    router.update_server(
+        _records.server("s2", running=7, lease_ms=90000), at(0)
+    )
+    ejected = []
+    for number in range(3):
+        router.attempt_started("s1", f"a{number}", 100, at(1))
+        ejected.append(
+            router.attempt_finished("s1", f"a{number}", FAILED, at(1))
+        )
+    assert ejected == [False, False, True]
+    assert {chosen(router, 2).server_id for _ in range(20)} == {"s2"}
+    assert "s1" in {chosen(router, 40).server_id for _ in range(20)}
+
+
+def test_the_last_server_is_not_ejected(router):
+    router.update_server(_records.server("s1"), at(0))
+    for number in range(5):
+        router.attempt_started("s1", f"a{number}", 100, at(1))
+        router.attempt_finished("s1", f"a{number}", FAILED, at(1))
+    assert chosen(router).server_id == "s1"
+
+
+def test_a_server_with_a_suspect_takes_nothing_else(router):
+    router.update_server(_records.server("s1"), at(0))
+    router.update_server(_records.server("s2", running=6), at(0))
+    suspect = chosen(router, isolate=True)
+    assert suspect.server_id == "s1"
+    router.attempt_started("s1", "a1", 100, at(1), isolated=True)
+    assert {chosen(router).server_id for _ in range(20)} == {"s2"}
+    router.attempt_finished("s1", "a1", routing.AttemptOutcome.OK, at(1))
+    assert chosen(router).server_id == "s1"
+
+
+def test_a_new_server_is_filled_slowly(router):
+    old = _records.server("old", slots=100, lease_ms=90000, running=60)
+    router.update_server(old, at(0))
+    new = _records.server("new", slots=100, lease_ms=90000)
+    router.update_server(new, at(30))
+    placed = 0
+    for number in range(60):
+        name = chosen(router, 30.1).server_id
+        router.attempt_started(name, f"a{number}", 100, at(30.1))
+        placed += name == "new"
+    assert 5 <= placed <= 15
