Add admission, retries and quarantine

Cause: requests need limits before they start and a true answer when they fail. Change: quotas with lent shares, ranked fair queues with deadlines and a part of the slots that the heaviest user leaves free, shedding; the step after each failure, a retry budget, a bound over resends, crash detection, claims and convictions spread as items. Conclusion: a first version to build on.

--- /dev/null
+++ b/buckthorntack/admission/_controller.py
@@ -0,0 +1,281 @@
+"""The admission controller of an entry VM."""
+
+import datetime
+import heapq
+import random
+
+import expression
+
+from buckthorntack.admission import _errors
+from buckthorntack.admission import _queue
+from buckthorntack.admission import _quota
+from buckthorntack.admission import _types
+from buckthorntack.admission import _usage
+
+#: Weight of a new sample in the average time between ends.
+SAMPLE_WEIGHT = 0.05
+
+
+class _Service:
+    """Capacity and queue of one service."""
+
+    __slots__ = ("between_ends_s", "last_end_s", "queue", "usage")
+
+    def __init__(self, settings):
+        self.queue = _queue.FairQueue()
+        self.usage = _usage.SlotUsage(settings.reserved_share)
+        self.last_end_s = None
+        self.between_ends_s = None
+
+    def next_request(self):
+        """Take the waiting request that may start now.
+
+        :returns: ``AdmissionRequest`` or None.
+        """
+        if not self.queue or not self.usage.has_room():
+            return None
+        waiting = self.queue.pop(self.usage.has_room_for)
+        return waiting.request if waiting is not None else None
+
+    def ended(self, request, now_s):
+        """Note the end of a request.
+
+        :param request: ``AdmissionRequest``.
+        :param now_s: the time.
+        """
+        self.usage.ended(request)
+        if self.last_end_s is not None:
+            sample_s = now_s - self.last_end_s
+            known_s = self.between_ends_s
+            if known_s is None:
+                known_s = sample_s
+            gain_s = (sample_s - known_s) * SAMPLE_WEIGHT
+            self.between_ends_s = known_s + gain_s
+        self.last_end_s = now_s if self.queue else None
+
+
+class AdmissionController:
+    """Decides which requests start, wait or are refused.
+
+    Call :meth:`tick` after each other call and at least every 50 ms: what
+    it returns is to be told to the requests at once.
+
+    :param node_id: this entry VM.
+    :param incarnation: differs between its starts.
+    :param settings: ``AdmissionSettings``.
+    :param rng: source of randomness.
+    """
+
+    def __init__(
+        self,
+        node_id: str,
+        incarnation: int,
+        settings: _types.AdmissionSettings,
+        rng: random.Random,
+    ):
+        self.settings = settings
+        self.rng = rng
+        self._quotas = _quota.QuotaTable(node_id, incarnation, settings)
+        self._services = {}
+        self._in_flight = {}
+        self._deadlines = []
+        self._commands = []
+
+    def offer(
+        self, request: _types.AdmissionRequest, now: datetime.timedelta
+    ) -> _types.Offer:
+        """Ask for a request's admission.
+
+        :param request: the request.
+        :param now: the time.
+        :returns: that it may start, that it waits, or why it is refused.
+        """
+        now_s = now.total_seconds()
+        wait_s = self._quotas.take(
+            request.organisation, request.quota, request.prompt_tokens, now_s
+        )
+        if wait_s is not None:
+            return expression.Error(self._quota_error(request, wait_s))
+        service = self._service(request.service)
+        service.usage.seen(request, now_s)
+        if not service.queue and service.usage.has_room_for(request):
+            service.queue.charge(request)
+            self._start(service, request)
+            return expression.Ok(_types.Admitted(request.request_id))
+        return self._enqueue(service, request, now_s)
+
+    def finished(
+        self, request_id: str, generated_tokens: int, now: datetime.timedelta
+    ) -> None:
+        """Note the end of an admitted request.
+
+        :param request_id: its id.
+        :param generated_tokens: tokens generated for it.
+        :param now: the time.
+        """
+        request = self._in_flight.pop(request_id, None)
+        if request is None:
+            return
+        self._quotas.generated(request.organisation, generated_tokens)
+        service = self._services[request.service]
+        service.ended(request, now.total_seconds())
+
+    def cancel(self, request_id: str) -> None:
+        """Forget a request whose caller has gone; nothing is told.
+
+        :param request_id: its id.
+        """
+        request = self._in_flight.pop(request_id, None)
+        if request is not None:
+            self._services[request.service].usage.ended(request)
+            return
+        for service in self._services.values():
+            waiting = service.queue.remove(request_id)
+            if waiting is not None:
+                self._refund(waiting.request)
+                return
+
+    def capacity(
+        self, service: str, slots: int, now: datetime.timedelta
+    ) -> None:
+        """Set how many requests of a service may be in flight from here.
+
+        :param service: its name.
+        :param slots: how many; 0 until told.
+        :param now: the time.
+        """
+        self._service(service).usage.slots = slots
+
+    def tick(
+        self, now: datetime.timedelta
+    ) -> list[_types.Admitted | _types.Refused]:
+        """Let waiting requests start, or refuse those that waited too long.
+
+        :param now: the time.
+        :returns: commands, to be carried out at once.
+        """
+        self._expire(now.total_seconds())
+        for service in self._services.values():
+            while (request := service.next_request()) is not None:
+                self._start(service, request)
+                self._commands.append(_types.Admitted(request.request_id))
+        commands = self._commands
+        self._commands = []
+        return commands
+
+    def set_entry_count(self, count: int) -> None:
+        """Set among how many entry VMs quotas are divided.
+
+        :param count: entry VMs that are known and have not withdrawn, also
+            those that cannot be reached.
+        """
+        self._quotas.set_entry_count(count)
+
+    def usage_report(self, now: datetime.timedelta):
+        """Make the report that other entry VMs need; send it every 500 ms.
+
+        :param now: the time.
+        :returns: ``UsageReport``.
+        """
+        return self._quotas.report(now.total_seconds())
+
+    def usage_reported(self, report, now: datetime.timedelta) -> None:
+        """Take another entry VM's report; duplicates change nothing.
+
+        :param report: ``UsageReport``.
+        :param now: the time.
+        """
+        self._quotas.reported(report, now.total_seconds())
+
+    def active_organisations(self) -> int:
+        """Organisations of which any state is kept."""
+        return len(self._quotas)
+
+    def waiting(self, service: str) -> int:
+        """Requests of a service that wait.
+
+        :param service: its name.
+        """
+        return len(self._service(service).queue)
+
+    def _service(self, name):
+        service = self._services.get(name)
+        if service is None:
+            service = self._services[name] = _Service(self.settings)
+        return service
+
+    def _start(self, service, request):
+        service.usage.started(request)
+        self._in_flight[request.request_id] = request
+
+    def _enqueue(self, service, request, now_s):
+        deadline_s = now_s + request.deadline_ms / 1e3
+        expected_s = self._expected_wait_s(service, request)
+        if now_s + expected_s > deadline_s:
+            self._refund(request)
+            return expression.Error(
+                self._deadline_error(request, expected_s, "would start")
+            )
+        queue = service.queue
+        queue.push(request, deadline_s)
+        heapq.heappush(self._deadlines, (deadline_s, request.request_id))
+        if len(queue) > self.settings.queue_requests:
+            victim = queue.victim().request
+            queue.remove(victim.request_id)
+            error = self._shed(service, victim)
+            if victim is request:
+                return expression.Error(error)
+            self._commands.append(_types.Refused(victim.request_id, error))
+        return expression.Ok(_types.Queued(request.request_id, len(queue)))
+
+    def _expected_wait_s(self, service, request):
+        if service.between_ends_s is None:
+            return 0.0
+        ahead = service.queue.ahead_of(request)
+        return ahead * service.between_ends_s
+
+    def _shed(self, service, request):
+        self._refund(request)
+        between_s = service.between_ends_s or 0.0
+        return _errors.QueueFullError(
+            f"{len(service.queue)} requests wait for {request.service}",
+            self._retry_after_ms(len(service.queue) * between_s),
+        )
+
+    def _expire(self, now_s):
+        deadlines = self._deadlines
+        while deadlines and deadlines[0][0] <= now_s:
+            _, request_id = heapq.heappop(deadlines)
+            for service in self._services.values():
+                waiting = service.queue.remove(request_id)
+                if waiting is not None:
+                    self._give_up(service, waiting.request)
+
+    def _give_up(self, service, request):
+        self._refund(request)
+        wait_s = len(service.queue) * (service.between_ends_s or 0.0)
+        error = self._deadline_error(request, wait_s, "did not start")
+        self._commands.append(_types.Refused(request.request_id, error))
+
+    def _deadline_error(self, request, wait_s, what):
+        return _errors.DeadlineError(
+            f"{request.request_id} {what} too late for its deadline of "
+            f"{request.deadline_ms} ms at {request.service}",
+            self._retry_after_ms(wait_s),
+        )
+
+    def _quota_error(self, request, wait_s):
+        return _errors.QuotaExceededError(
+            f"the quota of {request.organisation} is used up",
+            self._retry_after_ms(wait_s),
+        )
+
+    def _retry_after_ms(self, wait_s):
+        settings = self.settings
+        wait_ms = min(wait_s * 1e3, settings.longest_retry_ms)
+        wait_ms = max(wait_ms, settings.shortest_retry_ms)
+        jitter = self.rng.random() * settings.retry_jitter_share
+        return int(wait_ms * (1.0 + jitter)) + 1
+
+    def _refund(self, request):
+        self._quotas.refund(request.organisation, request.prompt_tokens)
--- /dev/null
+++ b/buckthorntack/admission/_events.py
@@ -0,0 +1,32 @@
+"""Log events of admission."""
+
+import logbook
+
+from buckthorntack import events
+
+ADMITTED = events.declare(
+    900,
+    "request_admitted",
+    logbook.DEBUG,
+    "a request may start",
+)
+QUEUED = events.declare(
+    901,
+    "request_queued",
+    logbook.DEBUG,
+    "a request waits for capacity",
+)
+SHED = events.declare(
+    902,
+    "request_shed",
+    logbook.WARNING,
+    "a request was refused for lack of capacity; it was not run",
+    "add backend servers, or look for an organisation that floods",
+)
+OVER_QUOTA = events.declare(
+    903,
+    "quota_exceeded",
+    logbook.INFO,
+    "a request was refused by its organisation's quota; it was not run",
+    "raise the organisation's quota if it is too small",
+)
--- /dev/null
+++ b/buckthorntack/admission/_quota.py
@@ -0,0 +1,304 @@
+"""Quotas of organisations over many entry VMs."""
+
+import collections
+import math
+from typing import NamedTuple
+
+from buckthorntack.admission import _bucket
+from buckthorntack.admission import _shares
+from buckthorntack.schema import messages
+
+#: Organisations looked at for clean-up with each request.
+SWEPT_ORGANISATIONS = 2
+#: Shares smaller than this are not asked for or lent.
+LEAST_SHARE = 1e-6
+SECONDS_PER_MINUTE = 60.0
+
+
+class _Ask(NamedTuple):
+    """What another entry VM lacks."""
+
+    share: float
+    incarnation: int
+    asked_at_ms: int
+    heard_s: float
+
+
+class _Account:
+    """One organisation's state at this entry VM."""
+
+    __slots__ = (
+        "asks",
+        "demand_requests",
+        "demand_tokens",
+        "limits",
+        "requests",
+        "share",
+        "shares",
+        "tokens",
+        "updated_s",
+    )
+
+    def __init__(self, now_s):
+        self.limits = None
+        self.requests = None
+        self.tokens = None
+        self.share = 0.0
+        self.shares = _shares.Shares()
+        self.asks = {}
+        self.demand_requests = 0.0
+        self.demand_tokens = 0.0
+        self.updated_s = now_s
+
+
+class QuotaTable:
+    """Quotas of the organisations active at this entry VM.
+
+    :param node_id: this entry VM.
+    :param incarnation: differs between its starts.
+    :param settings: ``AdmissionSettings``.
+    """
+
+    def __init__(self, node_id, incarnation, settings):
+        self.node_id = node_id
+        self.incarnation = incarnation
+        self.settings = settings
+        self._fixed_share = 1.0
+        self._accounts = collections.OrderedDict()
+
+    def __len__(self):
+        return len(self._accounts)
+
+    def set_entry_count(self, count):
+        """Set among how many entry VMs quotas are divided.
+
+        :param count: entry VMs that are known and have not withdrawn, also
+            those that cannot be reached.
+        """
+        self._fixed_share = 1.0 / max(1, count)
+
+    def take(self, organisation, limits, prompt_tokens, now_s):
+        """Charge a request, if the quota has room for it.
+
+        :param organisation: its organisation.
+        :param limits: ``QuotaLimits``.
+        :param prompt_tokens: length of its prompt.
+        :param now_s: the time.
+        :returns: None, or the seconds until there is room again.
+        """
+        self._sweep(now_s)
+        account = self._account(organisation, now_s)
+        self._update(account, limits, now_s)
+        account.demand_requests += 1.0
+        account.demand_tokens += prompt_tokens
+        requests_wait_s = _wait_s(
+            1.0 - account.requests.level,
+            limits.requests_per_second * account.share,
+        )
+        tokens_wait_s = _wait_s(
+            -account.tokens.level,
+            limits.tokens_per_minute / SECONDS_PER_MINUTE * account.share,
+        )
+        if account.requests.level < 1.0 or account.tokens.level <= 0.0:
+            return max(requests_wait_s, tokens_wait_s)
+        account.requests.take(1.0)
+        account.tokens.take(prompt_tokens)
+        return None
+
+    def refund(self, organisation, prompt_tokens):
+        """Give back the charge of a request that never started.
+
+        :param organisation: its organisation.
+        :param prompt_tokens: length of its prompt.
+        """
+        account = self._accounts.get(organisation)
+        if account is not None and account.requests is not None:
+            account.requests.take(-1.0)
+            account.tokens.take(-prompt_tokens)
+
+    def generated(self, organisation, tokens):
+        """Charge tokens that were generated.
+
+        :param organisation: the organisation.
+        :param tokens: how many.
+        """
+        account = self._accounts.get(organisation)
+        if account is not None and account.tokens is not None:
+            account.tokens.take(tokens)
+            account.demand_tokens += tokens
+
+    def report(self, now_s):
+        """Tell other entry VMs what is needed and what is lent.
+
+        :param now_s: the time.
+        :returns: ``UsageReport``.
+        """
+        needs = []
+        grants = []
+        for organisation, account in self._accounts.items():
+            self._update(account, account.limits, now_s)
+            demand = self._demand_share(account, now_s)
+            lack = min(demand, 1.0) - self._fixed_share
+            if lack > LEAST_SHARE:
+                needs.append(messages.QuotaNeed(organisation, lack))
+            grants += self._grants(organisation, account, demand, now_s)
+        most = self.settings.reported_organisations
+        needs.sort(key=lambda need: -need.share)
+        return messages.UsageReport(
+            self.node_id,
+            self.incarnation,
+            int(now_s * 1e3),
+            needs[:most],
+            grants,
+        )
+
+    def reported(self, report, now_s):
+        """Take another entry VM's report; duplicates change nothing.
+
+        :param report: ``UsageReport``.
+        :param now_s: the time.
+        """
+        if report.node_id == self.node_id:
+            return
+        for need in report.needs:
+            self._heard(report, need, now_s)
+        for grant in report.grants:
+            if (grant.node_id, grant.incarnation) == (
+                self.node_id,
+                self.incarnation,
+            ):
+                self._borrow(report.node_id, grant, now_s)
+
+    def _heard(self, report, need, now_s):
+        account = self._account(need.organisation, now_s)
+        known = account.asks.get(report.node_id)
+        if known is not None and known[1:3] == (
+            report.incarnation,
+            report.sent_at_ms,
+        ):
+            return
+        account.asks[report.node_id] = _Ask(
+            need.share, report.incarnation, report.sent_at_ms, now_s
+        )
+
+    def _borrow(self, lender, grant, now_s):
+        until_s = (grant.asked_at_ms + grant.lease_ms) / 1e3
+        if grant.asked_at_ms > now_s * 1e3 or until_s <= now_s:
+            return
+        account = self._account(grant.organisation, now_s)
+        self._update(account, account.limits, now_s)
+        account.shares.borrow(lender, grant.share, until_s)
+        account.share = account.shares.usable(self._fixed_share, now_s)
+
+    def _grants(self, organisation, account, demand, now_s):
+        lease_s = self.settings.quota_lease_ms / 1e3
+        asks = account.asks
+        for node_id in [n for n, a in asks.items() if now_s > a.heard_s]:
+            if now_s - asks[node_id].heard_s > lease_s:
+                del asks[node_id]
+        wanted = sum(ask.share for ask in asks.values())
+        spare = self._fixed_share - demand
+        if wanted <= 0 or spare <= LEAST_SHARE:
+            return []
+        scale = min(1.0, spare / wanted)
+        grants = []
+        for node_id, ask in asks.items():
+            free = self._fixed_share - account.shares.lent(but_to=node_id)
+            share = min(ask.share * scale, free)
+            if share > LEAST_SHARE:
+                account.shares.lend(node_id, share, now_s + lease_s)
+                grants.append(self._grant(node_id, ask, organisation, share))
+        self._update(account, account.limits, now_s)
+        return grants[: self.settings.reported_organisations]
+
+    def _grant(self, node_id, ask, organisation, share):
+        return messages.QuotaGrant(
+            node_id,
+            ask.incarnation,
+            ask.asked_at_ms,
+            organisation,
+            share,
+            self.settings.quota_lease_ms,
+        )
+
+    def _account(self, organisation, now_s):
+        account = self._accounts.get(organisation)
+        if account is None:
+            account = self._accounts[organisation] = _Account(now_s)
+        else:
+            self._accounts.move_to_end(organisation)
+        return account
+
+    def _update(self, account, limits, now_s):
+        """Refill; a share that changed meanwhile counts at its smaller."""
+        share = account.shares.usable(self._fixed_share, now_s)
+        elapsed_s = max(0.0, now_s - account.updated_s)
+        self._decay_demand(account, elapsed_s)
+        account.updated_s = max(now_s, account.updated_s)
+        if limits is None:
+            account.share = share
+            return
+        request_size = max(1.0, limits.burst_requests * share)
+        token_size = max(1.0, limits.tokens_per_minute * share)
+        if account.requests is None:
+            account.requests = _bucket.TokenBucket(request_size)
+            account.tokens = _bucket.TokenBucket(token_size)
+        refilled = min(share, account.share) * elapsed_s
+        account.requests.refill(
+            limits.requests_per_second * refilled, request_size
+        )
+        account.tokens.refill(
+            limits.tokens_per_minute / SECONDS_PER_MINUTE * refilled,
+            token_size,
+        )
+        account.limits = limits
+        account.share = share
+
+    def _decay_demand(self, account, elapsed_s):
+        kept = math.exp(-elapsed_s * 1e3 / self.settings.demand_ms)
+        account.demand_requests *= kept
+        account.demand_tokens *= kept
+
+    def _demand_share(self, account, now_s):
+        if account.limits is None:
+            return 0.0
+        average_s = self.settings.demand_ms / 1e3
+        limits = account.limits
+        requests = account.demand_requests / average_s
+        tokens = account.demand_tokens / average_s
+        share = max(
+            requests / limits.requests_per_second,
+            tokens * SECONDS_PER_MINUTE / limits.tokens_per_minute,
+        )
+        return share * self.settings.demand_headroom
+
+    def _sweep(self, now_s):
+        """Drop organisations whose state equals that of a new one."""
+        for _ in range(min(SWEPT_ORGANISATIONS, len(self._accounts))):
+            organisation, account = next(iter(self._accounts.items()))
+            self._update(account, account.limits, now_s)
+            if self._is_idle(account, now_s):
+                del self._accounts[organisation]
+            else:
+                self._accounts.move_to_end(organisation)
+
+    def _is_idle(self, account, now_s):
+        if account.shares or account.demand_requests > 0.01:
+            return False
+        lease_s = self.settings.quota_lease_ms / 1e3
+        if any(now_s - a.heard_s <= lease_s for a in account.asks.values()):
+            return False
+        if account.requests is None:
+            return True
+        limits = account.limits
+        return account.requests.level >= max(
+            1.0, limits.burst_requests * account.share
+        ) and account.tokens.level >= max(
+            1.0, limits.tokens_per_minute * account.share
+        )
+
+
+def _wait_s(lacking, rate):
+    if lacking <= 0:
+        return 0.0
+    return lacking / rate if rate > 0 else math.inf
--- /dev/null
+++ b/buckthorntack/admission/_usage.py
@@ -0,0 +1,103 @@
+"""Slots that each organisation uses, and those kept free of heavy users."""
+
+import collections
+
+import sortedcontainers
+
+#: How long an organisation counts as active after its last request.
+ACTIVE_S = 10.0
+
+
+class SlotUsage:
+    """Use of a service's slots by organisation.
+
+    While several organisations are active, the heaviest user leaves a part
+    of the slots to the others, if it has more than its weighted share.
+
+    :param reserved_share: part of the slots that they leave.
+    """
+
+    def __init__(self, reserved_share):
+        self.reserved_share = reserved_share
+        self.slots = 0
+        self.in_flight = 0
+        self._used = collections.Counter()
+        self._loads = sortedcontainers.SortedDict()
+        self._active = collections.OrderedDict()
+        self._weights = 0.0
+
+    def seen(self, request, now_s):
+        """Note that an organisation asks for a slot.
+
+        :param request: ``AdmissionRequest``.
+        :param now_s: the time.
+        """
+        self._leave(request.organisation)
+        self._active[request.organisation] = (now_s, request.weight)
+        self._weights += request.weight
+        while self._active:
+            organisation, (last_s, _) = next(iter(self._active.items()))
+            if now_s - last_s <= ACTIVE_S:
+                return
+            self._leave(organisation)
+
+    def started(self, request):
+        """Note the start of a request.
+
+        :param request: ``AdmissionRequest``.
+        """
+        self.in_flight += 1
+        self._change(request, 1)
+
+    def ended(self, request):
+        """Note the end of a request.
+
+        :param request: ``AdmissionRequest``.
+        """
+        self.in_flight -= 1
+        self._change(request, -1)
+
+    def has_room(self):
+        """Whether some slot is free."""
+        return self.in_flight < self.slots
+
+    def has_room_for(self, request):
+        """Whether a slot is free for this request.
+
+        :param request: ``AdmissionRequest``.
+        """
+        if not self.has_room():
+            return False
+        if len(self._active) <= 1:
+            return True
+        reserved = self.slots * self.reserved_share
+        if self.in_flight < self.slots - reserved:
+            return True
+        used = self._used.get(request.organisation, 0) + 1
+        share = self.slots * request.weight / max(self._weights, 1e-9)
+        heaviest = self._loads.peekitem()[0] * request.weight
+        return used <= max(1.0, share, heaviest)
+
+    def _change(self, request, change):
+        organisation = request.organisation
+        used = self._used[organisation]
+        self._count_load(used / request.weight, -1)
+        self._count_load((used + change) / request.weight, 1)
+        self._used[organisation] += change
+        if not self._used[organisation]:
+            del self._used[organisation]
+
+    def _count_load(self, load, change):
+        """Count how many organisations have each load."""
+        if load <= 0:
+            return
+        count = self._loads.get(load, 0) + change
+        if count:
+            self._loads[load] = count
+        else:
+            del self._loads[load]
+
+    def _leave(self, organisation):
+        known = self._active.pop(organisation, None)
+        if known is not None:
+            self._weights -= known[1]
--- /dev/null
+++ b/buckthorntack/admission/tests/test_quota.py
@@ -0,0 +1,167 @@
+"""Quotas over many entry VMs: the bound, lending, partitions, memory."""
+
+import datetime
+import random
+
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies
+import pytest
+
+from buckthorntack import admission
+
+LIMITS = admission.QuotaLimits(10.0, 20, 60_000)
+
+
+def at(seconds):
+    return datetime.timedelta(seconds=seconds)
+
+
+def make_controllers(count):
+    controllers = []
+    for number in range(count):
+        controller = admission.AdmissionController(
+            f"entry-{number}",
+            number + 1,
+            admission.AdmissionSettings(),
+            random.Random(number),
+        )
+        controller.set_entry_count(count)
+        controller.capacity("pitchwriter", 10**6, at(0))
+        controllers.append(controller)
+    return controllers
+
+
+def offer(controller, name, now_s, **fields):
+    request = admission.AdmissionRequest(
+        name, "shops", "pitchwriter", 1, 1.0, LIMITS, 10, 1000
+    )._replace(**fields)
+    return controller.offer(request, at(now_s)).is_ok()
+
+
+class Network:
+    """Carries usage reports late, twice, not at all, or cut in two."""
+
+    def __init__(self, controllers, rng, loss=0.0, longest_s=1.0):
+        self.controllers = controllers
+        self.rng = rng
+        self.loss = loss
+        self.longest_s = longest_s
+        self.groups = None
+        self._flying = []
+
+    def exchange(self, now_s):
+        for number, controller in enumerate(self.controllers):
+            report = controller.usage_report(at(now_s))
+            for other in range(len(self.controllers)):
+                self._send(number, other, report, now_s)
+
+    def arrive(self, now_s):
+        due = [item for item in self._flying if item[0] <= now_s]
+        self._flying = [item for item in self._flying if item[0] > now_s]
+        for _, other, report in due:
+            self.controllers[other].usage_reported(report, at(now_s))
+
+    def _send(self, sender, receiver, report, now_s):
+        cut = self.groups and self.groups[sender] != self.groups[receiver]
+        if sender == receiver or cut:
+            return
+        for _ in range(2):
+            if self.rng.random() >= self.loss:
+                delay_s = self.rng.uniform(0.0, self.longest_s)
+                self._flying.append((now_s + delay_s, receiver, report))
+
+
+def run(demands, network, seconds=40, step_s=0.05, start_s=0.0):
+    """Offer requests at rates per entry VM; count those admitted."""
+    admitted = [0] * len(demands)
+    for step in range(int(seconds / step_s)):
+        now_s = start_s + step * step_s
+        network.arrive(now_s)
+        if step % 10 == 0:
+            network.exchange(now_s)
+        for number, demand in enumerate(demands):
+            for _ in range(demand):
+                name = f"{number}-{now_s}"
+                admitted[number] += offer(
+                    network.controllers[number], name, now_s
+                )
+    return admitted
+
+
+def whole(seconds, count, limits=LIMITS):
+    """The documented bound on requests admitted in a time."""
+    return limits.requests_per_second * seconds + limits.burst_requests + count
+
+
+def test_refusal_says_when_to_come_back():
+    (controller,) = make_controllers(1)
+    for number in range(20):
+        assert offer(controller, f"r{number}", 0.0)
+    request = admission.AdmissionRequest(
+        "r", "shops", "pitchwriter", 1, 1.0, LIMITS, 10, 1000
+    )
+    error = controller.offer(request, at(0)).error
+    assert isinstance(error, admission.QuotaExceededError)
+    assert 100 <= error.retry_after_ms <= 125
+
+
+def test_generated_tokens_count():
+    (controller,) = make_controllers(1)
+    assert offer(controller, "a", 0.0)
+    controller.finished("a", 70_000, at(1))
+    assert not offer(controller, "b", 1.0)
+    assert offer(controller, "c", 12.0)
+
+
+def test_one_busy_entry_vm_gets_most_of_the_whole():
+    controllers = make_controllers(6)
+    network = Network(controllers, random.Random(1))
+    (busy, *_) = run([2, 0, 0, 0, 0, 0], network)
+    assert busy > 0.8 * LIMITS.requests_per_second * 40
+
+
+def test_a_partition_leaves_each_side_its_own_shares():
+    controllers = make_controllers(6)
+    network = Network(controllers, random.Random(1))
+    run([2, 0, 0, 0, 0, 0], network)
+    network.groups = [0, 0, 1, 1, 1, 1]
+    run([2, 0, 2, 0, 0, 0], network, start_s=40.0, seconds=10)
+    admitted = run([2, 0, 2, 0, 0, 0], network, start_s=50.0)
+    assert admitted[0] == pytest.approx(400 * 2 / 6, rel=0.15)
+    assert admitted[2] == pytest.approx(400 * 4 / 6, rel=0.15)
+
+
+@hypothesis_settings(max_examples=25, deadline=None)
+@given(
+    demands=strategies.lists(
+        strategies.integers(0, 3), min_size=2, max_size=6
+    ),
+    loss=strategies.sampled_from([0.0, 0.3, 0.9]),
+    longest_s=strategies.sampled_from([0.1, 1.0, 6.0]),
+    cut_at=strategies.integers(0, 20),
+    seed=strategies.integers(0, 1000),
+)
+def test_the_whole_is_never_exceeded_beyond_the_bound(
+    demands, loss, longest_s, cut_at, seed
+):
+    count = len(demands)
+    controllers = make_controllers(count)
+    network = Network(controllers, random.Random(seed), loss, longest_s)
+    admitted = sum(run(demands, network, seconds=cut_at))
+    network.groups = [number % 2 for number in range(count)]
+    swapped = demands[::-1]
+    admitted += sum(run(swapped, network, seconds=10, start_s=cut_at))
+    assert admitted <= whole(cut_at + 10, count)
+
+
+def test_state_only_for_active_organisations():
+    (controller,) = make_controllers(1)
+    for number in range(18_000):
+        offer(
+            controller, f"r{number}", number / 100, organisation=f"o{number}"
+        )
+    assert controller.active_organisations() < 9_000
+    for number in range(18_000):
+        offer(controller, f"s{number}", 400 + number / 100, organisation="one")
+    assert controller.active_organisations() == 1
--- /dev/null
+++ b/buckthorntack/retries/tests/test_quarantine.py
@@ -0,0 +1,187 @@
+"""Crash detection, suspicion, conviction and acquittal."""
+
+import datetime
+import itertools
+import random
+
+import pytest
+
+from buckthorntack import retries
+
+
+def at(seconds):
+    return datetime.timedelta(seconds=seconds)
+
+
+def make_quarantine(node_id="entry-1", **fields):
+    return retries.Quarantine(node_id, retries.QuarantineSettings(**fields))
+
+
+def test_two_crashes_convict():
+    quarantine = make_quarantine()
+    assert quarantine.verdict("p", at(0)) == retries.Clean(None)
+    suspects = quarantine.server_crashed("s1", 1, frozenset("pb"), at(1))
+    assert suspects == ["b", "p"]
+    assert quarantine.verdict("p", at(1)) == retries.Suspect(1)
+    quarantine.server_crashed("s2", 1, frozenset("p"), at(5))
+    verdict = quarantine.verdict("p", at(5))
+    assert isinstance(verdict, retries.Convicted)
+    assert quarantine.verdict("b", at(5)) == retries.Suspect(1)
+
+
+def test_one_crash_told_twice_is_one():
+    quarantine = make_quarantine()
+    for _ in range(2):
+        quarantine.server_crashed("s1", 1, frozenset("p"), at(1))
+    assert quarantine.verdict("p", at(1)) == retries.Suspect(1)
+
+
+def test_a_whole_run_acquits():
+    quarantine = make_quarantine()
+    quarantine.server_crashed("s1", 1, frozenset("b"), at(1))
+    quarantine.started("b", "s2")
+    assert quarantine.finished("b", "s2", at(4))
+    assert quarantine.verdict("b", at(4)) == retries.Clean(None)
+    quarantine.server_crashed("s2", 1, frozenset("b"), at(9))
+    assert quarantine.verdict("b", at(9)) == retries.Suspect(1)
+
+
+def test_many_servers_at_once_have_a_common_cause():
+    quarantine = make_quarantine()
+    for number in range(4):
+        running = frozenset({f"r{number}"})
+        quarantine.server_crashed(f"s{number}", 1, running, at(number))
+    assert quarantine.verdict("r0", at(4)) == retries.Clean(None)
+    quarantine.server_crashed("s9", 1, frozenset({"r0"}), at(60))
+    verdict = quarantine.verdict("r0", at(60))
+    assert isinstance(verdict, retries.Convicted)
+
+
+def test_an_equal_request_joins_the_one_that_runs():
+    quarantine = make_quarantine()
+    quarantine.started("p", "s1")
+    assert quarantine.verdict("p", at(0)) == retries.Clean("s1")
+    quarantine.stopped("p", "s1", at(1))
+    assert quarantine.verdict("p", at(1)) == retries.Clean(None)
+
+
+def test_merge_is_commutative_and_idempotent():
+    source = make_quarantine()
+    source.server_crashed("s1", 1, frozenset("pb"), at(1))
+    source.started("b", "s3")
+    source.finished("b", "s3", at(2))
+    source.server_crashed("s2", 1, frozenset("p"), at(3))
+    items = source.take_items()
+    assert len(items) == 5
+    for order in itertools.permutations(items):
+        other = make_quarantine("entry-2")
+        for item in (*order, *order):
+            other.merge(item, at(4))
+        assert isinstance(other.verdict("p", at(4)), retries.Convicted)
+        assert other.verdict("b", at(4)) == retries.Clean(None)
+        assert not [
+            item
+            for item in other.take_items()
+            if "conviction" not in retries.item_key(item)
+        ]
+
+
+def test_everything_is_forgotten_after_its_retention():
+    quarantine = make_quarantine(retention_ms=1000)
+    quarantine.server_crashed("s1", 1, frozenset("p"), at(0))
+    quarantine.server_crashed("s2", 1, frozenset("p"), at(0))
+    quarantine.tick(at(2))
+    assert len(quarantine) == 0
+
+
+def test_memory_is_bounded():
+    quarantine = make_quarantine(most_items=100)
+    for number in range(1000):
+        running = frozenset({f"r{number}"})
+        quarantine.server_crashed(f"s{number}", 1, running, at(number))
+    quarantine.tick(at(1000))
+    assert len(quarantine) <= 100
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_a_suspect_runs_at_one_entry_vm_at_a_time(seed):
+    rng = random.Random(seed)
+    nodes = {name: make_quarantine(name) for name in ("e1", "e2", "e3", "e4")}
+    for node in nodes.values():
+        node.server_crashed("s1", 1, frozenset("p"), at(0))
+        node.take_items()
+    starts = {name: rng.uniform(0, 4) for name in nodes}
+    ends, flying, most, runs = {}, [], 0, 0
+    for step in range(1500):
+        now_s = step / 50
+        for due, name, item in [f for f in flying if f[0] <= now_s]:
+            nodes[name].merge(item, at(now_s))
+            flying.remove((due, name, item))
+        for name, node in nodes.items():
+            if name in ends and now_s >= ends[name]:
+                del ends[name]
+                starts[name] = 1e9
+                node.release("p", at(now_s))
+            elif now_s >= starts[name] and name not in ends:
+                claimed = node.claim("p", at(now_s))
+                if claimed == retries.RunAlone():
+                    ends[name] = now_s + 1.5
+                    runs += 1
+            node.tick(at(now_s))
+            for item in node.take_items():
+                for other in nodes:
+                    due = now_s + rng.uniform(0.0, 1.0)
+                    flying.append((due, other, item))
+        most = max(most, len(ends))
+    assert most == 1
+    assert runs == 4
+
+
+def test_a_claim_of_a_lost_entry_vm_ends():
+    lost, other = make_quarantine("e1"), make_quarantine("e2")
+    lost.claim("p", at(0))
+    assert lost.claim("p", at(2)) == retries.RunAlone()
+    for item in lost.take_items():
+        other.merge(item, at(2.5))
+    for now_s in range(3, 13):
+        assert isinstance(other.claim("p", at(now_s)), retries.Wait)
+    assert other.claim("p", at(13)) == retries.RunAlone()
+
+
+class TestCrashDetector:
+    def test_refused_after_a_loss(self):
+        detector = retries.CrashDetector()
+        detector.connection_lost("s1", 4, "f1", True, at(0))
+        detector.connection_lost("s1", 4, "f2", True, at(0))
+        crash = detector.connect_refused("s1", at(1))
+        assert crash == ("s1", 4, {"f1", "f2"})
+
+    def test_a_mere_loss_is_no_crash(self):
+        detector = retries.CrashDetector()
+        detector.connection_lost("s1", 4, "f1", True, at(0))
+        assert detector.announced("s1", 4, at(1)) is None
+
+    def test_refused_without_a_loss_is_no_crash(self):
+        detector = retries.CrashDetector()
+        assert detector.connect_refused("s1", at(1)) is None
+
+    def test_new_incarnation_after_silence(self):
+        detector = retries.CrashDetector()
+        detector.connection_lost("s1", 4, "f1", False, at(0))
+        assert detector.lease_ended("s1", at(1)) is None
+        crash = detector.announced("s1", 5, at(9))
+        assert crash == ("s1", 4, {"f1"})
+
+    def test_lease_ended_after_a_loss(self):
+        detector = retries.CrashDetector()
+        detector.connection_lost("s1", 4, "f1", True, at(0))
+        assert detector.lease_ended("s1", at(2)) == ("s1", 4, {"f1"})
+
+    def test_planned_stop_is_no_crash(self):
+        detector = retries.CrashDetector()
+        detector.connection_lost("s1", 4, "f1", True, at(0))
+        detector.withdrawn("s1")
+        assert detector.connect_refused("s1", at(1)) is None
+        detector.connection_lost("s2", 4, "f1", True, at(0))
+        detector.expire(at(100))
+        assert detector.connect_refused("s2", at(100)) is None
--- a/buckthorntack/schema/messages.py
+++ b/buckthorntack/schema/messages.py
@@ -1,5 +1,8 @@
 """Messages between our own processes; generated, do not edit."""
 
+from buckthorntack.schema._generated.admission import QuotaGrant
+from buckthorntack.schema._generated.admission import QuotaNeed
+from buckthorntack.schema._generated.admission import UsageReport
 from buckthorntack.schema._generated.forwarding import ForwardAlive
 from buckthorntack.schema._generated.forwarding import ForwardBody
 from buckthorntack.schema._generated.forwarding import ForwardCancel
@@ -16,10 +19,19 @@
 from buckthorntack.schema._generated.membership import ServerLoad
 from buckthorntack.schema._generated.membership import ServerRecord
 from buckthorntack.schema._generated.membership import ServiceSummary
+from buckthorntack.schema._generated.retries import Acquittal
+from buckthorntack.schema._generated.retries import Conviction
+from buckthorntack.schema._generated.retries import CrashEvidence
+from buckthorntack.schema._generated.retries import FailedAttempts
+from buckthorntack.schema._generated.retries import SuspectClaim
 
 __all__ = [
+    "Acquittal",
+    "Conviction",
+    "CrashEvidence",
     "DomainSummary",
     "EntryRecord",
+    "FailedAttempts",
     "ForwardAlive",
     "ForwardBody",
     "ForwardCancel",
@@ -31,7 +43,11 @@
     "ForwardRequest",
     "Ping",
     "Pong",
+    "QuotaGrant",
+    "QuotaNeed",
     "ServerLoad",
     "ServerRecord",
     "ServiceSummary",
+    "SuspectClaim",
+    "UsageReport",
 ]
