--- a/buckthorntack/schema/messages.py
+++ b/buckthorntack/schema/messages.py
@@ -1,5 +1,8 @@
 """Messages between our own processes; generated, do not edit."""
 
+from buckthorntack.schema._generated.admission import QuotaGrant
+from buckthorntack.schema._generated.admission import QuotaNeed
+from buckthorntack.schema._generated.admission import UsageReport
 from buckthorntack.schema._generated.forwarding import ForwardAlive
 from buckthorntack.schema._generated.forwarding import ForwardBody
 from buckthorntack.schema._generated.forwarding import ForwardCancel
@@ -13,26 +16,22 @@
 from buckthorntack.schema._generated.links import Pong
 from buckthorntack.schema._generated.membership import DomainSummary
 from buckthorntack.schema._generated.membership import EntryRecord
-from buckthorntack.schema._generated.membership import Item
-from buckthorntack.schema._generated.membership import MembershipDelta
-from buckthorntack.schema._generated.membership import MembershipDigest
-from buckthorntack.schema._generated.membership import MembershipDigestDetail
-from buckthorntack.schema._generated.membership import MembershipEntries
-from buckthorntack.schema._generated.membership import MembershipHello
-from buckthorntack.schema._generated.membership import MembershipItems
-from buckthorntack.schema._generated.membership import MembershipPull
-from buckthorntack.schema._generated.membership import MembershipSummaries
-from buckthorntack.schema._generated.membership import MessageStamp
-from buckthorntack.schema._generated.membership import RecordKey
 from buckthorntack.schema._generated.membership import ServerLoad
 from buckthorntack.schema._generated.membership import ServerRecord
-from buckthorntack.schema._generated.membership import ServerRenewal
-from buckthorntack.schema._generated.membership import ServerUpdate
 from buckthorntack.schema._generated.membership import ServiceSummary
+from buckthorntack.schema._generated.retries import Acquittal
+from buckthorntack.schema._generated.retries import Conviction
+from buckthorntack.schema._generated.retries import CrashEvidence
+from buckthorntack.schema._generated.retries import FailedAttempts
+from buckthorntack.schema._generated.retries import SuspectClaim
 
 __all__ = [
+    "Acquittal",
+    "Conviction",
+    "CrashEvidence",
     "DomainSummary",
     "EntryRecord",
+    "FailedAttempts",
     "ForwardAlive",
     "ForwardBody",
     "ForwardCancel",
@@ -42,22 +41,13 @@
     "ForwardHead",
     "ForwardHeader",
     "ForwardRequest",
-    "Item",
-    "MembershipDelta",
-    "MembershipDigest",
-    "MembershipDigestDetail",
-    "MembershipEntries",
-    "MembershipHello",
-    "MembershipItems",
-    "MembershipPull",
-    "MembershipSummaries",
-    "MessageStamp",
     "Ping",
     "Pong",
-    "RecordKey",
+    "QuotaGrant",
+    "QuotaNeed",
     "ServerLoad",
     "ServerRecord",
-    "ServerRenewal",
-    "ServerUpdate",
     "ServiceSummary",
+    "SuspectClaim",
+    "UsageReport",
 ]
