--- /dev/null
+++ b/buckthorntack/consensus/_configuration.py
@@ -0,0 +1,71 @@
+"""Members of a replicated group."""
+
+from typing import NamedTuple
+
+import msgspec
+
+KIND_COMMAND = "command"
+KIND_CONFIGURATION = "configuration"
+KIND_NO_OP = "no_op"
+
+
+class Configuration(NamedTuple):
+    """Members of a group, by node id.
+
+    A voter's identity is that of its disk; it is empty until the first leader
+    records it.
+    """
+
+    voters: dict[str, str] = {}
+    learners: list[str] = []
+    retired: list[str] = []
+
+    def members(self):
+        """All who receive the log."""
+        return [*self.voters, *self.learners]
+
+    def has_quorum(self, nodes):
+        """Whether nodes are a majority of the voters.
+
+        :param nodes: node ids.
+
+        >>> Configuration({"a": "", "b": "", "c": ""}).has_quorum({"a", "b"})
+        True
+        >>> Configuration({"a": "", "b": ""}).has_quorum({"a", "x"})
+        False
+        """
+        present = sum(1 for voter in self.voters if voter in nodes)
+        return 2 * present > len(self.voters)
+
+    def quorum_value(self, values):
+        """Largest value that a majority of the voters has reached.
+
+        :param values: value by node id; a missing one counts as 0.
+
+        >>> Configuration({"a": "", "b": "", "c": ""}).quorum_value(
+        ...     {"a": 9, "b": 4}
+        ... )
+        4
+        """
+        reached = [values.get(voter, 0) for voter in self.voters]
+        reached.sort(reverse=True)
+        return reached[len(reached) // 2] if reached else 0
+
+
+_DECODER = msgspec.msgpack.Decoder(Configuration)
+
+
+def encode(configuration):
+    """Encode members for the log.
+
+    :param configuration: a :class:`Configuration`.
+    """
+    return msgspec.msgpack.encode(configuration)
+
+
+def decode(data):
+    """Decode members from the log.
+
+    :param data: bytes that :func:`encode` gave; empty means no members.
+    """
+    return _DECODER.decode(data) if data else Configuration()
--- /dev/null
+++ b/buckthorntack/consensus/_snapshots.py
@@ -0,0 +1,176 @@
+"""Snapshots on their way from the leader to a replica far behind."""
+
+from buckthorntack import storage
+from buckthorntack.consensus import _commands as commands
+from buckthorntack.consensus import _configuration as configurations
+from buckthorntack.consensus import _progress
+from buckthorntack.consensus import _replication
+from buckthorntack.consensus import _state
+from buckthorntack.schema import messages
+
+
+class Incoming:
+    """A snapshot of which some parts have come.
+
+    :param index: its index.
+    :param index_term: term of the entry at that index.
+    """
+
+    def __init__(self, index, index_term):
+        self.index = index
+        self.index_term = index_term
+        self.data = bytearray()
+
+
+def want(state, node, progress):
+    """Ask the shell for the snapshot that a replica needs.
+
+    :param state: the replica's state.
+    :param node: the replica.
+    :param progress: its progress.
+    """
+    progress.wants_snapshot = True
+    state.commands.append(commands.SnapshotWanted(node))
+
+
+def begin(state, node, snapshot):
+    """Begin to send a snapshot.
+
+    :param state: the replica's state.
+    :param node: the replica that needs it.
+    :param snapshot: the newest snapshot.
+    """
+    progress = state.progress.get(node)
+    if progress is None or not progress.wants_snapshot:
+        return
+    progress.wants_snapshot = False
+    progress.transfer = _progress.Transfer(snapshot, 0, None, False)
+    _send_chunk(state, node, progress)
+
+
+def tick(state):
+    """Send parts that are due, anew those that were not answered.
+
+    :param state: the replica's state.
+    """
+    for node, progress in state.progress.items():
+        transfer = progress.transfer
+        if transfer is None:
+            continue
+        pause = state.timing.chunk_interval
+        if transfer.waiting:
+            pause = state.timing.election_timeout
+        if state.now - transfer.sent_at >= pause:
+            _send_chunk(state, node, progress)
+
+
+def on_chunk(state, sender, chunk):
+    """Take a part of a snapshot from the leader.
+
+    :param state: the replica's state.
+    :param sender: the leader.
+    :param chunk: the part.
+    """
+    if chunk.term < state.term:
+        _respond(state, sender, chunk, 0, False)
+        return
+    _replication.hear_leader(state, sender, chunk.term)
+    if _is_not_needed(state, chunk):
+        _replication.commit(state, chunk.index)
+        _respond(state, sender, chunk, chunk.total_bytes, True)
+        return
+    received_bytes = _collect(state, chunk)
+    complete = received_bytes == chunk.total_bytes
+    if complete:
+        _install(state, chunk)
+    _respond(state, sender, chunk, received_bytes, complete)
+
+
+def on_chunk_response(state, sender, response):
+    """Go on with a snapshot.
+
+    :param state: the replica's state.
+    :param sender: the replica that receives it.
+    :param response: its answer.
+    """
+    if response.term > state.term:
+        _state.follow(state, response.term)
+        return
+    progress = _replication.heard_progress(state, sender, response)
+    if progress is None or progress.transfer is None:
+        return
+    transfer = progress.transfer
+    if transfer.snapshot.info.index != response.index:
+        return
+    if response.installed:
+        progress.transfer = None
+        progress.accept(response.index)
+        return
+    progress.transfer = transfer._replace(
+        offset_bytes=response.received_bytes, waiting=False
+    )
+    if state.now - transfer.sent_at >= state.timing.chunk_interval:
+        _send_chunk(state, sender, progress)
+
+
+def _send_chunk(state, node, progress):
+    transfer = progress.transfer
+    info = transfer.snapshot.info
+    start = transfer.offset_bytes
+    data = transfer.snapshot.data[start : start + state.timing.chunk_bytes]
+    chunk = messages.SnapshotChunk(
+        group=state.group,
+        term=state.term,
+        index=info.index,
+        index_term=info.term,
+        configuration=info.configuration,
+        offset_bytes=start,
+        total_bytes=len(transfer.snapshot.data),
+        data=data,
+    )
+    _state.send(state, node, chunk)
+    progress.transfer = transfer._replace(sent_at=state.now, waiting=True)
+
+
+def _is_not_needed(state, chunk):
+    if chunk.index <= state.commit_index:
+        return True
+    return state.log.term_at(chunk.index) == chunk.index_term
+
+
+def _collect(state, chunk):
+    place = (chunk.index, chunk.index_term)
+    incoming = state.incoming
+    if incoming is None or (incoming.index, incoming.index_term) != place:
+        incoming = Incoming(*place)
+        state.incoming = incoming
+    if chunk.offset_bytes == len(incoming.data):
+        incoming.data += chunk.data
+    return len(incoming.data)
+
+
+def _install(state, chunk):
+    info = storage.SnapshotInfo(
+        chunk.index, chunk.index_term, chunk.configuration
+    )
+    snapshot = storage.Snapshot(info, bytes(state.incoming.data))
+    state.incoming = None
+    state.log.restore(chunk.index, chunk.index_term)
+    state.persisted_index = chunk.index
+    state.commit_index = chunk.index
+    state.snapshot_index = chunk.index
+    members = configurations.decode(chunk.configuration)
+    state.history = [(chunk.index, members)]
+    state.commands.append(commands.RestoreSnapshot(snapshot))
+
+
+def _respond(state, sender, chunk, received_bytes, installed):
+    response = messages.SnapshotChunkResponse(
+        group=state.group,
+        term=state.term,
+        identity=state.identity,
+        index=chunk.index,
+        received_bytes=received_bytes,
+        installed=installed,
+    )
+    _state.send(state, sender, response)
--- /dev/null
+++ b/buckthorntack/consensus/tests/test_task.py
@@ -0,0 +1,231 @@
+"""Replica tasks on real files, talking in one process."""
+
+import asyncio
+import contextlib
+import datetime
+import itertools
+import random
+
+from buckthorntack import clock
+from buckthorntack import consensus
+from buckthorntack import errors
+
+SEEDS = itertools.count(1)
+FAST = consensus.Timing(
+    tick=datetime.timedelta(milliseconds=5),
+    heartbeat=datetime.timedelta(milliseconds=20),
+    election_timeout=datetime.timedelta(milliseconds=100),
+    request_timeout=datetime.timedelta(seconds=2),
+    chunk_interval=datetime.timedelta(milliseconds=5),
+    chunk_bytes=64,
+    snapshot_entries=20,
+    kept_entries=3,
+)
+
+
+class Journal:
+    """State machine that keeps its commands."""
+
+    def __init__(self):
+        self.commands = []
+
+    def apply(self, index, command):
+        self.commands.append(command)
+        return len(self.commands)
+
+    def snapshot(self):
+        return b"\n".join(self.commands)
+
+    def restore(self, snapshot):
+        self.commands = snapshot.split(b"\n") if snapshot else []
+
+
+class Network:
+    """Hands messages over within the process."""
+
+    def __init__(self):
+        self.tasks = {}
+        self.cut = set()
+
+    def sender(self, node):
+        return _Sender(self, node)
+
+
+class _Sender:
+    def __init__(self, network, node):
+        self.network = network
+        self.node = node
+
+    def send(self, to, message):
+        task = self.network.tasks.get(to)
+        if task is None or {self.node, to} & self.network.cut:
+            return
+        loop = asyncio.get_running_loop()
+        loop.call_soon(task.deliver, self.node, message)
+
+
+class Cluster:
+    """Replica tasks of one group."""
+
+    def __init__(self, folder, names):
+        self.folder = folder
+        self.names = names
+        self.network = Network()
+        self.stacks = {}
+
+    async def __aenter__(self):
+        for name in self.names:
+            await self.start(name, self.names)
+        return self
+
+    async def __aexit__(self, *exception):
+        for name in list(self.stacks):
+            await self.stop(name)
+
+    async def start(self, name, initial_voters):
+        task = consensus.ReplicaTask(
+            "g",
+            name,
+            initial_voters,
+            self.folder / name,
+            Journal(),
+            self.network.sender(name),
+            clock.SystemClock(),
+            random.Random(next(SEEDS)),
+            FAST,
+        )
+        stack = contextlib.AsyncExitStack()
+        await stack.enter_async_context(task)
+        self.stacks[name] = stack
+        self.network.tasks[name] = task
+        return task
+
+    async def stop(self, name):
+        del self.network.tasks[name]
+        await self.stacks.pop(name).aclose()
+
+    async def leader(self):
+        while True:
+            for task in self.network.tasks.values():
+                if task.is_leader() and task.node_id not in self.network.cut:
+                    return task
+            await asyncio.sleep(0.005)
+
+    async def propose(self, command):
+        while True:
+            result = await (await self.leader()).propose(command)
+            if result.is_ok():
+                return result.ok
+
+
+async def until(condition):
+    while True:
+        if condition():
+            return
+        await asyncio.sleep(0.005)
+
+
+def run(coroutine):
+    return asyncio.run(asyncio.wait_for(coroutine, 60))
+
+
+def test_single_replica_commits_and_restarts(tmp_path):
+    async def scenario():
+        async with Cluster(tmp_path, ["a"]) as cluster:
+            assert await cluster.propose(b"x") == 1
+            assert await cluster.propose(b"y") == 2
+            assert (await cluster.network.tasks["a"].read_barrier()).is_ok()
+        async with Cluster(tmp_path, ["a"]) as cluster:
+            assert await cluster.propose(b"z") == 3
+            journal = cluster.network.tasks["a"].state_machine
+            assert journal.commands == [b"x", b"y", b"z"]
+
+    run(scenario())
+
+
+def test_followers_forward_and_read(tmp_path):
+    async def scenario():
+        async with Cluster(tmp_path, ["a", "b", "c"]) as cluster:
+            await cluster.propose(b"x")
+            tasks = cluster.network.tasks.values()
+            await until(lambda: all(task.leader() for task in tasks))
+            for task in tasks:
+                assert (await task.propose(b"y")).is_ok()
+                assert (await task.read_barrier()).is_ok()
+                assert (
+                    task.state_machine.commands
+                    == (await cluster.leader()).state_machine.commands
+                )
+
+    run(scenario())
+
+
+def test_leader_fails_over_and_rejoins_by_snapshot(tmp_path):
+    async def scenario():
+        async with Cluster(tmp_path, ["a", "b", "c"]) as cluster:
+            await cluster.propose(b"first")
+            lost = (await cluster.leader()).node_id
+            await cluster.stop(lost)
+            for number in range(70):
+                await cluster.propose(b"%d" % number)
+            task = await cluster.start(lost, ["a", "b", "c"])
+            await until(lambda: len(task.state_machine.commands) == 71)
+            assert task.status().snapshot_index > 20
+
+    run(scenario())
+
+
+def test_isolated_leader_answers_unknown_and_reads_nothing(tmp_path):
+    async def scenario():
+        async with Cluster(tmp_path, ["a", "b", "c"]) as cluster:
+            await cluster.propose(b"x")
+            old = await cluster.leader()
+            cluster.network.cut.add(old.node_id)
+            read = asyncio.create_task(old.read_barrier())
+            result = await old.propose(b"lost")
+            assert result.error.run_state is errors.RunState.UNKNOWN
+            assert (await read).is_error()
+            refused = await old.propose(b"later")
+            assert refused.error.run_state is errors.RunState.NOT_RUN
+            await cluster.propose(b"y")
+            cluster.network.cut.clear()
+            await until(lambda: old.state_machine.commands == [b"x", b"y"])
+
+    run(scenario())
+
+
+def test_lost_disk_returns_under_a_new_id(tmp_path):
+    async def scenario():
+        async with Cluster(tmp_path, ["a", "b", "c"]) as cluster:
+            await cluster.propose(b"x")
+            leader = await cluster.leader()
+            lost = next(n for n in "abc" if n != leader.node_id)
+            await cluster.stop(lost)
+            (tmp_path / lost).rename(tmp_path / "old")
+            blank = await cluster.start(lost, ["a", "b", "c"])
+            await cluster.propose(b"y")
+            assert not blank.status().may_vote
+            await cluster.stop(lost)
+            await cluster.start("d", [])
+            assert (await leader.add_learner("d")).is_ok()
+            await until(lambda: leader.status().peers[-1].caught_up)
+            assert (await leader.promote("d")).is_ok()
+            assert (await leader.remove(lost)).is_ok()
+            again = await leader.add_learner(lost)
+            assert again.error.kind == "node_id_retired"
+            assert sorted(leader.voters()) == sorted({*"abcd"} - {lost})
+            await cluster.stop(leader.node_id)
+            assert await cluster.propose(b"z") == 3
+
+    run(scenario())
+
+
+def test_leadership_is_handed_over(tmp_path):
+    async def scenario():
+        async with Cluster(tmp_path, ["a", "b", "c"]) as cluster:
+            await cluster.propose(b"x")
+            leader = await cluster.leader()
+            assert (await leader.transfer_leadership()).is_ok()
+            assert (await cluster.leader()) is not leader
+
+    run(scenario())
--- a/buckthorntack/schema/messages.py
+++ b/buckthorntack/schema/messages.py
@@ -1,5 +1,19 @@
 """Messages between our own processes; generated, do not edit."""
 
+from buckthorntack.schema._generated.consensus import AppendRequest
+from buckthorntack.schema._generated.consensus import AppendResponse
+from buckthorntack.schema._generated.consensus import EnrolRequest
+from buckthorntack.schema._generated.consensus import EnrolResponse
+from buckthorntack.schema._generated.consensus import ForwardedProposal
+from buckthorntack.schema._generated.consensus import LogEntry
+from buckthorntack.schema._generated.consensus import ProposalRefused
+from buckthorntack.schema._generated.consensus import ReadRequest
+from buckthorntack.schema._generated.consensus import ReadResponse
+from buckthorntack.schema._generated.consensus import SnapshotChunk
+from buckthorntack.schema._generated.consensus import SnapshotChunkResponse
+from buckthorntack.schema._generated.consensus import TransferRequest
+from buckthorntack.schema._generated.consensus import VoteRequest
+from buckthorntack.schema._generated.consensus import VoteResponse
 from buckthorntack.schema._generated.forwarding import ForwardAlive
 from buckthorntack.schema._generated.forwarding import ForwardBody
 from buckthorntack.schema._generated.forwarding import ForwardCancel
@@ -18,7 +32,11 @@
 from buckthorntack.schema._generated.membership import ServiceSummary
 
 __all__ = [
+    "AppendRequest",
+    "AppendResponse",
     "DomainSummary",
+    "EnrolRequest",
+    "EnrolResponse",
     "EntryRecord",
     "ForwardAlive",
     "ForwardBody",
@@ -29,9 +47,19 @@
     "ForwardHead",
     "ForwardHeader",
     "ForwardRequest",
+    "ForwardedProposal",
+    "LogEntry",
     "Ping",
     "Pong",
+    "ProposalRefused",
+    "ReadRequest",
+    "ReadResponse",
     "ServerLoad",
     "ServerRecord",
     "ServiceSummary",
+    "SnapshotChunk",
+    "SnapshotChunkResponse",
+    "TransferRequest",
+    "VoteRequest",
+    "VoteResponse",
 ]
