--- a/buckthorntack/schema/messages.py
+++ b/buckthorntack/schema/messages.py
@@ -3,6 +3,20 @@
 from buckthorntack.schema._generated.admission import QuotaGrant
 from buckthorntack.schema._generated.admission import QuotaNeed
 from buckthorntack.schema._generated.admission import UsageReport
+from buckthorntack.schema._generated.consensus import AppendRequest
+from buckthorntack.schema._generated.consensus import AppendResponse
+from buckthorntack.schema._generated.consensus import EnrolRequest
+from buckthorntack.schema._generated.consensus import EnrolResponse
+from buckthorntack.schema._generated.consensus import ForwardedProposal
+from buckthorntack.schema._generated.consensus import LogEntry
+from buckthorntack.schema._generated.consensus import ProposalRefused
+from buckthorntack.schema._generated.consensus import ReadRequest
+from buckthorntack.schema._generated.consensus import ReadResponse
+from buckthorntack.schema._generated.consensus import SnapshotChunk
+from buckthorntack.schema._generated.consensus import SnapshotChunkResponse
+from buckthorntack.schema._generated.consensus import TransferRequest
+from buckthorntack.schema._generated.consensus import VoteRequest
+from buckthorntack.schema._generated.consensus import VoteResponse
 from buckthorntack.schema._generated.forwarding import ForwardAlive
 from buckthorntack.schema._generated.forwarding import ForwardBody
 from buckthorntack.schema._generated.forwarding import ForwardCancel
@@ -16,8 +30,21 @@
 from buckthorntack.schema._generated.links import Pong
 from buckthorntack.schema._generated.membership import DomainSummary
 from buckthorntack.schema._generated.membership import EntryRecord
+from buckthorntack.schema._generated.membership import Item
+from buckthorntack.schema._generated.membership import MembershipDelta
+from buckthorntack.schema._generated.membership import MembershipDigest
+from buckthorntack.schema._generated.membership import MembershipDigestDetail
+from buckthorntack.schema._generated.membership import MembershipEntries
+from buckthorntack.schema._generated.membership import MembershipHello
+from buckthorntack.schema._generated.membership import MembershipItems
+from buckthorntack.schema._generated.membership import MembershipPull
+from buckthorntack.schema._generated.membership import MembershipSummaries
+from buckthorntack.schema._generated.membership import MessageStamp
+from buckthorntack.schema._generated.membership import RecordKey
 from buckthorntack.schema._generated.membership import ServerLoad
 from buckthorntack.schema._generated.membership import ServerRecord
+from buckthorntack.schema._generated.membership import ServerRenewal
+from buckthorntack.schema._generated.membership import ServerUpdate
 from buckthorntack.schema._generated.membership import ServiceSummary
 from buckthorntack.schema._generated.retries import Acquittal
 from buckthorntack.schema._generated.retries import Conviction
@@ -27,9 +54,13 @@
 
 __all__ = [
     "Acquittal",
+    "AppendRequest",
+    "AppendResponse",
     "Conviction",
     "CrashEvidence",
     "DomainSummary",
+    "EnrolRequest",
+    "EnrolResponse",
     "EntryRecord",
     "FailedAttempts",
     "ForwardAlive",
@@ -41,13 +72,36 @@
     "ForwardHead",
     "ForwardHeader",
     "ForwardRequest",
+    "ForwardedProposal",
+    "Item",
+    "LogEntry",
+    "MembershipDelta",
+    "MembershipDigest",
+    "MembershipDigestDetail",
+    "MembershipEntries",
+    "MembershipHello",
+    "MembershipItems",
+    "MembershipPull",
+    "MembershipSummaries",
+    "MessageStamp",
     "Ping",
     "Pong",
+    "ProposalRefused",
     "QuotaGrant",
     "QuotaNeed",
+    "ReadRequest",
+    "ReadResponse",
+    "RecordKey",
     "ServerLoad",
     "ServerRecord",
+    "ServerRenewal",
+    "ServerUpdate",
     "ServiceSummary",
+    "SnapshotChunk",
+    "SnapshotChunkResponse",
     "SuspectClaim",
+    "TransferRequest",
     "UsageReport",
+    "VoteRequest",
+    "VoteResponse",
 ]
