--- /dev/null
+++ b/buckthorntack/configuration/_errors.py
@@ -0,0 +1,61 @@
+"""Error kinds of the configuration package."""
+
+from buckthorntack import errors
+
+
+class ChangeIdReusedError(errors.GatewayError):
+    """A change id came with another content than before."""
+
+    number = 510
+    status = 409
+    kind = "change_id_reused"
+    remedy = "send the changed content under a new change id"
+
+
+class ChangeOutcomeUnknownError(errors.GatewayError):
+    """It is not known whether a change was accepted."""
+
+    number = 511
+    status = 504
+    kind = "change_outcome_unknown"
+    remedy = "send the same change again; it is applied once"
+    run_state = errors.RunState.UNKNOWN
+
+
+class RevisionNotReachedError(errors.GatewayError):
+    """A revision did not come into force in time."""
+
+    number = 512
+    status = 503
+    kind = "revision_not_reached"
+    remedy = "retry; look at the links from this node to control VMs"
+
+
+class InvalidChangeError(errors.GatewayError):
+    """A change does not have the form of the schema."""
+
+    number = 513
+    status = 400
+    kind = "invalid_change"
+    remedy = "correct the fields named"
+
+
+class DamagedCopyError(errors.GatewayError):
+    """The durable copy of the configuration fails its checksum."""
+
+    number = 514
+    status = 500
+    kind = "damaged_configuration_copy"
+    remedy = (
+        "delete the folder named and start again while control VMs are "
+        "within reach"
+    )
+
+
+class ReplicaChangeUnavailableError(errors.GatewayError):
+    """The group cannot change its replicas."""
+
+    number = 515
+    status = 501
+    kind = "replica_change_unavailable"
+    remedy = "send it to a control VM whose group can change its replicas"
--- /dev/null
+++ b/buckthorntack/configuration/_log.py
@@ -0,0 +1,103 @@
+"""A published set with the recent deltas that led to it."""
+
+import collections
+
+from buckthorntack import objects
+from buckthorntack import schema
+from buckthorntack.configuration import _content
+from buckthorntack.schema import messages
+
+#: Most deltas kept for those that are behind.
+MAX_DELTAS = 1024
+#: Most bytes of deltas kept for those that are behind.
+MAX_DELTA_BYTES = 1 << 20
+
+
+class PublishedLog:
+    """Published set, digest of its history and recent deltas.
+
+    Control VMs and entry VMs hold one each; the digest tells whether two of
+    them have the same history.
+    """
+
+    def __init__(self):
+        self.published = objects.PublishedSet(0)
+        self.digest = b""
+        self._deltas = collections.deque()
+        self._delta_bytes = 0
+
+    @property
+    def revision(self):
+        """Revision of the set."""
+        return self.published.revision
+
+    def append(self, encoded):
+        """Take the next step.
+
+        :param encoded: an encoded ``ConfigurationDelta`` that leads to the
+            revision after the present one.
+        """
+        delta = schema.unpack(encoded)
+        if delta.revision != self.revision + 1:
+            raise ValueError(f"{delta.revision} is not after {self.revision}")
+        self.published = self.published.with_changes(
+            delta.revision,
+            _content.decode_objects(delta.put),
+            _content.decode_names(delta.remove),
+        )
+        self.digest = _content.digest(self.digest, encoded)
+        self._keep(encoded)
+
+    def _keep(self, encoded):
+        self._deltas.append(encoded)
+        self._delta_bytes += len(encoded)
+        while (
+            len(self._deltas) > MAX_DELTAS
+            or self._delta_bytes > MAX_DELTA_BYTES
+        ):
+            self._delta_bytes -= len(self._deltas.popleft())
+
+    def deltas(self):
+        """Recent deltas, the last one leads to the present revision."""
+        return list(self._deltas)
+
+    def deltas_after(self, revision):
+        """Deltas that lead from a revision to the present one.
+
+        :param revision: a revision not above the present one.
+        :returns: list of encoded deltas, or ``None`` if some are gone.
+        """
+        missing = self.revision - revision
+        if missing < 0 or missing > len(self._deltas):
+            return None
+        return self.deltas()[len(self._deltas) - missing :]
+
+    def copy(self):
+        """Encode the whole set.
+
+        :returns: an encoded ``ConfigurationCopy``.
+        """
+        named_objects = list(self.published.named_objects())
+        return schema.pack(
+            messages.ConfigurationCopy(
+                revision=self.revision,
+                digest=self.digest,
+                objects=_content.encode(named_objects),
+            )
+        )
+
+    def load(self, encoded, deltas=()):
+        """Replace the set.
+
+        :param encoded: what :meth:`copy` gave.
+        :param deltas: recent deltas that led to it.
+        """
+        copy = schema.unpack(encoded)
+        self.published = objects.PublishedSet(
+            copy.revision, _content.decode_objects(copy.objects)
+        )
+        self.digest = copy.digest
+        self._deltas.clear()
+        self._delta_bytes = 0
+        for delta in deltas:
+            self._keep(delta)
--- /dev/null
+++ b/buckthorntack/configuration/_machine.py
@@ -0,0 +1,301 @@
+"""Replicated state of the configuration group."""
+
+import functools
+from typing import NamedTuple
+
+import expression
+
+from buckthorntack import events
+from buckthorntack import objects
+from buckthorntack import schema
+from buckthorntack.configuration import _changes
+from buckthorntack.configuration import _content
+from buckthorntack.configuration import _errors
+from buckthorntack.configuration import _events
+from buckthorntack.configuration import _log
+from buckthorntack.configuration import _narrowing
+from buckthorntack.schema import messages
+
+_LOG = events.EventLog("configuration")
+
+
+class ChangePending(NamedTuple):
+    """A change awaits confirmation by entry VMs of some regions."""
+
+    change_id: str
+    revision: int
+    regions: list[str]
+
+
+class ConfigurationMachine:
+    """State machine of the published objects.
+
+    Commands are ``ConfigurationProposal``, ``ConfigurationSettlement`` and
+    ``ConfigurationRegistration``.  A change that takes an organisation out
+    of a region is first applied as an interim revision that only withholds,
+    and is accepted by a settlement once the entry VMs of that region
+    confirmed it; see docs/design/configuration.md.
+
+    :param check_change: checks a change to a published set, as
+        :func:`buckthorntack.objects.check_change` does.
+    """
+
+    def __init__(self, check_change=objects.check_change):
+        self.check_change = check_change
+        self.log = _log.PublishedLog()
+        self.answers = _changes.ChangeAnswers()
+        self.pending = None
+        self.entry_vms = {}
+        self.log_time_ms = 0
+        self._listeners = []
+
+    @property
+    def published(self):
+        """Present published set."""
+        return self.log.published
+
+    @property
+    def revision(self):
+        """Present revision."""
+        return self.log.revision
+
+    def listen(self, listener):
+        """Have a function called after each command and each restore.
+
+        :param listener: called without arguments; must not block.
+        """
+        self._listeners.append(listener)
+
+    def apply(self, index, command):
+        """Apply one committed command.
+
+        :param index: its place in the log.
+        :param command: a packed message.
+        :returns: ``Result``; for a proposal of a ``ChangeResult`` or a
+            :class:`ChangePending`.
+        """
+        result = self._apply(schema.unpack(command))
+        self._tell()
+        return result
+
+    def _tell(self):
+        for listener in self._listeners:
+            listener()
+
+    @functools.singledispatchmethod
+    def _apply(self, command):
+        raise TypeError(f"{type(command).__name__} is no command")
+
+    @_apply.register
+    def _propose(self, command: messages.ConfigurationProposal):
+        self.log_time_ms = max(self.log_time_ms, command.proposed_at_ms)
+        known = self.answer(command.change_id, command.fingerprint)
+        if known is not None:
+            return known
+        if self.pending or command.base_revision != self.revision:
+            return self._answer(command, conflict=True)
+        put = _content.decode_objects(command.put)
+        remove = self._removed(command, put)
+        findings = self.check_change(self.published, put, remove)
+        if findings:
+            return self._answer(command, findings=findings)
+        return self._take(command, put, remove)
+
+    def answer(self, change_id, fingerprint):
+        """Answer that a known change got before.
+
+        :param change_id: id of the change.
+        :param fingerprint: digest of its content.
+        :returns: ``Result``, or ``None`` for an unknown change id.
+        """
+        record = self.answers.get(change_id)
+        pending = self.pending
+        if record is None and pending and pending.change_id == change_id:
+            record = pending
+        if record is None:
+            return None
+        if record.fingerprint != fingerprint:
+            detail = f"change id {change_id!r} stands for another content"
+            return expression.Error(_errors.ChangeIdReusedError(detail))
+        if record is pending:
+            return expression.Ok(self._pending_answer())
+        return expression.Ok(_changes.result_of(record))
+
+    def _pending_answer(self):
+        pending = self.pending
+        return ChangePending(
+            pending.change_id, pending.revision, list(pending.regions)
+        )
+
+    def _removed(self, command, put):
+        remove = _content.decode_names(command.remove)
+        if not command.replace_all:
+            return remove
+        kept = {(entry["kind"], entry["object"].get("name")) for entry in put}
+        kept |= {(entry["kind"], entry["name"]) for entry in remove}
+        for entry in self.published.named_objects():
+            kind, name = entry["kind"], entry["object"]["name"]
+            if (kind, name) not in kept:
+                remove.append({"kind": kind, "name": name})
+        return remove
+
+    def _take(self, command, put, remove):
+        after = self.published.with_changes(self.revision + 1, put, remove)
+        interim = _narrowing.interim(self.published, after, put, remove)
+        if not self._must_confirm(interim.regions, command.stopped_entry_vms):
+            self._step(put, remove)
+            self._forget_stopped(command.stopped_entry_vms)
+            return self._answer(command, accepted=True)
+        return self._suspend(command, put, remove, interim)
+
+    def _must_confirm(self, regions, stopped):
+        return [
+            node_id
+            for node_id, entry_vm in self.entry_vms.items()
+            if entry_vm.region in regions and node_id not in stopped
+        ]
+
+    def awaited(self):
+        """Entry VMs that must confirm the pending change."""
+        if self.pending is None:
+            return []
+        pending = self.pending
+        return self._must_confirm(pending.regions, pending.stopped_entry_vms)
+
+    def _suspend(self, command, put, remove, interim):
+        revision = self.revision + 1
+        remove = [*remove, *interim.extra_rules]
+        self.pending = messages.PendingChange(
+            change_id=command.change_id,
+            fingerprint=command.fingerprint,
+            stopped_entry_vms=command.stopped_entry_vms,
+            operator=command.operator,
+            note=command.note,
+            proposed_at_ms=command.proposed_at_ms,
+            revision=revision,
+            regions=sorted(interim.regions),
+            restore=_delta(
+                revision + 1, interim.restore_put, interim.extra_rules
+            ),
+            complete=_delta(revision + 1, put, remove),
+        )
+        self._step(interim.put, [])
+        _LOG.write(
+            _events.CHANGE_PENDING,
+            change_id=command.change_id,
+            revision=revision,
+            regions=",".join(self.pending.regions),
+        )
+        return expression.Ok(self._pending_answer())
+
+    def _step(self, put, remove):
+        self.log.append(schema.pack(_delta(self.revision + 1, put, remove)))
+
+    def _forget_stopped(self, stopped):
+        for node_id in stopped:
+            self.entry_vms.pop(node_id, None)
+
+    @_apply.register
+    def _settle(self, command: messages.ConfigurationSettlement):
+        pending = self.pending
+        self.log_time_ms = max(self.log_time_ms, command.proposed_at_ms)
+        if pending is None or pending.revision != command.revision:
+            return expression.Ok(None)
+        self.pending = None
+        if command.confirmed:
+            self.log.append(schema.pack(pending.complete))
+            self._forget_stopped(pending.stopped_entry_vms)
+            return self._answer(pending, accepted=True)
+        self.log.append(schema.pack(pending.restore))
+        findings = [_not_confirmed(pending, command.unconfirmed)]
+        _LOG.write(
+            _events.CHANGE_WITHDRAWN,
+            change_id=pending.change_id,
+            unconfirmed=",".join(command.unconfirmed),
+        )
+        return self._answer(pending, findings=findings)
+
+    @_apply.register
+    def _register(self, command: messages.ConfigurationRegistration):
+        if command.present:
+            self.entry_vms[command.node_id] = command
+        else:
+            self.entry_vms.pop(command.node_id, None)
+        _LOG.write(
+            _events.ENTRY_REGISTERED,
+            node_id=command.node_id,
+            present=command.present,
+        )
+        return expression.Ok(None)
+
+    def _answer(self, change, accepted=False, conflict=False, findings=()):
+        kept = list(findings)[: _changes.MAX_FINDINGS]
+        record = messages.ChangeRecord(
+            change_id=change.change_id,
+            fingerprint=change.fingerprint,
+            accepted=accepted,
+            conflict=conflict,
+            revision=self.revision,
+            findings=_content.encode(kept) if kept else b"",
+            operator=change.operator,
+            note=change.note,
+            proposed_at_ms=change.proposed_at_ms,
+        )
+        self.answers.add(record, self.log_time_ms)
+        _LOG.write(
+            _events.CHANGE_DECIDED,
+            change_id=change.change_id,
+            operator=change.operator,
+            accepted=accepted,
+            conflict=conflict,
+            findings=len(findings),
+            revision=self.revision,
+        )
+        return expression.Ok(_changes.result_of(record))
+
+    def snapshot(self):
+        """Whole state as bytes."""
+        return schema.pack(
+            messages.ConfigurationSnapshot(
+                copy=self.log.copy(),
+                deltas=self.log.deltas(),
+                history=self.answers.records(),
+                pending=[] if self.pending is None else [self.pending],
+                entry_vms=list(self.entry_vms.values()),
+                log_time_ms=self.log_time_ms,
+            )
+        )
+
+    def restore(self, snapshot):
+        """Replace the state.
+
+        :param snapshot: what :meth:`snapshot` gave.
+        """
+        state = schema.unpack(snapshot)
+        self.log.load(state.copy, state.deltas)
+        self.answers.load(state.history)
+        self.pending = state.pending[0] if state.pending else None
+        self.entry_vms = {one.node_id: one for one in state.entry_vms}
+        self.log_time_ms = state.log_time_ms
+        self._tell()
+
+
+def _delta(revision, put, remove):
+    return messages.ConfigurationDelta(
+        revision=revision,
+        put=_content.encode(put),
+        remove=_content.encode(remove),
+    )
+
+
+def _not_confirmed(pending, unconfirmed):
+    return {
+        "rule": "not_confirmed",
+        "kind": "Region",
+        "name": ", ".join(pending.regions),
+        "path": "",
+        "message": "the change takes an organisation out of the region, and "
+        f"entry VMs did not confirm it: {', '.join(unconfirmed)}",
+        "remedy": "restore contact to them and send a new change, or make "
+        "sure they are stopped and list them in stopped_entry_vms",
+    }
--- a/buckthorntack/schema/__init__.py
+++ b/buckthorntack/schema/__init__.py
@@ -4,6 +4,8 @@
 from buckthorntack.schema._codec import encode
 from buckthorntack.schema._codec import MalformedMessageError
 from buckthorntack.schema._codec import message_types
+from buckthorntack.schema._codec import pack
+from buckthorntack.schema._codec import unpack
 from buckthorntack.schema._documents import document_schema
 from buckthorntack.schema._documents import DocumentFinding
 from buckthorntack.schema._documents import validate_document
@@ -15,5 +17,7 @@
     "document_schema",
     "encode",
     "message_types",
+    "pack",
+    "unpack",
     "validate_document",
 ]
--- a/buckthorntack/schema/_codec.py
+++ b/buckthorntack/schema/_codec.py
@@ -70,3 +70,30 @@
             f"{codec.message_type.__name__}: {error}; "
             "look for a sender of another version"
         ) from error
+
+
+_NAME_END = b"\0"
+
+
+def pack(message):
+    """Encode a message as one byte string, for logs and files.
+
+    :param message: a ``NamedTuple`` of the schema.
+    :returns: its name and its payload, joined.
+
+    >>> from buckthorntack.schema import messages
+    >>> unpack(pack(messages.Ping(sent_at_ms=5)))
+    Ping(sent_at_ms=5)
+    """
+    return _NAME_END.join(encode(message))
+
+
+def unpack(packed):
+    """Decode what :func:`pack` gave.
+
+    :param packed: the bytes.
+    :returns: the message.
+    :raises MalformedMessageError: unknown name or wrong payload.
+    """
+    name, _, payload = packed.partition(_NAME_END)
+    return decode(name, payload)
--- a/buckthorntack/schema/_generated/admin_documents.py
+++ b/buckthorntack/schema/_generated/admin_documents.py
@@ -82,6 +82,10 @@
     Filled in from the operator's token.
     """
     note: NotRequired[str]
+    stopped_entry_vms: NotRequired[list[str]]
+    """
+    Node ids of entry VMs that the operator has made sure are stopped; a change that takes an organisation out of a region does not wait for them.
+    """
 
 
 class ChangeResult(TypedDict, closed=True):
