--- a/buckthorntack/configuration/_errors.py
+++ b/buckthorntack/configuration/_errors.py
@@ -40,22 +40,10 @@
     remedy = "correct the fields named"
 
 
-class DamagedCopyError(errors.GatewayError):
-    """The durable copy of the configuration fails its checksum."""
-
-    number = 514
-    status = 500
-    kind = "damaged_configuration_copy"
-    remedy = (
-        "delete the folder named and start again while control VMs are "
-        "within reach"
-    )
-
-
 class ReplicaChangeUnavailableError(errors.GatewayError):
     """The group cannot change its replicas."""
 
-    number = 515
+    number = 514
     status = 501
     kind = "replica_change_unavailable"
     remedy = "send it to a control VM whose group can change its replicas"
--- /dev/null
+++ b/buckthorntack/configuration/_follow_task.py
@@ -0,0 +1,241 @@
+"""Shell of the follower on an entry VM."""
+
+import asyncio
+import contextlib
+import datetime
+import functools
+
+import expression
+
+from buckthorntack import events
+from buckthorntack.configuration import _commands
+from buckthorntack.configuration import _copy_store
+from buckthorntack.configuration import _errors
+from buckthorntack.configuration import _events
+from buckthorntack.configuration import _follower
+from buckthorntack.configuration import _log
+from buckthorntack.configuration import _source
+from buckthorntack.configuration import _waiting
+from buckthorntack.schema import messages
+
+TICK = datetime.timedelta(milliseconds=100)
+#: Pause before a copy that could not be written is written again.
+WRITE_RETRY = datetime.timedelta(seconds=1)
+
+_LOG = events.EventLog("configuration")
+_GIVEN_TO_PEERS = (messages.ConfigurationPoll,)
+
+
+class ConfigurationFollowerTask:
+    """Holds the published set that is in force on this node.
+
+    :param node_id: this node.
+    :param region: its region.
+    :param failure_domain: its failure domain.
+    :param folder: folder of the durable copy, or ``None`` without a disk.
+    :param sources: node ids of control VMs.
+    :param peers: gives the other entry VMs of the failure domain.
+    :param sender: sends messages.
+    :param clock: the clock.
+    :param rng: random source.
+    """
+
+    def __init__(
+        self,
+        node_id,
+        region,
+        failure_domain,
+        folder,
+        sources,
+        peers,
+        sender,
+        clock,
+        rng,
+    ):
+        self.node_id = node_id
+        self.peers = peers
+        self.sender = sender
+        self.clock = clock
+        self.folder = folder
+        self.follower = _follower.ConfigurationFollower(
+            region, failure_domain, sources, rng
+        )
+        self.source = _source.ConfigurationSource(self.follower.log)
+        self._current = None
+        self._listeners = []
+        self._waiters = []
+        self._unwritten = asyncio.Queue()
+        self._stack = contextlib.AsyncExitStack()
+        self._store = None
+
+    async def __aenter__(self):
+        if self.folder is not None:
+            store = _copy_store.CopyStore(self.folder)
+            self._store = self._stack.enter_context(store)
+            self._resume(self._store.load())
+        for work in (self._run_ticks(), self._run_writes()):
+            task = asyncio.create_task(work)
+            self._stack.push_async_callback(_cancelled, task)
+        return self
+
+    async def __aexit__(self, *exc_info):
+        await self._stack.aclose()
+
+    def _resume(self, stored):
+        if stored is None:
+            return
+        self.follower.resume(stored.copy, stored.deltas, stored.registered)
+        self._current = self.follower.log.published
+
+    def current(self):
+        """The published set in force, or ``None`` if there is none yet.
+
+        There is none before this node was registered by a control VM: a
+        change that takes an organisation out of a region would not wait for
+        it.
+        """
+        return self._current if self.follower.registered else None
+
+    def listen(self, listener):
+        """Have a function called with each new set in force.
+
+        :param listener: called with the set; must not block.
+        """
+        self._listeners.append(listener)
+
+    def deliver(self, sender, message):
+        """Take a message of the configuration schema.
+
+        :param sender: authenticated node that sent it.
+        :param message: the message.
+        """
+        now = self.clock.monotonic()
+        if isinstance(message, _GIVEN_TO_PEERS):
+            self._execute_all(self.source.receive(sender, message, now))
+        else:
+            self._execute_all(self.follower.receive(sender, message, now))
+
+    async def wait_for(self, revision, within):
+        """Wait until a revision or a later one is in force.
+
+        :param revision: the revision.
+        :param within: how long to wait.
+        :returns: ``Result`` of the published set.
+        """
+        reached = asyncio.get_running_loop().create_future()
+        self._waiters.append((revision, reached))
+        self._wake()
+        if not reached.done():
+            now = self.clock.monotonic()
+            self._execute_all(self.follower.catch_up(now, self._others()))
+        if await _waiting.wait_until(reached, self.clock, within):
+            return expression.Ok(self.current())
+        self._waiters.remove((revision, reached))
+        held = self.follower.in_force_revision
+        detail = f"revision {revision} asked for, {held} in force"
+        return expression.Error(_errors.RevisionNotReachedError(detail))
+
+    def _wake(self):
+        current = self.current()
+        held = -1 if current is None else current.revision
+        for entry in list(self._waiters):
+            revision, reached = entry
+            if revision <= held:
+                self._waiters.remove(entry)
+                reached.done() or reached.set_result(None)
+
+    def _others(self):
+        return [one for one in self.peers() if one != self.node_id]
+
+    async def _run_ticks(self):
+        while True:
+            now = self.clock.monotonic()
+            self._execute_all(self.follower.tick(now, self._others()))
+            await self.clock.sleep(TICK)
+
+    def _execute_all(self, commands):
+        for command in commands:
+            self._execute(command)
+
+    @functools.singledispatchmethod
+    def _execute(self, command):
+        raise TypeError(f"{type(command).__name__} is no command")
+
+    @_execute.register
+    def _send(self, command: _commands.Send):
+        self.sender.send(command.to, command.message)
+
+    @_execute.register
+    def _adopt(self, command: _commands.Adopt):
+        self._unwritten.put_nowait(command)
+
+    @_execute.register
+    def _mark_registered(self, command: _commands.MarkRegistered):
+        self._unwritten.put_nowait(command)
+
+    async def _run_writes(self):
+        while True:
+            command = await self._unwritten.get()
+            await self._write_until_done(command)
+            if isinstance(command, _commands.Adopt):
+                self._put_in_force(command.published)
+            else:
+                self._tell()
+
+    async def _write_until_done(self, command):
+        while self._store is not None:
+            try:
+                await asyncio.to_thread(self._write, command)
+                return
+            except OSError as error:
+                _LOG.write(_events.COPY_NOT_WRITTEN, error=error)
+                await self.clock.sleep(WRITE_RETRY)
+
+    def _write(self, command):
+        if isinstance(command, _commands.MarkRegistered):
+            self._store.set_registered(True)
+        elif command.copy:
+            self._store.write_copy(command.copy)
+        elif self._store.needs_copy():
+            copy = _log.encode_copy(command.published, command.digest)
+            self._store.write_copy(copy)
+        else:
+            self._store.append(command.delta)
+
+    def _put_in_force(self, published):
+        self._current = published
+        now = self.clock.monotonic()
+        revision = published.revision
+        self._execute_all(self.follower.in_force(revision, now))
+        self._execute_all(self.source.changed(now))
+        _LOG.write(_events.REVISION_IN_FORCE, revision=revision)
+        self._tell()
+
+    def _tell(self):
+        current = self.current()
+        if current is None:
+            return
+        for listener in self._listeners:
+            listener(current)
+        self._wake()
+
+    async def leave(self):
+        """Give up the durable copy and tell control that this node stops.
+
+        To be called once this node serves no request any more.
+        """
+        self.follower.registered = False
+        if self._store is not None:
+            await asyncio.to_thread(self._store.set_registered, False)
+        follower = self.follower
+        message = messages.ConfigurationLeave(
+            follower.region, follower.failure_domain
+        )
+        if follower.source is not None:
+            self.sender.send(follower.source, message)
+
+
+async def _cancelled(task):
+    task.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await task
--- a/buckthorntack/configuration/_log.py
+++ b/buckthorntack/configuration/_log.py
@@ -13,6 +13,22 @@
 MAX_DELTA_BYTES = 1 << 20
 
 
+def encode_copy(published, digest):
+    """Encode a whole set.
+
+    :param published: the set.
+    :param digest: digest of the history up to its revision.
+    :returns: an encoded ``ConfigurationCopy``.
+    """
+    return schema.pack(
+        messages.ConfigurationCopy(
+            revision=published.revision,
+            digest=digest,
+            objects=_content.encode(list(published.named_objects())),
+        )
+    )
+
+
 class PublishedLog:
     """Published set, digest of its history and recent deltas.
 
@@ -24,6 +40,7 @@
         self.published = objects.PublishedSet(0)
         self.digest = b""
         self._deltas = collections.deque()
+        self._digests = collections.deque()
         self._delta_bytes = 0
 
     @property
@@ -46,21 +63,27 @@
             _content.decode_names(delta.remove),
         )
         self.digest = _content.digest(self.digest, encoded)
-        self._keep(encoded)
+        self._keep(encoded, self.digest)
 
-    def _keep(self, encoded):
+    def _keep(self, encoded, digest):
         self._deltas.append(encoded)
+        self._digests.append(digest)
         self._delta_bytes += len(encoded)
         while (
             len(self._deltas) > MAX_DELTAS
             or self._delta_bytes > MAX_DELTA_BYTES
         ):
             self._delta_bytes -= len(self._deltas.popleft())
+            self._digests.popleft()
 
     def deltas(self):
         """Recent deltas, the last one leads to the present revision."""
         return list(self._deltas)
 
+    def steps(self):
+        """Recent deltas, each with the digest of the history up to it."""
+        return list(zip(self._deltas, self._digests, strict=True))
+
     def deltas_after(self, revision):
         """Deltas that lead from a revision to the present one.
 
@@ -72,25 +95,31 @@
             return None
         return self.deltas()[len(self._deltas) - missing :]
 
+    def digest_at(self, revision):
+        """Digest of the history up to a revision.
+
+        :param revision: the revision.
+        :returns: the digest, or ``None`` if it is no longer known.
+        """
+        if revision == self.revision:
+            return self.digest
+        place = len(self._digests) - 1 - (self.revision - revision)
+        if 0 <= place < len(self._digests):
+            return self._digests[place]
+        return b"" if revision == 0 else None
+
     def copy(self):
         """Encode the whole set.
 
         :returns: an encoded ``ConfigurationCopy``.
         """
-        named_objects = list(self.published.named_objects())
-        return schema.pack(
-            messages.ConfigurationCopy(
-                revision=self.revision,
-                digest=self.digest,
-                objects=_content.encode(named_objects),
-            )
-        )
+        return encode_copy(self.published, self.digest)
 
-    def load(self, encoded, deltas=()):
+    def load(self, encoded, steps=()):
         """Replace the set.
 
         :param encoded: what :meth:`copy` gave.
-        :param deltas: recent deltas that led to it.
+        :param steps: what :meth:`steps` gave.
         """
         copy = schema.unpack(encoded)
         self.published = objects.PublishedSet(
@@ -98,6 +127,7 @@
         )
         self.digest = copy.digest
         self._deltas.clear()
+        self._digests.clear()
         self._delta_bytes = 0
-        for delta in deltas:
-            self._keep(delta)
+        for delta, digest in steps:
+            self._keep(delta, digest)
--- a/buckthorntack/configuration/_machine.py
+++ b/buckthorntack/configuration/_machine.py
@@ -66,6 +66,13 @@
         """
         self._listeners.append(listener)
 
+    def ignore(self, listener):
+        """Undo :meth:`listen`.
+
+        :param listener: the function.
+        """
+        self._listeners.remove(listener)
+
     def apply(self, index, command):
         """Apply one committed command.
 
@@ -79,7 +86,7 @@
         return result
 
     def _tell(self):
-        for listener in self._listeners:
+        for listener in list(self._listeners):
             listener()
 
     @functools.singledispatchmethod
@@ -258,7 +265,7 @@
         return schema.pack(
             messages.ConfigurationSnapshot(
                 copy=self.log.copy(),
-                deltas=self.log.deltas(),
+                steps=self._encoded_steps(),
                 history=self.answers.records(),
                 pending=[] if self.pending is None else [self.pending],
                 entry_vms=list(self.entry_vms.values()),
@@ -266,13 +273,18 @@
             )
         )
 
+    def _encoded_steps(self):
+        steps = self.log.steps()
+        return [messages.ConfigurationStep(*step) for step in steps]
+
     def restore(self, snapshot):
         """Replace the state.
 
         :param snapshot: what :meth:`snapshot` gave.
         """
         state = schema.unpack(snapshot)
-        self.log.load(state.copy, state.deltas)
+        steps = [(step.delta, step.digest) for step in state.steps]
+        self.log.load(state.copy, steps)
         self.answers.load(state.history)
         self.pending = state.pending[0] if state.pending else None
         self.entry_vms = {one.node_id: one for one in state.entry_vms}
--- a/buckthorntack/schema/_generated/configuration.py
+++ b/buckthorntack/schema/_generated/configuration.py
@@ -44,6 +44,7 @@
     revision: int
     fresh: bool
     registered: bool
+    copy_needed: bool
 
 
 class ConfigurationDeltas(NamedTuple):
@@ -178,13 +179,22 @@
     complete: ConfigurationDelta
 
 
+class ConfigurationStep(NamedTuple):
+    """
+    A delta in a snapshot.
+    """
+
+    delta: bytes
+    digest: bytes
+
+
 class ConfigurationSnapshot(NamedTuple):
     """
     Replicated state of the configuration group.
     """
 
     copy: bytes
-    deltas: list[bytes]
+    steps: list[ConfigurationStep]
     history: list[ChangeRecord]
     pending: list[PendingChange]
     entry_vms: list[ConfigurationRegistration]
--- a/buckthorntack/schema/messages.py
+++ b/buckthorntack/schema/messages.py
@@ -21,6 +21,7 @@
     ConfigurationSettlement,
 )
 from buckthorntack.schema._generated.configuration import ConfigurationSnapshot
+from buckthorntack.schema._generated.configuration import ConfigurationStep
 from buckthorntack.schema._generated.configuration import PendingChange
 from buckthorntack.schema._generated.forwarding import ForwardAlive
 from buckthorntack.schema._generated.forwarding import ForwardBody
@@ -66,6 +67,7 @@
     "ConfigurationReports",
     "ConfigurationSettlement",
     "ConfigurationSnapshot",
+    "ConfigurationStep",
     "DomainSummary",
     "EntryRecord",
     "ForwardAlive",
