--- a/buckthorntack/schema/_generated/ledger.py
+++ b/buckthorntack/schema/_generated/ledger.py
@@ -101,6 +101,8 @@
     """
 
     at_ms: int
+    retention_ms: int
+    capacity_bytes: int
     operations: list[LedgerOperation]
 
 
@@ -115,6 +117,7 @@
     body_hash: bytes
     store_answer: bool
     expires_at_ms: int
+    window: int
     status: int
     headers: list[LedgerHeader]
     body: bytes
@@ -137,4 +140,5 @@
 
     records: list[LedgerStoredRecord]
     tombstones: bytes
+    closed_window: int
     log_time_ms: int
