--- a/buckthorntack/schema/messages.py
+++ b/buckthorntack/schema/messages.py
@@ -3,6 +3,29 @@
 from buckthorntack.schema._generated.admission import QuotaGrant
 from buckthorntack.schema._generated.admission import QuotaNeed
 from buckthorntack.schema._generated.admission import UsageReport
+from buckthorntack.schema._generated.configuration import ChangeRecord
+from buckthorntack.schema._generated.configuration import ConfigurationChunk
+from buckthorntack.schema._generated.configuration import (
+    ConfigurationChunkRequest,
+)
+from buckthorntack.schema._generated.configuration import ConfigurationCopy
+from buckthorntack.schema._generated.configuration import ConfigurationDelta
+from buckthorntack.schema._generated.configuration import ConfigurationDeltas
+from buckthorntack.schema._generated.configuration import ConfigurationLeave
+from buckthorntack.schema._generated.configuration import ConfigurationPoll
+from buckthorntack.schema._generated.configuration import ConfigurationPresent
+from buckthorntack.schema._generated.configuration import ConfigurationProposal
+from buckthorntack.schema._generated.configuration import (
+    ConfigurationRegistration,
+)
+from buckthorntack.schema._generated.configuration import ConfigurationReport
+from buckthorntack.schema._generated.configuration import ConfigurationReports
+from buckthorntack.schema._generated.configuration import (
+    ConfigurationSettlement,
+)
+from buckthorntack.schema._generated.configuration import ConfigurationSnapshot
+from buckthorntack.schema._generated.configuration import ConfigurationStep
+from buckthorntack.schema._generated.configuration import PendingChange
 from buckthorntack.schema._generated.consensus import AppendRequest
 from buckthorntack.schema._generated.consensus import AppendResponse
 from buckthorntack.schema._generated.consensus import EnrolRequest
@@ -26,6 +49,17 @@
 from buckthorntack.schema._generated.forwarding import ForwardHead
 from buckthorntack.schema._generated.forwarding import ForwardHeader
 from buckthorntack.schema._generated.forwarding import ForwardRequest
+from buckthorntack.schema._generated.ledger import LedgerBatch
+from buckthorntack.schema._generated.ledger import LedgerClaim
+from buckthorntack.schema._generated.ledger import LedgerHeader
+from buckthorntack.schema._generated.ledger import LedgerOperation
+from buckthorntack.schema._generated.ledger import LedgerProbe
+from buckthorntack.schema._generated.ledger import LedgerProbeReply
+from buckthorntack.schema._generated.ledger import LedgerRecord
+from buckthorntack.schema._generated.ledger import LedgerReply
+from buckthorntack.schema._generated.ledger import LedgerSettle
+from buckthorntack.schema._generated.ledger import LedgerSnapshot
+from buckthorntack.schema._generated.ledger import LedgerStoredRecord
 from buckthorntack.schema._generated.links import Ping
 from buckthorntack.schema._generated.links import Pong
 from buckthorntack.schema._generated.membership import DomainSummary
@@ -56,6 +90,22 @@
     "Acquittal",
     "AppendRequest",
     "AppendResponse",
+    "ChangeRecord",
+    "ConfigurationChunk",
+    "ConfigurationChunkRequest",
+    "ConfigurationCopy",
+    "ConfigurationDelta",
+    "ConfigurationDeltas",
+    "ConfigurationLeave",
+    "ConfigurationPoll",
+    "ConfigurationPresent",
+    "ConfigurationProposal",
+    "ConfigurationRegistration",
+    "ConfigurationReport",
+    "ConfigurationReports",
+    "ConfigurationSettlement",
+    "ConfigurationSnapshot",
+    "ConfigurationStep",
     "Conviction",
     "CrashEvidence",
     "DomainSummary",
@@ -74,6 +124,17 @@
     "ForwardRequest",
     "ForwardedProposal",
     "Item",
+    "LedgerBatch",
+    "LedgerClaim",
+    "LedgerHeader",
+    "LedgerOperation",
+    "LedgerProbe",
+    "LedgerProbeReply",
+    "LedgerRecord",
+    "LedgerReply",
+    "LedgerSettle",
+    "LedgerSnapshot",
+    "LedgerStoredRecord",
     "LogEntry",
     "MembershipDelta",
     "MembershipDigest",
@@ -84,6 +145,7 @@
     "MembershipPull",
     "MembershipSummaries",
     "MessageStamp",
+    "PendingChange",
     "Ping",
     "Pong",
     "ProposalRefused",
