Bring the whole path up: entry, control, node, stand-ins

Cause: the parts needed a process around them. Change: the entry role (reading, admission, attempts, relay of whole events, ledger claims, forwarding between regions), the control role, the node, log output, fake engine, service, announcer and caller, and a deployment of them in one process.

--- a/buckthorntack/control/__init__.py
+++ b/buckthorntack/control/__init__.py
@@ -8,14 +8,18 @@
 from buckthorntack.control._errors import MalformedCallError
 from buckthorntack.control._errors import UnknownCallError
 from buckthorntack.control._errors import UnknownObjectError
+from buckthorntack.control._role import ControlRole
+from buckthorntack.control._role import ledger_group
 
 __all__ = [
     "Administration",
     "AdministrationFault",
     "CallTooLargeError",
+    "ControlRole",
     "MalformedCallError",
     "UnknownCallError",
     "UnknownObjectError",
     "create_admin_app",
     "error_answer",
+    "ledger_group",
 ]
--- a/buckthorntack/control/_events.py
+++ b/buckthorntack/control/_events.py
@@ -30,3 +30,9 @@
     logbook.NOTICE,
     "An operator added or removed a replica of the configuration group.",
 )
+CONTROL_STARTED = events.declare(
+    1450,
+    "control_started",
+    logbook.NOTICE,
+    "The control VM runs its replicas.",
+)
--- /dev/null
+++ b/buckthorntack/entry/_attempt.py
@@ -0,0 +1,247 @@
+"""One attempt at a backend server, over HTTP."""
+
+import asyncio
+import datetime
+from typing import NamedTuple
+
+import httpx
+import msgspec
+
+from buckthorntack import errors
+from buckthorntack import retries
+
+ATTEMPT_HEADER = "x-attempt-id"
+STATE_HEADER = "x-run-state"
+CONNECT_SECONDS = 1.0
+ASK_SECONDS = 2.0
+EVENT_STREAM = "text/event-stream"
+PASSED_HEADERS = ("content-type", "location", "etag", "cache-control")
+NOT_RUN_STATUS = 503
+NOT_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
+
+
+class Done(NamedTuple):
+    """The attempt's whole answer was received."""
+
+    status: int
+    headers: list[tuple[str, str]]
+    #: Empty for a stream, which was handed on already.
+    body: bytes
+    tokens: int
+
+
+class Target(NamedTuple):
+    """Where an attempt runs."""
+
+    attempt_id: str
+    server_id: str
+    url: str
+
+
+class AttemptClient:
+    """Owns the connections to backend servers.
+
+    :param clock: source of time.
+    :param progress: longest silence of an open connection.
+    """
+
+    def __init__(self, clock, progress):
+        self.clock = clock
+        self.progress = progress
+        self._shared = None
+        self._single = None
+        self._cancels = set()
+
+    async def __aenter__(self):
+        timeout = httpx.Timeout(None, connect=CONNECT_SECONDS)
+        limits = httpx.Limits(
+            max_connections=None, max_keepalive_connections=256
+        )
+        single = httpx.Limits(
+            max_connections=None, max_keepalive_connections=0
+        )
+        self._shared = httpx.AsyncClient(
+            timeout=timeout, limits=limits, trust_env=False
+        )
+        self._single = httpx.AsyncClient(
+            timeout=timeout, limits=single, trust_env=False
+        )
+        return self
+
+    async def __aexit__(self, *exc_info):
+        await asyncio.gather(*self._cancels, return_exceptions=True)
+        await self._shared.aclose()
+        await self._single.aclose()
+
+    async def run(self, request, target, priority, sink, relay, on_head):
+        """Send a request and take its answer.
+
+        :param request: the ``GatewayRequest``.
+        :param target: the :class:`Target`.
+        :param priority: rank told to the server.
+        :param sink: where a stream goes.
+        :param relay: the ``EventRelay`` of a stream, else ``None``.
+        :param on_head: called when the head has come.
+        :returns: :class:`Done` or a failure of ``retries``.
+        """
+        headers = {
+            ATTEMPT_HEADER: target.attempt_id,
+            "x-request-id": request.request_id,
+            "x-priority": str(priority),
+            "content-type": request.content_type,
+        }
+        client = self._shared if request.idempotent else self._single
+        opened = client.stream(
+            request.method,
+            target.url + request.path,
+            content=request.body,
+            headers=headers,
+        )
+        return await self._take(opened, target, sink, relay, on_head)
+
+    async def resume(self, target, sink, relay, on_head):
+        """Take the rest of an attempt's answer on a new connection.
+
+        :param target: the :class:`Target`.
+        :param sink: where a stream goes.
+        :param relay: the ``EventRelay`` of a stream, else ``None``.
+        :param on_head: called when the head has come.
+        :returns: :class:`Done` or a failure of ``retries``.
+        """
+        after = relay.last_event if relay is not None else -1
+        if relay is not None:
+            relay.reconnected()
+        url = f"{target.url}/attempts/{target.attempt_id}?after={after}"
+        opened = self._single.stream("GET", url)
+        result = await self._take(opened, target, sink, relay, on_head)
+        if isinstance(result, Done) and result.status == 404:
+            return retries.ResumeFailed(target.server_id)
+        if isinstance(result, retries.ConnectRefused):
+            return retries.ResumeFailed(target.server_id)
+        return result
+
+    async def ask_outcome(self, target):
+        """Ask what became of an attempt, on a new connection.
+
+        :param target: the :class:`Target`.
+        :returns: ``retries.OutcomeTold``.
+        """
+        unknown = retries.OutcomeTold(
+            target.server_id, errors.RunState.UNKNOWN, False
+        )
+        url = f"{target.url}/attempts/{target.attempt_id}/outcome"
+        try:
+            answer = await self._single.get(url, timeout=ASK_SECONDS)
+            told = msgspec.json.decode(answer.content)
+            state = errors.RunState(told["run_state"])
+            running = bool(told["running"])
+        except (httpx.HTTPError, msgspec.DecodeError, ValueError, KeyError):
+            return unknown
+        except TypeError:
+            return unknown
+        if answer.headers.get(ATTEMPT_HEADER) != target.attempt_id:
+            return unknown
+        return retries.OutcomeTold(target.server_id, state, running)
+
+    def cancel(self, target):
+        """Tell a server in the background that an answer is not wanted.
+
+        :param target: the :class:`Target`.
+        """
+        url = f"{target.url}/attempts/{target.attempt_id}"
+        work = asyncio.create_task(self._send_cancel(url))
+        self._cancels.add(work)
+        work.add_done_callback(self._cancels.discard)
+
+    async def _send_cancel(self, url):
+        try:
+            await self._single.delete(url, timeout=ASK_SECONDS)
+        except httpx.HTTPError:
+            return
+
+    async def _take(self, opened, target, sink, relay, on_head):
+        server_id = target.server_id
+        head_came = False
+        try:
+            async with asyncio.timeout(None) as limit:
+                limit.reschedule(self._limit())
+                async with opened as response:
+                    head_came = True
+                    told = response.headers.get(ATTEMPT_HEADER, "")
+                    if told != target.attempt_id:
+                        return retries.CrossedAnswer(server_id)
+                    on_head()
+                    return await self._read(
+                        response, target, sink, relay, limit
+                    )
+        except TimeoutError:
+            return retries.Silent(server_id)
+        except NOT_SENT:
+            return retries.ConnectRefused(server_id)
+        except httpx.HTTPError:
+            if head_came:
+                return retries.LostMidStream(server_id)
+            return retries.LostBeforeHead(server_id)
+
+    def _limit(self):
+        now = asyncio.get_running_loop().time()
+        return now + self.progress.total_seconds()
+
+    async def _read(self, response, target, sink, relay, limit):
+        kind = response.headers.get("content-type", "")
+        is_stream = kind.startswith(EVENT_STREAM)
+        if relay is not None and is_stream and response.status_code == 200:
+            return await self._read_events(
+                response, target, sink, relay, limit
+            )
+        return await self._read_whole(response, target, limit)
+
+    async def _read_events(self, response, target, sink, relay, limit):
+        if not sink.started:
+            headers = [("content-type", EVENT_STREAM)]
+            headers.append(("cache-control", "no-store"))
+            await sink.start(200, headers, target.attempt_id)
+        loop = asyncio.get_running_loop()
+        pause = self.progress.total_seconds()
+        async for data in response.aiter_raw():
+            if limit.when() - loop.time() < pause / 2:
+                limit.reschedule(loop.time() + pause)
+            checked = relay.feed(data)
+            if checked.is_error():
+                return retries.CrossedAnswer(target.server_id)
+            if checked.ok:
+                await sink.write(checked.ok)
+            if relay.done:
+                return Done(200, [], b"", relay.last_event)
+        return retries.LostMidStream(target.server_id)
+
+    async def _read_whole(self, response, target, limit):
+        parts = []
+        async for data in response.aiter_bytes():
+            limit.reschedule(self._limit())
+            parts.append(data)
+        body = b"".join(parts)
+        status = response.status_code
+        state = response.headers.get(STATE_HEADER, "")
+        if status == NOT_RUN_STATUS and state == errors.RunState.NOT_RUN:
+            return retries.SaidNotRun(target.server_id)
+        if status >= 500:
+            return retries.EngineError(target.server_id, status)
+        headers = [
+            (name, response.headers[name])
+            for name in PASSED_HEADERS
+            if name in response.headers
+        ]
+        return Done(status, headers, body, _tokens(body))
+
+
+def _tokens(body):
+    return len(body) // 16
+
+
+def milliseconds(duration):
+    """Whole milliseconds of a duration.
+
+    :param duration: the ``datetime.timedelta``.
+    """
+    return duration // datetime.timedelta(milliseconds=1)
--- /dev/null
+++ b/buckthorntack/entry/_metrics.py
@@ -0,0 +1,38 @@
+"""Prometheus metrics of the entry role."""
+
+import prometheus_client
+
+
+class EntryMetrics:
+    """Counts requests.
+
+    :param registry: where the metrics are registered.
+    """
+
+    def __init__(self, registry):
+        self._answered = prometheus_client.Counter(
+            "buckthorntack_requests_answered",
+            "Callers' requests answered whole.",
+            ["method"],
+            registry=registry,
+        )
+        self._refused = prometheus_client.Counter(
+            "buckthorntack_requests_refused",
+            "Callers' requests answered with an error.",
+            ["kind", "run_state"],
+            registry=registry,
+        )
+
+    def answered(self, method):
+        """Count a request that was answered whole.
+
+        :param method: HTTP method.
+        """
+        self._answered.labels(method).inc()
+
+    def refused(self, error):
+        """Count a request that was answered with an error.
+
+        :param error: the ``GatewayError``.
+        """
+        self._refused.labels(error.kind, error.run_state.value).inc()
--- a/buckthorntack/routing/__init__.py
+++ b/buckthorntack/routing/__init__.py
@@ -14,6 +14,8 @@
 from buckthorntack.routing._prefix import hash_text
 from buckthorntack.routing._prefix import prefix_hashes
 from buckthorntack.routing._prefix import PrefixIndex
+from buckthorntack.routing._prompt import Prompt
+from buckthorntack.routing._prompt import read_prompt
 from buckthorntack.routing._router import Router
 from buckthorntack.routing._types import AttemptOutcome
 from buckthorntack.routing._types import Reasons
@@ -32,6 +34,7 @@
     "NoServerError",
     "Policy",
     "PrefixIndex",
+    "Prompt",
     "REFUSED",
     "ROUTED",
     "RandomPolicy",
@@ -46,4 +49,5 @@
     "RoundRobinPolicy",
     "hash_text",
     "prefix_hashes",
+    "read_prompt",
 ]
--- a/buckthorntack/routing/_errors.py
+++ b/buckthorntack/routing/_errors.py
@@ -37,3 +37,12 @@
         "retry after the stated time; operators: look for attempts that "
         "failed on the named backend servers"
     )
+
+
+class MalformedBodyError(errors.GatewayError):
+    """A completion request cannot be read."""
+
+    number = 850
+    status = 400
+    kind = "invalid_request_error"
+    remedy = "send JSON as docs/CALLERS.md describes"
--- a/buckthorntack/routing/_router.py
+++ b/buckthorntack/routing/_router.py
@@ -409,6 +409,7 @@
             self._score_domain(key, request, group, matches, now_s)
             for key in self._domains.offers(group, now_s)
             if key.region in request.allowed_regions
+            and key.failure_domain not in request.excluded_servers
             and self._domains.get(key).ready_entries()
         ]
 
--- a/buckthorntack/schema/_generated/forwarding.py
+++ b/buckthorntack/schema/_generated/forwarding.py
@@ -5,6 +5,32 @@
 from typing import NamedTuple
 
 
+class ForwardRequest(NamedTuple):
+    """
+    A caller's request handed to an entry VM of another region, at most once.
+    """
+
+    forward_id: str
+    request_id: str
+    origin_region: str
+    revision: int
+    organisation: str
+    service: str
+    model_version: str
+    method: str
+    path: str
+    idempotent: bool
+    streamed: bool
+    resume_after: int
+    fingerprint: str
+    deadline_ms: int
+    body_bytes: int
+    content_type: str
+    idempotency_key: str
+    prompt_tokens: int
+    resumed_attempt: str
+
+
 class ForwardHeader(NamedTuple):
     """
     One HTTP header.
@@ -32,8 +58,9 @@
 
     forward_id: str
     status: int
-    headers: list[ForwardHeader]
     attempt_id: str
+    sequence: int
+    headers: list[ForwardHeader]
 
 
 class ForwardChunk(NamedTuple):
@@ -57,6 +84,9 @@
     error_detail: str
     run_state: str
     retry_after_ms: int
+    error_kind: str
+    remedy: str
+    status: int
 
 
 class ForwardCancel(NamedTuple):
@@ -82,27 +112,3 @@
     """
 
     forward_id: str
-
-
-class ForwardRequest(NamedTuple):
-    """
-    A caller's request handed to an entry VM of another region, at most once.
-    """
-
-    forward_id: str
-    request_id: str
-    origin_region: str
-    revision: int
-    organisation: str
-    service: str
-    model_version: str
-    method: str
-    path: str
-    idempotent: bool
-    streamed: bool
-    attempt_id: str
-    resume_after: int
-    fingerprint: str
-    deadline_ms: int
-    headers: list[ForwardHeader]
-    body_bytes: int
--- a/buckthorntack/transport/_http.py
+++ b/buckthorntack/transport/_http.py
@@ -3,7 +3,10 @@
 import asyncio
 import contextlib
 import socket
+import urllib.parse
 
+import litestar
+from litestar import types
 import uvicorn
 
 from buckthorntack import events
@@ -39,6 +42,28 @@
     return f"{scheme}://{shown}:{port}"
 
 
+def mounted_app(handle):
+    """Application that leaves all paths to one ASGI function.
+
+    The path of the scope is that of the request, without the changes that
+    mounting makes to it.
+
+    :param handle: the function.
+    """
+
+    @litestar.asgi("/", is_mount=True, copy_scope=False)
+    async def mounted(
+        scope: types.Scope, receive: types.Receive, send: types.Send
+    ) -> None:
+        path = urllib.parse.unquote_to_bytes(scope["raw_path"])
+        scope["path"] = path.decode(errors="replace")
+        await handle(scope, receive, send)
+
+    return litestar.Litestar(
+        [mounted], openapi_config=None, logging_config=None
+    )
+
+
 class _Server(uvicorn.Server):
     """uvicorn without signal handlers: the process owns them."""
 
--- a/buckthorntack/transport/_links.py
+++ b/buckthorntack/transport/_links.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import functools
-from typing import NamedTuple
 
 import zmq
 import zmq.asyncio
@@ -38,23 +37,6 @@
 )
 
 
-class LinkKeys(NamedTuple):
-    """CURVE keys of the links, as Z85 text."""
-
-    public_key: bytes
-    secret_key: bytes
-    accepted_public_keys: tuple[bytes, ...]
-
-    def __repr__(self):
-        return f"LinkKeys(public_key={self.public_key!r})"
-
-
-def new_link_keys():
-    """Make a fresh key pair that accepts only itself."""
-    public_key, secret_key = zmq.curve_keypair()
-    return LinkKeys(public_key, secret_key, (public_key,))
-
-
 class _AcceptedKeys:
     """Tells the authenticator which peers may connect."""
 
@@ -79,7 +61,7 @@
 
     :param node_id: this node.
     :param listen_address: IP address and port to receive on.
-    :param keys: CURVE keys.
+    :param keys: ``security.LinkKeys``, the same pair on all nodes.
     :param addresses: link address of each node known from the settings.
     :param handle: called with sender and message for each received one.
     :param clock: source of time.
--- a/buckthorntack/transport/tests/test_links.py
+++ b/buckthorntack/transport/tests/test_links.py
@@ -1,13 +1,21 @@
 import asyncio
 import datetime
 
+import zmq
+
 from buckthorntack import clock
+from buckthorntack import security
 from buckthorntack import transport
 from buckthorntack.schema import messages
 
 
+def _new_keys():
+    public_key, secret_key = zmq.curve_keypair()
+    return security.LinkKeys(public_key, secret_key, frozenset([public_key]))
+
+
 async def _until(condition):
-    while not condition():
+    while not condition():  # noqa: ASYNC110
         await asyncio.sleep(0.005)
 
 
@@ -38,7 +46,7 @@
 
 
 def test_messages_arrive_in_order_from_a_named_sender():
-    keys = transport.new_link_keys()
+    keys = _new_keys()
     received = asyncio.run(_exchange(keys, keys, 500))
     assert [sender for sender, _ in received] == ["a"] * 500
     assert [message.sent_at_ms for _, message in received] == list(range(500))
@@ -46,10 +54,10 @@
 
 def test_foreign_key_is_refused():
     async def attempt():
-        ours = transport.new_link_keys()
-        theirs = transport.new_link_keys()
-        foreign = transport.LinkKeys(
-            ours.public_key, theirs.secret_key, (ours.public_key,)
+        ours = _new_keys()
+        theirs = _new_keys()
+        foreign = security.LinkKeys(
+            ours.public_key, theirs.secret_key, frozenset([ours.public_key])
         )
         try:
             async with asyncio.timeout(1):
@@ -63,7 +71,7 @@
 
 def test_unknown_peer_is_no_error():
     async def attempt():
-        keys = transport.new_link_keys()
+        keys = _new_keys()
         task = transport.LinkTask(
             "a", "127.0.0.1:0", keys, {}, None, clock.SystemClock()
         )
