--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks, run by hand or by make."""
--- a/buckthorntack/objects/_check.py
+++ b/buckthorntack/objects/_check.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Iterable
+from typing import NamedTuple
 
 from buckthorntack.objects import _findings
 from buckthorntack.objects import _index
@@ -57,14 +58,26 @@
     known = [entry for entry in remove if entry["kind"] in _kinds.KINDS]
     changed = _index.changed_index(published.index, sound, known)
     index = _index.ObjectIndex(changed.tables, broken)
+    scope = _scope(sound, known)
+    for rule in _applicable(index):
+        findings += _run(rule, index, scope)
+    return _findings.sort_findings(findings)
+
+
+class _Scope(NamedTuple):
+    """What a change touches: names by kind, and kinds of which some go."""
+
+    names: dict[str, set[str]]
+    removed_kinds: set[str]
+
+
+def _scope(put, remove):
     names = collections.defaultdict(set)
-    for entry in sound:
+    for entry in put:
         names[entry["kind"]].add(entry["object"]["name"])
-    for entry in known:
+    for entry in remove:
         names[entry["kind"]].add(entry["name"])
-    for rule in _applicable(index):
-        findings += _run(rule, index, names)
-    return _findings.sort_findings(findings)
+    return _Scope(dict(names), {entry["kind"] for entry in remove})
 
 
 def _split_by_shape(named_objects):
@@ -127,15 +140,23 @@
             yield rule
 
 
-def _run(rule, index, changed):
+def _run(rule, index, scope):
     """Run a rule on all it concerns, or on what a change can affect."""
-    if not rule.subject:
-        if changed is None or rule.reads & changed.keys():
-            yield from rule.check(index)
-        return
-    rows = index.rows(rule.subject)
-    if changed is not None and not rule.reads & changed.keys():
+    if scope is None or _concerns_all(rule, scope):
+        rows = index.rows(rule.subject) if rule.subject else ()
+    elif rule.subject:
         table = index.tables[rule.subject]
-        rows = [table[n] for n in changed.get(rule.subject, ()) if n in table]
+        names = scope.names.get(rule.subject, ())
+        rows = [table[name] for name in names if name in table]
+    else:
+        return
+    if not rule.subject:
+        yield from rule.check(index)
     for row in rows:
         yield from rule.check(row, index)
+
+
+def _concerns_all(rule, scope):
+    if rule.by_removal:
+        return bool(rule.reads & scope.removed_kinds)
+    return bool(rule.reads & scope.names.keys())
--- a/buckthorntack/objects/_index.py
+++ b/buckthorntack/objects/_index.py
@@ -128,13 +128,14 @@
 def build_index(named_objects, broken=frozenset()):
     """Build the index of a set.
 
-    :param named_objects: objects of valid shape; of equal names the last
-        counts.
+    :param named_objects: objects of valid shape, which may come from a
+        generator; of equal names the last counts.
     :param broken: (kind, name) of objects left out because of their shape.
     :returns: an :class:`ObjectIndex`.
     """
-    empty = ObjectIndex({kind: {} for kind in _kinds.KINDS}, broken)
-    return changed_index(empty, named_objects, ())
+    tables = {kind: {} for kind in _kinds.KINDS}
+    _put_rows(tables, named_objects)
+    return ObjectIndex(tables, broken)
 
 
 def changed_index(index, put, remove):
@@ -151,34 +152,36 @@
         tables[kind] = dict(tables[kind])
     for entry in remove:
         tables[entry["kind"]].pop(entry["name"], None)
-    lists = {}
-    for entry in sorted(put, key=_place_of_kind):
-        row = _pack_shared(tables, entry["kind"], entry["object"], lists)
-        tables[entry["kind"]][row.name] = row
+    _put_rows(tables, put)
     result = ObjectIndex(tables, index.broken)
     if "CallerCredential" not in touched:
         vars(result)["credentials"] = index.credentials
     return result
 
 
-def _place_of_kind(entry):
-    return _kinds.KINDS.index(entry["kind"])
+def _put_rows(tables, named_objects):
+    """Put rows into tables; equal names and lists are held only once."""
+    shared = {}
+    for entry in named_objects:
+        kind = entry["kind"]
+        row = _rows.pack(kind, entry["object"])
+        row = row._replace(**_shared_values(tables, kind, row, shared))
+        tables[kind][row.name] = row
 
 
-def _pack_shared(tables, kind, document, lists):
-    """Pack an object so that equal names and lists are held only once."""
-    row = _rows.pack(kind, document)
-    shared = {}
+def _shared_values(tables, kind, row, shared):
+    values = {"name": shared.setdefault(row.name, row.name)}
     for field, target in _kinds.references_of(kind).items():
         value = getattr(row, field)
         if isinstance(value, str):
-            shared[field] = _shared_name(tables[target], value)
+            values[field] = _shared_name(tables[target], value, shared)
         elif value is not None:
-            names = tuple(_shared_name(tables[target], n) for n in value)
-            shared[field] = lists.setdefault(names, names)
-    return row._replace(**shared) if shared else row
+            names = [_shared_name(tables[target], n, shared) for n in value]
+            names = tuple(names)
+            values[field] = shared.setdefault(names, names)
+    return values
 
 
-def _shared_name(table, name):
+def _shared_name(table, name, shared):
     row = table.get(name)
-    return name if row is None else row.name
+    return shared.setdefault(name, name) if row is None else row.name
--- a/buckthorntack/objects/_reference_rules.py
+++ b/buckthorntack/objects/_reference_rules.py
@@ -31,6 +31,9 @@
 for _reference in _kinds.REFERENCES:
     _check = functools.partial(_dangling, _reference)
     _check.__doc__ = _dangling.__doc__
-    _registry.rule("dangling_reference", _reference.kind, [_reference.target])(
-        _check
-    )
+    _registry.rule(
+        "dangling_reference",
+        _reference.kind,
+        [_reference.target],
+        by_removal=True,
+    )(_check)
--- a/buckthorntack/objects/_registry.py
+++ b/buckthorntack/objects/_registry.py
@@ -15,6 +15,8 @@
     subject: str
     reads: frozenset[str]
     check: Callable
+    #: Whether, of changes to what it reads, only a removal can break it.
+    by_removal: bool
 
 
 RULES: list[Rule] = []
@@ -38,17 +40,20 @@
     return meanings
 
 
-def rule(name, subject="", reads=()):
+def rule(name, subject="", reads=(), by_removal=False):
     """Register the decorated function as a rule.
 
     :param name: the rule's name, as told in findings.
     :param subject: kind whose rows it looks at one by one, if any.
     :param reads: kinds it looks at besides.
+    :param by_removal: whether, of changes to those, only a removal can
+        break it.
     :returns: the decorator.
     """
 
     def register(check):
-        RULES.append(Rule(name, subject, frozenset(reads), check))
+        known = Rule(name, subject, frozenset(reads), check, by_removal)
+        RULES.append(known)
         return check
 
     return register
