--- a/buckthorntack/schema/__init__.py
+++ b/buckthorntack/schema/__init__.py
@@ -4,6 +4,8 @@
 from buckthorntack.schema._codec import encode
 from buckthorntack.schema._codec import MalformedMessageError
 from buckthorntack.schema._codec import message_types
+from buckthorntack.schema._codec import pack
+from buckthorntack.schema._codec import unpack
 from buckthorntack.schema._documents import describe_field
 from buckthorntack.schema._documents import document_schema
 from buckthorntack.schema._documents import DocumentFinding
@@ -21,5 +23,7 @@
     "is_sound",
     "message_types",
     "parse_json",
+    "pack",
+    "unpack",
     "validate_document",
 ]
