Carry out operators' calls by the configuration group

Cause: the administration API had only a fake behind it, and the status and history of the configuration did not fit its documents. Conclusion: the control role can serve operators with create_admin_app and Operations.

--- a/buckthorntack/cli/_client.py
+++ b/buckthorntack/cli/_client.py
@@ -10,6 +10,7 @@
 from buckthorntack import errors
 from buckthorntack import schema
 from buckthorntack.cli import _errors
+from buckthorntack.cli import _exit_codes
 from buckthorntack.schema import documents
 
 _PREFIX = "/admin/v1"
@@ -140,6 +141,7 @@
                 may_have_run |= error.run_state != errors.RunState.NOT_RUN
                 if may_have_run:
                     error.run_state = errors.RunState.UNKNOWN
+                    error.exit_code = _exit_codes.ExitCode.UNREACHABLE
                 if not error.is_temporary:
                     return result
             if self._clock.monotonic() >= deadline:
--- a/buckthorntack/cli/_commands/apply.py
+++ b/buckthorntack/cli/_commands/apply.py
@@ -44,6 +44,15 @@
         action="store_true",
         help="do not ask for the answer to a change sent before",
     )
+    parser.add_argument(
+        "--stopped-entry-vm",
+        action="append",
+        default=[],
+        metavar="NODE",
+        help="entry VM that you made sure is stopped, so that a change that "
+        "takes an organisation out of its region does not wait for it; may "
+        "be repeated",
+    )
     parser.add_argument("--note", default="", help="kept in the history")
     _servers.add_server_options(parser)
     _output.add_output_option(parser)
@@ -111,13 +120,16 @@
         base = _folders.base_revision(arguments.folder)
     if base is None:
         base = in_force["revision"]
-    return {
+    change = {
         "change_id": uuid.uuid4().hex,
         "base_revision": base,
         "put": found.put(),
         "remove": found.missing if arguments.prune else [],
         "note": arguments.note.encode("utf-8", "replace").decode(),
     }
+    if arguments.stopped_entry_vm:
+        change["stopped_entry_vms"] = arguments.stopped_entry_vm
+    return change
 
 
 def _unchanged(arguments, context, revision):
--- a/buckthorntack/cli/_commands/status.py
+++ b/buckthorntack/cli/_commands/status.py
@@ -7,7 +7,16 @@
 NAME = "status"
 HELP = "print the state of the configuration"
 
-_REGION_COLUMNS = ("region", "revision", "nodes", "nodes_behind")
+_REGION_COLUMNS = (
+    "region",
+    "revision",
+    "in_force",
+    "behind",
+    "out_of_contact",
+)
+
+#: Most names that are listed in a cell.
+_MAX_NAMES = 4
 
 
 def add_arguments(parser):
@@ -36,12 +45,13 @@
     quorum = "changes can be accepted" if found["has_quorum"] else "no quorum"
     leader = found.get("leader", "unknown")
     regions = [
-        [region[column] for column in _REGION_COLUMNS]
+        [_cell(region[column]) for column in _REGION_COLUMNS]
         for region in found["regions"]
     ]
     return [
         f"revision {found['revision']} at {found['node_id']}; "
         f"leader {leader}; {quorum}",
+        *_pending_lines(found.get("pending")),
         "",
         *_output.table(_REGION_COLUMNS, regions),
         "",
@@ -49,6 +59,25 @@
     ]
 
 
+def _cell(value):
+    """Names of a list, or how many there are."""
+    if not isinstance(value, list):
+        return value
+    if len(value) > _MAX_NAMES:
+        return str(len(value))
+    return ",".join(value) or "-"
+
+
+def _pending_lines(pending):
+    if pending is None:
+        return []
+    waiting = ", ".join(pending["waiting_for"])
+    return [
+        f"change {pending['change_id']} is pending; entry VMs that have not "
+        f"confirmed it: {waiting}"
+    ]
+
+
 def replica_lines(replicas):
     """Table of replicas.
 
--- a/buckthorntack/cli/_exit_codes.py
+++ b/buckthorntack/cli/_exit_codes.py
@@ -12,7 +12,7 @@
     FINDINGS = 1
     #: The command line is wrong, or a file it names cannot be used.
     USAGE = 2
-    #: No control VM answered; a change sent may have been accepted.
+    #: No control VM answered, or the outcome of a change is not known.
     UNREACHABLE = 3
     #: Another change came first.
     CONFLICT = 4
--- a/buckthorntack/cli/_main.py
+++ b/buckthorntack/cli/_main.py
@@ -13,7 +13,7 @@
 from buckthorntack.cli import _output
 
 _EPILOG = """exit codes: 0 done; 1 findings or differences; 2 wrong usage;
-3 no control VM answered; 4 another change came first; 5 refused"""
+3 no answer, or outcome unknown; 4 another change came first; 5 refused"""
 
 #: Exit code after an interrupt from the keyboard, as shells give it.
 _INTERRUPTED = 130
--- a/buckthorntack/cli/tests/test_cli.py
+++ b/buckthorntack/cli/tests/test_cli.py
@@ -196,6 +196,20 @@
     assert "no quorum" in operator.err and "remedy:" in operator.err
 
 
+class PendingError(errors.GatewayError):
+    status = 504
+    run_state = errors.RunState.UNKNOWN
+
+
+def test_change_that_stays_unsettled_is_pending(operator, folder):
+    operator.administration.lost_answers = [PendingError("pending")] * 500
+    stopped = ["--stopped-entry-vm", "entry-9"]
+    assert operator.run("apply", folder, *stopped) == 3
+    pending = json.loads((folder / ".pending-change").read_text())
+    assert pending["stopped_entry_vms"] == ["entry-9"]
+    assert list(operator.administration.answers) == [pending["change_id"]]
+
+
 def test_refusal_for_lack_of_a_role(tmp_path, folder):
     reader = Operator(tmp_path, role="reader")
     assert reader.run("apply", folder) == 5
@@ -217,6 +231,7 @@
     assert admin.out.splitlines()[1].startswith("1 ")
     assert admin.run("status") == 0
     assert "revision 1 at node-0; leader node-0" in admin.out
+    assert "change c9 is pending" in admin.out and "entry-2" in admin.out
     assert admin.run("replicas", "add", "node-1") == 0
     assert "node-1" in admin.out
     assert admin.run("replicas", "add") == 2
--- a/buckthorntack/control/__init__.py
+++ b/buckthorntack/control/__init__.py
@@ -8,12 +8,14 @@
 from buckthorntack.control._errors import MalformedCallError
 from buckthorntack.control._errors import UnknownCallError
 from buckthorntack.control._errors import UnknownObjectError
+from buckthorntack.control._operations import Operations
 
 __all__ = [
     "Administration",
     "AdministrationFault",
     "CallTooLargeError",
     "MalformedCallError",
+    "Operations",
     "UnknownCallError",
     "UnknownObjectError",
     "create_admin_app",
--- a/buckthorntack/control/tests/fakes.py
+++ b/buckthorntack/control/tests/fakes.py
@@ -83,13 +83,19 @@
                 "revision": self.published.revision,
                 "has_quorum": True,
                 "leader": "node-0",
+                "pending": {
+                    "change_id": "c9",
+                    "revision": 9,
+                    "waiting_for": ["entry-2"],
+                },
                 "replicas": self._replicas(),
                 "regions": [
                     {
                         "region": "fukuoka",
                         "revision": self.published.revision,
-                        "nodes": 2,
-                        "nodes_behind": 0,
+                        "in_force": ["entry-1"],
+                        "behind": [],
+                        "out_of_contact": ["entry-2"],
                     }
                 ],
             }
--- a/buckthorntack/schema/_generated/admin_documents.py
+++ b/buckthorntack/schema/_generated/admin_documents.py
@@ -68,7 +68,7 @@
     """
     objects: list[NamedObject]
     """
-    Sorted by kind and name.
+    By kind.
     """
 
 
@@ -111,70 +111,59 @@
 
 class RegionStatus(TypedDict, closed=True):
     """
-    How far a region follows the configuration.
+    How far the entry VMs of a region follow the configuration.
     """
 
     region: str
-    revision: int
     """
-    Lowest revision in force among its nodes that were heard of.
+    Name of the region.
     """
-    nodes: int
+    revision: int
     """
-    Nodes known in the region.
+    Lowest revision in force at its entry VMs when last heard of; -1 if none was heard of.
     """
-    nodes_behind: int
+    in_force: list[str]
     """
-    Nodes not yet at the present revision, or not heard of.
+    Entry VMs that have the present revision.
     """
-
-
-class ReplicaStatus(TypedDict, closed=True):
+    behind: list[str]
     """
-    A replica of the configuration group.
+    Entry VMs in contact that do not have it yet.
     """
-
-    node_id: str
-    role: str
+    out_of_contact: list[str]
     """
-    leader, follower, candidate, learner or unknown.
+    Entry VMs that were not heard of lately and may have an older revision.
     """
-    voter: bool
-    match_index: NotRequired[int]
-    """
-    Last log entry it is known to hold.
-    """
-    reachable: NotRequired[bool]
 
 
-class Status(TypedDict, closed=True):
+class ReplicaStatus(TypedDict, closed=True):
     """
-    State of the configuration, as one control VM sees it.
+    A replica of the configuration group.
     """
 
     node_id: str
     """
-    Control VM that answers.
+    Control VM that holds it.
     """
-    revision: int
+    role: str
     """
-    Revision in force there.
+    leader, follower, candidate, learner or unknown.
     """
-    has_quorum: bool
+    voter: bool
     """
-    Whether changes can be accepted now.
+    Whether it votes.
     """
-    leader: NotRequired[str]
+    match_index: NotRequired[int]
     """
-    Node id of the leader, if one is known.
+    Last log entry that the leader knows it holds.
     """
-    replicas: list[ReplicaStatus]
+    heard_ms_ago: NotRequired[int]
     """
-    Replicas of the configuration group.
+    Time since the leader heard of it.
     """
-    regions: list[RegionStatus]
+    caught_up: NotRequired[bool]
     """
-    Which regions have confirmed the revision.
+    Whether it holds the leader's log.
     """
 
 
@@ -233,6 +222,25 @@
     error: AdminError
 
 
+class PendingChange(TypedDict, closed=True):
+    """
+    A change that awaits confirmation, as it takes an organisation out of a region.
+    """
+
+    change_id: str
+    """
+    Its change id.
+    """
+    revision: int
+    """
+    Interim revision that withholds what the change takes away.
+    """
+    waiting_for: list[str]
+    """
+    Entry VMs that have not confirmed it.
+    """
+
+
 class Change(TypedDict, closed=True):
     """
     A whole-set change that an operator asks for.
@@ -285,3 +293,38 @@
     Whether another change came first.
     """
     findings: NotRequired[list[Finding]]
+
+
+class Status(TypedDict, closed=True):
+    """
+    State of the configuration, as one control VM sees it.
+    """
+
+    node_id: str
+    """
+    Control VM that answers.
+    """
+    revision: int
+    """
+    Revision in force there.
+    """
+    has_quorum: bool
+    """
+    Whether changes can be accepted, as far as is known there.
+    """
+    leader: NotRequired[str]
+    """
+    Node id of the leader, if one is known.
+    """
+    replicas: list[ReplicaStatus]
+    """
+    Replicas of the configuration group.
+    """
+    regions: list[RegionStatus]
+    """
+    Which regions have the revision in force.
+    """
+    pending: NotRequired[PendingChange]
+    """
+    The change that is not settled yet, if any.
+    """
--- a/buckthorntack/schema/documents.py
+++ b/buckthorntack/schema/documents.py
@@ -11,6 +11,7 @@
 from buckthorntack.schema._generated.admin_documents import NamedObject
 from buckthorntack.schema._generated.admin_documents import ObjectList
 from buckthorntack.schema._generated.admin_documents import ObjectName
+from buckthorntack.schema._generated.admin_documents import PendingChange
 from buckthorntack.schema._generated.admin_documents import RegionStatus
 from buckthorntack.schema._generated.admin_documents import ReplicaAddition
 from buckthorntack.schema._generated.admin_documents import ReplicaList
@@ -98,6 +99,7 @@
     "OperatorTokenFile",
     "Organisation",
     "Outcome",
+    "PendingChange",
     "Priority",
     "Quota",
     "Region",
