--- a/buckthorntack/control/__init__.py
+++ b/buckthorntack/control/__init__.py
@@ -10,6 +10,7 @@
 from buckthorntack.control._errors import UnknownObjectError
 from buckthorntack.control._role import ControlRole
 from buckthorntack.control._role import ledger_group
+from buckthorntack.control._operations import Operations
 
 __all__ = [
     "Administration",
@@ -17,6 +18,7 @@
     "CallTooLargeError",
     "ControlRole",
     "MalformedCallError",
+    "Operations",
     "UnknownCallError",
     "UnknownObjectError",
     "create_admin_app",
