--- a/buckthorntack/membership/__init__.py
+++ b/buckthorntack/membership/__init__.py
@@ -12,6 +12,7 @@
 from buckthorntack.membership._errors import ItemRefusedError
 from buckthorntack.membership._errors import StaleAnnouncementError
 from buckthorntack.membership._errors import TableFullError
+from buckthorntack.membership._errors import UnknownAgeError
 from buckthorntack.membership._task import build_timing
 from buckthorntack.membership._task import MembershipTask
 from buckthorntack.membership._timing import MembershipTiming
@@ -33,5 +34,6 @@
     "SummaryChanged",
     "SummaryRemoved",
     "TableFullError",
+    "UnknownAgeError",
     "build_timing",
 ]
--- a/buckthorntack/membership/_deltas.py
+++ b/buckthorntack/membership/_deltas.py
@@ -76,7 +76,7 @@
 
         :param document: a checked ``Announcement``.
         :param service: name of the service its pool is for.
-        :param age_ms: bound on its age, as far as it is known.
+        :param age_ms: bound on its age, or ``None``.
         :returns: ``Result`` of the record or a ``GatewayError``.
         """
         state = self.state
@@ -84,7 +84,10 @@
         if document["failure_domain"] != own.failure_domain:
             detail = f"{document['server_id']} is not of {own.failure_domain}"
             return Error(_errors.ForeignAnnouncementError(detail))
-        lease_ms = max(0, state.timing.server_lease_ms - age_ms)
+        if age_ms is None and document["state"] == _servers.READY:
+            detail = f"{document['server_id']} echoes no answer of this node"
+            return Error(_errors.UnknownAgeError(detail))
+        lease_ms = lease_left_ms(state.timing.server_lease_ms, age_ms)
         record = record_of(document, service, own.region, lease_ms)
         if _is_same(state.servers.get(record.server_id), record):
             return Ok(record)
--- a/buckthorntack/membership/_errors.py
+++ b/buckthorntack/membership/_errors.py
@@ -21,6 +21,15 @@
     remedy = "announce to an entry VM of the backend server's failure domain"
 
 
+class UnknownAgeError(errors.GatewayError):
+    """An announcement may be late: it echoes no answer of this node."""
+
+    number = 708
+    status = 409
+    kind = "unknown_age"
+    remedy = "announce again with the echo of this answer"
+
+
 class TableFullError(errors.GatewayError):
     """There are too many backend servers."""
 
--- a/buckthorntack/membership/_events.py
+++ b/buckthorntack/membership/_events.py
@@ -25,6 +25,19 @@
     "An announcement was not taken.",
     "see the reason; an incarnation must grow with each start",
 )
+ECHO_ASKED = events.declare(
+    708,
+    "echo_asked",
+    logbook.DEBUG,
+    "A first announcement was answered with an echo to announce with.",
+)
+ITEM_REFUSED = events.declare(
+    707,
+    "item_refused",
+    logbook.NOTICE,
+    "An item of this node's application was not spread.",
+    "see the reason",
+)
 ENTRY_CHANGED = events.declare(
     703,
     "entry_changed",
--- a/buckthorntack/membership/_relays.py
+++ b/buckthorntack/membership/_relays.py
@@ -118,7 +118,7 @@
         """
         if not self.state.stamps.has_seen(to):
             self._unheard[to] = summaries
-        self.state.send(to, messages.MembershipSummaries, summaries)
+        self.state.send(to, messages.MembershipSummaries, summaries, True)
 
     def on_echo(self, node_id):
         """Send again what a node could not know the age of.
@@ -173,17 +173,40 @@
         return summary is not None and bool(summary.entries)
 
     def on_summaries(self, sender, message, age_ms):
-        """Take summaries; those from outside go on to this domain.
+        """Take summaries; those that are news go on to this domain.
+
+        A random node of the domain does that, so that the few entry VMs
+        that summaries name do not bear it all.
 
         :param sender: node that sent them.
         :param message: the message.
         :param age_ms: bound on its age, or ``None``.
         """
-        inside = self.state.is_domain_peer(sender)
+        news = set()
         for summary in message.summaries:
             lease_ms = _deltas.lease_left_ms(summary.lease_ms, age_ms)
-            if self._take(summary, lease_ms) and not inside:
-                self._forward.add(summary.failure_domain)
+            if self._take(summary, lease_ms):
+                news.add(summary.failure_domain)
+        if not message.spread or not news:
+            return
+        if self.state.is_domain_peer(sender):
+            self._forward |= news
+        else:
+            self._hand_over(news)
+
+    def _hand_over(self, domains):
+        """Have a random node of this domain send summaries on."""
+        nodes = self.state.domain_entries()
+        chosen = self.state.rng.choice(nodes).node_id
+        if chosen == self.state.own.node_id:
+            self._forward |= domains
+        else:
+            self.send(chosen, self._current(domains))
+
+    def _current(self, domains):
+        now_ms = self.state.now_ms
+        found = [self.state.summaries.get(d, now_ms) for d in sorted(domains)]
+        return [summary for summary in found if summary is not None]
 
     def _take(self, summary, lease_ms):
         state = self.state
@@ -200,11 +223,10 @@
         return True
 
     def _forward_in_domain(self):
-        domains, self._forward = sorted(self._forward), set()
-        now_ms = self.state.now_ms
-        found = [self.state.summaries.get(d, now_ms) for d in domains]
-        summaries = [summary for summary in found if summary is not None]
+        domains, self._forward = self._forward, set()
+        summaries = self._current(domains)
         if not summaries:
             return
         for peer in self.state.domain_peers():
-            self.send(peer.node_id, summaries)
+            kind = messages.MembershipSummaries
+            self.state.send(peer.node_id, kind, summaries, False)
--- a/buckthorntack/membership/_task.py
+++ b/buckthorntack/membership/_task.py
@@ -7,6 +7,7 @@
 from buckthorntack import events
 from buckthorntack.membership import _commands
 from buckthorntack.membership import _entries
+from buckthorntack.membership import _errors
 from buckthorntack.membership import _events
 from buckthorntack.membership import _timing
 
@@ -85,13 +86,17 @@
         }
         if result.is_error():
             answer["reason"] = str(result.error)
-            self._log.write(
-                _events.ANNOUNCEMENT_REFUSED,
-                server=document["server_id"],
-                reason=answer["reason"],
-            )
+            self._refused(document["server_id"], result.error)
+        if _may_repeat(result):
+            answer["renew_ms"] = 0
         return answer
 
+    def _refused(self, server_id, error):
+        event = _events.ANNOUNCEMENT_REFUSED
+        if isinstance(error, _errors.UnknownAgeError):
+            event = _events.ECHO_ASKED
+        self._log.write(event, server=server_id, reason=error)
+
     def publish(self, item):
         """Spread an item to all nodes.
 
@@ -100,6 +105,8 @@
         """
         result, commands = self.view.publish(item, self._now())
         self._execute(commands)
+        if result.is_error():
+            self._log.write(_events.ITEM_REFUSED, reason=result.error)
         return result
 
     def set_entry_state(self, entry_state):
@@ -220,6 +227,13 @@
                 listener(command)
 
 
+def _may_repeat(result):
+    """Whether the server shall announce again at once."""
+    if result.is_ok():
+        return False
+    return isinstance(result.error, _errors.UnknownAgeError)
+
+
 def build_timing(settings):
     """Timing of a process.
 
--- a/buckthorntack/membership/_view.py
+++ b/buckthorntack/membership/_view.py
@@ -65,13 +65,19 @@
         return f"{own.node_id}/{own.incarnation}/{now_ms}"
 
     def _announcement_age_ms(self, document):
-        """Bound on the age of an announcement; 0 if it is unknown."""
+        """Bound on the age of an announcement.
+
+        ``None`` if the server echoes answers, but none of this node; 0 if
+        it does not echo answers.
+        """
+        if "echo" not in document:
+            return 0
         own = self._state.own
         prefix = f"{own.node_id}/{own.incarnation}/"
-        echo = document.get("echo", "")
+        echo = document["echo"]
         number = echo.removeprefix(prefix)
         if not echo.startswith(prefix) or not number.isdecimal():
-            return 0
+            return None
         held_ms = document.get("echo_age_ms", 0)
         return max(0, self._state.now_ms - int(number) - held_ms)
 
--- a/buckthorntack/membership/tests/fakes.py
+++ b/buckthorntack/membership/tests/fakes.py
@@ -134,12 +134,18 @@
         """
         end_ms = self.now_ms + duration_ms
         while self.now_ms < end_ms:
-            self.now_ms += 1
+            self.now_ms = min(end_ms, self._next_ms())
             self._deliver()
             self._tick()
             if each_ms is not None and self.now_ms % TICK_MS == 0:
                 each_ms()
 
+    def _next_ms(self):
+        due = [self._ticks_ms[node_id] for node_id in self.views]
+        due += [event[0] for event in self._queue[:1]]
+        due.append(self.now_ms - self.now_ms % TICK_MS + TICK_MS)
+        return max(self.now_ms + 1, min(due))
+
     def _deliver(self):
         while self._queue and self._queue[0][0] <= self.now_ms:
             _, _, source, target, frames = heapq.heappop(self._queue)
--- /dev/null
+++ b/buckthorntack/membership/tests/test_broken.py
@@ -0,0 +1,101 @@
+"""Broken variants of membership must be caught by the tests of faults."""
+
+import pytest
+
+from buckthorntack.membership import _antientropy
+from buckthorntack.membership import _deltas
+from buckthorntack.membership import _floors
+from buckthorntack.membership import _servers
+from buckthorntack.membership import _view
+from buckthorntack.membership.tests import test_faults
+from buckthorntack.membership.tests import test_view
+
+
+def age_ignored(lease_ms, age_ms):
+    return lease_ms
+
+
+def announcement_age_ignored(view, document):
+    return 0
+
+
+def anything_admitted(floors, key, incarnation, sequence):
+    return True
+
+
+def order_ignored(held):
+    return (0, 0)
+
+
+def lapsed_listed(table, now_ms):
+    return [held.at(now_ms) for held in table.held()]
+
+
+def nothing(*_):
+    return False
+
+
+def late_announcement():
+    test_faults.test_late_announcement_brings_nothing_back("e5")
+
+
+def crash_of_server():
+    test_faults.test_crashed_server_gets_no_new_work(0)
+
+
+def renewals():
+    test_view.test_renewed_server_stays()
+
+
+@pytest.mark.parametrize(
+    ("owner", "name", "variant", "scenario"),
+    [
+        (
+            _deltas,
+            "lease_left_ms",
+            age_ignored,
+            test_faults.test_messages_held_up_do_not_extend_the_lease,
+        ),
+        (
+            _view.MembershipView,
+            "_announcement_age_ms",
+            announcement_age_ignored,
+            test_faults.test_late_announcement_with_echo_gets_no_lease,
+        ),
+        (
+            _floors.FloorTable,
+            "admits",
+            anything_admitted,
+            late_announcement,
+        ),
+        (
+            _servers.HeldServer,
+            "order",
+            property(order_ignored),
+            test_faults.test_server_restarted_with_lower_incarnation_is_refused,
+        ),
+        (
+            _servers.ServerTable,
+            "listed",
+            lapsed_listed,
+            crash_of_server,
+        ),
+        (
+            _deltas.DeltaSpread,
+            "_is_renewable",
+            nothing,
+            renewals,
+        ),
+        (
+            _antientropy.AntiEntropy,
+            "_pull_lapsing",
+            nothing,
+            test_faults.test_one_way_cut_is_healed_through_others,
+        ),
+    ],
+)
+def test_broken_variant_is_caught(owner, name, variant, scenario, monkeypatch):
+    scenario()
+    monkeypatch.setattr(owner, name, variant)
+    with pytest.raises(AssertionError):
+        scenario()
--- a/buckthorntack/membership/tests/test_faults.py
+++ b/buckthorntack/membership/tests/test_faults.py
@@ -52,13 +52,19 @@
 def test_messages_held_up_do_not_extend_the_lease():
     network, server = started()
     network.delay_ms = (5000, 5000)
+    other = fakes.Server(network, "s2")
+    network.run(700, other.step)
     network.run(700, server.step)
     network.delay_ms = (1, 3)
     network.crash("e0")
     network.run(BOUND_MS)
     assert ready_at(network) == []
     seen = []
-    network.run(6000, lambda: seen.extend(ready_at(network)))
+
+    def check():
+        seen.extend(ready_at(network) + ready_at(network, "s2"))
+
+    network.run(6000, check)
     assert seen == []
 
 
@@ -70,6 +76,8 @@
     document = fakes.announcement(echo=echo, echo_age_ms=100)
     network.announce("e0", document)
     assert network.states() == {}
+    unknown = fakes.announcement(sequence=9, echo="")
+    assert network.announce("e1", unknown).is_error()
     network.announce(
         "e0", fakes.announcement(sequence=2, echo=echo, echo_age_ms=4990)
     )
@@ -98,6 +106,7 @@
 def test_server_restarted_with_lower_incarnation_is_refused():
     network, _ = started()
     result = network.announce("e1", fakes.announcement(incarnation=0))
+    assert result.is_error()
     assert isinstance(result.error, membership.StaleAnnouncementError)
     assert "incarnation" in str(result.error)
 
--- a/buckthorntack/schema/_generated/membership.py
+++ b/buckthorntack/schema/_generated/membership.py
@@ -202,6 +202,7 @@
 
     stamp: MessageStamp
     summaries: list[DomainSummary]
+    spread: bool
 
 
 class Item(NamedTuple):
