--- a/buckthorntack/schema/_documents.py
+++ b/buckthorntack/schema/_documents.py
@@ -1,13 +1,13 @@
 """Validation of JSON documents from outside against their schemas."""
 
 import functools
+import itertools
 import json
 import pathlib
+import re
 from typing import Any
 from typing import NamedTuple
 
-import jsonschema
-
 _FOLDER = pathlib.Path(__file__).parent / "documents"
 
 
@@ -30,24 +30,65 @@
 
 @functools.cache
 def _validator(name, definition):
+    import jsonschema  # heavy, and needed only for faulty documents
+
     schema = document_schema(name)
     reference = {"$ref": f"#/$defs/{definition}", "$defs": schema["$defs"]}
     return jsonschema.Draft202012Validator(reference)
 
 
-def validate_document(name, definition, document):
+def validate_document(name, definition, document, limit=None):
     """Check a document; all faults are told at once.
 
     :param name: family of the document, such as ``objects``.
     :param definition: kind of document, such as ``Organisation``.
     :param document: the parsed JSON.
+    :param limit: most faults to tell, if not all.
     :returns: list of :class:`DocumentFinding`, empty if there is no fault.
 
     >>> validate_document("objects", "Region", {"name": "fukuoka"})
     []
     """
     errors = _validator(name, definition).iter_errors(document)
+    errors = itertools.islice(errors, limit)
     findings = [
         DocumentFinding(error.json_path, error.message) for error in errors
     ]
     return sorted(findings)
+
+
+def describe_field(name: str, definition: str, path: str) -> str:
+    """Say what a field of a document must hold, for a remedy.
+
+    :param name: family of the document, such as ``settings``.
+    :param definition: kind of document, such as ``Settings``.
+    :param path: path of a finding, such as ``$.log.level``.
+    :returns: one sentence part.
+
+    >>> describe_field("objects", "Priority", "$.weight")
+    'weight must satisfy {"type": "number", "exclusiveMinimum": 0, \
+"maximum": 1000000000000}'
+    """
+    node = document_schema(name)["$defs"][definition]
+    field = definition
+    for part in re.findall(r"[^.\[\]$]+", path):
+        node = _resolve(name, node)
+        inner = node.get("items") if part.isdigit() else None
+        inner = inner or node.get("properties", {}).get(part)
+        if inner is None:
+            break
+        node, field = inner, part
+    node = _resolve(name, node)
+    if "properties" in node:
+        known = ", ".join(node["properties"])
+        needed = ", ".join(node.get("required", ())) or "none"
+        return f"fields of {field} are {known}; required are {needed}"
+    rules = {k: v for k, v in node.items() if k != "description"}
+    return f"{field} must satisfy {json.dumps(rules)}"
+
+
+def _resolve(name, node):
+    reference = node.get("$ref")
+    if reference is None:
+        return node
+    return document_schema(name)["$defs"][reference.rpartition("/")[2]]
--- a/buckthorntack/schema/_generated/objects_documents.py
+++ b/buckthorntack/schema/_generated/objects_documents.py
@@ -4,6 +4,7 @@
 
 from typing import Literal
 from typing import NotRequired
+from typing import TypeAlias
 
 from typing_extensions import TypedDict
 
@@ -29,6 +30,9 @@
     """
 
     name: str
+    """
+    Unique among failure domains.
+    """
     region: str
     """
     Name of its region.
@@ -41,6 +45,9 @@
     """
 
     name: str
+    """
+    Unique among residency rules.
+    """
     regions: list[str]
     """
     Names of regions.
@@ -53,6 +60,9 @@
     """
 
     name: str
+    """
+    Unique among priorities.
+    """
     rank: int
     """
     0 goes first; shed last.
@@ -69,8 +79,17 @@
     """
 
     name: str
+    """
+    Unique among quotas.
+    """
     requests_per_second: float
+    """
+    Sustained rate of requests.
+    """
     burst_requests: int
+    """
+    Requests that may come at once; from one second of the rate to one hour of it.
+    """
     tokens_per_minute: int
     """
     Prompt and generated tokens.
@@ -83,6 +102,9 @@
     """
 
     name: str
+    """
+    Unique among organisations.
+    """
     residency_rule: str
     """
     Name of its residency rule.
@@ -107,6 +129,9 @@
     """
 
     name: str
+    """
+    Unique among credentials.
+    """
     organisation: str
     """
     Name of its organisation.
@@ -121,12 +146,18 @@
     """
 
 
+Adapter: TypeAlias = str
+
+
 class ModelVersion(TypedDict, closed=True):
     """
     A version of a model that engines can load.
     """
 
     name: str
+    """
+    Unique among model versions.
+    """
     model: str
     """
     Name that callers ask for.
@@ -139,7 +170,7 @@
     """
     Size of its weights.
     """
-    adapters: NotRequired[list[str]]
+    adapters: NotRequired[list[Adapter]]
     """
     Adapters that may be loaded with it.
     """
@@ -151,9 +182,12 @@
     """
 
     method: Literal["GET", "POST", "PUT", "PATCH", "DELETE"]
+    """
+    HTTP method.
+    """
     path: str
     """
-    Path below the service, starting with a slash.
+    Path below the service, starting with a slash; a trailing /* stands for all paths below.
     """
     idempotent: bool
     """
@@ -167,7 +201,13 @@
     """
 
     name: str
+    """
+    Unique among services; callers of a plain service name it.
+    """
     kind: Literal["model", "plain"]
+    """
+    Model engines, or a plain service.
+    """
     terms: str
     """
     Name of its deployment terms.
@@ -188,6 +228,9 @@
     """
 
     name: str
+    """
+    Unique among pools; backend servers announce it.
+    """
     service: str
     """
     Name of its service.
@@ -220,8 +263,17 @@
     """
 
     name: str
+    """
+    Unique among terms.
+    """
     tail_latency_weight: float
+    """
+    Weight of the expected time to the first token or answer.
+    """
     cost_weight: float
+    """
+    Weight of the pool's cost.
+    """
     share_away_weight: float
     """
     Weight of serving in another region.
--- a/buckthorntack/schema/_generated/settings_documents.py
+++ b/buckthorntack/schema/_generated/settings_documents.py
@@ -18,13 +18,25 @@
     """
 
     node_id: str
+    """
+    Unique among nodes.
+    """
     link_address: str
     """
     IP address and port.
     """
     region: str
+    """
+    Region of the node.
+    """
     failure_domain: str
-    roles: list[str]
+    """
+    Failure domain of the node.
+    """
+    roles: list[Literal["entry", "control"]]
+    """
+    What the node does.
+    """
 
 
 class LedgerHome(TypedDict, closed=True):
@@ -37,6 +49,9 @@
     Prefix of idempotency keys.
     """
     region: str
+    """
+    Region of the home.
+    """
     replicas: list[str]
     """
     Node ids; all in the home's region.
@@ -73,11 +88,11 @@
     """
     certificate_file: NotRequired[str]
     """
-    TLS certificate chain; plain HTTP without it.
+    TLS certificate chain; plain HTTP without it; a relative path starts at the folder of the settings file.
     """
     private_key_file: NotRequired[str]
     """
-    Key of the certificate.
+    Key of the certificate; a relative path starts at the folder of the settings file.
     """
 
 
@@ -88,15 +103,15 @@
 
     link_keys_file: str
     """
-    Key pairs of the links.
+    Key pairs of the links; a relative path starts at the folder of the settings file.
     """
     token_key_file: str
     """
-    Key that signs attempt ids.
+    Key that signs attempt ids; a relative path starts at the folder of the settings file.
     """
     operator_tokens_file: NotRequired[str]
     """
-    Hashed operator tokens with their roles.
+    Hashed operator tokens with their roles; a relative path starts at the folder of the settings file.
     """
 
 
@@ -180,10 +195,16 @@
     """
 
     format: NotRequired[Literal["text", "json"]]
+    """
+    Lines of text, or of JSON.
+    """
     level: NotRequired[Literal["debug", "info", "notice", "warning", "error"]]
+    """
+    Least level that is written.
+    """
     file: NotRequired[str]
     """
-    File to append to; standard error without it.
+    File to append to; standard error without it; a relative path starts at the folder of the settings file.
     """
 
 
@@ -193,7 +214,13 @@
     """
 
     bytes_per_second: float
+    """
+    Rate that all loads share.
+    """
     concurrent_loads: NotRequired[int]
+    """
+    Most loads at a time.
+    """
 
 
 class Settings(TypedDict, closed=True):
@@ -219,7 +246,7 @@
     """
     data_folder: str
     """
-    Folder for all durable state.
+    Folder for all durable state; a relative path starts at the folder of the settings file.
     """
     links: LinkSettings
     """
