--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements that developers run; see docs/design."""
--- a/buckthorntack/routing/_load.py
+++ b/buckthorntack/routing/_load.py
@@ -38,6 +38,7 @@
         self.service_time_s = settings.service_time_ms / 1e3
         self._reported = 0
         self._measured_s = -math.inf
+        self._stale_s = -math.inf
         self._changes = collections.deque()
         self._changed = 0
 
@@ -53,6 +54,7 @@
             return
         self._reported = requests
         self._measured_s = measured_s
+        self._stale_s = measured_s + self.settings.stale_load_ms / 1e3
         changes = self._changes
         while changes and changes[0][0] <= measured_s:
             self._changed -= changes.popleft()[1]
@@ -63,12 +65,14 @@
         :param now_s: the time.
         :returns: requests running or waiting; never below the own ones.
         """
-        stale_s = self.settings.stale_load_ms / 1e3
-        late_s = now_s - self._measured_s - stale_s
         reported = self._reported
-        if late_s > 0:
+        if now_s > self._stale_s:
+            late_s = now_s - self._stale_s
+            stale_s = self.settings.stale_load_ms / 1e3
             reported *= 0.5 ** min(late_s / stale_s, 20.0)
-        return max(len(self.attempts), reported + self._changed)
+        estimate = reported + self._changed
+        own = len(self.attempts)
+        return estimate if estimate > own else own
 
     def started(self, attempt_id, attempt):
         """Note the start of an own attempt.
@@ -118,21 +122,26 @@
         self._change(now_s, -1)
         return attempt
 
-    def wait_s(self, slots, tokens, now_s):
+    def wait_s(self, slots, tokens, load):
         """Expect the time to the first token.
 
         :param slots: requests that run at once, here.
         :param tokens: prompt tokens that are not cached.
-        :param now_s: the time.
+        :param load: what :meth:`requests` gave.
         :returns: seconds.
         """
         settings = self.settings
-        load = self.requests(now_s)
         rate = settings.prefill_tokens_per_second
-        prefill_s = (tokens + self.pending_tokens) / rate
-        batch_s = settings.batch_delay_ms / 1e3 * min(load / slots, 1.0)
-        queue_s = max(0.0, load + 1 - slots) / slots * self.service_time_s
-        return self.slowness * (prefill_s + batch_s) + queue_s
+        work_s = (tokens + self.pending_tokens) / rate
+        if load < slots:
+            work_s += settings.batch_delay_ms / 1e3 * load / slots
+        else:
+            work_s += settings.batch_delay_ms / 1e3
+        wait_s = self.slowness * work_s
+        waiting = load + 1 - slots
+        if waiting > 0:
+            wait_s += waiting / slots * self.service_time_s
+        return wait_s
 
     def _change(self, now_s, change):
         changes = self._changes
--- a/buckthorntack/routing/_prefix.py
+++ b/buckthorntack/routing/_prefix.py
@@ -17,6 +17,8 @@
 LEAST_TRUST = 0.25
 #: Part of the missing trust that a gapless event gives back.
 TRUST_GAIN = 0.1
+#: Placements of known prefixes, one of which marks its blocks as used.
+REFRESH_PERIOD = 8
 
 
 def _block_ends():
@@ -88,6 +90,7 @@
         self.max_blocks = max_blocks
         self._blocks = collections.OrderedDict()
         self._holders = {}
+        self._placements = 0
 
     def __len__(self):
         return len(self._blocks)
@@ -98,7 +101,14 @@
         :param holder_id: the server, or another place with caches.
         :param hashes: the request's prefix hashes.
         """
+        if not hashes:
+            return
         holder = self._holder(holder_id)
+        self._placements += 1
+        if self._placements % REFRESH_PERIOD and self._has(
+            holder_id, holder, hashes[-1]
+        ):
+            return
         for prefix_hash in hashes:
             self._add(prefix_hash, holder_id, holder.generation)
 
@@ -141,6 +151,10 @@
             holder.sequence = None
             holder.trust = 1.0
 
+    def _has(self, holder_id, holder, prefix_hash):
+        holders = self._blocks.get(prefix_hash)
+        return holders and holders.get(holder_id) == holder.generation
+
     def _holder(self, holder_id):
         holder = self._holders.get(holder_id)
         if holder is None:
--- a/buckthorntack/routing/_router.py
+++ b/buckthorntack/routing/_router.py
@@ -2,7 +2,6 @@
 
 import datetime
 import random
-from typing import NamedTuple
 
 import expression
 
@@ -11,8 +10,8 @@
 from buckthorntack.routing import _load
 from buckthorntack.routing import _prefix
 from buckthorntack.routing import _regions
+from buckthorntack.routing import _scoring
 from buckthorntack.routing import _servers
-from buckthorntack.routing import _terms
 from buckthorntack.routing import _types
 
 #: Tokens of a prompt that is certainly worth its prefix look-up.
@@ -21,19 +20,6 @@
 RESERVED_S = 60.0
 
 
-class _Candidate(NamedTuple):
-    """A scored place."""
-
-    score: float
-    place: object
-    #: Score if the place were warm.
-    warm_score: float
-    ttft_s: float
-    load: float
-    cached_share: float
-    ramp_share: float
-
-
 class Router:
     """Chooses a backend server, or a failure domain to forward to.
 
@@ -60,9 +46,7 @@
         self._servers = _servers.ServerTable(settings)
         self._domains = _regions.DomainTable(settings, rng)
         self._prefixes = _prefix.PrefixIndex(settings.prefix_blocks)
-        self._weights = {}
-        self._pool_costs = {}
-        self._mean_cost = 1.0
+        self._scorer = _scoring.Scorer(settings)
         self._forwarding = set()
 
     def update_server(self, record, now: datetime.timedelta) -> None:
@@ -115,7 +99,7 @@
         :param service: its name.
         :param terms: ``DeploymentTerms`` document.
         """
-        self._weights[service] = _terms.weights(terms)
+        self._scorer.set_terms(service, terms)
 
     def set_pool_cost(self, pool: str, cost_per_hour: float) -> None:
         """Set what a backend server of a pool costs.
@@ -123,9 +107,7 @@
         :param pool: its name.
         :param cost_per_hour: cost of one backend server.
         """
-        self._pool_costs[pool] = cost_per_hour
-        costs = self._pool_costs.values()
-        self._mean_cost = sum(costs) / len(costs) or 1.0
+        self._scorer.set_pool_cost(pool, cost_per_hour)
 
     def cache_events(self, server_id, events, now) -> None:
         """Take cache events of a backend server.
@@ -160,7 +142,8 @@
             return
         now_s = now.total_seconds()
         tokens = prompt_tokens * (1.0 - cached_share)
-        predicted_s = server.load.wait_s(server.record.slots, tokens, now_s)
+        load = server.load.requests(now_s)
+        predicted_s = server.load.wait_s(server.record.slots, tokens, load)
         attempt = _load.Attempt(now_s, tokens, predicted_s, isolated)
         server.load.started(attempt_id, attempt)
         if isolated:
@@ -307,7 +290,7 @@
         group = _servers.GroupKey(request.service, request.model_version)
         matches = self._matches(request)
         local = self._local(request, group, matches, now_s)
-        best = min(c.warm_score for c in local) if local else None
+        best = self._best_local(local, request, group, matches, now_s)
         remote = self._remote(request, group, matches, best, now_s)
         if self._shall_forward(request.service, best, remote):
             return expression.Ok(self._forward(remote, best, request))
@@ -315,6 +298,20 @@
             return expression.Error(self._refusal(request, group))
         return expression.Ok(self._run_here(local, best, request))
 
+    def _best_local(self, local, request, group, matches, now_s):
+        """Best score here; the least loaded counts if the drawn ones wait."""
+        if not local:
+            return None
+        best = min(candidate.warm_score for candidate in local)
+        if best > self._margin_s(request.service, 0.0):
+            ordered = self._servers.ordered(group)
+            excluded = request.excluded_servers
+            for name in self._first_allowed(ordered, excluded, group):
+                least = self._score_server(name, request, matches, now_s)
+                local.append(least)
+                best = min(best, least.warm_score)
+        return best
+
     def _matches(self, request):
         if request.prompt_tokens < LEAST_PREFIX_TOKENS:
             return {}
@@ -325,10 +322,7 @@
             return []
         names = self._draw(request, group, matches)
         return [
-            self._score_server(
-                self._servers.get(name), request, matches, now_s
-            )
-            for name in names
+            self._score_server(name, request, matches, now_s) for name in names
         ]
 
     def _draw(self, request, group, matches):
@@ -340,25 +334,18 @@
             return [preferred]
         if request.isolate:
             return self._first_allowed(ordered, excluded, group)
-        names = {
-            name
-            for name in matches
-            if name not in excluded and self._offers(name, group)
-        }
+        names = [name for name in matches if self._offers(name, group)]
         size = len(ordered)
         wanted = self.settings.sampled_servers
         if size <= wanted:
-            names.update(pair[1] for pair in ordered)
+            names += [pair[1] for pair in ordered]
         else:
             draw = self.rng.random
             for _ in range(wanted):
                 # Squaring prefers low loads without always taking the least.
-                names.add(ordered[int(draw() ** 2 * size)][1])
-        names -= excluded
-        if names:
-            # Sorted, so that a seed gives the same decisions in each run.
-            return sorted(names)
-        return self._first_allowed(ordered, excluded, group)
+                names.append(ordered[int(draw() ** 2 * size)][1])
+        names = [name for name in dict.fromkeys(names) if name not in excluded]
+        return names or self._first_allowed(ordered, excluded, group)
 
     def _first_allowed(self, ordered, excluded, group):
         for _, name in ordered:
@@ -375,28 +362,10 @@
             and group in server.groups
         )
 
-    def _score_server(self, server, request, matches, now_s):
-        settings = self.settings
-        record = server.record
-        hashes = request.prefix_hashes
-        depth = matches.get(record.server_id, 0)
-        cached = _prefix.matched_share(hashes, depth)
-        tokens = request.prompt_tokens * (1.0 - cached)
-        ramp = server.ramp_share(now_s, settings)
-        ttft_s = server.load.wait_s(record.slots, tokens, now_s)
-        weights = self._service_weights(request.service)
-        cost = self._pool_costs.get(record.pool, self._mean_cost)
-        work_s = tokens / settings.prefill_tokens_per_second
-        cost_s = work_s * cost / self._mean_cost
-        warm_score = weights.latency * ttft_s + weights.cost * cost_s
-        score = warm_score
-        if ramp < 1.0:
-            slots = record.slots * ramp
-            ramped_s = server.load.wait_s(slots, tokens, now_s)
-            score += weights.latency * (ramped_s - ttft_s)
-        load = server.load.requests(now_s)
-        return _Candidate(
-            score, record.server_id, warm_score, ttft_s, load, cached, ramp
+    def _score_server(self, name, request, matches, now_s):
+        server = self._servers.get(name)
+        return self._scorer.server(
+            server, request, matches.get(name, 0), now_s
         )
 
     def _remote(self, request, group, matches, best, now_s):
@@ -413,25 +382,18 @@
         ]
 
     def _score_domain(self, key, request, group, matches, now_s):
-        settings = self.settings
         domain = self._domains.get(key)
-        capacity = domain.capacities[group]
-        weights = self._service_weights(request.service)
-        depth = matches.get(key, 0)
-        cached = _prefix.matched_share(request.prefix_hashes, depth)
-        tokens = request.prompt_tokens * (1.0 - cached)
-        ramp = domain.ramp_share(now_s, settings)
-        slots = max(capacity.slots * ramp, 1e-3)
-        wait_s = capacity.load.wait_s(slots, tokens, now_s)
-        away_s = 0.0
-        if key.region != self.region:
-            link = self._domains.link(key.region)
-            wait_s += link.transfer_s(request.body_bytes, now_s)
-            away_s = weights.away * settings.away_ms / 1e3
-        work_s = tokens / settings.prefill_tokens_per_second
-        score = weights.latency * wait_s + weights.cost * work_s + away_s
-        load = capacity.load.requests(now_s)
-        return _Candidate(score, key, score, wait_s, load, cached, ramp)
+        is_away = key.region != self.region
+        link = self._domains.link(key.region) if is_away else None
+        return self._scorer.domain(
+            key,
+            domain,
+            domain.capacities[group],
+            request,
+            matches.get(key, 0),
+            link,
+            now_s,
+        )
 
     def _shall_forward(self, service, best, remote):
         if best is None:
@@ -482,9 +444,6 @@
         near = [c for c in candidates if c.score <= best + tolerance]
         return near[int(self.rng.random() * len(near))]
 
-    def _service_weights(self, service):
-        return self._weights.get(service, _terms.DEFAULT_WEIGHTS)
-
     def _capacity(self, decision, request):
         key = _regions.DomainKey(decision.region, decision.failure_domain)
         domain = self._domains.get(key)
--- a/buckthorntack/routing/_servers.py
+++ b/buckthorntack/routing/_servers.py
@@ -75,7 +75,9 @@
         :param settings: ``RouterSettings``.
         """
         warmed = (now_s - self.ramp_from_s) * 1e3 / settings.ramp_ms
-        return min(1.0, max(settings.ramp_start_share, warmed))
+        if warmed >= 1.0:
+            return 1.0
+        return max(settings.ramp_start_share, warmed)
 
 
 class _Group:
