--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements that developers run; see docs/design."""
+"""Benchmarks, run by hand or by make."""
--- a/buckthorntack/schema/messages.py
+++ b/buckthorntack/schema/messages.py
@@ -3,6 +3,43 @@
 from buckthorntack.schema._generated.admission import QuotaGrant
 from buckthorntack.schema._generated.admission import QuotaNeed
 from buckthorntack.schema._generated.admission import UsageReport
+from buckthorntack.schema._generated.configuration import ChangeRecord
+from buckthorntack.schema._generated.configuration import ConfigurationChunk
+from buckthorntack.schema._generated.configuration import (
+    ConfigurationChunkRequest,
+)
+from buckthorntack.schema._generated.configuration import ConfigurationCopy
+from buckthorntack.schema._generated.configuration import ConfigurationDelta
+from buckthorntack.schema._generated.configuration import ConfigurationDeltas
+from buckthorntack.schema._generated.configuration import ConfigurationLeave
+from buckthorntack.schema._generated.configuration import ConfigurationPoll
+from buckthorntack.schema._generated.configuration import ConfigurationPresent
+from buckthorntack.schema._generated.configuration import ConfigurationProposal
+from buckthorntack.schema._generated.configuration import (
+    ConfigurationRegistration,
+)
+from buckthorntack.schema._generated.configuration import ConfigurationReport
+from buckthorntack.schema._generated.configuration import ConfigurationReports
+from buckthorntack.schema._generated.configuration import (
+    ConfigurationSettlement,
+)
+from buckthorntack.schema._generated.configuration import ConfigurationSnapshot
+from buckthorntack.schema._generated.configuration import ConfigurationStep
+from buckthorntack.schema._generated.configuration import PendingChange
+from buckthorntack.schema._generated.consensus import AppendRequest
+from buckthorntack.schema._generated.consensus import AppendResponse
+from buckthorntack.schema._generated.consensus import EnrolRequest
+from buckthorntack.schema._generated.consensus import EnrolResponse
+from buckthorntack.schema._generated.consensus import ForwardedProposal
+from buckthorntack.schema._generated.consensus import LogEntry
+from buckthorntack.schema._generated.consensus import ProposalRefused
+from buckthorntack.schema._generated.consensus import ReadRequest
+from buckthorntack.schema._generated.consensus import ReadResponse
+from buckthorntack.schema._generated.consensus import SnapshotChunk
+from buckthorntack.schema._generated.consensus import SnapshotChunkResponse
+from buckthorntack.schema._generated.consensus import TransferRequest
+from buckthorntack.schema._generated.consensus import VoteRequest
+from buckthorntack.schema._generated.consensus import VoteResponse
 from buckthorntack.schema._generated.forwarding import ForwardAlive
 from buckthorntack.schema._generated.forwarding import ForwardBody
 from buckthorntack.schema._generated.forwarding import ForwardCancel
@@ -12,12 +49,36 @@
 from buckthorntack.schema._generated.forwarding import ForwardHead
 from buckthorntack.schema._generated.forwarding import ForwardHeader
 from buckthorntack.schema._generated.forwarding import ForwardRequest
+from buckthorntack.schema._generated.ledger import LedgerBatch
+from buckthorntack.schema._generated.ledger import LedgerClaim
+from buckthorntack.schema._generated.ledger import LedgerHeader
+from buckthorntack.schema._generated.ledger import LedgerOperation
+from buckthorntack.schema._generated.ledger import LedgerProbe
+from buckthorntack.schema._generated.ledger import LedgerProbeReply
+from buckthorntack.schema._generated.ledger import LedgerRecord
+from buckthorntack.schema._generated.ledger import LedgerReply
+from buckthorntack.schema._generated.ledger import LedgerSettle
+from buckthorntack.schema._generated.ledger import LedgerSnapshot
+from buckthorntack.schema._generated.ledger import LedgerStoredRecord
 from buckthorntack.schema._generated.links import Ping
 from buckthorntack.schema._generated.links import Pong
 from buckthorntack.schema._generated.membership import DomainSummary
 from buckthorntack.schema._generated.membership import EntryRecord
+from buckthorntack.schema._generated.membership import Item
+from buckthorntack.schema._generated.membership import MembershipDelta
+from buckthorntack.schema._generated.membership import MembershipDigest
+from buckthorntack.schema._generated.membership import MembershipDigestDetail
+from buckthorntack.schema._generated.membership import MembershipEntries
+from buckthorntack.schema._generated.membership import MembershipHello
+from buckthorntack.schema._generated.membership import MembershipItems
+from buckthorntack.schema._generated.membership import MembershipPull
+from buckthorntack.schema._generated.membership import MembershipSummaries
+from buckthorntack.schema._generated.membership import MessageStamp
+from buckthorntack.schema._generated.membership import RecordKey
 from buckthorntack.schema._generated.membership import ServerLoad
 from buckthorntack.schema._generated.membership import ServerRecord
+from buckthorntack.schema._generated.membership import ServerRenewal
+from buckthorntack.schema._generated.membership import ServerUpdate
 from buckthorntack.schema._generated.membership import ServiceSummary
 from buckthorntack.schema._generated.retries import Acquittal
 from buckthorntack.schema._generated.retries import Conviction
@@ -27,9 +88,29 @@
 
 __all__ = [
     "Acquittal",
+    "AppendRequest",
+    "AppendResponse",
+    "ChangeRecord",
+    "ConfigurationChunk",
+    "ConfigurationChunkRequest",
+    "ConfigurationCopy",
+    "ConfigurationDelta",
+    "ConfigurationDeltas",
+    "ConfigurationLeave",
+    "ConfigurationPoll",
+    "ConfigurationPresent",
+    "ConfigurationProposal",
+    "ConfigurationRegistration",
+    "ConfigurationReport",
+    "ConfigurationReports",
+    "ConfigurationSettlement",
+    "ConfigurationSnapshot",
+    "ConfigurationStep",
     "Conviction",
     "CrashEvidence",
     "DomainSummary",
+    "EnrolRequest",
+    "EnrolResponse",
     "EntryRecord",
     "FailedAttempts",
     "ForwardAlive",
@@ -41,13 +122,48 @@
     "ForwardHead",
     "ForwardHeader",
     "ForwardRequest",
+    "ForwardedProposal",
+    "Item",
+    "LedgerBatch",
+    "LedgerClaim",
+    "LedgerHeader",
+    "LedgerOperation",
+    "LedgerProbe",
+    "LedgerProbeReply",
+    "LedgerRecord",
+    "LedgerReply",
+    "LedgerSettle",
+    "LedgerSnapshot",
+    "LedgerStoredRecord",
+    "LogEntry",
+    "MembershipDelta",
+    "MembershipDigest",
+    "MembershipDigestDetail",
+    "MembershipEntries",
+    "MembershipHello",
+    "MembershipItems",
+    "MembershipPull",
+    "MembershipSummaries",
+    "MessageStamp",
+    "PendingChange",
     "Ping",
     "Pong",
+    "ProposalRefused",
     "QuotaGrant",
     "QuotaNeed",
+    "ReadRequest",
+    "ReadResponse",
+    "RecordKey",
     "ServerLoad",
     "ServerRecord",
+    "ServerRenewal",
+    "ServerUpdate",
     "ServiceSummary",
+    "SnapshotChunk",
+    "SnapshotChunkResponse",
     "SuspectClaim",
+    "TransferRequest",
     "UsageReport",
+    "VoteRequest",
+    "VoteResponse",
 ]
