Claim the server as well as the suspect, and keep claims after failures

Change: claims cover the server; they run out after a failure and end at once only after a whole run; equal requests of several entry VMs meet at one of equal servers; what is learnt is packed into membership's items.

--- a/buckthorntack/retries/__init__.py
+++ b/buckthorntack/retries/__init__.py
@@ -19,11 +19,12 @@
 from buckthorntack.retries._events import RETRIED
 from buckthorntack.retries._events import SUSPECTED
 from buckthorntack.retries._fingerprint import fingerprint
+from buckthorntack.retries._items import pack
+from buckthorntack.retries._items import unpack
 from buckthorntack.retries._limiter import AttemptLimiter
 from buckthorntack.retries._policy import RetryPolicy
 from buckthorntack.retries._quarantine import Clean
 from buckthorntack.retries._quarantine import Convicted
-from buckthorntack.retries._quarantine import item_key
 from buckthorntack.retries._quarantine import Quarantine
 from buckthorntack.retries._quarantine import Suspect
 from buckthorntack.retries._quarantine import Verdict
@@ -91,5 +92,6 @@
     "Verdict",
     "Wait",
     "fingerprint",
-    "item_key",
+    "pack",
+    "unpack",
 ]
--- a/buckthorntack/retries/_quarantine.py
+++ b/buckthorntack/retries/_quarantine.py
@@ -7,6 +7,7 @@
 
 from buckthorntack.retries import _claims
 from buckthorntack.retries import _errors
+from buckthorntack.retries import _items
 from buckthorntack.schema import messages
 
 
@@ -134,18 +135,23 @@
         return Clean(next(iter(servers)) if servers else None)
 
     def claim(
-        self, fingerprint: str, now: datetime.timedelta
+        self, fingerprint: str, server_id: str, now: datetime.timedelta
     ) -> _claims.RunAlone | _claims.Wait:
         """Ask to run a suspect; ask for the verdict again after a wait.
 
         :param fingerprint: its fingerprint.
+        :param server_id: the server that shall run it; best the same one
+            each time.
         :param now: the time.
         :returns: :class:`RunAlone` or :class:`Wait`.
         """
-        return self._claims.claim(fingerprint, now)
+        return self._claims.claim(fingerprint, server_id, now)
 
     def release(self, fingerprint: str, now: datetime.timedelta) -> None:
-        """Give up a claim, as the caller has gone or no server is free.
+        """Give up a claim, as the suspect does not run.
+
+        Call it if the caller has gone before the start, or if the server
+        says that it was not run.
 
         :param fingerprint: the suspect's fingerprint.
         :param now: the time.
@@ -161,24 +167,17 @@
         servers = self._running.setdefault(fingerprint, collections.Counter())
         servers[server_id] += 1
 
-    def stopped(
-        self, fingerprint: str, server_id: str, now: datetime.timedelta
-    ) -> None:
+    def stopped(self, fingerprint: str, server_id: str) -> None:
         """Note an attempt that ended without running to its end.
 
+        A claim is left to run out, so that the news of a crash goes ahead
+        of the next run.
+
         :param fingerprint: the request's fingerprint.
         :param server_id: the server.
-        :param now: the time.
         """
-        servers = self._running.get(fingerprint)
-        if servers is None:
-            return
-        servers[server_id] -= 1
-        if servers[server_id] <= 0:
-            del servers[server_id]
-        if not servers:
-            del self._running[fingerprint]
-            self._claims.release(fingerprint, now)
+        self._claims.abandon(fingerprint)
+        self._leave(fingerprint, server_id)
 
     def finished(
         self, fingerprint: str, server_id: str, now: datetime.timedelta
@@ -190,7 +189,8 @@
         :param now: the time.
         :returns: whether it was suspected.
         """
-        self.stopped(fingerprint, server_id, now)
+        self._claims.release(fingerprint, now)
+        self._leave(fingerprint, server_id)
         crashes = self._live_crashes(fingerprint)
         for crash in crashes:
             item = messages.Acquittal(fingerprint, *crash)
@@ -246,12 +246,22 @@
     def take_items(self) -> list:
         """Items to be spread, each once.
 
-        :returns: messages, to be spread under :func:`item_key`.
+        :returns: messages, to be spread by way of :func:`pack`.
         """
         items = list(self._outbox.values()) + self._claims.take_items()
         self._outbox.clear()
         return items
 
+    def _leave(self, fingerprint, server_id):
+        servers = self._running.get(fingerprint)
+        if servers is None:
+            return
+        servers[server_id] -= 1
+        if servers[server_id] <= 0:
+            del servers[server_id]
+        if not servers:
+            del self._running[fingerprint]
+
     def _take_evidence(self, item, now):
         crash = CrashId(item.server_id, item.incarnation)
         key = (item.fingerprint, crash)
@@ -325,7 +335,7 @@
         return now + datetime.timedelta(milliseconds=retention_ms)
 
     def _spread(self, item):
-        self._outbox[item_key(item)] = item
+        self._outbox[_items.key_of(item)] = item
 
 
 @functools.singledispatch
@@ -351,38 +361,3 @@
 @_merge.register
 def _(item: messages.SuspectClaim, quarantine, now):
     quarantine._take_claim(item, now)
-
-
-@functools.singledispatch
-def item_key(item) -> str:
-    """Key under which an item is spread; a newer one replaces it.
-
-    :param item: an item of the quarantine or of the attempt limiter.
-    :returns: the key.
-    """
-    raise TypeError(f"not an item: {item!r}")
-
-
-@item_key.register
-def _(item: messages.CrashEvidence):
-    return f"crash/{item.fingerprint}/{item.server_id}/{item.incarnation}"
-
-
-@item_key.register
-def _(item: messages.Acquittal):
-    return f"acquittal/{item.fingerprint}/{item.server_id}/{item.incarnation}"
-
-
-@item_key.register
-def _(item: messages.Conviction):
-    return f"conviction/{item.fingerprint}"
-
-
-@item_key.register
-def _(item: messages.SuspectClaim):
-    return f"claim/{item.fingerprint}/{item.node_id}"
-
-
-@item_key.register
-def _(item: messages.FailedAttempts):
-    return f"attempts/{item.fingerprint}/{item.node_id}"
--- a/buckthorntack/routing/_regions.py
+++ b/buckthorntack/routing/_regions.py
@@ -196,5 +196,7 @@
 
 
 def _is_older(summary, known):
+    if summary.reporter != known.reporter:
+        return False
     order = (summary.incarnation, summary.sequence)
     return order < (known.incarnation, known.sequence)
--- a/buckthorntack/routing/_router.py
+++ b/buckthorntack/routing/_router.py
@@ -4,6 +4,7 @@
 import random
 
 import expression
+import xxhash
 
 from buckthorntack import errors
 from buckthorntack.routing import _errors
@@ -416,7 +417,7 @@
         return settings.forward_enter_ms / 1e3 + share
 
     def _forward(self, remote, best, request):
-        chosen = self._near_best(remote)
+        chosen = self._near_best(remote, request)
         domain = self._domains.get(chosen.place)
         entries = domain.ready_entries()
         self.rng.shuffle(entries)
@@ -428,21 +429,28 @@
         )
 
     def _run_here(self, local, best, request):
-        chosen = self._near_best(local)
+        chosen = self._near_best(local, request)
         server = self._servers.get(chosen.place)
         if request.prompt_tokens >= LEAST_PREFIX_TOKENS:
             self._prefixes.placed(chosen.place, request.prefix_hashes)
         reasons = _reasons(chosen, local, best)
         return _types.RouteLocal(chosen.place, server.record.url, reasons)
 
-    def _near_best(self, candidates):
+    def _near_best(self, candidates, request):
+        """One of the candidates that are about as good as the best.
+
+        It is drawn by the request's fingerprint, so that equal requests
+        meet, or else at random.
+        """
         settings = self.settings
         best = min(candidates).score
         tolerance = max(
             best * settings.tolerance_share, settings.tolerance_ms / 1e3
         )
         near = [c for c in candidates if c.score <= best + tolerance]
-        return near[int(self.rng.random() * len(near))]
+        if len(near) == 1 or not request.fingerprint:
+            return near[int(self.rng.random() * len(near))]
+        return max(near, key=lambda c: _affinity(request.fingerprint, c.place))
 
     def _capacity(self, decision, request):
         key = _regions.DomainKey(decision.region, decision.failure_domain)
@@ -472,6 +480,10 @@
         )
 
 
+def _affinity(fingerprint, place):
+    return xxhash.xxh3_64_intdigest(f"{fingerprint}/{place}".encode())
+
+
 def _reasons(chosen, candidates, local_score):
     return _types.Reasons(
         round(chosen.ttft_s * 1e3, 1),
--- a/buckthorntack/routing/_types.py
+++ b/buckthorntack/routing/_types.py
@@ -32,6 +32,8 @@
     isolate: bool = False
     #: Server that runs an equal request now, and takes this one as well.
     preferred_server: str | None = None
+    #: Leads equal requests of several entry VMs to one of equal servers.
+    fingerprint: str = ""
 
 
 class Reasons(NamedTuple):
--- a/buckthorntack/routing/tests/test_router.py
+++ b/buckthorntack/routing/tests/test_router.py
@@ -197,3 +197,18 @@
         router.attempt_started(name, f"a{number}", 100, at(30.1))
         placed += name == "new"
     assert 5 <= placed <= 15
+
+
+def test_equal_requests_of_several_entry_vms_meet():
+    counts = set()
+    for number in range(6):
+        router = routing.Router(
+            "fukuoka",
+            "fukuoka-a",
+            routing.RouterSettings(),
+            random.Random(number),
+        )
+        for name in ("s1", "s2", "s3"):
+            router.update_server(_records.server(name), at(0))
+        counts.add(chosen(router, fingerprint="f1").server_id)
+    assert len(counts) == 1
--- a/buckthorntack/schema/_generated/retries.py
+++ b/buckthorntack/schema/_generated/retries.py
@@ -36,10 +36,10 @@
 
 class SuspectClaim(NamedTuple):
     """
-    An entry VM wants to run a suspect, or runs it.
+    An entry VM wants to run a suspect on a backend server, or does so.
     """
 
-    fingerprint: str
+    subject: str
     node_id: str
     sequence: int
     running: bool
