Learn a server's speed from sums and drain its backlog of prompts

Cause: a mean of ratios let short requests and stale beliefs in caches swing the learnt speed between 0.7 and 3 at equal servers. Change: speed is a ratio of averaged sums with a prior; the backlog of prompts drains with time.

--- a/buckthorntack/routing/_load.py
+++ b/buckthorntack/routing/_load.py
@@ -5,8 +5,12 @@
 
 #: Weight of a new sample in learnt averages.
 SAMPLE_WEIGHT = 0.1
-#: Bounds of the learnt ratio of observed to predicted time.
-LEAST_SLOWNESS = 0.25
+#: Weight of a new sample of the speed, which varies more.
+SPEED_WEIGHT = 0.03
+#: Added to both sides of the ratio, so that short work says little.
+SPEED_PRIOR_S = 0.2
+#: Bounds of the learnt ratio of observed to expected work time.
+LEAST_SLOWNESS = 0.5
 MOST_SLOWNESS = 8.0
 #: Own starts and ends kept apart until a report covers them.
 MOST_CHANGES = 512
@@ -15,12 +19,16 @@
 class Attempt:
     """An own attempt in flight."""
 
-    __slots__ = ("isolated", "pending_tokens", "predicted_s", "started_s")
+    __slots__ = ("isolated", "started_s", "waits", "work_s", "wait_s")
 
-    def __init__(self, started_s, pending_tokens, predicted_s, isolated):
+    def __init__(self, started_s, work_s, wait_s, isolated):
         self.started_s = started_s
-        self.pending_tokens = pending_tokens
-        self.predicted_s = predicted_s
+        #: Work expected for its first token at normal speed.
+        self.work_s = work_s
+        #: Time expected before that work begins.
+        self.wait_s = wait_s
+        #: Whether its first byte is yet to come.
+        self.waits = True
         self.isolated = isolated
 
 
@@ -33,7 +41,6 @@
     def __init__(self, settings):
         self.settings = settings
         self.attempts = {}
-        self.pending_tokens = 0
         self.slowness = 1.0
         self.service_time_s = settings.service_time_ms / 1e3
         self._reported = 0
@@ -41,6 +48,10 @@
         self._stale_s = -math.inf
         self._changes = collections.deque()
         self._changed = 0
+        self._waiting = 0
+        self._backlog_until_s = -math.inf
+        self._observed_s = 0.0
+        self._expected_s = 0.0
 
     def report(self, requests, measured_s):
         """Take a load report.
@@ -81,7 +92,9 @@
         :param attempt: the ``Attempt``.
         """
         self.attempts[attempt_id] = attempt
-        self.pending_tokens += attempt.pending_tokens
+        self._waiting += 1
+        start_s = max(self._backlog_until_s, attempt.started_s)
+        self._backlog_until_s = start_s + attempt.work_s * self.slowness
         self._change(attempt.started_s, 1)
 
     def first_byte(self, attempt_id, now_s):
@@ -91,17 +104,18 @@
         :param now_s: the time.
         """
         attempt = self.attempts.get(attempt_id)
-        if attempt is None or attempt.predicted_s is None:
+        if attempt is None or not attempt.waits:
             return
-        self.pending_tokens -= attempt.pending_tokens
-        attempt.pending_tokens = 0
-        ratio = (now_s - attempt.started_s) / max(attempt.predicted_s, 1e-3)
-        ratio = min(max(ratio, LEAST_SLOWNESS), MOST_SLOWNESS)
-        attempt.predicted_s = None
-        self.slowness += (ratio * self.slowness - self.slowness) * (
-            SAMPLE_WEIGHT
-        )
-        self.slowness = min(max(self.slowness, LEAST_SLOWNESS), MOST_SLOWNESS)
+        self._leave(attempt, now_s)
+        observed_s = now_s - attempt.started_s - attempt.wait_s
+        observed_s = max(observed_s, 0.0)
+        gain_s = (observed_s - self._observed_s) * SPEED_WEIGHT
+        self._observed_s += gain_s
+        gain_s = (attempt.work_s - self._expected_s) * SPEED_WEIGHT
+        self._expected_s += gain_s
+        expected_s = self._expected_s + SPEED_PRIOR_S
+        ratio = (self._observed_s + SPEED_PRIOR_S) / expected_s
+        self.slowness = min(max(ratio, LEAST_SLOWNESS), MOST_SLOWNESS)
 
     def finished(self, attempt_id, now_s, whole):
         """Note the end of an own attempt.
@@ -114,7 +128,8 @@
         attempt = self.attempts.pop(attempt_id, None)
         if attempt is None:
             return None
-        self.pending_tokens -= attempt.pending_tokens
+        if attempt.waits:
+            self._leave(attempt, now_s)
         if whole:
             held_s = now_s - attempt.started_s
             gain_s = (held_s - self.service_time_s) * SAMPLE_WEIGHT
@@ -122,8 +137,8 @@
         self._change(now_s, -1)
         return attempt
 
-    def wait_s(self, slots, tokens, load):
-        """Expect the time to the first token.
+    def work_s(self, slots, tokens, load):
+        """Expect the work for the first token, at normal speed.
 
         :param slots: requests that run at once, here.
         :param tokens: prompt tokens that are not cached.
@@ -131,18 +146,45 @@
         :returns: seconds.
         """
         settings = self.settings
-        rate = settings.prefill_tokens_per_second
-        work_s = (tokens + self.pending_tokens) / rate
+        batch_s = settings.batch_delay_ms / 1e3
         if load < slots:
-            work_s += settings.batch_delay_ms / 1e3 * load / slots
-        else:
-            work_s += settings.batch_delay_ms / 1e3
-        wait_s = self.slowness * work_s
+            batch_s *= load / slots
+        return tokens / settings.prefill_tokens_per_second + batch_s
+
+    def wait_s(self, slots, load, now_s):
+        """Expect the time before work for a new request begins.
+
+        :param slots: requests that run at once, here.
+        :param load: what :meth:`requests` gave.
+        :param now_s: the time.
+        :returns: seconds.
+        """
+        wait_s = self._backlog_until_s - now_s
+        if wait_s < 0.0:
+            wait_s = 0.0
         waiting = load + 1 - slots
         if waiting > 0:
             wait_s += waiting / slots * self.service_time_s
         return wait_s
 
+    def first_token_s(self, slots, tokens, load, now_s):
+        """Expect the time to the first token.
+
+        :param slots: requests that run at once, here.
+        :param tokens: prompt tokens that are not cached.
+        :param load: what :meth:`requests` gave.
+        :param now_s: the time.
+        :returns: seconds.
+        """
+        work_s = self.work_s(slots, tokens, load)
+        return self.slowness * work_s + self.wait_s(slots, load, now_s)
+
+    def _leave(self, attempt, now_s):
+        attempt.waits = False
+        self._waiting -= 1
+        if not self._waiting:
+            self._backlog_until_s = now_s
+
     def _change(self, now_s, change):
         changes = self._changes
         changes.append((now_s, change))
--- a/buckthorntack/routing/_router.py
+++ b/buckthorntack/routing/_router.py
@@ -144,8 +144,10 @@
         now_s = now.total_seconds()
         tokens = prompt_tokens * (1.0 - cached_share)
         load = server.load.requests(now_s)
-        predicted_s = server.load.wait_s(server.record.slots, tokens, load)
-        attempt = _load.Attempt(now_s, tokens, predicted_s, isolated)
+        slots = server.record.slots
+        work_s = server.load.work_s(slots, tokens, load)
+        wait_s = server.load.wait_s(slots, load, now_s)
+        attempt = _load.Attempt(now_s, work_s, wait_s, isolated)
         server.load.started(attempt_id, attempt)
         if isolated:
             self._servers.reserve(server, now_s + RESERVED_S, now_s)
@@ -232,9 +234,12 @@
         capacity = self._capacity(decision, request)
         if capacity is None:
             return
-        predicted_s = decision.reasons.expected_ttft_ms / 1e3
         tokens = request.prompt_tokens * (1.0 - decision.reasons.cached_share)
-        attempt = _load.Attempt(now_s, tokens, predicted_s, False)
+        load = capacity.load.requests(now_s)
+        work_s = capacity.load.work_s(capacity.slots, tokens, load)
+        expected_s = decision.reasons.expected_ttft_ms / 1e3
+        wait_s = max(0.0, expected_s - work_s * capacity.load.slowness)
+        attempt = _load.Attempt(now_s, work_s, wait_s, False)
         capacity.load.started(attempt_id, attempt)
 
     def forward_first_byte(
--- a/buckthorntack/routing/_scoring.py
+++ b/buckthorntack/routing/_scoring.py
@@ -69,7 +69,7 @@
         cached = _prefix.matched_share(request.prefix_hashes, depth)
         tokens = request.prompt_tokens * (1.0 - cached)
         load = server.load.requests(now_s)
-        ttft_s = server.load.wait_s(record.slots, tokens, load)
+        ttft_s = server.load.first_token_s(record.slots, tokens, load, now_s)
         weights = self._weights.get(request.service, _terms.DEFAULT_WEIGHTS)
         cost = self._pool_costs.get(record.pool, self._mean_cost)
         work_s = tokens / settings.prefill_tokens_per_second
@@ -79,7 +79,7 @@
         ramp = server.ramp_share(now_s, settings)
         if ramp < 1.0:
             slots = record.slots * ramp
-            ramped_s = server.load.wait_s(slots, tokens, load)
+            ramped_s = server.load.first_token_s(slots, tokens, load, now_s)
             score += weights.latency * (ramped_s - ttft_s)
         return Candidate(
             score, record.server_id, warm_score, ttft_s, load, cached, ramp
@@ -104,7 +104,7 @@
         ramp = domain.ramp_share(now_s, settings)
         slots = max(capacity.slots * ramp, 1.0)
         load = capacity.load.requests(now_s)
-        ttft_s = capacity.load.wait_s(slots, tokens, load)
+        ttft_s = capacity.load.first_token_s(slots, tokens, load, now_s)
         away_s = 0.0
         if link is not None:
             ttft_s += link.transfer_s(request.body_bytes, now_s)
