Check quota shares at every moment and catch broken variants

Cause: totals over a time hide a broken lender, as lending leaves part of the quota unused. Change: the property test adds up the shares in use at every step, over changing demands, loss, delay and a cut; variants that lend without giving up, count a lease from receipt, forget an earlier attempt, repeat anything, take a loss for not run, or settle too briefly are caught. Conclusion: the documented bounds are tested, and the tests can fail.

--- a/buckthorntack/admission/_controller.py
+++ b/buckthorntack/admission/_controller.py
@@ -187,6 +187,15 @@
         """
         self._quotas.reported(report, now.total_seconds())
 
+    def quota_share(self, organisation: str, now: datetime.timedelta) -> float:
+        """Share of an organisation's quota that may be used here now.
+
+        :param organisation: its name.
+        :param now: the time.
+        :returns: share of the whole quota.
+        """
+        return self._quotas.usable_share(organisation, now.total_seconds())
+
     def active_organisations(self) -> int:
         """Organisations of which any state is kept."""
         return len(self._quotas)
--- a/buckthorntack/admission/_quota.py
+++ b/buckthorntack/admission/_quota.py
@@ -127,6 +127,18 @@
             account.tokens.take(tokens)
             account.demand_tokens += tokens
 
+    def usable_share(self, organisation, now_s):
+        """Share of a quota that this entry VM may use now.
+
+        :param organisation: the organisation.
+        :param now_s: the time.
+        :returns: share of the whole quota.
+        """
+        account = self._accounts.get(organisation)
+        if account is None:
+            return self._fixed_share
+        return account.shares.usable(self._fixed_share, now_s)
+
     def report(self, now_s):
         """Tell other entry VMs what is needed and what is lent.
 
--- a/buckthorntack/admission/tests/test_quota.py
+++ b/buckthorntack/admission/tests/test_quota.py
@@ -9,6 +9,7 @@
 import pytest
 
 from buckthorntack import admission
+from buckthorntack.admission import _shares
 
 LIMITS = admission.QuotaLimits(10.0, 20, 60_000)
 
@@ -73,7 +74,10 @@
 
 
 def run(demands, network, seconds=40, step_s=0.05, start_s=0.0):
-    """Offer requests at rates per entry VM; count those admitted."""
+    """Offer requests at rates per entry VM; count those admitted.
+
+    At no moment may the shares in use add up to more than the whole.
+    """
     admitted = [0] * len(demands)
     for step in range(int(seconds / step_s)):
         now_s = start_s + step * step_s
@@ -86,6 +90,11 @@
                 admitted[number] += offer(
                     network.controllers[number], name, now_s
                 )
+        shares = [
+            controller.quota_share("shops", at(now_s))
+            for controller in network.controllers
+        ]
+        assert sum(shares) <= 1.0 + 1e-9
     return admitted
 
 
@@ -132,27 +141,59 @@
     assert admitted[2] == pytest.approx(400 * 4 / 6, rel=0.15)
 
 
-@hypothesis_settings(max_examples=25, deadline=None)
+def run_phases(phases, network, seconds=4):
+    """Offer at rates that change every few seconds; count all admitted."""
+    admitted = 0
+    for number, demands in enumerate(phases):
+        start_s = float(number * seconds)
+        admitted += sum(run(demands, network, seconds, start_s=start_s))
+    return admitted
+
+
+@hypothesis_settings(max_examples=30, deadline=None)
 @given(
-    demands=strategies.lists(
-        strategies.integers(0, 3), min_size=2, max_size=6
+    phases=strategies.lists(
+        strategies.lists(strategies.integers(0, 3), min_size=4, max_size=4),
+        min_size=2,
+        max_size=10,
     ),
+    cut_at=strategies.integers(0, 9),
     loss=strategies.sampled_from([0.0, 0.3, 0.9]),
     longest_s=strategies.sampled_from([0.1, 1.0, 6.0]),
-    cut_at=strategies.integers(0, 20),
     seed=strategies.integers(0, 1000),
 )
 def test_the_whole_is_never_exceeded_beyond_the_bound(
-    demands, loss, longest_s, cut_at, seed
+    phases, cut_at, loss, longest_s, seed
 ):
-    count = len(demands)
-    controllers = make_controllers(count)
+    controllers = make_controllers(4)
     network = Network(controllers, random.Random(seed), loss, longest_s)
-    admitted = sum(run(demands, network, seconds=cut_at))
-    network.groups = [number % 2 for number in range(count)]
-    swapped = demands[::-1]
-    admitted += sum(run(swapped, network, seconds=10, start_s=cut_at))
-    assert admitted <= whole(cut_at + 10, count)
+    admitted = run_phases(phases[:cut_at], network)
+    network.groups = [0, 1, 0, 1]
+    rest = phases[cut_at:]
+    start_s = 4.0 * len(phases[:cut_at])
+    for number, demands in enumerate(rest):
+        step_s = start_s + 4.0 * number
+        admitted += sum(run(demands, network, 4, start_s=step_s))
+    assert admitted <= whole(4 * len(phases), 4)
+
+
+def test_a_lender_that_goes_on_using_its_share_is_caught(monkeypatch):
+    monkeypatch.setattr(_shares.Shares, "lent", lambda self, but_to=None: 0.0)
+    network = Network(make_controllers(4), random.Random(1))
+    with pytest.raises(AssertionError):
+        run([3, 0, 0, 0], network, seconds=10)
+
+
+def test_a_borrower_that_counts_from_receipt_is_caught(monkeypatch):
+    borrow = _shares.Shares.borrow
+
+    def borrow_longer(self, node_id, share, until_s):
+        borrow(self, node_id, share, until_s + 2.0)
+
+    monkeypatch.setattr(_shares.Shares, "borrow", borrow_longer)
+    network = Network(make_controllers(4), random.Random(1), loss=0.5)
+    with pytest.raises(AssertionError):
+        run_phases([[3, 0, 0, 0], [0, 3, 3, 3]] * 5, network)
 
 
 def test_state_only_for_active_organisations():
--- a/buckthorntack/retries/tests/test_policy.py
+++ b/buckthorntack/retries/tests/test_policy.py
@@ -3,6 +3,7 @@
 import datetime
 import random
 
+import hypothesis
 from hypothesis import given
 from hypothesis import strategies
 import pytest
@@ -202,12 +203,59 @@
     raise AssertionError("never gives up")
 
 
-@given(data=strategies.data(), idempotent=strategies.booleans())
-def test_final_answers_are_true(data, idempotent):
-    server, error = play(make_policy(), idempotent, data.draw)
+def check_truth(policy, idempotent, draw):
+    server, error = play(policy, idempotent, draw)
     if error.run_state is NOT_RUN:
         assert server.runs == 0
     if error.run_state is RAN:
         assert server.runs >= 1
     if not idempotent:
         assert server.runs <= 1
+
+
+@given(data=strategies.data(), idempotent=strategies.booleans())
+def test_final_answers_are_true(data, idempotent):
+    check_truth(make_policy(), idempotent, data.draw)
+
+
+class ForgetsEarlierAttempts(retries.RetryPolicy):
+    def retry(self, server_id, context, now):
+        step = super().retry(server_id, context, now)
+        if isinstance(step, retries.GiveUp):
+            return step
+        forgotten = step.context._replace(may_have_run=False)
+        return step._replace(context=forgotten)
+
+
+class RepeatsAnything(retries.RetryPolicy):
+    def retry(self, server_id, context, now):
+        context = context._replace(idempotent=True)
+        return super().retry(server_id, context, now)
+
+
+class TakesLossForNotRun(retries.RetryPolicy):
+    def ask(self, server_id, context, now):
+        context = context._replace(current_unknown=False)
+        return self.retry(server_id, context, now)
+
+
+@pytest.mark.parametrize(
+    "kind", [ForgetsEarlierAttempts, RepeatsAnything, TakesLossForNotRun]
+)
+def test_broken_variants_are_caught(kind):
+    settings = retries.RetrySettings()
+
+    @hypothesis.settings(
+        max_examples=1000,
+        derandomize=True,
+        database=None,
+        phases=(hypothesis.Phase.generate,),
+    )
+    @given(data=strategies.data(), idempotent=strategies.booleans())
+    def run(data, idempotent):
+        limiter = retries.AttemptLimiter("entry-1", settings)
+        policy = kind(settings, random.Random(3), limiter)
+        check_truth(policy, idempotent, data.draw)
+
+    with pytest.raises(AssertionError):
+        run()
--- a/buckthorntack/retries/tests/test_quarantine.py
+++ b/buckthorntack/retries/tests/test_quarantine.py
@@ -104,25 +104,23 @@
     assert len(quarantine) <= 100
 
 
-@pytest.mark.parametrize("seed", range(20))
-def test_a_suspect_runs_at_one_entry_vm_at_a_time(seed):
+def most_runs_at_once(seed, **fields):
+    """Let four entry VMs run one suspect each; count runs at once."""
     rng = random.Random(seed)
-    nodes = {name: make_quarantine(name) for name in ("e1", "e2", "e3", "e4")}
-    for node in nodes.values():
-        node.server_crashed("s1", 1, frozenset("p"), at(0))
-        node.take_items()
+    names = ("e1", "e2", "e3", "e4")
+    nodes = {name: make_quarantine(name, **fields) for name in names}
     starts = {name: rng.uniform(0, 4) for name in nodes}
     ends, flying, most, runs = {}, [], 0, 0
     for step in range(1500):
         now_s = step / 50
-        for due, name, item in [f for f in flying if f[0] <= now_s]:
-            nodes[name].merge(item, at(now_s))
-            flying.remove((due, name, item))
+        for arrival in [entry for entry in flying if entry[0] <= now_s]:
+            flying.remove(arrival)
+            nodes[arrival[1]].merge(arrival[2], at(now_s))
         for name, node in nodes.items():
             if name in ends and now_s >= ends[name]:
                 del ends[name]
                 starts[name] = 1e9
-                node.release("p", at(now_s))
+                node.finished("p", "s2", at(now_s))
             elif now_s >= starts[name] and name not in ends:
                 claimed = node.claim("p", "s2", at(now_s))
                 if claimed == retries.RunAlone():
@@ -134,8 +132,18 @@
                     due = now_s + rng.uniform(0.0, 1.0)
                     flying.append((due, other, item))
         most = max(most, len(ends))
-    assert most == 1
-    assert runs == 4
+    assert runs == len(nodes)
+    return most
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_a_suspect_runs_at_one_entry_vm_at_a_time(seed):
+    assert most_runs_at_once(seed) == 1
+
+
+def test_too_short_a_settling_is_caught():
+    most = [most_runs_at_once(seed, spread_ms=100) for seed in range(20)]
+    assert max(most) > 1
 
 
 def test_a_claim_of_a_lost_entry_vm_ends():
