Test the durable state with every fault at every step

Change: files in memory that drop what was not synced; crashes before and after each of the file operations, with four tails and both orders of names, a second crash while recovering, failing operations, a full disk at each seventh byte, each byte flipped, each file cut at each length. A transfer of leadership that fails now ends its caller's wait. Conclusion: an acknowledged change outlives each of these faults or the folder is refused with the remedy.

--- a/buckthorntack/consensus/_inputs.py
+++ b/buckthorntack/consensus/_inputs.py
@@ -1,5 +1,6 @@
 """What is handed to the task of a replica."""
 
+import asyncio
 from typing import Any
 from typing import NamedTuple
 
@@ -53,3 +54,4 @@
     """Another voter shall lead."""
 
     node: str
+    future: asyncio.Future[Any]
--- a/buckthorntack/consensus/_task.py
+++ b/buckthorntack/consensus/_task.py
@@ -74,7 +74,7 @@
         self._barriers = []
         self._inputs = []
         self._wake = asyncio.Event()
-        self._role_changed = asyncio.Event()
+        self._transfers = []
         self._stopping = False
         self._failure = None
         self._tasks = []
@@ -183,14 +183,9 @@
             return Error(self._stopped())
         if not self.is_leader():
             return Ok(self._replica.state.leader)
-        self._put(inputs.Transfer(node))
-        while self.is_leader() and not self._has_ended():
-            self._role_changed.clear()
-            await self._role_changed.wait()
-            if self._replica.state.is_leader:
-                detail = f"no voter of {self.group} took over"
-                return Error(_errors.NoTransferTargetError(detail))
-        return Ok(self._replica.state.leader)
+        future = asyncio.get_running_loop().create_future()
+        self._put(inputs.Transfer(node, future))
+        return await future
 
     def is_leader(self):
         """Whether this replica leads, as far as it knows."""
@@ -294,6 +289,7 @@
             await asyncio.to_thread(self._persist, durable)
         for command in wanted:
             self._execute(command)
+        self._watch_transfer()
         await self._load_snapshots(wanted)
         await self._save_snapshot()
 
@@ -351,11 +347,26 @@
         self._replica.snapshot_saved(info.index)
         self._unsaved_bytes = 0
 
+    def _watch_transfer(self):
+        state = self._replica.state
+        if not state.is_leader:
+            self._finish_transfers(Ok(state.leader))
+        elif not state.transfer_to:
+            detail = f"no voter of {self.group} took over"
+            error = _errors.NoTransferTargetError(detail)
+            self._finish_transfers(Error(error))
+
+    def _finish_transfers(self, result):
+        for future in self._transfers:
+            if not future.done():
+                future.set_result(result)
+        self._transfers = []
+
     def _release_callers(self):
         unknown = _errors.CommitUnknownError(f"{self.node_id} stopped")
         self._proposals.resolve_all(Error(unknown))
         self._reads.resolve_all(Error(self._stopped()))
-        self._role_changed.set()
+        self._finish_transfers(Error(self._stopped()))
 
     @functools.singledispatchmethod
     def _take(self, item):
@@ -405,8 +416,10 @@
     @_take.register
     def _(self, item: inputs.Transfer):
         now = self.clock.monotonic()
-        if self._replica.transfer_leadership(now, item.node).is_error():
-            self._role_changed.set()
+        self._transfers.append(item.future)
+        result = self._replica.transfer_leadership(now, item.node)
+        if result.is_error():
+            self._finish_transfers(result)
 
     def _tell_refusal(self, item, result):
         if result.is_error():
@@ -458,7 +471,6 @@
 
     @_execute.register
     def _(self, command: commands.RoleChanged):
-        self._role_changed.set()
         self._events.write(
             _events.ROLE_CHANGED,
             group=self.group,
--- /dev/null
+++ b/buckthorntack/storage/tests/test_faults.py
@@ -0,0 +1,262 @@
+"""Every fault at every step of every change of the durable state."""
+
+import contextlib
+import itertools
+from typing import NamedTuple
+
+import pytest
+
+from buckthorntack import storage
+from buckthorntack.schema import messages
+from buckthorntack.storage.tests import memory_files
+
+
+class Known(NamedTuple):
+    """What a replica knows that it has made durable."""
+
+    hard_state: storage.HardState
+    snapshot_index: int
+    entries: tuple
+
+
+EMPTY = Known(storage.HardState(), 0, ())
+
+
+def entry(index, term):
+    return messages.LogEntry(index, term, "command", "", b"%d" % index * 9)
+
+
+def batch(term, *indexes):
+    hard_state = storage.HardState(term, f"n{term}")
+    entries = [entry(index, term) for index in indexes]
+    return storage.Batch(hard_state=hard_state, entries=entries)
+
+
+def snapshot(index, term):
+    info = storage.SnapshotInfo(index, term, b"members")
+    return storage.Snapshot(info, b"state" * 20)
+
+
+#: Appends, an overwritten suffix, snapshots of applied and received state.
+ACTIONS = (
+    ("append", batch(1, 1, 2, 3)),
+    ("append", batch(2, 3, 4)),
+    ("append", storage.Batch(hard_state=storage.HardState(3, "n3"))),
+    ("save", snapshot(3, 2)),
+    ("append", batch(3, 5, 6)),
+    ("append", batch(3, 7)),
+    ("replace", snapshot(6, 4)),
+    ("append", batch(4, 7, 8)),
+    ("replace", snapshot(20, 4)),
+    ("append", batch(5, 21, 22)),
+    ("save", snapshot(22, 5)),
+    ("append", batch(5, 23)),
+)
+
+
+def after(known, name, argument):
+    """What is known once an action has ended."""
+    if name == "append":
+        kept = [
+            e
+            for e in known.entries
+            if not argument.entries or e.index < argument.entries[0].index
+        ]
+        hard_state = argument.hard_state or known.hard_state
+        return known._replace(
+            hard_state=hard_state, entries=(*kept, *argument.entries)
+        )
+    index = argument.info.index
+    kept = [e for e in known.entries if e.index > index]
+    if name == "replace":
+        kept = []
+    return known._replace(snapshot_index=index, entries=tuple(kept))
+
+
+def open_store(files):
+    return storage.ReplicaStore(files, "/f", "g", "n", segment_bytes=300)
+
+
+def recover(files):
+    with open_store(files) as store:
+        found = store.recover("id")
+    index = found.snapshot.info.index if found.snapshot else 0
+    return Known(found.hard_state, index, tuple(found.entries))
+
+
+def run(files, actions=ACTIONS):
+    """Carry out actions until a fault.
+
+    :returns: what is known durable, and what would be after the action that
+        was cut short.
+    """
+    known = following = EMPTY
+    ending = (memory_files.CrashError, storage.StorageError)
+    with contextlib.suppress(*ending), open_store(files) as store:
+        store.recover("id")
+        for name, argument in actions:
+            following = after(known, name, argument)
+            getattr(store, name)(argument)
+            known = following
+    return known, following
+
+
+def total_steps():
+    files = memory_files.MemoryFiles()
+    assert run(files)[0] == recover(files.after_crash())
+    return files.steps
+
+
+@pytest.mark.parametrize("tail", memory_files.TAILS)
+@pytest.mark.parametrize("names", ["synced", "now"])
+def test_crash_at_every_step_keeps_what_was_acknowledged(tail, names):
+    kinds = ("crash_before", "crash_after")
+    for kind, number in itertools.product(kinds, range(total_steps())):
+        faults = memory_files.Faults(**{kind: number})
+        files = memory_files.MemoryFiles(faults)
+        possible = run(files)
+        left = files.after_crash(tail, names)
+        found = recover(left)
+        assert found in possible, (kind, number)
+        check_that_it_goes_on(left, found)
+
+
+def check_that_it_goes_on(files, known):
+    last = known.snapshot_index
+    if known.entries:
+        last = known.entries[-1].index
+    more = batch(9, last + 1)
+    with open_store(files) as store:
+        store.recover("other")
+        store.append(more)
+    expected = after(known, "append", more)
+    assert recover(files.after_crash()) == expected
+
+
+def test_second_crash_while_recovering():
+    for first in range(total_steps()):
+        files = memory_files.MemoryFiles(memory_files.Faults(first))
+        possible = run(files)
+        left = files.after_crash("half", "now")
+        for second in range(8):
+            again = left.copy()
+            again.faults = memory_files.Faults(crash_before=second)
+            with contextlib.suppress(memory_files.CrashError):
+                recover(again)
+            found = recover(again.after_crash("half", "now"))
+            assert found in possible, (first, second)
+
+
+def test_failing_disk_stops_the_store_at_every_step():
+    for number in range(total_steps()):
+        files = memory_files.MemoryFiles(memory_files.Faults(fail_at=number))
+        possible = run(files)
+        assert recover(files.after_crash()) in possible, number
+
+
+def test_after_a_failure_nothing_is_acknowledged():
+    files = memory_files.MemoryFiles()
+    with open_store(files) as store:
+        store.recover("id")
+        files.faults = memory_files.Faults(fail_at=files.steps + 1)
+        for _ in range(2):
+            with pytest.raises(storage.DiskFailedError, match="remedy"):
+                store.append(batch(1, 1))
+
+
+def test_full_disk_at_every_size():
+    sizes = memory_files.MemoryFiles()
+    run(sizes)
+    full = 0
+    for capacity_bytes in range(0, 1500, 7):
+        faults = memory_files.Faults(capacity_bytes=capacity_bytes)
+        files = memory_files.MemoryFiles(faults)
+        possible = run(files)
+        full += possible[0] != possible[1]
+        for tail in memory_files.TAILS:
+            assert recover(files.after_crash(tail)) in possible
+    assert full > 20
+
+
+def test_every_flipped_byte_is_noticed():
+    files = memory_files.MemoryFiles()
+    run(files)
+    for path, contents in files.names_now.items():
+        for place in range(len(contents.data)):
+            damaged = files.copy()
+            damaged.names_now[path].data[place] ^= 0x10
+            with pytest.raises(storage.CorruptFileError, match="new node id"):
+                recover(damaged)
+
+
+def test_every_cut_is_repaired_at_the_tail_or_refused():
+    files = memory_files.MemoryFiles()
+    known, _ = run(files)
+    last_log = max(name for name in files.names_now if "log-" in name)
+    repaired = 0
+    for path, contents in files.names_now.items():
+        for size_bytes in range(len(contents.data)):
+            damaged = files.copy()
+            del damaged.names_now[path].data[size_bytes:]
+            try:
+                found = recover(damaged)
+            except storage.CorruptFileError:
+                continue
+            assert path == last_log
+            assert found.entries == known.entries[: len(found.entries)]
+            repaired += 1
+    assert repaired
+
+
+def test_zeros_before_a_synced_batch_are_refused():
+    files = memory_files.MemoryFiles()
+    run(files, ACTIONS[:2])
+    path = max(name for name in files.names_now if "log-" in name)
+    files.names_now[path].data[16:60] = bytes(44)
+    with pytest.raises(storage.CorruptFileError):
+        recover(files)
+
+
+@pytest.mark.parametrize("lost", ["log-", "snapshot-", "owner"])
+def test_lost_file_is_refused(lost):
+    files = memory_files.MemoryFiles()
+    run(files)
+    for name in [n for n in files.names_now if lost in n]:
+        del files.names_now[name]
+    with pytest.raises(storage.CorruptFileError):
+        recover(files)
+
+
+def test_folder_of_another_replica_is_refused():
+    files = memory_files.MemoryFiles()
+    run(files)
+    for group, node in (("h", "n"), ("g", "m")):
+        foreign = storage.ReplicaStore(files, "/f", group, node)
+        refusal = pytest.raises(storage.ForeignFolderError, match="node id")
+        with foreign as store, refusal:
+            store.recover("id")
+
+
+def test_folder_belongs_to_one_process(tmp_path):
+    files = storage.SystemFiles()
+    folder = str(tmp_path / "x" / "y")
+    with storage.ReplicaStore(files, folder, "g", "n") as store:
+        store.recover("id")
+        store.append(batch(1, 1, 2))
+        with pytest.raises(storage.FolderInUseError, match="own data folder"):
+            storage.ReplicaStore(files, folder, "g", "n").__enter__()
+    with storage.ReplicaStore(files, folder, "g", "n") as store:
+        assert store.recover("other").identity == "id"
+
+
+def test_stored_bytes_that_look_like_a_frame_are_no_frame():
+    files = memory_files.MemoryFiles()
+    run(files, ACTIONS[:1])
+    path = max(name for name in files.names_now if "log-" in name)
+    framed = bytes(files.names_now[path].data[16:])
+    hidden = messages.LogEntry(4, 3, "command", "", framed)
+    with open_store(files) as store:
+        store.recover("id")
+        store.append(storage.Batch(entries=[hidden]))
+    del files.names_now[path].data[-1:]
+    assert [e.index for e in recover(files).entries] == [1, 2, 3]
