Test the decisions of replicas in a simulation, with faults put in

Cause: consensus had been tested in good courses of events only. Change: a virtual network and disks that drive several replicas and check election safety, log matching, leader completeness, state machine safety, no stale read, no proposal applied twice, truthful refusals, and agreement with progress once all is healed; a hypothesis state machine, random schedules with changes of members, all courses of three events, eleven scenarios (a vote for an earlier term, lost disks, an hour of isolation, a second failure right after a repair); ten faults put into the decisions that the scenarios must notice, three that schedules must notice, and two kinds of writes that the disk forgets. A failed disk ends the task.

--- /dev/null
+++ b/buckthorntack/consensus/tests/test_scenarios.py
@@ -0,0 +1,166 @@
+"""The scenarios hold, and the checks notice replicas that are wrong."""
+
+from typing import Any
+from typing import NamedTuple
+
+import pytest
+
+from buckthorntack.consensus import _commands as commands
+from buckthorntack.consensus import _configuration as configurations
+from buckthorntack.consensus import _elections
+from buckthorntack.consensus import _members
+from buckthorntack.consensus import _proposals
+from buckthorntack.consensus import _reads
+from buckthorntack.consensus import _replication
+from buckthorntack.consensus import _snapshots
+from buckthorntack.consensus import _state
+from buckthorntack.consensus.tests import scenarios
+from buckthorntack.consensus.tests import simulation as simulations
+
+SEEDS = 60
+STEPS = 800
+
+
+@pytest.mark.parametrize("scenario", scenarios.ALL, ids=lambda s: s.__name__)
+def test_scenario_holds(scenario):
+    scenario()
+
+
+class Fault(NamedTuple):
+    """A deliberate fault: a function or class to put in place of one."""
+
+    name: str
+    owner: Any
+    attribute: str
+    replacement: Any
+
+
+def commits_by_count(state):
+    matched = {n: p.match_index for n, p in state.progress.items()}
+    matched[state.node_id] = state.persisted_index
+    index = state.configuration.quorum_value(matched)
+    _replication.commit(state, index)
+
+
+def counts_learners(self, values):
+    reached = sorted(values.values(), reverse=True)
+    return reached[min(len(self.voters) // 2, len(reached) - 1)]
+
+
+def answers_at_once(state):
+    for _, index, read in state.reads_asked:
+        _reads._tell(state, index, read)
+    state.reads_asked = []
+
+
+def votes_anew(state, sender, request):
+    if request.term < state.term:
+        return False
+    return _elections._is_up_to_date(state, request)
+
+
+def allows_two_changes(state):
+    return None if state.is_leader else Exception
+
+
+_stand = _elections.stand
+
+
+def stands_without_trial(state, trial, transfer=False):
+    _stand(state, False, transfer)
+
+
+def votes_only_as_known_voter(state, voter_identity):
+    if state.node_id not in state.configuration.voters:
+        return False
+    return voter_identity in ("", state.identity)
+
+
+class ForgetsProposals:
+    def add(self, name):
+        return True
+
+
+FAULTS = [
+    Fault(
+        "commits_by_count", _replication, "advance_commit", commits_by_count
+    ),
+    Fault(
+        "counts_learners",
+        configurations.Configuration,
+        "quorum_value",
+        counts_learners,
+    ),
+    Fault("reads_at_once", _reads, "_answer", answers_at_once),
+    Fault("allows_two_changes", _members, "_refusal", allows_two_changes),
+    Fault(
+        "installs_any_snapshot",
+        _snapshots,
+        "_is_not_needed",
+        lambda state, chunk: chunk.index <= state.commit_index,
+    ),
+    Fault("any_disk_votes", _elections, "may_vote", lambda *_: True),
+    Fault("stands_at_once", _elections, "stand", stands_without_trial),
+    Fault(
+        "ignores_the_leader",
+        _state,
+        "hears_leader",
+        lambda state: state.is_leader,
+    ),
+    Fault(
+        "promoted_does_not_vote",
+        _elections,
+        "may_vote",
+        votes_only_as_known_voter,
+    ),
+    Fault(
+        "skips_log_matching",
+        _replication,
+        "_mismatch_hint",
+        lambda state, request: (
+            None
+            if request.previous_index <= state.log.last_index
+            else state.log.last_index
+        ),
+    ),
+]
+
+FAULTS_IN_SCHEDULES = [
+    Fault("votes_anew", _elections, "grants", votes_anew),
+    Fault("votes_for_any_log", _elections, "_is_up_to_date", lambda *_: True),
+    Fault("proposes_twice", _proposals, "SeenProposals", ForgetsProposals),
+]
+
+
+def run_scenarios():
+    for scenario in scenarios.ALL:
+        scenario()
+
+
+def run_schedules(loses=()):
+    for seed in range(SEEDS):
+        simulation = simulations.Simulation("abc", seed, loses)
+        simulations.Schedule(simulation, seed).run(STEPS)
+        simulation.check_agreement()
+
+
+@pytest.mark.parametrize("fault", FAULTS, ids=lambda f: f.name)
+def test_fault_is_noticed_in_a_scenario(fault, monkeypatch):
+    monkeypatch.setattr(fault.owner, fault.attribute, fault.replacement)
+    with pytest.raises(simulations.ViolationError):
+        run_scenarios()
+
+
+@pytest.mark.parametrize("fault", FAULTS_IN_SCHEDULES, ids=lambda f: f.name)
+def test_fault_is_noticed_in_a_schedule(fault, monkeypatch):
+    monkeypatch.setattr(fault.owner, fault.attribute, fault.replacement)
+    with pytest.raises(simulations.ViolationError):
+        run_schedules()
+
+
+@pytest.mark.parametrize(
+    "lost", [commands.PersistHardState, commands.PersistEntries]
+)
+def test_disk_that_forgets_is_noticed(lost):
+    with pytest.raises(simulations.ViolationError):
+        run_schedules((lost,))
--- a/buckthorntack/consensus/tests/test_task.py
+++ b/buckthorntack/consensus/tests/test_task.py
@@ -9,6 +9,7 @@
 from buckthorntack import clock
 from buckthorntack import consensus
 from buckthorntack import errors
+from buckthorntack.storage.tests import memory_files
 
 SEEDS = itertools.count(1)
 FAST = consensus.Timing(
@@ -67,8 +68,9 @@
 class Cluster:
     """Replica tasks of one group."""
 
-    def __init__(self, folder, names):
+    def __init__(self, folder, names, files=None):
         self.folder = folder
+        self.files = files
         self.names = names
         self.network = Network()
         self.stacks = {}
@@ -93,6 +95,7 @@
             clock.SystemClock(),
             random.Random(next(SEEDS)),
             FAST,
+            self.files,
         )
         stack = contextlib.AsyncExitStack()
         await stack.enter_async_context(task)
@@ -229,3 +232,36 @@
             assert (await cluster.leader()) is not leader
 
     run(scenario())
+
+
+def test_failed_disk_ends_the_replica_before_it_acknowledges(tmp_path):
+    files = memory_files.MemoryFiles()
+
+    async def scenario():
+        async with Cluster(tmp_path, ["a"], files) as cluster:
+            await cluster.propose(b"x")
+            task = cluster.network.tasks["a"]
+            files.faults = memory_files.Faults(fail_at=files.steps + 1)
+            result = await task.propose(b"y")
+            assert result.error.run_state is errors.RunState.UNKNOWN
+            assert (await task.ended()).kind == "disk_failed"
+            assert task.state_machine.commands == [b"x"]
+            refused = await task.propose(b"z")
+            assert refused.error.run_state is errors.RunState.NOT_RUN
+            assert "check the disk" in task.status().failure
+
+    run(scenario())
+
+
+def test_many_proposals_share_a_sync(tmp_path):
+    files = memory_files.MemoryFiles()
+
+    async def scenario():
+        async with Cluster(tmp_path, ["a"], files) as cluster:
+            await cluster.propose(b"x")
+            task = cluster.network.tasks["a"]
+            before = files.steps
+            await asyncio.gather(*(task.propose(b"y") for _ in range(15)))
+            assert files.steps - before <= 4
+
+    run(scenario())
--- a/buckthorntack/storage/tests/test_faults.py
+++ b/buckthorntack/storage/tests/test_faults.py
@@ -212,7 +212,10 @@
     files = memory_files.MemoryFiles()
     run(files, ACTIONS[:2])
     path = max(name for name in files.names_now if "log-" in name)
-    files.names_now[path].data[16:60] = bytes(44)
+    data = files.names_now[path].data
+    place = data.find(data[16:20], 20)
+    assert data.find(data[16:20], place + 1) > place > 0
+    data[place : place + 24] = bytes(24)
     with pytest.raises(storage.CorruptFileError):
         recover(files)
 
