--- a/buckthorntack/schema/documents.py
+++ b/buckthorntack/schema/documents.py
@@ -1,11 +1,21 @@
 """JSON documents met from outside; generated, do not edit."""
 
+from buckthorntack.schema._generated.admin_documents import AdminError
+from buckthorntack.schema._generated.admin_documents import AdminErrorAnswer
 from buckthorntack.schema._generated.admin_documents import AdminInterface
 from buckthorntack.schema._generated.admin_documents import Change
+from buckthorntack.schema._generated.admin_documents import ChangeRecord
 from buckthorntack.schema._generated.admin_documents import ChangeResult
 from buckthorntack.schema._generated.admin_documents import Finding
+from buckthorntack.schema._generated.admin_documents import History
 from buckthorntack.schema._generated.admin_documents import NamedObject
+from buckthorntack.schema._generated.admin_documents import ObjectList
 from buckthorntack.schema._generated.admin_documents import ObjectName
+from buckthorntack.schema._generated.admin_documents import RegionStatus
+from buckthorntack.schema._generated.admin_documents import ReplicaAddition
+from buckthorntack.schema._generated.admin_documents import ReplicaList
+from buckthorntack.schema._generated.admin_documents import ReplicaStatus
+from buckthorntack.schema._generated.admin_documents import Status
 from buckthorntack.schema._generated.backend_documents import Announcement
 from buckthorntack.schema._generated.backend_documents import (
     AnnouncementAnswer,
@@ -16,6 +26,12 @@
 from buckthorntack.schema._generated.backend_documents import EngineOrderAnswer
 from buckthorntack.schema._generated.backend_documents import LoadReport
 from buckthorntack.schema._generated.backend_documents import Outcome
+from buckthorntack.schema._generated.keys_documents import KeyFiles
+from buckthorntack.schema._generated.keys_documents import LinkKeyFile
+from buckthorntack.schema._generated.keys_documents import LinkKeyPair
+from buckthorntack.schema._generated.keys_documents import OperatorToken
+from buckthorntack.schema._generated.keys_documents import OperatorTokenFile
+from buckthorntack.schema._generated.keys_documents import TokenKeyFile
 from buckthorntack.schema._generated.objects_documents import BackendServerPool
 from buckthorntack.schema._generated.objects_documents import CallerCredential
 from buckthorntack.schema._generated.objects_documents import DeploymentTerms
@@ -44,6 +60,8 @@
 )
 
 __all__ = [
+    "AdminError",
+    "AdminErrorAnswer",
     "AdminInterface",
     "Announcement",
     "AnnouncementAnswer",
@@ -52,34 +70,48 @@
     "CacheEvent",
     "CallerCredential",
     "Change",
+    "ChangeRecord",
     "ChangeResult",
     "DeploymentTerms",
     "EngineOrder",
     "EngineOrderAnswer",
     "FailureDomain",
     "Finding",
+    "History",
     "HttpSettings",
+    "KeyFiles",
     "KeySettings",
     "LedgerHome",
     "LimitSettings",
+    "LinkKeyFile",
+    "LinkKeyPair",
     "LinkSettings",
     "LoadReport",
     "LogSettings",
     "ModelVersion",
     "NamedObject",
     "NodeAddress",
+    "ObjectList",
     "ObjectName",
     "Objects",
+    "OperatorToken",
+    "OperatorTokenFile",
     "Organisation",
     "Outcome",
     "Priority",
     "Quota",
     "Region",
+    "RegionStatus",
+    "ReplicaAddition",
+    "ReplicaList",
+    "ReplicaStatus",
     "ResidencyRule",
     "Service",
     "ServiceCall",
     "Settings",
     "SettingsFile",
+    "Status",
     "TimingSettings",
+    "TokenKeyFile",
     "WeightStoreSettings",
 ]
