--- a/buckthorntack/configuration/_administration.py
+++ b/buckthorntack/configuration/_administration.py
@@ -10,8 +10,8 @@
 from buckthorntack.configuration import _content
 from buckthorntack.configuration import _errors
 from buckthorntack.configuration import _machine
-from buckthorntack.configuration import _source_task
 from buckthorntack.configuration import _status
+from buckthorntack.configuration import _times
 from buckthorntack.configuration import _waiting
 from buckthorntack.schema import documents
 from buckthorntack.schema import messages
@@ -48,9 +48,7 @@
                 f"{one.path}: {one.message}" for one in findings
             )
             return expression.Error(_errors.InvalidChangeError(detail))
-        proposal = make_proposal(
-            change, operator, _source_task.wall_ms(self.clock)
-        )
+        proposal = make_proposal(change, operator, _times.wall_ms(self.clock))
         result = await self.replica.propose(schema.pack(proposal))
         if result.is_error():
             return result
--- a/buckthorntack/configuration/_commands.py
+++ b/buckthorntack/configuration/_commands.py
@@ -42,4 +42,5 @@
     node_id: interfaces.NodeId
     region: str
     failure_domain: str
+    registration: int
     present: bool
--- a/buckthorntack/configuration/_copy_store.py
+++ b/buckthorntack/configuration/_copy_store.py
@@ -9,7 +9,9 @@
 from buckthorntack.configuration import _content
 
 COPY_NAME = "copy"
-REGISTERED_NAME = "registered"
+REGISTERED_NAME = "registration"
+REGISTERED_STATE = "registered"
+LEFT_STATE = "left"
 JOURNAL_PREFIX = "deltas-"
 #: Size from which the journal is replaced by a new copy.
 MAX_JOURNAL_BYTES = 4 << 20
@@ -24,6 +26,7 @@
     copy: bytes
     deltas: list[bytes]
     registered: bool
+    registration: int
 
 
 class CopyStore:
@@ -72,8 +75,14 @@
         deltas = self._load_journal(checksum)
         if deltas is None:
             return None
-        registered = (self.folder / REGISTERED_NAME).exists()
-        return StoredCopy(copy, deltas, registered)
+        return StoredCopy(copy, deltas, *self._load_registration())
+
+    def _load_registration(self):
+        path = self.folder / REGISTERED_NAME
+        if not path.exists():
+            return False, 0
+        state, _, number = path.read_text().partition(" ")
+        return state == REGISTERED_STATE, int(number or 0)
 
     def _journal_path(self, checksum):
         return self.folder / f"{JOURNAL_PREFIX}{checksum.hex()}"
@@ -139,16 +148,14 @@
             raise
         self.journal_bytes += len(header) + len(delta)
 
-    def set_registered(self, registered):
+    def set_registered(self, registered, registration):
         """Remember whether this entry VM is registered.
 
         :param registered: whether it is.
+        :param registration: number of its last registration.
         """
-        if registered:
-            self._replace(REGISTERED_NAME, b"")
-            return
-        (self.folder / REGISTERED_NAME).unlink(missing_ok=True)
-        self._sync_folder()
+        state = REGISTERED_STATE if registered else LEFT_STATE
+        self._replace(REGISTERED_NAME, f"{state} {registration}".encode())
 
     def _sync_folder(self):
         handle = os.open(self.folder, os.O_RDONLY)
--- a/buckthorntack/configuration/_follow_task.py
+++ b/buckthorntack/configuration/_follow_task.py
@@ -15,6 +15,7 @@
 from buckthorntack.configuration import _follower
 from buckthorntack.configuration import _log
 from buckthorntack.configuration import _source
+from buckthorntack.configuration import _times
 from buckthorntack.configuration import _waiting
 from buckthorntack.schema import messages
 
@@ -58,7 +59,11 @@
         self.clock = clock
         self.folder = folder
         self.follower = _follower.ConfigurationFollower(
-            region, failure_domain, sources, rng
+            region,
+            failure_domain,
+            sources,
+            rng,
+            registration=_times.wall_ms(clock),
         )
         self.source = _source.ConfigurationSource(self.follower.log)
         self._current = None
@@ -84,7 +89,7 @@
     def _resume(self, stored):
         if stored is None:
             return
-        self.follower.resume(stored.copy, stored.deltas, stored.registered)
+        self.follower.resume(*stored)
         self._current = self.follower.log.published
 
     def current(self):
@@ -193,7 +198,7 @@
 
     def _write(self, command):
         if isinstance(command, _commands.MarkRegistered):
-            self._store.set_registered(True)
+            self._store.set_registered(True, self.follower.registration)
         elif command.copy:
             self._store.write_copy(command.copy)
         elif self._store.needs_copy():
@@ -226,10 +231,12 @@
         """
         self.follower.registered = False
         if self._store is not None:
-            await asyncio.to_thread(self._store.set_registered, False)
+            await asyncio.to_thread(
+                self._store.set_registered, False, self.follower.registration
+            )
         follower = self.follower
         message = messages.ConfigurationLeave(
-            follower.region, follower.failure_domain
+            follower.region, follower.failure_domain, follower.registration
         )
         if follower.source is not None:
             self.sender.send(follower.source, message)
--- a/buckthorntack/configuration/_follower.py
+++ b/buckthorntack/configuration/_follower.py
@@ -20,19 +20,23 @@
 
     A follower that holds nothing is cold: it takes a set only from a control
     VM whose revision a quorum confirmed, because it cannot know how far it
-    was before.  It then holds at least that revision.
+    was before.  It then holds at least that revision.  It takes only such a
+    control VM's word for being registered, too.
 
     :param region: region of this entry VM.
     :param failure_domain: its failure domain.
     :param sources: node ids of control VMs.
     :param rng: random source.
+    :param registration: number under which it registers; must be higher than
+        at each start before.
     """
 
-    def __init__(self, region, failure_domain, sources, rng):
+    def __init__(self, region, failure_domain, sources, rng, registration):
         self.region = region
         self.failure_domain = failure_domain
         self.sources = tuple(sources)
         self.rng = rng
+        self.registration = registration
         self.log = _log.PublishedLog()
         self.in_force_revision = 0
         self.registered = False
@@ -47,17 +51,22 @@
         """Whether nothing is held."""
         return self.log.revision == 0
 
-    def resume(self, copy, deltas, registered):
+    def resume(self, copy, deltas, registered, registration):
         """Start from a durable copy, which is in force at once.
 
         :param copy: an encoded ``ConfigurationCopy``.
         :param deltas: encoded deltas after it.
         :param registered: whether this entry VM was registered.
+        :param registration: number of its last registration.
         """
         self.log.load(copy)
         for delta in deltas:
             self.log.append(delta)
         self.registered = registered
+        if registered:
+            self.registration = registration
+        else:
+            self.registration = max(self.registration, registration + 1)
         self.in_force_revision = self.log.revision
 
     def in_force(self, revision, now):
@@ -112,6 +121,8 @@
             failure_domain=self.failure_domain,
             revision=self.in_force_revision,
             digest=self.log.digest_at(self.in_force_revision) or b"",
+            registered=self.registered,
+            registration=self.registration,
         )
         return [_commands.Send(to, poll)]
 
@@ -147,7 +158,8 @@
         if message.copy_needed and message.revision > self.log.revision:
             commands += self._start_transfer(sender, now)
         up_to_date = not self.cold and self.log.revision >= message.revision
-        if message.registered and up_to_date and not self.registered:
+        registered = message.fresh and message.registered
+        if registered and up_to_date and not self.registered:
             self.registered = True
             commands.append(_commands.MarkRegistered())
         return commands
--- a/buckthorntack/configuration/_machine.py
+++ b/buckthorntack/configuration/_machine.py
@@ -155,6 +155,15 @@
             return self._answer(command, accepted=True)
         return self._suspend(command, put, remove, interim)
 
+    def is_registered(self, node_id, registration):
+        """Whether an entry VM is registered under a number.
+
+        :param node_id: the entry VM.
+        :param registration: number of its registration.
+        """
+        known = self.entry_vms.get(node_id)
+        return known is not None and known.registration == registration
+
     def _must_confirm(self, regions, stopped):
         return [
             node_id
@@ -224,10 +233,14 @@
 
     @_apply.register
     def _register(self, command: messages.ConfigurationRegistration):
-        if command.present:
+        known = self.entry_vms.get(command.node_id)
+        number = -1 if known is None else known.registration
+        if command.present and command.registration > number:
             self.entry_vms[command.node_id] = command
+        elif not command.present and command.registration == number:
+            del self.entry_vms[command.node_id]
         else:
-            self.entry_vms.pop(command.node_id, None)
+            return expression.Ok(None)
         _LOG.write(
             _events.ENTRY_REGISTERED,
             node_id=command.node_id,
--- a/buckthorntack/configuration/_source.py
+++ b/buckthorntack/configuration/_source.py
@@ -40,8 +40,9 @@
     """Gives deltas and full copies, and keeps the reports.
 
     :param log: the :class:`PublishedLog` that is given out.
-    :param is_registered: tells of a node id whether it is registered in the
-        log; ``None`` on an entry VM, which gives only deltas.
+    :param is_registered: tells of a node id and the number of its
+        registration whether the log has it; ``None`` on an entry VM, which
+        gives only deltas.
     """
 
     def __init__(self, log, is_registered=None):
@@ -49,6 +50,7 @@
         self.is_registered = is_registered
         self.reports = {}
         self._direct = {}
+        self._polls = {}
         self._unsent = set()
         self._full_at = datetime.timedelta()
         self._pushed = log.revision
@@ -79,17 +81,11 @@
         if self.is_registered is None:
             return self._deltas(sender, message.revision, message.digest)
         commands = []
-        if not self.is_registered(sender):
-            commands.append(
-                _commands.Register(
-                    sender, message.region, message.failure_domain, True
-                )
-            )
-        if message.revision == 0:
+        if not self.is_registered(sender, message.registration):
+            commands.append(_registration(sender, message, True))
+        if message.revision == 0 or not message.registered:
             return [*commands, _commands.ConfirmFresh(sender)]
-        return commands + self._answer(
-            sender, message.revision, message.digest, False
-        )
+        return commands + self._answer(sender, message, False)
 
     def _note(self, sender, poll, now):
         known = self.reports.get(sender)
@@ -99,21 +95,26 @@
             poll.region, poll.failure_domain, poll.revision, now
         )
         self._direct[sender] = now
+        self._polls[sender] = poll
 
     def confirmed(self, node_id):
-        """Answer a cold entry VM after a quorum confirmed the revision.
+        """Answer an entry VM after a quorum confirmed the revision.
 
         :param node_id: the entry VM.
         :returns: commands.
         """
-        return self._answer(node_id, 0, b"", True)
+        poll = self._polls.get(node_id)
+        if poll is None:
+            return []
+        return self._answer(node_id, poll, True)
 
-    def _answer(self, node_id, revision, digest, fresh):
-        deltas = self._deltas(node_id, revision, digest)
+    def _answer(self, node_id, poll, fresh):
+        revision = poll.revision
+        deltas = self._deltas(node_id, revision, poll.digest)
         present = messages.ConfigurationPresent(
             revision=self.log.revision,
             fresh=fresh,
-            registered=self.is_registered(node_id),
+            registered=self.is_registered(node_id, poll.registration),
             copy_needed=not deltas and self.log.revision > revision,
         )
         return [_commands.Send(node_id, present), *deltas]
@@ -202,15 +203,14 @@
 
     @_receive.register
     def _leave(self, message: messages.ConfigurationLeave, sender, now):
-        if self.is_registered is None or not self.is_registered(sender):
+        if self.is_registered is None:
+            return []
+        if not self.is_registered(sender, message.registration):
             return []
         self.reports.pop(sender, None)
         self._direct.pop(sender, None)
-        return [
-            _commands.Register(
-                sender, message.region, message.failure_domain, False
-            )
-        ]
+        self._polls.pop(sender, None)
+        return [_registration(sender, message, False)]
 
     @_receive.register
     def _reports(self, message: messages.ConfigurationReports, sender, now):
@@ -257,3 +257,13 @@
         self._unsent.clear()
         message = messages.ConfigurationReports(reports)
         return [_commands.Send(control, message) for control in controls]
+
+
+def _registration(node_id, message, present):
+    return _commands.Register(
+        node_id,
+        message.region,
+        message.failure_domain,
+        message.registration,
+        present,
+    )
--- a/buckthorntack/configuration/_source_task.py
+++ b/buckthorntack/configuration/_source_task.py
@@ -9,19 +9,10 @@
 from buckthorntack.configuration import _commands
 from buckthorntack.configuration import _settling
 from buckthorntack.configuration import _source
+from buckthorntack.configuration import _times
 from buckthorntack.schema import messages
 
 TICK = datetime.timedelta(milliseconds=100)
-_MILLISECOND = datetime.timedelta(milliseconds=1)
-_EPOCH = datetime.datetime.fromtimestamp(0, datetime.UTC)
-
-
-def wall_ms(clock):
-    """Wall time as whole milliseconds.
-
-    :param clock: the clock.
-    """
-    return (clock.wall() - _EPOCH) // _MILLISECOND
 
 
 class ConfigurationSourceTask:
@@ -41,7 +32,7 @@
         self.sender = sender
         self.clock = clock
         self.source = _source.ConfigurationSource(
-            machine.log, self._is_registered
+            machine.log, machine.is_registered
         )
         self.settling = _settling.Settling(machine, self.source.reports)
         self._cold = set()
@@ -60,9 +51,6 @@
     async def __aexit__(self, *exc_info):
         await self._stack.aclose()
 
-    def _is_registered(self, node_id):
-        return node_id in self.machine.entry_vms
-
     def _changed(self):
         self._execute_all(self.source.changed(self.clock.monotonic()))
 
@@ -136,14 +124,20 @@
         due = [
             messages.ConfigurationRegistration(*command)
             for command in self._registrations.values()
-            if self._is_registered(command.node_id) != command.present
+            if self._is_due(command)
         ]
         self._registrations.clear()
         settlement = self.settling.decide(
-            self.clock.monotonic(), wall_ms(self.clock), self._rank()
+            self.clock.monotonic(), _times.wall_ms(self.clock), self._rank()
         )
         return due if settlement is None else [*due, settlement]
 
+    def _is_due(self, command):
+        registered = self.machine.is_registered(
+            command.node_id, command.registration
+        )
+        return registered != command.present
+
     def _rank(self):
         controls = self._controls()
         if self.node_id not in controls:
--- a/buckthorntack/configuration/tests/_samples.py
+++ b/buckthorntack/configuration/tests/_samples.py
@@ -100,10 +100,10 @@
         proposal = configuration.make_proposal(document, operator, self.now_ms)
         return self.commit(proposal)
 
-    def register(self, node_id, region, present=True):
+    def register(self, node_id, region, registration=1, present=True):
         return self.commit(
             messages.ConfigurationRegistration(
-                node_id, region, f"{region}-a", present
+                node_id, region, f"{region}-a", registration, present
             )
         )
 
--- a/buckthorntack/schema/_generated/configuration.py
+++ b/buckthorntack/schema/_generated/configuration.py
@@ -34,6 +34,8 @@
     failure_domain: str
     revision: int
     digest: bytes
+    registered: bool
+    registration: int
 
 
 class ConfigurationPresent(NamedTuple):
@@ -79,11 +81,12 @@
 
 class ConfigurationLeave(NamedTuple):
     """
-    An entry VM stops for good and gave up its durable copy.
+    An entry VM stops for good and will not serve from its durable copy.
     """
 
     region: str
     failure_domain: str
+    registration: int
 
 
 class ConfigurationReport(NamedTuple):
@@ -143,6 +146,7 @@
     node_id: str
     region: str
     failure_domain: str
+    registration: int
     present: bool
 
 
