--- a/buckthorntack/objects/__init__.py
+++ b/buckthorntack/objects/__init__.py
@@ -7,10 +7,10 @@
 from buckthorntack.objects._folder import check_folder
 from buckthorntack.objects._folder import load_folder
 from buckthorntack.objects._folder import LoadedFolder
-from buckthorntack.objects._folder import parse_json
 from buckthorntack.objects._kinds import KINDS
 from buckthorntack.objects._published import PublishedSet
 from buckthorntack.objects._registry import Rule
+from buckthorntack.objects._registry import rule_meanings
 
 __all__ = [
     "KINDS",
@@ -22,6 +22,6 @@
     "check_folder",
     "format_finding",
     "load_folder",
-    "parse_json",
+    "rule_meanings",
     "rules",
 ]
--- a/buckthorntack/objects/tests/test_check.py
+++ b/buckthorntack/objects/tests/test_check.py
@@ -61,6 +61,16 @@
     ("service_kind_fields", ("Service", "writer"), {"model_versions": None}),
     ("service_kind_fields", ("Service", "writer"), {"calls": [CALL]}),
     ("service_kind_fields", ("Service", "desk"), {"calls": []}),
+    (
+        "contradictory_calls",
+        ("Service", "desk"),
+        {
+            "calls": [
+                CALL | {"path": "/*"},
+                CALL | {"idempotent": False},
+            ]
+        },
+    ),
     ("duplicate_call", ("Service", "desk"), {"calls": [CALL, CALL]}),
     (
         "call_path",
@@ -114,7 +124,7 @@
         {"organisation": "council", "token_sha256": COUNCIL_HASH},
     ),
     (
-        "credential_token",
+        "empty_token",
         ("CallerCredential", "council-key"),
         {"token_sha256": EMPTY_HASH},
     ),
@@ -146,11 +156,12 @@
         faults = schema.validate_document("admin", "Finding", found)
         assert faults == []
         assert found["message"] and found["remedy"]
+        assert found["rule"] in objects.rule_meanings()
 
 
 def test_every_rule_has_a_case():
     named = {rule.name for rule in objects.rules()}
-    assert named - {"service_calls"} <= {rule for rule, _, _ in CASES}
+    assert named <= {rule for rule, _, _ in CASES}
 
 
 @pytest.mark.parametrize(
@@ -224,9 +235,10 @@
 @pytest.mark.parametrize("seed", range(300))
 def test_quick_shape_check_agrees_with_validator(seed):
     entry = random_entry(random.Random(seed))
-    kind, document = entry["kind"], entry["object"]
-    faults = schema.validate_document("objects", kind, document)
-    assert _shape.is_sound(kind, document) == (faults == [])
+    faults = schema.validate_document(
+        "objects", entry["kind"], entry["object"]
+    )
+    assert _shape.is_sound(entry) == (faults == [])
 
 
 def test_change_with_wrong_removal_is_refused():
--- a/buckthorntack/schema/messages.py
+++ b/buckthorntack/schema/messages.py
@@ -1,5 +1,8 @@
 """Messages between our own processes; generated, do not edit."""
 
+from buckthorntack.schema._generated.admission import QuotaGrant
+from buckthorntack.schema._generated.admission import QuotaNeed
+from buckthorntack.schema._generated.admission import UsageReport
 from buckthorntack.schema._generated.configuration import ChangeRecord
 from buckthorntack.schema._generated.configuration import ConfigurationChunk
 from buckthorntack.schema._generated.configuration import (
@@ -23,6 +26,20 @@
 from buckthorntack.schema._generated.configuration import ConfigurationSnapshot
 from buckthorntack.schema._generated.configuration import ConfigurationStep
 from buckthorntack.schema._generated.configuration import PendingChange
+from buckthorntack.schema._generated.consensus import AppendRequest
+from buckthorntack.schema._generated.consensus import AppendResponse
+from buckthorntack.schema._generated.consensus import EnrolRequest
+from buckthorntack.schema._generated.consensus import EnrolResponse
+from buckthorntack.schema._generated.consensus import ForwardedProposal
+from buckthorntack.schema._generated.consensus import LogEntry
+from buckthorntack.schema._generated.consensus import ProposalRefused
+from buckthorntack.schema._generated.consensus import ReadRequest
+from buckthorntack.schema._generated.consensus import ReadResponse
+from buckthorntack.schema._generated.consensus import SnapshotChunk
+from buckthorntack.schema._generated.consensus import SnapshotChunkResponse
+from buckthorntack.schema._generated.consensus import TransferRequest
+from buckthorntack.schema._generated.consensus import VoteRequest
+from buckthorntack.schema._generated.consensus import VoteResponse
 from buckthorntack.schema._generated.forwarding import ForwardAlive
 from buckthorntack.schema._generated.forwarding import ForwardBody
 from buckthorntack.schema._generated.forwarding import ForwardCancel
@@ -47,11 +64,32 @@
 from buckthorntack.schema._generated.links import Pong
 from buckthorntack.schema._generated.membership import DomainSummary
 from buckthorntack.schema._generated.membership import EntryRecord
+from buckthorntack.schema._generated.membership import Item
+from buckthorntack.schema._generated.membership import MembershipDelta
+from buckthorntack.schema._generated.membership import MembershipDigest
+from buckthorntack.schema._generated.membership import MembershipDigestDetail
+from buckthorntack.schema._generated.membership import MembershipEntries
+from buckthorntack.schema._generated.membership import MembershipHello
+from buckthorntack.schema._generated.membership import MembershipItems
+from buckthorntack.schema._generated.membership import MembershipPull
+from buckthorntack.schema._generated.membership import MembershipSummaries
+from buckthorntack.schema._generated.membership import MessageStamp
+from buckthorntack.schema._generated.membership import RecordKey
 from buckthorntack.schema._generated.membership import ServerLoad
 from buckthorntack.schema._generated.membership import ServerRecord
+from buckthorntack.schema._generated.membership import ServerRenewal
+from buckthorntack.schema._generated.membership import ServerUpdate
 from buckthorntack.schema._generated.membership import ServiceSummary
+from buckthorntack.schema._generated.retries import Acquittal
+from buckthorntack.schema._generated.retries import Conviction
+from buckthorntack.schema._generated.retries import CrashEvidence
+from buckthorntack.schema._generated.retries import FailedAttempts
+from buckthorntack.schema._generated.retries import SuspectClaim
 
 __all__ = [
+    "Acquittal",
+    "AppendRequest",
+    "AppendResponse",
     "ChangeRecord",
     "ConfigurationChunk",
     "ConfigurationChunkRequest",
@@ -68,8 +106,13 @@
     "ConfigurationSettlement",
     "ConfigurationSnapshot",
     "ConfigurationStep",
+    "Conviction",
+    "CrashEvidence",
     "DomainSummary",
+    "EnrolRequest",
+    "EnrolResponse",
     "EntryRecord",
+    "FailedAttempts",
     "ForwardAlive",
     "ForwardBody",
     "ForwardCancel",
@@ -79,6 +122,8 @@
     "ForwardHead",
     "ForwardHeader",
     "ForwardRequest",
+    "ForwardedProposal",
+    "Item",
     "LedgerBatch",
     "LedgerClaim",
     "LedgerHeader",
@@ -90,10 +135,35 @@
     "LedgerSettle",
     "LedgerSnapshot",
     "LedgerStoredRecord",
+    "LogEntry",
+    "MembershipDelta",
+    "MembershipDigest",
+    "MembershipDigestDetail",
+    "MembershipEntries",
+    "MembershipHello",
+    "MembershipItems",
+    "MembershipPull",
+    "MembershipSummaries",
+    "MessageStamp",
     "PendingChange",
     "Ping",
     "Pong",
+    "ProposalRefused",
+    "QuotaGrant",
+    "QuotaNeed",
+    "ReadRequest",
+    "ReadResponse",
+    "RecordKey",
     "ServerLoad",
     "ServerRecord",
+    "ServerRenewal",
+    "ServerUpdate",
     "ServiceSummary",
+    "SnapshotChunk",
+    "SnapshotChunkResponse",
+    "SuspectClaim",
+    "TransferRequest",
+    "UsageReport",
+    "VoteRequest",
+    "VoteResponse",
 ]
