--- a/buckthorntack/configuration/__init__.py
+++ b/buckthorntack/configuration/__init__.py
@@ -12,7 +12,6 @@
 from buckthorntack.configuration._errors import ChangeIdReusedError
 from buckthorntack.configuration._errors import ChangeOutcomeUnknownError
 from buckthorntack.configuration._errors import InvalidChangeError
-from buckthorntack.configuration._errors import ReplicaChangeUnavailableError
 from buckthorntack.configuration._errors import RevisionNotReachedError
 from buckthorntack.configuration._follow_task import ConfigurationFollowerTask
 from buckthorntack.configuration._follower import ConfigurationFollower
@@ -23,10 +22,6 @@
 from buckthorntack.configuration._source import ConfigurationSource
 from buckthorntack.configuration._source import Report
 from buckthorntack.configuration._source_task import ConfigurationSourceTask
-from buckthorntack.configuration._status import ChangeStatus
-from buckthorntack.configuration._status import ConfigurationStatus
-from buckthorntack.configuration._status import EntryStatus
-from buckthorntack.configuration._status import RegionStatus
 
 __all__ = [
     "Administration",
@@ -35,22 +30,17 @@
     "ChangeIdReusedError",
     "ChangeOutcomeUnknownError",
     "ChangePending",
-    "ChangeStatus",
     "ConfigurationFollower",
     "ConfigurationFollowerTask",
     "ConfigurationMachine",
     "ConfigurationSource",
     "ConfigurationSourceTask",
-    "ConfigurationStatus",
     "ConfirmFresh",
     "CopyStore",
-    "EntryStatus",
     "InvalidChangeError",
     "MarkRegistered",
     "PublishedLog",
     "Register",
-    "RegionStatus",
-    "ReplicaChangeUnavailableError",
     "Report",
     "RevisionNotReachedError",
     "Send",
--- a/buckthorntack/configuration/_administration.py
+++ b/buckthorntack/configuration/_administration.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import datetime
-import inspect
 
 import expression
 
@@ -18,13 +17,17 @@
 
 #: How long the answer to a pending change is awaited.
 SETTLE_TIMEOUT = datetime.timedelta(seconds=8)
+#: How long a new replica has to catch up before the call returns.
+CATCH_UP_TIMEOUT = datetime.timedelta(seconds=20)
+#: Pause between tries to give a new replica its vote.
+PROMOTION_PAUSE = datetime.timedelta(milliseconds=500)
 
 
 class Administration:
     """Changes, reads and status of the configuration on a control VM.
 
     :param machine: the :class:`ConfigurationMachine` of this node.
-    :param replica: the configuration group, as ``Replicas``.
+    :param replica: the configuration group, a ``consensus.ReplicaTask``.
     :param source_task: the :class:`ConfigurationSourceTask` of this node.
     :param clock: the clock.
     """
@@ -42,13 +45,10 @@
         :param operator: name from the operator's token.
         :returns: ``Result`` of a ``ChangeResult``.
         """
-        findings = schema.validate_document("admin", "Change", change)
-        if findings:
-            detail = "; ".join(
-                f"{one.path}: {one.message}" for one in findings
-            )
-            return expression.Error(_errors.InvalidChangeError(detail))
-        proposal = make_proposal(change, operator, _times.wall_ms(self.clock))
+        made = self._proposal(change, operator)
+        if made.is_error():
+            return made
+        proposal = made.ok
         result = await self.replica.propose(schema.pack(proposal))
         if result.is_error():
             return result
@@ -57,6 +57,19 @@
             return await self._settled(proposal)
         return answer
 
+    def _proposal(self, change, operator):
+        findings = schema.validate_document("admin", "Change", change)
+        if findings:
+            faults = [f"{one.path}: {one.message}" for one in findings]
+            error = _errors.InvalidChangeError("; ".join(faults))
+            return expression.Error(error)
+        now_ms = _times.wall_ms(self.clock)
+        try:
+            return expression.Ok(make_proposal(change, operator, now_ms))
+        except (OverflowError, ValueError) as error:
+            detail = f"a value cannot be stored: {error}"
+            return expression.Error(_errors.InvalidChangeError(detail))
+
     async def _settled(self, proposal):
         settled = asyncio.get_running_loop().create_future()
 
@@ -79,74 +92,116 @@
         return expression.Error(_errors.ChangeOutcomeUnknownError(detail))
 
     async def objects(self, kind=None, name=None, linearizable=True):
-        """Published objects and their revision.
+        """Objects of the present revision.
 
-        :param kind: only objects of this kind.
-        :param name: only the object of this name.
-        :param linearizable: whether a quorum must confirm that the objects
-            are the newest.
-        :returns: ``Result`` of the revision and a list of ``NamedObject``.
+        :param kind: only those of this kind, if given.
+        :param name: only the one of this name, if given.
+        :param linearizable: whether all accepted changes must be in.
+        :returns: ``Result`` of an ``ObjectList``.
         """
         if linearizable:
             barrier = await self.replica.read_barrier()
             if barrier.is_error():
                 return barrier
         published = self.machine.published
-        found = [
-            entry
-            for entry in published.named_objects()
-            if kind in (None, entry["kind"])
-            and name in (None, entry["object"]["name"])
-        ]
-        return expression.Ok((published.revision, found))
+        answer: documents.ObjectList = {
+            "revision": published.revision,
+            "objects": sorted(_select(published, kind, name), key=_place),
+        }
+        return expression.Ok(answer)
 
-    def history(self, after=0):
-        """Answers to changes, oldest first.
+    async def history(self, after=0):
+        """Accepted changes, as far as their answers are kept.
 
-        :param after: only those that name a higher revision.
-        :returns: list of ``ChangeRecord``.
+        :param after: only those of a later revision.
+        :returns: ``Result`` of a ``History``.
         """
-        records = self.machine.answers.records()
-        return [record for record in records if record.revision > after]
+        changes = [
+            _status.change_record(record)
+            for record in self.machine.answers.records()
+            if record.accepted and record.revision > after
+        ]
+        answer: documents.History = {"changes": changes}
+        return expression.Ok(answer)
 
-    def status(self):
-        """Where recent changes are in force.
+    async def status(self):
+        """State of the configuration, as this control VM sees it.
 
-        :returns: a :class:`ConfigurationStatus`.
+        :returns: ``Result`` of a ``Status``.
         """
-        return _status.status(
+        group = self.replica.status()
+        entries = _status.entry_statuses(
             self.machine, self.source_task.reports(), self.clock.monotonic()
         )
-
-    def replicas(self):
-        """Node ids that vote in the group."""
-        return list(self.replica.voters())
+        barrier = await self.replica.read_barrier()
+        answer: documents.Status = {
+            "node_id": group.node_id,
+            "revision": self.machine.revision,
+            "has_quorum": barrier.is_ok(),
+            "replicas": _status.replica_statuses(group),
+            "regions": _status.region_statuses(self.machine, entries),
+            "changes": _status.change_statuses(self.machine, entries),
+        }
+        if group.leader:
+            answer["leader"] = group.leader
+        return expression.Ok(answer)
+
+    async def replicas(self):
+        """Replicas of the configuration group.
+
+        :returns: ``Result`` of a ``ReplicaList``.
+        """
+        statuses = _status.replica_statuses(self.replica.status())
+        answer: documents.ReplicaList = {"replicas": statuses}
+        return expression.Ok(answer)
 
     async def add_replica(self, node_id):
-        """Add a control VM to the group.
+        """Add a replica and give it a vote once it has caught up.
 
-        :param node_id: the node.
-        :returns: ``Result`` of the group.
+        It stays without a vote if it does not catch up in time; the same
+        call goes on then.
+
+        :param node_id: a known control VM.
+        :returns: ``Result`` of a ``ReplicaList``.
         """
-        return await self._change_replicas("add_replica", node_id)
+        if node_id not in self._members():
+            added = await self.replica.add_learner(node_id)
+            if added.is_error():
+                return added
+        deadline = self.clock.monotonic() + CATCH_UP_TIMEOUT
+        while node_id not in self.replica.voters():
+            promoted = await self.replica.promote(node_id)
+            if promoted.is_ok() or self.clock.monotonic() >= deadline:
+                break
+            await self.clock.sleep(PROMOTION_PAUSE)
+        return await self.replicas()
+
+    def _members(self):
+        group = self.replica.status()
+        return {*group.voters, *group.learners}
 
     async def remove_replica(self, node_id):
-        """Take a control VM out of the group.
+        """Remove a replica.
 
-        :param node_id: the node.
-        :returns: ``Result`` of the group.
+        :param node_id: the replica.
+        :returns: ``Result`` of a ``ReplicaList``.
         """
-        return await self._change_replicas("remove_replica", node_id)
-
-    async def _change_replicas(self, method, node_id):
-        change = getattr(self.replica, method, None)
-        if change is None:
-            detail = f"the group offers no {method}"
-            return expression.Error(
-                _errors.ReplicaChangeUnavailableError(detail)
-            )
-        result = change(node_id)
-        return await result if inspect.isawaitable(result) else result
+        removed = await self.replica.remove(node_id)
+        if removed.is_error():
+            return removed
+        return await self.replicas()
+
+
+def _select(published, kind, name):
+    for entry in published.named_objects():
+        if kind not in (None, entry["kind"]):
+            continue
+        if name in (None, entry["object"]["name"]):
+            yield entry
+
+
+def _place(entry):
+    return entry["kind"], entry["object"]["name"]
 
 
 def _is_settled(answer):
--- a/buckthorntack/configuration/_errors.py
+++ b/buckthorntack/configuration/_errors.py
@@ -38,12 +38,3 @@
     status = 400
     kind = "invalid_change"
     remedy = "correct the fields named"
-
-
-class ReplicaChangeUnavailableError(errors.GatewayError):
-    """The group cannot change its replicas."""
-
-    number = 514
-    status = 501
-    kind = "replica_change_unavailable"
-    remedy = "send it to a control VM whose group can change its replicas"
--- a/buckthorntack/configuration/_machine.py
+++ b/buckthorntack/configuration/_machine.py
@@ -138,7 +138,7 @@
         remove = _content.decode_names(command.remove)
         if not command.replace_all:
             return remove
-        kept = {(entry["kind"], entry["object"].get("name")) for entry in put}
+        kept = {(entry["kind"], _name_of(entry)) for entry in put}
         kept |= {(entry["kind"], entry["name"]) for entry in remove}
         for entry in self.published.named_objects():
             kind, name = entry["kind"], entry["object"]["name"]
@@ -305,6 +305,12 @@
         self._tell()
 
 
+def _name_of(entry):
+    """Name of an object that was not checked yet."""
+    name = entry["object"].get("name")
+    return name if isinstance(name, str) else None
+
+
 def _delta(revision, put, remove):
     return messages.ConfigurationDelta(
         revision=revision,
--- /dev/null
+++ b/buckthorntack/configuration/tests/test_copy_store.py
@@ -0,0 +1,80 @@
+"""Durable copies that are cut short or damaged."""
+
+import pytest
+
+from buckthorntack.configuration import _copy_store
+from buckthorntack.configuration import CopyStore
+
+DELTAS = [b"first", b"second delta", b"third"]
+
+
+def journal_of(folder):
+    return next(folder.glob(f"{_copy_store.JOURNAL_PREFIX}*"))
+
+
+@pytest.fixture
+def folder(tmp_path):
+    with CopyStore(tmp_path) as store:
+        assert store.load() is None
+        store.write_copy(b"an older copy")
+        store.append(b"older delta")
+        store.write_copy(b"copy")
+        for delta in DELTAS:
+            store.append(delta)
+        store.set_registered(True, 7)
+    return tmp_path
+
+
+def load(folder):
+    with CopyStore(folder) as store:
+        return store.load()
+
+
+def test_what_was_written_is_read(folder):
+    assert load(folder) == (b"copy", DELTAS, True, 7)
+    assert len(list(folder.glob(f"{_copy_store.JOURNAL_PREFIX}*"))) == 1
+
+
+def test_leaving_is_remembered(folder):
+    with CopyStore(folder) as store:
+        store.set_registered(False, 7)
+    assert load(folder)[2:] == (False, 7)
+
+
+def test_each_cut_of_the_journal_keeps_whole_records(folder):
+    data = journal_of(folder).read_bytes()
+    ends = [0]
+    for delta in DELTAS:
+        ends.append(ends[-1] + _copy_store._HEADER.size + len(delta))
+    for cut in range(len(data)):
+        journal_of(folder).write_bytes(data[:cut])
+        whole = sum(end <= cut for end in ends[1:])
+        assert load(folder).deltas == DELTAS[:whole]
+        assert journal_of(folder).stat().st_size == ends[whole]
+
+
+def test_appending_goes_on_after_a_cut(folder):
+    data = journal_of(folder).read_bytes()
+    journal_of(folder).write_bytes(data[:-1])
+    with CopyStore(folder) as store:
+        store.load()
+        store.append(b"again")
+    assert load(folder).deltas == [*DELTAS[:2], b"again"]
+
+
+def test_each_damaged_byte_is_found(folder):
+    for path in (journal_of(folder), folder / _copy_store.COPY_NAME):
+        data = path.read_bytes()
+        for place in range(len(data)):
+            damaged = bytearray(data)
+            damaged[place] ^= 0x41
+            path.write_bytes(damaged)
+            assert load(folder) is None
+        path.write_bytes(data)
+    assert load(folder).deltas == DELTAS
+
+
+def test_crash_before_the_copy_is_renamed(folder):
+    (folder / f"{_copy_store.COPY_NAME}.new").write_bytes(b"half")
+    (folder / f"{_copy_store.JOURNAL_PREFIX}00").write_bytes(b"")
+    assert load(folder).copy == b"copy"
--- a/buckthorntack/ledger/_client.py
+++ b/buckthorntack/ledger/_client.py
@@ -104,7 +104,7 @@
         attempt_id,
         store_answer,
         now,
-        within=CLAIM_DEADLINE,
+        within,
     ):
         """Ask for the right to run a request.
 
--- a/buckthorntack/ledger/_client_task.py
+++ b/buckthorntack/ledger/_client_task.py
@@ -75,6 +75,7 @@
         body_hash,
         attempt_id,
         store_answer=True,
+        within=_client.CLAIM_DEADLINE,
     ):
         """Ask for the right to run a request.
 
@@ -85,6 +86,7 @@
         :param attempt_id: id never used before.
         :param store_answer: whether the home may hold the answer, because
             its region is allowed for the organisation.
+        :param within: how long to try.
         :returns: ``Result``: ``Granted``: the attempt may run, once;
             ``Replay``: the stored answer; ``Resolve``: ask the backend
             server for the outcome of the attempt named, tell it by
@@ -99,6 +101,7 @@
             attempt_id,
             store_answer,
             self.clock.monotonic(),
+            within,
         )
         future = self._future(call_id)
         self._execute_all(commands)
--- a/buckthorntack/ledger/tests/_world.py
+++ b/buckthorntack/ledger/tests/_world.py
@@ -17,6 +17,7 @@
 ORGANISATION = "shops"
 KEY = "booking-1"
 BODY_HASH = ledger.body_digest(b"booking")
+CLAIM_DEADLINE = datetime.timedelta(seconds=5)
 TICK = datetime.timedelta(milliseconds=250)
 
 
@@ -107,6 +108,7 @@
             flow.attempt_id,
             True,
             self.now,
+            CLAIM_DEADLINE,
         )
         self.execute(entry, commands)
         return flow
--- a/buckthorntack/schema/_generated/admin_documents.py
+++ b/buckthorntack/schema/_generated/admin_documents.py
@@ -147,37 +147,6 @@
     reachable: NotRequired[bool]
 
 
-class Status(TypedDict, closed=True):
-    """
-    State of the configuration, as one control VM sees it.
-    """
-
-    node_id: str
-    """
-    Control VM that answers.
-    """
-    revision: int
-    """
-    Revision in force there.
-    """
-    has_quorum: bool
-    """
-    Whether changes can be accepted now.
-    """
-    leader: NotRequired[str]
-    """
-    Node id of the leader, if one is known.
-    """
-    replicas: list[ReplicaStatus]
-    """
-    Replicas of the configuration group.
-    """
-    regions: list[RegionStatus]
-    """
-    Which regions have confirmed the revision.
-    """
-
-
 class ReplicaList(TypedDict, closed=True):
     """
     Replicas of the configuration group.
@@ -233,6 +202,40 @@
     error: AdminError
 
 
+class ChangeRegionStatus(TypedDict, closed=True):
+    """
+    Where in a region a change is in force.
+    """
+
+    region: str
+    in_force: int
+    """
+    Entry VMs that have it in force.
+    """
+    behind: list[str]
+    """
+    Entry VMs in contact that do not have it in force.
+    """
+    out_of_contact: list[str]
+    """
+    Entry VMs not heard lately that were not known to have it in force.
+    """
+
+
+class ChangeStatus(TypedDict, closed=True):
+    """
+    Where a recent change is in force.
+    """
+
+    change_id: str
+    revision: int
+    pending: bool
+    """
+    Whether it awaits confirmation by entry VMs and is not accepted yet.
+    """
+    regions: list[ChangeRegionStatus]
+
+
 class Change(TypedDict, closed=True):
     """
     A whole-set change that an operator asks for.
@@ -285,3 +288,38 @@
     Whether another change came first.
     """
     findings: NotRequired[list[Finding]]
+
+
+class Status(TypedDict, closed=True):
+    """
+    State of the configuration, as one control VM sees it.
+    """
+
+    node_id: str
+    """
+    Control VM that answers.
+    """
+    revision: int
+    """
+    Revision in force there.
+    """
+    has_quorum: bool
+    """
+    Whether changes can be accepted now.
+    """
+    leader: NotRequired[str]
+    """
+    Node id of the leader, if one is known.
+    """
+    replicas: list[ReplicaStatus]
+    """
+    Replicas of the configuration group.
+    """
+    regions: list[RegionStatus]
+    """
+    Which regions have confirmed the revision.
+    """
+    changes: NotRequired[list[ChangeStatus]]
+    """
+    Where the last accepted changes, and a pending one, are in force.
+    """
--- a/buckthorntack/schema/documents.py
+++ b/buckthorntack/schema/documents.py
@@ -5,7 +5,9 @@
 from buckthorntack.schema._generated.admin_documents import AdminInterface
 from buckthorntack.schema._generated.admin_documents import Change
 from buckthorntack.schema._generated.admin_documents import ChangeRecord
+from buckthorntack.schema._generated.admin_documents import ChangeRegionStatus
 from buckthorntack.schema._generated.admin_documents import ChangeResult
+from buckthorntack.schema._generated.admin_documents import ChangeStatus
 from buckthorntack.schema._generated.admin_documents import Finding
 from buckthorntack.schema._generated.admin_documents import History
 from buckthorntack.schema._generated.admin_documents import NamedObject
@@ -71,7 +73,9 @@
     "CallerCredential",
     "Change",
     "ChangeRecord",
+    "ChangeRegionStatus",
     "ChangeResult",
+    "ChangeStatus",
     "DeploymentTerms",
     "EngineOrder",
     "EngineOrderAnswer",
