--- a/buckthorntack/control/__init__.py
+++ b/buckthorntack/control/__init__.py
@@ -10,7 +10,6 @@
 from buckthorntack.control._errors import UnknownObjectError
 from buckthorntack.control._role import ControlRole
 from buckthorntack.control._role import ledger_group
-from buckthorntack.control._operations import Operations
 
 __all__ = [
     "Administration",
@@ -18,7 +17,6 @@
     "CallTooLargeError",
     "ControlRole",
     "MalformedCallError",
-    "Operations",
     "UnknownCallError",
     "UnknownObjectError",
     "create_admin_app",
--- a/buckthorntack/schema/_generated/admin_documents.py
+++ b/buckthorntack/schema/_generated/admin_documents.py
@@ -222,23 +222,38 @@
     error: AdminError
 
 
-class PendingChange(TypedDict, closed=True):
+class ChangeRegionStatus(TypedDict, closed=True):
     """
-    A change that awaits confirmation, as it takes an organisation out of a region.
+    Where in a region a change is in force.
     """
 
-    change_id: str
+    region: str
+    in_force: int
     """
-    Its change id.
+    Entry VMs that have it in force.
     """
-    revision: int
+    behind: list[str]
+    """
+    Entry VMs in contact that do not have it in force.
+    """
+    out_of_contact: list[str]
     """
-    Interim revision that withholds what the change takes away.
+    Entry VMs not heard lately that were not known to have it in force.
     """
-    waiting_for: list[str]
+
+
+class ChangeStatus(TypedDict, closed=True):
+    """
+    Where a recent change is in force.
+    """
+
+    change_id: str
+    revision: int
+    pending: bool
     """
-    Entry VMs that have not confirmed it.
+    Whether it awaits confirmation by entry VMs and is not accepted yet.
     """
+    regions: list[ChangeRegionStatus]
 
 
 class Change(TypedDict, closed=True):
@@ -324,7 +339,7 @@
     """
     Which regions have the revision in force.
     """
-    pending: NotRequired[PendingChange]
+    changes: NotRequired[list[ChangeStatus]]
     """
-    The change that is not settled yet, if any.
+    Where the last accepted changes, and a pending one, are in force.
     """
