--- a/buckthorntack/retries/tests/test_quarantine.py
+++ b/buckthorntack/retries/tests/test_quarantine.py
@@ -7,6 +7,7 @@
 import pytest
 
 from buckthorntack import retries
+from buckthorntack.schema import messages
 
 
 def at(seconds):
@@ -61,7 +62,7 @@
     quarantine = make_quarantine()
     quarantine.started("p", "s1")
     assert quarantine.verdict("p", at(0)) == retries.Clean("s1")
-    quarantine.stopped("p", "s1", at(1))
+    quarantine.stopped("p", "s1")
     assert quarantine.verdict("p", at(1)) == retries.Clean(None)
 
 
@@ -82,7 +83,7 @@
         assert not [
             item
             for item in other.take_items()
-            if "conviction" not in retries.item_key(item)
+            if not isinstance(item, messages.Conviction)
         ]
 
 
@@ -103,27 +104,25 @@
     assert len(quarantine) <= 100
 
 
-@pytest.mark.parametrize("seed", range(20))
-def test_a_suspect_runs_at_one_entry_vm_at_a_time(seed):
+def most_runs_at_once(seed, **fields):
+    """Let four entry VMs run one suspect each; count runs at once."""
     rng = random.Random(seed)
-    nodes = {name: make_quarantine(name) for name in ("e1", "e2", "e3", "e4")}
-    for node in nodes.values():
-        node.server_crashed("s1", 1, frozenset("p"), at(0))
-        node.take_items()
+    names = ("e1", "e2", "e3", "e4")
+    nodes = {name: make_quarantine(name, **fields) for name in names}
     starts = {name: rng.uniform(0, 4) for name in nodes}
     ends, flying, most, runs = {}, [], 0, 0
     for step in range(1500):
         now_s = step / 50
-        for due, name, item in [f for f in flying if f[0] <= now_s]:
-            nodes[name].merge(item, at(now_s))
-            flying.remove((due, name, item))
+        for arrival in [entry for entry in flying if entry[0] <= now_s]:
+            flying.remove(arrival)
+            nodes[arrival[1]].merge(arrival[2], at(now_s))
         for name, node in nodes.items():
             if name in ends and now_s >= ends[name]:
                 del ends[name]
                 starts[name] = 1e9
-                node.release("p", at(now_s))
+                node.finished("p", "s2", at(now_s))
             elif now_s >= starts[name] and name not in ends:
-                claimed = node.claim("p", at(now_s))
+                claimed = node.claim("p", "s2", at(now_s))
                 if claimed == retries.RunAlone():
                     ends[name] = now_s + 1.5
                     runs += 1
@@ -133,19 +132,67 @@
                     due = now_s + rng.uniform(0.0, 1.0)
                     flying.append((due, other, item))
         most = max(most, len(ends))
-    assert most == 1
-    assert runs == 4
+    assert runs == len(nodes)
+    return most
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_a_suspect_runs_at_one_entry_vm_at_a_time(seed):
+    assert most_runs_at_once(seed) == 1
+
+
+def test_too_short_a_settling_is_caught():
+    most = [most_runs_at_once(seed, spread_ms=100) for seed in range(20)]
+    assert max(most) > 1
 
 
 def test_a_claim_of_a_lost_entry_vm_ends():
     lost, other = make_quarantine("e1"), make_quarantine("e2")
-    lost.claim("p", at(0))
-    assert lost.claim("p", at(2)) == retries.RunAlone()
+    lost.claim("p", "s2", at(0))
+    assert lost.claim("p", "s2", at(2)) == retries.RunAlone()
     for item in lost.take_items():
         other.merge(item, at(2.5))
     for now_s in range(3, 13):
-        assert isinstance(other.claim("p", at(now_s)), retries.Wait)
-    assert other.claim("p", at(13)) == retries.RunAlone()
+        assert isinstance(other.claim("p", "s2", at(now_s)), retries.Wait)
+    assert other.claim("p", "s2", at(13)) == retries.RunAlone()
+
+
+def test_two_suspects_never_share_a_server():
+    nodes = make_quarantine("e1"), make_quarantine("e2")
+    for name, node in zip("pq", nodes, strict=True):
+        assert isinstance(node.claim(name, "s2", at(0)), retries.Wait)
+    for node, other in (nodes, nodes[::-1]):
+        for item in node.take_items():
+            other.merge(item, at(0.5))
+    assert nodes[0].claim("p", "s2", at(2)) == retries.RunAlone()
+    assert isinstance(nodes[1].claim("q", "s2", at(2)), retries.Wait)
+    nodes[0].finished("p", "s2", at(3))
+    for item in nodes[0].take_items():
+        nodes[1].merge(item, at(3.5))
+    assert nodes[1].claim("q", "s2", at(4)) == retries.RunAlone()
+
+
+def test_own_suspects_follow_each_other_without_a_new_settling():
+    node = make_quarantine("e1")
+    for name in "pq":
+        node.claim(name, "s2", at(0))
+    assert node.claim("p", "s2", at(2)) == retries.RunAlone()
+    assert isinstance(node.claim("q", "s2", at(2.5)), retries.Wait)
+    node.finished("p", "s2", at(3))
+    assert node.claim("q", "s2", at(3)) == retries.RunAlone()
+
+
+def test_items_survive_packing():
+    source = make_quarantine()
+    source.server_crashed("s1", 1, frozenset("p"), at(1))
+    source.claim("p", "s2", at(1))
+    limiter = retries.AttemptLimiter("entry-1", retries.RetrySettings())
+    limiter.failed("p", at(1))
+    sent = source.take_items() + limiter.take_items()
+    packed = [retries.pack(item, 1000) for item in sent]
+    assert [retries.unpack(item) for item in packed] == sent
+    assert len({item.key for item in packed}) == len(sent) == 4
+    assert retries.unpack(packed[0]._replace(kind="other.Thing")) is None
 
 
 class TestCrashDetector:
