Add placement: issuer leases, fencing, planner and its task

Cause: engine orders need one issuer a failure domain, also with engines that ignore fencing numbers. Change: LeaseMachine without a clock (a lease is taken over by a command that names the renewal seen unchanged for its whole duration), granter task for control VMs, issuer's own shorter view, planner with hysteresis, drains and the weight store's bounds, task that sends the orders. Drained engines are told to entry VMs by a membership item. Routing's test record names the reporter of a summary.

--- /dev/null
+++ b/buckthorntack/placement/_granter.py
@@ -0,0 +1,146 @@
+"""Grants leases of issuers at a control VM."""
+
+import asyncio
+from typing import NamedTuple
+
+from buckthorntack import events
+from buckthorntack.placement import _events
+from buckthorntack.placement import _machine
+from buckthorntack.placement import _timing
+from buckthorntack.schema import messages
+
+#: Longest difference of two clocks' speeds, as a share.
+_DRIFT = 0.01
+
+
+class _Sighting(NamedTuple):
+    fencing: int
+    renewal: int
+    since_ms: int
+
+
+class LeaseWatch:
+    """How long this node has seen each lease unchanged: decisions only."""
+
+    def __init__(self):
+        self._sightings = {}
+
+    def unchanged_ms(self, row, now_ms):
+        """How long a lease has been seen as it is now.
+
+        :param row: a ``LeaseRow`` as applied here.
+        :param now_ms: monotonic time.
+        """
+        seen = self._sightings.get(row.failure_domain)
+        if seen is None or (seen.fencing, seen.renewal) != (
+            row.fencing,
+            row.renewal,
+        ):
+            seen = _Sighting(row.fencing, row.renewal, now_ms)
+            self._sightings[row.failure_domain] = seen
+        return now_ms - seen.since_ms
+
+    def wait_ms(self, row, holder, now_ms):
+        """How long until a node may have the lease; 0 if it may now.
+
+        :param row: a ``LeaseRow`` as applied here.
+        :param holder: who asks.
+        :param now_ms: monotonic time.
+        """
+        unchanged_ms = self.unchanged_ms(row, now_ms)
+        if row.holder in ("", holder):
+            return 0
+        lease_ms = int(row.duration_ms * (1 + _DRIFT)) + 1
+        return max(0, lease_ms - unchanged_ms)
+
+
+def command_for(request, row):
+    """Proposal that grants a request.
+
+    :param request: a ``LeaseRequest``.
+    :param row: the lease on which it is based.
+    """
+    return messages.LeaseCommand(
+        request.failure_domain,
+        request.holder,
+        request.duration_ms,
+        row.fencing,
+        row.renewal,
+        request.least_fencing,
+    )
+
+
+class LeaseGranterTask:
+    """Takes lease requests at a control VM.
+
+    :param machine: the :class:`LeaseMachine` of this node's replica.
+    :param replicas: the replicated group that runs it.
+    :param sender: a ``Sender``.
+    :param clock: a ``Clock``.
+    """
+
+    def __init__(self, machine, replicas, sender, clock):
+        self.machine = machine
+        self.replicas = replicas
+        self.sender = sender
+        self.clock = clock
+        self._watch = LeaseWatch()
+        self._log = events.EventLog("placement")
+        self._tasks = set()
+
+    async def __aenter__(self):
+        return self
+
+    async def __aexit__(self, *_):
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def deliver(self, sender, message):
+        """Take a lease request; does not block.
+
+        :param sender: authenticated node that sent it.
+        :param message: a ``LeaseRequest``.
+        """
+        if message.holder.partition("#")[0] != sender:
+            return
+        task = asyncio.create_task(self._answer(sender, message))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _answer(self, sender, request):
+        row = self.machine.row(request.failure_domain)
+        now_ms = _timing.milliseconds(self.clock.monotonic())
+        wait_ms = self._watch.wait_ms(row, request.holder, now_ms)
+        outcome = _machine.LeaseOutcome(False, row)
+        if wait_ms == 0:
+            command = _machine.encode_command(command_for(request, row))
+            result = await self.replicas.propose(command)
+            if result.is_error():
+                return
+            outcome = result.ok
+        if outcome.granted and outcome.row.holder != row.holder:
+            self._log.write(
+                _events.LEASE_GRANTED,
+                failure_domain=request.failure_domain,
+                holder=request.holder,
+                fencing=outcome.row.fencing,
+            )
+        self.sender.send(sender, grant_of(request, outcome, wait_ms))
+
+
+def grant_of(request, outcome, wait_ms):
+    """Answer to a request.
+
+    :param request: a ``LeaseRequest``.
+    :param outcome: a :class:`LeaseOutcome`.
+    :param wait_ms: when to ask again, if it was not granted.
+    """
+    return messages.LeaseGrant(
+        request.failure_domain,
+        request.request_number,
+        outcome.granted,
+        outcome.row.holder,
+        outcome.row.fencing,
+        wait_ms,
+    )
--- /dev/null
+++ b/buckthorntack/placement/_lease.py
@@ -0,0 +1,108 @@
+"""The issuer's own view of its lease."""
+
+from buckthorntack.schema import messages
+
+
+class IssuerLease:
+    """Lease of one failure domain as seen by a would-be issuer.
+
+    The lease is counted from when it was asked for, so that it ends here
+    before any control VM grants it to another node.
+
+    :param failure_domain: its name.
+    :param holder: ``<node id>#<incarnation>`` of this node.
+    :param timing: a :class:`PlacementTiming`.
+    """
+
+    def __init__(self, failure_domain, holder, timing):
+        self.failure_domain = failure_domain
+        self.holder = holder
+        self.timing = timing
+        self.fencing = 0
+        self._until_ms = None
+        self._settled_at_ms = None
+        self._least_fencing = 0
+        self._asked = {}
+        self._number = 0
+        self._due_at_ms = 0
+
+    def request(self, now_ms):
+        """The request to send now, or ``None``.
+
+        :param now_ms: monotonic time.
+        """
+        if now_ms < self._due_at_ms:
+            return None
+        self._due_at_ms = now_ms + self.timing.answer_ms
+        self._number += 1
+        self._asked = {
+            number: at_ms
+            for number, at_ms in self._asked.items()
+            if at_ms + self.timing.lease_ms > now_ms
+        }
+        self._asked[self._number] = now_ms
+        return messages.LeaseRequest(
+            self.failure_domain,
+            self.holder,
+            self._number,
+            self.timing.lease_ms,
+            self._least_fencing,
+        )
+
+    def on_grant(self, grant, now_ms):
+        """Take an answer.
+
+        :param grant: a ``LeaseGrant``.
+        :param now_ms: monotonic time.
+        """
+        asked_at_ms = self._asked.pop(grant.request_number, None)
+        if asked_at_ms is None or grant.failure_domain != self.failure_domain:
+            return
+        if not grant.granted:
+            self._due_at_ms = now_ms + max(grant.wait_ms, 100)
+            return
+        if grant.fencing < max(self.fencing, self._least_fencing):
+            return
+        if grant.fencing > self.fencing:
+            self._start(grant, now_ms)
+        self._due_at_ms = now_ms + self.timing.renew_ms
+        until_ms = asked_at_ms + self.timing.lease_ms - self.timing.margin_ms
+        self._until_ms = max(until_ms, self._until_ms or 0)
+
+    def _start(self, grant, now_ms):
+        self.fencing = grant.fencing
+        is_first = grant.fencing == 1
+        flight_ms = 0 if is_first else self.timing.flight_ms
+        self._settled_at_ms = now_ms + flight_ms
+        self._until_ms = None
+
+    def is_held(self, now_ms):
+        """Whether this node is the issuer.
+
+        :param now_ms: monotonic time.
+        """
+        return self._until_ms is not None and now_ms < self._until_ms
+
+    def may_issue(self, checks_fencing, now_ms):
+        """Whether an order may be sent now.
+
+        Engines that ignore fencing numbers get none while an order of the
+        former issuer may still be on its way.
+
+        :param checks_fencing: whether the engine checks the number.
+        :param now_ms: monotonic time.
+        """
+        if not self.is_held(now_ms):
+            return False
+        return checks_fencing or now_ms >= self._settled_at_ms
+
+    def fenced(self, fencing):
+        """An engine has seen a higher number: stop issuing.
+
+        :param fencing: the number.
+        """
+        self._least_fencing = max(self._least_fencing, fencing)
+        if fencing > self.fencing:
+            self._until_ms = None
+            self._asked.clear()
+            self._due_at_ms = 0
--- /dev/null
+++ b/buckthorntack/placement/_machine.py
@@ -0,0 +1,100 @@
+"""Replicated leases of issuers, with fencing numbers.
+
+The machine reads no clock.  A lease is taken over by a command that names
+the fencing number and renewal which its proposer has seen unchanged for the
+whole duration, on its own monotonic clock; any renewal in between makes the
+command fail.
+"""
+
+from typing import NamedTuple
+
+import msgspec
+
+from buckthorntack.schema import messages
+
+_ENCODER = msgspec.msgpack.Encoder()
+_COMMANDS = msgspec.msgpack.Decoder(messages.LeaseCommand)
+_SNAPSHOTS = msgspec.msgpack.Decoder(messages.LeaseSnapshot)
+
+
+class LeaseOutcome(NamedTuple):
+    """What a command did."""
+
+    granted: bool
+    row: messages.LeaseRow
+
+
+def encode_command(command):
+    """Bytes of a proposal.
+
+    :param command: a ``LeaseCommand``.
+    """
+    return _ENCODER.encode(command)
+
+
+class LeaseMachine:
+    """State machine of the leases of all failure domains."""
+
+    def __init__(self):
+        self._rows = {}
+
+    def row(self, failure_domain):
+        """Lease of a failure domain; one without holder if none was granted.
+
+        :param failure_domain: its name.
+        """
+        unheld = messages.LeaseRow(failure_domain, "", 0, 0, 0)
+        return self._rows.get(failure_domain, unheld)
+
+    def apply(self, index, command):
+        """Apply one committed command.
+
+        :param index: its place in the log.
+        :param command: an encoded ``LeaseCommand``.
+        :returns: a :class:`LeaseOutcome`.
+        """
+        command = _COMMANDS.decode(command)
+        row = self.row(command.failure_domain)
+        expected = (command.expected_fencing, command.expected_renewal)
+        if expected != (row.fencing, row.renewal):
+            return LeaseOutcome(False, row)
+        if row.holder == command.holder:
+            return self._put(_renewed(row, command))
+        return self._put(_taken(row, command))
+
+    def _put(self, row):
+        self._rows[row.failure_domain] = row
+        return LeaseOutcome(True, row)
+
+    def snapshot(self):
+        """Whole state as bytes."""
+        rows = [self._rows[domain] for domain in sorted(self._rows)]
+        return _ENCODER.encode(messages.LeaseSnapshot(rows))
+
+    def restore(self, snapshot):
+        """Replace the state.
+
+        :param snapshot: what :meth:`snapshot` gave.
+        """
+        rows = _SNAPSHOTS.decode(snapshot).rows
+        self._rows = {row.failure_domain: row for row in rows}
+
+
+def _renewed(row, command):
+    renewal = row.renewal + 1
+    fencing = row.fencing
+    if command.least_fencing > fencing:
+        fencing = command.least_fencing + 1
+    return row._replace(
+        renewal=renewal, fencing=fencing, duration_ms=command.duration_ms
+    )
+
+
+def _taken(row, command):
+    return messages.LeaseRow(
+        command.failure_domain,
+        command.holder,
+        max(row.fencing, command.least_fencing) + 1,
+        row.renewal + 1,
+        command.duration_ms,
+    )
--- /dev/null
+++ b/buckthorntack/placement/_planner.py
@@ -0,0 +1,323 @@
+"""Plans what each engine of a failure domain shall have loaded."""
+
+import enum
+from typing import NamedTuple
+
+from buckthorntack.placement import _demand
+from buckthorntack.placement import _timing
+
+
+class Phase(enum.StrEnum):
+    """Where an engine is on its way to a new target."""
+
+    STEADY = "steady"
+    DRAINING = "draining"
+    LOADING = "loading"
+
+
+class Target(NamedTuple):
+    """What an engine shall have loaded."""
+
+    model_versions: tuple[str, ...]
+    adapters: tuple[str, ...]
+    role: str
+
+
+class EnginePlan(NamedTuple):
+    """What the planner knows of an engine."""
+
+    target: Target
+    phase: Phase
+    since_ms: int
+    moved_at_ms: int
+
+
+class DrainEngine(NamedTuple):
+    """Give an engine no new work."""
+
+    server_id: str
+    reason: str
+
+
+class ReturnEngine(NamedTuple):
+    """Give an engine work again."""
+
+    server_id: str
+    reason: str
+
+
+class OrderEngine(NamedTuple):
+    """Send an engine its target."""
+
+    server_id: str
+    url: str
+    target: Target
+    checks_fencing: bool
+    reason: str
+
+
+class Inputs(NamedTuple):
+    """What a plan is based on."""
+
+    #: :class:`PoolPlan` by name, of model pools only.
+    pools: dict
+    #: ``ModelVersion`` objects by name.
+    model_versions: dict
+    #: ``ServerRecord`` of this failure domain.
+    servers: list
+    #: :class:`Demand` by model version.
+    demands: dict
+
+
+_NO_DEMAND = _demand.Demand(0, 0, 0.0)
+
+
+class PlacementPlanner:
+    """Decides what engines load, from demand and the operators' objects.
+
+    :param timing: a :class:`PlacementTiming`.
+    :param store: a :class:`WeightStoreBudget`.
+    """
+
+    def __init__(self, timing, store):
+        self.timing = timing
+        self.store = store
+        self.engines = {}
+        self._lacking = {}
+        self._commands = []
+
+    def forget(self):
+        """Start from what engines announce; call on becoming issuer."""
+        self.engines.clear()
+        self._lacking.clear()
+
+    def draining(self):
+        """Ids of engines that shall get no new work."""
+        return sorted(
+            server_id
+            for server_id, engine in self.engines.items()
+            if engine.phase is not Phase.STEADY
+        )
+
+    def plan(self, inputs, may_order, now):
+        """Take one step towards what is needed.
+
+        :param inputs: an :class:`Inputs`.
+        :param may_order: whether an order may be sent now, by whether its
+            engine checks fencing numbers.
+        :param now: monotonic time.
+        :returns: list of commands.
+        """
+        now_ms = _timing.milliseconds(now)
+        self._commands = []
+        servers = {record.server_id: record for record in inputs.servers}
+        for server_id in list(self.engines):
+            if server_id not in servers:
+                del self.engines[server_id]
+        for pool in inputs.pools.values():
+            records = [
+                record
+                for record in inputs.servers
+                if record.pool == pool.name and record.state == "ready"
+            ]
+            records.sort(key=lambda record: record.server_id)
+            self._plan_pool(pool, inputs, records, may_order, now_ms)
+        return self._commands
+
+    def _plan_pool(self, pool, inputs, records, may_order, now_ms):
+        for record in records:
+            self._observe(record, now_ms)
+        for record in records:
+            self._advance(pool, inputs, record, records, may_order, now_ms)
+        self._balance(pool, inputs, records, now_ms)
+
+    def _observe(self, record, now_ms):
+        """Compare what an engine announces with its target."""
+        announced = announced_target(record)
+        engine = self.engines.get(record.server_id)
+        if engine is None:
+            plan = EnginePlan(announced, Phase.STEADY, now_ms, -(10**9))
+            self.engines[record.server_id] = plan
+        elif is_reached(announced, engine.target):
+            if engine.phase is Phase.LOADING:
+                reason = f"has {_names(engine.target)} loaded"
+                self._commands.append(ReturnEngine(record.server_id, reason))
+                self._set(record, phase=Phase.STEADY, since_ms=now_ms)
+        elif engine.phase is Phase.STEADY:
+            reason = f"announces {_names(announced)} but is to have "
+            self._drain(record, engine.target, reason, now_ms)
+
+    def _set(self, record, **fields):
+        engine = self.engines[record.server_id]
+        self.engines[record.server_id] = engine._replace(**fields)
+
+    def _drain(self, record, target, reason, now_ms):
+        self._set(
+            record,
+            target=target,
+            phase=Phase.DRAINING,
+            since_ms=now_ms,
+            moved_at_ms=now_ms,
+        )
+        reason += _names(target)
+        self._commands.append(DrainEngine(record.server_id, reason))
+
+    def _advance(self, pool, inputs, record, records, may_order, now_ms):
+        """Order a drained engine; repeat an order without effect."""
+        engine = self.engines[record.server_id]
+        waited_ms = now_ms - engine.since_ms
+        if engine.phase is Phase.DRAINING:
+            is_idle = record.load.running + record.load.waiting == 0
+            is_known = record.load.age_ms < waited_ms - self.timing.drain_ms
+            if not record.model_versions or (is_idle and is_known):
+                self._order(pool, inputs, record, records, may_order, now_ms)
+        elif engine.phase is Phase.LOADING:
+            weights_ms = self.store.load_ms(_weights(inputs, engine.target))
+            limit_ms = self.timing.resend_ms + weights_ms * (
+                self.store.concurrent_loads
+            )
+            if waited_ms >= limit_ms and may_order(pool.checks_fencing):
+                self._send(pool, record, "order had no effect", now_ms)
+
+    def _order(self, pool, inputs, record, records, may_order, now_ms):
+        if not may_order(pool.checks_fencing):
+            return
+        engine = self.engines[record.server_id]
+        weights = _weights(inputs, engine.target)
+        loading = sum(
+            plan.phase is Phase.LOADING for plan in self.engines.values()
+        )
+        if not self.store.admits(weights, loading, now_ms):
+            return
+        self.store.start(weights, now_ms)
+        self._send(pool, record, "drained", now_ms)
+
+    def _send(self, pool, record, reason, now_ms):
+        self._set(record, phase=Phase.LOADING, since_ms=now_ms)
+        target = self.engines[record.server_id].target
+        self._commands.append(
+            OrderEngine(
+                record.server_id,
+                record.url,
+                target,
+                pool.checks_fencing,
+                reason,
+            )
+        )
+
+    def _balance(self, pool, inputs, records, now_ms):
+        """Move one engine to the model version that lacks most."""
+        if not records or len(self.draining()) >= self._most_moves():
+            return
+        slots = min(record.slots for record in records)
+        demands = {
+            version: inputs.demands.get(version, _NO_DEMAND)
+            for version in pool.model_versions
+        }
+        needs = {
+            version: _demand.engines_needed(pool, demands[version], slots)
+            for version in pool.model_versions
+        }
+        shares = _demand.share_engines(pool, needs, demands, len(records))
+        counts = self._counts(pool, records)
+        gaps = {v: shares[v] - counts[v] for v in pool.model_versions}
+        self._note_lacking(pool, gaps, now_ms)
+        for version in sorted(gaps, key=lambda v: -gaps[v]):
+            if gaps[version] <= 0:
+                return
+            since_ms = self._lacking[pool.name, version]
+            is_urgent = counts[version] == 0
+            if is_urgent or now_ms - since_ms >= self.timing.hold_ms:
+                move = (version, gaps, counts, demands)
+                if self._move(pool, inputs, records, move, now_ms):
+                    return
+
+    def _most_moves(self):
+        """Engines that may be on their way to a new target at once."""
+        return 2 * self.store.concurrent_loads
+
+    def _counts(self, pool, records):
+        """Engines that have each model version as their target."""
+        counts = dict.fromkeys(pool.model_versions, 0)
+        for record in records:
+            for version in self.engines[record.server_id].target[0]:
+                if version in counts:
+                    counts[version] += 1
+        return counts
+
+    def _note_lacking(self, pool, gaps, now_ms):
+        for version, gap in gaps.items():
+            if gap > 0:
+                self._lacking.setdefault((pool.name, version), now_ms)
+            else:
+                self._lacking.pop((pool.name, version), None)
+
+    def _move(self, pool, inputs, records, move, now_ms):
+        version, gaps, counts, demands = move
+        for record in sorted(records, key=_busyness):
+            engine = self.engines[record.server_id]
+            if not self._is_movable(engine, gaps, counts, demands, now_ms):
+                continue
+            adapters = inputs.model_versions[version].get("adapters", ())
+            target = Target((version,), tuple(adapters), engine.target.role)
+            reason = (
+                f"demand {tuple(demands[version])}, {counts[version]} engines"
+                f", {gaps[version]} lacking; "
+            )
+            self._drain(record, target, reason, now_ms)
+            return True
+        return False
+
+    def _is_movable(self, engine, gaps, counts, demands, now_ms):
+        if engine.phase is not Phase.STEADY:
+            return False
+        loaded = [v for v in engine.target.model_versions if v in gaps]
+        if not loaded:
+            return True
+        if now_ms - engine.moved_at_ms < self.timing.rest_ms:
+            return False
+        return all(
+            gaps[v] < 0
+            and (counts[v] > 1 or not _demand.is_in_demand(demands[v]))
+            for v in loaded
+        )
+
+
+def announced_target(record):
+    """What an engine announces to have loaded.
+
+    :param record: its ``ServerRecord``.
+    """
+    return Target(
+        tuple(sorted(record.model_versions)),
+        tuple(sorted(record.adapters)),
+        record.role or "both",
+    )
+
+
+def is_reached(announced, target):
+    """Whether an engine has what it shall have.
+
+    :param announced: a :class:`Target` as announced.
+    :param target: the :class:`Target` it shall reach.
+    """
+    return (
+        set(announced.model_versions) == set(target.model_versions)
+        and set(announced.adapters) >= set(target.adapters)
+        and announced.role == target.role
+    )
+
+
+def _names(target):
+    return ",".join(target.model_versions) or "nothing"
+
+
+def _weights(inputs, target):
+    known = inputs.model_versions
+    return sum(
+        known[v]["weights_bytes"] for v in target.model_versions if v in known
+    )
+
+
+def _busyness(record):
+    return record.load.running + record.load.waiting, record.server_id
--- /dev/null
+++ b/buckthorntack/placement/_store.py
@@ -0,0 +1,42 @@
+"""What the rate-limited weight store lets be loaded."""
+
+
+class WeightStoreBudget:
+    """Bounds loads by number and by rate.
+
+    :param bytes_per_second: rate of the weight store.
+    :param concurrent_loads: most loads at once.
+    """
+
+    def __init__(self, bytes_per_second, concurrent_loads):
+        self.bytes_per_second = bytes_per_second
+        self.concurrent_loads = concurrent_loads
+        self._free_at_ms = 0
+
+    def load_ms(self, weights_bytes):
+        """How long the store takes to give some weights.
+
+        :param weights_bytes: their size.
+        """
+        return int(weights_bytes * 1000 / self.bytes_per_second)
+
+    def admits(self, weights_bytes, loading, now_ms):
+        """Whether a load may start.
+
+        :param weights_bytes: size of the weights.
+        :param loading: loads in progress.
+        :param now_ms: monotonic time.
+        """
+        if loading >= self.concurrent_loads:
+            return False
+        ahead_ms = self.load_ms(weights_bytes) * (self.concurrent_loads - 1)
+        return self._free_at_ms <= now_ms + ahead_ms
+
+    def start(self, weights_bytes, now_ms):
+        """Count a load.
+
+        :param weights_bytes: size of the weights.
+        :param now_ms: monotonic time.
+        """
+        begin_ms = max(self._free_at_ms, now_ms)
+        self._free_at_ms = begin_ms + self.load_ms(weights_bytes)
--- /dev/null
+++ b/buckthorntack/placement/_task.py
@@ -0,0 +1,229 @@
+"""The task that issues engine orders for one failure domain."""
+
+import asyncio
+import datetime
+import functools
+import uuid
+
+import httpx
+import msgspec
+
+from buckthorntack import events
+from buckthorntack import schema
+from buckthorntack.placement import _events
+from buckthorntack.placement import _planner
+from buckthorntack.placement import _timing
+from buckthorntack.schema import messages
+
+#: Kind of the item that tells which engines get no new work.
+DRAIN_KIND = "placement-drain"
+#: Bits of an item's version below the fencing number.
+_VERSION_BITS = 32
+
+
+class PlacementTask:
+    """Holds the lease, plans, sends orders.
+
+    :param lease: an :class:`IssuerLease`.
+    :param planner: a :class:`PlacementPlanner`.
+    :param control: node ids of control VMs that grant leases.
+    :param sender: a ``Sender``.
+    :param client: an ``httpx.AsyncClient`` for engines.
+    :param clock: a ``Clock``.
+    :param read_inputs: gives the present :class:`Inputs`.
+    :param publish: spreads a membership ``Item``.
+    """
+
+    def __init__(
+        self,
+        lease,
+        planner,
+        control,
+        sender,
+        client,
+        clock,
+        read_inputs,
+        publish,
+    ):
+        self.lease = lease
+        self.planner = planner
+        self.control = list(control)
+        self.sender = sender
+        self.client = client
+        self.clock = clock
+        self.read_inputs = read_inputs
+        self.publish = publish
+        self._log = events.EventLog("placement")
+        self._was_issuer = False
+        self._asked = 0
+        self._version = 0
+        self._was_draining = False
+        self._runner = None
+        self._orders = set()
+
+    async def __aenter__(self):
+        self._runner = asyncio.create_task(self._run())
+        return self
+
+    async def __aexit__(self, *_):
+        tasks = [self._runner, *self._orders]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _run(self):
+        milliseconds = self.lease.timing.plan_ms
+        period = datetime.timedelta(milliseconds=milliseconds)
+        while True:
+            self.step()
+            await self.clock.sleep(period)
+
+    def _now_ms(self):
+        return _timing.milliseconds(self.clock.monotonic())
+
+    def deliver(self, _sender, message):
+        """Take an answer to a lease request; does not block.
+
+        :param message: a ``LeaseGrant``.
+        """
+        if isinstance(message, messages.LeaseGrant):
+            self.lease.on_grant(message, self._now_ms())
+
+    def step(self):
+        """Ask for the lease if due, and plan if this node is the issuer."""
+        request = self.lease.request(self._now_ms())
+        if request is not None:
+            self._asked += 1
+            to = self.control[self._asked % len(self.control)]
+            self.sender.send(to, request)
+        is_issuer = self.lease.is_held(self._now_ms())
+        if is_issuer != self._was_issuer:
+            self._change_issuer(is_issuer)
+        if is_issuer:
+            self._plan()
+
+    def _change_issuer(self, is_issuer):
+        self._was_issuer = is_issuer
+        self.planner.forget()
+        self._log.write(
+            _events.ISSUER_CHANGED,
+            failure_domain=self.lease.failure_domain,
+            issues=is_issuer,
+            fencing=self.lease.fencing,
+        )
+
+    def _plan(self):
+        now = self.clock.monotonic()
+        commands = self.planner.plan(self.read_inputs(), self._may_issue, now)
+        for command in commands:
+            self._log.write(
+                _events.PLACEMENT_DECIDED,
+                decision=type(command).__name__,
+                server=command.server_id,
+                reason=command.reason,
+            )
+            self._perform(command)
+        self._publish_draining()
+
+    def _publish_draining(self):
+        self._version += 1
+        ids = self.planner.draining()
+        if not ids and not self._was_draining:
+            return
+        self._was_draining = bool(ids)
+        item = build_drain_item(self.lease, ids, self._version)
+        self.publish(item)
+
+    def _may_issue(self, checks_fencing):
+        return self.lease.may_issue(checks_fencing, self._now_ms())
+
+    @functools.singledispatchmethod
+    def _perform(self, command):
+        """Draining and returning are told by the published item."""
+
+    @_perform.register
+    def _(self, command: _planner.OrderEngine):
+        task = asyncio.create_task(self._order(command))
+        self._orders.add(task)
+        task.add_done_callback(self._orders.discard)
+
+    async def _order(self, command):
+        if not self._may_issue(command.checks_fencing):
+            return
+        order = build_order(self.lease, command.target)
+        timeout_s = self.lease.timing.flight_ms / 1000
+        url = f"{command.url}/orders"
+        try:
+            async with asyncio.timeout(timeout_s):
+                response = await self.client.post(url, json=order)
+            answer = response.json()
+        except (httpx.HTTPError, TimeoutError, ValueError) as error:
+            self._unanswered(command, f"{type(error).__name__}: {error}")
+            return
+        findings = schema.validate_document(
+            "backend", "EngineOrderAnswer", answer
+        )
+        if findings:
+            self._unanswered(command, findings[0].message)
+        else:
+            self._answered(command, answer)
+
+    def _unanswered(self, command, reason):
+        self._log.write(
+            _events.ORDER_UNANSWERED, server=command.server_id, reason=reason
+        )
+
+    def _answered(self, command, answer):
+        if answer["accepted"]:
+            self._log.write(_events.ORDER_ACCEPTED, server=command.server_id)
+            return
+        self._log.write(
+            _events.ORDER_REFUSED,
+            server=command.server_id,
+            fencing=answer["fencing"],
+            reason=answer.get("reason", ""),
+        )
+        self.lease.fenced(answer["fencing"])
+
+
+def build_drain_item(lease, server_ids, version):
+    """Item that tells all entry VMs which engines get no new work.
+
+    :param lease: the :class:`IssuerLease` held.
+    :param server_ids: ids of the engines.
+    :param version: grows with each item under one fencing number.
+    """
+    return messages.Item(
+        DRAIN_KIND,
+        lease.failure_domain,
+        msgspec.msgpack.encode(server_ids),
+        (lease.fencing << _VERSION_BITS) + version,
+        lease.timing.drain_item_ms,
+    )
+
+
+def read_drain_item(item):
+    """Ids of the engines that an item tells of.
+
+    :param item: an ``Item`` of kind :data:`DRAIN_KIND`.
+
+    >>> read_drain_item(messages.Item(DRAIN_KIND, "a", b"\\x90", 1, 1))
+    []
+    """
+    return msgspec.msgpack.decode(item.value, type=list[str])
+
+
+def build_order(lease, target):
+    """Order document for an engine.
+
+    :param lease: the :class:`IssuerLease` held.
+    :param target: the :class:`Target`.
+    """
+    return {
+        "issuer": lease.failure_domain,
+        "fencing": lease.fencing,
+        "order_id": uuid.uuid4().hex,
+        "model_versions": list(target.model_versions),
+        "adapters": list(target.adapters),
+        "role": target.role or "both",
+    }
--- a/buckthorntack/routing/tests/_records.py
+++ b/buckthorntack/routing/tests/_records.py
@@ -50,6 +50,7 @@
     result = messages.DomainSummary(
         region=region,
         failure_domain=f"{region}-a",
+        reporter=f"entry-{region}",
         incarnation=1,
         sequence=1,
         entries=[entry(f"entry-{region}", region)],
--- a/buckthorntack/schema/messages.py
+++ b/buckthorntack/schema/messages.py
@@ -80,6 +80,11 @@
 from buckthorntack.schema._generated.membership import ServerRenewal
 from buckthorntack.schema._generated.membership import ServerUpdate
 from buckthorntack.schema._generated.membership import ServiceSummary
+from buckthorntack.schema._generated.placement import LeaseCommand
+from buckthorntack.schema._generated.placement import LeaseGrant
+from buckthorntack.schema._generated.placement import LeaseRequest
+from buckthorntack.schema._generated.placement import LeaseRow
+from buckthorntack.schema._generated.placement import LeaseSnapshot
 from buckthorntack.schema._generated.retries import Acquittal
 from buckthorntack.schema._generated.retries import Conviction
 from buckthorntack.schema._generated.retries import CrashEvidence
@@ -124,6 +129,11 @@
     "ForwardRequest",
     "ForwardedProposal",
     "Item",
+    "LeaseCommand",
+    "LeaseGrant",
+    "LeaseRequest",
+    "LeaseRow",
+    "LeaseSnapshot",
     "LedgerBatch",
     "LedgerClaim",
     "LedgerHeader",
