--- a/buckthorntack/placement/_granter.py
+++ b/buckthorntack/placement/_granter.py
@@ -1,6 +1,7 @@
 """Grants leases of issuers at a control VM."""
 
 import asyncio
+import datetime
 from typing import NamedTuple
 
 from buckthorntack import events
@@ -9,6 +10,8 @@
 from buckthorntack.placement import _timing
 from buckthorntack.schema import messages
 
+#: Period at which leases are looked at.
+_OBSERVE_PERIOD = datetime.timedelta(seconds=1)
 #: Longest difference of two clocks' speeds, as a share.
 _DRIFT = 0.01
 
@@ -40,6 +43,15 @@
             self._sightings[row.failure_domain] = seen
         return now_ms - seen.since_ms
 
+    def observe(self, rows, now_ms):
+        """Note leases as they are now; call it often.
+
+        :param rows: all ``LeaseRow`` as applied here.
+        :param now_ms: monotonic time.
+        """
+        for row in rows:
+            self.unchanged_ms(row, now_ms)
+
     def wait_ms(self, row, holder, now_ms):
         """How long until a node may have the lease; 0 if it may now.
 
@@ -89,6 +101,7 @@
         self._tasks = set()
 
     async def __aenter__(self):
+        self._keep(asyncio.create_task(self._observe()))
         return self
 
     async def __aexit__(self, *_):
@@ -104,7 +117,15 @@
         """
         if message.holder.partition("#")[0] != sender:
             return
-        task = asyncio.create_task(self._answer(sender, message))
+        self._keep(asyncio.create_task(self._answer(sender, message)))
+
+    async def _observe(self):
+        while True:
+            now_ms = _timing.milliseconds(self.clock.monotonic())
+            self._watch.observe(self.machine.rows(), now_ms)
+            await self.clock.sleep(_OBSERVE_PERIOD)
+
+    def _keep(self, task):
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
--- a/buckthorntack/placement/_machine.py
+++ b/buckthorntack/placement/_machine.py
@@ -46,6 +46,10 @@
         unheld = messages.LeaseRow(failure_domain, "", 0, 0, 0)
         return self._rows.get(failure_domain, unheld)
 
+    def rows(self):
+        """All leases."""
+        return list(self._rows.values())
+
     def apply(self, index, command):
         """Apply one committed command.
 
