--- a/buckthorntack/membership/tests/test_broken.py
+++ b/buckthorntack/membership/tests/test_broken.py
@@ -1,5 +1,7 @@
 """Broken variants of membership must be caught by the tests of faults."""
 
+import hypothesis
+from hypothesis import stateful
 import pytest
 
 from buckthorntack.membership import _antientropy
@@ -8,6 +10,7 @@
 from buckthorntack.membership import _servers
 from buckthorntack.membership import _view
 from buckthorntack.membership.tests import test_faults
+from buckthorntack.membership.tests import test_machine
 from buckthorntack.membership.tests import test_view
 
 
@@ -99,3 +102,26 @@
     monkeypatch.setattr(owner, name, variant)
     with pytest.raises(AssertionError):
         scenario()
+
+
+MACHINE_SETTINGS = hypothesis.settings(
+    test_machine.TestMembershipMachine.settings,
+    max_examples=60,
+    phases=[hypothesis.Phase.generate],
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+
+
+@pytest.mark.parametrize(
+    ("owner", "name", "variant"),
+    [
+        (_servers.ServerTable, "listed", lapsed_listed),
+        (_deltas.DeltaSpread, "_is_renewable", nothing),
+    ],
+)
+def test_state_machine_catches_variant(owner, name, variant, monkeypatch):
+    monkeypatch.setattr(owner, name, variant)
+    with pytest.raises(AssertionError):
+        stateful.run_state_machine_as_test(
+            test_machine.MembershipMachine, settings=MACHINE_SETTINGS
+        )
