--- a/Makefile
+++ b/Makefile
@@ -39,5 +39,8 @@
 unit: venv  ## Unit tests, doctests and the fault matrix.
 	$(BIN)/python -m pytest
 
+demo: venv  ## Show a deployment at work (DEPLOYMENT=rendimar for the other).
+	$(BIN)/python -m tools.demo $(DEPLOYMENT)
+
 clean:  ## Remove what the targets made.
 	rm -rf build dist .venv
