--- a/buckthorntack/configuration/_content.py
+++ b/buckthorntack/configuration/_content.py
@@ -1,12 +1,15 @@
 """Encoding of objects inside changes, deltas and copies."""
 
 import hashlib
+import itertools
 
 import msgspec
 
 from buckthorntack.schema import documents
 
 DIGEST_BYTES = 16
+#: Objects of a part; whoever reads a copy holds one part decoded at a time.
+PART_OBJECTS = 1000
 
 _ENCODER = msgspec.msgpack.Encoder()
 _OBJECTS = msgspec.msgpack.Decoder(list[documents.NamedObject])
@@ -23,6 +26,20 @@
     return _ENCODER.encode(value)
 
 
+def encode_parts(named_objects):
+    """Encode many named objects without holding them all at once.
+
+    :param named_objects: iterable of named objects.
+    :returns: parts as msgpack bytes.
+
+    >>> [len(part) for part in encode_parts([])]
+    []
+    """
+    remaining = iter(named_objects)
+    while part := list(itertools.islice(remaining, PART_OBJECTS)):
+        yield encode(part)
+
+
 def decode_objects(data):
     """Decode named objects.
 
--- a/buckthorntack/configuration/_log.py
+++ b/buckthorntack/configuration/_log.py
@@ -24,7 +24,7 @@
         messages.ConfigurationCopy(
             revision=published.revision,
             digest=digest,
-            objects=_content.encode(list(published.named_objects())),
+            objects=list(_content.encode_parts(published.named_objects())),
         )
     )
 
@@ -122,9 +122,11 @@
         :param steps: what :meth:`steps` gave.
         """
         copy = schema.unpack(encoded)
-        self.published = objects.PublishedSet(
-            copy.revision, _content.decode_objects(copy.objects)
-        )
+        published = objects.PublishedSet(copy.revision)
+        for part in copy.objects:
+            put = _content.decode_objects(part)
+            published = published.with_changes(copy.revision, put, [])
+        self.published = published
         self.digest = copy.digest
         self._deltas.clear()
         self._digests.clear()
--- a/buckthorntack/schema/_generated/configuration.py
+++ b/buckthorntack/schema/_generated/configuration.py
@@ -22,7 +22,7 @@
 
     revision: int
     digest: bytes
-    objects: bytes
+    objects: list[bytes]
 
 
 class ConfigurationPoll(NamedTuple):
