--- a/buckthorntack/configuration/_machine.py
+++ b/buckthorntack/configuration/_machine.py
@@ -99,7 +99,10 @@
         known = self.answer(command.change_id, command.fingerprint)
         if known is not None:
             return known
-        if self.pending or command.base_revision != self.revision:
+        if self.pending:
+            findings = [_change_pending(self.pending)]
+            return self._answer(command, conflict=True, findings=findings)
+        if command.base_revision != self.revision:
             return self._answer(command, conflict=True)
         put = _content.decode_objects(command.put)
         remove = self._removed(command, put)
@@ -319,6 +322,18 @@
     )
 
 
+def _change_pending(pending):
+    return {
+        "rule": "change_pending",
+        "kind": "Region",
+        "name": ", ".join(pending.regions),
+        "path": "",
+        "message": f"change {pending.change_id!r} awaits confirmation",
+        "remedy": "read the objects again in some seconds and send a new "
+        "change",
+    }
+
+
 def _not_confirmed(pending, unconfirmed):
     return {
         "rule": "not_confirmed",
--- a/buckthorntack/configuration/_source.py
+++ b/buckthorntack/configuration/_source.py
@@ -21,6 +21,8 @@
 COPY_LIFETIME = datetime.timedelta(seconds=10)
 #: Silence after which an entry VM counts as out of contact.
 CONTACT_TIMEOUT = datetime.timedelta(seconds=5)
+#: Silence after which an entry VM's report is forgotten.
+REPORT_LIFETIME = datetime.timedelta(hours=1)
 #: Period in which control VMs pass on all their reports.
 FULL_REPORTS_PERIOD = datetime.timedelta(seconds=10)
 
@@ -207,9 +209,7 @@
             return []
         if not self.is_registered(sender, message.registration):
             return []
-        self.reports.pop(sender, None)
-        self._direct.pop(sender, None)
-        self._polls.pop(sender, None)
+        self._forget(sender)
         return [_registration(sender, message, False)]
 
     @_receive.register
@@ -233,6 +233,7 @@
         commands = self._send_chunks(now)
         if now - self._full_at >= FULL_REPORTS_PERIOD:
             self._full_at = now
+            self._forget_silent(now)
             self._unsent |= {
                 node_id
                 for node_id, heard_at in self._direct.items()
@@ -242,6 +243,16 @@
             commands += self._pass_on(now, controls)
         return commands
 
+    def _forget_silent(self, now):
+        for node_id, report in list(self.reports.items()):
+            if now - report.heard_at >= REPORT_LIFETIME:
+                self._forget(node_id)
+
+    def _forget(self, node_id):
+        self.reports.pop(node_id, None)
+        self._direct.pop(node_id, None)
+        self._polls.pop(node_id, None)
+
     def _pass_on(self, now, controls):
         reports = [
             messages.ConfigurationReport(
--- a/buckthorntack/configuration/tests/test_machine.py
+++ b/buckthorntack/configuration/tests/test_machine.py
@@ -101,6 +101,7 @@
     assert allowed(log) == {"fukuoka", "kumamoto"}
     blocked = log.propose(_samples.change("b", 2, [_samples.quota("q")])).ok
     assert blocked["conflict"]
+    assert blocked["findings"][0]["rule"] == "change_pending"
     log.restart()
     assert log.propose(narrowing(1)).ok == pending
     settled = log.settle(confirmed=True).ok
--- a/buckthorntack/ledger/_home.py
+++ b/buckthorntack/ledger/_home.py
@@ -18,7 +18,7 @@
 MAX_BATCH_OPERATIONS = 2048
 MAX_BATCH_BYTES = 1 << 20
 #: How long the holder of a claim is awaited.
-PROBE_TIMEOUT = datetime.timedelta(seconds=1)
+PROBE_TIMEOUT = datetime.timedelta(milliseconds=500)
 #: When callers are told to come back while an attempt runs.
 RETRY_AFTER_MS = 1000
 #: Kind of a reply that makes the client try another replica.
@@ -204,6 +204,8 @@
 
     def _probe(self, verdict, operation, now):
         claim = operation.message
+        if len(self._waiting) >= MAX_QUEUED:
+            return self._tell(verdict, operation.sender, claim)
         key = (claim.organisation, claim.key, verdict.attempt_id)
         deadline = now + PROBE_TIMEOUT
         self._waiting[key].append(_Waiting(operation.sender, claim, deadline))
