--- a/buckthorntack/entry/_runner.py
+++ b/buckthorntack/entry/_runner.py
@@ -1,6 +1,7 @@
 """Runs one request: admission, attempts, retries, the answer."""
 
 import asyncio
+import datetime
 import functools
 
 from buckthorntack import admission
@@ -19,6 +20,8 @@
 #: Failures after which the other side is known to have closed.
 CLOSED = (retries.LostBeforeHead, retries.LostMidStream)
 LOST = (*CLOSED, retries.Silent)
+#: How long a server is kept free for a suspect that waits for its claim.
+RESERVED = datetime.timedelta(seconds=3)
 
 
 class Runner:
@@ -189,7 +192,7 @@
         return self.target.server_id if self.target else ""
 
     async def _attempt(self):
-        verdict = await self._permission()
+        verdict = self._permission()
         now = self.parts.clock.monotonic()
         self.suspect = isinstance(verdict, retries.Suspect)
         preferred = None if self.suspect else verdict.running_on
@@ -201,11 +204,24 @@
         self._log_decision()
         if isinstance(self.decision, routing.RouteForward):
             return await self._forward()
-        return await self._run_locally(now)
+        if self.suspect:
+            await self._claim_alone()
+        return await self._run_locally()
 
-    async def _permission(self):
+    def _permission(self):
         try:
-            return await self.parts.watching.may_run(self.request)
+            return self.parts.watching.check(self.request)
+        except errors.GatewayError as error:
+            raise self._refusal(error) from error
+
+    async def _claim_alone(self):
+        """Wait until a suspect may run alone on the server chosen."""
+        server_id = self.decision.server_id
+        self.parts.router.reserve_server(
+            server_id, RESERVED, self.parts.clock.monotonic()
+        )
+        try:
+            await self.parts.watching.claim(self.request, server_id)
         except errors.GatewayError as error:
             raise self._refusal(error) from error
 
@@ -249,7 +265,8 @@
             **decision.reasons._asdict(),
         )
 
-    async def _run_locally(self, now):
+    async def _run_locally(self):
+        now = self.parts.clock.monotonic()
         decision = self.decision
         request = self.request
         parts = self.parts
