Serve operators through Operations in the control role

Cause: ControlRole gave the administration API the configuration's own Administration, whose history, status, objects and replicas are no Results, so those calls would have failed.

--- a/buckthorntack/control/_role.py
+++ b/buckthorntack/control/_role.py
@@ -13,6 +13,7 @@
 from buckthorntack import transport
 from buckthorntack.control import _admin
 from buckthorntack.control import _events
+from buckthorntack.control import _operations
 from buckthorntack.schema import messages
 
 CONFIGURATION_GROUP = "configuration"
@@ -150,7 +151,9 @@
         )
         if tokens.is_error():
             raise tokens.error
-        app = _admin.create_admin_app(self.administration, tokens.ok)
+        group = self.replicas[CONFIGURATION_GROUP]
+        calls = _operations.Operations(self.administration, group, self.clock)
+        app = _admin.create_admin_app(calls, tokens.ok)
         self.admin_listener = await self._stack.enter_async_context(
             transport.HttpListener(
                 app,
