--- a/buckthorntack/control/__init__.py
+++ b/buckthorntack/control/__init__.py
@@ -18,7 +18,6 @@
     "CallTooLargeError",
     "ControlRole",
     "MalformedCallError",
-    "Operations",
     "UnknownCallError",
     "UnknownObjectError",
     "create_admin_app",
--- a/buckthorntack/control/tests/test_published.py
+++ b/buckthorntack/control/tests/test_published.py
@@ -49,10 +49,11 @@
     administration = configuration.Administration(
         machine, replica, source, system_clock
     )
-    operations = control.Operations(administration, replica, system_clock)
     operator = security.Operator("ana", security.Role.ADMIN)
     tokens = {hashlib.sha256(b"secret").digest(): operator}
-    app = control.create_admin_app(operations, security.OperatorTokens(tokens))
+    app = control.create_admin_app(
+        administration, security.OperatorTokens(tokens)
+    )
     client = _client.AdminClient(
         ["http://a"],
         "secret",
--- a/buckthorntack/schema/documents.py
+++ b/buckthorntack/schema/documents.py
@@ -5,13 +5,14 @@
 from buckthorntack.schema._generated.admin_documents import AdminInterface
 from buckthorntack.schema._generated.admin_documents import Change
 from buckthorntack.schema._generated.admin_documents import ChangeRecord
+from buckthorntack.schema._generated.admin_documents import ChangeRegionStatus
 from buckthorntack.schema._generated.admin_documents import ChangeResult
+from buckthorntack.schema._generated.admin_documents import ChangeStatus
 from buckthorntack.schema._generated.admin_documents import Finding
 from buckthorntack.schema._generated.admin_documents import History
 from buckthorntack.schema._generated.admin_documents import NamedObject
 from buckthorntack.schema._generated.admin_documents import ObjectList
 from buckthorntack.schema._generated.admin_documents import ObjectName
-from buckthorntack.schema._generated.admin_documents import PendingChange
 from buckthorntack.schema._generated.admin_documents import RegionStatus
 from buckthorntack.schema._generated.admin_documents import ReplicaAddition
 from buckthorntack.schema._generated.admin_documents import ReplicaList
@@ -72,7 +73,9 @@
     "CallerCredential",
     "Change",
     "ChangeRecord",
+    "ChangeRegionStatus",
     "ChangeResult",
+    "ChangeStatus",
     "DeploymentTerms",
     "EngineOrder",
     "EngineOrderAnswer",
@@ -99,7 +102,6 @@
     "OperatorTokenFile",
     "Organisation",
     "Outcome",
-    "PendingChange",
     "Priority",
     "Quota",
     "Region",
--- a/buckthorntack/standins/__init__.py
+++ b/buckthorntack/standins/__init__.py
@@ -3,6 +3,9 @@
 from buckthorntack.standins._announcer import Announcer
 from buckthorntack.standins._caller import Answer
 from buckthorntack.standins._caller import Caller
+from buckthorntack.standins._demo import Demonstration
+from buckthorntack.standins._demo import format_steps
+from buckthorntack.standins._demo import Step
 from buckthorntack.standins._deployment import Deployment
 from buckthorntack.standins._deployment import Layout
 from buckthorntack.standins._deployment import OPERATOR_TOKEN
@@ -16,6 +19,7 @@
     "Announcer",
     "Answer",
     "Caller",
+    "Demonstration",
     "Deployment",
     "EngineFaults",
     "EngineProfile",
@@ -24,4 +28,6 @@
     "Layout",
     "OPERATOR_TOKEN",
     "ServiceFaults",
+    "Step",
+    "format_steps",
 ]
