--- a/buckthorntack/control/__init__.py
+++ b/buckthorntack/control/__init__.py
@@ -8,7 +8,6 @@
 from buckthorntack.control._errors import MalformedCallError
 from buckthorntack.control._errors import UnknownCallError
 from buckthorntack.control._errors import UnknownObjectError
-from buckthorntack.control._operations import Operations
 from buckthorntack.control._role import ControlRole
 from buckthorntack.control._role import ledger_group
 
--- a/buckthorntack/control/_role.py
+++ b/buckthorntack/control/_role.py
@@ -13,7 +13,6 @@
 from buckthorntack import transport
 from buckthorntack.control import _admin
 from buckthorntack.control import _events
-from buckthorntack.control import _operations
 from buckthorntack.schema import messages
 
 CONFIGURATION_GROUP = "configuration"
@@ -151,9 +150,7 @@
         )
         if tokens.is_error():
             raise tokens.error
-        group = self.replicas[CONFIGURATION_GROUP]
-        calls = _operations.Operations(self.administration, group, self.clock)
-        app = _admin.create_admin_app(calls, tokens.ok)
+        app = _admin.create_admin_app(self.administration, tokens.ok)
         self.admin_listener = await self._stack.enter_async_context(
             transport.HttpListener(
                 app,
