Tell regions by their entry VMs in the status

No test saw it, as none had entry VMs. Change: the configuration gives in_force, behind and out_of_contact, as the schema says; the command reads the pending change from changes; a test with entry VMs holds the answer to the schema.

--- a/buckthorntack/cli/_commands/status.py
+++ b/buckthorntack/cli/_commands/status.py
@@ -51,7 +51,7 @@
     return [
         f"revision {found['revision']} at {found['node_id']}; "
         f"leader {leader}; {quorum}",
-        *_pending_lines(found.get("pending")),
+        *_pending_lines(found.get("changes", ())),
         "",
         *_output.table(_REGION_COLUMNS, regions),
         "",
@@ -68,13 +68,20 @@
     return ",".join(value) or "-"
 
 
-def _pending_lines(pending):
-    if pending is None:
-        return []
-    waiting = ", ".join(pending["waiting_for"])
+def _pending_lines(changes):
     return [
-        f"change {pending['change_id']} is pending; entry VMs that have not "
-        f"confirmed it: {waiting}"
+        f"change {change['change_id']} is pending; entry VMs that have not "
+        f"confirmed it: {', '.join(_unconfirmed(change))}"
+        for change in changes
+        if change["pending"]
+    ]
+
+
+def _unconfirmed(change):
+    return [
+        node_id
+        for region in change["regions"]
+        for node_id in (*region["behind"], *region["out_of_contact"])
     ]
 
 
--- a/buckthorntack/configuration/_status.py
+++ b/buckthorntack/configuration/_status.py
@@ -50,12 +50,15 @@
     for region in _regions(entries):
         found = [one for one in entries if one.region == region]
         held = [one.revision for one in found if one.revision]
-        behind = [one for one in found if one.revision < machine.revision]
+        lacking = [one for one in found if one.revision < machine.revision]
         status: documents.RegionStatus = {
             "region": region,
             "revision": min(held, default=0),
-            "nodes": len(found),
-            "nodes_behind": len(behind),
+            "in_force": [one.node_id for one in found if one not in lacking],
+            "behind": [one.node_id for one in lacking if one.in_contact],
+            "out_of_contact": [
+                one.node_id for one in lacking if not one.in_contact
+            ],
         }
         result.append(status)
     return result
--- a/buckthorntack/configuration/tests/test_administration.py
+++ b/buckthorntack/configuration/tests/test_administration.py
@@ -1,4 +1,6 @@
 import asyncio
+import datetime
+from typing import NamedTuple
 
 import expression
 
@@ -6,6 +8,7 @@
 from buckthorntack import configuration
 from buckthorntack import consensus
 from buckthorntack import schema
+from buckthorntack.schema import messages
 
 
 class ImpatientClock(clock.ManualClock):
@@ -61,11 +64,21 @@
         return expression.Ok(None)
 
 
+class Heard(NamedTuple):
+    """What an entry VM reported, and when."""
+
+    revision: int
+    heard_at: datetime.timedelta
+
+
 class FakeSource:
-    """Hears of no entry VM."""
+    """Has heard of the entry VMs that it is told of."""
+
+    def __init__(self):
+        self.heard = {}
 
     def reports(self):
-        return {}
+        return self.heard
 
 
 def make_administration():
@@ -94,6 +107,47 @@
     assert schema.validate_document("admin", "History", history) == []
 
 
+def register(machine, node_id, region):
+    message = messages.ConfigurationRegistration(
+        node_id=node_id,
+        region=region,
+        failure_domain=f"{region}-a",
+        registration=1,
+        present=True,
+    )
+    assert machine.apply(1, schema.pack(message)).is_ok()
+
+
+def test_status_names_entry_vms_by_what_they_have():
+    operations, _ = make_administration()
+    quota = {
+        "name": "small",
+        "requests_per_second": 1,
+        "burst_requests": 1,
+        "tokens_per_minute": 1,
+    }
+    put = [{"kind": "Quota", "object": quota}]
+    change = {"change_id": "c1", "base_revision": 0, "put": put}
+    proposal = configuration.make_proposal(change, "ana", 1)
+    assert operations.machine.apply(1, schema.pack(proposal)).is_ok()
+    for node_id in ("e1", "e2", "e3"):
+        register(operations.machine, node_id, "r")
+    register(operations.machine, "e4", "s")
+    now = datetime.timedelta()
+    old = now - datetime.timedelta(hours=1)
+    operations.source_task.heard = {
+        "e1": Heard(1, now),
+        "e2": Heard(0, now),
+        "e3": Heard(0, old),
+    }
+    status = run(operations.status())
+    assert schema.validate_document("admin", "Status", status) == []
+    first, second = status["regions"]
+    assert (first["in_force"], first["behind"]) == (["e1"], ["e2"])
+    assert first["out_of_contact"] == ["e3"]
+    assert second["out_of_contact"] == ["e4"]
+
+
 def test_history_is_not_told_without_a_quorum():
     operations, replica = make_administration()
     replica.barrier = expression.Error(consensus.ReadTimeoutError("x"))
--- a/buckthorntack/control/tests/fakes.py
+++ b/buckthorntack/control/tests/fakes.py
@@ -83,11 +83,21 @@
                 "revision": self.published.revision,
                 "has_quorum": True,
                 "leader": "node-0",
-                "pending": {
-                    "change_id": "c9",
-                    "revision": 9,
-                    "waiting_for": ["entry-2"],
-                },
+                "changes": [
+                    {
+                        "change_id": "c9",
+                        "revision": 9,
+                        "pending": True,
+                        "regions": [
+                            {
+                                "region": "fukuoka",
+                                "in_force": 1,
+                                "behind": [],
+                                "out_of_contact": ["entry-2"],
+                            }
+                        ],
+                    }
+                ],
                 "replicas": self._replicas(),
                 "regions": [
                     {
--- a/buckthorntack/control/tests/test_admin.py
+++ b/buckthorntack/control/tests/test_admin.py
@@ -75,6 +75,8 @@
     assert history.json()["changes"][0]["change_id"] == "c1"
     status = client.get("/admin/v1/status", headers=bearer("reader"))
     assert status.json()["revision"] == 1
+    assert schema.is_sound("admin", "Status", status.json())
+    assert schema.is_sound("admin", "History", history.json())
 
 
 def test_conflict_and_findings_have_their_status(client):
--- a/buckthorntack/schema/_generated/admin_documents.py
+++ b/buckthorntack/schema/_generated/admin_documents.py
@@ -120,7 +120,7 @@
     """
     revision: int
     """
-    Lowest revision in force at its entry VMs when last heard of; -1 if none was heard of.
+    Lowest revision in force at its entry VMs when last heard of; 0 if none was heard of.
     """
     in_force: list[str]
     """
@@ -248,12 +248,21 @@
     """
 
     change_id: str
+    """
+    Its change id.
+    """
     revision: int
+    """
+    Revision that it became, or the interim one while it is pending.
+    """
     pending: bool
     """
     Whether it awaits confirmation by entry VMs and is not accepted yet.
     """
     regions: list[ChangeRegionStatus]
+    """
+    Where it is in force.
+    """
 
 
 class Change(TypedDict, closed=True):
--- a/buckthorntack/standins/_demo.py
+++ b/buckthorntack/standins/_demo.py
@@ -203,9 +203,7 @@
         answer = await asking
         told = b"run_state" in answer.body
         seen = "answer whole" if answer.whole else "error event with run state"
-        self._note(
-            "backend server crashes", seen, answer.whole or told, begun
-        )
+        self._note("backend server crashes", seen, answer.whole or told, begun)
 
     async def _cut_region(self):
         region = self.regions[1]
@@ -226,9 +224,7 @@
         while again is None or again.status != 200:
             again = await self._write(self.regions[2], key)
         held = again.body == written.body
-        self._note(
-            "healed, write resent elsewhere", "replayed", held, begun
-        )
+        self._note("healed, write resent elsewhere", "replayed", held, begun)
 
     async def _planned_stop(self):
         begun = time.monotonic()
