Bound and clean what backend servers send

Cause: numbers of any size passed the schema and could not be encoded for peers; 1.0 passed as an integer and NaN as a share, and failed later in the timer, which would have ended the task. Conclusion: a server's odd announcement cannot stop membership.

--- a/buckthorntack/membership/_deltas.py
+++ b/buckthorntack/membership/_deltas.py
@@ -30,8 +30,8 @@
     load = document.get("load", {})
     return messages.ServerRecord(
         server_id=document["server_id"],
-        incarnation=document["incarnation"],
-        sequence=document["sequence"],
+        incarnation=int(document["incarnation"]),
+        sequence=int(document["sequence"]),
         state=document["state"],
         pool=document["pool"],
         service=service,
@@ -41,17 +41,22 @@
         region=region,
         failure_domain=document["failure_domain"],
         url=document["url"],
-        slots=document["slots"],
+        slots=int(document["slots"]),
         lease_ms=lease_ms,
         load=messages.ServerLoad(
-            load.get("running", 0),
-            load.get("waiting", 0),
-            float(load.get("cache_used_fraction", 0)),
-            load.get("lag_ms", 0),
+            int(load.get("running", 0)),
+            int(load.get("waiting", 0)),
+            _share(load.get("cache_used_fraction", 0)),
+            int(load.get("lag_ms", 0)),
         ),
     )
 
 
+def _share(value):
+    """A number from 0 to 1; 0 if it is none, as NaN is."""
+    return float(value) if 0 <= value <= 1 else 0.0
+
+
 class DeltaSpread:
     """Sends and takes deltas.
 
--- a/buckthorntack/membership/_events.py
+++ b/buckthorntack/membership/_events.py
@@ -51,6 +51,13 @@
     "An entry VM has stopped or gone silent.",
     "if it was not stopped, look at its log and its links",
 )
+STEP_FAILED = events.declare(
+    709,
+    "membership_step_failed",
+    logbook.ERROR,
+    "A step of membership failed; the next one is tried.",
+    "report the error with the lines before it",
+)
 DOMAIN_LEARNED = events.declare(
     705,
     "domain_learned",
--- a/buckthorntack/membership/_task.py
+++ b/buckthorntack/membership/_task.py
@@ -48,7 +48,13 @@
         period = datetime.timedelta(milliseconds=self.timing.gossip_ms)
         while True:
             await self.clock.sleep(period)
+            self._tick()
+
+    def _tick(self):
+        try:
             self._execute(self.view.tick(self._now()))
+        except Exception as error:
+            self._log.write(_events.STEP_FAILED, error=repr(error))
 
     def _now(self):
         return self.clock.monotonic()
--- a/buckthorntack/membership/_view.py
+++ b/buckthorntack/membership/_view.py
@@ -78,7 +78,7 @@
         number = echo.removeprefix(prefix)
         if not echo.startswith(prefix) or not number.isdecimal():
             return None
-        held_ms = document.get("echo_age_ms", 0)
+        held_ms = int(document.get("echo_age_ms", 0))
         return max(0, self._state.now_ms - int(number) - held_ms)
 
     def publish(self, item, now):
--- a/buckthorntack/membership/tests/fakes.py
+++ b/buckthorntack/membership/tests/fakes.py
@@ -194,6 +194,7 @@
         self.sequence = 0
         self.state = "ready"
         self.due_ms = 0
+        self.domain = "fukuoka-a"
 
     def announce(self, **fields):
         self.sequence += 1
@@ -202,6 +203,7 @@
             self.incarnation,
             self.sequence,
             state=self.state,
+            failure_domain=self.domain,
             **fields,
         )
         return self.network.announce(self.home, document)
--- a/buckthorntack/membership/tests/test_regions.py
+++ b/buckthorntack/membership/tests/test_regions.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from buckthorntack import membership
 from buckthorntack.membership.tests import fakes
 from buckthorntack.schema import messages
 
@@ -166,3 +167,42 @@
     large = messages.Item("quarantine", "large", bytes(2000), 1, 1000)
     result, _ = view.publish(large, network.local("fukuoka-a-0"))
     assert result.is_error()
+
+
+def test_fanout_to_other_domains_is_bounded_and_steady():
+    timing = membership.MembershipTiming(region_fanout=2)
+    network = fakes.Network(1, timing)
+    names = [f"fukuoka-{letter}" for letter in "abcde"]
+    for name in names:
+        for number in range(3):
+            record = fakes.entry(f"{name}-{number}", name)
+            seeds = [
+                fakes.seed_of(fakes.entry("fukuoka-a-0", "fukuoka-a")),
+                fakes.seed_of(fakes.entry(f"{name}-0", name)),
+            ]
+            network.add(record, seeds)
+    network.run(15_000)
+    servers = [
+        fakes.Server(network, f"{name}-s", f"{name}-1") for name in names
+    ]
+    for server, name in zip(servers, names, strict=True):
+        server.domain = name
+
+    def renew():
+        for server in servers:
+            server.step()
+
+    network.run(3000, renew)
+    before = {name: set(network.states(f"{name}-s")) for name in names}
+
+    def check():
+        renew()
+        for name in names:
+            now = set(network.states(f"{name}-s"))
+            assert now >= set(nodes(network, name))
+            assert len(now) <= 3 + 2
+
+    network.run(10_000, check)
+    assert all(
+        before[name] == set(network.states(f"{name}-s")) for name in names
+    )
--- a/buckthorntack/membership/tests/test_task.py
+++ b/buckthorntack/membership/tests/test_task.py
@@ -99,6 +99,50 @@
     pair.run(scenario)
 
 
+def test_odd_numbers_do_no_harm():
+    pair = Pair()
+    load = {
+        "running": 1.0,
+        "waiting": 0,
+        "cache_used_fraction": float("nan"),
+        "lag_ms": 5.0,
+    }
+
+    async def scenario():
+        document = fakes.announcement(incarnation=1.0, load=load)
+        assert not schema.validate_document(
+            "backend", "Announcement", document
+        )
+        pair.tasks["e0"].announce(document, "pitchwriter")
+        await pair.pass_time(500)
+        later = fakes.announcement(sequence=2, load=load)
+        pair.tasks["e0"].announce(later, "pitchwriter")
+        await pair.pass_time(1000)
+        (record,) = pair.tasks["e1"].servers()
+        assert record.sequence == 2
+        assert record.load.running == 1
+        large = fakes.announcement(incarnation=2**64)
+        assert schema.validate_document("backend", "Announcement", large)
+
+    pair.run(scenario)
+
+
+def test_failed_step_does_not_end_the_task(monkeypatch):
+    pair = Pair()
+    ticks = []
+
+    def fail(now):
+        ticks.append(now)
+        raise RuntimeError("broken")
+
+    async def scenario():
+        monkeypatch.setattr(pair.tasks["e0"].view, "tick", fail)
+        await pair.pass_time(1000)
+        assert len(ticks) > 1
+
+    pair.run(scenario)
+
+
 def test_refusal_names_the_remedy():
     pair = Pair()
 
--- a/buckthorntack/placement/_events.py
+++ b/buckthorntack/placement/_events.py
@@ -36,6 +36,13 @@
     "An order got no valid answer; it is sent again if it has no effect.",
     "look at the engine's log",
 )
+STEP_FAILED = events.declare(
+    1106,
+    "placement_step_failed",
+    logbook.ERROR,
+    "A step of placement failed; the next one is tried.",
+    "report the error with the lines before it",
+)
 ISSUER_CHANGED = events.declare(
     1105,
     "issuer_changed",
--- a/buckthorntack/placement/_task.py
+++ b/buckthorntack/placement/_task.py
@@ -75,9 +75,15 @@
         milliseconds = self.lease.timing.plan_ms
         period = datetime.timedelta(milliseconds=milliseconds)
         while True:
-            self.step()
+            self._try_step()
             await self.clock.sleep(period)
 
+    def _try_step(self):
+        try:
+            self.step()
+        except Exception as error:
+            self._log.write(_events.STEP_FAILED, error=repr(error))
+
     def _now_ms(self):
         return _timing.milliseconds(self.clock.monotonic())
 
@@ -183,7 +189,7 @@
             fencing=answer["fencing"],
             reason=answer.get("reason", ""),
         )
-        self.lease.fenced(answer["fencing"])
+        self.lease.fenced(int(answer["fencing"]))
 
 
 def build_drain_item(lease, server_ids, version):
--- a/buckthorntack/schema/_generated/backend_documents.py
+++ b/buckthorntack/schema/_generated/backend_documents.py
@@ -4,6 +4,7 @@
 
 from typing import Literal
 from typing import NotRequired
+from typing import TypeAlias
 
 from typing_extensions import TypedDict
 
@@ -12,6 +13,12 @@
     pass
 
 
+ModelVersion: TypeAlias = str
+
+
+Adapter: TypeAlias = str
+
+
 class LoadReport(TypedDict, closed=True):
     """
     Load of a backend server.
@@ -125,11 +132,11 @@
     """
     Requests it can run at once.
     """
-    model_versions: NotRequired[list[str]]
+    model_versions: NotRequired[list[ModelVersion]]
     """
     Names of model versions loaded.
     """
-    adapters: NotRequired[list[str]]
+    adapters: NotRequired[list[Adapter]]
     role: NotRequired[Literal["both", "prefill", "decode"]]
     fencing: NotRequired[int]
     """
