--- a/buckthorntack/configuration/_machine.py
+++ b/buckthorntack/configuration/_machine.py
@@ -99,7 +99,10 @@
         known = self.answer(command.change_id, command.fingerprint)
         if known is not None:
             return known
-        if self.pending or command.base_revision != self.revision:
+        if self.pending:
+            findings = [_change_pending(self.pending)]
+            return self._answer(command, conflict=True, findings=findings)
+        if command.base_revision != self.revision:
             return self._answer(command, conflict=True)
         put = _content.decode_objects(command.put)
         remove = self._removed(command, put)
@@ -138,7 +141,7 @@
         remove = _content.decode_names(command.remove)
         if not command.replace_all:
             return remove
-        kept = {(entry["kind"], entry["object"].get("name")) for entry in put}
+        kept = {(entry["kind"], _name_of(entry)) for entry in put}
         kept |= {(entry["kind"], entry["name"]) for entry in remove}
         for entry in self.published.named_objects():
             kind, name = entry["kind"], entry["object"]["name"]
@@ -155,6 +158,15 @@
             return self._answer(command, accepted=True)
         return self._suspend(command, put, remove, interim)
 
+    def is_registered(self, node_id, registration):
+        """Whether an entry VM is registered under a number.
+
+        :param node_id: the entry VM.
+        :param registration: number of its registration.
+        """
+        known = self.entry_vms.get(node_id)
+        return known is not None and known.registration == registration
+
     def _must_confirm(self, regions, stopped):
         return [
             node_id
@@ -224,10 +236,14 @@
 
     @_apply.register
     def _register(self, command: messages.ConfigurationRegistration):
-        if command.present:
+        known = self.entry_vms.get(command.node_id)
+        number = -1 if known is None else known.registration
+        if command.present and command.registration > number:
             self.entry_vms[command.node_id] = command
+        elif not command.present and command.registration == number:
+            del self.entry_vms[command.node_id]
         else:
-            self.entry_vms.pop(command.node_id, None)
+            return expression.Ok(None)
         _LOG.write(
             _events.ENTRY_REGISTERED,
             node_id=command.node_id,
@@ -292,6 +308,12 @@
         self._tell()
 
 
+def _name_of(entry):
+    """Name of an object that was not checked yet."""
+    name = entry["object"].get("name")
+    return name if isinstance(name, str) else None
+
+
 def _delta(revision, put, remove):
     return messages.ConfigurationDelta(
         revision=revision,
@@ -300,6 +322,18 @@
     )
 
 
+def _change_pending(pending):
+    return {
+        "rule": "change_pending",
+        "kind": "Region",
+        "name": ", ".join(pending.regions),
+        "path": "",
+        "message": f"change {pending.change_id!r} awaits confirmation",
+        "remedy": "read the objects again in some seconds and send a new "
+        "change",
+    }
+
+
 def _not_confirmed(pending, unconfirmed):
     return {
         "rule": "not_confirmed",
--- a/buckthorntack/entry/_watching.py
+++ b/buckthorntack/entry/_watching.py
@@ -46,34 +46,51 @@
     async def __aexit__(self, *exc_info):
         await self._stack.aclose()
 
-    async def may_run(self, request):
-        """Wait until a request may be attempted.
+    def check(self, request):
+        """Judge a request before each of its attempts.
 
         :param request: the ``GatewayRequest``.
         :returns: the verdict: ``Clean``, or ``Suspect`` to be run alone.
         :raises GatewayError: it is convicted, or failed too often.
         """
-        refusal = self.limiter.check(
-            request.fingerprint, self.clock.monotonic()
-        )
+        now = self.clock.monotonic()
+        refusal = self.limiter.check(request.fingerprint, now)
         if refusal is not None:
             raise refusal
-        while True:
-            now = self.clock.monotonic()
-            verdict = self.quarantine.verdict(request.fingerprint, now)
-            if isinstance(verdict, retries.Convicted):
-                raise verdict.error
-            if isinstance(verdict, retries.Clean):
-                return verdict
-            if now >= request.deadline:
-                self.quarantine.release(request.fingerprint, now)
+        verdict = self.quarantine.verdict(request.fingerprint, now)
+        if isinstance(verdict, retries.Convicted):
+            raise verdict.error
+        return verdict
+
+    async def claim(self, request, server_id):
+        """Wait until a suspect may run alone on a server.
+
+        :param request: the ``GatewayRequest``.
+        :param server_id: the server.
+        :raises GatewayError: it was convicted meanwhile, or waited too long.
+        """
+        fingerprint = request.fingerprint
+        try:
+            while isinstance(self.check(request), retries.Suspect):
+                now = self.clock.monotonic()
+                if now >= request.deadline:
+                    raise retries.SuspectWaitsError(fingerprint)
+                claim = self.quarantine.claim(fingerprint, server_id, now)
                 self.spread()
-                raise retries.SuspectWaitsError(request.fingerprint)
-            claim = self.quarantine.claim(request.fingerprint, now)
-            self.spread()
-            if isinstance(claim, retries.RunAlone):
-                return verdict
-            await self.clock.sleep(claim.duration)
+                if isinstance(claim, retries.RunAlone):
+                    return
+                await self.clock.sleep(claim.duration)
+        except BaseException:
+            self.release(fingerprint)
+            raise
+
+    def release(self, fingerprint):
+        """Give up the claim of a suspect that does not run.
+
+        :param fingerprint: the request's fingerprint.
+        """
+        self.quarantine.release(fingerprint, self.clock.monotonic())
+        self.spread()
 
     def started(self, fingerprint, server_id):
         """Note an attempt that was sent to a server.
@@ -96,7 +113,7 @@
             if was_suspect:
                 self._log.write(retries.ACQUITTED, fingerprint=fingerprint)
         else:
-            self.quarantine.stopped(fingerprint, server_id, now)
+            self.quarantine.stopped(fingerprint, server_id)
         self.spread()
 
     def connection_lost(self, record, fingerprint, closed):
