--- a/buckthorntack/admission/_events.py
+++ b/buckthorntack/admission/_events.py
@@ -30,3 +30,24 @@
     "a request was refused by its organisation's quota; it was not run",
     "raise the organisation's quota if it is too small",
 )
+QUOTA_REFUSED = events.declare(
+    910,
+    "quota_refused",
+    logbook.INFO,
+    "an organisation's quota is used up for now; the request was not run",
+    "raise the organisation's quota if it is too small",
+)
+QUEUE_FULL = events.declare(
+    911,
+    "queue_full",
+    logbook.WARNING,
+    "a request was shed, as too many wait; it was not run",
+    "add backend servers or raise the organisation's priority",
+)
+DEADLINE_PASSED = events.declare(
+    912,
+    "deadline_before_start",
+    logbook.WARNING,
+    "a request could not start before its deadline; it was not run",
+    "add backend servers",
+)
--- a/buckthorntack/retries/__init__.py
+++ b/buckthorntack/retries/__init__.py
@@ -19,6 +19,7 @@
 from buckthorntack.retries._events import RETRIED
 from buckthorntack.retries._events import SUSPECTED
 from buckthorntack.retries._fingerprint import fingerprint
+from buckthorntack.retries._items import item_key
 from buckthorntack.retries._items import pack
 from buckthorntack.retries._items import unpack
 from buckthorntack.retries._limiter import AttemptLimiter
@@ -92,6 +93,7 @@
     "Verdict",
     "Wait",
     "fingerprint",
+    "item_key",
     "pack",
     "unpack",
 ]
--- a/buckthorntack/retries/_events.py
+++ b/buckthorntack/retries/_events.py
@@ -49,3 +49,45 @@
     logbook.INFO,
     "a suspected request ran to its end",
 )
+ATTEMPTS_FAILED = events.declare(
+    1010,
+    "attempts_failed",
+    logbook.WARNING,
+    "no attempt ran a request, and no further one is made",
+    "look at the failures logged before it",
+)
+OUTCOME_UNKNOWN = events.declare(
+    1011,
+    "outcome_unknown",
+    logbook.WARNING,
+    "a request may have run, and its answer is lost",
+    "ask for the outcome by its idempotency key",
+)
+ANSWER_LOST = events.declare(
+    1012,
+    "answer_lost",
+    logbook.WARNING,
+    "a request ran, and its answer cannot be had",
+    "look at the backend server's own log",
+)
+QUARANTINED = events.declare(
+    1013,
+    "request_quarantined",
+    logbook.WARNING,
+    "a request was refused, as it crashes backend servers; it was not run",
+    "look at the crashes of the backend servers that it ran on",
+)
+TOO_MANY_ATTEMPTS = events.declare(
+    1014,
+    "too_many_attempts",
+    logbook.WARNING,
+    "equal requests failed too often lately; this one was not run",
+    "look at the failures logged before it",
+)
+SUSPECT_WAITS = events.declare(
+    1015,
+    "suspect_waits",
+    logbook.WARNING,
+    "a suspected request could not run alone in time; it was not run",
+    "none needed, unless it comes again",
+)
--- a/buckthorntack/retries/_items.py
+++ b/buckthorntack/retries/_items.py
@@ -12,7 +12,7 @@
 
 
 @functools.singledispatch
-def key_of(message) -> str:
+def item_key(message) -> str:
     """Key of the item that carries a message.
 
     :param message: a message of the quarantine or of the limiter.
@@ -21,29 +21,29 @@
     raise TypeError(f"not spread as an item: {message!r}")
 
 
-@key_of.register
+@item_key.register
 def _(message: messages.CrashEvidence):
     crash = f"{message.server_id}/{message.incarnation}"
     return f"crash/{message.fingerprint}/{crash}"
 
 
-@key_of.register
+@item_key.register
 def _(message: messages.Acquittal):
     crash = f"{message.server_id}/{message.incarnation}"
     return f"acquittal/{message.fingerprint}/{crash}"
 
 
-@key_of.register
+@item_key.register
 def _(message: messages.Conviction):
     return f"conviction/{message.fingerprint}"
 
 
-@key_of.register
+@item_key.register
 def _(message: messages.SuspectClaim):
     return f"claim/{message.subject}/{message.node_id}"
 
 
-@key_of.register
+@item_key.register
 def _(message: messages.FailedAttempts):
     return f"attempts/{message.fingerprint}/{message.node_id}"
 
@@ -73,7 +73,7 @@
     name, payload = schema.encode(message)
     kind = KIND + name.decode()
     return messages.Item(
-        kind, key_of(message), payload, _version(message), ttl_ms
+        kind, item_key(message), payload, _version(message), ttl_ms
     )
 
 
--- a/buckthorntack/retries/_quarantine.py
+++ b/buckthorntack/retries/_quarantine.py
@@ -135,14 +135,17 @@
         return Clean(next(iter(servers)) if servers else None)
 
     def claim(
-        self, fingerprint: str, server_id: str, now: datetime.timedelta
+        self,
+        fingerprint: str,
+        now: datetime.timedelta,
+        server_id: str | None = None,
     ) -> _claims.RunAlone | _claims.Wait:
         """Ask to run a suspect; ask for the verdict again after a wait.
 
         :param fingerprint: its fingerprint.
-        :param server_id: the server that shall run it; best the same one
-            each time.
         :param now: the time.
+        :param server_id: the server that shall run it; best the same one
+            each time.  Without it, suspects may share a server.
         :returns: :class:`RunAlone` or :class:`Wait`.
         """
         return self._claims.claim(fingerprint, server_id, now)
@@ -167,7 +170,9 @@
         servers = self._running.setdefault(fingerprint, collections.Counter())
         servers[server_id] += 1
 
-    def stopped(self, fingerprint: str, server_id: str) -> None:
+    def stopped(
+        self, fingerprint: str, server_id: str, now: datetime.timedelta
+    ) -> None:
         """Note an attempt that ended without running to its end.
 
         A claim is left to run out, so that the news of a crash goes ahead
@@ -175,8 +180,9 @@
 
         :param fingerprint: the request's fingerprint.
         :param server_id: the server.
+        :param now: the time.
         """
-        self._claims.abandon(fingerprint)
+        self._claims.abandon(fingerprint, now)
         self._leave(fingerprint, server_id)
 
     def finished(
@@ -335,7 +341,7 @@
         return now + datetime.timedelta(milliseconds=retention_ms)
 
     def _spread(self, item):
-        self._outbox[_items.key_of(item)] = item
+        self._outbox[_items.item_key(item)] = item
 
 
 @functools.singledispatch
--- a/buckthorntack/routing/_events.py
+++ b/buckthorntack/routing/_events.py
@@ -30,3 +30,24 @@
     "a backend server failed repeatedly and is left out for a while",
     "look at the backend server's own log",
 )
+RESIDENCY_UNSERVED = events.declare(
+    810,
+    "residency_unserved",
+    logbook.WARNING,
+    "no region that the organisation allows can be used from here",
+    "check the organisation's residency rule and the links to its regions",
+)
+NO_SERVER = events.declare(
+    811,
+    "no_backend_server",
+    logbook.WARNING,
+    "no live backend server offers the service and model version",
+    "check that the pool's backend servers announce this model version",
+)
+EXCLUDED = events.declare(
+    812,
+    "servers_excluded",
+    logbook.WARNING,
+    "all backend servers that could run a request have failed it",
+    "look for attempts that failed on the named backend servers",
+)
--- a/buckthorntack/routing/_router.py
+++ b/buckthorntack/routing/_router.py
@@ -340,9 +340,13 @@
             return [preferred]
         if request.isolate:
             return self._first_allowed(ordered, excluded, group)
+        settings = self.settings
         names = [name for name in matches if self._offers(name, group)]
+        names = names[: settings.cached_servers]
         size = len(ordered)
-        wanted = self.settings.sampled_servers
+        wanted = settings.sampled_servers
+        if names:
+            wanted = settings.sampled_beside_cached
         if size <= wanted:
             names += [pair[1] for pair in ordered]
         else:
@@ -385,6 +389,7 @@
             for key in self._domains.offers(group, now_s)
             if key.region in request.allowed_regions
             and key.failure_domain not in request.excluded_servers
+            and key.failure_domain not in request.excluded_servers
             and self._domains.get(key).ready_entries()
         ]
 
--- a/buckthorntack/routing/_types.py
+++ b/buckthorntack/routing/_types.py
@@ -26,6 +26,7 @@
     allowed_regions: frozenset[str]
     #: Region that forwarded it; None if a caller of this region sent it.
     origin_region: str | None = None
+    #: Servers, and failure domains forwarded to, that failed it.
     excluded_servers: frozenset[str] = frozenset()
     idempotent: bool = True
     #: Must run on a server without other suspects.
@@ -73,7 +74,10 @@
 class RouterSettings(NamedTuple):
     """Constants of the routing policy."""
 
-    #: Servers drawn for a decision, besides those with a cached prefix.
+    #: Servers scored for a cached prefix, the longest first.
+    cached_servers: int = 3
+    #: Servers drawn by load beside those, and if there are none.
+    sampled_beside_cached: int = 2
     sampled_servers: int = 4
     sampled_domains: int = 8
     #: Prompt tokens that a server takes in a second, until learnt.
--- a/buckthorntack/routing/tests/test_router.py
+++ b/buckthorntack/routing/tests/test_router.py
@@ -116,6 +116,14 @@
     assert decision.entries == ("entry-kumamoto",)
 
 
+def test_does_not_forward_to_where_it_failed(router):
+    router.update_summary(_records.summary("kumamoto"), at(0))
+    router.update_summary(_records.summary("kagoshima"), at(0))
+    failed = frozenset({"kumamoto-a"})
+    decisions = [chosen(router, excluded_servers=failed) for _ in range(20)]
+    assert {decision.region for decision in decisions} == {"kagoshima"}
+
+
 def test_never_forwards_a_forwarded_request(router):
     router.update_summary(_records.summary("kumamoto"), at(0))
     request = _records.request(origin_region="kagoshima")
