--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,7 @@
 VENV ?= .venv
 BIN = $(VENV)/bin
 DEPLOYMENT ?= hoardline
+EXPLORE_SECONDS ?= 600
 
 .PHONY: help venv test lint format generate check-generated unit demo \
 	binary smoke bench capacity explore clean
@@ -39,5 +40,8 @@
 unit: venv  ## Unit tests, doctests and the fault matrix.
 	$(BIN)/python -m pytest
 
+explore: venv  ## Search for events that break a group.
+	$(BIN)/python -m tools.explore --seconds $(EXPLORE_SECONDS)
+
 clean:  ## Remove what the targets made.
 	rm -rf build dist .venv
--- a/buckthorntack/consensus/__init__.py
+++ b/buckthorntack/consensus/__init__.py
@@ -12,6 +12,7 @@
 from buckthorntack.consensus._errors import ReadTimeoutError
 from buckthorntack.consensus._errors import ReplicaStoppedError
 from buckthorntack.consensus._errors import RetiredNodeError
+from buckthorntack.consensus._replica import MESSAGE_TYPES
 from buckthorntack.consensus._replica import Replica
 from buckthorntack.consensus._status import PeerStatus
 from buckthorntack.consensus._status import ReplicaStatus
@@ -19,6 +20,7 @@
 from buckthorntack.consensus._timing import Timing
 
 __all__ = [
+    "MESSAGE_TYPES",
     "ChangeInProgressError",
     "CommitUnknownError",
     "ConsensusError",
--- a/buckthorntack/consensus/_elections.py
+++ b/buckthorntack/consensus/_elections.py
@@ -19,7 +19,7 @@
             state.election_due = state.now
     if state.is_leader or state.now < state.election_due:
         return
-    _state.reset_election_timeout(state)
+    _state.retry_election_soon(state)
     if may_stand(state):
         stand(state, trial=True)
 
@@ -27,9 +27,15 @@
 def may_stand(state):
     """Whether this replica may ask for votes.
 
+    A voter whose removal may not be committed still may, as nobody else may
+    have the entries that it has.
+
     :param state: the replica's state.
     """
     identity = state.configuration.voters.get(state.node_id)
+    if identity is None and state.history[-1][0] > state.commit_index:
+        members = _state.configuration_at(state, state.history[-1][0] - 1)
+        identity = members.voters.get(state.node_id)
     if identity is None:
         return False
     return may_vote(state, identity)
@@ -116,7 +122,7 @@
     if not _is_up_to_date(state, request):
         return False
     if request.trial:
-        return request.term > state.term
+        return request.term > state.term and _gives_way(state, sender, request)
     return request.term == state.term and state.vote in ("", sender)
 
 
@@ -188,6 +194,15 @@
     return (request.last_term, request.last_index) >= own
 
 
+def _gives_way(state, sender, request):
+    """Of two that stand with equal logs, only one goes on."""
+    if state.role is not _state.Role.PRE_CANDIDATE:
+        return True
+    if request.last_index != state.log.last_index:
+        return True
+    return sender > state.node_id
+
+
 def _count_votes(state):
     if not state.configuration.has_quorum(state.votes):
         return
--- a/buckthorntack/consensus/_enrolment.py
+++ b/buckthorntack/consensus/_enrolment.py
@@ -15,18 +15,16 @@
     """Ask those first voters who have not confirmed yet.
 
     :param state: the replica's state.
-    :returns: whether this replica has to enrol.
     """
     if state.enrolled or state.node_id not in state.first_voters:
-        return False
+        return
     if state.now < state.enrol_due:
-        return True
+        return
     state.enrol_due = state.now + state.timing.heartbeat
     for node in _others(state):
         request = messages.EnrolRequest(state.group, state.identity)
         _state.send(state, node, request)
     finish(state, set())
-    return True
 
 
 def on_request(state, sender, request):
--- a/buckthorntack/consensus/_replica.py
+++ b/buckthorntack/consensus/_replica.py
@@ -20,6 +20,23 @@
 from buckthorntack.consensus import _status
 from buckthorntack.schema import messages
 
+#: Messages between the replicas of a group.
+MESSAGE_TYPES = (
+    messages.AppendRequest,
+    messages.AppendResponse,
+    messages.EnrolRequest,
+    messages.EnrolResponse,
+    messages.ForwardedProposal,
+    messages.ProposalRefused,
+    messages.ReadRequest,
+    messages.ReadResponse,
+    messages.SnapshotChunk,
+    messages.SnapshotChunkResponse,
+    messages.TransferRequest,
+    messages.VoteRequest,
+    messages.VoteResponse,
+)
+
 
 class Replica:
     """Decisions of one replica of a group.
@@ -49,8 +66,7 @@
         """
         state = self.state
         state.now = now
-        if _enrolment.tick(state):
-            return
+        _enrolment.tick(state)
         _elections.tick(state)
         if not state.is_leader:
             return
--- a/buckthorntack/consensus/_state.py
+++ b/buckthorntack/consensus/_state.py
@@ -171,6 +171,15 @@
     state.election_due = state.now + share * state.timing.election_timeout
 
 
+def retry_election_soon(state):
+    """Draw the time after which an election is tried again.
+
+    :param state: the replica's state.
+    """
+    share = (1 + state.rng.random()) / 2
+    state.election_due = state.now + share * state.timing.election_timeout
+
+
 def change_role(state, role, leader=""):
     """Take a role and tell of it.
 
--- a/buckthorntack/consensus/_task.py
+++ b/buckthorntack/consensus/_task.py
@@ -79,6 +79,7 @@
         self._failure = None
         self._tasks = []
         self._store = None
+        self._writing = None
         self._replica = None
         self._proposer = ""
         self._sequence = 0
@@ -116,6 +117,8 @@
         ticker.cancel()
         await asyncio.gather(runner, ticker, return_exceptions=True)
         self._release_callers()
+        if self._writing is not None:
+            await asyncio.wait([self._writing])
         await asyncio.to_thread(self._store.__exit__, None, None, None)
 
     def deliver(self, sender, message):
@@ -124,7 +127,8 @@
         :param sender: authenticated node that sent it.
         :param message: a message of the group.
         """
-        self._put(inputs.Delivered(sender, message))
+        if isinstance(message, _replica.MESSAGE_TYPES):
+            self._put(inputs.Delivered(sender, message))
 
     async def propose(self, command):
         """Have a command committed and applied here.
@@ -250,6 +254,9 @@
     async def _proposed(self, kind, argument):
         if self._has_ended():
             return Error(self._stopped())
+        if len(self._proposals) >= self.timing.waiting_proposals:
+            detail = f"too many proposals wait at {self.node_id}"
+            return Error(_errors.ProposalRefusedError(detail))
         self._sequence += 1
         name = _proposals.proposal_id(self._proposer, self._sequence)
         future = asyncio.get_running_loop().create_future()
@@ -285,13 +292,15 @@
             self._take(item)
         wanted = self._replica.collect()
         durable = [step for step in wanted if isinstance(step, _DURABLE)]
+        if any(isinstance(s, commands.RestoreSnapshot) for s in durable):
+            await self._await_writing()
         if durable:
             await asyncio.to_thread(self._persist, durable)
         for command in wanted:
             self._execute(command)
         self._watch_transfer()
         await self._load_snapshots(wanted)
-        await self._save_snapshot()
+        await self._care_for_snapshots()
 
     def _persist(self, steps):
         """Make all steps last, with one sync where no snapshot comes."""
@@ -333,19 +342,41 @@
             )
         self._wake.set()
 
-    async def _save_snapshot(self):
-        saved_index = self._replica.state.snapshot_index
-        entries = self._applied_index - saved_index
+    async def _await_writing(self):
+        """Let no snapshot be written beside one from the leader."""
+        if self._writing is not None:
+            await self._writing
+            self._writing = None
+
+    def _is_snapshot_due(self):
+        entries = self._applied_index - self._replica.state.snapshot_index
         many = entries >= self.timing.snapshot_entries
         large = self._unsaved_bytes >= self.timing.snapshot_bytes
-        if not entries or not (many or large):
-            return
+        return self._writing is None and entries and (many or large)
+
+    def _begin_snapshot(self):
         info = self._replica.snapshot_info(self._applied_index)
-        data = self.state_machine.snapshot()
-        snapshot = storage.Snapshot(info, data)
-        await asyncio.to_thread(self._store.save, snapshot)
-        self._replica.snapshot_saved(info.index)
+        snapshot = storage.Snapshot(info, self.state_machine.snapshot())
         self._unsaved_bytes = 0
+        self._writing = asyncio.create_task(self._write_snapshot(snapshot))
+        self._writing.add_done_callback(lambda _: self._wake.set())
+
+    async def _write_snapshot(self, snapshot):
+        await asyncio.to_thread(self._store.write_snapshot, snapshot)
+        return snapshot.info
+
+    async def _finish_snapshot(self):
+        """Wait for the snapshot being written and release the log."""
+        info = await self._writing
+        self._writing = None
+        await asyncio.to_thread(self._store.release, info)
+        self._replica.snapshot_saved(info.index)
+
+    async def _care_for_snapshots(self):
+        if self._writing is not None and self._writing.done():
+            await self._finish_snapshot()
+        if self._is_snapshot_due():
+            self._begin_snapshot()
 
     def _watch_transfer(self):
         state = self._replica.state
@@ -376,9 +407,8 @@
     def _(self, item: inputs.Tick):
         now = self.clock.monotonic()
         self._replica.tick(now)
-        detail = f"no answer in time from the majority of {self.group}"
-        self._proposals.expire(now, Error(_errors.CommitUnknownError(detail)))
-        self._reads.expire(now, Error(_errors.ReadTimeoutError(detail)))
+        if len(self._proposals) or len(self._reads):
+            self._expire(now)
 
     @_take.register
     def _(self, item: inputs.Delivered):
@@ -421,6 +451,11 @@
         if result.is_error():
             self._finish_transfers(result)
 
+    def _expire(self, now):
+        detail = f"no answer in time from the majority of {self.group}"
+        self._proposals.expire(now, Error(_errors.CommitUnknownError(detail)))
+        self._reads.expire(now, Error(_errors.ReadTimeoutError(detail)))
+
     def _tell_refusal(self, item, result):
         if result.is_error():
             self._proposals.resolve(item.proposal_id, result)
--- a/buckthorntack/consensus/_timing.py
+++ b/buckthorntack/consensus/_timing.py
@@ -11,7 +11,7 @@
     """
 
     #: How often a replica looks at its deadlines.
-    tick: datetime.timedelta = datetime.timedelta(milliseconds=100)
+    tick: datetime.timedelta = datetime.timedelta(milliseconds=200)
     #: How often a leader that has nothing to send makes itself heard.
     heartbeat: datetime.timedelta = datetime.timedelta(milliseconds=400)
     #: Shortest silence after which a leader counts as lost; the longest is
@@ -27,6 +27,8 @@
     message_bytes: int = 64 * 1024
     #: Bytes of commands that a leader takes before they are committed.
     uncommitted_bytes: int = 16 * 1024 * 1024
+    #: Proposals that may wait at one replica.
+    waiting_proposals: int = 4096
     #: Bytes of a snapshot in one message; one message is on its way at once.
     chunk_bytes: int = 64 * 1024
     #: Shortest time between two parts of a snapshot.
--- a/buckthorntack/consensus/_waiters.py
+++ b/buckthorntack/consensus/_waiters.py
@@ -18,6 +18,9 @@
         self.timeout = timeout
         self._waiters = {}
 
+    def __len__(self):
+        return len(self._waiters)
+
     def add(self, key, future, now):
         """Let a caller wait.
 
--- a/buckthorntack/consensus/tests/scenarios.py
+++ b/buckthorntack/consensus/tests/scenarios.py
@@ -301,7 +301,69 @@
     )
 
 
+def leader_whose_removal_is_not_committed_stands():
+    """It has entries without which nobody else is elected."""
+    simulation = started("abcd")
+    make_leader(simulation, "c")
+    assert simulation.change("remove", "c", "c").is_ok()
+    simulation.crash("c")
+    simulation.restart("c")
+    simulation.crash("a")
+    simulation.check(try_to_lead(simulation, "c", "bcd"), "nobody leads")
+
+
+def voter_that_could_not_enrol_stands():
+    """The first leader's members count in place of an enrolment."""
+    simulation = simulations.Simulation("abc")
+    for _ in range(60):
+        for name in "abc":
+            simulation.tick(name)
+        simulation.flights = [
+            flight
+            for flight in simulation.flights
+            if not isinstance(flight.message, messages.EnrolResponse)
+            or (flight.sender, flight.to) != ("c", "b")
+        ]
+        for _ in range(len(simulation.flights)):
+            simulation.deliver(0)
+    assert not simulation.nodes["b"].replica.state.enrolled
+    simulation.add_node("c", simulation.first_voters)
+    simulation.check(try_to_lead(simulation, "b", "ab"), "nobody leads")
+
+
+def _forwarded(simulation):
+    """Propose at a follower; its message to the leader."""
+    make_leader(simulation, "a")
+    simulation.flights.clear()
+    simulation.propose("b")
+    (flight,) = simulation.flights
+    return flight
+
+
+def copy_of_a_proposal_is_added_once():
+    """A message that comes twice counts once."""
+    simulation = started("abc")
+    flight = _forwarded(simulation)
+    simulation.flights.append(flight)
+    simulation.check_agreement()
+
+
+def late_copy_of_a_proposal_is_not_refused():
+    """What an earlier copy may have brought about is not denied."""
+    simulation = started("abc")
+    flight = _forwarded(simulation)
+    exchange(simulation, "abc")
+    assert try_to_lead(simulation, "c", "bc")
+    exchange(simulation, "abc")
+    simulation.flights.append(flight)
+    simulation.check_agreement()
+
+
 ALL = (
+    copy_of_a_proposal_is_added_once,
+    late_copy_of_a_proposal_is_not_refused,
+    leader_whose_removal_is_not_committed_stands,
+    voter_that_could_not_enrol_stands,
     earlier_term_is_not_committed_by_count,
     learners_do_not_count,
     isolated_leader_reads_nothing,
--- a/buckthorntack/consensus/tests/test_scenarios.py
+++ b/buckthorntack/consensus/tests/test_scenarios.py
@@ -123,12 +123,12 @@
             else state.log.last_index
         ),
     ),
+    Fault("proposes_twice", _proposals, "SeenProposals", ForgetsProposals),
 ]
 
 FAULTS_IN_SCHEDULES = [
     Fault("votes_anew", _elections, "grants", votes_anew),
     Fault("votes_for_any_log", _elections, "_is_up_to_date", lambda *_: True),
-    Fault("proposes_twice", _proposals, "SeenProposals", ForgetsProposals),
 ]
 
 
--- a/buckthorntack/storage/_snapshots.py
+++ b/buckthorntack/storage/_snapshots.py
@@ -67,7 +67,7 @@
         self.folder = folder
 
     def save(self, snapshot):
-        """Write a snapshot, then remove older ones.
+        """Write a snapshot; older ones stay.
 
         :param snapshot: a ``Snapshot``.
         :raises StorageError: it may not last.
@@ -75,7 +75,6 @@
         name = f"snapshot-{snapshot.info.index:020}"
         payload = _records.encode(snapshot)
         write_whole(self.files, self.folder, name, payload)
-        self._remove_all_but(name)
 
     def load(self):
         """Newest snapshot.
@@ -88,14 +87,19 @@
             return None
         name = max(names)
         payload = read_whole(self.files, self.folder, name)
-        self._remove_all_but(name)
         try:
             return _records.decode_snapshot(payload)
         except msgspec.MsgspecError as error:
             path = os.path.join(self.folder, name)
             raise _errors.CorruptFileError(f"{path}: {error}") from error
 
-    def _remove_all_but(self, kept):
+    def remove_older(self):
+        """Remove all but the newest snapshot, and unfinished ones.
+
+        :raises StorageError: the folder can't be changed.
+        """
+        names = [name for name in self._names() if _NAME.fullmatch(name)]
+        kept = max(names, default="")
         for name in self._names():
             stem = name.removesuffix(_PARTIAL)
             if name == kept or not _NAME.fullmatch(stem):
--- a/buckthorntack/storage/_store.py
+++ b/buckthorntack/storage/_store.py
@@ -73,6 +73,7 @@
         :raises StorageError: the folder can't be used.
         """
         owner = self._owner(new_identity)
+        self._snapshots.remove_older()
         snapshot = self._snapshots.load()
         self._snapshot = snapshot and snapshot.info
         contents = self._log.open()
@@ -95,20 +96,24 @@
         """
         self._log.append(batch)
 
-    def save(self, snapshot):
-        """Save a snapshot of applied state and release the log before it.
+    def write_snapshot(self, snapshot):
+        """Write a snapshot of applied state; the log may be used meanwhile.
 
         :param snapshot: a ``Snapshot``.
         :raises StorageError: it may not last.
         """
         self._snapshots.save(snapshot)
-        self._snapshot = snapshot.info
-        self._log.release(snapshot.info.index)
-        self._events.write(
-            _events.SNAPSHOT_SAVED,
-            index=snapshot.info.index,
-            size_bytes=len(snapshot.data),
-        )
+
+    def release(self, info):
+        """Release what a written snapshot covers.
+
+        :param info: place of the snapshot.
+        :raises StorageError: the folder can't be changed.
+        """
+        self._snapshot = info
+        self._snapshots.remove_older()
+        self._log.release(info.index)
+        self._events.write(_events.SNAPSHOT_SAVED, index=info.index)
 
     def replace(self, snapshot):
         """Save a snapshot received from the leader in place of the log.
@@ -117,9 +122,8 @@
         :raises StorageError: it may not last.
         """
         self._snapshots.save(snapshot)
-        self._snapshot = snapshot.info
         self._log.append(_records.Batch(reset=snapshot.info))
-        self._log.release(snapshot.info.index)
+        self.release(snapshot.info)
 
     def _take_folder(self):
         path = f"{self.folder}/{_LOCK}"
--- a/buckthorntack/storage/tests/test_faults.py
+++ b/buckthorntack/storage/tests/test_faults.py
@@ -96,11 +96,19 @@
         store.recover("id")
         for name, argument in actions:
             following = after(known, name, argument)
-            getattr(store, name)(argument)
+            carry_out(store, name, argument)
             known = following
     return known, following
 
 
+def carry_out(store, name, argument):
+    if name == "save":
+        store.write_snapshot(argument)
+        store.release(argument.info)
+    else:
+        getattr(store, name)(argument)
+
+
 def total_steps():
     files = memory_files.MemoryFiles()
     assert run(files)[0] == recover(files.after_crash())
