--- a/Makefile
+++ b/Makefile
@@ -42,6 +42,8 @@
 
 explore: venv  ## Search for events that break a group.
 	$(BIN)/python -m tools.explore --seconds $(EXPLORE_SECONDS)
+demo: venv  ## Show a deployment at work (DEPLOYMENT=rendimar for the other).
+	$(BIN)/python -m tools.demo $(DEPLOYMENT)
 
 clean:  ## Remove what the targets made.
 	rm -rf build dist .venv
--- /dev/null
+++ b/buckthorntack/configuration/tests/test_administration.py
@@ -0,0 +1,133 @@
+import asyncio
+
+import expression
+
+from buckthorntack import clock
+from buckthorntack import configuration
+from buckthorntack import consensus
+from buckthorntack import schema
+
+
+class ImpatientClock(clock.ManualClock):
+    """Moves on by itself when asked to wait."""
+
+    async def sleep(self, duration):
+        self.advance(duration)
+
+
+class FakeReplica:
+    """A leader of a group in memory."""
+
+    def __init__(self):
+        self.members = ["a", "b", "c"]
+        self.learners = []
+        self.tries_until_caught_up = 3
+        self.heard_ms_ago = {"b": 10, "c": 60_000}
+        self.barrier = expression.Ok(7)
+
+    def status(self):
+        peers = [
+            consensus.PeerStatus(name, 5, heard, True, False)
+            for name, heard in self.heard_ms_ago.items()
+        ]
+        fields = dict.fromkeys(consensus.ReplicaStatus._fields)
+        fields.update(node_id="a", role="leader", leader="a", peers=peers)
+        fields.update(last_index=9)
+        fields.update(voters=self.members, learners=self.learners)
+        return consensus.ReplicaStatus(**fields)
+
+    def voters(self):
+        return list(self.members)
+
+    async def read_barrier(self):
+        return self.barrier
+
+    async def add_learner(self, node):
+        self.learners.append(node)
+        return expression.Ok(None)
+
+    async def promote(self, node):
+        self.tries_until_caught_up -= 1
+        if self.tries_until_caught_up > 0:
+            return expression.Error(consensus.LearnerBehindError(node))
+        self.learners.remove(node)
+        self.members.append(node)
+        return expression.Ok(None)
+
+    async def remove(self, node):
+        if len(self.members) == 3:
+            return expression.Error(consensus.QuorumAtRiskError(node))
+        self.members.remove(node)
+        return expression.Ok(None)
+
+
+class FakeSource:
+    """Hears of no entry VM."""
+
+    def reports(self):
+        return {}
+
+
+def make_administration():
+    replica = FakeReplica()
+    machine = configuration.ConfigurationMachine()
+    administration = configuration.Administration(
+        machine, replica, FakeSource(), ImpatientClock()
+    )
+    return administration, replica
+
+
+def run(call):
+    result = asyncio.run(call)
+    assert result.is_ok(), result.error
+    return result.ok
+
+
+def test_answers_fit_the_schema():
+    operations, _ = make_administration()
+    status = run(operations.status())
+    assert schema.validate_document("admin", "Status", status) == []
+    assert len(status["replicas"]) == 3
+    found = run(operations.objects(None, None, True))
+    assert schema.validate_document("admin", "ObjectList", found) == []
+    history = run(operations.history(0))
+    assert schema.validate_document("admin", "History", history) == []
+
+
+def test_history_is_not_told_without_a_quorum():
+    operations, replica = make_administration()
+    replica.barrier = expression.Error(consensus.ReadTimeoutError("x"))
+    assert asyncio.run(operations.history(0)).is_error()
+
+
+def test_quorum_is_proved_by_a_barrier():
+    operations, replica = make_administration()
+    assert run(operations.status())["has_quorum"]
+    replica.barrier = expression.Error(consensus.ReadTimeoutError("x"))
+    assert not run(operations.status())["has_quorum"]
+
+
+def test_added_replica_votes_once_it_has_caught_up():
+    operations, replica = make_administration()
+    added = run(operations.add_replica("d"))
+    assert added["replicas"][-1]["voter"]
+    assert run(operations.add_replica("d")) == added
+    assert replica.members == ["a", "b", "c", "d"]
+
+
+def test_slow_replica_stays_a_learner_until_asked_again():
+    operations, replica = make_administration()
+    replica.tries_until_caught_up = 1000
+    added = run(operations.add_replica("d"))
+    assert added["replicas"][-1]["role"] == "learner"
+    replica.tries_until_caught_up = 1
+    again = run(operations.add_replica("d"))
+    assert again["replicas"][-1]["voter"]
+
+
+def test_removal_at_risk_is_refused():
+    operations, _ = make_administration()
+    refused = asyncio.run(operations.remove_replica("c"))
+    assert isinstance(refused.error, consensus.QuorumAtRiskError)
+    before = run(operations.replicas())
+    assert run(operations.remove_replica("x")) == before
