--- a/benchmarks/consensus.py
+++ b/benchmarks/consensus.py
@@ -33,6 +33,7 @@
 KEYS = 200
 FSYNCS = 300
 PROPOSALS = 4000
+SNAPSHOT_BYTES = 8 * 1024 * 1024
 FAILOVERS = 200
 SECOND = datetime.timedelta(seconds=1)
 MILLISECOND = datetime.timedelta(milliseconds=1)
@@ -198,6 +199,7 @@
         self.applied = {}
         self.sent_bytes = 0
         self.sent_messages = 0
+        self.snapshot = None
         for name in self.names:
             recovered = storage.Recovered(name, storage.HardState(), None, [])
             self.replicas[name] = consensus.Replica(
@@ -245,6 +247,9 @@
                 for entry in command.entries:
                     times = self.applied.setdefault(entry.proposal_id, {})
                     times[name] = self.now
+            elif isinstance(command, commands.SnapshotWanted):
+                replica = self.replicas[name]
+                replica.provide_snapshot(command.to, self.snapshot, self.now)
 
     def leader(self):
         """Name of the leader, or None."""
@@ -322,6 +327,66 @@
                 return min(group.applied[proposal_id].values())
 
 
+def change_cost():
+    """Bytes and processor time of one change, beyond those of idling."""
+    for count in (3, 5, 14):
+        busy = VirtualGroup(count, 1)
+        busy.run(20 * SECOND)
+        figures = []
+        for changes in (0, 100):
+            busy.sent_bytes = busy.sent_messages = 0
+            begun = time.process_time()
+            for number in range(changes):
+                leader = busy.leader()
+                busy.replicas[leader].propose(f"c/{number}", COMMAND, busy.now)
+                busy.finish(leader)
+                busy.run(SECOND)
+            busy.run((100 - changes) * SECOND)
+            seconds = time.process_time() - begun
+            figures.append((busy.sent_bytes, busy.sent_messages, seconds))
+        extra = [
+            after - before for before, after in zip(*figures, strict=True)
+        ]
+        tell(
+            "change",
+            replicas=count,
+            command_bytes=len(COMMAND),
+            group_bytes=round(extra[0] / 100),
+            group_messages=round(extra[1] / 100),
+            group_cpu_us=round(extra[2] / 100 * 1e6),
+        )
+
+
+def snapshot_transfer():
+    """Time and rate of a snapshot to a replica that is far behind."""
+    group = VirtualGroup(3, 1)
+    group.run(10 * SECOND)
+    leader = group.leader()
+    behind = next(name for name in group.names if name != leader)
+    lost = group.replicas.pop(behind)
+    for number in range(300):
+        replica = group.replicas[leader]
+        replica.propose(f"s/{number}", COMMAND, group.now)
+        group.finish(leader)
+    group.run(5 * SECOND)
+    index = group.replicas[leader].state.commit_index
+    info = group.replicas[leader].snapshot_info(index)
+    group.replicas[leader].snapshot_saved(index)
+    group.snapshot = storage.Snapshot(info, bytes(SNAPSHOT_BYTES))
+    group.replicas[behind] = lost
+    group.at(group.now, group.tick, behind)
+    begun = group.now
+    while lost.state.commit_index < index:
+        group.run(50 * MILLISECOND)
+    seconds = (group.now - begun) / SECOND
+    tell(
+        "snapshot",
+        snapshot_bytes=SNAPSHOT_BYTES,
+        seconds=round(seconds, 1),
+        megabits_per_s=round(SNAPSHOT_BYTES * 8 / seconds / 1e6, 2),
+    )
+
+
 def idle():
     """Bytes and processor time of a replica that has nothing to do."""
     for count in (1, 3, 5, 14):
@@ -375,6 +440,8 @@
             failover()
         if "idle" in chosen:
             idle()
+            change_cost()
+            snapshot_transfer()
             asyncio.run(idle_task(root))
 
 
--- a/buckthorntack/consensus/_progress.py
+++ b/buckthorntack/consensus/_progress.py
@@ -64,6 +64,12 @@
         self.paused = False
         self.in_flight.clear()
 
+    def step_back(self):
+        """Give up messages on their way whose entries are released."""
+        self.next_index = self.match_index + 1
+        self.probing = True
+        self.in_flight.clear()
+
     def may_send(self, window_messages):
         """Whether entries may be sent now.
 
--- a/buckthorntack/consensus/_replication.py
+++ b/buckthorntack/consensus/_replication.py
@@ -77,6 +77,8 @@
     state.heartbeat_due = state.now + state.timing.heartbeat
     for node, progress in state.progress.items():
         progress.paused = False
+        if state.log.term_at(progress.next_index - 1) is None:
+            progress.step_back()
         _send_heartbeat(state, node, progress)
 
 
--- a/buckthorntack/consensus/tests/scenarios.py
+++ b/buckthorntack/consensus/tests/scenarios.py
@@ -359,7 +359,19 @@
     simulation.check_agreement()
 
 
+def lost_window_is_made_up_for_after_a_snapshot():
+    """Entries that were lost on their way and released come by snapshot."""
+    simulation = started("abc")
+    make_leader(simulation, "a")
+    for _ in range(2 * simulations.TIMING.window_messages):
+        simulation.propose("a", width=simulations.TIMING.message_bytes + 1)
+        exchange(simulation, "ab")
+    simulation.save_snapshot("a")
+    simulation.check_agreement()
+
+
 ALL = (
+    lost_window_is_made_up_for_after_a_snapshot,
     copy_of_a_proposal_is_added_once,
     late_copy_of_a_proposal_is_not_refused,
     leader_whose_removal_is_not_committed_stands,
--- a/buckthorntack/consensus/tests/test_task.py
+++ b/buckthorntack/consensus/tests/test_task.py
@@ -265,3 +265,38 @@
             assert files.steps - before <= 4
 
     run(scenario())
+
+
+def test_crash_at_every_file_operation_loses_nothing_acknowledged(tmp_path):
+    async def write(files):
+        """Propose until a crash; what was acknowledged."""
+        acknowledged = []
+        with contextlib.suppress(memory_files.CrashError):
+            async with Cluster(tmp_path, ["a"], files) as cluster:
+                task = cluster.network.tasks["a"]
+                ended = asyncio.create_task(task.ended())
+                await until(lambda: task.is_leader() or ended.done())
+                for number in range(45):
+                    command = b"%d" % number
+                    if (await task.propose(command)).is_ok():
+                        acknowledged.append(command)
+        return acknowledged
+
+    async def check(files, acknowledged):
+        async with Cluster(tmp_path, ["a"], files) as cluster:
+            await cluster.propose(b"last")
+            commands = cluster.network.tasks["a"].state_machine.commands
+            assert commands[: len(acknowledged)] == acknowledged
+            assert len(commands) <= len(acknowledged) + 2
+
+    async def scenario():
+        sound = memory_files.MemoryFiles()
+        assert len(await write(sound)) == 45
+        for step in range(0, sound.steps, 3):
+            faults = memory_files.Faults(crash_before=step)
+            files = memory_files.MemoryFiles(faults)
+            acknowledged = await write(files)
+            tail = memory_files.TAILS[step % len(memory_files.TAILS)]
+            await check(files.after_crash(tail, "synced"), acknowledged)
+
+    run(scenario())
