--- a/buckthorntack/consensus/tests/scenarios.py
+++ b/buckthorntack/consensus/tests/scenarios.py
@@ -301,7 +301,101 @@
     )
 
 
+def leader_whose_removal_is_not_committed_stands():
+    """It has entries without which nobody else is elected."""
+    simulation = started("abcd")
+    make_leader(simulation, "c")
+    assert simulation.change("remove", "c", "c").is_ok()
+    simulation.crash("c")
+    simulation.restart("c")
+    simulation.crash("a")
+    simulation.check(try_to_lead(simulation, "c", "bcd"), "nobody leads")
+
+
+def voter_that_could_not_enrol_stands():
+    """The first leader's members count in place of an enrolment."""
+    simulation = simulations.Simulation("abc")
+    for _ in range(60):
+        for name in "abc":
+            simulation.tick(name)
+        simulation.flights = [
+            flight
+            for flight in simulation.flights
+            if not isinstance(flight.message, messages.EnrolResponse)
+            or (flight.sender, flight.to) != ("c", "b")
+        ]
+        for _ in range(len(simulation.flights)):
+            simulation.deliver(0)
+    assert not simulation.nodes["b"].replica.state.enrolled
+    simulation.add_node("c", simulation.first_voters)
+    simulation.check(try_to_lead(simulation, "b", "ab"), "nobody leads")
+
+
+def _forwarded(simulation):
+    """Propose at a follower; its message to the leader."""
+    make_leader(simulation, "a")
+    simulation.flights.clear()
+    simulation.propose("b")
+    (flight,) = simulation.flights
+    return flight
+
+
+def copy_of_a_proposal_is_added_once():
+    """A message that comes twice counts once."""
+    simulation = started("abc")
+    flight = _forwarded(simulation)
+    simulation.flights.append(flight)
+    simulation.check_agreement()
+
+
+def late_copy_of_a_proposal_is_not_refused():
+    """What an earlier copy may have brought about is not denied."""
+    simulation = started("abc")
+    flight = _forwarded(simulation)
+    exchange(simulation, "abc")
+    assert try_to_lead(simulation, "c", "bc")
+    exchange(simulation, "abc")
+    simulation.flights.append(flight)
+    simulation.check_agreement()
+
+
+def lost_window_is_made_up_for_after_a_snapshot():
+    """Entries that were lost on their way and released come by snapshot."""
+    simulation = started("abc")
+    make_leader(simulation, "a")
+    for _ in range(2 * simulations.TIMING.window_messages):
+        simulation.propose("a", width=simulations.TIMING.message_bytes + 1)
+        exchange(simulation, "ab")
+    simulation.save_snapshot("a")
+    simulation.check_agreement()
+
+
+def two_with_logs_of_one_length_elect_one():
+    """Of two that stand at once, the one with the newer log leads."""
+    simulation = started("abc")
+    make_leader(simulation, "b")
+    simulation.propose("b")
+    assert try_to_lead(simulation, "a", "ac")
+    simulation.flights.clear()
+    simulation.crash("c")
+    for name in "ab":
+        simulation.crash(name)
+        simulation.restart(name)
+    simulation.flights.clear()
+    for name in "abab":
+        simulation.tick(name, 40)
+    _spend(simulation, 100)
+    leading = [node.name for node in simulation.leading()]
+    simulation.check(leading == ["a"], "nobody was elected")
+
+
 ALL = (
+    two_with_logs_of_one_length_elect_one,
+    lost_window_is_made_up_for_after_a_snapshot,
+    copy_of_a_proposal_is_added_once,
+    late_copy_of_a_proposal_is_not_refused,
+    leader_whose_removal_is_not_committed_stands,
+    voter_that_could_not_enrol_stands,
     earlier_term_is_not_committed_by_count,
     learners_do_not_count,
     isolated_leader_reads_nothing,
