Build the issuer from settings; log failure domains that are learned

Cause: each program would have put the parts of placement together by itself; event 705 was declared but never written. Change: build_issuer and drained_servers; the task writes event 705 at the first summary of a failure domain. Conclusion: an entry VM needs one call to become a would-be issuer.

--- a/buckthorntack/membership/_task.py
+++ b/buckthorntack/membership/_task.py
@@ -33,6 +33,7 @@
         self._listeners = []
         self._runner = None
         self._known = {}
+        self._domains = set()
 
     async def __aenter__(self):
         self._execute(self.view.tick(self._now()))
@@ -221,9 +222,18 @@
         self._log.write(_events.ENTRY_REMOVED, node=command.record.node_id)
         self._tell(command)
 
+    @_perform.register
+    def _(self, command: _commands.SummaryChanged):
+        domain = command.summary.failure_domain
+        if domain not in self._domains:
+            self._domains.add(domain)
+            self._log.write(_events.DOMAIN_LEARNED, failure_domain=domain)
+        self._tell(command)
+
     @_perform.register
     def _(self, command: _commands.SummaryRemoved):
         domain = command.summary.failure_domain
+        self._domains.discard(domain)
         self._log.write(_events.DOMAIN_SILENT, failure_domain=domain)
         self._tell(command)
 
--- a/buckthorntack/placement/__init__.py
+++ b/buckthorntack/placement/__init__.py
@@ -1,5 +1,7 @@
 """Engine orders: leases of issuers, fencing, plans."""
 
+from buckthorntack.placement._build import build_issuer
+from buckthorntack.placement._build import drained_servers
 from buckthorntack.placement._demand import Demand
 from buckthorntack.placement._demand import PoolPlan
 from buckthorntack.placement._granter import LeaseGranterTask
@@ -39,6 +41,8 @@
     "ReturnEngine",
     "Target",
     "WeightStoreBudget",
+    "build_issuer",
+    "drained_servers",
     "encode_command",
     "read_drain_item",
     "read_inputs",
--- a/buckthorntack/placement/tests/test_task.py
+++ b/buckthorntack/placement/tests/test_task.py
@@ -3,15 +3,19 @@
 import asyncio
 import datetime
 import json
+import pathlib
 
 from expression import Ok
 import httpx
 
 from buckthorntack import clock
+from buckthorntack import objects
 from buckthorntack import placement
 from buckthorntack.placement.tests import worlds
 from buckthorntack.schema import messages
 
+EXAMPLES = pathlib.Path(__file__).parents[3] / "examples"
+
 
 class Wire:
     """Carries messages between two tasks in one process."""
@@ -155,3 +159,58 @@
 
     asyncio.run(scenario())
     assert bench.machine.row(worlds.DOMAIN).holder == ""
+
+
+class Members:
+    """Stands for the membership task."""
+
+    def __init__(self, servers):
+        self.found = servers
+        self.items = []
+
+    def servers(self):
+        return self.found
+
+    def publish(self, item):
+        self.items.append(item)
+
+
+def test_issuer_built_from_settings_follows_the_published_objects():
+    bench = Bench(accept)
+    loaded = objects.check_folder(EXAMPLES / "hoardline")
+    published = objects.PublishedSet(1, loaded.named_objects)
+    members = Members([worlds.record("s0", "", pool="pitchwriter-fukuoka-a")])
+    settings = {
+        "node_id": "e0",
+        "failure_domain": worlds.DOMAIN,
+        "control": ["control"],
+        "weight_store": {"bytes_per_second": 1e9},
+    }
+
+    async def scenario():
+        transport = httpx.MockTransport(bench.handle)
+        async with httpx.AsyncClient(transport=transport) as client:
+            task = placement.build_issuer(
+                settings,
+                1,
+                bench.wire.sender("e0"),
+                client,
+                bench.clock,
+                members,
+                lambda: published,
+                dict,
+            )
+            bench.wire.tasks["e0"] = task
+            async with bench.control, task:
+                await bench.settle()
+                await bench.pass_time(10)
+
+    asyncio.run(scenario())
+    (order,) = bench.orders
+    assert order["model_versions"] == ["pitchwriter-7"]
+    assert order["adapters"] == ["council-tone"]
+    assert placement.drained_servers(members.items) == {"s0"}
+
+
+def test_no_issuer_without_a_weight_store():
+    assert placement.build_issuer({}, 1, *[None] * 6) is None
