Keep the quarantine's calls as the entry role uses them

Change: both are as before; a suspect stays in its region if a server there can run it, as its server is claimed where it runs.

--- a/buckthorntack/retries/_claims.py
+++ b/buckthorntack/retries/_claims.py
@@ -40,13 +40,8 @@
     """A suspect and the server claimed for it, as subjects."""
 
     request: str
-    #: Empty if no server was claimed.
     server: str
 
-    def subjects(self):
-        """What is claimed."""
-        return [subject for subject in self if subject]
-
 
 class ClaimTable:
     """Claims of all entry VMs, as far as they are known here.
@@ -70,23 +65,21 @@
         """Claim a suspect and a server, or go on claiming them.
 
         :param fingerprint: the suspect's fingerprint.
-        :param server_id: the server that shall run it, or None.
+        :param server_id: the server that shall run it.
         :param now: the time.
         :returns: :class:`RunAlone` or :class:`Wait`.
         """
-        server = f"server/{server_id}" if server_id else ""
-        pair = _Pair(f"request/{fingerprint}", server)
+        pair = _Pair(f"request/{fingerprint}", f"server/{server_id}")
         if fingerprint in self._held:
             return Wait(self._spread_time() / 2)
-        subjects = pair.subjects()
-        owns = [self._own(subject, now) for subject in subjects]
+        owns = [self._own(subject, now) for subject in pair]
         self._wanted[pair.server] = now
         settled = max(own.since for own in owns) + 2 * self._spread_time()
         if now < settled:
             return Wait(settled - now)
-        if not all(self._is_first(subject, now) for subject in subjects):
+        if not all(self._is_first(subject, now) for subject in pair):
             return Wait(self._spread_time() / 2)
-        for subject, own in zip(subjects, owns, strict=True):
+        for subject, own in zip(pair, owns, strict=True):
             self._change(subject, own, True, now)
         self._held[fingerprint] = pair
         del self._wanted[pair.server]
@@ -112,18 +105,12 @@
         else:
             self._end(pair.server, now)
 
-    def abandon(self, fingerprint, now):
+    def abandon(self, fingerprint):
         """Let the claims for a suspect run out, as it may have crashed.
 
         :param fingerprint: the suspect's fingerprint.
-        :param now: the time.
         """
-        pair = self._held.pop(fingerprint, None)
-        if pair is None:
-            return
-        for subject in pair.subjects():
-            own = self._claims[subject][self.node_id]
-            self._change(subject, own, True, now)
+        self._held.pop(fingerprint, None)
 
     def merge(self, item, now):
         """Take another entry VM's claim; duplicates change nothing.
@@ -147,7 +134,7 @@
         """
         lease = self._lease()
         for pair in self._held.values():
-            for subject in pair.subjects():
+            for subject in pair:
                 own = self._claims[subject][self.node_id]
                 if own.until - now < lease / 2:
                     self._change(subject, own, True, now)
--- a/buckthorntack/retries/_quarantine.py
+++ b/buckthorntack/retries/_quarantine.py
@@ -135,17 +135,14 @@
         return Clean(next(iter(servers)) if servers else None)
 
     def claim(
-        self,
-        fingerprint: str,
-        now: datetime.timedelta,
-        server_id: str | None = None,
+        self, fingerprint: str, server_id: str, now: datetime.timedelta
     ) -> _claims.RunAlone | _claims.Wait:
         """Ask to run a suspect; ask for the verdict again after a wait.
 
         :param fingerprint: its fingerprint.
-        :param now: the time.
         :param server_id: the server that shall run it; best the same one
-            each time.  Without it, suspects may share a server.
+            each time.
+        :param now: the time.
         :returns: :class:`RunAlone` or :class:`Wait`.
         """
         return self._claims.claim(fingerprint, server_id, now)
@@ -170,9 +167,7 @@
         servers = self._running.setdefault(fingerprint, collections.Counter())
         servers[server_id] += 1
 
-    def stopped(
-        self, fingerprint: str, server_id: str, now: datetime.timedelta
-    ) -> None:
+    def stopped(self, fingerprint: str, server_id: str) -> None:
         """Note an attempt that ended without running to its end.
 
         A claim is left to run out, so that the news of a crash goes ahead
@@ -180,9 +175,8 @@
 
         :param fingerprint: the request's fingerprint.
         :param server_id: the server.
-        :param now: the time.
         """
-        self._claims.abandon(fingerprint, now)
+        self._claims.abandon(fingerprint)
         self._leave(fingerprint, server_id)
 
     def finished(
--- a/buckthorntack/retries/tests/_fleet.py
+++ b/buckthorntack/retries/tests/_fleet.py
@@ -102,7 +102,7 @@
         if request.server not in up:
             request.server = self.rng.choice(up)
         answer = quarantine.claim(
-            request.fingerprint, at(self.now_s), request.server.name
+            request.fingerprint, request.server.name, at(self.now_s)
         )
         if isinstance(answer, retries.RunAlone):
             self._run(request, request.server)
@@ -153,7 +153,7 @@
             now = at(self.now_s)
             running = frozenset(r.fingerprint for r in requests)
             for request in requests:
-                quarantine.stopped(request.fingerprint, server.name, now)
+                quarantine.stopped(request.fingerprint, server.name)
             quarantine.server_crashed(
                 server.name, server.incarnation, running, now
             )
--- a/buckthorntack/retries/tests/test_quarantine.py
+++ b/buckthorntack/retries/tests/test_quarantine.py
@@ -62,7 +62,7 @@
     quarantine = make_quarantine()
     quarantine.started("p", "s1")
     assert quarantine.verdict("p", at(0)) == retries.Clean("s1")
-    quarantine.stopped("p", "s1", at(1))
+    quarantine.stopped("p", "s1")
     assert quarantine.verdict("p", at(1)) == retries.Clean(None)
 
 
@@ -122,7 +122,7 @@
                 starts[name] = 1e9
                 node.finished("p", "s2", at(now_s))
             elif now_s >= starts[name] and name not in ends:
-                claimed = node.claim("p", at(now_s), "s2")
+                claimed = node.claim("p", "s2", at(now_s))
                 if claimed == retries.RunAlone():
                     ends[name] = now_s + 1.5
                     runs += 1
@@ -148,44 +148,44 @@
 
 def test_a_claim_of_a_lost_entry_vm_ends():
     lost, other = make_quarantine("e1"), make_quarantine("e2")
-    lost.claim("p", at(0), "s2")
-    assert lost.claim("p", at(2), "s2") == retries.RunAlone()
+    lost.claim("p", "s2", at(0))
+    assert lost.claim("p", "s2", at(2)) == retries.RunAlone()
     for item in lost.take_items():
         other.merge(item, at(2.5))
     for now_s in range(3, 13):
-        assert isinstance(other.claim("p", at(now_s), "s2"), retries.Wait)
-    assert other.claim("p", at(13), "s2") == retries.RunAlone()
+        assert isinstance(other.claim("p", "s2", at(now_s)), retries.Wait)
+    assert other.claim("p", "s2", at(13)) == retries.RunAlone()
 
 
 def test_two_suspects_never_share_a_server():
     nodes = make_quarantine("e1"), make_quarantine("e2")
     for name, node in zip("pq", nodes, strict=True):
-        assert isinstance(node.claim(name, at(0), "s2"), retries.Wait)
+        assert isinstance(node.claim(name, "s2", at(0)), retries.Wait)
     for node, other in (nodes, nodes[::-1]):
         for item in node.take_items():
             other.merge(item, at(0.5))
-    assert nodes[0].claim("p", at(2), "s2") == retries.RunAlone()
-    assert isinstance(nodes[1].claim("q", at(2), "s2"), retries.Wait)
+    assert nodes[0].claim("p", "s2", at(2)) == retries.RunAlone()
+    assert isinstance(nodes[1].claim("q", "s2", at(2)), retries.Wait)
     nodes[0].finished("p", "s2", at(3))
     for item in nodes[0].take_items():
         nodes[1].merge(item, at(3.5))
-    assert nodes[1].claim("q", at(4), "s2") == retries.RunAlone()
+    assert nodes[1].claim("q", "s2", at(4)) == retries.RunAlone()
 
 
 def test_own_suspects_follow_each_other_without_a_new_settling():
     node = make_quarantine("e1")
     for name in "pq":
-        node.claim(name, at(0), "s2")
-    assert node.claim("p", at(2), "s2") == retries.RunAlone()
-    assert isinstance(node.claim("q", at(2.5), "s2"), retries.Wait)
+        node.claim(name, "s2", at(0))
+    assert node.claim("p", "s2", at(2)) == retries.RunAlone()
+    assert isinstance(node.claim("q", "s2", at(2.5)), retries.Wait)
     node.finished("p", "s2", at(3))
-    assert node.claim("q", at(3), "s2") == retries.RunAlone()
+    assert node.claim("q", "s2", at(3)) == retries.RunAlone()
 
 
 def test_items_survive_packing():
     source = make_quarantine()
     source.server_crashed("s1", 1, frozenset("p"), at(1))
-    source.claim("p", at(1), "s2")
+    source.claim("p", "s2", at(1))
     limiter = retries.AttemptLimiter("entry-1", retries.RetrySettings())
     limiter.failed("p", at(1))
     sent = source.take_items() + limiter.take_items()
--- a/buckthorntack/routing/_router.py
+++ b/buckthorntack/routing/_router.py
@@ -382,6 +382,9 @@
         """Score what other failure domains offer, if that can matter."""
         if request.origin_region is not None:
             return []
+        if request.isolate and best is not None:
+            # A suspect's server is claimed where it runs: it stays.
+            return []
         if best is not None and best <= self._margin_s(request.service, 0.0):
             return []
         return [
--- a/buckthorntack/routing/tests/test_router.py
+++ b/buckthorntack/routing/tests/test_router.py
@@ -147,6 +147,15 @@
     assert isinstance(chosen(router, 1.1), routing.RouteForward)
 
 
+def test_a_suspect_stays_where_it_can_run(router):
+    router.update_server(_records.server("s1", waiting=40), at(0))
+    router.update_summary(_records.summary("kumamoto"), at(0))
+    assert isinstance(chosen(router), routing.RouteForward)
+    assert isinstance(chosen(router, isolate=True), routing.RouteLocal)
+    router.remove_server("s1", at(1))
+    assert isinstance(chosen(router, isolate=True), routing.RouteForward)
+
+
 def test_own_bytes_on_a_link_count(router):
     router.region_link("kumamoto", at(0.11), 70e6)
     router.update_server(_records.server("s1", running=8, waiting=14), at(0))
