Mend what restarts and expiry left behind

Cause: read through, three faults: attempts of a former incarnation made the count of waiting ones negative; forgetting evidence looked through all of it for each entry; an acquittal could be forgotten before evidence that came after it. Change: a restarted server starts without load; crashes are counted; acquittals are kept twice as long. Conclusion: each has a test.

--- a/buckthorntack/retries/_quarantine.py
+++ b/buckthorntack/retries/_quarantine.py
@@ -104,6 +104,7 @@
         self._convictions = _Expiring(settings.most_items)
         self._crashes_of = {}
         self._crash_times = {}
+        self._crash_uses = collections.Counter()
         self._running = {}
         self._outbox = {}
 
@@ -270,11 +271,14 @@
         self._evidence.add(key, self._until(now))
         self._crashes_of.setdefault(item.fingerprint, set()).add(crash)
         self._crash_times.setdefault(crash, now)
+        self._crash_uses[crash] += 1
         self._judge(item.fingerprint, now)
 
     def _take_acquittal(self, item, now):
         crash = CrashId(item.server_id, item.incarnation)
-        self._acquittals.add((item.fingerprint, crash), self._until(now))
+        # Kept longer than evidence that may arrive after it.
+        until = self._until(self._until(now))
+        self._acquittals.add((item.fingerprint, crash), until)
 
     def _take_conviction(self, item, now):
         if item.fingerprint not in self._convictions:
@@ -327,8 +331,10 @@
             crashes.discard(crash)
             if not crashes:
                 del self._crashes_of[fingerprint]
-            if not any(crash in known for known in self._crashes_of.values()):
-                self._crash_times.pop(crash, None)
+            self._crash_uses[crash] -= 1
+            if not self._crash_uses[crash]:
+                del self._crash_uses[crash]
+                del self._crash_times[crash]
 
     def _until(self, now):
         retention_ms = self.settings.retention_ms
--- a/buckthorntack/retries/tests/test_quarantine.py
+++ b/buckthorntack/retries/tests/test_quarantine.py
@@ -87,12 +87,30 @@
         ]
 
 
+def test_evidence_that_arrives_after_its_acquittal_does_not_revive():
+    source = make_quarantine()
+    source.server_crashed("s1", 1, frozenset("b"), at(0))
+    source.started("b", "s3")
+    source.finished("b", "s3", at(1))
+    evidence, acquittal = source.take_items()
+    other = make_quarantine("entry-2", retention_ms=10_000)
+    other.merge(acquittal, at(0))
+    other.merge(evidence, at(9))
+    assert other.verdict("b", at(15)) == retries.Clean(None)
+
+
 def test_everything_is_forgotten_after_its_retention():
     quarantine = make_quarantine(retention_ms=1000)
     quarantine.server_crashed("s1", 1, frozenset("p"), at(0))
     quarantine.server_crashed("s2", 1, frozenset("p"), at(0))
-    quarantine.tick(at(2))
+    quarantine.started("b", "s3")
+    quarantine.server_crashed("s2", 1, frozenset("b"), at(0))
+    quarantine.finished("b", "s3", at(0))
+    quarantine.tick(at(1.5))
+    assert quarantine.verdict("p", at(1.5)) == retries.Clean(None)
+    quarantine.tick(at(4))
     assert len(quarantine) == 0
+    assert not quarantine._crash_times
 
 
 def test_memory_is_bounded():
--- a/buckthorntack/routing/_servers.py
+++ b/buckthorntack/routing/_servers.py
@@ -128,9 +128,9 @@
         restarted = record.incarnation > server.record.incarnation
         was_live = server.is_live(now_s)
         if restarted:
-            load = _load.LoadEstimate(self.settings)
-            load.attempts = server.load.attempts
-            server.load = load
+            # Attempts of the former incarnation are gone with it.
+            server.load = _load.LoadEstimate(self.settings)
+            server.reserved_until_s = None
         self._remove_from_groups(server)
         server.record = record
         server.lease_until_s = now_s + record.lease_ms / 1e3
--- a/buckthorntack/routing/tests/test_router.py
+++ b/buckthorntack/routing/tests/test_router.py
@@ -74,6 +74,19 @@
     assert share == 0.0
 
 
+def test_a_restarted_server_starts_without_load(router):
+    router.update_server(_records.server("s1", lease_ms=90000), at(0))
+    for number in range(5):
+        router.attempt_started("s1", f"a{number}", 9000, at(1), isolated=True)
+    restarted = _records.server("s1", incarnation=2, lease_ms=90000)
+    router.update_server(restarted, at(2))
+    for number in range(5):
+        router.attempt_finished("s1", f"a{number}", FAILED, at(3))
+    reasons = chosen(router, 40).reasons
+    assert reasons.load == 0
+    assert reasons.expected_ttft_ms < 100
+
+
 @pytest.mark.parametrize(
     "fields",
     [
