Remember entry VMs that are cut off when dividing quotas

Cause: a quota divided only among the entry VMs that can be reached is exceeded in a partition. Change: a roster counts entry VMs of all regions until they withdraw, or for an hour.

--- a/buckthorntack/admission/__init__.py
+++ b/buckthorntack/admission/__init__.py
@@ -8,6 +8,7 @@
 from buckthorntack.admission._events import OVER_QUOTA
 from buckthorntack.admission._events import QUEUED
 from buckthorntack.admission._events import SHED
+from buckthorntack.admission._roster import EntryRoster
 from buckthorntack.admission._types import AdmissionRequest
 from buckthorntack.admission._types import AdmissionSettings
 from buckthorntack.admission._types import Admitted
@@ -23,6 +24,7 @@
     "AdmissionSettings",
     "Admitted",
     "DeadlineError",
+    "EntryRoster",
     "OVER_QUOTA",
     "QUEUED",
     "QueueFullError",
--- a/buckthorntack/admission/tests/test_quota.py
+++ b/buckthorntack/admission/tests/test_quota.py
@@ -206,3 +206,13 @@
     for number in range(18_000):
         offer(controller, f"s{number}", 400 + number / 100, organisation="one")
     assert controller.active_organisations() == 1
+
+
+def test_an_entry_vm_that_is_cut_off_keeps_its_share():
+    roster = admission.EntryRoster()
+    for name in ("e1", "e2", "e3"):
+        roster.seen(name, at(0))
+    for now_s in range(0, 3600, 60):
+        roster.seen("e1", at(now_s))
+    assert roster.count(at(3600)) == 3
+    assert roster.count(at(3601)) == 1
