--- a/buckthorntack/routing/_load.py
+++ b/buckthorntack/routing/_load.py
@@ -19,10 +19,19 @@
 class Attempt:
     """An own attempt in flight."""
 
-    __slots__ = ("isolated", "started_s", "waits", "work_s", "wait_s")
-
-    def __init__(self, started_s, work_s, wait_s, isolated):
+    __slots__ = (
+        "isolated",
+        "prefill_s",
+        "started_s",
+        "wait_s",
+        "waits",
+        "work_s",
+    )
+
+    def __init__(self, started_s, prefill_s, work_s, wait_s, isolated):
         self.started_s = started_s
+        #: Work on its prompt, which others wait for.
+        self.prefill_s = prefill_s
         #: Work expected for its first token at normal speed.
         self.work_s = work_s
         #: Time expected before that work begins.
@@ -41,9 +50,12 @@
     def __init__(self, settings):
         self.settings = settings
         self.attempts = {}
+        #: Servers that share the work on prompts.
+        self.servers = 1
         self.slowness = 1.0
         self.service_time_s = settings.service_time_ms / 1e3
         self._tokens_per_s = settings.prefill_tokens_per_second
+        self._overhead_s = settings.request_overhead_ms / 1e3
         self._batch_s = settings.batch_delay_ms / 1e3
         self._reported = 0
         self._measured_s = -math.inf
@@ -96,7 +108,8 @@
         self.attempts[attempt_id] = attempt
         self._waiting += 1
         start_s = max(self._backlog_until_s, attempt.started_s)
-        self._backlog_until_s = start_s + attempt.work_s * self.slowness
+        prefill_s = attempt.prefill_s * self.slowness / self.servers
+        self._backlog_until_s = start_s + prefill_s
         self._change(attempt.started_s, 1)
 
     def first_byte(self, attempt_id, now_s):
@@ -139,6 +152,14 @@
         self._change(now_s, -1)
         return attempt
 
+    def prefill_s(self, tokens):
+        """Expect the work on a prompt, at normal speed.
+
+        :param tokens: prompt tokens that are not cached.
+        :returns: seconds.
+        """
+        return tokens / self._tokens_per_s + self._overhead_s
+
     def work_s(self, slots, tokens, load):
         """Expect the work for the first token, at normal speed.
 
@@ -150,7 +171,7 @@
         batch_s = self._batch_s
         if load < slots:
             batch_s *= load / slots
-        return tokens / self._tokens_per_s + batch_s
+        return self.prefill_s(tokens) + batch_s
 
     def wait_s(self, slots, load, now_s):
         """Expect the time before work for a new request begins.
--- a/buckthorntack/routing/_regions.py
+++ b/buckthorntack/routing/_regions.py
@@ -188,6 +188,7 @@
                 capacity = Capacity(self.settings)
                 domain.capacities[group] = capacity
             capacity.slots = service.slots
+            capacity.load.servers = service.servers
             capacity.load.report(service.running + service.waiting, now_s)
             self._offers.setdefault(group, {})[key] = None
         for group in gone:
--- a/buckthorntack/routing/_router.py
+++ b/buckthorntack/routing/_router.py
@@ -147,7 +147,8 @@
         slots = server.record.slots
         work_s = server.load.work_s(slots, tokens, load)
         wait_s = server.load.wait_s(slots, load, now_s)
-        attempt = _load.Attempt(now_s, work_s, wait_s, isolated)
+        prefill_s = server.load.prefill_s(tokens)
+        attempt = _load.Attempt(now_s, prefill_s, work_s, wait_s, isolated)
         server.load.started(attempt_id, attempt)
         if isolated:
             self._servers.reserve(server, now_s + RESERVED_S, now_s)
@@ -239,7 +240,8 @@
         work_s = capacity.load.work_s(capacity.slots, tokens, load)
         expected_s = decision.reasons.expected_ttft_ms / 1e3
         wait_s = max(0.0, expected_s - work_s * capacity.load.slowness)
-        attempt = _load.Attempt(now_s, work_s, wait_s, False)
+        prefill_s = capacity.load.prefill_s(tokens)
+        attempt = _load.Attempt(now_s, prefill_s, work_s, wait_s, False)
         capacity.load.started(attempt_id, attempt)
 
     def forward_first_byte(
--- a/buckthorntack/routing/_types.py
+++ b/buckthorntack/routing/_types.py
@@ -82,6 +82,8 @@
     sampled_domains: int = 8
     #: Prompt tokens that a server takes in a second, until learnt.
     prefill_tokens_per_second: float = 8000.0
+    #: Work on a prompt besides its tokens.
+    request_overhead_ms: float = 20.0
     #: Time a request holds a slot, until learnt.
     service_time_ms: float = 4000.0
     #: Added to the first token's time by a fully occupied batch.
--- a/buckthorntack/routing/tests/test_router.py
+++ b/buckthorntack/routing/tests/test_router.py
@@ -169,6 +169,51 @@
     assert isinstance(chosen(router, isolate=True), routing.RouteForward)
 
 
+def test_forwarding_goes_on_until_the_advantage_is_small(router):
+    def waiting(count, sequence, now):
+        crowded = _records.server(
+            "s1", slots=80, running=80, waiting=count, sequence=sequence
+        )
+        router.update_server(crowded, at(now))
+
+    router.update_summary(_records.summary("kumamoto", slots=400), at(0))
+    waiting(26, 1, 0)
+    assert isinstance(chosen(router, 0.1), routing.RouteLocal)
+    waiting(60, 2, 0.2)
+    assert isinstance(chosen(router, 0.3), routing.RouteForward)
+    waiting(26, 3, 0.4)
+    assert isinstance(chosen(router, 0.5), routing.RouteForward)
+    waiting(5, 4, 0.6)
+    assert isinstance(chosen(router, 0.7), routing.RouteLocal)
+    waiting(26, 5, 0.8)
+    assert isinstance(chosen(router, 0.9), routing.RouteLocal)
+
+
+def test_a_region_that_returns_is_filled_slowly(router):
+    def forwarded(now):
+        crowded = _records.server(
+            "s1", slots=10, running=10, waiting=10, sequence=int(now)
+        )
+        router.update_server(crowded, at(now))
+        count = 0
+        for number in range(300):
+            decision = chosen(router, now)
+            if isinstance(decision, routing.RouteForward):
+                request = _records.request()
+                name = f"f{now}-{number}"
+                router.forward_started(decision, name, request, at(now))
+                count += 1
+        return count
+
+    router.update_summary(_records.summary("kumamoto", slots=100), at(0))
+    router.update_summary(
+        _records.summary("kumamoto", slots=100, sequence=2, lease_ms=90000),
+        at(60),
+    )
+    assert 10 <= forwarded(60.1) <= 30
+    assert forwarded(85) >= 60
+
+
 def test_own_bytes_on_a_link_count(router):
     router.region_link("kumamoto", at(0.11), 70e6)
     router.update_server(_records.server("s1", running=8, waiting=14), at(0))
