Let one of two go on that stand with logs of one length

Cause: of two that stood at once, the one with the newer log was refused when both logs had the same length; with the third voter lost, nobody was elected (search). Change: a candidate gives way only if both logs end with the same entry. Conclusion: fixed.

--- a/buckthorntack/consensus/_elections.py
+++ b/buckthorntack/consensus/_elections.py
@@ -198,7 +198,8 @@
     """Of two that stand with equal logs, only one goes on."""
     if state.role is not _state.Role.PRE_CANDIDATE:
         return True
-    if request.last_index != state.log.last_index:
+    own = (state.log.last_term, state.log.last_index)
+    if (request.last_term, request.last_index) != own:
         return True
     return sender > state.node_id
 
--- a/buckthorntack/consensus/tests/scenarios.py
+++ b/buckthorntack/consensus/tests/scenarios.py
@@ -370,7 +370,30 @@
     simulation.check_agreement()
 
 
+def two_with_logs_of_one_length_elect_one():
+    """Of two that stand at once, the one with the newer log leads."""
+    simulation = started("abc")
+    make_leader(simulation, "b")
+    simulation.propose("b")
+    assert try_to_lead(simulation, "a", "ac")
+    simulation.flights.clear()
+    simulation.crash("c")
+    disks = [simulation.nodes[name].disk for name in "ab"]
+    term = disks[0].hard_state.term
+    disks[1].hard_state = disks[1].hard_state._replace(term=term, vote="")
+    for name in "ab":
+        simulation.crash(name)
+        simulation.restart(name)
+    simulation.flights.clear()
+    for name in "abab":
+        simulation.tick(name, 40)
+    _spend(simulation, 100)
+    leading = [node.name for node in simulation.leading()]
+    simulation.check(leading == ["a"], "nobody was elected")
+
+
 ALL = (
+    two_with_logs_of_one_length_elect_one,
     lost_window_is_made_up_for_after_a_snapshot,
     copy_of_a_proposal_is_added_once,
     late_copy_of_a_proposal_is_not_refused,
