--- a/buckthorntack/configuration/_content.py
+++ b/buckthorntack/configuration/_content.py
@@ -1,17 +1,18 @@
 """Encoding of objects inside changes, deltas and copies."""
 
 import hashlib
+import itertools
 
 import msgspec
 
 from buckthorntack.schema import documents
 
 DIGEST_BYTES = 16
+#: Objects of a part; whoever reads a copy holds one part decoded at a time.
+PART_OBJECTS = 1000
 
 _ENCODER = msgspec.msgpack.Encoder()
 _OBJECTS = msgspec.msgpack.Decoder(list[documents.NamedObject])
-_RAW_OBJECTS = msgspec.msgpack.Decoder(list[msgspec.Raw])
-_OBJECT = msgspec.msgpack.Decoder(documents.NamedObject)
 _NAMES = msgspec.msgpack.Decoder(list[documents.ObjectName])
 _FINDINGS = msgspec.msgpack.Decoder(list[documents.Finding])
 
@@ -25,6 +26,20 @@
     return _ENCODER.encode(value)
 
 
+def encode_parts(named_objects):
+    """Encode many named objects without holding them all at once.
+
+    :param named_objects: iterable of named objects.
+    :returns: parts as msgpack bytes.
+
+    >>> [len(part) for part in encode_parts([])]
+    []
+    """
+    remaining = iter(named_objects)
+    while part := list(itertools.islice(remaining, PART_OBJECTS)):
+        yield encode(part)
+
+
 def decode_objects(data):
     """Decode named objects.
 
@@ -36,24 +51,6 @@
     return _OBJECTS.decode(data)
 
 
-def encode_each(values):
-    """Encode many named objects, one at a time to save memory.
-
-    :param values: iterable of dictionaries.
-    :returns: the bytes that :func:`encode` gives for their list.
-    """
-    return _ENCODER.encode([msgspec.Raw(encode(value)) for value in values])
-
-
-def decode_each(data):
-    """Decode many named objects, one at a time to save memory.
-
-    :param data: what :func:`encode` gave.
-    :returns: generator of named objects.
-    """
-    return map(_OBJECT.decode, _RAW_OBJECTS.decode(data))
-
-
 def decode_names(data):
     """Decode object names.
 
