--- a/buckthorntack/consensus/tests/scenarios.py
+++ b/buckthorntack/consensus/tests/scenarios.py
@@ -378,6 +378,9 @@
     assert try_to_lead(simulation, "a", "ac")
     simulation.flights.clear()
     simulation.crash("c")
+    disks = [simulation.nodes[name].disk for name in "ab"]
+    term = disks[0].hard_state.term
+    disks[1].hard_state = disks[1].hard_state._replace(term=term, vote="")
     for name in "ab":
         simulation.crash(name)
         simulation.restart(name)
