Pause between proposals of a change that no leader takes

Cause: a try that failed at once used up the others, so the first change after a leader's crash could still wait for a timeout of 6 s.

--- a/buckthorntack/configuration/_administration.py
+++ b/buckthorntack/configuration/_administration.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import datetime
+import functools
 
 import expression
 
@@ -19,9 +20,9 @@
 #: How long the answer to a pending change is awaited.
 SETTLE_TIMEOUT = datetime.timedelta(seconds=8)
 #: Times that a change is proposed before its answer is given up.
-PROPOSAL_TRIES = 6
+PROPOSAL_TRIES = 12
 #: Wait for an answer before the change is proposed again.
-PROPOSAL_PAUSE = datetime.timedelta(seconds=1)
+PROPOSAL_PAUSE = datetime.timedelta(milliseconds=500)
 #: How long a new replica has to catch up before the call returns.
 CATCH_UP_TIMEOUT = datetime.timedelta(seconds=20)
 #: Pause between tries to give a new replica its vote.
@@ -81,20 +82,15 @@
         A proposal to a leader that has just failed would otherwise be waited
         for until it times out.
         """
+        answered = asyncio.get_running_loop().create_future()
         tries = []
-        failed = []
-        while len(tries) < PROPOSAL_TRIES:
+        for _ in range(PROPOSAL_TRIES):
             proposed = asyncio.ensure_future(self.replica.propose(command))
+            proposed.add_done_callback(functools.partial(_note, answered))
             tries.append(proposed)
-            await clocks.completes(proposed, self.clock, PROPOSAL_PAUSE)
-            failed = [one.result() for one in tries if one.done()]
-            if any(result.is_ok() for result in failed):
-                break
-        else:
-            failed = await asyncio.gather(*tries)
-        for one in tries:
-            one.cancel()
-        return _best(failed)
+            if await clocks.completes(answered, self.clock, PROPOSAL_PAUSE):
+                return answered.result()
+        return _best(await asyncio.gather(*tries))
 
     async def _settled(self, proposal):
         settled = asyncio.get_running_loop().create_future()
@@ -218,6 +214,13 @@
         return await self.replicas()
 
 
+def _note(answered, proposed):
+    if proposed.cancelled() or answered.done():
+        return
+    if proposed.result().is_ok():
+        answered.set_result(proposed.result())
+
+
 def _best(results):
     """Of several tries an answer, else what may yet be committed."""
 
