--- a/buckthorntack/configuration/_administration.py
+++ b/buckthorntack/configuration/_administration.py
@@ -7,6 +7,7 @@
 import expression
 
 from buckthorntack import clock as clocks
+from buckthorntack import consensus
 from buckthorntack import errors
 from buckthorntack import schema
 from buckthorntack.configuration import _content
@@ -138,6 +139,9 @@
         :param after: only those of a later revision.
         :returns: ``Result`` of a ``History``.
         """
+        barrier = await self.replica.read_barrier()
+        if barrier.is_error():
+            return barrier
         changes = [
             _status.change_record(record)
             for record in self.machine.answers.records()
@@ -193,6 +197,8 @@
         deadline = self.clock.monotonic() + CATCH_UP_TIMEOUT
         while node_id not in self.replica.voters():
             promoted = await self.replica.promote(node_id)
+            if promoted.is_error() and not _is_behind(promoted.error):
+                return promoted
             if promoted.is_ok() or self.clock.monotonic() >= deadline:
                 break
             await self.clock.sleep(PROMOTION_PAUSE)
@@ -203,11 +209,13 @@
         return {*group.voters, *group.learners}
 
     async def remove_replica(self, node_id):
-        """Remove a replica.
+        """Remove a replica; done already if it is no member.
 
         :param node_id: the replica.
         :returns: ``Result`` of a ``ReplicaList``.
         """
+        if node_id not in self._members():
+            return await self.replicas()
         removed = await self.replica.remove(node_id)
         if removed.is_error():
             return removed
@@ -232,6 +240,10 @@
     return min(results, key=rank)
 
 
+def _is_behind(error):
+    return isinstance(error, consensus.LearnerBehindError)
+
+
 def _select(published, kind, name):
     for entry in published.named_objects():
         if kind not in (None, entry["kind"]):
--- a/buckthorntack/configuration/_status.py
+++ b/buckthorntack/configuration/_status.py
@@ -50,12 +50,15 @@
     for region in _regions(entries):
         found = [one for one in entries if one.region == region]
         held = [one.revision for one in found if one.revision]
-        behind = [one for one in found if one.revision < machine.revision]
+        lacking = [one for one in found if one.revision < machine.revision]
         status: documents.RegionStatus = {
             "region": region,
             "revision": min(held, default=0),
-            "nodes": len(found),
-            "nodes_behind": len(behind),
+            "in_force": [one.node_id for one in found if one not in lacking],
+            "behind": [one.node_id for one in lacking if one.in_contact],
+            "out_of_contact": [
+                one.node_id for one in lacking if not one.in_contact
+            ],
         }
         result.append(status)
     return result
@@ -152,18 +155,15 @@
     }
     if node_id == status.node_id:
         result["match_index"] = status.last_index
-        result["reachable"] = True
+        result["caught_up"] = True
     elif peer is not None:
         result["match_index"] = peer.match_index
-        result["reachable"] = _is_reachable(peer)
+        result["caught_up"] = peer.caught_up
+        if peer.heard_ms_ago is not None:
+            result["heard_ms_ago"] = peer.heard_ms_ago
     return result
 
 
-def _is_reachable(peer):
-    limit_ms = _source.CONTACT_TIMEOUT // datetime.timedelta(milliseconds=1)
-    return peer.heard_ms_ago is not None and peer.heard_ms_ago < limit_ms
-
-
 def _role(node_id, status):
     if node_id == status.node_id:
         return str(status.role)
--- a/buckthorntack/consensus/_task.py
+++ b/buckthorntack/consensus/_task.py
@@ -74,11 +74,12 @@
         self._barriers = []
         self._inputs = []
         self._wake = asyncio.Event()
-        self._role_changed = asyncio.Event()
+        self._transfers = []
         self._stopping = False
         self._failure = None
         self._tasks = []
         self._store = None
+        self._writing = None
         self._replica = None
         self._proposer = ""
         self._sequence = 0
@@ -116,6 +117,8 @@
         ticker.cancel()
         await asyncio.gather(runner, ticker, return_exceptions=True)
         self._release_callers()
+        if self._writing is not None:
+            await asyncio.wait([self._writing])
         await asyncio.to_thread(self._store.__exit__, None, None, None)
 
     def deliver(self, sender, message):
@@ -124,7 +127,8 @@
         :param sender: authenticated node that sent it.
         :param message: a message of the group.
         """
-        self._put(inputs.Delivered(sender, message))
+        if isinstance(message, _replica.MESSAGE_TYPES):
+            self._put(inputs.Delivered(sender, message))
 
     async def propose(self, command):
         """Have a command committed and applied here.
@@ -183,14 +187,9 @@
             return Error(self._stopped())
         if not self.is_leader():
             return Ok(self._replica.state.leader)
-        self._put(inputs.Transfer(node))
-        while self.is_leader() and not self._has_ended():
-            self._role_changed.clear()
-            await self._role_changed.wait()
-            if self._replica.state.is_leader:
-                detail = f"no voter of {self.group} took over"
-                return Error(_errors.NoTransferTargetError(detail))
-        return Ok(self._replica.state.leader)
+        future = asyncio.get_running_loop().create_future()
+        self._put(inputs.Transfer(node, future))
+        return await future
 
     def is_leader(self):
         """Whether this replica leads, as far as it knows."""
@@ -255,6 +254,9 @@
     async def _proposed(self, kind, argument):
         if self._has_ended():
             return Error(self._stopped())
+        if len(self._proposals) >= self.timing.waiting_proposals:
+            detail = f"too many proposals wait at {self.node_id}"
+            return Error(_errors.ProposalRefusedError(detail))
         self._sequence += 1
         name = _proposals.proposal_id(self._proposer, self._sequence)
         future = asyncio.get_running_loop().create_future()
@@ -290,12 +292,15 @@
             self._take(item)
         wanted = self._replica.collect()
         durable = [step for step in wanted if isinstance(step, _DURABLE)]
+        if any(isinstance(s, commands.RestoreSnapshot) for s in durable):
+            await self._await_writing()
         if durable:
             await asyncio.to_thread(self._persist, durable)
         for command in wanted:
             self._execute(command)
+        self._watch_transfer()
         await self._load_snapshots(wanted)
-        await self._save_snapshot()
+        await self._care_for_snapshots()
 
     def _persist(self, steps):
         """Make all steps last, with one sync where no snapshot comes."""
@@ -337,25 +342,62 @@
             )
         self._wake.set()
 
-    async def _save_snapshot(self):
-        saved_index = self._replica.state.snapshot_index
-        entries = self._applied_index - saved_index
+    async def _await_writing(self):
+        """Let no snapshot be written beside one from the leader."""
+        if self._writing is not None:
+            await self._writing
+            self._writing = None
+
+    def _is_snapshot_due(self):
+        entries = self._applied_index - self._replica.state.snapshot_index
         many = entries >= self.timing.snapshot_entries
         large = self._unsaved_bytes >= self.timing.snapshot_bytes
-        if not entries or not (many or large):
-            return
+        return self._writing is None and entries and (many or large)
+
+    def _begin_snapshot(self):
         info = self._replica.snapshot_info(self._applied_index)
-        data = self.state_machine.snapshot()
-        snapshot = storage.Snapshot(info, data)
-        await asyncio.to_thread(self._store.save, snapshot)
-        self._replica.snapshot_saved(info.index)
+        snapshot = storage.Snapshot(info, self.state_machine.snapshot())
         self._unsaved_bytes = 0
+        self._writing = asyncio.create_task(self._write_snapshot(snapshot))
+        self._writing.add_done_callback(lambda _: self._wake.set())
+
+    async def _write_snapshot(self, snapshot):
+        await asyncio.to_thread(self._store.write_snapshot, snapshot)
+        return snapshot.info
+
+    async def _finish_snapshot(self):
+        """Wait for the snapshot being written and release the log."""
+        info = await self._writing
+        self._writing = None
+        await asyncio.to_thread(self._store.release, info)
+        self._replica.snapshot_saved(info.index)
+
+    async def _care_for_snapshots(self):
+        if self._writing is not None and self._writing.done():
+            await self._finish_snapshot()
+        if self._is_snapshot_due():
+            self._begin_snapshot()
+
+    def _watch_transfer(self):
+        state = self._replica.state
+        if not state.is_leader:
+            self._finish_transfers(Ok(state.leader))
+        elif not state.transfer_to:
+            detail = f"no voter of {self.group} took over"
+            error = _errors.NoTransferTargetError(detail)
+            self._finish_transfers(Error(error))
+
+    def _finish_transfers(self, result):
+        for future in self._transfers:
+            if not future.done():
+                future.set_result(result)
+        self._transfers = []
 
     def _release_callers(self):
         unknown = _errors.CommitUnknownError(f"{self.node_id} stopped")
         self._proposals.resolve_all(Error(unknown))
         self._reads.resolve_all(Error(self._stopped()))
-        self._role_changed.set()
+        self._finish_transfers(Error(self._stopped()))
 
     @functools.singledispatchmethod
     def _take(self, item):
@@ -365,9 +407,8 @@
     def _(self, item: inputs.Tick):
         now = self.clock.monotonic()
         self._replica.tick(now)
-        detail = f"no answer in time from the majority of {self.group}"
-        self._proposals.expire(now, Error(_errors.CommitUnknownError(detail)))
-        self._reads.expire(now, Error(_errors.ReadTimeoutError(detail)))
+        if len(self._proposals) or len(self._reads):
+            self._expire(now)
 
     @_take.register
     def _(self, item: inputs.Delivered):
@@ -405,8 +446,15 @@
     @_take.register
     def _(self, item: inputs.Transfer):
         now = self.clock.monotonic()
-        if self._replica.transfer_leadership(now, item.node).is_error():
-            self._role_changed.set()
+        self._transfers.append(item.future)
+        result = self._replica.transfer_leadership(now, item.node)
+        if result.is_error():
+            self._finish_transfers(result)
+
+    def _expire(self, now):
+        detail = f"no answer in time from the majority of {self.group}"
+        self._proposals.expire(now, Error(_errors.CommitUnknownError(detail)))
+        self._reads.expire(now, Error(_errors.ReadTimeoutError(detail)))
 
     def _tell_refusal(self, item, result):
         if result.is_error():
@@ -458,7 +506,6 @@
 
     @_execute.register
     def _(self, command: commands.RoleChanged):
-        self._role_changed.set()
         self._events.write(
             _events.ROLE_CHANGED,
             group=self.group,
--- a/buckthorntack/membership/_deltas.py
+++ b/buckthorntack/membership/_deltas.py
@@ -30,8 +30,8 @@
     load = document.get("load", {})
     return messages.ServerRecord(
         server_id=document["server_id"],
-        incarnation=document["incarnation"],
-        sequence=document["sequence"],
+        incarnation=int(document["incarnation"]),
+        sequence=int(document["sequence"]),
         state=document["state"],
         pool=document["pool"],
         service=service,
@@ -41,17 +41,22 @@
         region=region,
         failure_domain=document["failure_domain"],
         url=document["url"],
-        slots=document["slots"],
+        slots=int(document["slots"]),
         lease_ms=lease_ms,
         load=messages.ServerLoad(
-            load.get("running", 0),
-            load.get("waiting", 0),
-            float(load.get("cache_used_fraction", 0)),
-            load.get("lag_ms", 0),
+            int(load.get("running", 0)),
+            int(load.get("waiting", 0)),
+            _share(load.get("cache_used_fraction", 0)),
+            int(load.get("lag_ms", 0)),
         ),
     )
 
 
+def _share(value):
+    """A number from 0 to 1; 0 if it is none, as NaN is."""
+    return float(value) if 0 <= value <= 1 else 0.0
+
+
 class DeltaSpread:
     """Sends and takes deltas.
 
@@ -65,6 +70,7 @@
         self._handles = {}
         self._owned = {}
         self._heard = {}
+        self._answers_due = False
         self._pending = {}
         self._fresh = set()
         self._peer_handles = {}
@@ -76,7 +82,7 @@
 
         :param document: a checked ``Announcement``.
         :param service: name of the service its pool is for.
-        :param age_ms: bound on its age, as far as it is known.
+        :param age_ms: bound on its age, or ``None``.
         :returns: ``Result`` of the record or a ``GatewayError``.
         """
         state = self.state
@@ -84,7 +90,10 @@
         if document["failure_domain"] != own.failure_domain:
             detail = f"{document['server_id']} is not of {own.failure_domain}"
             return Error(_errors.ForeignAnnouncementError(detail))
-        lease_ms = max(0, state.timing.server_lease_ms - age_ms)
+        if age_ms is None and document["state"] == _servers.READY:
+            detail = f"{document['server_id']} echoes no answer of this node"
+            return Error(_errors.UnknownAgeError(detail))
+        lease_ms = lease_left_ms(state.timing.server_lease_ms, age_ms)
         record = record_of(document, service, own.region, lease_ms)
         if _is_same(state.servers.get(record.server_id), record):
             return Ok(record)
@@ -178,7 +187,9 @@
             with_entry = self._take_introduction(peer.node_id) or repeat_own
             self._send(peer.node_id, with_entry, updates, renewals)
         if with_renewals:
-            self._answer_heard()
+            self._answers_due = not self._answers_due
+            if self._answers_due:
+                self._answer_heard()
 
     def _answer_heard(self):
         """Show nodes that send deltas here that this node lives."""
--- a/buckthorntack/membership/_events.py
+++ b/buckthorntack/membership/_events.py
@@ -25,6 +25,19 @@
     "An announcement was not taken.",
     "see the reason; an incarnation must grow with each start",
 )
+ECHO_ASKED = events.declare(
+    708,
+    "echo_asked",
+    logbook.DEBUG,
+    "A first announcement was answered with an echo to announce with.",
+)
+ITEM_REFUSED = events.declare(
+    707,
+    "item_refused",
+    logbook.NOTICE,
+    "An item of this node's application was not spread.",
+    "see the reason",
+)
 ENTRY_CHANGED = events.declare(
     703,
     "entry_changed",
@@ -38,6 +51,13 @@
     "An entry VM has stopped or gone silent.",
     "if it was not stopped, look at its log and its links",
 )
+STEP_FAILED = events.declare(
+    709,
+    "membership_step_failed",
+    logbook.ERROR,
+    "A step of membership failed; the next one is tried.",
+    "report the error with the lines before it",
+)
 DOMAIN_LEARNED = events.declare(
     705,
     "domain_learned",
--- a/buckthorntack/membership/_relays.py
+++ b/buckthorntack/membership/_relays.py
@@ -8,11 +8,11 @@
 #: Entry VMs of a failure domain that send its summaries.
 _RELAYS = 2
 #: Summaries of which one names entry VMs.
-_ENTRIES_EVERY = 4
+_ENTRIES_EVERY = 2
 #: Summaries that name entry VMs after a change of them.
 _WHOLE_REPEATS = 2
 #: Periods that a summary lasts.
-_LEASE_PERIODS = 4
+_LEASE_PERIODS = 3
 
 
 class SummarySpread:
@@ -26,7 +26,7 @@
         self.due_at_ms = 0
         self._sequence = 0
         self._turn = 0
-        self._forward = set()
+        self._forward = {}
         self._former = {}
         self._unheard = {}
         self._whole_left = 0
@@ -86,7 +86,7 @@
 
     def _send_own(self):
         self._sequence += 1
-        with_entries = self._sequence % _ENTRIES_EVERY == 1
+        with_entries = self._sequence % _ENTRIES_EVERY == 0
         with_entries = with_entries or self._whole_left > 0
         self._whole_left = max(0, self._whole_left - 1)
         brief = self.own_summary(with_entries)
@@ -118,7 +118,7 @@
         """
         if not self.state.stamps.has_seen(to):
             self._unheard[to] = summaries
-        self.state.send(to, messages.MembershipSummaries, summaries)
+        self.state.send(to, messages.MembershipSummaries, summaries, True)
 
     def on_echo(self, node_id):
         """Send again what a node could not know the age of.
@@ -173,17 +173,52 @@
         return summary is not None and bool(summary.entries)
 
     def on_summaries(self, sender, message, age_ms):
-        """Take summaries; those from outside go on to this domain.
+        """Take summaries; those that are news go on to this domain.
+
+        A random node of the domain does that, so that the few entry VMs
+        that summaries name do not bear it all.
 
         :param sender: node that sent them.
         :param message: the message.
         :param age_ms: bound on its age, or ``None``.
         """
-        inside = self.state.is_domain_peer(sender)
+        news = {}
         for summary in message.summaries:
             lease_ms = _deltas.lease_left_ms(summary.lease_ms, age_ms)
-            if self._take(summary, lease_ms) and not inside:
-                self._forward.add(summary.failure_domain)
+            if self._take(summary, lease_ms):
+                news[summary.failure_domain] = bool(summary.entries)
+        if not message.spread or not news:
+            return
+        if self.state.is_domain_peer(sender):
+            self._forward.update(news)
+        else:
+            self._hand_over(news)
+
+    def _hand_over(self, news):
+        """Have a random node of this domain send summaries on.
+
+        :param news: whether to name entry VMs, by failure domain.
+        """
+        nodes = self.state.domain_entries()
+        chosen = self.state.rng.choice(nodes).node_id
+        if chosen == self.state.own.node_id:
+            self._forward.update(news)
+        else:
+            self.send(chosen, self._current(news))
+
+    def _current(self, news):
+        """Summaries as held, without entry VMs that were not sent here.
+
+        :param news: whether to name entry VMs, by failure domain.
+        """
+        found = []
+        for domain, with_entries in sorted(news.items()):
+            summary = self.state.summaries.get(domain, self.state.now_ms)
+            if summary is not None and not with_entries:
+                summary = summary._replace(entries=[])
+            if summary is not None:
+                found.append(summary)
+        return found
 
     def _take(self, summary, lease_ms):
         state = self.state
@@ -200,11 +235,10 @@
         return True
 
     def _forward_in_domain(self):
-        domains, self._forward = sorted(self._forward), set()
-        now_ms = self.state.now_ms
-        found = [self.state.summaries.get(d, now_ms) for d in domains]
-        summaries = [summary for summary in found if summary is not None]
+        news, self._forward = self._forward, {}
+        summaries = self._current(news)
         if not summaries:
             return
         for peer in self.state.domain_peers():
-            self.send(peer.node_id, summaries)
+            kind = messages.MembershipSummaries
+            self.state.send(peer.node_id, kind, summaries, False)
--- a/buckthorntack/routing/_types.py
+++ b/buckthorntack/routing/_types.py
@@ -26,12 +26,15 @@
     allowed_regions: frozenset[str]
     #: Region that forwarded it; None if a caller of this region sent it.
     origin_region: str | None = None
+    #: Servers, and failure domains forwarded to, that failed it.
     excluded_servers: frozenset[str] = frozenset()
     idempotent: bool = True
     #: Must run on a server without other suspects.
     isolate: bool = False
     #: Server that runs an equal request now, and takes this one as well.
     preferred_server: str | None = None
+    #: Leads equal requests of several entry VMs to one of equal servers.
+    fingerprint: str = ""
 
 
 class Reasons(NamedTuple):
@@ -71,7 +74,10 @@
 class RouterSettings(NamedTuple):
     """Constants of the routing policy."""
 
-    #: Servers drawn for a decision, besides those with a cached prefix.
+    #: Servers scored for a cached prefix, the longest first.
+    cached_servers: int = 3
+    #: Servers drawn by load beside those, and if there are none.
+    sampled_beside_cached: int = 2
     sampled_servers: int = 4
     sampled_domains: int = 8
     #: Prompt tokens that a server takes in a second, until learnt.
@@ -100,5 +106,5 @@
     ejection_ms: float = 5000.0
     longest_ejection_ms: float = 60000.0
     ejected_share: float = 0.5
-    prefix_blocks: int = 50_000
+    prefix_blocks: int = 30_000
     retry_after_ms: int = 2000
--- a/buckthorntack/routing/tests/test_router.py
+++ b/buckthorntack/routing/tests/test_router.py
@@ -116,6 +116,14 @@
     assert decision.entries == ("entry-kumamoto",)
 
 
+def test_does_not_forward_to_where_it_failed(router):
+    router.update_summary(_records.summary("kumamoto"), at(0))
+    router.update_summary(_records.summary("kagoshima"), at(0))
+    failed = frozenset({"kumamoto-a"})
+    decisions = [chosen(router, excluded_servers=failed) for _ in range(20)]
+    assert {decision.region for decision in decisions} == {"kagoshima"}
+
+
 def test_never_forwards_a_forwarded_request(router):
     router.update_summary(_records.summary("kumamoto"), at(0))
     request = _records.request(origin_region="kagoshima")
@@ -197,3 +205,18 @@
         router.attempt_started(name, f"a{number}", 100, at(30.1))
         placed += name == "new"
     assert 5 <= placed <= 15
+
+
+def test_equal_requests_of_several_entry_vms_meet():
+    counts = set()
+    for number in range(6):
+        router = routing.Router(
+            "fukuoka",
+            "fukuoka-a",
+            routing.RouterSettings(),
+            random.Random(number),
+        )
+        for name in ("s1", "s2", "s3"):
+            router.update_server(_records.server(name), at(0))
+        counts.add(chosen(router, fingerprint="f1").server_id)
+    assert len(counts) == 1
--- a/buckthorntack/schema/_generated/admin_documents.py
+++ b/buckthorntack/schema/_generated/admin_documents.py
@@ -68,7 +68,7 @@
     """
     objects: list[NamedObject]
     """
-    Sorted by kind and name.
+    By kind.
     """
 
 
@@ -111,21 +111,28 @@
 
 class RegionStatus(TypedDict, closed=True):
     """
-    How far a region follows the configuration.
+    How far the entry VMs of a region follow the configuration.
     """
 
     region: str
+    """
+    Name of the region.
+    """
     revision: int
     """
-    Lowest revision in force among its nodes that were heard of.
+    Lowest revision in force at its entry VMs when last heard of; 0 if none was heard of.
+    """
+    in_force: list[str]
     """
-    nodes: int
+    Entry VMs that have the present revision.
+    """
+    behind: list[str]
     """
-    Nodes known in the region.
+    Entry VMs in contact that do not have it yet.
     """
-    nodes_behind: int
+    out_of_contact: list[str]
     """
-    Nodes not yet at the present revision, or not heard of.
+    Entry VMs that were not heard of lately and may have an older revision.
     """
 
 
@@ -135,16 +142,29 @@
     """
 
     node_id: str
+    """
+    Control VM that holds it.
+    """
     role: str
     """
     leader, follower, candidate, learner or unknown.
     """
     voter: bool
+    """
+    Whether it votes.
+    """
     match_index: NotRequired[int]
     """
-    Last log entry it is known to hold.
+    Last log entry that the leader knows it holds.
+    """
+    heard_ms_ago: NotRequired[int]
+    """
+    Time since the leader heard of it.
+    """
+    caught_up: NotRequired[bool]
+    """
+    Whether it holds the leader's log.
     """
-    reachable: NotRequired[bool]
 
 
 class ReplicaList(TypedDict, closed=True):
@@ -228,12 +248,21 @@
     """
 
     change_id: str
+    """
+    Its change id.
+    """
     revision: int
+    """
+    Revision that it became, or the interim one while it is pending.
+    """
     pending: bool
     """
     Whether it awaits confirmation by entry VMs and is not accepted yet.
     """
     regions: list[ChangeRegionStatus]
+    """
+    Where it is in force.
+    """
 
 
 class Change(TypedDict, closed=True):
@@ -305,7 +334,7 @@
     """
     has_quorum: bool
     """
-    Whether changes can be accepted now.
+    Whether changes can be accepted, as far as is known there.
     """
     leader: NotRequired[str]
     """
@@ -317,7 +346,7 @@
     """
     regions: list[RegionStatus]
     """
-    Which regions have confirmed the revision.
+    Which regions have the revision in force.
     """
     changes: NotRequired[list[ChangeStatus]]
     """
