Add the load and experiment tool

Change: buckthorntack/bench generates seeded mixes of both deployments, drives real nodes over the fake backend servers, checks the promises from what the fakes themselves ran, and reports latency, cost, share away, refusals and violations; subcommand load runs the same mix with the gateway's router and with simple policies. EntryRole, Node and Deployment take a maker of the router. Fake engines tell what they run, and prompts share a server's prefill speed, one after another, as the router's estimate assumes.

--- a/buckthorntack/cli/_commands/__init__.py
+++ b/buckthorntack/cli/_commands/__init__.py
@@ -14,6 +14,7 @@
 from buckthorntack.cli._commands import get
 from buckthorntack.cli._commands import history
 from buckthorntack.cli._commands import keys
+from buckthorntack.cli._commands import load
 from buckthorntack.cli._commands import replicas
 from buckthorntack.cli._commands import settings_schema
 from buckthorntack.cli._commands import status
@@ -31,6 +32,7 @@
     status,
     replicas,
     keys,
+    load,
     settings_schema,
     version,
 )
--- a/buckthorntack/entry/_role.py
+++ b/buckthorntack/entry/_role.py
@@ -62,10 +62,20 @@
     :param clock: source of time.
     :param rng: source of randomness.
     :param registry: where metrics are registered.
+    :param make_router: makes the routing policy of a region, failure domain
+        and source of randomness; the ``Router`` if ``None``.
     """
 
     def __init__(
-        self, settings, links, members, listeners, clock, rng, registry
+        self,
+        settings,
+        links,
+        members,
+        listeners,
+        clock,
+        rng,
+        registry,
+        make_router=None,
     ):
         self.settings = settings
         self.links = links
@@ -74,6 +84,7 @@
         self.clock = clock
         self.rng = rng
         self.registry = registry
+        self.make_router = make_router or _make_router
         self.parts = _parts.EntryParts(settings, links, clock, rng)
         self.callers = None
         self.backends = None
@@ -128,11 +139,8 @@
 
     def _make_decisions(self):
         parts = self.parts
-        parts.router = routing.Router(
-            parts.region,
-            parts.failure_domain,
-            routing.RouterSettings(),
-            self.rng,
+        parts.router = self.make_router(
+            parts.region, parts.failure_domain, self.rng
         )
         retry_settings = retries.RetrySettings()
         self._limiter = retries.AttemptLimiter(
@@ -324,6 +332,11 @@
         self._log.write(_events.ENTRY_STOPPED)
 
 
+def _make_router(region, failure_domain, rng):
+    settings = routing.RouterSettings()
+    return routing.Router(region, failure_domain, settings, rng)
+
+
 def _loaded(result):
     if result.is_error():
         raise result.error
--- a/buckthorntack/node/_node.py
+++ b/buckthorntack/node/_node.py
@@ -25,14 +25,24 @@
     :param rng: source of randomness.
     :param listeners: sockets bound already, by name; others are bound here.
     :param shaping: delays and losses imposed on links, for trials.
+    :param make_router: makes another routing policy, for trials.
     """
 
-    def __init__(self, settings, clock, rng, listeners=None, shaping=None):
+    def __init__(
+        self,
+        settings,
+        clock,
+        rng,
+        listeners=None,
+        shaping=None,
+        make_router=None,
+    ):
         self.settings = settings
         self.clock = clock
         self.rng = rng
         self.listeners = dict(listeners or {})
         self.shaping = shaping
+        self.make_router = make_router
         self.entry = None
         self.control = None
         self.links = None
@@ -148,6 +158,7 @@
             self.clock,
             self.rng,
             self.registry,
+            self.make_router,
         )
 
     def _deliver(self, sender, message):
--- a/buckthorntack/routing/_baselines.py
+++ b/buckthorntack/routing/_baselines.py
@@ -95,6 +95,9 @@
         """Ignored; no server is ever ejected."""
         return False
 
+    def reserve_server(self, server_id, duration, now):
+        """Ignored."""
+
     def forward_started(self, decision, attempt_id, request, now):
         """Ignored."""
 
--- a/buckthorntack/schema/documents.py
+++ b/buckthorntack/schema/documents.py
@@ -28,6 +28,9 @@
 from buckthorntack.schema._generated.backend_documents import EngineOrderAnswer
 from buckthorntack.schema._generated.backend_documents import LoadReport
 from buckthorntack.schema._generated.backend_documents import Outcome
+from buckthorntack.schema._generated.bench_documents import FaultSchedule
+from buckthorntack.schema._generated.bench_documents import FaultSchedules
+from buckthorntack.schema._generated.bench_documents import FaultStep
 from buckthorntack.schema._generated.keys_documents import KeyFiles
 from buckthorntack.schema._generated.keys_documents import LinkKeyFile
 from buckthorntack.schema._generated.keys_documents import LinkKeyPair
@@ -80,6 +83,9 @@
     "EngineOrder",
     "EngineOrderAnswer",
     "FailureDomain",
+    "FaultSchedule",
+    "FaultSchedules",
+    "FaultStep",
     "Finding",
     "History",
     "HttpSettings",
--- a/buckthorntack/standins/__init__.py
+++ b/buckthorntack/standins/__init__.py
@@ -9,6 +9,7 @@
 from buckthorntack.standins._deployment import Deployment
 from buckthorntack.standins._deployment import Layout
 from buckthorntack.standins._deployment import OPERATOR_TOKEN
+from buckthorntack.standins._engine import CRASH_MARK
 from buckthorntack.standins._engine import EngineFaults
 from buckthorntack.standins._engine import EngineProfile
 from buckthorntack.standins._engine import FakeEngine
@@ -18,6 +19,7 @@
 __all__ = [
     "Announcer",
     "Answer",
+    "CRASH_MARK",
     "Caller",
     "Demonstration",
     "Deployment",
--- a/buckthorntack/standins/_deployment.py
+++ b/buckthorntack/standins/_deployment.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import datetime
+import functools
 import pathlib
 import random
 import socket
@@ -60,13 +61,26 @@
     :param data_folder: where the nodes keep their state.
     :param layout: the :class:`Layout`.
     :param seed: seed of all randomness.
+    :param make_router: makes another routing policy, for trials.
+    :param on_run: called with server, attempt id, path and body whenever a
+        fake backend server begins to run a request.
     """
 
-    def __init__(self, folder, data_folder, layout=None, seed=1):
+    def __init__(
+        self,
+        folder,
+        data_folder,
+        layout=None,
+        seed=1,
+        make_router=None,
+        on_run=None,
+    ):
         self.folder = pathlib.Path(folder)
         self.data_folder = pathlib.Path(data_folder)
         self.layout = layout or Layout()
         self.seed = seed
+        self.make_router = make_router
+        self.on_run = on_run
         self.clock = clocks.SystemClock()
         self.cut_links = set()
         self.nodes = {}
@@ -212,7 +226,13 @@
             self.cut_links,
         )
         rng = random.Random(f"{self.seed}/{node_id}")
-        node = nodes.Node(settings, self.clock, rng, shaping=shaper)
+        node = nodes.Node(
+            settings,
+            self.clock,
+            rng,
+            shaping=shaper,
+            make_router=self.make_router,
+        )
         stack = contextlib.AsyncExitStack()
         self.nodes[node_id] = await stack.enter_async_context(node)
         self._node_stacks[node_id] = stack
@@ -231,6 +251,16 @@
         await self._node_stacks.pop(node_id).aclose()
         del self.nodes[node_id]
 
+    async def kill_node(self, node_id):
+        """End a node as a crash does.
+
+        :param node_id: the node.
+        """
+        node = self.nodes.pop(node_id)
+        await node.entry.caller_listener.kill()
+        await node.entry.backend_listener.kill()
+        await self._node_stacks.pop(node_id).aclose()
+
     def region_of(self, node_id):
         """Region of a node.
 
@@ -362,11 +392,13 @@
             node.entry.backend_listener.url for node in self.entries(region)
         ]
         announcer = _announcer.Announcer(fake, document, urls)
-        await self._until(lambda: self._configured(region))
-        await announcer.__aenter__()
         server = RunningServer(
             server_id, region, pool["service"], fake, listener, announcer
         )
+        if self.on_run is not None:
+            fake.on_run = functools.partial(self.on_run, server)
+        await self._until(lambda: self._configured(region))
+        await announcer.__aenter__()
         self.servers[server_id] = server
         fake.on_crash = lambda: asyncio.create_task(self.kill_server(server))
         self._stack.push_async_callback(self.kill_server, server)
--- a/buckthorntack/standins/_engine.py
+++ b/buckthorntack/standins/_engine.py
@@ -29,6 +29,15 @@
     default_tokens: int = 16
 
 
+class EngineWork:
+    """What an engine has done since it started."""
+
+    def __init__(self):
+        self.prefilled_tokens = 0.0
+        self.cached_tokens = 0.0
+        self.generated_tokens = 0
+
+
 class EngineFaults:
     """Faults that a trial switches on."""
 
@@ -91,6 +100,8 @@
         self.role = "both"
         self.faults = EngineFaults()
         self.on_crash = None
+        self.on_run = None
+        self.work = EngineWork()
         self.attempts = collections.OrderedDict()
         self.running = 0
         self.waiting = 0
@@ -100,6 +111,7 @@
         self.fencing = 0
         self.orders = []
         self._slots = asyncio.Semaphore(self.profile.slots)
+        self._prefilling = asyncio.Lock()
         self._cache = collections.OrderedDict()
         self._cache_events = []
         self._cache_sequence = 0
@@ -150,7 +162,7 @@
             await _asgi.answer_json(send, 503, {"error": "full"}, told)
             return
         if self.faults.crash_on_mark and CRASH_MARK in body:
-            self.runs[attempt_id] += 1
+            self._note_run(attempt_id, scope, body)
             self.crash()
             return
         attempt = self._start(scope, body, attempt_id)
@@ -159,8 +171,13 @@
             await asyncio.Event().wait()
         await self._answer(attempt, -1, send)
 
-    def _start(self, scope, body, attempt_id):
+    def _note_run(self, attempt_id, scope, body):
         self.runs[attempt_id] += 1
+        if self.on_run is not None:
+            self.on_run(attempt_id, scope["path"], body)
+
+    def _start(self, scope, body, attempt_id):
+        self._note_run(attempt_id, scope, body)
         request = msgspec.json.decode(body)
         tokens = request.get("max_tokens") or self.profile.default_tokens
         attempt = _Attempt(
@@ -183,9 +200,10 @@
             self.waiting -= 1
         self.running += 1
         try:
-            await asyncio.sleep(self._prefill_seconds(body))
+            await self._prefill(body)
             for number in range(attempt.tokens):
                 attempt.add(_token(attempt, number))
+                self.work.generated_tokens += 1
                 await asyncio.sleep(self.profile.token_ms / 1e3)
             attempt.add(b"[DONE]")
             attempt.finish()
@@ -193,6 +211,11 @@
             self.running -= 1
             self._slots.release()
 
+    async def _prefill(self, body):
+        """Prompts share the server's prefill speed: one after another."""
+        async with self._prefilling:
+            await asyncio.sleep(self._prefill_seconds(body))
+
     def _prefill_seconds(self, body):
         prompt = read_prompt(body).ok.content
         hashes = prefix_hashes(prompt)
@@ -203,7 +226,10 @@
             cached += 1
         self._remember(hashes)
         share = cached / len(hashes) if hashes else 0.0
-        tokens = len(prompt) / BYTES_PER_TOKEN * (1 - share)
+        whole = len(prompt) / BYTES_PER_TOKEN
+        tokens = whole * (1 - share)
+        self.work.prefilled_tokens += tokens
+        self.work.cached_tokens += whole - tokens
         return tokens / self.profile.prefill_tokens_per_second
 
     def _remember(self, hashes):
--- a/buckthorntack/standins/_service.py
+++ b/buckthorntack/standins/_service.py
@@ -29,6 +29,7 @@
         self.bodies = []
         self.answers = {}
         self.running = 0
+        self.on_run = None
 
     async def __call__(self, scope, receive, send):
         body = await _asgi.read_body(receive)
@@ -50,6 +51,8 @@
 
     async def _work(self, scope, body, attempt_id):
         self.running += 1
+        if self.on_run is not None:
+            self.on_run(attempt_id, scope["path"], body)
         await asyncio.sleep(self.faults.delay_ms / 1e3)
         self.running -= 1
         self.runs[attempt_id] += 1
