--- a/buckthorntack/entry/_watching.py
+++ b/buckthorntack/entry/_watching.py
@@ -113,7 +113,7 @@
             if was_suspect:
                 self._log.write(retries.ACQUITTED, fingerprint=fingerprint)
         else:
-            self.quarantine.stopped(fingerprint, server_id, now)
+            self.quarantine.stopped(fingerprint, server_id)
         self.spread()
 
     def connection_lost(self, record, fingerprint, closed):
--- a/buckthorntack/standins/_demo.py
+++ b/buckthorntack/standins/_demo.py
@@ -6,6 +6,8 @@
 import time
 from typing import NamedTuple
 
+import logbook
+
 from buckthorntack.standins import _caller
 from buckthorntack.standins import _deployment
 from buckthorntack.standins import _service
@@ -15,6 +17,21 @@
 DRAIN_TOKENS = 80
 
 
+STEP_NAMES = (
+    "bring-up",
+    "long proposal, streamed",
+    "short line, whole",
+    "write, resent elsewhere",
+    "read",
+    "backend server crashes",
+    "region cut off",
+    "healed, write resent elsewhere",
+    "planned stop of an entry VM",
+    "no fault of the gateway itself",
+)
+INTERNAL_FAULT = 1308
+
+
 class Step(NamedTuple):
     """One line of the demonstration's table."""
 
@@ -82,12 +99,24 @@
         with tempfile.TemporaryDirectory(prefix="buckthorntack-") as folder:
             deployment = _deployment.Deployment(self.folder, folder)
             begun = time.monotonic()
-            async with deployment:
-                self.deployment = deployment
-                self._note("bring-up", "objects published", True, begun)
-                await self._run_steps()
+            with logbook.TestHandler(level=logbook.ERROR) as log:
+                async with deployment:
+                    self.deployment = deployment
+                    self._note("bring-up", "objects published", True, begun)
+                    await self._run_steps()
+        self._look_for_faults(log)
         return self.steps
 
+    def _look_for_faults(self, log):
+        """The gateway must not have failed in itself meanwhile."""
+        faults = [
+            record.message
+            for record in log.records
+            if record.extra.get("event") == INTERNAL_FAULT
+        ]
+        seen = "; ".join(faults) or "none logged"
+        self._note(STEP_NAMES[-1], seen, not faults, time.monotonic())
+
     async def _run_steps(self):
         domains = self.deployment.of_kind("FailureDomain")
         self.regions = sorted({domain["region"] for domain in domains})
