Build one file; smoke-test it; link nodes of both keys in a rotation

Cause: the product ships as one binary that starts no process; and a rotation of link keys had cut nodes of different keys apart. Change: make binary (PEX), make smoke (keys, settings, publish, status, process tree, SIGTERM) as part of make test; a link tries each key that a peer may have.

--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 	$(BIN)/python -m pip install -q -r requirements/dev.txt
 	touch $@
 
-test: venv lint check-generated unit  ## Everything that CI runs.
+test: venv lint check-generated unit smoke  ## Everything that CI runs.
 
 lint: venv  ## Formatter and linters, as checks.
 	$(BIN)/ruff format --check .
@@ -45,5 +45,21 @@
 demo: venv  ## Show a deployment at work (DEPLOYMENT=rendimar for the other).
 	$(BIN)/python -m tools.demo $(DEPLOYMENT)
 
+binary: dist/buckthorntack  ## Build the one-file program.
+
+dist/buckthorntack: venv FORCE
+	rm -rf build/binary
+	mkdir -p build/binary dist
+	cp -r buckthorntack build/binary/
+	find build/binary \( -name tests -o -name __pycache__ \) -prune \
+		-exec rm -r {} +
+	$(BIN)/python -m pex -D build/binary -r requirements/run.txt \
+		--venv-repository $(VENV) -e buckthorntack.cli:main -o $@
+
+FORCE:
+
+smoke: binary  ## Use the built program as a new operator would.
+	$(BIN)/python -m tools.smoke
+
 clean:  ## Remove what the targets made.
 	rm -rf build dist .venv
--- a/buckthorntack/transport/_links.py
+++ b/buckthorntack/transport/_links.py
@@ -130,8 +130,8 @@
         asyncio.get_running_loop().remove_reader(self._router.FD)
         self._authenticator.stop()
         self._router.close()
-        for dealer in self._dealers.values():
-            dealer.close()
+        for node_id in {node_id for node_id, _ in self._dealers}:
+            self.disconnect(node_id)
         self._context.destroy(linger=0)
 
     def _configure(self, socket):
@@ -162,7 +162,7 @@
         if node_id == self.node_id or node_id not in self.addresses:
             return
         for lane in ("control", "bulk"):
-            self._dealer(node_id, lane)
+            self._open_lane(node_id, lane)
 
     def disconnect(self, node_id):
         """Close the links to a node.
@@ -170,24 +170,28 @@
         :param node_id: the node.
         """
         for lane in ("control", "bulk"):
-            dealer = self._dealers.pop((node_id, lane), None)
-            if dealer is not None:
+            for dealer in self._dealers.pop((node_id, lane), ()):
                 dealer.close()
 
-    def _dealer(self, node_id, lane):
-        dealer = self._dealers.get((node_id, lane))
-        if dealer is None:
-            dealer = self._open(node_id, lane)
-            self._dealers[node_id, lane] = dealer
-        return dealer
-
-    def _open(self, node_id, lane):
+    def _open_lane(self, node_id, lane):
+        """Sockets to a peer, one for each key that it may have by now."""
+        dealers = self._dealers.get((node_id, lane))
+        if dealers is None:
+            own = self.keys.public_key
+            others = sorted(self.keys.accepted_public_keys - {own})
+            dealers = [
+                self._open(node_id, lane, key) for key in (own, *others)
+            ]
+            self._dealers[node_id, lane] = dealers
+        return dealers
+
+    def _open(self, node_id, lane, server_key):
         dealer = self._plain.socket(zmq.DEALER)
         self._configure(dealer)
         dealer.immediate = True
         dealer.reconnect_ivl = RECONNECT_MS
         dealer.reconnect_ivl_max = RECONNECT_MAX_MS
-        dealer.curve_serverkey = self.keys.public_key
+        dealer.curve_serverkey = server_key
         dealer.routing_id = f"{self.node_id}/{lane}".encode()
         dealer.connect(f"tcp://{self.addresses[node_id]}")
         return dealer
@@ -208,9 +212,9 @@
             return False
         lane = "bulk" if isinstance(message, BULK_MESSAGES) else "control"
         frames = schema.encode(message)
-        try:
-            self._dealer(to, lane).send_multipart(frames, zmq.NOBLOCK)
-        except zmq.Again:
+        if not any(
+            _sent(dealer, frames) for dealer in self._open_lane(to, lane)
+        ):
             self.dropped_messages += 1
             return False
         self.sent_messages += 1
@@ -254,6 +258,14 @@
             self.handle(sender, message)
 
 
+def _sent(dealer, frames):
+    try:
+        dealer.send_multipart(frames, zmq.NOBLOCK)
+    except zmq.Again:
+        return False
+    return True
+
+
 @functools.lru_cache(maxsize=4096)
 def _node_of(peer):
     return peer.decode(errors="replace").rpartition("/")[0]
--- a/buckthorntack/transport/tests/test_links.py
+++ b/buckthorntack/transport/tests/test_links.py
@@ -100,3 +100,12 @@
     assert second == datetime.timedelta(milliseconds=255)
     cut.add(("fukuoka", "kumamoto"))
     assert shaper.arrival("a", 1, now) is None
+
+
+def test_rotation_links_nodes_of_both_keys():
+    old, new = _new_keys(), _new_keys()
+    both = frozenset([old.public_key, new.public_key])
+    still_old = old._replace(accepted_public_keys=both)
+    already_new = new._replace(accepted_public_keys=both)
+    assert len(asyncio.run(_exchange(still_old, already_new, 5))) == 5
+    assert len(asyncio.run(_exchange(already_new, still_old, 5))) == 5
