Move the drawing of candidates out of the router

Change: drawing and the choice among the best have a module of their own. Conclusion: same behaviour.

--- a/buckthorntack/routing/_router.py
+++ b/buckthorntack/routing/_router.py
@@ -4,13 +4,13 @@
 import random
 
 import expression
-import xxhash
 
 from buckthorntack import errors
 from buckthorntack.routing import _errors
 from buckthorntack.routing import _load
 from buckthorntack.routing import _prefix
 from buckthorntack.routing import _regions
+from buckthorntack.routing import _sampling
 from buckthorntack.routing import _scoring
 from buckthorntack.routing import _servers
 from buckthorntack.routing import _types
@@ -45,6 +45,7 @@
         self.settings = settings
         self.rng = rng
         self._servers = _servers.ServerTable(settings)
+        self._sampler = _sampling.Sampler(self._servers, settings, rng)
         self._domains = _regions.DomainTable(settings, rng)
         self._prefixes = _prefix.PrefixIndex(settings.prefix_blocks)
         self._scorer = _scoring.Scorer(settings)
@@ -312,9 +313,7 @@
             return None
         best = min(candidate.warm_score for candidate in local)
         if best > self._margin_s(request.service, 0.0):
-            ordered = self._servers.ordered(group)
-            excluded = request.excluded_servers
-            for name in self._first_allowed(ordered, excluded, group):
+            for name in self._sampler.least_loaded(request, group):
                 least = self._score_server(name, request, matches, now_s)
                 local.append(least)
                 best = min(best, least.warm_score)
@@ -328,52 +327,11 @@
     def _local(self, request, group, matches, now_s):
         if self.region not in request.allowed_regions:
             return []
-        names = self._draw(request, group, matches)
+        names = self._sampler.draw(request, group, matches)
         return [
             self._score_server(name, request, matches, now_s) for name in names
         ]
 
-    def _draw(self, request, group, matches):
-        """Draw candidates; a constant number, whatever the group's size."""
-        ordered = self._servers.ordered(group)
-        excluded = request.excluded_servers
-        preferred = request.preferred_server
-        if preferred not in excluded and self._offers(preferred, group):
-            return [preferred]
-        if request.isolate:
-            return self._first_allowed(ordered, excluded, group)
-        settings = self.settings
-        names = [name for name in matches if self._offers(name, group)]
-        names = names[: settings.cached_servers]
-        size = len(ordered)
-        wanted = settings.sampled_servers
-        if names:
-            wanted = settings.sampled_beside_cached
-        if size <= wanted:
-            names += [pair[1] for pair in ordered]
-        else:
-            draw = self.rng.random
-            for _ in range(wanted):
-                # Squaring prefers low loads without always taking the least.
-                names.append(ordered[int(draw() ** 2 * size)][1])
-        names = [name for name in dict.fromkeys(names) if name not in excluded]
-        return names or self._first_allowed(ordered, excluded, group)
-
-    def _first_allowed(self, ordered, excluded, group):
-        for _, name in ordered:
-            if name not in excluded:
-                return [name]
-        left_out = self._servers.left_out(group)
-        return sorted(name for name in left_out if name not in excluded)[:1]
-
-    def _offers(self, name, group):
-        server = self._servers.get(name)
-        return (
-            server is not None
-            and server.position is not None
-            and group in server.groups
-        )
-
     def _score_server(self, name, request, matches, now_s):
         server = self._servers.get(name)
         return self._scorer.server(
@@ -433,7 +391,7 @@
         return settings.forward_enter_ms / 1e3 + share
 
     def _forward(self, remote, best, request):
-        chosen = self._near_best(remote, request)
+        chosen = self._sampler.near_best(remote, request)
         domain = self._domains.get(chosen.place)
         entries = domain.ready_entries()
         self.rng.shuffle(entries)
@@ -445,30 +403,13 @@
         )
 
     def _run_here(self, local, best, request):
-        chosen = self._near_best(local, request)
+        chosen = self._sampler.near_best(local, request)
         server = self._servers.get(chosen.place)
         if request.prompt_tokens >= LEAST_PREFIX_TOKENS:
             self._prefixes.placed(chosen.place, request.prefix_hashes)
         reasons = _reasons(chosen, local, best)
         return _types.RouteLocal(chosen.place, server.record.url, reasons)
 
-    def _near_best(self, candidates, request):
-        """One of the candidates that are about as good as the best.
-
-        It is drawn by the request's fingerprint, so that equal requests
-        meet, or else at random.
-        """
-        settings = self.settings
-        best = min(candidates).score
-        tolerance = max(
-            best * settings.tolerance_share, settings.tolerance_ms / 1e3
-        )
-        limit = best + tolerance
-        near = [c for c in candidates if c.score <= limit]
-        if len(near) == 1 or not request.fingerprint:
-            return near[int(self.rng.random() * len(near))]
-        return max(near, key=lambda c: _affinity(request.fingerprint, c.place))
-
     def _capacity(self, decision, request):
         key = _regions.DomainKey(decision.region, decision.failure_domain)
         domain = self._domains.get(key)
@@ -497,10 +438,6 @@
         )
 
 
-def _affinity(fingerprint, place):
-    return xxhash.xxh3_64_intdigest(f"{fingerprint}/{place}".encode())
-
-
 def _reasons(chosen, candidates, local_score):
     return _types.Reasons(
         chosen.ttft_s * 1e3,
--- a/buckthorntack/routing/tests/test_properties.py
+++ b/buckthorntack/routing/tests/test_properties.py
@@ -194,8 +194,8 @@
 
 
 class GivesUpEarly(routing.Router):
-    def _draw(self, request, group, matches):
-        return super()._draw(request, group, matches)[:0]
+    def _local(self, request, group, matches, now_s):
+        return []
 
 
 @pytest.mark.parametrize(
