--- a/buckthorntack/retries/tests/test_policy.py
+++ b/buckthorntack/retries/tests/test_policy.py
@@ -213,6 +213,9 @@
         assert server.runs <= 1
 
 
+@hypothesis.settings(
+    max_examples=300, deadline=None, derandomize=True, database=None
+)
 @given(data=strategies.data(), idempotent=strategies.booleans())
 def test_final_answers_are_true(data, idempotent):
     check_truth(make_policy(), idempotent, data.draw)
@@ -247,6 +250,7 @@
 
     @hypothesis.settings(
         max_examples=1000,
+        deadline=None,
         derandomize=True,
         database=None,
         phases=(hypothesis.Phase.generate,),
--- a/buckthorntack/routing/tests/test_prefix.py
+++ b/buckthorntack/routing/tests/test_prefix.py
@@ -2,6 +2,7 @@
 
 import random
 
+import hypothesis
 from hypothesis import given
 from hypothesis import strategies
 
@@ -14,6 +15,7 @@
     return {"sequence": sequence, "kind": kind, "prefix_hashes": texts}
 
 
+@hypothesis.settings(deadline=None, derandomize=True, database=None)
 @given(
     prompt=strategies.binary(min_size=2000, max_size=40_000),
     cut=strategies.integers(0, 40_000),
