--- a/buckthorntack/routing/_router.py
+++ b/buckthorntack/routing/_router.py
@@ -147,7 +147,8 @@
         slots = server.record.slots
         work_s = server.load.work_s(slots, tokens, load)
         wait_s = server.load.wait_s(slots, load, now_s)
-        attempt = _load.Attempt(now_s, work_s, wait_s, isolated)
+        prefill_s = server.load.prefill_s(tokens)
+        attempt = _load.Attempt(now_s, prefill_s, work_s, wait_s, isolated)
         server.load.started(attempt_id, attempt)
         if isolated:
             self._servers.reserve(server, now_s + RESERVED_S, now_s)
@@ -239,7 +240,8 @@
         work_s = capacity.load.work_s(capacity.slots, tokens, load)
         expected_s = decision.reasons.expected_ttft_ms / 1e3
         wait_s = max(0.0, expected_s - work_s * capacity.load.slowness)
-        attempt = _load.Attempt(now_s, work_s, wait_s, False)
+        prefill_s = capacity.load.prefill_s(tokens)
+        attempt = _load.Attempt(now_s, prefill_s, work_s, wait_s, False)
         capacity.load.started(attempt_id, attempt)
 
     def forward_first_byte(
@@ -340,9 +342,13 @@
             return [preferred]
         if request.isolate:
             return self._first_allowed(ordered, excluded, group)
+        settings = self.settings
         names = [name for name in matches if self._offers(name, group)]
+        names = names[: settings.cached_servers]
         size = len(ordered)
-        wanted = self.settings.sampled_servers
+        wanted = settings.sampled_servers
+        if names:
+            wanted = settings.sampled_beside_cached
         if size <= wanted:
             names += [pair[1] for pair in ordered]
         else:
@@ -378,6 +384,9 @@
         """Score what other failure domains offer, if that can matter."""
         if request.origin_region is not None:
             return []
+        if request.isolate and best is not None:
+            # A suspect's server is claimed where it runs: it stays.
+            return []
         if best is not None and best <= self._margin_s(request.service, 0.0):
             return []
         return [
@@ -385,6 +394,7 @@
             for key in self._domains.offers(group, now_s)
             if key.region in request.allowed_regions
             and key.failure_domain not in request.excluded_servers
+            and key.failure_domain not in request.excluded_servers
             and self._domains.get(key).ready_entries()
         ]
 
