--- a/benchmarks/consensus.py
+++ b/benchmarks/consensus.py
@@ -201,7 +201,9 @@
         self.sent_messages = 0
         self.snapshot = None
         for name in self.names:
-            recovered = storage.Recovered(name, storage.HardState(), None, [])
+            recovered = storage.Recovered(
+                name.zfill(16), storage.HardState(), None, []
+            )
             self.replicas[name] = consensus.Replica(
                 "bench",
                 name,
--- a/buckthorntack/consensus/_elections.py
+++ b/buckthorntack/consensus/_elections.py
@@ -48,6 +48,8 @@
     :param voter_identity: identity by the members of the group; empty if no
         leader has recorded it yet.
     """
+    if state.replaced:
+        return False
     if voter_identity:
         return voter_identity == state.identity
     return state.enrolled
--- a/buckthorntack/consensus/_replication.py
+++ b/buckthorntack/consensus/_replication.py
@@ -89,6 +89,9 @@
     :param sender: the leader.
     :param request: its entries.
     """
+    if request.voter_identity not in ("", state.identity):
+        _state.retire(state)
+        return
     if request.term < state.term:
         _refuse(state, sender, request, 0)
         return
@@ -234,6 +237,7 @@
         entries=entries,
         commit_index=state.commit_index,
         round=state.round,
+        voter_identity=state.configuration.voters.get(node, ""),
     )
     state.progress[node].commit_index = state.commit_index
     _state.send(state, node, request)
--- a/buckthorntack/consensus/_snapshots.py
+++ b/buckthorntack/consensus/_snapshots.py
@@ -25,10 +25,15 @@
 def want(state, node, progress):
     """Ask the shell for the snapshot that a replica needs.
 
+    One replica gets a snapshot at a time, so that several that are behind
+    share one rate.
+
     :param state: the replica's state.
     :param node: the replica.
     :param progress: its progress.
     """
+    if _is_sending(state) or not _is_heard(state, progress):
+        return
     progress.wants_snapshot = True
     state.commands.append(commands.SnapshotWanted(node))
 
@@ -57,9 +62,12 @@
         transfer = progress.transfer
         if transfer is None:
             continue
+        if not _is_heard(state, progress):
+            progress.transfer = None
+            continue
         pause = state.timing.chunk_interval
         if transfer.waiting:
-            pause = state.timing.election_timeout
+            pause = 2 * state.timing.heartbeat
         if state.now - transfer.sent_at >= pause:
             _send_chunk(state, node, progress)
 
@@ -113,6 +121,19 @@
         _send_chunk(state, sender, progress)
 
 
+def _is_sending(state):
+    return any(
+        progress.transfer is not None or progress.wants_snapshot
+        for progress in state.progress.values()
+    )
+
+
+def _is_heard(state, progress):
+    if progress.heard_at is None:
+        return False
+    return state.now - progress.heard_at <= state.timing.election_timeout
+
+
 def _send_chunk(state, node, progress):
     transfer = progress.transfer
     info = transfer.snapshot.info
--- a/buckthorntack/consensus/_state.py
+++ b/buckthorntack/consensus/_state.py
@@ -45,6 +45,8 @@
         self.vote = recovered.hard_state.vote
         self.peers = dict(recovered.hard_state.peers)
         self.enrolled = recovered.hard_state.enrolled
+        #: Whether the vote of this node belongs to another disk.
+        self.replaced = recovered.hard_state.replaced
         info = storage.SnapshotInfo()
         if recovered.snapshot is not None:
             info = recovered.snapshot.info
@@ -143,7 +145,11 @@
     :param state: the replica's state.
     """
     hard_state = storage.HardState(
-        state.term, state.vote, dict(state.peers), state.enrolled
+        state.term,
+        state.vote,
+        dict(state.peers),
+        state.enrolled,
+        state.replaced,
     )
     state.commands.append(commands.PersistHardState(hard_state))
 
@@ -211,6 +217,18 @@
     change_role(state, Role.FOLLOWER, leader)
 
 
+def retire(state):
+    """Take no more part, as the vote of this node has another disk.
+
+    :param state: the replica's state.
+    """
+    if not state.replaced:
+        state.replaced = True
+        persist_hard_state(state)
+    state.commands.append(commands.DiskReplaced(state.node_id))
+    follow(state, state.term)
+
+
 def _drop_leadership(state):
     refuse_reads(state)
     state.progress = {}
--- a/buckthorntack/consensus/_task.py
+++ b/buckthorntack/consensus/_task.py
@@ -5,6 +5,7 @@
 
 from expression import Error
 from expression import Ok
+import xxhash
 
 from buckthorntack import events
 from buckthorntack import storage
@@ -237,7 +238,8 @@
 
     def _unique_name(self):
         started_us = int(self.clock.wall().timestamp() * 1_000_000)
-        return f"{started_us:x}-{self.rng.getrandbits(64):016x}"
+        mixed = f"{started_us} {self.rng.getrandbits(128)}".encode()
+        return xxhash.xxh3_64_hexdigest(mixed)
 
     def _put(self, item):
         if not self._has_ended():
@@ -267,6 +269,7 @@
     async def _tick(self):
         while True:
             await self.clock.sleep(self.timing.tick)
+            self._expire(self.clock.monotonic())
             self._put(inputs.Tick())
 
     async def _run(self):
@@ -407,8 +410,6 @@
     def _(self, item: inputs.Tick):
         now = self.clock.monotonic()
         self._replica.tick(now)
-        if len(self._proposals) or len(self._reads):
-            self._expire(now)
 
     @_take.register
     def _(self, item: inputs.Delivered):
@@ -452,6 +453,9 @@
             self._finish_transfers(result)
 
     def _expire(self, now):
+        """Let callers go whose time is over, also while the disk hangs."""
+        if not len(self._proposals) and not len(self._reads):
+            return
         detail = f"no answer in time from the majority of {self.group}"
         self._proposals.expire(now, Error(_errors.CommitUnknownError(detail)))
         self._reads.expire(now, Error(_errors.ReadTimeoutError(detail)))
--- a/buckthorntack/consensus/tests/scenarios.py
+++ b/buckthorntack/consensus/tests/scenarios.py
@@ -392,7 +392,89 @@
     simulation.check(leading == ["a"], "nobody was elected")
 
 
+def snapshots_go_to_one_replica_at_a_time():
+    """A receiver that dies does not keep others from theirs."""
+    simulation = started("abcde")
+    make_leader(simulation, "a")
+    for _ in range(8):
+        simulation.propose("a", width=simulations.TIMING.chunk_bytes)
+        exchange(simulation, "abc")
+    simulation.save_snapshot("a")
+    progress = simulation.nodes["a"].replica.state.progress
+    for _ in range(40):
+        if progress["d"].transfer is not None:
+            break
+        _tick_all(simulation)
+    simulation.crash("d")
+    for _ in range(60):
+        _tick_all(simulation)
+    last = max(simulation.committed)
+    reached = simulation.nodes["e"].applied_index
+    simulation.check(reached == last, "no snapshot for the other")
+    simulation.check_agreement()
+
+
+def _tick_all(simulation):
+    simulation.now += simulations.STEP
+    for node in simulation.running():
+        node.replica.tick(simulation.now)
+        simulation.finish(node)
+    for _ in range(len(simulation.flights)):
+        simulation.deliver(0)
+
+
+def founder_that_lost_its_disk_stops():
+    """A group of one that was begun anew ends when the old one is heard."""
+    simulation = started("a")
+    for name in "bc":
+        simulation.change("add_learner", "a", name)
+        simulation.add_node(name)
+        simulation.settle(20)
+        simulation.change("promote", "a", name)
+        simulation.settle(20)
+    make_leader(simulation, "b")
+    simulation.propose("b")
+    simulation.settle(10)
+    simulation.add_node("a", simulation.first_voters)
+    simulation.flights.clear()
+    simulation.tick("b", 5)
+    exchange(simulation, "abc")
+    for _ in range(2):
+        for _ in range(60):
+            _tick_all(simulation)
+        state = simulation.nodes["a"].replica.state
+        simulation.check(not state.leader, "a blank disk takes part")
+        simulation.check(state.log.last_index == 0, "it has entries")
+        simulation.restart("a")
+    simulation.check_agreement()
+
+
+def replica_that_founded_anew_stops_leading():
+    """A leader that hears that its vote has another disk stops."""
+    simulation = started("a")
+    node = simulation.nodes["a"]
+    assert node.replica.state.is_leader
+    request = messages.AppendRequest(
+        group=simulations.GROUP,
+        term=9,
+        previous_index=0,
+        previous_term=0,
+        entries=[],
+        commit_index=0,
+        round=0,
+        voter_identity="disk-0",
+    )
+    node.replica.receive("b", request, simulation.now)
+    simulation.finish(node)
+    for _ in range(60):
+        _tick_all(simulation)
+    simulation.check(not simulation.leading(), "it leads still")
+
+
 ALL = (
+    replica_that_founded_anew_stops_leading,
+    founder_that_lost_its_disk_stops,
+    snapshots_go_to_one_replica_at_a_time,
     two_with_logs_of_one_length_elect_one,
     lost_window_is_made_up_for_after_a_snapshot,
     copy_of_a_proposal_is_added_once,
--- a/buckthorntack/consensus/tests/test_task.py
+++ b/buckthorntack/consensus/tests/test_task.py
@@ -5,6 +5,7 @@
 import datetime
 import itertools
 import random
+import threading
 
 from buckthorntack import clock
 from buckthorntack import consensus
@@ -253,6 +254,40 @@
     run(scenario())
 
 
+class HangingFiles(memory_files.MemoryFiles):
+    """Files whose operations wait while told to."""
+
+    def __init__(self):
+        super().__init__()
+        self.free = threading.Event()
+        self.free.set()
+
+    def step(self):
+        self.free.wait()
+        return super().step()
+
+
+def test_caller_is_released_while_the_disk_hangs(tmp_path):
+    files = HangingFiles()
+
+    async def scenario():
+        async with Cluster(tmp_path, ["a"], files) as cluster:
+            await cluster.propose(b"x")
+            task = cluster.network.tasks["a"]
+            files.free.clear()
+            try:
+                results = await asyncio.gather(
+                    task.propose(b"y"), task.read_barrier()
+                )
+            finally:
+                files.free.set()
+            assert results[0].error.run_state is errors.RunState.UNKNOWN
+            assert results[1].error.kind == "read_timeout"
+            await until(lambda: b"y" in task.state_machine.commands)
+
+    run(scenario())
+
+
 def test_many_proposals_share_a_sync(tmp_path):
     files = memory_files.MemoryFiles()
 
--- a/buckthorntack/schema/_generated/consensus.py
+++ b/buckthorntack/schema/_generated/consensus.py
@@ -54,6 +54,7 @@
     entries: list[LogEntry]
     commit_index: int
     round: int
+    voter_identity: str
 
 
 class AppendResponse(NamedTuple):
--- a/buckthorntack/storage/_records.py
+++ b/buckthorntack/storage/_records.py
@@ -14,6 +14,7 @@
     vote: str = ""
     peers: dict[str, str] = {}
     enrolled: bool = False
+    replaced: bool = False
 
 
 class SnapshotInfo(NamedTuple):
