--- a/buckthorntack/configuration/tests/test_histories.py
+++ b/buckthorntack/configuration/tests/test_histories.py
@@ -1,5 +1,7 @@
 """Random histories of changes, resends and restarts."""
 
+import os
+
 import hypothesis
 from hypothesis import strategies as st
 import pytest
@@ -7,6 +9,7 @@
 from buckthorntack import configuration
 from buckthorntack.configuration.tests import _samples
 
+EXAMPLES = int(os.environ.get("BUCKTHORNTACK_EXAMPLES", "100"))
 STEPS = st.lists(
     st.tuples(
         st.sampled_from("abcdef"),
@@ -76,7 +79,7 @@
 
 
 SETTINGS = hypothesis.settings(
-    max_examples=100, deadline=None, derandomize=True, database=None
+    max_examples=EXAMPLES, deadline=None, derandomize=True, database=None
 )
 
 
--- a/buckthorntack/configuration/tests/test_spread.py
+++ b/buckthorntack/configuration/tests/test_spread.py
@@ -1,5 +1,7 @@
 """Spread of the configuration, with faults chosen by hypothesis."""
 
+import os
+
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies as st
@@ -10,6 +12,7 @@
 from buckthorntack.configuration.tests import _spread_world
 from buckthorntack.schema import messages
 
+EXAMPLES = int(os.environ.get("BUCKTHORNTACK_EXAMPLES", "100"))
 NODES = (*_spread_world.CONTROLS, *_spread_world.ENTRIES)
 
 
@@ -211,7 +214,7 @@
     stateful.run_state_machine_as_test(
         Spread,
         settings=hypothesis.settings(
-            max_examples=100,
+            max_examples=EXAMPLES,
             stateful_step_count=25,
             deadline=None,
             derandomize=True,
--- a/buckthorntack/ledger/_home_task.py
+++ b/buckthorntack/ledger/_home_task.py
@@ -16,7 +16,7 @@
 PROPOSAL_WAIT = datetime.timedelta(seconds=1)
 DEFAULT_RETENTION = datetime.timedelta(hours=24)
 DEFAULT_ANSWER_BYTES = 64 * 1024
-DEFAULT_CAPACITY_BYTES = 32 << 20
+DEFAULT_CAPACITY_BYTES = 128 << 20
 
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 _EPOCH = datetime.datetime.fromtimestamp(0, datetime.UTC)
--- a/buckthorntack/ledger/_records.py
+++ b/buckthorntack/ledger/_records.py
@@ -1,6 +1,7 @@
 """Records of a home by key, with their expiry."""
 
 import heapq
+import struct
 
 import msgspec
 
@@ -11,7 +12,10 @@
 RECORD_OVERHEAD_BYTES = 220
 #: Records that expire within the same time are looked at together.
 BUCKET_MS = 60_000
+#: Length of the digest of a key.
+DIGEST_BYTES = 16
 
+_LENGTH = struct.Struct(">I")
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(messages.LedgerRecord)
 
@@ -91,10 +95,11 @@
 
     def dump(self):
         """All records for a snapshot."""
-        return [
-            messages.LedgerStoredRecord(digest, encoded)
+        return b"".join(
+            piece
             for digest, encoded in self._records.items()
-        ]
+            for piece in (digest, _LENGTH.pack(len(encoded)), encoded)
+        )
 
     def load(self, stored, tombstones, closed_window):
         """Replace all records.
@@ -106,6 +111,17 @@
         self.__init__()
         self.tombstones.load(tombstones)
         self.closed_window = closed_window
-        for one in stored:
-            record = _DECODER.decode(one.record)
-            self._put_encoded(one.digest, one.record, record)
+        for digest, encoded in _split(stored):
+            self._put_encoded(digest, encoded, _DECODER.decode(encoded))
+
+
+def _split(stored):
+    place = 0
+    while place < len(stored):
+        start = place + DIGEST_BYTES + _LENGTH.size
+        (length,) = _LENGTH.unpack_from(stored, place + DIGEST_BYTES)
+        yield (
+            stored[place : place + DIGEST_BYTES],
+            stored[start : start + length],
+        )
+        place = start + length
--- a/buckthorntack/ledger/tests/_world.py
+++ b/buckthorntack/ledger/tests/_world.py
@@ -301,7 +301,7 @@
     """Broken: a snapshot leaves the records out."""
 
     def snapshot(self):
-        records, self.records.dump = self.records.dump, list
+        records, self.records.dump = self.records.dump, bytes
         try:
             return super().snapshot()
         finally:
--- a/buckthorntack/ledger/tests/test_random.py
+++ b/buckthorntack/ledger/tests/test_random.py
@@ -1,5 +1,7 @@
 """Random steps and faults of a ledger home."""
 
+import os
+
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies as st
@@ -7,6 +9,7 @@
 from buckthorntack.ledger.tests import _world
 from buckthorntack.ledger.tests import test_faults
 
+EXAMPLES = int(os.environ.get("BUCKTHORNTACK_EXAMPLES", "100"))
 PLACES = st.integers(0, 20)
 REPLICAS = st.sampled_from(_world.HOME["replicas"])
 ENTRIES = st.sampled_from(_world.ENTRIES)
@@ -97,7 +100,7 @@
     stateful.run_state_machine_as_test(
         Ledger,
         settings=hypothesis.settings(
-            max_examples=100,
+            max_examples=EXAMPLES,
             stateful_step_count=30,
             deadline=None,
             derandomize=True,
--- a/buckthorntack/schema/_generated/ledger.py
+++ b/buckthorntack/schema/_generated/ledger.py
@@ -124,21 +124,12 @@
     answer_stored: bool
 
 
-class LedgerStoredRecord(NamedTuple):
-    """
-    A record in a snapshot.
-    """
-
-    digest: bytes
-    record: bytes
-
-
 class LedgerSnapshot(NamedTuple):
     """
     Replicated state of a home.
     """
 
-    records: list[LedgerStoredRecord]
+    records: bytes
     tombstones: bytes
     closed_window: int
     log_time_ms: int
--- a/buckthorntack/schema/messages.py
+++ b/buckthorntack/schema/messages.py
@@ -59,7 +59,6 @@
 from buckthorntack.schema._generated.ledger import LedgerReply
 from buckthorntack.schema._generated.ledger import LedgerSettle
 from buckthorntack.schema._generated.ledger import LedgerSnapshot
-from buckthorntack.schema._generated.ledger import LedgerStoredRecord
 from buckthorntack.schema._generated.links import Ping
 from buckthorntack.schema._generated.links import Pong
 from buckthorntack.schema._generated.membership import DomainSummary
@@ -144,7 +143,6 @@
     "LedgerReply",
     "LedgerSettle",
     "LedgerSnapshot",
-    "LedgerStoredRecord",
     "LogEntry",
     "MembershipDelta",
     "MembershipDigest",
