--- a/buckthorntack/retries/_quarantine.py
+++ b/buckthorntack/retries/_quarantine.py
@@ -104,6 +104,7 @@
         self._convictions = _Expiring(settings.most_items)
         self._crashes_of = {}
         self._crash_times = {}
+        self._crash_uses = collections.Counter()
         self._running = {}
         self._outbox = {}
 
@@ -135,17 +136,14 @@
         return Clean(next(iter(servers)) if servers else None)
 
     def claim(
-        self,
-        fingerprint: str,
-        now: datetime.timedelta,
-        server_id: str | None = None,
+        self, fingerprint: str, server_id: str, now: datetime.timedelta
     ) -> _claims.RunAlone | _claims.Wait:
         """Ask to run a suspect; ask for the verdict again after a wait.
 
         :param fingerprint: its fingerprint.
-        :param now: the time.
         :param server_id: the server that shall run it; best the same one
-            each time.  Without it, suspects may share a server.
+            each time.
+        :param now: the time.
         :returns: :class:`RunAlone` or :class:`Wait`.
         """
         return self._claims.claim(fingerprint, server_id, now)
@@ -170,9 +168,7 @@
         servers = self._running.setdefault(fingerprint, collections.Counter())
         servers[server_id] += 1
 
-    def stopped(
-        self, fingerprint: str, server_id: str, now: datetime.timedelta
-    ) -> None:
+    def stopped(self, fingerprint: str, server_id: str) -> None:
         """Note an attempt that ended without running to its end.
 
         A claim is left to run out, so that the news of a crash goes ahead
@@ -180,9 +176,8 @@
 
         :param fingerprint: the request's fingerprint.
         :param server_id: the server.
-        :param now: the time.
         """
-        self._claims.abandon(fingerprint, now)
+        self._claims.abandon(fingerprint)
         self._leave(fingerprint, server_id)
 
     def finished(
@@ -276,11 +271,14 @@
         self._evidence.add(key, self._until(now))
         self._crashes_of.setdefault(item.fingerprint, set()).add(crash)
         self._crash_times.setdefault(crash, now)
+        self._crash_uses[crash] += 1
         self._judge(item.fingerprint, now)
 
     def _take_acquittal(self, item, now):
         crash = CrashId(item.server_id, item.incarnation)
-        self._acquittals.add((item.fingerprint, crash), self._until(now))
+        # Kept longer than evidence that may arrive after it.
+        until = self._until(self._until(now))
+        self._acquittals.add((item.fingerprint, crash), until)
 
     def _take_conviction(self, item, now):
         if item.fingerprint not in self._convictions:
@@ -333,8 +331,10 @@
             crashes.discard(crash)
             if not crashes:
                 del self._crashes_of[fingerprint]
-            if not any(crash in known for known in self._crashes_of.values()):
-                self._crash_times.pop(crash, None)
+            self._crash_uses[crash] -= 1
+            if not self._crash_uses[crash]:
+                del self._crash_uses[crash]
+                del self._crash_times[crash]
 
     def _until(self, now):
         retention_ms = self.settings.retention_ms
