Ask the backend server when a holder stays silent

Cause: a claim whose holder's VM never returned was told as in progress until its retention ended. Change: at the third probe without reply the claiming entry VM has the backend server asked; a holder that returns may still tell the outcome. Conclusion: the outcome becomes final without the holder.

--- a/buckthorntack/ledger/_home.py
+++ b/buckthorntack/ledger/_home.py
@@ -19,6 +19,8 @@
 MAX_BATCH_BYTES = 1 << 20
 #: How long the holder of a claim is awaited.
 PROBE_TIMEOUT = datetime.timedelta(milliseconds=500)
+#: Probes without reply after which the backend server is asked instead.
+MAX_SILENCES = 3
 #: When callers are told to come back while an attempt runs.
 RETRY_AFTER_MS = 1000
 #: Kind of a reply that makes the client try another replica.
@@ -58,6 +60,7 @@
         self._queue = collections.deque()
         self._in_flight = []
         self._waiting = collections.defaultdict(list)
+        self._silences = collections.Counter()
 
     def receive(self, sender, message, now):
         """Take a message.
@@ -216,12 +219,13 @@
     def _probe_reply(self, message: messages.LedgerProbeReply, sender, now):
         key = (message.organisation, message.key, message.attempt_id)
         waiting = self._waiting.pop(key, [])
+        self._silences.pop(key, None)
         if not waiting:
             return []
         if message.holding == "abandoned":
             return self._release(sender, message, waiting)
         if message.holding == "not_known":
-            return self._resolve(message, waiting)
+            return self._resolve(message.attempt_id, waiting)
         return self._progress(message.attempt_id, waiting)
 
     def _release(self, holder, message, waiting):
@@ -242,11 +246,11 @@
             commands += self._enqueue(one.sender, one.claim)
         return commands
 
-    def _resolve(self, message, waiting):
+    def _resolve(self, attempt_id, waiting):
         first, *others = waiting
-        resolve = _verdicts.Resolve(message.attempt_id)
+        resolve = _verdicts.Resolve(attempt_id)
         commands = self._tell(resolve, first.sender, first.claim)
-        return commands + self._progress(message.attempt_id, others)
+        return commands + self._progress(attempt_id, others)
 
     def _progress(self, attempt_id, waiting):
         commands = []
@@ -255,6 +259,15 @@
             commands += self._tell(verdict, one.sender, one.claim)
         return commands
 
+    def _unanswered(self, key, waiting):
+        """A holder that stays silent may be gone for good."""
+        if len(self._silences) >= MAX_QUEUED:
+            self._silences.clear()
+        self._silences[key] += 1
+        if self._silences[key] < MAX_SILENCES:
+            return self._progress(key[2], waiting)
+        return self._resolve(key[2], waiting)
+
     def tick(self, now):
         """Answer claims whose holder did not reply.
 
@@ -267,7 +280,7 @@
             if not late:
                 continue
             kept = [one for one in waiting if one.deadline > now]
-            commands += self._progress(key[2], late)
+            commands += self._unanswered(key, late)
             if kept:
                 self._waiting[key] = kept
             else:
--- a/buckthorntack/ledger/tests/test_faults.py
+++ b/buckthorntack/ledger/tests/test_faults.py
@@ -142,6 +142,32 @@
     assert {flow.told for flow in world.flows} == {errors.RunState.RAN}
 
 
+def test_holder_that_never_returns_is_not_waited_for():
+    world = _world.World()
+    world.send_request("e1")
+    while not world.granted():
+        world.step()
+    world.isolate("e1")
+    world.run(world.granted()[0])
+    finish(world)
+    assert world.flows[-1].told == errors.RunState.RAN
+
+
+def test_holder_that_returns_late_tells_the_answer():
+    world = _world.World()
+    flow = world.send_request("e1")
+    while not world.granted():
+        world.step()
+    world.isolate("e1")
+    world.granted = list
+    finish(world)
+    assert world.flows[-1].told == errors.RunState.UNKNOWN
+    world.heal()
+    world.run(flow)
+    finish(world)
+    assert world.flows[-1].told == errors.RunState.RAN
+
+
 def test_one_fault():
     for schedule in schedules(1):
         world = play(schedule)
