Keep idle connections longer than clients do

Cause: listeners closed an idle connection after 5 s, when clients of httpx give theirs up as well; a caller that used it again at that moment lost a request. The entry role's own client had the same limit towards backend servers that close after 5 s. Change: listeners keep idle connections for 75 s; the entry role drops its own after 2 s.

--- a/buckthorntack/entry/_attempt.py
+++ b/buckthorntack/entry/_attempt.py
@@ -14,6 +14,8 @@
 STATE_HEADER = "x-run-state"
 CONNECT_SECONDS = 1.0
 ASK_SECONDS = 2.0
+#: Shorter than servers usually keep an idle connection.
+KEEP_ALIVE_SECONDS = 2.0
 EVENT_STREAM = "text/event-stream"
 PASSED_HEADERS = ("content-type", "location", "etag", "cache-control")
 NOT_RUN_STATUS = 503
@@ -55,7 +57,9 @@
     async def __aenter__(self):
         timeout = httpx.Timeout(None, connect=CONNECT_SECONDS)
         limits = httpx.Limits(
-            max_connections=None, max_keepalive_connections=256
+            max_connections=None,
+            max_keepalive_connections=256,
+            keepalive_expiry=KEEP_ALIVE_SECONDS,
         )
         single = httpx.Limits(
             max_connections=None, max_keepalive_connections=0
--- a/buckthorntack/transport/_http.py
+++ b/buckthorntack/transport/_http.py
@@ -14,6 +14,9 @@
 
 BACKLOG_CONNECTIONS = 2048
 START_POLL_SECONDS = 0.005
+#: An idle connection is kept for longer than clients usually keep theirs, so
+#: that none is closed just as its client uses it again.
+KEEP_ALIVE_SECONDS = 75
 
 
 def bind_listener(address):
@@ -116,6 +119,7 @@
             log_config=None,
             access_log=False,
             backlog=BACKLOG_CONNECTIONS,
+            timeout_keep_alive=KEEP_ALIVE_SECONDS,
             http="httptools",
             ws="none",
             server_header=False,
