--- a/buckthorntack/bench/_drive.py
+++ b/buckthorntack/bench/_drive.py
@@ -137,9 +137,14 @@
             return await caller.chat(url, model, content, max_tokens=4)
 
     def _urls(self, request):
-        entries = self.deployment.entries(request.region)
-        urls = [entry.entry.caller_listener.url for entry in entries]
-        first = request.entry % max(1, len(urls))
+        """All entry VMs of the region; callers may not know which run."""
+        settings = self.deployment.settings
+        urls = [
+            f"http://{settings[node_id]['callers']['listen_address']}"
+            for node_id in sorted(settings)
+            if settings[node_id]["region"] == request.region
+        ]
+        first = request.entry % len(urls)
         return urls[first:] + urls[:first]
 
     async def _watch_loop(self):
--- a/buckthorntack/bench/_faults.py
+++ b/buckthorntack/bench/_faults.py
@@ -81,7 +81,7 @@
         self.send = send
         self._log = events.EventLog("bench")
         self._tasks = set()
-        self._ended = {}
+        self._known = {}
 
     async def run(self, steps):
         """Carry out the steps of a schedule.
@@ -90,6 +90,7 @@
         """
         loop = asyncio.get_running_loop()
         begun = loop.time()
+        self._known.update(self.deployment.servers)
         for step in steps:
             await asyncio.sleep(max(0.0, begun + step["at_s"] - loop.time()))
             self._log.write(_events.FAULT, fault=step["fault"])
@@ -113,13 +114,12 @@
     async def _kill_server(self, step):
         server = self.deployment.servers.get(step["server_id"])
         if server is not None:
-            self._ended[server.server_id] = server
             await self.deployment.kill_server(server)
 
     async def _restart_server(self, step):
         server_id = step["server_id"]
         await self._kill_server(step)
-        document = self._ended[server_id].announcer.document
+        document = self._known[server_id].announcer.document
         pool = next(
             pool
             for pool in self.deployment.of_kind("BackendServerPool")
--- a/buckthorntack/cli/_commands/load.py
+++ b/buckthorntack/cli/_commands/load.py
@@ -54,10 +54,14 @@
     :param context: where to print.
     :returns: an exit code; that of findings if a promise was broken.
     """
+    import logging
+
     import logbook
 
     from buckthorntack import bench
 
+    # Broken connections are among what is measured.
+    logging.getLogger("uvicorn").setLevel(logging.CRITICAL)
     handler = logbook.StreamHandler(context.stderr, level="ERROR")
     with handler.applicationbound():
         results = [
--- a/buckthorntack/routing/_baselines.py
+++ b/buckthorntack/routing/_baselines.py
@@ -11,6 +11,9 @@
 #: Reasons of a decision that weighs nothing.
 NO_REASONS = _types.Reasons(0.0, 0.0, 0.0, 0.0, 0, 1.0, None)
 
+#: Load of a server whose slots are all taken.
+FULL_LOAD = 1.0
+
 
 class Policy:
     """Base of the simple policies: knows servers and summaries.
@@ -144,18 +147,26 @@
         ]
 
     def _forward(self, request, now):
-        targets = [
+        targets = self._targets(request, now)
+        if not targets:
+            detail = f"no live backend server offers {request.service}"
+            return expression.Error(_errors.NoServerError(detail, 2000))
+        return self._hand_over(self.rng.choice(targets))
+
+    def _targets(self, request, now):
+        """Summaries of other failure domains that can run a request."""
+        if request.origin_region is not None:
+            return []
+        return [
             summary
             for summary, lease_until in self._summaries.values()
-            if request.origin_region is None
-            and now < lease_until
+            if now < lease_until
             and summary.region in request.allowed_regions
-            and _offers(summary, request)
+            and summary.failure_domain not in request.excluded_servers
+            and _offer(summary, request) is not None
         ]
-        if not targets:
-            detail = f"no live backend server offers {request.service}"
-            return expression.Error(_errors.NoServerError(detail, 2000))
-        summary = self.rng.choice(targets)
+
+    def _hand_over(self, summary):
         entries = [e.node_id for e in summary.entries if e.state == "ready"]
         self.rng.shuffle(entries)
         return expression.Ok(
@@ -198,7 +209,8 @@
 class LeastLoadedPolicy(Policy):
     """The server of this region with the least load, as last reported.
 
-    Own requests in flight count as well.
+    Own requests in flight count as well.  If all are full, the failure
+    domain with the least load takes the request, unless it is full too.
     """
 
     def __init__(self, region, failure_domain, rng):
@@ -237,6 +249,23 @@
         self._own[server_id] = self._own.get(server_id, 1) - 1
         return False
 
+    def choose(self, request, now):
+        """Decide where a request runs.
+
+        :param request: the request.
+        :param now: the time.
+        :returns: ``Result`` of the decision.
+        """
+        servers = self._eligible(request, now)
+        if servers and min(map(self._load, servers)) >= FULL_LOAD:
+            offers = [
+                (_load_share(_offer(summary, request)), number, summary)
+                for number, summary in enumerate(self._targets(request, now))
+            ]
+            if offers and min(offers)[0] < FULL_LOAD:
+                return self._hand_over(min(offers)[2])
+        return super().choose(request, now)
+
     def pick(self, servers):
         """Pick one of the servers that can run a request.
 
@@ -251,10 +280,17 @@
         return max(reported, own) / record.slots
 
 
-def _offers(summary, request):
-    return any(
-        offer.service == request.service
-        and offer.model_version == request.model_version
-        and offer.servers > 0
-        for offer in summary.services
-    )
+def _offer(summary, request):
+    """What a failure domain offers for a request, or None."""
+    for offer in summary.services:
+        if (
+            offer.service == request.service
+            and offer.model_version == request.model_version
+            and offer.servers > 0
+        ):
+            return offer
+    return None
+
+
+def _load_share(offer):
+    return (offer.running + offer.waiting) / max(1, offer.slots)
