--- a/buckthorntack/control/_role.py
+++ b/buckthorntack/control/_role.py
@@ -9,6 +9,7 @@
 from buckthorntack import consensus
 from buckthorntack import events
 from buckthorntack import ledger
+from buckthorntack import placement
 from buckthorntack import security
 from buckthorntack import transport
 from buckthorntack.control import _admin
@@ -16,6 +17,7 @@
 from buckthorntack.schema import messages
 
 CONFIGURATION_GROUP = "configuration"
+PLACEMENT_GROUP = "placement"
 TRANSFER_PATIENCE_SECONDS = 3.0
 TO_SOURCE = (
     messages.ConfigurationPoll,
@@ -92,6 +94,15 @@
         self.administration = configuration.Administration(
             self.machine, group, self.source, self.clock
         )
+        leases = placement.LeaseMachine()
+        self.granter = await enter(
+            placement.LeaseGranterTask(
+                leases,
+                await self._replica(PLACEMENT_GROUP, voters, leases),
+                self.links,
+                self.clock,
+            )
+        )
         for home in self.settings["ledger_homes"]:
             if node_id in home["replicas"]:
                 await self._start_home(home)
@@ -171,6 +182,8 @@
         if group is not None:
             if group in self.replicas:
                 self.replicas[group].deliver(sender, message)
+        elif isinstance(message, messages.LeaseRequest):
+            self.granter.deliver(sender, message)
         elif isinstance(message, TO_SOURCE):
             self.source.deliver(sender, message)
         elif isinstance(message, TO_HOME):
--- a/buckthorntack/entry/_attempt.py
+++ b/buckthorntack/entry/_attempt.py
@@ -16,6 +16,7 @@
 STATE_HEADER = "x-run-state"
 CONNECT_SECONDS = 1.0
 ASK_SECONDS = 2.0
+#: Shorter than servers usually keep an idle connection.
 EVENT_STREAM = "text/event-stream"
 PASSED_HEADERS = ("content-type", "location", "etag", "cache-control")
 NOT_RUN_STATUS = 503
--- a/buckthorntack/entry/_role.py
+++ b/buckthorntack/entry/_role.py
@@ -4,11 +4,14 @@
 import contextlib
 import datetime
 
+import httpx
+
 from buckthorntack import admission
 from buckthorntack import configuration
 from buckthorntack import events
 from buckthorntack import ledger
 from buckthorntack import membership
+from buckthorntack import placement
 from buckthorntack import retries
 from buckthorntack import routing
 from buckthorntack import security
@@ -29,6 +32,7 @@
 
 #: Requests admitted for each slot: engines queue a little themselves.
 ADMITTED_PER_SLOT = 2.0
+ORDER_SECONDS = 2.0
 CAPACITY_PERIOD = datetime.timedelta(milliseconds=250)
 TO_FORWARDING = (
     messages.ForwardHead,
@@ -88,6 +92,8 @@
         self.parts = _parts.EntryParts(settings, links, clock, rng)
         self.callers = None
         self.backends = None
+        self.issuer = None
+        self._roster = admission.EntryRoster()
         self._log = events.EventLog("entry")
         self._stack = contextlib.AsyncExitStack()
 
@@ -133,6 +139,7 @@
             _accepting.AcceptingTask(parts, self.runner, progress)
         )
         self._listen_to_members()
+        await self._start_issuer(enter)
         upkeep = asyncio.create_task(self._keep_capacity())
         self._stack.push_async_callback(_cancelled, upkeep)
         await self._serve(enter)
@@ -224,11 +231,33 @@
             document.get("private_key_file"),
         )
 
+    async def _start_issuer(self, enter):
+        """Issue engine orders, if the settings name a weight store."""
+        client = await enter(httpx.AsyncClient(timeout=ORDER_SECONDS))
+        issuer = placement.build_issuer(
+            self.settings,
+            self.members.view.own.incarnation,
+            self.links,
+            client,
+            self.clock,
+            self.members,
+            self.parts.configuration.current,
+            dict,
+        )
+        if issuer is not None:
+            self.issuer = await enter(issuer)
+
     def _listen_to_members(self):
+        now = self.clock.monotonic()
+        for node in self.settings["nodes"]:
+            if "entry" in node["roles"]:
+                self._roster.seen(node["node_id"], now)
         listen = self.members.listen
         listen(membership.ServerChanged, self._server_changed)
         listen(membership.ServerRemoved, self._server_removed)
         listen(membership.EntryChanged, self._entry_changed)
+        listen(membership.EntryRemoved, self._entry_removed)
+        listen(membership.ItemChanged, self._item_changed)
         listen(membership.SummaryChanged, self._summary_changed)
         for record in self.members.servers():
             self._take_server(record)
@@ -240,14 +269,31 @@
 
     def _take_server(self, record):
         self.parts.servers[record.server_id] = record
+        if record.server_id in self._drained():
+            record = record._replace(state="draining")
         self.parts.router.update_server(record, self.clock.monotonic())
 
+    def _drained(self):
+        """Engines that get no new work until they have carried out orders."""
+        items = self.members.items(placement.DRAIN_KIND)
+        return placement.drained_servers(items) if items else ()
+
     def _server_removed(self, change):
         self.parts.router.remove_server(
             change.server_id, self.clock.monotonic()
         )
 
+    def _entry_removed(self, change):
+        if change.record.state == "stopped":
+            self._roster.withdrawn(change.record.node_id)
+
+    def _item_changed(self, change):
+        if change.item.kind == placement.DRAIN_KIND:
+            for record in self.members.servers():
+                self._take_server(record)
+
     def _entry_changed(self, change):
+        self._roster.seen(change.record.node_id, self.clock.monotonic())
         self.links.learn(change.record.node_id, change.record.link_address)
 
     def _summary_changed(self, change):
@@ -255,6 +301,7 @@
 
     def _take_summary(self, summary):
         for record in summary.entries:
+            self._roster.seen(record.node_id, self.clock.monotonic())
             self.links.learn(record.node_id, record.link_address)
             self.links.connect(record.node_id)
         self.parts.router.update_summary(summary, self.clock.monotonic())
@@ -293,7 +340,8 @@
         for service, total in slots.items():
             share = int(total * ADMITTED_PER_SLOT / sharing) + 1
             self.parts.admitting.set_capacity(service, share)
-        self.parts.admitting.controller.set_entry_count(sharing)
+        count = self._roster.count(self.clock.monotonic())
+        self.parts.admitting.controller.set_entry_count(count)
 
     def deliver(self, sender, message):
         """Take a message for this role.
@@ -310,6 +358,9 @@
             self.parts.configuration.deliver(sender, message)
         elif isinstance(message, TO_LEDGER):
             self.ledger_client.deliver(sender, message)
+        elif isinstance(message, messages.LeaseGrant):
+            if self.issuer is not None:
+                self.issuer.deliver(sender, message)
         elif isinstance(message, messages.UsageReport):
             self.parts.admitting.deliver(sender, message)
         else:
--- a/buckthorntack/standins/_deployment.py
+++ b/buckthorntack/standins/_deployment.py
@@ -28,6 +28,7 @@
 
 OPERATOR_TOKEN = "demo-operator"
 POLL_SECONDS = 0.02
+WEIGHT_BYTES_PER_SECOND = 2e9
 
 
 class Layout(NamedTuple):
@@ -201,6 +202,7 @@
                 "operator_tokens_file": str(keys / "operators.json"),
             },
             "timing": dict(self.layout.timing),
+            "weight_store": {"bytes_per_second": WEIGHT_BYTES_PER_SECOND},
         }
         if "control" in address["roles"]:
             admin = f"127.0.0.1:{_free_port()}"
