Give the data folder back after a failed start

Change: the store is closed when a start fails. Conclusion: a start can be tried again in one process.

--- a/buckthorntack/consensus/_task.py
+++ b/buckthorntack/consensus/_task.py
@@ -93,17 +93,11 @@
         self._proposer = f"{self.node_id}/{self._unique_name()}"
         self._read_id = self.rng.getrandbits(62)
         recovered = await asyncio.to_thread(self._open)
-        self._replica = _replica.Replica(
-            self.group,
-            self.node_id,
-            self.initial_voters,
-            recovered,
-            self.timing,
-            self.rng,
-        )
-        if recovered.snapshot is not None:
-            self.state_machine.restore(recovered.snapshot.data)
-            self._applied_index = recovered.snapshot.info.index
+        try:
+            self._restore(recovered)
+        except BaseException:
+            self._store.__exit__(None, None, None)
+            raise
         self._tasks = [
             asyncio.create_task(self._run()),
             asyncio.create_task(self._tick()),
@@ -236,6 +230,19 @@
         self._store = store
         return recovered
 
+    def _restore(self, recovered):
+        self._replica = _replica.Replica(
+            self.group,
+            self.node_id,
+            self.initial_voters,
+            recovered,
+            self.timing,
+            self.rng,
+        )
+        if recovered.snapshot is not None:
+            self.state_machine.restore(recovered.snapshot.data)
+            self._applied_index = recovered.snapshot.info.index
+
     def _unique_name(self):
         started_us = int(self.clock.wall().timestamp() * 1_000_000)
         mixed = f"{started_us} {self.rng.getrandbits(128)}".encode()
--- a/buckthorntack/consensus/tests/test_task.py
+++ b/buckthorntack/consensus/tests/test_task.py
@@ -7,6 +7,8 @@
 import random
 import threading
 
+import pytest
+
 from buckthorntack import clock
 from buckthorntack import consensus
 from buckthorntack import errors
@@ -335,3 +337,20 @@
             await check(files.after_crash(tail, "synced"), acknowledged)
 
     run(scenario())
+
+
+def test_folder_is_free_again_after_a_failed_start(tmp_path, monkeypatch):
+    async def scenario():
+        async with Cluster(tmp_path, ["a"]) as cluster:
+            for _ in range(25):
+                await cluster.propose(b"x")
+            task = cluster.network.tasks["a"]
+            await until(lambda: task.status().snapshot_index)
+        with monkeypatch.context() as patched:
+            patched.setattr(Journal, "restore", None)
+            with pytest.raises(TypeError):
+                await Cluster(tmp_path, ["a"]).__aenter__()
+        async with Cluster(tmp_path, ["a"]) as cluster:
+            assert await cluster.propose(b"y") == 26
+
+    run(scenario())
