Ramp only what comes back, not all that a new entry VM meets

Cause: a router that had just started took every backend server and failure domain for one that returns after a heal. For its first 20 s it counted a tenth of their slots and more, so that expected waits hid cached prefixes, and hardly any request was forwarded. Change: failure domains that are new are not ramped; servers first seen while the router itself starts (within the ramp's length) are not either. Restarted servers, and those whose lease had run out, are ramped as before.

--- a/buckthorntack/routing/_regions.py
+++ b/buckthorntack/routing/_regions.py
@@ -1,5 +1,6 @@
 """Other failure domains, and the links that lead to them."""
 
+import math
 import random
 from typing import NamedTuple
 
@@ -67,7 +68,8 @@
     def __init__(self):
         self.capacities = {}
         self.lease_until_s = 0.0
-        self.ramp_from_s = 0.0
+        #: When it came back; one that is new needs no ramp.
+        self.ramp_from_s = -math.inf
         self.summary = None
 
     def is_live(self, now_s):
@@ -154,7 +156,7 @@
             domain = self._domains[key] = Domain()
         elif _is_older(summary, domain.summary):
             return
-        if not domain.is_live(now_s):
+        elif not domain.is_live(now_s):
             domain.ramp_from_s = now_s
         domain.summary = summary
         domain.lease_until_s = now_s + summary.lease_ms / 1e3
--- a/buckthorntack/routing/_servers.py
+++ b/buckthorntack/routing/_servers.py
@@ -1,6 +1,7 @@
 """Backend servers of this region, in groups ordered by load."""
 
 import heapq
+import math
 from typing import NamedTuple
 
 import sortedcontainers
@@ -47,7 +48,7 @@
         self.groups = ()
         self.lease_until_s = 0.0
         self.position = None
-        self.ramp_from_s = 0.0
+        self.ramp_from_s = -math.inf
         self.reserved_until_s = None
 
     def is_live(self, now_s):
@@ -101,6 +102,7 @@
         self._servers = {}
         self._groups = {}
         self._timers = []
+        self._started_s = None
 
     def __len__(self):
         return len(self._servers)
@@ -134,7 +136,8 @@
         self._remove_from_groups(server)
         server.record = record
         server.lease_until_s = now_s + record.lease_ms / 1e3
-        if restarted or not was_live:
+        came_back = not was_live and not self._is_starting(now_s)
+        if restarted or came_back:
             server.ramp_from_s = now_s
         measured_s = now_s - record.load.age_ms / 1e3
         server.load.report(
@@ -144,6 +147,12 @@
         self.refresh(server, now_s)
         return restarted
 
+    def _is_starting(self, now_s):
+        """Whether this table cannot yet tell new servers from known ones."""
+        if self._started_s is None:
+            self._started_s = now_s
+        return (now_s - self._started_s) * 1e3 < self.settings.ramp_ms
+
     def remove(self, server_id):
         """Forget a server.
 
