Take no server's word that a lost attempt has not run

Cause: after a lost connection a server that is asked may say that it has not run an attempt whose bytes are still on their way; the policy sent a non-idempotent request again. Found in review of the ledger. An outcome asked for a lost holder also fetches the answer, so that resends are given it. An entry VM that stops stays registered, so that it serves after a restart in a cut-off region. Groups of one region use shorter times. Ports of a trial are held, as two nodes were once given the same; a key file's public key never starts with a dash, as it was read as an option.

--- a/buckthorntack/control/_role.py
+++ b/buckthorntack/control/_role.py
@@ -18,6 +18,12 @@
 
 CONFIGURATION_GROUP = "configuration"
 PLACEMENT_GROUP = "placement"
+#: Times of a group whose replicas are all in one region.
+LOCAL_TIMING = consensus.Timing(
+    tick=datetime.timedelta(milliseconds=50),
+    heartbeat=datetime.timedelta(milliseconds=100),
+    election_timeout=datetime.timedelta(milliseconds=500),
+)
 TRANSFER_PATIENCE_SECONDS = 3.0
 TO_SOURCE = (
     messages.ConfigurationPoll,
@@ -84,7 +90,10 @@
     async def _start(self):
         node_id = self.settings["node_id"]
         voters = self.settings["control"]
-        group = await self._replica(CONFIGURATION_GROUP, voters, self.machine)
+        wide = self._timing()
+        group = await self._replica(
+            CONFIGURATION_GROUP, voters, self.machine, wide
+        )
         enter = self._stack.enter_async_context
         self.source = await enter(
             configuration.ConfigurationSourceTask(
@@ -98,7 +107,7 @@
         self.granter = await enter(
             placement.LeaseGranterTask(
                 leases,
-                await self._replica(PLACEMENT_GROUP, voters, leases),
+                await self._replica(PLACEMENT_GROUP, voters, leases, wide),
                 self.links,
                 self.clock,
             )
@@ -109,10 +118,9 @@
         if self.listener is not None:
             await self._serve()
 
-    async def _replica(self, group, voters, machine):
+    async def _replica(self, group, voters, machine, timing):
         node_id = self.settings["node_id"]
         folder = pathlib.Path(self.settings["data_folder"]) / "groups" / group
-        folder.mkdir(parents=True, exist_ok=True)
         replica = consensus.ReplicaTask(
             group,
             node_id,
@@ -122,7 +130,7 @@
             self.links,
             self.clock,
             self.rng,
-            timing=self._timing(),
+            timing=timing,
             files=self.files,
         )
         self.replicas[group] = replica
@@ -133,14 +141,14 @@
         heartbeat = datetime.timedelta(milliseconds=timing["heartbeat_ms"])
         election = datetime.timedelta(milliseconds=timing["election_ms"])
         return consensus.Timing(
-            tick=heartbeat / 4, heartbeat=heartbeat, election_timeout=election
+            tick=heartbeat / 2, heartbeat=heartbeat, election_timeout=election
         )
 
     async def _start_home(self, home):
         home_id = home["home_id"]
         machine = ledger.LedgerMachine(home_id)
         group = await self._replica(
-            ledger_group(home_id), home["replicas"], machine
+            ledger_group(home_id), home["replicas"], machine, LOCAL_TIMING
         )
         retention_ms = self.settings["timing"]["ledger_retention_ms"]
         task = ledger.LedgerHomeTask(
--- a/buckthorntack/entry/_accepting.py
+++ b/buckthorntack/entry/_accepting.py
@@ -18,6 +18,8 @@
 CATCH_UP = datetime.timedelta(seconds=2)
 MOST_INCOMING = 4000
 ALIVE_SHARE = 4
+#: Periods without a part of the body after which a request is forgotten.
+ABANDONED_PERIODS = 4 * ALIVE_SHARE
 
 
 class _Incoming:
@@ -29,6 +31,7 @@
         self.sink = sink
         self.parts = []
         self.task = None
+        self.idle_periods = 0
 
 
 class AcceptingTask:
@@ -99,6 +102,7 @@
             del self._incoming[key]
             return
         incoming.parts.append(message.data)
+        incoming.idle_periods = 0
         if message.last:
             self._start(key, incoming, self._run(incoming))
 
@@ -199,9 +203,18 @@
     async def _tell_alive(self):
         while True:
             await self.parts.clock.sleep(self.progress / ALIVE_SHARE)
-            for incoming in list(self._incoming.values()):
+            for key, incoming in list(self._incoming.items()):
                 message = messages.ForwardAlive(incoming.message.forward_id)
                 self.parts.sender.send(incoming.origin, message)
+                self._drop_if_abandoned(key, incoming)
+
+    def _drop_if_abandoned(self, key, incoming):
+        """Forget a request whose body has stopped coming."""
+        if incoming.task is not None:
+            return
+        incoming.idle_periods += 1
+        if incoming.idle_periods > ABANDONED_PERIODS:
+            del self._incoming[key]
 
 
 def _prefix_hashes(message, body):
--- a/buckthorntack/entry/_attempt.py
+++ b/buckthorntack/entry/_attempt.py
@@ -144,6 +144,17 @@
             return unknown
         return retries.OutcomeTold(target.server_id, state, running)
 
+    async def fetch(self, target):
+        """Fetch the whole answer of an attempt that has ended.
+
+        :param target: the :class:`Target`.
+        :returns: :class:`Done`, or None if it cannot be had.
+        """
+        result = await self.resume(target, None, None, lambda: None)
+        if isinstance(result, Done) and result.status < 400:
+            return result
+        return None
+
     def cancel(self, target):
         """Tell a server in the background that an answer is not wanted.
 
--- a/buckthorntack/entry/_once.py
+++ b/buckthorntack/entry/_once.py
@@ -69,12 +69,21 @@
         told = await self.attempts.ask_outcome(target)
         if told.running:
             return
+        answer = None
+        if told.run_state is errors.RunState.RAN:
+            answer = await self.attempts.fetch(target)
+        where = (home, request.organisation, request.idempotency_key)
+        if answer is None:
+            await self.client.resolved(*where, lost_attempt_id, told.run_state)
+            return
         await self.client.resolved(
-            home,
-            request.organisation,
-            request.idempotency_key,
+            *where,
             lost_attempt_id,
             told.run_state,
+            status=answer.status,
+            headers=answer.headers,
+            body=answer.body,
+            answer_known=True,
         )
 
     async def settle(self, request, attempt_id, outcome):
--- a/buckthorntack/entry/_role.py
+++ b/buckthorntack/entry/_role.py
@@ -378,7 +378,6 @@
         await self.accepting.drain()
 
     async def __aexit__(self, *exc_info):
-        await self.parts.configuration.leave()
         await self._stack.aclose()
         self._log.write(_events.ENTRY_STOPPED)
 
--- a/buckthorntack/retries/_policy.py
+++ b/buckthorntack/retries/_policy.py
@@ -188,7 +188,7 @@
 
 @_assume.register
 def _(failure: _types.OutcomeTold, context):
-    return _told(failure.run_state, context)
+    return _told(_believed(failure.run_state, context), context)
 
 
 def _told(run_state, context):
@@ -248,10 +248,23 @@
         ran = failure.run_state is errors.RunState.RAN
         context = _ran(context) if ran else _unknown(context)
         return policy.resume(failure.server_id, context, now)
-    context = _told(failure.run_state, context)
+    context = _told(_believed(failure.run_state, context), context)
     return policy.retry(failure.server_id, context, now)
 
 
+def _believed(run_state, context):
+    """What a server's account of an attempt is worth.
+
+    That it has not run an attempt yet does not show that it never will: the
+    bytes may still be on their way to it.
+    """
+    if context.idempotent:
+        return run_state
+    if run_state is errors.RunState.NOT_RUN:
+        return errors.RunState.UNKNOWN
+    return run_state
+
+
 @_after.register
 def _(failure: _types.ResumeFailed, policy, context, now):
     return policy.ask(failure.server_id, _unknown(context), now)
--- a/buckthorntack/security/_key_files.py
+++ b/buckthorntack/security/_key_files.py
@@ -43,6 +43,8 @@
     import zmq  # needed only to make keys
 
     public_key, secret_key = (key.decode() for key in zmq.curve_keypair())
+    while public_key.startswith("-"):  # would read as an option of a command
+        public_key, secret_key = (k.decode() for k in zmq.curve_keypair())
     return {"public_key": public_key, "secret_key": secret_key}
 
 
--- a/buckthorntack/standins/_deployment.py
+++ b/buckthorntack/standins/_deployment.py
@@ -149,6 +149,17 @@
                 text = security.format_key_file(content)
                 settings_files.write_secret(keys / name, text)
 
+    def _reserve_port(self):
+        """A port that nobody else is given while the deployment lasts.
+
+        The socket that holds it does not listen, so that the node's own,
+        which reuses addresses as it does, can.
+        """
+        holder = self._stack.enter_context(socket.socket())
+        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        holder.bind(("127.0.0.1", 0))
+        return holder.getsockname()[1]
+
     def _plan_nodes(self):
         domains = sorted(
             (domain["region"], domain["name"])
@@ -161,7 +172,7 @@
                 addresses.append(
                     {
                         "node_id": f"{domain}-{number + 1}",
-                        "link_address": f"127.0.0.1:{_free_port()}",
+                        "link_address": f"127.0.0.1:{self._reserve_port()}",
                         "region": region,
                         "failure_domain": domain,
                         "roles": roles,
@@ -190,9 +201,11 @@
             "failure_domain": address["failure_domain"],
             "data_folder": str(self.data_folder / address["node_id"]),
             "links": {"listen_address": address["link_address"]},
-            "callers": {"listen_address": f"127.0.0.1:{_free_port()}"},
-            "backends": {"listen_address": f"127.0.0.1:{_free_port()}"},
-            "metrics": {"listen_address": f"127.0.0.1:{_free_port()}"},
+            "callers": {"listen_address": f"127.0.0.1:{self._reserve_port()}"},
+            "backends": {
+                "listen_address": f"127.0.0.1:{self._reserve_port()}"
+            },
+            "metrics": {"listen_address": f"127.0.0.1:{self._reserve_port()}"},
             "nodes": addresses,
             "control": control,
             "ledger_homes": homes,
@@ -205,7 +218,7 @@
             "weight_store": {"bytes_per_second": WEIGHT_BYTES_PER_SECOND},
         }
         if "control" in address["roles"]:
-            admin = f"127.0.0.1:{_free_port()}"
+            admin = f"127.0.0.1:{self._reserve_port()}"
             document["admin"] = {"listen_address": admin}
         checked = settings_files.from_document(document)
         if checked.is_error():
@@ -452,10 +465,3 @@
         )
         wall_ms = int(self.clock.wall().timestamp() * 1000)
         return ledger.key_prefix(home["home_id"], wall_ms)
-
-
-def _free_port():
-    with socket.socket() as probe:
-        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
--- a/tools/smoke.py
+++ b/tools/smoke.py
@@ -14,6 +14,8 @@
 BINARY = pathlib.Path("dist/buckthorntack").resolve()
 EXAMPLES = pathlib.Path("examples/hoardline").resolve()
 PATIENCE_SECONDS = 60
+#: Sockets that hold ports; they do not listen.
+RESERVED = []
 CONTROL_OPTIONS = ("--patience-s", "20")
 
 
@@ -21,11 +23,13 @@
     """The binary did not do what its pages say."""
 
 
-def free_port():
-    """A port that is free now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+def reserve_port():
+    """A port that nobody else is given before this program ends."""
+    holder = socket.socket()
+    holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    holder.bind(("127.0.0.1", 0))
+    RESERVED.append(holder)
+    return holder.getsockname()[1]
 
 
 class Workplace:
@@ -40,7 +44,7 @@
             **os.environ,
             "PEX_ROOT": str(self.folder / "unpacked"),
         }
-        self.admin = f"http://127.0.0.1:{free_port()}"
+        self.admin = f"http://127.0.0.1:{reserve_port()}"
 
     def run(self, *arguments, expect=0):
         """Run the binary to its end.
@@ -82,7 +86,7 @@
 
     def write_settings(self):
         """Write the settings of the node."""
-        link = f"127.0.0.1:{free_port()}"
+        link = f"127.0.0.1:{reserve_port()}"
         node = {
             "node_id": "fukuoka-a-1",
             "link_address": link,
@@ -98,9 +102,9 @@
             "failure_domain": "fukuoka-a",
             "data_folder": "data",
             "links": {"listen_address": link},
-            "callers": {"listen_address": f"127.0.0.1:{free_port()}"},
-            "backends": {"listen_address": f"127.0.0.1:{free_port()}"},
-            "metrics": {"listen_address": f"127.0.0.1:{free_port()}"},
+            "callers": {"listen_address": f"127.0.0.1:{reserve_port()}"},
+            "backends": {"listen_address": f"127.0.0.1:{reserve_port()}"},
+            "metrics": {"listen_address": f"127.0.0.1:{reserve_port()}"},
             "admin": {"listen_address": self.admin.removeprefix("http://")},
             "nodes": [node],
             "control": ["fukuoka-a-1"],
