--- a/buckthorntack/routing/_servers.py
+++ b/buckthorntack/routing/_servers.py
@@ -123,8 +123,10 @@
         :returns: whether its caches are to be forgotten.
         """
         server = self._servers.get(record.server_id)
+        ramps = True
         if server is None:
             server = self._add(record, now_s)
+            ramps = not self._is_starting(now_s)
         elif record[1:3] < server.record[1:3]:
             return False
         restarted = record.incarnation > server.record.incarnation
@@ -136,8 +138,7 @@
         self._remove_from_groups(server)
         server.record = record
         server.lease_until_s = now_s + record.lease_ms / 1e3
-        came_back = not was_live and not self._is_starting(now_s)
-        if restarted or came_back:
+        if restarted or (ramps and not was_live):
             server.ramp_from_s = now_s
         measured_s = now_s - record.load.age_ms / 1e3
         server.load.report(
@@ -243,7 +244,6 @@
 
     def _add(self, record, now_s):
         server = Server(record, self.settings)
-        server.ramp_from_s = now_s
         self._servers[record.server_id] = server
         return server
 
