Give each process of stand-ins its own loopback address

Change: a deployment listens on a loopback address made from its process id. Fake engines report requests that wait for the prefill of others as waiting, as engines that batch continuously do.

--- a/buckthorntack/bench/_workloads.py
+++ b/buckthorntack/bench/_workloads.py
@@ -102,7 +102,7 @@
     {"pitchwriter": 5, "vergedesk": 3},
     70e6,
     160,
-    14.0,
+    22.0,
 )
 
 RENDIMAR = Workload(
--- a/buckthorntack/cli/_commands/load.py
+++ b/buckthorntack/cli/_commands/load.py
@@ -31,7 +31,7 @@
         help="seeds of the mix, with commas (default: %(default)s)",
     )
     parser.add_argument(
-        "--seconds", type=float, default=30.0, help="length of one run"
+        "--seconds", type=float, default=45.0, help="length of one run"
     )
     parser.add_argument(
         "--rate", type=float, default=1.0, help="factor of the usual rate"
--- a/buckthorntack/standins/_deployment.py
+++ b/buckthorntack/standins/_deployment.py
@@ -8,6 +8,7 @@
 import contextlib
 import datetime
 import functools
+import os
 import pathlib
 import random
 import socket
@@ -30,6 +31,15 @@
 POLL_SECONDS = 0.02
 
 
+def _own_host():
+    """Loopback address of this process, so that none takes another's ports."""
+    high, low = divmod(os.getpid() % 2**16, 2**8)
+    return f"127.{high // 2 + 1}.{low}.{high % 2 + 1}"
+
+
+HOST = _own_host()
+
+
 class Layout(NamedTuple):
     """Size of a deployment and of its links."""
 
@@ -160,7 +170,7 @@
                 addresses.append(
                     {
                         "node_id": f"{domain}-{number + 1}",
-                        "link_address": f"127.0.0.1:{_free_port()}",
+                        "link_address": f"{HOST}:{_free_port()}",
                         "region": region,
                         "failure_domain": domain,
                         "roles": roles,
@@ -189,9 +199,9 @@
             "failure_domain": address["failure_domain"],
             "data_folder": str(self.data_folder / address["node_id"]),
             "links": {"listen_address": address["link_address"]},
-            "callers": {"listen_address": f"127.0.0.1:{_free_port()}"},
-            "backends": {"listen_address": f"127.0.0.1:{_free_port()}"},
-            "metrics": {"listen_address": f"127.0.0.1:{_free_port()}"},
+            "callers": {"listen_address": f"{HOST}:{_free_port()}"},
+            "backends": {"listen_address": f"{HOST}:{_free_port()}"},
+            "metrics": {"listen_address": f"{HOST}:{_free_port()}"},
             "nodes": addresses,
             "control": control,
             "ledger_homes": homes,
@@ -203,7 +213,7 @@
             "timing": dict(self.layout.timing),
         }
         if "control" in address["roles"]:
-            admin = f"127.0.0.1:{_free_port()}"
+            admin = f"{HOST}:{_free_port()}"
             document["admin"] = {"listen_address": admin}
         checked = settings_files.from_document(document)
         if checked.is_error():
@@ -376,7 +386,7 @@
             fake = _service.FakeService(server_id)
             slots = 64
         listener = transport.HttpListener(
-            fake, transport.bind_listener(f"127.0.0.1:{port}")
+            fake, transport.bind_listener(f"{HOST}:{port}")
         )
         await listener.__aenter__()
         document = {
@@ -455,5 +465,5 @@
 def _free_port():
     with socket.socket() as probe:
         probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        probe.bind(("127.0.0.1", 0))
+        probe.bind((HOST, 0))
         return probe.getsockname()[1]
--- a/buckthorntack/standins/_engine.py
+++ b/buckthorntack/standins/_engine.py
@@ -196,9 +196,9 @@
         self.waiting += 1
         try:
             await self._slots.acquire()
-        finally:
+        except asyncio.CancelledError:
             self.waiting -= 1
-        self.running += 1
+            raise
         try:
             await self._prefill(body)
             for number in range(attempt.tokens):
@@ -213,8 +213,15 @@
 
     async def _prefill(self, body):
         """Prompts share the server's prefill speed: one after another."""
-        async with self._prefilling:
+        try:
+            await self._prefilling.acquire()
+        finally:
+            self.waiting -= 1
+            self.running += 1
+        try:
             await asyncio.sleep(self._prefill_seconds(body))
+        finally:
+            self._prefilling.release()
 
     def _prefill_seconds(self, body):
         prompt = read_prompt(body).ok.content
