--- a/buckthorntack/consensus/_task.py
+++ b/buckthorntack/consensus/_task.py
@@ -5,6 +5,7 @@
 
 from expression import Error
 from expression import Ok
+import xxhash
 
 from buckthorntack import events
 from buckthorntack import storage
@@ -92,17 +93,11 @@
         self._proposer = f"{self.node_id}/{self._unique_name()}"
         self._read_id = self.rng.getrandbits(62)
         recovered = await asyncio.to_thread(self._open)
-        self._replica = _replica.Replica(
-            self.group,
-            self.node_id,
-            self.initial_voters,
-            recovered,
-            self.timing,
-            self.rng,
-        )
-        if recovered.snapshot is not None:
-            self.state_machine.restore(recovered.snapshot.data)
-            self._applied_index = recovered.snapshot.info.index
+        try:
+            self._restore(recovered)
+        except BaseException:
+            self._store.__exit__(None, None, None)
+            raise
         self._tasks = [
             asyncio.create_task(self._run()),
             asyncio.create_task(self._tick()),
@@ -235,9 +230,23 @@
         self._store = store
         return recovered
 
+    def _restore(self, recovered):
+        self._replica = _replica.Replica(
+            self.group,
+            self.node_id,
+            self.initial_voters,
+            recovered,
+            self.timing,
+            self.rng,
+        )
+        if recovered.snapshot is not None:
+            self.state_machine.restore(recovered.snapshot.data)
+            self._applied_index = recovered.snapshot.info.index
+
     def _unique_name(self):
         started_us = int(self.clock.wall().timestamp() * 1_000_000)
-        return f"{started_us:x}-{self.rng.getrandbits(64):016x}"
+        mixed = f"{started_us} {self.rng.getrandbits(128)}".encode()
+        return xxhash.xxh3_64_hexdigest(mixed)
 
     def _put(self, item):
         if not self._has_ended():
@@ -267,6 +276,7 @@
     async def _tick(self):
         while True:
             await self.clock.sleep(self.timing.tick)
+            self._expire(self.clock.monotonic())
             self._put(inputs.Tick())
 
     async def _run(self):
@@ -407,8 +417,6 @@
     def _(self, item: inputs.Tick):
         now = self.clock.monotonic()
         self._replica.tick(now)
-        if len(self._proposals) or len(self._reads):
-            self._expire(now)
 
     @_take.register
     def _(self, item: inputs.Delivered):
@@ -452,6 +460,9 @@
             self._finish_transfers(result)
 
     def _expire(self, now):
+        """Let callers go whose time is over, also while the disk hangs."""
+        if not len(self._proposals) and not len(self._reads):
+            return
         detail = f"no answer in time from the majority of {self.group}"
         self._proposals.expire(now, Error(_errors.CommitUnknownError(detail)))
         self._reads.expire(now, Error(_errors.ReadTimeoutError(detail)))
--- a/buckthorntack/standins/_deployment.py
+++ b/buckthorntack/standins/_deployment.py
@@ -29,6 +29,7 @@
 
 OPERATOR_TOKEN = "demo-operator"
 POLL_SECONDS = 0.02
+WEIGHT_BYTES_PER_SECOND = 2e9
 
 
 def _own_host():
@@ -211,6 +212,7 @@
                 "operator_tokens_file": str(keys / "operators.json"),
             },
             "timing": dict(self.layout.timing),
+            "weight_store": {"bytes_per_second": WEIGHT_BYTES_PER_SECOND},
         }
         if "control" in address["roles"]:
             admin = f"{HOST}:{_free_port()}"
