--- a/buckthorntack/entry/_runner.py
+++ b/buckthorntack/entry/_runner.py
@@ -57,6 +57,9 @@
             await asyncio.wait(list(self._detached))
 
     async def _run(self, request, sink):
+        if request.resumed_attempt:  # it was admitted when it began
+            await _Execution(self.parts, request, sink).run()
+            return
         await self.parts.admitting.admit(self._admission_request(request))
         tokens = 0
         try:
--- a/buckthorntack/standins/_deployment.py
+++ b/buckthorntack/standins/_deployment.py
@@ -8,6 +8,7 @@
 import contextlib
 import datetime
 import functools
+import os
 import pathlib
 import random
 import socket
@@ -31,6 +32,15 @@
 WEIGHT_BYTES_PER_SECOND = 2e9
 
 
+def _own_host():
+    """Loopback address of this process, so that none takes another's ports."""
+    high, low = divmod(os.getpid() % 2**16, 2**8)
+    return f"127.{high // 2 + 1}.{low}.{high % 2 + 1}"
+
+
+HOST = _own_host()
+
+
 class Layout(NamedTuple):
     """Size of a deployment and of its links."""
 
@@ -157,7 +167,7 @@
         """
         holder = self._stack.enter_context(socket.socket())
         holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        holder.bind(("127.0.0.1", 0))
+        holder.bind((HOST, 0))
         return holder.getsockname()[1]
 
     def _plan_nodes(self):
@@ -172,7 +182,7 @@
                 addresses.append(
                     {
                         "node_id": f"{domain}-{number + 1}",
-                        "link_address": f"127.0.0.1:{self._reserve_port()}",
+                        "link_address": f"{HOST}:{self._reserve_port()}",
                         "region": region,
                         "failure_domain": domain,
                         "roles": roles,
@@ -201,11 +211,9 @@
             "failure_domain": address["failure_domain"],
             "data_folder": str(self.data_folder / address["node_id"]),
             "links": {"listen_address": address["link_address"]},
-            "callers": {"listen_address": f"127.0.0.1:{self._reserve_port()}"},
-            "backends": {
-                "listen_address": f"127.0.0.1:{self._reserve_port()}"
-            },
-            "metrics": {"listen_address": f"127.0.0.1:{self._reserve_port()}"},
+            "callers": {"listen_address": f"{HOST}:{self._reserve_port()}"},
+            "backends": {"listen_address": f"{HOST}:{self._reserve_port()}"},
+            "metrics": {"listen_address": f"{HOST}:{self._reserve_port()}"},
             "nodes": addresses,
             "control": control,
             "ledger_homes": homes,
@@ -218,7 +226,7 @@
             "weight_store": {"bytes_per_second": WEIGHT_BYTES_PER_SECOND},
         }
         if "control" in address["roles"]:
-            admin = f"127.0.0.1:{self._reserve_port()}"
+            admin = f"{HOST}:{self._reserve_port()}"
             document["admin"] = {"listen_address": admin}
         checked = settings_files.from_document(document)
         if checked.is_error():
@@ -391,7 +399,7 @@
             fake = _service.FakeService(server_id)
             slots = 64
         listener = transport.HttpListener(
-            fake, transport.bind_listener(f"127.0.0.1:{port}")
+            fake, transport.bind_listener(f"{HOST}:{port}")
         )
         await listener.__aenter__()
         document = {
