Warm caches up before what is measured; give out each port once

One start of a deployment failed as the system offered the same free port twice (test_a_short_run_answers_all_and_breaks_no_promise). A deployment remembers the ports that it has taken.

--- a/buckthorntack/bench/_mix.py
+++ b/buckthorntack/bench/_mix.py
@@ -11,6 +11,8 @@
 PEAK_SHARE = 0.9
 #: Later than the request, its resend is sent after up to this time.
 LATEST_RESEND_S = 1.5
+#: Requests of the warm-up are numbered from here.
+WARM_UP_NUMBERS = 500_000
 
 
 class TimedRequest(NamedTuple):
@@ -28,6 +30,11 @@
     prefix: int
     resent: bool = False
 
+    @property
+    def warms_up(self):
+        """Whether it is sent before what is measured."""
+        return self.number >= WARM_UP_NUMBERS
+
     @property
     def mark(self):
         """Text by which fakes and answers name the request."""
@@ -60,6 +67,27 @@
     return sorted(requests, key=lambda request: request.at_s)
 
 
+def with_warm_up(workload, seed, seconds, rate, warm_up_s):
+    """Generate the requests of a run that first fills the caches.
+
+    :param workload: the ``Workload``.
+    :param seed: seed of all randomness.
+    :param seconds: length of what is measured.
+    :param rate: factor of the workload's usual rate.
+    :param warm_up_s: length of the warm-up before it.
+    :returns: list of :class:`TimedRequest`, by time.
+    """
+    before = [
+        request._replace(number=request.number + WARM_UP_NUMBERS)
+        for request in generate(workload, f"{seed}/warm", warm_up_s, rate)
+    ]
+    measured = [
+        request._replace(at_s=request.at_s + warm_up_s)
+        for request in generate(workload, seed, seconds, rate)
+    ]
+    return sorted(before + measured, key=lambda request: request.at_s)
+
+
 def _draw(workload, rng, number, seconds):
     shares = [kind.share for kind in workload.kinds]
     kind = rng.choices(workload.kinds, shares)[0]
--- a/buckthorntack/bench/tests/test_mix.py
+++ b/buckthorntack/bench/tests/test_mix.py
@@ -51,3 +51,12 @@
         known = first.setdefault(request.organisation, hashes)
         assert hashes[:-2] == known[: len(hashes) - 2]
     assert len({hashes[0] for hashes in first.values()}) == len(first) > 1
+
+
+def test_the_warm_up_comes_before_the_same_requests():
+    alone = bench.generate(HOARDLINE, 1, 10.0)
+    whole = _mix.with_warm_up(HOARDLINE, 1, 10.0, 1.0, 5.0)
+    measured = [request for request in whole if not request.warms_up]
+    assert [r.mark for r in measured] == [r.mark for r in alone]
+    assert min(request.at_s for request in measured) >= 5.0
+    assert len({r.mark for r in whole if r.warms_up}) == 110
--- a/buckthorntack/cli/_commands/load.py
+++ b/buckthorntack/cli/_commands/load.py
@@ -36,6 +36,13 @@
     parser.add_argument(
         "--rate", type=float, default=1.0, help="factor of the usual rate"
     )
+    parser.add_argument(
+        "--warm-up",
+        type=float,
+        default=20.0,
+        metavar="SECONDS",
+        help="time before what is measured (default: %(default)s)",
+    )
     parser.add_argument("--faults", metavar="FILE", help="fault schedule")
     parser.add_argument("--plots", metavar="FOLDER", help="write plots there")
     parser.add_argument(
@@ -94,6 +101,7 @@
             arguments.rate,
             faults,
             arguments.examples,
+            arguments.warm_up,
         )
         for seed in arguments.seeds.split(",")
         for policy in names
--- a/buckthorntack/standins/_deployment.py
+++ b/buckthorntack/standins/_deployment.py
@@ -98,6 +98,7 @@
         self.settings = {}
         self.servers = {}
         self._busy_until = {}
+        self._ports = FreePorts()
         self._loaded = None
         self._stack = contextlib.AsyncExitStack()
         self._node_stacks = {}
@@ -171,7 +172,7 @@
                 addresses.append(
                     {
                         "node_id": f"{domain}-{number + 1}",
-                        "link_address": f"{HOST}:{_free_port()}",
+                        "link_address": f"{HOST}:{self._ports.take()}",
                         "region": region,
                         "failure_domain": domain,
                         "roles": roles,
@@ -200,9 +201,9 @@
             "failure_domain": address["failure_domain"],
             "data_folder": str(self.data_folder / address["node_id"]),
             "links": {"listen_address": address["link_address"]},
-            "callers": {"listen_address": f"{HOST}:{_free_port()}"},
-            "backends": {"listen_address": f"{HOST}:{_free_port()}"},
-            "metrics": {"listen_address": f"{HOST}:{_free_port()}"},
+            "callers": {"listen_address": f"{HOST}:{self._ports.take()}"},
+            "backends": {"listen_address": f"{HOST}:{self._ports.take()}"},
+            "metrics": {"listen_address": f"{HOST}:{self._ports.take()}"},
             "nodes": addresses,
             "control": control,
             "ledger_homes": homes,
@@ -215,7 +216,7 @@
             "weight_store": {"bytes_per_second": WEIGHT_BYTES_PER_SECOND},
         }
         if "control" in address["roles"]:
-            admin = f"{HOST}:{_free_port()}"
+            admin = f"{HOST}:{self._ports.take()}"
             document["admin"] = {"listen_address": admin}
         checked = settings_files.from_document(document)
         if checked.is_error():
@@ -464,7 +465,25 @@
         return ledger.key_prefix(home["home_id"], wall_ms)
 
 
-def _free_port():
+class FreePorts:
+    """Free ports of this process's address, each given out once."""
+
+    def __init__(self):
+        self._given = set()
+
+    def take(self):
+        """Take a free port.
+
+        :returns: its number.
+        """
+        port = _probe_port()
+        while port in self._given:
+            port = _probe_port()
+        self._given.add(port)
+        return port
+
+
+def _probe_port():
     with socket.socket() as probe:
         probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         probe.bind((HOST, 0))
