Name a stream's attempt with its first event; test all attempt faults

Cause: the entry role's runner had no tests of failures. The first run of every failure at every step found that a stream whose first attempt ended before its first event (crossed, lost or silent after the head) was retried under another attempt id, while the caller's head already named the first one, so that a cancellation by that id missed the attempt that ran.

Change: the head goes out with the first whole event, here and where a forwarded stream is handed on. Comments before the first event are dropped. New fakes run the runner, attempts, router, retries, quarantine and a ledger home in virtual time against scripted servers; an endless wait is an error.

--- a/buckthorntack/entry/_attempt.py
+++ b/buckthorntack/entry/_attempt.py
@@ -199,10 +199,6 @@
         return await self._read_whole(response, target, limit)
 
     async def _read_events(self, response, target, sink, relay, limit):
-        if not sink.started:
-            headers = [("content-type", EVENT_STREAM)]
-            headers.append(("cache-control", "no-store"))
-            await sink.start(200, headers, target.attempt_id)
         loop = asyncio.get_running_loop()
         pause = self.progress.total_seconds()
         async for data in response.stream:
@@ -211,12 +207,21 @@
             checked = relay.feed(data)
             if relay.error is not None:
                 return retries.CrossedAnswer(target.server_id)
-            if checked:
-                await sink.write(checked)
+            await self._hand_on(checked, target, sink, relay)
             if relay.done:
                 return Done(200, [], b"", relay.last_event)
         return retries.LostMidStream(target.server_id)
 
+    async def _hand_on(self, checked, target, sink, relay):
+        """Send events; the head, which names the attempt, with the first."""
+        if not checked or relay.last_event < 0:
+            return
+        if not sink.started:
+            headers = [("content-type", EVENT_STREAM)]
+            headers.append(("cache-control", "no-store"))
+            await sink.start(200, headers, target.attempt_id)
+        await sink.write(checked)
+
     async def _read_whole(self, response, target, limit):
         parts = []
         async for data in response.stream:
--- a/buckthorntack/entry/_forwarding.py
+++ b/buckthorntack/entry/_forwarding.py
@@ -198,9 +198,6 @@
                 message.attempt_id, request.resume_after
             )
             seen(outgoing.relay)
-            if not sink.started:
-                headers = [(h.name, h.value) for h in message.headers]
-                await sink.start(200, headers, message.attempt_id)
 
     @_take.register
     async def _(
@@ -219,8 +216,8 @@
         if outgoing.relay.error is not None:
             self._cancel(outgoing)
             return retries.CrossedAnswer(place)
-        if checked:
-            await sink.write(checked)
+        if checked and outgoing.relay.last_event >= 0:
+            await _hand_on(checked, outgoing.head, sink)
         return None
 
     @_take.register
@@ -246,6 +243,14 @@
         return _attempt.Done(outgoing.head.status, headers, body, 0)
 
 
+async def _hand_on(checked, head, sink):
+    """Send events; the head, which names the attempt, with the first."""
+    if not sink.started:
+        headers = [(header.name, header.value) for header in head.headers]
+        await sink.start(200, headers, head.attempt_id)
+    await sink.write(checked)
+
+
 def _lost(outgoing, place):
     if outgoing.head is None:
         return retries.LostBeforeHead(place)
--- /dev/null
+++ b/buckthorntack/entry/tests/fakes.py
@@ -0,0 +1,479 @@
+"""An entry VM's collaborators in virtual time, with scripted servers."""
+
+import asyncio
+import datetime
+import functools
+import json
+import pathlib
+import random
+import selectors
+
+import expression
+import httpx
+
+from buckthorntack import clock
+from buckthorntack import errors
+from buckthorntack import ledger
+from buckthorntack import objects
+from buckthorntack import retries
+from buckthorntack import routing
+from buckthorntack import security
+from buckthorntack.entry import _attempt
+from buckthorntack.entry import _forwarding
+from buckthorntack.entry import _once
+from buckthorntack.entry import _parts
+from buckthorntack.entry import _request
+from buckthorntack.entry import _runner
+from buckthorntack.entry import _watching
+from buckthorntack.routing.tests import _records
+
+EXAMPLES = pathlib.Path(__file__).parents[3] / "examples"
+ORGANISATION = "kyushu-roundabouts"
+PROGRESS = datetime.timedelta(seconds=2)
+EVENTS = 5
+BODY = b"the whole answer"
+HOME = {"home_id": "h1", "region": "fukuoka"}
+
+
+class HangError(Exception):
+    """Nothing is left that could happen."""
+
+
+class _Selector(selectors.SelectSelector):
+    """Moves the loop's time on in place of waiting."""
+
+    loop = None
+
+    def select(self, timeout=None):
+        if timeout is None:
+            raise HangError
+        self.loop.elapsed_s += max(0.0, timeout)
+        return super().select(0)
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """An event loop whose time passes only by waiting."""
+
+    def __init__(self):
+        selector = _Selector()
+        selector.loop = self
+        self.elapsed_s = 0.0
+        super().__init__(selector)
+
+    def time(self):
+        return self.elapsed_s
+
+
+class LoopClock(clock.SystemClock):
+    """The clock of a virtual loop."""
+
+    def monotonic(self):
+        now_s = asyncio.get_running_loop().time()
+        return datetime.timedelta(seconds=now_s)
+
+    def wall(self):
+        return clock.ManualClock.EPOCH + self.monotonic()
+
+
+def run(coroutine):
+    """Run to the end in virtual time."""
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        return runner.run(coroutine)
+
+
+class _Body(httpx.AsyncByteStream):
+    def __init__(self, parts):
+        self.parts = parts
+
+    async def __aiter__(self):
+        for part in self.parts:
+            if part == "lost":
+                raise httpx.ReadError("lost")
+            if part == "silent":
+                await asyncio.sleep(10**9)
+            yield part
+
+    async def aclose(self):
+        return
+
+
+def whole_stream(attempt_id, after=-1):
+    """Events of an attempt after a number."""
+    parts = [
+        f"id: {attempt_id}/{number}\ndata: t{number}\n\n".encode()
+        for number in range(EVENTS)
+    ]
+    parts.append(f"id: {attempt_id}/{EVENTS}\ndata: [DONE]\n\n".encode())
+    return parts[after + 1 :]
+
+
+class Backend:
+    """A backend server that fails by a script, as seen by its clients.
+
+    :param run: what happens to the requests sent, in turn.
+    :param resume: what happens to the attempts to resume.
+    :param ask: what happens to the questions for the outcome.
+    """
+
+    def __init__(self, run=(), resume=(), ask=()):
+        self.script = {
+            "run": list(run),
+            "resume": list(resume),
+            "ask": list(ask),
+        }
+        self.runs = []
+        self.sent = []
+        self.streams = {}
+        self.cancelled = []
+        #: Hosts in the order in which they were asked to run something.
+        self.hosts = []
+
+    async def handle_async_request(self, request):
+        path = request.url.path
+        if request.method == "DELETE":
+            self.cancelled.append(path.rpartition("/")[2])
+            return httpx.Response(200)
+        if path.endswith("/outcome"):
+            return await self._outcome(path.split("/")[-2])
+        if path.startswith("/attempts/"):
+            return await self._resume(request, path.rpartition("/")[2])
+        return await self._run(request)
+
+    async def aclose(self):
+        return
+
+    def _next(self, kind):
+        script = self.script[kind]
+        return script.pop(0) if script else "ok"
+
+    async def _run(self, request):
+        attempt_id = request.headers["x-attempt-id"]
+        step = self._next("run")
+        if step == "refused":
+            raise httpx.ConnectError("refused")
+        self.sent.append(attempt_id)
+        self.hosts.append(request.url.host)
+        if step in ("lost before run", "silent before run"):
+            return await self._fail(step)
+        if step == "not run":
+            headers = self._head(attempt_id) | {"x-run-state": "not_run"}
+            return httpx.Response(503, headers=headers, stream=_Body([]))
+        self.runs.append(attempt_id)
+        streamed = b'"stream": true' in request.content
+        self.streams[attempt_id] = streamed
+        if step == "error":
+            return httpx.Response(
+                500, headers=self._head(attempt_id), stream=_Body([b"x"])
+            )
+        return await self._answer(step, attempt_id, streamed, -1)
+
+    async def _fail(self, step):
+        if step.startswith("silent"):
+            await asyncio.sleep(10**9)
+        raise httpx.ReadError(step)
+
+    def _head(self, attempt_id):
+        return {"x-attempt-id": attempt_id}
+
+    async def _answer(self, step, attempt_id, streamed, after):
+        if step in ("lost", "silent"):
+            return await self._fail(step)
+        told = "another" if step == "crossed" else attempt_id
+        headers = self._head(told)
+        parts = [BODY[:4], BODY[4:]]
+        if streamed:
+            headers["content-type"] = "text/event-stream"
+            whose = "another" if step == "crossed events" else attempt_id
+            parts = whole_stream(whose, after)
+        if step in ("lost midway", "silent midway"):
+            parts = [parts[0], step.split()[0]]
+        if step == "ends early":
+            parts = parts[:1] if streamed else [BODY[:4], "lost"]
+        return httpx.Response(200, headers=headers, stream=_Body(parts))
+
+    async def _resume(self, request, attempt_id):
+        step = self._next("resume")
+        if step == "refused":
+            raise httpx.ConnectError("refused")
+        if step == "gone" or attempt_id not in self.runs:
+            return httpx.Response(
+                404, headers=self._head(attempt_id), stream=_Body([])
+            )
+        after = int(request.url.params["after"])
+        streamed = self.streams[attempt_id]
+        return await self._answer(step, attempt_id, streamed, after)
+
+    async def _outcome(self, attempt_id):
+        step = self._next("ask")
+        if step in ("lost", "silent"):
+            return await self._fail(step)
+        ran = attempt_id in self.runs
+        state = "unknown" if step == "unknown" else _state(ran)
+        told = {"run_state": state, "running": False}
+        whose = "another" if step == "crossed" else attempt_id
+        content = b"nonsense" if step == "nonsense" else _json(told)
+        return httpx.Response(
+            200, headers=self._head(whose), stream=_Body([content])
+        )
+
+
+def _state(ran):
+    return "ran" if ran else "not_run"
+
+
+def _json(document):
+    return json.dumps(document).encode()
+
+
+class Sink:
+    """Takes an answer as a caller would."""
+
+    def __init__(self):
+        self.started = False
+        self.status = None
+        self.attempt_id = ""
+        self.body = b""
+        self.finished = False
+
+    async def start(self, status, headers, attempt_id):
+        assert not self.started
+        self.started = True
+        self.status = status
+        self.attempt_id = attempt_id
+
+    async def write(self, data):
+        assert self.started and not self.finished
+        self.body += data
+
+    async def finish(self):
+        assert not self.finished
+        self.finished = True
+
+
+class Ledger:
+    """A home that is always in reach and keeps one record a key."""
+
+    def __init__(self):
+        self.holder = {}
+        self.told = {}
+        self.answers = {}
+        #: Errors that claims are answered with, in turn.
+        self.refusals = []
+
+    def home_of(self, key, organisation):
+        return expression.Ok(HOME)
+
+    async def claim(self, home, organisation, key, digest, attempt_id, store):
+        if self.refusals:
+            return expression.Error(self.refusals.pop(0))
+        if key in self.answers:
+            return expression.Ok(self.answers[key])
+        if key in self.holder:
+            error = ledger.AttemptInProgressError(self.holder[key])
+            return expression.Error(error)
+        if self.told.get(key) is errors.RunState.UNKNOWN:
+            return expression.Error(ledger.OutcomeUnknownError(key))
+        self.holder[key] = attempt_id
+        return expression.Ok(ledger.Granted(attempt_id))
+
+    async def finish(
+        self, home, organisation, key, attempt_id, status, headers, body
+    ):
+        self._settle(key, attempt_id, errors.RunState.RAN)
+        self.answers[key] = ledger.Replay(attempt_id, status, [], body, True)
+
+    async def release_not_run(self, home, organisation, key, attempt_id):
+        self._settle(key, attempt_id, errors.RunState.NOT_RUN)
+
+    async def resolved(self, home, organisation, key, attempt_id, state):
+        self._settle(key, attempt_id, state)
+
+    async def report_unknown(self, home, organisation, key, attempt_id):
+        self._settle(key, attempt_id, errors.RunState.UNKNOWN)
+
+    def _settle(self, key, attempt_id, state):
+        assert self.holder.pop(key) == attempt_id
+        self.told[key] = state
+
+
+class Members:
+    """Membership without other nodes."""
+
+    def __init__(self):
+        self.entries = []
+        self.items = []
+        self.announced = []
+
+    def listen(self, kind, function):
+        return
+
+    def publish(self, item):
+        self.items.append(item)
+
+    def entries_of(self, region):
+        return [entry for entry in self.entries if entry.region == region]
+
+    def entry_list(self, region, failure_domain):
+        return self.entries_of(region)
+
+    def set_in_flight(self, count):
+        self.in_flight = count
+
+    def announce(self, document, service):
+        self.announced.append(document)
+        return {"accepted": True, "renew_ms": 700, "echo": "", "entries": []}
+
+
+class Admitting:
+    """Admits all."""
+
+    def __init__(self):
+        self.running = set()
+
+    async def admit(self, request):
+        self.running.add(request.request_id)
+
+    def finished(self, request_id, tokens):
+        self.running.remove(request_id)
+
+
+@functools.cache
+def published_example():
+    """The published set of an example."""
+    loaded = objects.load_folder(EXAMPLES / "hoardline").named_objects
+    return objects.PublishedSet(1, loaded)
+
+
+class Configuration:
+    """One published set that is in force."""
+
+    def __init__(self):
+        self.published = published_example()
+
+    def current(self):
+        return self.published
+
+    async def wait_for(self, revision, within):
+        return expression.Error(errors.GatewayError("still behind"))
+
+
+class Metrics:
+    """Counts nothing."""
+
+    def answered(self, method):
+        return
+
+    def refused(self, error):
+        return
+
+
+class Sender:
+    """Keeps what is sent; hands it on if it has a receiver."""
+
+    def __init__(self):
+        self.sent = []
+        self.receive = None
+        self.takes = True
+
+    def send(self, node_id, message):
+        if not self.takes:
+            return False
+        self.sent.append((node_id, message))
+        if self.receive is not None:
+            self.receive(node_id, message)
+        return True
+
+
+def make_parts(backend, region="fukuoka", servers=("s1", "s2", "s3")):
+    """Collaborators of an entry VM around scripted servers."""
+    settings = {
+        "region": region,
+        "failure_domain": f"{region}-a",
+        "timing": {"request_deadline_ms": 60_000},
+        "ledger_homes": [HOME],
+    }
+    source = LoopClock()
+    rng = random.Random(1)
+    parts = _parts.EntryParts(settings, Sender(), source, rng)
+    parts.members = Members()
+    parts.configuration = Configuration()
+    parts.admitting = Admitting()
+    parts.metrics = Metrics()
+    parts.signer = security.AttemptSigner([b"k" * 32])
+    parts.attempts = _attempt.AttemptClient(source, PROGRESS)
+    parts.attempts._shared = parts.attempts._single = backend
+    parts.once = _once.Once(Ledger(), parts.attempts, parts.locate)
+    parts.forwarding = _forwarding.ForwardingTask(
+        region, parts.sender, source, PROGRESS
+    )
+    retry_settings = retries.RetrySettings()
+    limiter = retries.AttemptLimiter("e1", retry_settings)
+    parts.retry_policy = retries.RetryPolicy(retry_settings, rng, limiter)
+    parts.watching = _watching.WatchingTask(
+        retries.Quarantine("e1", retries.QuarantineSettings()),
+        limiter,
+        parts.members,
+        source,
+    )
+    parts.router = routing.Router(
+        region, f"{region}-a", routing.RouterSettings(), rng
+    )
+    for name in servers:
+        add_server(parts, name)
+    return parts
+
+
+def add_server(parts, name):
+    """Let a plain service's and an engine's server be known."""
+    for service, versions in (("vergedesk", []), ("pitchwriter", ["w"])):
+        record = _records.server(
+            f"{service}-{name}",
+            region=parts.region,
+            service=service,
+            model_versions=versions,
+            url=f"http://{service}-{name}",
+            lease_ms=10**8,
+        )
+        parts.servers[record.server_id] = record
+        parts.router.update_server(record, datetime.timedelta())
+
+
+def make_request(kind, **fields):
+    """A request: ``stream``, ``whole`` or ``booking``."""
+    booking = kind == "booking"
+    streamed = kind == "stream"
+    body = b'{"stream": true}' if streamed else b"{}"
+    request = _request.GatewayRequest(
+        request_id="r1",
+        organisation=ORGANISATION,
+        service="vergedesk" if booking else "pitchwriter",
+        model_version="" if booking else "w",
+        method="POST",
+        path="/bookings" if booking else "/v1/completions",
+        body=body,
+        content_type="application/json",
+        idempotent=not booking,
+        streamed=streamed,
+        idempotency_key="k1" if booking else "",
+        prompt_tokens=10,
+        prefix_hashes=(),
+        fingerprint=f"f-{kind}",
+        allowed_regions=frozenset(["fukuoka", "kumamoto", "kagoshima"]),
+        revision=1,
+        deadline=datetime.timedelta(seconds=60),
+    )
+    return request._replace(**fields)
+
+
+async def answer(parts, request, sink=None):
+    """Run a request.
+
+    :returns: the sink, and the error or ``None``.
+    """
+    sink = sink or Sink()
+    runner = _runner.Runner(parts)
+    try:
+        await runner.run(request, sink)
+    except errors.GatewayError as error:
+        return sink, error
+    return sink, None
