Forget requests that were forwarded in part; test losses of forwards

Cause: the answering side told the origin that it was alive also of a request whose body had not come whole. One lost part of a body made the origin wait for good, beyond the caller's deadline, and left a record behind at the answering side for good.

Change: only requests that run are told to be alive; a request whose rest does not come within the progress time is forgotten.

--- a/buckthorntack/entry/_accepting.py
+++ b/buckthorntack/entry/_accepting.py
@@ -23,10 +23,12 @@
 class _Incoming:
     """One hand-over, as the answering side sees it."""
 
-    def __init__(self, origin, message, sink):
+    def __init__(self, origin, message, sink, now):
         self.origin = origin
         self.message = message
         self.sink = sink
+        #: When the last part of the request came.
+        self.heard_at = now
         self.parts = []
         self.task = None
 
@@ -83,7 +85,8 @@
             self.parts.sender,
             self.progress.total_seconds(),
         )
-        incoming = _Incoming(sender, message, sink)
+        now = self.parts.clock.monotonic()
+        incoming = _Incoming(sender, message, sink, now)
         self._incoming[key] = incoming
         if len(self._incoming) > MOST_INCOMING:
             error = _errors.BusyError("too many forwarded requests")
@@ -99,6 +102,7 @@
             del self._incoming[key]
             return
         incoming.parts.append(message.data)
+        incoming.heard_at = self.parts.clock.monotonic()
         if message.last:
             self._start(key, incoming, self._run(incoming))
 
@@ -199,9 +203,21 @@
     async def _tell_alive(self):
         while True:
             await self.parts.clock.sleep(self.progress / ALIVE_SHARE)
+            self._forget_parts()
             for incoming in list(self._incoming.values()):
-                message = messages.ForwardAlive(incoming.message.forward_id)
-                self.parts.sender.send(incoming.origin, message)
+                self._tell_one(incoming)
+
+    def _forget_parts(self):
+        """Forget requests whose rest does not come."""
+        oldest = self.parts.clock.monotonic() - self.progress
+        for key, incoming in list(self._incoming.items()):
+            if incoming.task is None and incoming.heard_at < oldest:
+                del self._incoming[key]
+
+    def _tell_one(self, incoming):
+        if incoming.task is not None:
+            message = messages.ForwardAlive(incoming.message.forward_id)
+            self.parts.sender.send(incoming.origin, message)
 
 
 def _prefix_hashes(message, body):
--- a/buckthorntack/entry/tests/fakes.py
+++ b/buckthorntack/entry/tests/fakes.py
@@ -127,6 +127,8 @@
         self.cancelled = []
         #: Hosts in the order in which they were asked to run something.
         self.hosts = []
+        #: Paths and queries of what they were asked to run.
+        self.targets = []
 
     async def handle_async_request(self, request):
         path = request.url.path
@@ -153,6 +155,7 @@
             raise httpx.ConnectError("refused")
         self.sent.append(attempt_id)
         self.hosts.append(request.url.host)
+        self.targets.append(request.url.raw_path)
         if step in ("lost before run", "silent before run"):
             return await self._fail(step)
         if step == "not run":
