--- a/buckthorntack/entry/_backends.py
+++ b/buckthorntack/entry/_backends.py
@@ -1,5 +1,8 @@
 """HTTP application for backend servers."""
 
+import re
+
+import httpx
 import msgspec
 
 from buckthorntack import errors
@@ -12,6 +15,9 @@
 
 ANNOUNCE_PATH = "/backend/v1/announce"
 MOST_BODY_BYTES = 1 << 20
+MOST_PORT = 65535
+LONGEST_LABEL = 63
+HOST_LABEL = re.compile("[A-Za-z0-9-]*")
 
 
 class BackendsApp:
@@ -75,12 +81,35 @@
         if domain != self.parts.failure_domain:
             detail = f"{domain} is not the failure domain of this entry VM"
             raise _errors.AnnouncementRefusedError(detail)
+        if not _is_address(document["url"]):
+            detail = f"{document['url'][:200]!r} is no address"
+            raise _errors.AnnouncementRefusedError(detail)
+
+
+def _is_address(url):
+    """Whether requests can be sent to a base address."""
+    try:
+        parsed = httpx.URL(url)
+    except (httpx.InvalidURL, ValueError):
+        return False
+    if parsed.query or parsed.fragment or not url.isascii():
+        return False
+    port = parsed.port
+    return (port is None or port <= MOST_PORT) and _is_host(parsed.host)
+
+
+def _is_host(host):
+    labels = re.split("[.:]", host)
+    return bool(host) and all(
+        len(label) <= LONGEST_LABEL and HOST_LABEL.fullmatch(label)
+        for label in labels
+    )
 
 
 def _parse(body):
     try:
         document = msgspec.json.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, ValueError, RecursionError) as error:
         raise _errors.MalformedRequestError(str(error)) from error
     findings = schema.validate_document("backend", "Announcement", document)
     if findings:
--- a/buckthorntack/entry/_callers.py
+++ b/buckthorntack/entry/_callers.py
@@ -106,7 +106,8 @@
         if path in _reading.COMPLETION_PATHS and method == "POST":
             return self.reader.completion(path, headers, body, organisation)
         if path.startswith(_reading.SERVICES_PREFIX):
-            query = scope["query_string"].decode("latin-1")
+            path = scope["raw_path"].partition(b"?")[0].decode("latin-1")
+            query = _reading.read_query(scope)
             return self.reader.service_call(
                 method, path, query, headers, body, organisation
             )
--- a/buckthorntack/entry/_reading.py
+++ b/buckthorntack/entry/_reading.py
@@ -14,6 +14,7 @@
 COMPLETION_PATHS = ("/v1/chat/completions", "/v1/completions")
 SERVICES_PREFIX = "/services/"
 LONGEST_REQUEST_ID = 128
+LONGEST_LENGTH_DIGITS = 18
 JSON_TYPE = "application/json"
 
 
@@ -36,6 +37,18 @@
     return headers
 
 
+def read_query(scope):
+    """Query of a request, percent-encoded.
+
+    :param scope: ASGI scope.
+    :raises GatewayError: it has characters that must be encoded.
+    """
+    query = scope["query_string"].decode("latin-1")
+    if not _is_plain(query):
+        raise _errors.MalformedRequestError("the query is malformed")
+    return query
+
+
 async def read_body(headers, receive, most_bytes):
     """Whole body of a request.
 
@@ -45,7 +58,7 @@
     :raises GatewayError: it is too large, too slow or broken off.
     """
     length = headers.get("content-length", "0")
-    if not length.isdecimal() or int(length) > most_bytes:
+    if not _is_within(length, most_bytes):
         raise _errors.TooLargeError(f"the body is over {most_bytes} bytes")
     parts = []
     size = 0
@@ -68,17 +81,36 @@
     return b"".join(parts)
 
 
+def _is_within(number, most):
+    """Whether a text is a number, and not above a limit."""
+    if not number.isdecimal() or len(number) > LONGEST_LENGTH_DIGITS:
+        return False
+    return int(number) <= most
+
+
 def request_id(headers):
     """Id that follows a request; a caller may choose it.
 
     :param headers: the request's headers.
     """
     given = headers.get("x-request-id", "")
-    if given and len(given) <= LONGEST_REQUEST_ID and given.isprintable():
+    if given and len(given) <= LONGEST_REQUEST_ID and _is_plain(given):
         return given
     return uuid.uuid4().hex
 
 
+def _is_plain(text):
+    """Whether a header's text can be sent on as it is."""
+    return text.isascii() and text.isprintable()
+
+
+def _content_type(headers):
+    given = headers.get("content-type", JSON_TYPE)
+    if not _is_plain(given):
+        raise _errors.MalformedRequestError("Content-Type is malformed")
+    return given
+
+
 class Reader:
     """Makes gateway requests of callers' requests.
 
@@ -156,7 +188,7 @@
         """Read a call of a plain service.
 
         :param method: HTTP method.
-        :param path: path with the service's name.
+        :param path: path with the service's name, percent-encoded.
         :param query: query string.
         :param headers: its headers.
         :param body: its body.
@@ -168,7 +200,8 @@
         below = f"/{below}"
         published = self.published()
         call = None
-        if published.may_use(organisation, service):
+        allowed = published.may_use(organisation, service)
+        if allowed and path.isascii():
             call = published.match_call(service, method, below)
         if call is None:
             raise _errors.NotFoundError(f"{method} {path[:200]}")
@@ -184,7 +217,7 @@
             method=method,
             path=f"{below}?{query}" if query else below,
             body=body,
-            content_type=headers.get("content-type", JSON_TYPE),
+            content_type=_content_type(headers),
             idempotent=call["idempotent"],
             streamed=False,
             idempotency_key="" if call["idempotent"] else key,
--- a/buckthorntack/routing/_prompt.py
+++ b/buckthorntack/routing/_prompt.py
@@ -52,7 +52,7 @@
     """
     try:
         document = _DECODER.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, ValueError, RecursionError) as error:
         return expression.Error(_errors.MalformedBodyError(str(error)))
     content = document.get("messages", document.get("prompt"))
     if "model" not in document or content is None:
--- a/buckthorntack/schema/_codec.py
+++ b/buckthorntack/schema/_codec.py
@@ -65,7 +65,7 @@
         )
     try:
         return codec.decoder.decode(payload)
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+    except (msgspec.DecodeError, ValueError, RecursionError) as error:
         raise MalformedMessageError(
             f"{codec.message_type.__name__}: {error}; "
             "look for a sender of another version"
