--- a/buckthorntack/configuration/tests/test_machine.py
+++ b/buckthorntack/configuration/tests/test_machine.py
@@ -184,3 +184,25 @@
     snapshot = log.machine.snapshot()
     log.restart()
     assert log.machine.snapshot() == snapshot
+
+
+def test_restart_after_hundreds_of_changes(log):
+    changes, answers = [], []
+    for number in range(400):
+        name = f"q{number % 7}"
+        change = _samples.change(
+            f"n{number}", 1 + number, [_samples.quota(name, 10 + number)]
+        )
+        changes.append(change)
+        answers.append(log.propose(change).ok)
+        if number % 150 == 149:
+            log.restart()
+    assert all(answer["accepted"] for answer in answers)
+    before = log.machine.snapshot()
+    log.restart()
+    assert log.machine.snapshot() == before
+    assert log.machine.revision == 401
+    assert [log.propose(change).ok for change in changes] == answers
+    assert log.machine.revision == 401
+    quota = log.machine.published.get("Quota", "q0")
+    assert quota["burst_requests"] == 10 + 399
--- a/buckthorntack/schema/_parsing.py
+++ b/buckthorntack/schema/_parsing.py
@@ -23,16 +23,28 @@
 
     :param text: the text.
     :returns: the parsed value.
-    :raises ValueError: it is not JSON, nests too deeply, or an object names
-        a field twice.
+    :raises ValueError: it is not JSON, nests too deeply, has half of a
+        surrogate pair, or an object names a field twice.
 
     >>> parse_json('{"a": 1}  // one')
     {'a': 1}
     """
     try:
-        return _parse(text)
+        parsed = _parse(text)
+        _check_characters(text, parsed)
     except RecursionError:
         raise ValueError("it nests too deeply") from None
+    return parsed
+
+
+def _check_characters(text, parsed):
+    """Refuse strings that cannot be encoded; an escape can hide them."""
+    if "\\u" not in text:
+        return
+    try:
+        json.dumps(parsed, ensure_ascii=False).encode()
+    except UnicodeEncodeError:
+        raise ValueError("it has half of a surrogate pair") from None
 
 
 def _parse(text):
