--- a/buckthorntack/cli/_commands/load.py
+++ b/buckthorntack/cli/_commands/load.py
@@ -31,7 +31,7 @@
         help="seeds of the mix, with commas (default: %(default)s)",
     )
     parser.add_argument(
-        "--seconds", type=float, default=30.0, help="length of one run"
+        "--seconds", type=float, default=45.0, help="length of one run"
     )
     parser.add_argument(
         "--rate", type=float, default=1.0, help="factor of the usual rate"
@@ -54,10 +54,14 @@
     :param context: where to print.
     :returns: an exit code; that of findings if a promise was broken.
     """
+    import logging
+
     import logbook
 
     from buckthorntack import bench
 
+    # Broken connections are among what is measured.
+    logging.getLogger("uvicorn").setLevel(logging.CRITICAL)
     handler = logbook.StreamHandler(context.stderr, level="ERROR")
     with handler.applicationbound():
         results = [
--- a/buckthorntack/entry/_accepting.py
+++ b/buckthorntack/entry/_accepting.py
@@ -18,19 +18,20 @@
 CATCH_UP = datetime.timedelta(seconds=2)
 MOST_INCOMING = 4000
 ALIVE_SHARE = 4
+#: Periods without a part of the body after which a request is forgotten.
+ABANDONED_PERIODS = 4 * ALIVE_SHARE
 
 
 class _Incoming:
     """One hand-over, as the answering side sees it."""
 
-    def __init__(self, origin, message, sink, now):
+    def __init__(self, origin, message, sink):
         self.origin = origin
         self.message = message
         self.sink = sink
-        #: When the last part of the request came.
-        self.heard_at = now
         self.parts = []
         self.task = None
+        self.idle_periods = 0
 
 
 class AcceptingTask:
@@ -85,8 +86,7 @@
             self.parts.sender,
             self.progress.total_seconds(),
         )
-        now = self.parts.clock.monotonic()
-        incoming = _Incoming(sender, message, sink, now)
+        incoming = _Incoming(sender, message, sink)
         self._incoming[key] = incoming
         if len(self._incoming) > MOST_INCOMING:
             error = _errors.BusyError("too many forwarded requests")
@@ -102,7 +102,7 @@
             del self._incoming[key]
             return
         incoming.parts.append(message.data)
-        incoming.heard_at = self.parts.clock.monotonic()
+        incoming.idle_periods = 0
         if message.last:
             self._start(key, incoming, self._run(incoming))
 
@@ -203,21 +203,21 @@
     async def _tell_alive(self):
         while True:
             await self.parts.clock.sleep(self.progress / ALIVE_SHARE)
-            self._forget_parts()
-            for incoming in list(self._incoming.values()):
-                self._tell_one(incoming)
-
-    def _forget_parts(self):
-        """Forget requests whose rest does not come."""
-        oldest = self.parts.clock.monotonic() - self.progress
-        for key, incoming in list(self._incoming.items()):
-            if incoming.task is None and incoming.heard_at < oldest:
-                del self._incoming[key]
-
-    def _tell_one(self, incoming):
+            for key, incoming in list(self._incoming.items()):
+                self._tell_or_drop(key, incoming)
+
+    def _tell_or_drop(self, key, incoming):
+        """Tell of a request that runs; forget one whose body stays out.
+
+        The origin of the latter is told nothing, so that it goes on.
+        """
         if incoming.task is not None:
             message = messages.ForwardAlive(incoming.message.forward_id)
             self.parts.sender.send(incoming.origin, message)
+            return
+        incoming.idle_periods += 1
+        if incoming.idle_periods > ABANDONED_PERIODS:
+            del self._incoming[key]
 
 
 def _prefix_hashes(message, body):
--- a/buckthorntack/entry/_attempt.py
+++ b/buckthorntack/entry/_attempt.py
@@ -16,6 +16,7 @@
 STATE_HEADER = "x-run-state"
 CONNECT_SECONDS = 1.0
 ASK_SECONDS = 2.0
+#: Shorter than servers usually keep an idle connection.
 EVENT_STREAM = "text/event-stream"
 PASSED_HEADERS = ("content-type", "location", "etag", "cache-control")
 NOT_RUN_STATUS = 503
@@ -143,6 +144,17 @@
             return unknown
         return retries.OutcomeTold(target.server_id, state, running)
 
+    async def fetch(self, target):
+        """Fetch the whole answer of an attempt that has ended.
+
+        :param target: the :class:`Target`.
+        :returns: :class:`Done`, or None if it cannot be had.
+        """
+        result = await self.resume(target, None, None, lambda: None)
+        if isinstance(result, Done) and result.status < 400:
+            return result
+        return None
+
     def cancel(self, target):
         """Tell a server in the background that an answer is not wanted.
 
--- a/buckthorntack/entry/_errors.py
+++ b/buckthorntack/entry/_errors.py
@@ -161,3 +161,12 @@
     kind = "forwarding_lost"
     remedy = "resume the stream at another entry VM, or ask again"
     run_state = errors.RunState.UNKNOWN
+
+
+class WrongRegionError(errors.GatewayError):
+    """This entry VM is outside the organisation's residency."""
+
+    number = 1326
+    status = 421
+    kind = "wrong_region"
+    remedy = "use an entry VM that GET /v1/entries names"
--- a/buckthorntack/entry/_runner.py
+++ b/buckthorntack/entry/_runner.py
@@ -19,6 +19,7 @@
 
 #: Failures after which the other side is known to have closed.
 CLOSED = (retries.LostBeforeHead, retries.LostMidStream)
+NOT_RUN = (retries.ConnectRefused, retries.SaidNotRun)
 LOST = (*CLOSED, retries.Silent)
 #: How long a server is kept free for a suspect that waits for its claim.
 RESERVED = datetime.timedelta(seconds=3)
@@ -56,6 +57,9 @@
             await asyncio.wait(list(self._detached))
 
     async def _run(self, request, sink):
+        if request.resumed_attempt:  # it was admitted when it began
+            await _Execution(self.parts, request, sink).run()
+            return
         await self.parts.admitting.admit(self._admission_request(request))
         tokens = 0
         try:
@@ -250,6 +254,7 @@
             idempotent=request.idempotent,
             isolate=isolate,
             preferred_server=preferred,
+            fingerprint=request.fingerprint,
         )
 
     def _log_decision(self):
@@ -345,6 +350,8 @@
             parts.watching.stopped(
                 request.fingerprint, target.server_id, finished
             )
+            if isinstance(result, NOT_RUN):
+                parts.watching.release(request.fingerprint)
             parts.router.attempt_finished(
                 target.server_id,
                 target.attempt_id,
@@ -427,6 +434,14 @@
 
     def _relay_seen(self, relay):
         self.relay = relay
+        if isinstance(self.decision, routing.RouteForward):
+            forward_id = f"{self.request.request_id}/{self.context.attempts}"
+            self.parts.router.forward_first_byte(
+                self.decision,
+                forward_id,
+                self.route,
+                self.parts.clock.monotonic(),
+            )
 
     async def _resume_elsewhere(self):
         """Resume a forwarded stream through another entry VM."""
--- a/buckthorntack/entry/tests/fakes.py
+++ b/buckthorntack/entry/tests/fakes.py
@@ -288,7 +288,9 @@
     async def release_not_run(self, home, organisation, key, attempt_id):
         self._settle(key, attempt_id, errors.RunState.NOT_RUN)
 
-    async def resolved(self, home, organisation, key, attempt_id, state):
+    async def resolved(
+        self, home, organisation, key, attempt_id, state, **answer
+    ):
         self._settle(key, attempt_id, state)
 
     async def report_unknown(self, home, organisation, key, attempt_id):
--- a/buckthorntack/standins/_deployment.py
+++ b/buckthorntack/standins/_deployment.py
@@ -8,6 +8,7 @@
 import contextlib
 import datetime
 import functools
+import os
 import pathlib
 import random
 import socket
@@ -28,6 +29,16 @@
 
 OPERATOR_TOKEN = "demo-operator"
 POLL_SECONDS = 0.02
+WEIGHT_BYTES_PER_SECOND = 2e9
+
+
+def _own_host():
+    """Loopback address of this process, so that none takes another's ports."""
+    high, low = divmod(os.getpid() % 2**16, 2**8)
+    return f"127.{high // 2 + 1}.{low}.{high % 2 + 1}"
+
+
+HOST = _own_host()
 
 
 class Layout(NamedTuple):
@@ -148,6 +159,17 @@
                 text = security.format_key_file(content)
                 settings_files.write_secret(keys / name, text)
 
+    def _reserve_port(self):
+        """A port that nobody else is given while the deployment lasts.
+
+        The socket that holds it does not listen, so that the node's own,
+        which reuses addresses as it does, can.
+        """
+        holder = self._stack.enter_context(socket.socket())
+        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        holder.bind((HOST, 0))
+        return holder.getsockname()[1]
+
     def _plan_nodes(self):
         domains = sorted(
             (domain["region"], domain["name"])
@@ -160,7 +182,7 @@
                 addresses.append(
                     {
                         "node_id": f"{domain}-{number + 1}",
-                        "link_address": f"127.0.0.1:{_free_port()}",
+                        "link_address": f"{HOST}:{self._reserve_port()}",
                         "region": region,
                         "failure_domain": domain,
                         "roles": roles,
@@ -189,9 +211,9 @@
             "failure_domain": address["failure_domain"],
             "data_folder": str(self.data_folder / address["node_id"]),
             "links": {"listen_address": address["link_address"]},
-            "callers": {"listen_address": f"127.0.0.1:{_free_port()}"},
-            "backends": {"listen_address": f"127.0.0.1:{_free_port()}"},
-            "metrics": {"listen_address": f"127.0.0.1:{_free_port()}"},
+            "callers": {"listen_address": f"{HOST}:{self._reserve_port()}"},
+            "backends": {"listen_address": f"{HOST}:{self._reserve_port()}"},
+            "metrics": {"listen_address": f"{HOST}:{self._reserve_port()}"},
             "nodes": addresses,
             "control": control,
             "ledger_homes": homes,
@@ -201,9 +223,10 @@
                 "operator_tokens_file": str(keys / "operators.json"),
             },
             "timing": dict(self.layout.timing),
+            "weight_store": {"bytes_per_second": WEIGHT_BYTES_PER_SECOND},
         }
         if "control" in address["roles"]:
-            admin = f"127.0.0.1:{_free_port()}"
+            admin = f"{HOST}:{self._reserve_port()}"
             document["admin"] = {"listen_address": admin}
         checked = settings_files.from_document(document)
         if checked.is_error():
@@ -376,7 +399,7 @@
             fake = _service.FakeService(server_id)
             slots = 64
         listener = transport.HttpListener(
-            fake, transport.bind_listener(f"127.0.0.1:{port}")
+            fake, transport.bind_listener(f"{HOST}:{port}")
         )
         await listener.__aenter__()
         document = {
@@ -450,10 +473,3 @@
         )
         wall_ms = int(self.clock.wall().timestamp() * 1000)
         return ledger.key_prefix(home["home_id"], wall_ms)
-
-
-def _free_port():
-    with socket.socket() as probe:
-        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
--- a/buckthorntack/transport/_streaming.py
+++ b/buckthorntack/transport/_streaming.py
@@ -14,6 +14,9 @@
 
 MOST_BUFFERED_BYTES = 262_144
 MOST_IDLE_CONNECTIONS = 64
+#: Shorter than servers keep idle connections, so that none is used just as
+#: its server closes it.
+MOST_IDLE_SECONDS = 2.0
 DEFAULT_PORTS = {"http": 80, "https": 443}
 
 
@@ -31,6 +34,7 @@
         self.whole = False
         self.reusable = False
         self.failure = None
+        self.idle_since_s = 0.0
         self._waiter = None
         self._paused = False
 
@@ -195,10 +199,13 @@
     async def _connect(self, request):
         place = _place(request)
         idle = self._idle[place]
+        oldest_s = asyncio.get_running_loop().time() - MOST_IDLE_SECONDS
         while idle:
             exchange = idle.pop()
-            if not exchange.transport.is_closing():
+            is_open = not exchange.transport.is_closing()
+            if is_open and exchange.idle_since_s >= oldest_s:
                 return exchange
+            exchange.transport.abort()
         return await self._open(request, place)
 
     async def _open(self, request, place):
@@ -227,6 +234,7 @@
         sound = exchange.whole and exchange.reusable and not exchange.parts
         room = len(idle) < MOST_IDLE_CONNECTIONS
         if sound and room and self.keeps_connections:
+            exchange.idle_since_s = asyncio.get_running_loop().time()
             idle.append(exchange)
         else:
             exchange.transport.abort()
