--- a/buckthorntack/entry/_accepting.py
+++ b/buckthorntack/entry/_accepting.py
@@ -204,13 +204,16 @@
         while True:
             await self.parts.clock.sleep(self.progress / ALIVE_SHARE)
             for key, incoming in list(self._incoming.items()):
-                message = messages.ForwardAlive(incoming.message.forward_id)
-                self.parts.sender.send(incoming.origin, message)
-                self._drop_if_abandoned(key, incoming)
+                self._tell_or_drop(key, incoming)
 
-    def _drop_if_abandoned(self, key, incoming):
-        """Forget a request whose body has stopped coming."""
+    def _tell_or_drop(self, key, incoming):
+        """Tell of a request that runs; forget one whose body stays out.
+
+        The origin of the latter is told nothing, so that it goes on.
+        """
         if incoming.task is not None:
+            message = messages.ForwardAlive(incoming.message.forward_id)
+            self.parts.sender.send(incoming.origin, message)
             return
         incoming.idle_periods += 1
         if incoming.idle_periods > ABANDONED_PERIODS:
