Tell not ready while an entry VM stops

Cause: /readyz answered 200 until a stopping entry VM had ended, so a monitor took it for one that takes requests. Change: the entry role is not ready once its stop has begun. Seen: the new test fails without the change (200) and passes with it (503).

--- a/buckthorntack/entry/_role.py
+++ b/buckthorntack/entry/_role.py
@@ -94,6 +94,7 @@
         self.backends = None
         self.issuer = None
         self._roster = admission.EntryRoster()
+        self._stopping = False
         self._log = events.EventLog("entry")
         self._stack = contextlib.AsyncExitStack()
 
@@ -367,8 +368,15 @@
             return False
         return True
 
+    def is_ready(self):
+        """Whether new requests are welcome."""
+        return not self._stopping and (
+            self.parts.configuration.current() is not None
+        )
+
     async def stop(self):
         """Leave callers' lists, then finish all requests."""
+        self._stopping = True
         self._log.write(_events.ENTRY_STOPPING)
         self.members.set_entry_state("stopping")
         notice_ms = self.settings["timing"]["stop_notice_ms"]
--- a/buckthorntack/node/_node.py
+++ b/buckthorntack/node/_node.py
@@ -177,7 +177,7 @@
         """Whether the node takes requests."""
         if self.entry is None:
             return True
-        return self.entry.parts.configuration.current() is not None
+        return self.entry.is_ready()
 
     async def stop(self):
         """Graceful shutdown: finish all requests, hand leadership on."""
