List errors in the catalogue of events; name the servers' page in theirs

Cause: EVENTS.md claimed to list the number of each error, but listed only log events, so x-event 610 or 1312 led nowhere; a malformed announcement was told to read the callers' page. Change: the page has a table of errors, written from their classes; a malformed announcement has a kind of its own (1326).

--- a/buckthorntack/entry/_backends.py
+++ b/buckthorntack/entry/_backends.py
@@ -81,9 +81,9 @@
     try:
         document = msgspec.json.decode(body)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise _errors.MalformedRequestError(str(error)) from error
+        raise _errors.MalformedAnnouncementError(str(error)) from error
     findings = schema.validate_document("backend", "Announcement", document)
     if findings:
         told = "; ".join(f"{f.path}: {f.message}" for f in findings[:8])
-        raise _errors.MalformedRequestError(told)
+        raise _errors.MalformedAnnouncementError(told)
     return document
--- a/buckthorntack/entry/_errors.py
+++ b/buckthorntack/entry/_errors.py
@@ -161,3 +161,10 @@
     kind = "forwarding_lost"
     remedy = "resume the stream at another entry VM, or ask again"
     run_state = errors.RunState.UNKNOWN
+
+
+class MalformedAnnouncementError(MalformedRequestError):
+    """An announcement is not of the form that is described."""
+
+    number = 1326
+    remedy = "send the announcement as docs/BACKENDS.md describes"
--- a/tools/reference.py
+++ b/tools/reference.py
@@ -7,6 +7,7 @@
 
 import argparse
 import importlib
+import inspect
 import json
 import pathlib
 import pkgutil
@@ -15,6 +16,7 @@
 import logbook
 
 import buckthorntack
+from buckthorntack import errors
 from buckthorntack import events
 from buckthorntack import objects
 from buckthorntack import schema
@@ -98,7 +100,46 @@
             _escape(event.remedy),
         )
         lines.append(f"| {' | '.join(str(cell) for cell in cells)} |")
-    return _page("Events", intro, ["\n".join(lines)])
+    return _page("Events", intro, ["\n".join(lines), _errors_section()])
+
+
+def _errors_section():
+    lines = [
+        "## Errors",
+        "",
+        "The number and type of an error are told in its answer; its number "
+        "is also `x-event`.",
+        "",
+        "| number | type | status | run state | meaning | remedy |",
+        "|---|---|---|---|---|---|",
+    ]
+    kinds = _kinds_below(errors.GatewayError)
+    for kind in sorted(kinds, key=lambda kind: (kind.number, kind.kind)):
+        cells = (
+            kind.number,
+            f"`{kind.kind}`",
+            kind.status,
+            f"`{kind.run_state.value}`",
+            _escape(_summary(kind)),
+            _escape(kind.remedy),
+        )
+        lines.append(f"| {' | '.join(str(cell) for cell in cells)} |")
+    return "\n".join(lines)
+
+
+def _summary(kind):
+    paragraph = inspect.getdoc(kind).partition("\n\n")[0]
+    return " ".join(paragraph.split())
+
+
+def _kinds_below(base):
+    """All kinds of errors that the program itself derives."""
+    kinds = set()
+    for kind in base.__subclasses__():
+        if kind.__module__.startswith(f"{buckthorntack.__name__}."):
+            kinds.add(kind)
+        kinds |= _kinds_below(kind)
+    return kinds
 
 
 def _import_all():
