Let the fake announcer take the echo of a refusal

Cause: after a restart of an entry VM the fake announcer went on with the echo of its former life and was refused for good (event 708). Change: it takes the echo of any answer, as docs/BACKENDS.md asks. Seen: the new test fails without the change and passes with it; a restarted node routes to both fake servers again.

--- a/buckthorntack/standins/_announcer.py
+++ b/buckthorntack/standins/_announcer.py
@@ -5,6 +5,8 @@
 import httpx
 
 REQUEST_SECONDS = 2.0
+#: Accepted, or refused with a reason: either may carry the next echo.
+ANSWERED = (200, 409)
 
 
 class Announcer:
@@ -88,10 +90,12 @@
             )
         except httpx.HTTPError:
             return 0
-        if answer.status_code != 200:
+        if answer.status_code not in ANSWERED:
             return 0
-        self._echoes[url] = (answer.json().get("echo", ""), loop.time())
-        return 1
+        told = answer.json()
+        if "echo" in told:
+            self._echoes[url] = (told["echo"], loop.time())
+        return int(told.get("accepted", False))
 
     async def _renew(self):
         while True:
