Say plainly that a request did not start by its deadline

Cause: the error read 'did not start too late for its deadline'. Change: 'did not start by' and 'would start after' its deadline; the test of the wait checks the text. Seen: admission tests pass.

--- a/buckthorntack/admission/_controller.py
+++ b/buckthorntack/admission/_controller.py
@@ -223,7 +223,7 @@
         if now_s + expected_s > deadline_s:
             self._refund(request)
             return expression.Error(
-                self._deadline_error(request, expected_s, "would start")
+                self._deadline_error(request, expected_s, "would start after")
             )
         queue = service.queue
         queue.push(request, deadline_s)
@@ -263,12 +263,12 @@
     def _give_up(self, service, request):
         self._refund(request)
         wait_s = len(service.queue) * (service.between_ends_s or 0.0)
-        error = self._deadline_error(request, wait_s, "did not start")
+        error = self._deadline_error(request, wait_s, "did not start by")
         self._commands.append(_types.Refused(request.request_id, error))
 
     def _deadline_error(self, request, wait_s, what):
         return _errors.DeadlineError(
-            f"{request.request_id} {what} too late for its deadline of "
+            f"{request.request_id} {what} its deadline of "
             f"{request.deadline_ms} ms at {request.service}",
             self._retry_after_ms(wait_s),
         )
--- a/buckthorntack/admission/tests/test_controller.py
+++ b/buckthorntack/admission/tests/test_controller.py
@@ -89,6 +89,7 @@
     (refused,) = controller.tick(at(0.5))
     assert refused.request_id == "a"
     assert isinstance(refused.error, admission.DeadlineError)
+    assert "did not start by its deadline of 500 ms" in refused.error.detail
     assert controller.tick(at(1)) == []
 
 
