--- a/buckthorntack/entry/_errors.py
+++ b/buckthorntack/entry/_errors.py
@@ -170,3 +170,10 @@
     status = 421
     kind = "wrong_region"
     remedy = "use an entry VM that GET /v1/entries names"
+
+
+class MalformedAnnouncementError(MalformedRequestError):
+    """An announcement is not of the form that is described."""
+
+    number = 1327
+    remedy = "send the announcement as docs/BACKENDS.md describes"
