--- a/Makefile
+++ b/Makefile
@@ -42,6 +42,10 @@
 
 explore: venv  ## Search for events that break a group.
 	$(BIN)/python -m tools.explore --seconds $(EXPLORE_SECONDS)
+
+capacity: venv  ## Measure the slopes of docs/CAPACITY.md (minutes).
+	$(BIN)/python -m benchmarks.capacity
+
 demo: venv  ## Show a deployment at work (DEPLOYMENT=rendimar for the other).
 	$(BIN)/python -m tools.demo $(DEPLOYMENT)
 
--- a/benchmarks/ledger.py
+++ b/benchmarks/ledger.py
@@ -16,6 +16,7 @@
 import resource
 import tempfile
 import time
+from typing import NamedTuple
 
 from buckthorntack import clock
 from buckthorntack import consensus
@@ -222,17 +223,35 @@
         return int(file.read().split()[1]) * resource.getpagesize()
 
 
-def measure_records():
-    """Print memory and CPU of records that are claimed and finished."""
+class Filled(NamedTuple):
+    """A machine with finished records, and what they took."""
+
+    machine: ledger.LedgerMachine
+    resident_bytes: int
+    cpu_seconds: float
+
+
+def fill(records):
+    """Claim and finish records on a new machine.
+
+    :param records: how many.
+    :returns: :class:`Filled`.
+    """
     machine = ledger.LedgerMachine("h")
     start_bytes = resident_bytes()
     start = time.process_time()
-    for first in range(0, RECORDS, BATCH):
+    for first in range(0, records, BATCH):
         keys = [f"booking-{place}" for place in range(first, first + BATCH)]
         machine.apply(1, _batch([_claim(key) for key in keys]))
         machine.apply(2, _batch([_finish(key) for key in keys]))
     seconds = time.process_time() - start
-    used = (resident_bytes() - start_bytes) / RECORDS
+    return Filled(machine, resident_bytes() - start_bytes, seconds)
+
+
+def measure_records():
+    """Print memory and CPU of records that are claimed and finished."""
+    machine, used_bytes, seconds = fill(RECORDS)
+    used = used_bytes / RECORDS
     counted = machine.records.size_bytes / RECORDS
     print(
         f"{RECORDS} finished records with {len(ANSWER)} bytes of answer: "
