--- a/buckthorntack/transport/_links.py
+++ b/buckthorntack/transport/_links.py
@@ -25,6 +25,8 @@
 RECONNECT_MS = 50
 RECONNECT_MAX_MS = 1000
 RECEIVED_AT_ONCE = 256
+#: Sockets of a node; two for each peer, twice that while keys are rotated.
+MAX_SOCKETS = 8192
 BULK_MESSAGES = (
     messages.ForwardRequest,
     messages.ForwardBody,
@@ -99,6 +101,7 @@
 
     async def __aenter__(self):
         self._context = zmq.asyncio.Context()
+        self._context.max_sockets = MAX_SOCKETS
         self._plain = zmq.Context.shadow(self._context)
         self._authenticator = zmq.auth.asyncio.AsyncioAuthenticator(
             self._context
--- a/buckthorntack/transport/tests/test_links.py
+++ b/buckthorntack/transport/tests/test_links.py
@@ -1,5 +1,6 @@
 import asyncio
 import datetime
+import resource
 
 import zmq
 
@@ -109,3 +110,27 @@
     already_new = new._replace(accepted_public_keys=both)
     assert len(asyncio.run(_exchange(still_old, already_new, 5))) == 5
     assert len(asyncio.run(_exchange(already_new, still_old, 5))) == 5
+
+
+def test_links_to_530_peers_can_be_opened():
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    wanted = 8192 if hard == resource.RLIM_INFINITY else min(hard, 8192)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (max(soft, wanted), hard))
+    addresses = {f"n{n}": f"127.0.0.1:{n + 1}" for n in range(530)}
+
+    async def start():
+        source = clock.SystemClock()
+        link = transport.LinkTask(
+            "a", "127.0.0.1:0", _new_keys(), addresses, _ignore, source
+        )
+        async with link:
+            return len(link.addresses)
+
+    try:
+        assert asyncio.run(start()) == 530
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+
+
+def _ignore(sender, message):
+    pass
