--- a/buckthorntack/configuration/_follow_task.py
+++ b/buckthorntack/configuration/_follow_task.py
@@ -9,6 +9,7 @@
 
 from buckthorntack import clock as clocks
 from buckthorntack import events
+from buckthorntack import tasks
 from buckthorntack.configuration import _commands
 from buckthorntack.configuration import _copy_store
 from buckthorntack.configuration import _errors
@@ -79,8 +80,7 @@
             self._store = self._stack.enter_context(store)
             self._resume(self._store.load())
         for work in (self._run_ticks(), self._run_writes()):
-            task = asyncio.create_task(work)
-            self._stack.push_async_callback(_cancelled, task)
+            await self._stack.enter_async_context(tasks.running(work))
         return self
 
     async def __aexit__(self, *exc_info):
@@ -240,9 +240,3 @@
         )
         if follower.source is not None:
             self.sender.send(follower.source, message)
-
-
-async def _cancelled(task):
-    task.cancel()
-    with contextlib.suppress(asyncio.CancelledError):
-        await task
--- a/buckthorntack/configuration/_source_task.py
+++ b/buckthorntack/configuration/_source_task.py
@@ -6,6 +6,7 @@
 import functools
 
 from buckthorntack import schema
+from buckthorntack import tasks
 from buckthorntack.configuration import _commands
 from buckthorntack.configuration import _settling
 from buckthorntack.configuration import _source
@@ -44,8 +45,7 @@
         self.machine.listen(self._changed)
         loops = (self._run_ticks, self._run_freshness, self._run_proposals)
         for loop in loops:
-            task = asyncio.create_task(loop())
-            self._stack.push_async_callback(_cancelled, task)
+            await self._stack.enter_async_context(tasks.running(loop()))
         return self
 
     async def __aexit__(self, *exc_info):
@@ -143,9 +143,3 @@
         if self.node_id not in controls:
             return len(controls)
         return controls.index(self.node_id)
-
-
-async def _cancelled(task):
-    task.cancel()
-    with contextlib.suppress(asyncio.CancelledError):
-        await task
--- a/buckthorntack/entry/_accepting.py
+++ b/buckthorntack/entry/_accepting.py
@@ -8,6 +8,7 @@
 from buckthorntack import errors
 from buckthorntack import events
 from buckthorntack import routing
+from buckthorntack import tasks
 from buckthorntack.entry import _errors
 from buckthorntack.entry import _events
 from buckthorntack.entry import _link_sink
@@ -51,8 +52,9 @@
         self._stack = contextlib.AsyncExitStack()
 
     async def __aenter__(self):
-        work = asyncio.create_task(self._tell_alive())
-        self._stack.push_async_callback(_cancelled, work)
+        await self._stack.enter_async_context(
+            tasks.running(self._tell_alive())
+        )
         return self
 
     async def __aexit__(self, *exc_info):
@@ -227,9 +229,3 @@
     if prompt.is_error():
         return ()
     return routing.prefix_hashes(prompt.ok.content)
-
-
-async def _cancelled(task):
-    task.cancel()
-    with contextlib.suppress(asyncio.CancelledError):
-        await task
--- a/buckthorntack/entry/_admitting.py
+++ b/buckthorntack/entry/_admitting.py
@@ -6,6 +6,7 @@
 
 from buckthorntack import admission
 from buckthorntack import interfaces
+from buckthorntack import tasks
 from buckthorntack.schema import messages
 
 TICK = datetime.timedelta(milliseconds=50)
@@ -39,8 +40,7 @@
         self._stack = contextlib.AsyncExitStack()
 
     async def __aenter__(self):
-        work = asyncio.create_task(self._run())
-        self._stack.push_async_callback(_cancelled, work)
+        await self._stack.enter_async_context(tasks.running(self._run()))
         return self
 
     async def __aexit__(self, *exc_info):
@@ -126,9 +126,3 @@
             return
         for node_id in self.membership.members():
             self.sender.send(node_id, report)
-
-
-async def _cancelled(task):
-    task.cancel()
-    with contextlib.suppress(asyncio.CancelledError):
-        await task
--- a/buckthorntack/entry/_role.py
+++ b/buckthorntack/entry/_role.py
@@ -1,6 +1,5 @@
 """The entry role: owns the tasks and listeners of an entry VM."""
 
-import asyncio
 import contextlib
 import datetime
 
@@ -15,6 +14,7 @@
 from buckthorntack import retries
 from buckthorntack import routing
 from buckthorntack import security
+from buckthorntack import tasks
 from buckthorntack import transport
 from buckthorntack.entry import _accepting
 from buckthorntack.entry import _admitting
@@ -141,8 +141,9 @@
         )
         self._listen_to_members()
         await self._start_issuer(enter)
-        upkeep = asyncio.create_task(self._keep_capacity())
-        self._stack.push_async_callback(_cancelled, upkeep)
+        await self._stack.enter_async_context(
+            tasks.running(self._keep_capacity())
+        )
         await self._serve(enter)
 
     def _make_decisions(self):
@@ -399,9 +400,3 @@
     if result.is_error():
         raise result.error
     return result.ok
-
-
-async def _cancelled(task):
-    task.cancel()
-    with contextlib.suppress(asyncio.CancelledError):
-        await task
--- a/buckthorntack/entry/_watching.py
+++ b/buckthorntack/entry/_watching.py
@@ -1,6 +1,5 @@
 """Task that owns the quarantine, crash detection and attempt counts."""
 
-import asyncio
 import contextlib
 import datetime
 import functools
@@ -9,6 +8,7 @@
 from buckthorntack import membership
 from buckthorntack import retries
 from buckthorntack import schema
+from buckthorntack import tasks
 from buckthorntack.schema import messages
 
 TICK = datetime.timedelta(milliseconds=100)
@@ -39,8 +39,7 @@
         self.members.listen(membership.ItemChanged, self._item_changed)
         self.members.listen(membership.ServerChanged, self._server_changed)
         self.members.listen(membership.ServerRemoved, self._server_removed)
-        work = asyncio.create_task(self._run())
-        self._stack.push_async_callback(_cancelled, work)
+        await self._stack.enter_async_context(tasks.running(self._run()))
         return self
 
     async def __aexit__(self, *exc_info):
@@ -208,9 +207,3 @@
             self.quarantine.tick(now)
             self.detector.expire(now)
             self.spread()
-
-
-async def _cancelled(task):
-    task.cancel()
-    with contextlib.suppress(asyncio.CancelledError):
-        await task
--- a/buckthorntack/ledger/_client_task.py
+++ b/buckthorntack/ledger/_client_task.py
@@ -9,6 +9,7 @@
 from buckthorntack import clock as clocks
 from buckthorntack import errors
 from buckthorntack import events
+from buckthorntack import tasks
 from buckthorntack.ledger import _client
 from buckthorntack.ledger import _commands
 from buckthorntack.ledger import _errors
@@ -43,8 +44,7 @@
         self._stack = contextlib.AsyncExitStack()
 
     async def __aenter__(self):
-        task = asyncio.create_task(self._run_ticks())
-        self._stack.push_async_callback(_cancelled, task)
+        await self._stack.enter_async_context(tasks.running(self._run_ticks()))
         return self
 
     async def __aexit__(self, *exc_info):
@@ -261,9 +261,3 @@
         while True:
             self._execute_all(self.client.tick(self.clock.monotonic()))
             await self.clock.sleep(TICK)
-
-
-async def _cancelled(task):
-    task.cancel()
-    with contextlib.suppress(asyncio.CancelledError):
-        await task
--- a/buckthorntack/ledger/_home_task.py
+++ b/buckthorntack/ledger/_home_task.py
@@ -7,6 +7,7 @@
 from buckthorntack import clock as clocks
 from buckthorntack import events
 from buckthorntack import schema
+from buckthorntack import tasks
 from buckthorntack.ledger import _commands
 from buckthorntack.ledger import _events
 from buckthorntack.ledger import _home
@@ -59,8 +60,7 @@
 
     async def __aenter__(self):
         for loop in (self._run_batches, self._run_ticks):
-            task = asyncio.create_task(loop())
-            self._stack.push_async_callback(_cancelled, task)
+            await self._stack.enter_async_context(tasks.running(loop()))
         return self
 
     async def __aexit__(self, *exc_info):
@@ -118,9 +118,3 @@
         while True:
             self._execute_all(self.home.tick(self.clock.monotonic()))
             await self.clock.sleep(TICK)
-
-
-async def _cancelled(task):
-    task.cancel()
-    with contextlib.suppress(asyncio.CancelledError):
-        await task
