Ramp servers that a starting router meets, after all

Change: take the server half of back; its test now tells that a server is ramped when first seen until it is warm. Conclusion: the ramp's caution bounds the load that affinity puts on one server while caches are cold; a better estimate of prompts waiting would be the cure.

--- a/buckthorntack/routing/_servers.py
+++ b/buckthorntack/routing/_servers.py
@@ -102,7 +102,6 @@
         self._servers = {}
         self._groups = {}
         self._timers = []
-        self._started_s = None
 
     def __len__(self):
         return len(self._servers)
@@ -123,10 +122,8 @@
         :returns: whether its caches are to be forgotten.
         """
         server = self._servers.get(record.server_id)
-        ramps = True
         if server is None:
             server = self._add(record, now_s)
-            ramps = not self._is_starting(now_s)
         elif record[1:3] < server.record[1:3]:
             return False
         restarted = record.incarnation > server.record.incarnation
@@ -138,7 +135,7 @@
         self._remove_from_groups(server)
         server.record = record
         server.lease_until_s = now_s + record.lease_ms / 1e3
-        if restarted or (ramps and not was_live):
+        if restarted or not was_live:
             server.ramp_from_s = now_s
         measured_s = now_s - record.load.age_ms / 1e3
         server.load.report(
@@ -148,12 +145,6 @@
         self.refresh(server, now_s)
         return restarted
 
-    def _is_starting(self, now_s):
-        """Whether this table cannot yet tell new servers from known ones."""
-        if self._started_s is None:
-            self._started_s = now_s
-        return (now_s - self._started_s) * 1e3 < self.settings.ramp_ms
-
     def remove(self, server_id):
         """Forget a server.
 
--- a/buckthorntack/routing/tests/test_ramp.py
+++ b/buckthorntack/routing/tests/test_ramp.py
@@ -21,15 +21,13 @@
     return decision.reasons.ramp_share
 
 
-def test_what_a_new_router_meets_is_not_ramped(router):
-    router.update_server(_records.server("s1"), at(100))
-    assert ramp_share(router, 100.1) == 1.0
-
-
-def test_a_server_that_comes_later_is_ramped(router):
-    router.update_server(_records.server("s1", lease_ms=1000), at(100))
-    router.update_server(_records.server("s2"), at(140))
-    assert ramp_share(router, 140.1) < 1.0
+def test_a_server_is_ramped_when_first_seen_until_it_is_warm(router):
+    for second in range(100, 121):
+        record = _records.server("s1", sequence=second)
+        router.update_server(record, at(second))
+        if second == 100:
+            assert ramp_share(router, 100.1) < 1.0
+    assert ramp_share(router, 120.1) == 1.0
 
 
 def test_a_server_whose_lease_ran_out_is_ramped_also_at_the_start(router):
