--- a/buckthorntack/entry/_errors.py
+++ b/buckthorntack/entry/_errors.py
@@ -161,3 +161,19 @@
     kind = "forwarding_lost"
     remedy = "resume the stream at another entry VM, or ask again"
     run_state = errors.RunState.UNKNOWN
+
+
+class WrongRegionError(errors.GatewayError):
+    """This entry VM is outside the organisation's residency."""
+
+    number = 1326
+    status = 421
+    kind = "wrong_region"
+    remedy = "use an entry VM that GET /v1/entries names"
+
+
+class MalformedAnnouncementError(MalformedRequestError):
+    """An announcement is not of the form that is described."""
+
+    number = 1327
+    remedy = "send the announcement as docs/BACKENDS.md describes"
--- a/buckthorntack/standins/_deployment.py
+++ b/buckthorntack/standins/_deployment.py
@@ -8,10 +8,8 @@
 import contextlib
 import datetime
 import functools
-import os
 import pathlib
 import random
-import socket
 from typing import NamedTuple
 
 import httpx
@@ -25,6 +23,7 @@
 from buckthorntack import transport
 from buckthorntack.standins import _announcer
 from buckthorntack.standins import _engine
+from buckthorntack.standins import _ports
 from buckthorntack.standins import _service
 
 OPERATOR_TOKEN = "demo-operator"
@@ -32,15 +31,6 @@
 WEIGHT_BYTES_PER_SECOND = 2e9
 
 
-def _own_host():
-    """Loopback address of this process, so that none takes another's ports."""
-    high, low = divmod(os.getpid() % 2**16, 2**8)
-    return f"127.{high // 2 + 1}.{low}.{high % 2 + 1}"
-
-
-HOST = _own_host()
-
-
 class Layout(NamedTuple):
     """Size of a deployment and of its links."""
 
@@ -98,7 +88,7 @@
         self.settings = {}
         self.servers = {}
         self._busy_until = {}
-        self._ports = FreePorts()
+        self._ports = _ports.FreePorts()
         self._loaded = None
         self._stack = contextlib.AsyncExitStack()
         self._node_stacks = {}
@@ -120,6 +110,7 @@
         if self._loaded.findings:
             raise ValueError(f"faults in {self.folder}")
         self._write_keys()
+        self._stack.enter_context(self._ports)
         self._plan_nodes()
         self._stack.push_async_callback(self._close_nodes)
         await asyncio.gather(*(self.start_node(n) for n in self.settings))
@@ -172,7 +163,7 @@
                 addresses.append(
                     {
                         "node_id": f"{domain}-{number + 1}",
-                        "link_address": f"{HOST}:{self._ports.take()}",
+                        "link_address": f"{_ports.HOST}:{self._ports.take()}",
                         "region": region,
                         "failure_domain": domain,
                         "roles": roles,
@@ -201,9 +192,15 @@
             "failure_domain": address["failure_domain"],
             "data_folder": str(self.data_folder / address["node_id"]),
             "links": {"listen_address": address["link_address"]},
-            "callers": {"listen_address": f"{HOST}:{self._ports.take()}"},
-            "backends": {"listen_address": f"{HOST}:{self._ports.take()}"},
-            "metrics": {"listen_address": f"{HOST}:{self._ports.take()}"},
+            "callers": {
+                "listen_address": f"{_ports.HOST}:{self._ports.take()}"
+            },
+            "backends": {
+                "listen_address": f"{_ports.HOST}:{self._ports.take()}"
+            },
+            "metrics": {
+                "listen_address": f"{_ports.HOST}:{self._ports.take()}"
+            },
             "nodes": addresses,
             "control": control,
             "ledger_homes": homes,
@@ -216,7 +213,7 @@
             "weight_store": {"bytes_per_second": WEIGHT_BYTES_PER_SECOND},
         }
         if "control" in address["roles"]:
-            admin = f"{HOST}:{self._ports.take()}"
+            admin = f"{_ports.HOST}:{self._ports.take()}"
             document["admin"] = {"listen_address": admin}
         checked = settings_files.from_document(document)
         if checked.is_error():
@@ -389,7 +386,7 @@
             fake = _service.FakeService(server_id)
             slots = 64
         listener = transport.HttpListener(
-            fake, transport.bind_listener(f"{HOST}:{port}")
+            fake, transport.bind_listener(f"{_ports.HOST}:{port}")
         )
         await listener.__aenter__()
         document = {
@@ -463,28 +460,3 @@
         )
         wall_ms = int(self.clock.wall().timestamp() * 1000)
         return ledger.key_prefix(home["home_id"], wall_ms)
-
-
-class FreePorts:
-    """Free ports of this process's address, each given out once."""
-
-    def __init__(self):
-        self._given = set()
-
-    def take(self):
-        """Take a free port.
-
-        :returns: its number.
-        """
-        port = _probe_port()
-        while port in self._given:
-            port = _probe_port()
-        self._given.add(port)
-        return port
-
-
-def _probe_port():
-    with socket.socket() as probe:
-        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
--- a/buckthorntack/standins/tests/test_ports.py
+++ b/buckthorntack/standins/tests/test_ports.py
@@ -1,8 +1,22 @@
-from buckthorntack.standins import _deployment
+import socket
 
+import pytest
 
-def test_a_port_is_given_out_once_though_it_is_free_again(monkeypatch):
-    offered = iter([4000, 4000, 4001])
-    monkeypatch.setattr(_deployment, "_probe_port", lambda: next(offered))
-    ports = _deployment.FreePorts()
-    assert [ports.take(), ports.take()] == [4000, 4001]
+from buckthorntack import transport
+from buckthorntack.standins import _ports
+
+
+def test_a_port_is_given_out_once():
+    with _ports.FreePorts() as ports:
+        taken = [ports.take() for _ in range(200)]
+    assert len(set(taken)) == 200
+
+
+def test_a_held_port_is_free_for_a_listener_and_for_nobody_else():
+    with _ports.FreePorts() as ports:
+        port = ports.take()
+        with socket.socket() as stranger, pytest.raises(OSError):
+            stranger.bind((_ports.HOST, port))
+        with transport.bind_listener(f"{_ports.HOST}:{port}") as listener:
+            listener.listen()
+            assert listener.getsockname()[1] == port
