Test pairs of failures and planned stops of forwards

Cause: the matrix had no pair of faults within a forward, and no planned stop with a forwarded request in progress.

Change: each pair of two lost messages among the first eight either way; failures of the server together with a lost message; a planned stop while a forwarded answer takes long.

--- a/buckthorntack/entry/tests/test_forward_faults.py
+++ b/buckthorntack/entry/tests/test_forward_faults.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import functools
+import itertools
 
 import pytest
 
@@ -312,3 +313,39 @@
     world.carry(world.origin, to, message)
     sender = world.origin.parts.sender
     sender.takes = world.counts["out"] <= parts
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_two_messages_lost(kind):
+    points = list(itertools.product(["out", "back"], range(8)))
+    for pair in itertools.combinations(points, 2):
+        play(kind, lambda *point, pair=pair: point in pair)
+
+
+@pytest.mark.parametrize("kind", KINDS)
+@pytest.mark.parametrize("fault", ["lost", "silent midway", "crossed"])
+def test_server_over_there_fails_and_a_message_is_lost(kind, fault):
+    for point in itertools.product(["out", "back"], range(8)):
+        backend = fakes.Backend([fault])
+        play(kind, lambda *at, point=point: at == point, backend)
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_planned_stop_waits_for_what_was_forwarded(kind):
+    """The server's connection is silent, so that the answer takes long."""
+
+    async def scenario():
+        world = World(fakes.Backend(["silent"]))
+        async with world:
+            work = asyncio.create_task(world.send(kind))
+            await asyncio.sleep(0.2)
+            assert len(world.backend.runs) == 1
+            for name in ANSWERING:
+                await world.nodes[name].accepting.drain()
+                await world.nodes[name].runner.drain()
+                assert not world.nodes[name].parts.admitting.running
+            sink, error = await work
+        assert error is None
+        assert sink.body == expected(kind, sink.attempt_id)
+
+    fakes.run(scenario())
