Generate the fault matrix from its data file and the tests' results

Change: docs/fault_matrix.json names the tests of each cell or says why it cannot happen; `make matrix` runs the tests and writes docs/FAULT_MATRIX.md if all named tests exist, ran and passed. `make check-generated` checks that the page is up to date and that the tests exist.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 EXPLORE_SECONDS ?= 600
 
 .PHONY: help venv test lint format generate check-generated unit demo \
-	binary smoke bench capacity explore clean
+	binary smoke bench capacity matrix explore clean
 
 help:  ## List the targets.
 	@grep -E '^[a-z-]+:.*## ' Makefile | sed 's/:.*## /\t/'
@@ -36,10 +36,16 @@
 check-generated: venv  ## Fail if the generated code is out of date.
 	$(BIN)/python -m tools.generate --check
 	$(BIN)/python -m tools.reference --check
+	$(BIN)/python -m tools.fault_matrix --check
 
 unit: venv  ## Unit tests, doctests and the fault matrix.
 	$(BIN)/python -m pytest
 
+matrix: venv  ## Run the tests and write the fault matrix.
+	mkdir -p build
+	$(BIN)/python -m pytest --junitxml=build/tests.xml
+	$(BIN)/python -m tools.fault_matrix --results build/tests.xml
+
 explore: venv  ## Search for events that break a group.
 	$(BIN)/python -m tools.explore --seconds $(EXPLORE_SECONDS)
 demo: venv  ## Show a deployment at work (DEPLOYMENT=rendimar for the other).
