Resume whole answers as well

Cause: a completion that is not streamed and takes longer than progress_ms was asked about, told running, and then tried on another server or ended as answer_lost: it could run on up to four servers, and on one it never ended. Change: any attempt can be resumed by /attempts, up to four times, so that five times progress_ms are awaited. A silent server now costs a whole request those resumes before it is tried elsewhere. Left: an answer of more than five times progress_ms is still taken for lost.

--- a/buckthorntack/entry/_runner.py
+++ b/buckthorntack/entry/_runner.py
@@ -100,7 +100,6 @@
             request.idempotent,
             request.deadline,
             last_event=request.resume_after,
-            resumable=request.streamed or not request.idempotent,
         )
         self.relay = None
         self.target = None
