Resume streams that run past the deadline of their first byte

Cause: the deadline, which bounds the wait for the first byte, also ended all resumption: a stream whose connection was lost 30 s after its request ended with an error, though the engine still had it. Change: a stream that went on since its last failure gets another deadline for its next event; a forwarded one takes it along. The forwarded case was not tried.

--- a/buckthorntack/entry/_runner.py
+++ b/buckthorntack/entry/_runner.py
@@ -135,8 +135,7 @@
     async def _after(self, failure):
         now = self.parts.clock.monotonic()
         if self.relay is not None:
-            last_event = self.relay.last_event
-            self.context = self.context._replace(last_event=last_event)
+            self._note_progress(self.relay.last_event, now)
         step = self.parts.retry_policy.next_step(failure, self.context, now)
         self._log.write(
             _events.ATTEMPT_FAILED,
@@ -147,6 +146,14 @@
         )
         return await self._take_step(step)
 
+    def _note_progress(self, last_event, now):
+        """Give a stream that went on another deadline for its next event."""
+        if last_event > self.context.last_event:
+            patience = datetime.timedelta(milliseconds=self.parts.deadline_ms)
+            deadline = max(self.context.deadline, now + patience)
+            self.context = self.context._replace(deadline=deadline)
+        self.context = self.context._replace(last_event=last_event)
+
     @functools.singledispatchmethod
     async def _take_step(self, step):
         raise TypeError(f"{type(step).__name__} is no step")
@@ -446,6 +453,7 @@
         request = self.request._replace(
             resumed_attempt=self.relay.attempt_id,
             resume_after=self.relay.last_event,
+            deadline=self.context.deadline,
         )
         count = self.context.resumes
         forward_id = f"{request.request_id}/{self.context.attempts}.{count}"
