--- a/benchmarks/_processes.py
+++ b/benchmarks/_processes.py
@@ -161,6 +161,24 @@
             time.sleep(0.2)
         raise RuntimeError(f"not accepted: {document}")
 
+    def wait_in_force(self):
+        """Wait until all entry VMs have what was published.
+
+        :raises RuntimeError: not in time.
+        """
+        end = time.monotonic() + PATIENCE_SECONDS
+        while time.monotonic() < end:
+            status = httpx.get(
+                f"http://{self.admin}/admin/v1/status",
+                headers={"authorization": f"Bearer {TOKEN}"},
+                timeout=30,
+                trust_env=False,
+            ).json()
+            if _followed(status["regions"]):
+                return
+            time.sleep(0.5)
+        raise RuntimeError(f"not in force: {status}")
+
     def _post(self, change):
         try:
             answer = httpx.post(
@@ -190,3 +208,12 @@
             name: 1000 * (cpu_seconds(pid) - before[name]) / seconds
             for name, pid in pids.items()
         }
+
+
+def _followed(regions):
+    """Whether entry VMs report, and none lacks anything."""
+    reporting = any(region["in_force"] for region in regions)
+    lacking = any(
+        region["behind"] or region["out_of_contact"] for region in regions
+    )
+    return reporting and not lacking
--- a/benchmarks/_subjects.py
+++ b/benchmarks/_subjects.py
@@ -65,6 +65,7 @@
         number = 1
         for last, count in zip((0, *counts), counts, strict=False):
             number = _publish(running, number, last, count)
+            running.wait_in_force()
             time.sleep(SETTLE_SECONDS)
             for name, value in running.resident_mb().items():
                 memory[name].append(value)
