Resume a forwarded stream through any entry VM of its region

Cause: an entry VM that is asked to resume another region's stream handed the request to that region's first entry VM only. If that one had just died the link took the message, nothing answered, and the caller was told `attempt_lost` while the stream went on at its backend server.

Ruled out: the attempt id and the backend server; through the stream's own region the same resumption brought every event.

Change: each entry VM of the region is tried in turn, from the last event that the caller has. The stand-ins crash as processes do: a killed entry VM sends no cancellations, a crashed engine leaves its connections open until they break instead of answering 500, and a cancelled stream ends.

Conclusion: a stream outlives its entry VM through each other one.

--- a/buckthorntack/entry/_runner.py
+++ b/buckthorntack/entry/_runner.py
@@ -468,11 +468,19 @@
         ]
         if self.request.origin_region is not None or not entries:
             raise _errors.AttemptLostError(attempt_id)
-        forward_id = f"{self.request.request_id}/r"
-        result = await self._hand_over(forward_id, self.request, entries)
-        if not isinstance(result, _attempt.Done):
-            raise _errors.AttemptLostError(attempt_id)
-        return result
+        for number, node_id in enumerate(entries):
+            forward_id = f"{self.request.request_id}/r{number}"
+            request = self._from_last_event()
+            result = await self._hand_over(forward_id, request, [node_id])
+            if isinstance(result, _attempt.Done):
+                return result
+        raise _errors.AttemptLostError(attempt_id)
+
+    def _from_last_event(self):
+        """The caller's resumption, after what it has been sent since."""
+        if self.relay is None:
+            return self.request
+        return self.request._replace(resume_after=self.relay.last_event)
 
 
 def _outcome(result):
--- a/buckthorntack/standins/_deployment.py
+++ b/buckthorntack/standins/_deployment.py
@@ -272,6 +272,7 @@
         :param node_id: the node.
         """
         node = self.nodes.pop(node_id)
+        _mute(node)
         await node.entry.caller_listener.kill()
         await node.entry.backend_listener.kill()
         await self._node_stacks.pop(node_id).aclose()
@@ -465,3 +466,9 @@
         )
         wall_ms = int(self.clock.wall().timestamp() * 1000)
         return ledger.key_prefix(home["home_id"], wall_ms)
+
+
+def _mute(node):
+    """Let a node that is about to crash send nothing about its end."""
+    node.links.send = lambda to, message: False
+    node.entry.parts.attempts.cancel = lambda target: None
--- a/buckthorntack/standins/_engine.py
+++ b/buckthorntack/standins/_engine.py
@@ -79,6 +79,12 @@
         self.done = True
         self._wake()
 
+    def cancel(self):
+        """Generate no more; who reads the stream sees it end."""
+        self.cancelled = True
+        self.task.cancel()
+        self._wake()
+
     def _wake(self):
         self.changed.set()
         self.changed = asyncio.Event()
@@ -120,7 +126,7 @@
     async def __call__(self, scope, receive, send):
         method, path = scope["method"], scope["path"]
         if self._crashed:
-            return
+            await asyncio.Event().wait()
         if method == "POST" and path.startswith("/v1/"):
             await self._run(scope, receive, send)
         elif path.startswith("/attempts/"):
@@ -164,7 +170,7 @@
         if self.faults.crash_on_mark and CRASH_MARK in body:
             self._note_run(attempt_id, scope, body)
             self.crash()
-            return
+            await asyncio.Event().wait()
         attempt = self._start(scope, body, attempt_id)
         if self.faults.silent_connections > 0:
             self.faults.silent_connections -= 1
@@ -278,7 +284,8 @@
             if cut is not None and position >= cut:
                 self.faults.cut_after_events = None
                 raise ConnectionResetError("fault: connection cut")
-            if attempt.done and position >= len(attempt.events):
+            ended = attempt.done or attempt.cancelled
+            if ended and position >= len(attempt.events):
                 break
             await self._wait(changed, send)
         await _asgi.body(send, b"")
@@ -327,8 +334,7 @@
     def _cancel(self, attempt):
         if not attempt.done and not attempt.cancelled:
             self.cancelled += 1
-            attempt.cancelled = True
-            attempt.task.cancel()
+            attempt.cancel()
 
     async def _order(self, receive, send):
         order = json.loads(await _asgi.read_body(receive))
