--- a/buckthorntack/transport/_http.py
+++ b/buckthorntack/transport/_http.py
@@ -151,6 +151,8 @@
         """Drop all connections at once, as a crash would."""
         self._server.should_exit = True
         self._server.force_exit = True
+        for server in self._server.servers:
+            server.close()
         for connection in list(self._server.server_state.connections):
             connection.transport.abort()
         await self._serving
