--- a/buckthorntack/node/tests/_scenarios.py
+++ b/buckthorntack/node/tests/_scenarios.py
@@ -29,6 +29,7 @@
         self.layout = layout or standins.Layout(one_way_ms=5.0)
         self.deployment = None
         self.callers = {}
+        self.operator = None
         #: Server, attempt id, path and body of each run, also of servers
         #: that have died since.
         self.runs = []
@@ -69,6 +70,8 @@
             FOLDER, folder, self.layout, on_run=self._note_run
         )
         self.deployment = await enter(deployment)
+        client = httpx.AsyncClient(timeout=30, trust_env=False)
+        self.operator = await enter(client)
         for organisation in deployment.of_kind("Organisation"):
             name = organisation["name"]
             self.callers[name] = await enter(standins.Caller(f"demo-{name}"))
@@ -144,12 +147,11 @@
             base = self.revision()
         document = {"change_id": change_id, "base_revision": base, "put": put}
         token = standins.OPERATOR_TOKEN
-        async with httpx.AsyncClient(timeout=30, trust_env=False) as client:
-            answer = await client.post(
-                f"{url or self.deployment.admin_url()}/admin/v1/changes",
-                json=document,
-                headers={"authorization": f"Bearer {token}"},
-            )
+        answer = await self.operator.post(
+            f"{url or self.deployment.admin_url()}/admin/v1/changes",
+            json=document,
+            headers={"authorization": f"Bearer {token}"},
+        )
         return answer.json()
 
     def revision(self, node=None):
