Ask the home before a resend is told that it was not run

Cause: a resend of a booking that had run was refused for want of a server or quota with run state not_run: true of that sending, not of the booking. Change: before such a refusal the key's home is asked; a booking that ran is replayed, one of unknown outcome is told so, and a refusal as not run stands only if the home grants the key, which is released again. Also: requests without any live server are refused at once instead of queued; usage reports go to entry VMs of all regions that share quotas; a whole answer is awaited while its server says that it runs; drain_ms bounds a planned stop; more metrics; no false warning at a node's start.

--- a/buckthorntack/entry/_admitting.py
+++ b/buckthorntack/entry/_admitting.py
@@ -19,7 +19,7 @@
     """Owns an admission controller.
 
     :param controller: ``AdmissionController``.
-    :param membership: ``MembershipTask``, for the entry VMs to report to.
+    :param recipients: gives the node ids of entry VMs to report to.
     :param sender: sends usage reports.
     :param clock: source of time.
     """
@@ -27,12 +27,12 @@
     def __init__(
         self,
         controller: admission.AdmissionController,
-        membership,
+        recipients,
         sender: interfaces.Sender,
         clock,
     ):
         self.controller = controller
-        self.membership = membership
+        self.recipients = recipients
         self.sender = sender
         self.clock = clock
         self._waiting = {}
@@ -124,5 +124,5 @@
         report = self.controller.usage_report(now)
         if not report.needs and not report.grants:
             return
-        for node_id in self.membership.members():
+        for node_id in self.recipients():
             self.sender.send(node_id, report)
--- a/buckthorntack/entry/_events.py
+++ b/buckthorntack/entry/_events.py
@@ -67,3 +67,10 @@
     logbook.INFO,
     "A resend was given the stored answer of its first attempt.",
 )
+DRAIN_CUT_SHORT = events.declare(
+    1328,
+    "drain_cut_short",
+    logbook.WARNING,
+    "A planned stop took longer than drain_ms; requests were cut off.",
+    "raise timing.drain_ms, or set it to 0 to wait for all requests",
+)
--- a/buckthorntack/entry/_metrics.py
+++ b/buckthorntack/entry/_metrics.py
@@ -10,6 +10,7 @@
     """
 
     def __init__(self, registry):
+        self.registry = registry
         self._answered = prometheus_client.Counter(
             "buckthorntack_requests_answered",
             "Callers' requests answered whole.",
@@ -23,6 +24,18 @@
             registry=registry,
         )
 
+    def watch(self, name, meaning, read):
+        """Show a value as it is when it is asked for.
+
+        :param name: name of the metric, without the program's.
+        :param meaning: its help text.
+        :param read: gives the value.
+        """
+        gauge = prometheus_client.Gauge(
+            f"buckthorntack_{name}", meaning, registry=self.registry
+        )
+        gauge.set_function(read)
+
     def answered(self, method):
         """Count a request that was answered whole.
 
--- a/buckthorntack/entry/_parts.py
+++ b/buckthorntack/entry/_parts.py
@@ -32,6 +32,8 @@
         self.deadline_ms = settings["timing"]["request_deadline_ms"]
         #: Backend servers of this region by id, as last announced.
         self.servers: dict[str, Any] = {}
+        #: Slots of each service that are known here, in all regions.
+        self.slots: dict[str, int] = {}
         self.configuration: Any = None
         self.members: Any = None
         self.router: Any = None
--- a/buckthorntack/entry/_role.py
+++ b/buckthorntack/entry/_role.py
@@ -1,5 +1,6 @@
 """The entry role: owns the tasks and listeners of an entry VM."""
 
+import asyncio
 import contextlib
 import datetime
 
@@ -93,6 +94,7 @@
         self.callers = None
         self.backends = None
         self.issuer = None
+        self._services_seen = set()
         self._roster = admission.EntryRoster()
         self._stopping = False
         self._log = events.EventLog("entry")
@@ -117,6 +119,31 @@
         )
         parts.members = self.members
         parts.metrics = _metrics.EntryMetrics(self.registry)
+        parts.metrics.watch(
+            "callers_requests_in_progress",
+            "Callers' requests in progress.",
+            lambda: self.callers.in_progress if self.callers else 0,
+        )
+        parts.metrics.watch(
+            "backend_servers",
+            "Live backend servers of this region.",
+            lambda: len(self.members.servers()),
+        )
+        parts.metrics.watch(
+            "configuration_revision",
+            "Revision of the configuration in force; -1 if there is none.",
+            self._revision,
+        )
+        parts.metrics.watch(
+            "link_bytes_sent",
+            "Bytes sent to other nodes since the start.",
+            lambda: self.links.sent_bytes,
+        )
+        parts.metrics.watch(
+            "link_messages_dropped",
+            "Messages to other nodes dropped for want of a link.",
+            lambda: self.links.dropped_messages,
+        )
         parts.signer = _loaded(
             security.load_attempt_signer(settings["keys"]["token_key_file"])
         )
@@ -146,6 +173,10 @@
         )
         await self._serve(enter)
 
+    def _revision(self):
+        current = self.parts.configuration.current()
+        return -1 if current is None else current.revision
+
     def _make_decisions(self):
         parts = self.parts
         parts.router = self.make_router(
@@ -202,9 +233,21 @@
             self.rng,
         )
         return _admitting.AdmittingTask(
-            controller, self.members, self.links, self.clock
+            controller, self._quota_peers, self.links, self.clock
         )
 
+    def _quota_peers(self):
+        """Entry VMs of all regions that quotas are shared with."""
+        regions = {self.parts.region}
+        regions |= {summary.region for summary in self.members.summaries()}
+        own = self.settings["node_id"]
+        return [
+            record.node_id
+            for region in sorted(regions)
+            for record in self.members.entries_of(region)
+            if record.node_id != own
+        ]
+
     def _watching(self):
         quarantine = retries.Quarantine(
             self.settings["node_id"], retries.QuarantineSettings()
@@ -339,6 +382,11 @@
                     name = service.service
                     slots[name] = slots.get(name, 0) + free
         sharing = max(1, len(self.members.entries_of(self.parts.region)))
+        self.parts.slots = slots
+        gone = self._services_seen - slots.keys()
+        self._services_seen |= slots.keys()
+        for service in gone:
+            self.parts.admitting.set_capacity(service, 0)
         for service, total in slots.items():
             share = int(total * ADMITTED_PER_SLOT / sharing) + 1
             self.parts.admitting.set_capacity(service, share)
@@ -382,6 +430,15 @@
         self.members.set_entry_state("stopping")
         notice_ms = self.settings["timing"]["stop_notice_ms"]
         await self.clock.sleep(datetime.timedelta(milliseconds=notice_ms))
+        drain_ms = self.settings["timing"]["drain_ms"]
+        try:
+            async with asyncio.timeout(drain_ms / 1e3 or None):
+                await self._drain()
+        except TimeoutError:
+            self._log.write(_events.DRAIN_CUT_SHORT, drain_ms=drain_ms)
+            await self.caller_listener.kill()
+
+    async def _drain(self):
         await self.caller_listener.stop()
         await self.runner.drain()
         await self.accepting.drain()
--- a/buckthorntack/entry/_runner.py
+++ b/buckthorntack/entry/_runner.py
@@ -46,11 +46,50 @@
         if request.idempotent:
             await self._run(request, sink)
             return
-        work = asyncio.create_task(self._run(request, sink))
+        work = asyncio.create_task(self._run_once(request, sink))
         self._detached.add(work)
         work.add_done_callback(self._detached.discard)
         await asyncio.shield(work)
 
+    async def _run_once(self, request, sink):
+        """Run a non-idempotent request; an earlier sending may have run."""
+        try:
+            await self._run(request, sink)
+        except errors.GatewayError as error:
+            if error.run_state is not errors.RunState.NOT_RUN:
+                raise
+            await self._answer_refused(request, sink, error)
+
+    async def _answer_refused(self, request, sink, error):
+        """Refuse a request, unless an earlier sending of it has run.
+
+        That this sending does not run says nothing of earlier ones under
+        the same key: their home is asked first.
+
+        :param request: the ``GatewayRequest``.
+        :param sink: where the answer goes.
+        :param error: why this sending did not run.
+        :raises GatewayError: it was not run, or that is not known.
+        """
+        parts = self.parts
+        attempt_id = parts.signer.issue(
+            parts.region,
+            parts.failure_domain,
+            "",
+            request.organisation,
+            parts.rng,
+        )
+        claimed = await parts.once.claim(request, attempt_id)
+        if isinstance(claimed, ledger.Granted):
+            await parts.once.settle(
+                request, claimed.attempt_id, errors.RunState.NOT_RUN
+            )
+            raise error
+        done = parts.once.replay(request, claimed)
+        await sink.start(done.status, done.headers, "")
+        await sink.write(done.body)
+        await sink.finish()
+
     async def drain(self):
         """Wait for requests whose callers have gone."""
         while self._detached:
@@ -60,10 +99,13 @@
         if request.resumed_attempt:  # it was admitted when it began
             await _Execution(self.parts, request, sink).run()
             return
+        execution = _Execution(self.parts, request, sink)
+        if not self.parts.slots.get(request.service):
+            execution.check_servers()
         await self.parts.admitting.admit(self._admission_request(request))
         tokens = 0
         try:
-            tokens = await _Execution(self.parts, request, sink).run()
+            tokens = await execution.run()
         finally:
             self.parts.admitting.finished(request.request_id, tokens)
 
@@ -112,6 +154,17 @@
         self.suspect = False
         self._log = events.EventLog("entry")
 
+    def check_servers(self):
+        """Refuse at once what would wait in vain.
+
+        :raises GatewayError: no backend server can run it.
+        """
+        route = self._route_request(False, None)
+        now = self.parts.clock.monotonic()
+        chosen = self.parts.router.choose(route, now)
+        if chosen.is_error():
+            raise chosen.error
+
     async def run(self):
         """Attempt until there is an answer.
 
--- a/buckthorntack/node/_node.py
+++ b/buckthorntack/node/_node.py
@@ -48,6 +48,7 @@
         self.links = None
         self.members = None
         self.monitor = None
+        self._is_started = False
         self.registry = prometheus_client.CollectorRegistry()
         self._log = events.EventLog("node")
         self._stack = contextlib.AsyncExitStack()
@@ -78,6 +79,7 @@
             self.monitor = await enter(
                 transport.HttpListener(app.asgi(), self.listeners["metrics"])
             )
+        self._is_started = True
 
     def _make_links(self):
         settings = self.settings
@@ -168,7 +170,7 @@
         kind = type(message).__name__
         if kind in MEMBERSHIP_KINDS:
             self.members.deliver(sender, message)
-        elif self.entry is not None or self.control is not None:
+        elif self._is_started:
             self._log.write(
                 link_events.MESSAGE_UNHANDLED, sender=sender, kind=kind
             )
--- a/buckthorntack/retries/_policy.py
+++ b/buckthorntack/retries/_policy.py
@@ -104,7 +104,7 @@
         if not context.resumable:
             return self.ask(server_id, context, now)
         if context.resumes >= self.settings.resumes:
-            return self.retry(server_id, context, now)
+            return self.ask(server_id, context, now)
         delay = self._delay(context.resumes) if context.resumes else _NOW
         following = context._replace(resumes=context.resumes + 1)
         return _types.Resume(context.last_event, delay, following)
@@ -247,6 +247,8 @@
     if failure.running or failure.run_state is errors.RunState.RAN:
         ran = failure.run_state is errors.RunState.RAN
         context = _ran(context) if ran else _unknown(context)
+        if failure.running:  # only the deadline bounds how long it is awaited
+            context = context._replace(resumes=0, questions=0)
         return policy.resume(failure.server_id, context, now)
     context = _told(_believed(failure.run_state, context), context)
     return policy.retry(failure.server_id, context, now)
--- a/buckthorntack/transport/_http.py
+++ b/buckthorntack/transport/_http.py
@@ -145,7 +145,7 @@
     async def stop(self):
         """Take no new connections and finish the requests in progress."""
         self._server.should_exit = True
-        await self._serving
+        await asyncio.shield(self._serving)
 
     async def kill(self):
         """Drop all connections at once, as a crash would."""
