--- a/buckthorntack/node/tests/test_change_faults.py
+++ b/buckthorntack/node/tests/test_change_faults.py
@@ -134,3 +134,31 @@
         assert world.revision() == base
 
     world.run(scenario())
+
+
+def test_region_cut_off_serves_and_its_control_vm_catches_up(world):
+    async def scenario():
+        mark = "booked-while-cut-off"
+        key = world.deployment.key_prefix(LOST) + mark
+        world.deployment.cut(LOST)
+        changed = await _settled(world, "while-cut-off", [_quota(9)])
+        served = await _chat(world, LOST)
+        booked = await world.book(world.url(LOST), key, mark)
+        again = await world.book(world.url(LOST, 1), key, mark)
+        world.deployment.heal(LOST)
+        answers = await world.book_until_replayed(
+            world.url("fukuoka"), key, mark
+        )
+        machines = [n.control.machine for n in _nodes(world) if n.control]
+        await _scenarios.until(
+            lambda: all(m.revision >= changed["revision"] for m in machines)
+        )
+        assert changed["accepted"]
+        assert (served.status, booked.status) == (200, 200)
+        assert {again.body, answers[-1].body} == {booked.body}
+        assert len(world.runs_with(mark)) == 1
+        assert len({m.revision for m in machines}) == 1
+        sets = [list(m.published.named_objects()) for m in machines]
+        assert all(one == sets[0] for one in sets)
+
+    world.run(scenario())
