--- a/buckthorntack/entry/_accepting.py
+++ b/buckthorntack/entry/_accepting.py
@@ -8,6 +8,7 @@
 from buckthorntack import errors
 from buckthorntack import events
 from buckthorntack import routing
+from buckthorntack import tasks
 from buckthorntack.entry import _errors
 from buckthorntack.entry import _events
 from buckthorntack.entry import _link_sink
@@ -51,8 +52,9 @@
         self._stack = contextlib.AsyncExitStack()
 
     async def __aenter__(self):
-        work = asyncio.create_task(self._tell_alive())
-        self._stack.push_async_callback(_cancelled, work)
+        await self._stack.enter_async_context(
+            tasks.running(self._tell_alive())
+        )
         return self
 
     async def __aexit__(self, *exc_info):
@@ -204,13 +206,16 @@
         while True:
             await self.parts.clock.sleep(self.progress / ALIVE_SHARE)
             for key, incoming in list(self._incoming.items()):
-                message = messages.ForwardAlive(incoming.message.forward_id)
-                self.parts.sender.send(incoming.origin, message)
-                self._drop_if_abandoned(key, incoming)
+                self._tell_or_drop(key, incoming)
+
+    def _tell_or_drop(self, key, incoming):
+        """Tell of a request that runs; forget one whose body stays out.
 
-    def _drop_if_abandoned(self, key, incoming):
-        """Forget a request whose body has stopped coming."""
+        The origin of the latter is told nothing, so that it goes on.
+        """
         if incoming.task is not None:
+            message = messages.ForwardAlive(incoming.message.forward_id)
+            self.parts.sender.send(incoming.origin, message)
             return
         incoming.idle_periods += 1
         if incoming.idle_periods > ABANDONED_PERIODS:
@@ -224,9 +229,3 @@
     if prompt.is_error():
         return ()
     return routing.prefix_hashes(prompt.ok.content)
-
-
-async def _cancelled(task):
-    task.cancel()
-    with contextlib.suppress(asyncio.CancelledError):
-        await task
--- a/buckthorntack/entry/_callers.py
+++ b/buckthorntack/entry/_callers.py
@@ -92,10 +92,18 @@
         elif path.startswith(ATTEMPTS_PREFIX):
             await self._cancel(scope, sink, organisation)
         else:
+            self._check_residency(organisation)
             request = await self._read(scope, receive, headers, organisation)
             request = request._replace(request_id=sink.request_id)
             await self._run(request, receive, sink)
 
+    def _check_residency(self, organisation):
+        """Refuse before a byte of the body is read."""
+        allowed = self.reader.published().allowed_regions(organisation)
+        if self.parts.region not in allowed:
+            detail = f"{organisation} may not send to {self.parts.region}"
+            raise _errors.WrongRegionError(detail)
+
     async def _read(self, scope, receive, headers, organisation):
         path, method = scope["path"], scope["method"]
         if path in _reading.COMPLETION_PATHS and "last-event-id" in headers:
@@ -106,7 +114,8 @@
         if path in _reading.COMPLETION_PATHS and method == "POST":
             return self.reader.completion(path, headers, body, organisation)
         if path.startswith(_reading.SERVICES_PREFIX):
-            query = scope["query_string"].decode("latin-1")
+            path = scope["raw_path"].partition(b"?")[0].decode("latin-1")
+            query = _reading.read_query(scope)
             return self.reader.service_call(
                 method, path, query, headers, body, organisation
             )
--- a/buckthorntack/routing/_servers.py
+++ b/buckthorntack/routing/_servers.py
@@ -102,7 +102,6 @@
         self._servers = {}
         self._groups = {}
         self._timers = []
-        self._started_s = None
 
     def __len__(self):
         return len(self._servers)
@@ -136,8 +135,7 @@
         self._remove_from_groups(server)
         server.record = record
         server.lease_until_s = now_s + record.lease_ms / 1e3
-        came_back = not was_live and not self._is_starting(now_s)
-        if restarted or came_back:
+        if restarted or not was_live:
             server.ramp_from_s = now_s
         measured_s = now_s - record.load.age_ms / 1e3
         server.load.report(
@@ -147,12 +145,6 @@
         self.refresh(server, now_s)
         return restarted
 
-    def _is_starting(self, now_s):
-        """Whether this table cannot yet tell new servers from known ones."""
-        if self._started_s is None:
-            self._started_s = now_s
-        return (now_s - self._started_s) * 1e3 < self.settings.ramp_ms
-
     def remove(self, server_id):
         """Forget a server.
 
@@ -243,7 +235,6 @@
 
     def _add(self, record, now_s):
         server = Server(record, self.settings)
-        server.ramp_from_s = now_s
         self._servers[record.server_id] = server
         return server
 
