Let an organisation resident everywhere try to touch a stranger's stream

Cause: the test's other organisation is allowed in one region only, and entry VMs of other regions now refuse it with 421 before they look at the attempt id. The test was wrong: at those it no longer reached the check it is about.

Change: the other organisation is one that all regions serve, so that each entry VM must refuse by the attempt id. The statuses accepted are the same.

--- a/buckthorntack/node/tests/test_stream_faults.py
+++ b/buckthorntack/node/tests/test_stream_faults.py
@@ -9,6 +9,8 @@
 
 TOKENS = 60
 READ_BEFORE = 15
+#: Another organisation that all regions may serve.
+STRANGER = "sponsor-archive"
 
 
 @pytest.fixture(scope="module")
@@ -111,10 +113,10 @@
         attempt_id = event_id.rpartition("/")[0]
         for region in _scenarios.REGIONS:
             url = world.url(region)
-            resumed = await _resume(world, url, event_id, "fukuoka-council")
+            resumed = await _resume(world, url, event_id, STRANGER)
             assert resumed.status in (401, 403, 404), resumed.status
             assert b"t1" not in resumed.body
-            cancelled = await world.callers["fukuoka-council"].request(
+            cancelled = await world.callers[STRANGER].request(
                 "DELETE", f"{url}/v1/attempts/{attempt_id}"
             )
             assert cancelled.status in (401, 403, 404), cancelled.status
