Let a starting entry VM wait for announcements before it refuses

Cause: a node that had just started refused requests for want of servers that had not announced themselves to it yet; two tests of streams, asked of such a node, waited in vain. Change: the early refusal holds only once a lease has passed since the start; before, requests wait in the queue as they did.

--- a/buckthorntack/entry/_parts.py
+++ b/buckthorntack/entry/_parts.py
@@ -1,5 +1,6 @@
 """What the modules of the entry role share."""
 
+import datetime
 import random
 from typing import Any
 
@@ -34,6 +35,8 @@
         self.servers: dict[str, Any] = {}
         #: Slots of each service that are known here, in all regions.
         self.slots: dict[str, int] = {}
+        #: Time by which all live backend servers have announced themselves.
+        self.settled_at = datetime.timedelta()
         self.configuration: Any = None
         self.members: Any = None
         self.router: Any = None
@@ -46,6 +49,14 @@
         self.forwarding: Any = None
         self.metrics: Any = None
 
+    def lacks_servers(self, service):
+        """Whether it is known that no backend server offers a service.
+
+        :param service: its name.
+        """
+        is_settled = self.clock.monotonic() >= self.settled_at
+        return is_settled and not self.slots.get(service)
+
     def locate(self, attempt_id, organisation):
         """Where an attempt runs, if that is in this region.
 
--- a/buckthorntack/entry/_role.py
+++ b/buckthorntack/entry/_role.py
@@ -117,6 +117,10 @@
         progress = datetime.timedelta(
             milliseconds=settings["timing"]["progress_ms"]
         )
+        lease_ms = settings["timing"]["server_lease_ms"]
+        parts.settled_at = self.clock.monotonic() + datetime.timedelta(
+            milliseconds=lease_ms
+        )
         parts.members = self.members
         parts.metrics = _metrics.EntryMetrics(self.registry)
         parts.metrics.watch(
--- a/buckthorntack/entry/_runner.py
+++ b/buckthorntack/entry/_runner.py
@@ -100,7 +100,7 @@
             await _Execution(self.parts, request, sink).run()
             return
         execution = _Execution(self.parts, request, sink)
-        if not self.parts.slots.get(request.service):
+        if self.parts.lacks_servers(request.service):
             execution.check_servers()
         await self.parts.admitting.admit(self._admission_request(request))
         tokens = 0
--- a/buckthorntack/entry/tests/fakes.py
+++ b/buckthorntack/entry/tests/fakes.py
@@ -18,6 +18,7 @@
 from buckthorntack import retries
 from buckthorntack import routing
 from buckthorntack import security
+from buckthorntack import settings as defaults
 from buckthorntack.entry import _attempt
 from buckthorntack.entry import _forwarding
 from buckthorntack.entry import _once
@@ -394,7 +395,7 @@
     settings = {
         "region": region,
         "failure_domain": f"{region}-a",
-        "timing": {"request_deadline_ms": 60_000},
+        "timing": defaults.default_timing(request_deadline_ms=60_000),
         "ledger_homes": [HOME],
     }
     source = LoopClock()
