Ask for each chunk of a copy once

Cause: 18,000 organisations published in 37 changes never came into force on a cold entry VM. After one timeout a chunk came twice; each copy of it asked for the next one, so requests multiplied and used up the rate. Ruled out: the cost of encoding and loading (0.2 and 0.4 s). Change: a repeated chunk asks for nothing; a source queues each request once, and forgets those for an older copy than the one it now sends.

--- a/buckthorntack/configuration/_source.py
+++ b/buckthorntack/configuration/_source.py
@@ -158,8 +158,10 @@
     ):
         if self.is_registered is None:
             return []
-        if len(self._waiting) < MAX_WAITING_CHUNKS:
-            self._waiting.append((sender, message.revision, message.index))
+        asked = (sender, message.revision, message.index)
+        has_room = len(self._waiting) < MAX_WAITING_CHUNKS
+        if has_room and asked not in self._waiting:
+            self._waiting.append(asked)
         return self._send_chunks(now)
 
     def _send_chunks(self, now):
@@ -169,8 +171,20 @@
             node_id, revision, index = self._waiting.popleft()
             self._credit_bytes -= CHUNK_BYTES
             commands.append(self._chunk(node_id, revision, index, now))
+            if revision != self._copy_revision:
+                self._drop_outdated(node_id)
         return commands
 
+    def _drop_outdated(self, node_id):
+        """Forget what a node still asks of an older copy than it now gets."""
+        kept = [
+            asked
+            for asked in self._waiting
+            if asked[0] != node_id or asked[1] == self._copy_revision
+        ]
+        self._waiting.clear()
+        self._waiting.extend(kept)
+
     def _refill(self, now):
         elapsed = now - (self._credit_at or now)
         self._credit_at = now
--- a/buckthorntack/configuration/_transfer.py
+++ b/buckthorntack/configuration/_transfer.py
@@ -47,6 +47,8 @@
             return []
         if chunk.revision > self.revision:
             self._start(chunk)
+        if chunk.index in self._chunks:  # to ask ahead again would double all
+            return []
         self._chunks[chunk.index] = chunk.data
         self.progress_at = now
         if self.complete():
