Bound the digits of an event's number

Cause: int() refuses thousands of digits with an error of its own, which a faulty engine could cause. Change: such a number counts as none; the event is never handed on.

--- a/buckthorntack/entry/_relay.py
+++ b/buckthorntack/entry/_relay.py
@@ -4,6 +4,7 @@
 
 END_MARK = b"data: [DONE]"
 SEPARATOR = b"\n\n"
+MOST_NUMBER_DIGITS = 18
 
 
 class EventRelay:
@@ -80,7 +81,9 @@
 
     def _number(self, event):
         number = event[len(self._prefix) : event.find(b"\n")]
-        return int(number) if number.isdigit() else -1
+        if not number.isdigit() or len(number) > MOST_NUMBER_DIGITS:
+            return -1
+        return int(number)
 
     def _newer(self, whole, known):
         """Events after one that the caller has."""
--- a/buckthorntack/entry/tests/test_relay.py
+++ b/buckthorntack/entry/tests/test_relay.py
@@ -57,3 +57,9 @@
 def test_comments_keep_a_stream_alive():
     relay = entry.EventRelay("a", -1)
     assert relay.feed(b": working\n\n") == b": working\n\n"
+
+
+def test_number_of_thousands_of_digits_is_never_handed_on():
+    relay = entry.EventRelay("a", -1)
+    event = b"id: a/" + b"9" * 5000 + b"\ndata: t\n\n"
+    assert relay.feed(event) == b""
