Ask a region's entry VMs for a stream until one answers

Cause: a resume went to the only entry VM in its region's newest summary. One that has just started lists itself alone there; if it died at once, all others stayed unknown for a moment, the hand-over failed or went silent (2.0 s), and the caller was told 410 although nothing was known. Ruled out: the server had lost the attempt; the living VM was never asked. Change: the region's entry VMs are asked, as they become known, until the request's deadline; then 504 with run state unknown, no 410.

--- a/buckthorntack/entry/_errors.py
+++ b/buckthorntack/entry/_errors.py
@@ -177,3 +177,13 @@
 
     number = 1327
     remedy = "send the announcement as docs/BACKENDS.md describes"
+
+
+class RegionSilentError(errors.GatewayError):
+    """No entry VM of the region where an attempt runs could be asked."""
+
+    number = 1329
+    status = 504
+    kind = "region_silent"
+    remedy = "resume the stream again; the attempt may still run"
+    run_state = errors.RunState.UNKNOWN
--- a/buckthorntack/entry/_runner.py
+++ b/buckthorntack/entry/_runner.py
@@ -24,6 +24,9 @@
 LOST = (*CLOSED, retries.Silent)
 #: How long a server is kept free for a suspect that waits for its claim.
 RESERVED = datetime.timedelta(seconds=3)
+#: Pause before the entry VMs of a region are asked again for an attempt;
+#: their summaries come about as often.
+RESUME_PAUSE = datetime.timedelta(milliseconds=300)
 
 
 class Runner:
@@ -527,18 +530,29 @@
         region = verified.ok.region
         if region not in self.request.allowed_regions:
             raise _errors.AttemptLostError(f"region {region} is not allowed")
-        entries = [
-            record.node_id for record in self.parts.members.entries_of(region)
-        ]
-        if self.request.origin_region is not None or not entries:
+        if self.request.origin_region is not None:
             raise _errors.AttemptLostError(attempt_id)
-        for number, node_id in enumerate(entries):
-            forward_id = f"{self.request.request_id}/r{number}"
-            request = self._from_last_event()
-            result = await self._hand_over(forward_id, request, [node_id])
-            if isinstance(result, _attempt.Done):
-                return result
-        raise _errors.AttemptLostError(attempt_id)
+        return await self._ask_region(region, attempt_id)
+
+    async def _ask_region(self, region, attempt_id):
+        """Resume through any entry VM of a region.
+
+        An entry VM that has just started may be the only one in its region's
+        summary, and may have died since: the others become known a little
+        later, so they are asked until the request's deadline.
+        """
+        rounds = 0
+        while self.parts.clock.monotonic() < self.context.deadline:
+            for record in self.parts.members.entries_of(region):
+                forward_id = f"{self.request.request_id}/r{rounds}"
+                rounds += 1
+                result = await self._hand_over(
+                    forward_id, self._from_last_event(), [record.node_id]
+                )
+                if isinstance(result, _attempt.Done):
+                    return result
+            await self.parts.clock.sleep(RESUME_PAUSE)
+        raise _errors.RegionSilentError(f"{attempt_id} in {region}")
 
     def _from_last_event(self):
         """The caller's resumption, after what it has been sent since."""
--- a/buckthorntack/entry/tests/test_resume_faults.py
+++ b/buckthorntack/entry/tests/test_resume_faults.py
@@ -158,3 +158,53 @@
         assert backend.runs == [sink.attempt_id]
 
     fakes.run(scenario())
+
+
+DEAD = "kumamoto-dead"
+
+
+class _LateSummary:
+    """Names a dead entry VM alone, as one that had just started would."""
+
+    def __init__(self, members, rounds):
+        self.members = members
+        self.rounds = rounds
+
+    def entries_of(self, region):
+        if region != "kumamoto":
+            return self.members.entries_of(region)
+        self.rounds -= 1
+        if self.rounds >= 0:
+            return [_records.entry(DEAD, "kumamoto")]
+        return self.members.entries_of(region)
+
+    def __getattr__(self, name):
+        return getattr(self.members, name)
+
+
+class _DeadNode:
+    def deliver(self, sender, message):
+        """Take nothing, as a process that has ended."""
+
+
+@pytest.mark.parametrize("rounds", [0, 1, 3])
+def test_resume_waits_for_an_entry_vm_that_lives(rounds):
+    async def scenario():
+        servers = fakes.Backend()
+        world = test_forward_faults.World(servers)
+        node = world.nodes[test_forward_faults.ANSWERING[0]]
+        world.nodes[DEAD] = _DeadNode()
+        members = world.origin.parts.members
+        members.entries = [
+            _records.entry(name, "kumamoto")
+            for name in test_forward_faults.ANSWERING
+        ]
+        world.origin.parts.members = _LateSummary(members, rounds)
+        attempt_id = issue(node.parts, servers)
+        async with world:
+            request = resumption(attempt_id)
+            sink, error = await fakes.answer(world.origin.parts, request)
+        check(servers, attempt_id, sink, error)
+        assert error is None
+
+    fakes.run(scenario())
