--- /dev/null
+++ b/buckthorntack/directives/_check.py
@@ -0,0 +1,64 @@
+"""The check of a configuration as a whole."""
+
+import collections
+import datetime
+
+from expression import Error
+from expression import Ok
+
+from buckthorntack.directives import _errors
+
+
+def check(configuration):
+    """Check a configuration as a whole.
+
+    :param configuration: the ``Configuration``.
+    :returns: ``Result`` of the configuration, or of an
+        :class:`InvalidConfigurationError` that lists all findings.
+    """
+    findings = [
+        *_repeated(configuration.routes),
+        *(
+            finding
+            for route in configuration.routes
+            for finding in _route_findings(route, configuration.services)
+        ),
+    ]
+    if configuration.version < 0:
+        findings.append("the version is below 0")
+    if findings:
+        detail = "; ".join(findings)
+        return Error(_errors.InvalidConfigurationError(detail))
+    return Ok(configuration)
+
+
+def _repeated(routes):
+    places = collections.Counter(
+        (route.host, route.path_prefix) for route in routes
+    )
+    for (host, prefix), count in places.items():
+        if count > 1:
+            yield f"{count} routes share {host}{prefix}"
+    names = collections.Counter(route.name for route in routes)
+    for name, count in names.items():
+        if count > 1:
+            yield f"{count} routes are named {name}"
+
+
+def _route_findings(route, services):
+    if not route.splits:
+        yield f"route {route.name} names no service"
+    for split in route.splits:
+        if split.service not in services:
+            yield f"route {route.name} names unknown service {split.service}"
+        if split.weight < 0:
+            yield f"route {route.name} has a weight below 0"
+    if route.splits and sum(split.weight for split in route.splits) <= 0:
+        yield f"the weights of route {route.name} add up to 0"
+    if route.timeout <= datetime.timedelta():
+        yield f"route {route.name} has no timeout"
+    if route.max_attempts < 1:
+        yield f"route {route.name} allows no attempt"
+    prefix = route.path_prefix
+    if not (prefix.startswith("/") and prefix.endswith("/")):
+        yield f"the prefix of route {route.name} is not within slashes"
--- /dev/null
+++ b/buckthorntack/dispatch/_choice.py
@@ -0,0 +1,266 @@
+"""The choice of a server by the time that each is expected to take."""
+
+from typing import NamedTuple
+
+from buckthorntack.dispatch import _fleet
+from buckthorntack.dispatch import _warmup
+
+#: Claims to a prompt's shared part, as time: enough to break ties, less than
+#: reading a few hundred tokens.
+CLAIM_MS = 4.0
+
+
+class Serve(NamedTuple):
+    """Send the request to a server of this region."""
+
+    server_id: str
+    expected_ms: float
+    unread_tokens: int
+
+
+class Forward(NamedTuple):
+    """Send the request to an entry VM of another region."""
+
+    region: str
+    expected_ms: float
+
+
+class Refuse(NamedTuple):
+    """Refuse the request; it is sent nowhere."""
+
+    reason: str
+    retry_after_ms: float
+
+
+class Wanted(NamedTuple):
+    """What a request asks for."""
+
+    route: object
+    service: object
+    prompt: object
+    #: Servers that it was sent to already.
+    tried: frozenset[str]
+    left_ms: float
+    #: Whether another region may be asked.
+    may_leave: bool
+
+
+class _Place(NamedTuple):
+    server_id: str
+    region: str
+    expected_ms: float
+    unread_tokens: int
+
+
+class Dispatcher:
+    """Chooses servers for requests.
+
+    :param region: region of this entry VM.
+    :param fleet: the ``Fleet``.
+    :param gate: the ``WarmupGate``.
+    :param settings: the ``DispatchSettings``.
+    :param rng: source of randomness.
+    """
+
+    def __init__(self, region, fleet, gate, settings, rng):
+        self.region = region
+        self.fleet = fleet
+        self.gate = gate
+        self.settings = settings
+        self.rng = rng
+        #: Entry VMs of this region, this one included.
+        self.members = []
+        self.evacuated = frozenset()
+
+    def choose(self, wanted, servers, now):
+        """Decide on a request.
+
+        :param wanted: what it asks for.
+        :param servers: ``ServerView`` of all servers of its service.
+        :param now: monotonic time.
+        :returns: :class:`Serve`, :class:`Forward` or :class:`Refuse`.
+        """
+        now_s = now.total_seconds()
+        allowed = wanted.route.allowed_regions
+        local, remote = [], []
+        for view in servers:
+            record = view.record
+            if record.state != "ready" or self._is_barred(record, wanted):
+                continue
+            if allowed and record.region not in allowed:
+                continue
+            if record.region == self.region:
+                local.append(view)
+            elif wanted.may_leave:
+                remote.append(view)
+        here = self._best_local(wanted, local, now, now_s)
+        there = self._best_remote(wanted, remote, here, now, now_s)
+        if there is not None:
+            return self._judged(wanted, there)
+        if here is not None:
+            return self._judged(wanted, here)
+        reason = "no server" if not (local or remote) else "none takes more"
+        return Refuse(reason, self._retry_after_ms(400.0))
+
+    def _is_barred(self, record, wanted):
+        return (
+            record.failure_domain in self.evacuated
+            or record.server_id in wanted.tried
+        )
+
+    def _best_local(self, wanted, views, now, now_s):
+        sound = [view for view in views if not self._is_doubtful(view, now_s)]
+        places = []
+        for view in sound or views:
+            if self._may_warm(wanted, view, now, now_s):
+                places.append(self._local_place(wanted, view, now_s))
+        if not places:
+            return None
+        best = min(place.expected_ms for place in places)
+        near = [place for place in places if place.expected_ms <= best + 1.0]
+        return near[0] if len(near) == 1 else self.rng.choice(near)
+
+    def _is_doubtful(self, view, now_s):
+        if view.record.silent:
+            return True
+        return self.fleet.state(view.record.server_id).is_ejected(now_s)
+
+    def _may_warm(self, wanted, view, now, now_s):
+        if not view.is_cold(now):
+            return True
+        per_s = wanted.service.warmup_per_s
+        server_id = view.record.server_id
+        return self.gate.may_send(server_id, per_s, self.members, now_s)
+
+    def _local_place(self, wanted, view, now_s):
+        server_id = view.record.server_id
+        engine = wanted.service.engine
+        memory_tokens = engine.memory_tokens if engine else 0
+        state = self.fleet.state(server_id, memory_tokens)
+        usage = self.fleet.usage(server_id, now_s)
+        unread = 0
+        if wanted.prompt is not None:
+            cached = state.memory.cached_tokens(wanted.prompt.parts)
+            unread = max(0, wanted.prompt.tokens - cached)
+        expected_ms = self._expected_ms(wanted, view, usage, unread, state)
+        expected_ms += self._claim_ms(wanted, view)
+        return _Place(server_id, self.region, expected_ms, unread)
+
+    def _claim_ms(self, wanted, view):
+        """Small preference for the server that a prompt is gathered at."""
+        if wanted.prompt is None or not wanted.prompt.parts:
+            return 0.0
+        key = wanted.prompt.shared_key
+        claim = _warmup.rendezvous_value(key, view.record.server_id)
+        return CLAIM_MS * (1.0 - claim)
+
+    def _expected_ms(self, wanted, view, usage, unread, state):
+        settings = self.settings
+        present = usage.running + usage.waiting
+        slots = max(1, view.record.slots)
+        over = max(0, present + 1 - slots)
+        if wanted.service.engine is None:
+            work_ms = (state and state.duration_ms) or settings.work_ms
+            expected_ms = work_ms * (1.0 + over / slots)
+        else:
+            stream_ms = (state and state.duration_ms) or settings.stream_ms
+            tokens = usage.waiting_tokens + unread
+            expected_ms = (
+                settings.first_event_ms
+                + tokens / settings.prefill_tokens_per_ms
+                + usage.running * settings.batch_ms
+                + stream_ms * over / slots
+                + stream_ms * self._memory_excess(wanted, usage)
+            )
+            expected_ms *= state.slowness if state else 1.0
+        if state is not None:
+            expected_ms += state.failure_share * settings.failure_ms
+        return expected_ms
+
+    def _memory_excess(self, wanted, usage):
+        """How far requests go beyond an engine's memory, in memories."""
+        room = wanted.service.engine.memory_tokens * self.settings.memory_share
+        held = usage.held_tokens + _held_tokens(wanted.prompt)
+        return max(0.0, held - room) / max(1.0, room) * 4.0
+
+    def _best_remote(self, wanted, views, here, now, now_s):
+        """A place elsewhere that is worth the way, or None."""
+        settings = self.settings
+        objective_ms = wanted.route.objective.total_seconds() * 1e3
+        if here is not None:
+            stay_ms = objective_ms * settings.stay_share
+            if here.expected_ms <= stay_ms:
+                return None
+        places = [
+            place
+            for view in views
+            if not view.record.silent and not view.is_cold(now)
+            if (place := self._remote_place(wanted, view, now_s)) is not None
+        ]
+        if not places:
+            return None
+        best = min(places, key=lambda place: place.expected_ms)
+        if here is None:
+            return best
+        gain_ms = here.expected_ms - best.expected_ms
+        return best if gain_ms > settings.region_gain_ms else None
+
+    def _remote_place(self, wanted, view, now_s):
+        record = view.record
+        usage = self.fleet.remote_usage(record.region, record.server_id, now_s)
+        if usage is None:
+            return None
+        unread = wanted.prompt.tokens if wanted.prompt is not None else 0
+        expected_ms = self._expected_ms(wanted, view, usage, unread, None)
+        expected_ms += self.settings.region_round_trip_ms
+        return _Place(record.server_id, record.region, expected_ms, unread)
+
+    def _judged(self, wanted, place):
+        settings = self.settings
+        objective_ms = wanted.route.objective.total_seconds() * 1e3
+        objectives = settings.refuse_at_objectives
+        objectives -= settings.refuse_step * min(wanted.route.priority, 3)
+        most_ms = min(
+            objective_ms * objectives, wanted.left_ms * settings.deadline_share
+        )
+        if wanted.service.engine is None:
+            # A late answer of a plain service costs it nothing more than one
+            # in time, and its queue is short.
+            most_ms = wanted.left_ms * settings.deadline_share
+        if place.expected_ms > most_ms:
+            over_ms = place.expected_ms - objective_ms * settings.stay_share
+            return Refuse("expected too late", self._retry_after_ms(over_ms))
+        if place.region != self.region:
+            return Forward(place.region, place.expected_ms)
+        return Serve(place.server_id, place.expected_ms, place.unread_tokens)
+
+    def _retry_after_ms(self, wait_ms):
+        """A time to come back at, spread so that not all come together."""
+        settings = self.settings
+        spread = 0.75 + 0.5 * self.rng.random()
+        return min(
+            max(wait_ms * spread, settings.least_retry_after_ms),
+            settings.most_retry_after_ms,
+        )
+
+    def flight(self, wanted, serve, now):
+        """The flight of a request that is about to be sent.
+
+        :param wanted: what it asks for.
+        :param serve: the decision.
+        :param now: monotonic time.
+        """
+        held = _held_tokens(wanted.prompt)
+        return _fleet.Flight(
+            serve.server_id,
+            serve.unread_tokens,
+            held,
+            serve.expected_ms,
+            now.total_seconds(),
+        )
+
+
+def _held_tokens(prompt):
+    if prompt is None:
+        return 0
+    return prompt.tokens + prompt.output_tokens
--- /dev/null
+++ b/buckthorntack/dispatch/_fleet.py
@@ -0,0 +1,313 @@
+"""What an entry VM knows of the load of backend servers."""
+
+from typing import NamedTuple
+
+from buckthorntack import routing
+from buckthorntack.dispatch import _outcomes
+from buckthorntack.dispatch import _prompts
+from buckthorntack.schema import messages
+
+#: Age after which the report of another entry VM counts no more.
+REPORT_AGE_S = 1.5
+
+
+class Usage(NamedTuple):
+    """Requests at a server, of one sender or of all together."""
+
+    running: int = 0
+    waiting: int = 0
+    waiting_tokens: int = 0
+    held_tokens: int = 0
+
+    def plus(self, other):
+        """The sum of both.
+
+        :param other: another ``Usage``, or a ``ServerUse``.
+        """
+        return Usage(
+            self.running + other.running,
+            self.waiting + other.waiting,
+            self.waiting_tokens + other.waiting_tokens,
+            self.held_tokens + other.held_tokens,
+        )
+
+
+class Flight:
+    """One request at a server, from its sending to its end.
+
+    :param server_id: the server.
+    :param unread_tokens: prompt tokens that the server has to read.
+    :param held_tokens: tokens that it holds in memory.
+    :param expected_ms: time expected to the first part of the answer.
+    :param started_s: monotonic time at which it was sent.
+    """
+
+    __slots__ = (
+        "answers",
+        "expected_ms",
+        "held_tokens",
+        "server_id",
+        "started_s",
+        "unread_tokens",
+    )
+
+    def __init__(
+        self, server_id, unread_tokens, held_tokens, expected_ms, started_s
+    ):
+        self.server_id = server_id
+        self.unread_tokens = unread_tokens
+        self.held_tokens = held_tokens
+        self.expected_ms = expected_ms
+        self.started_s = started_s
+        self.answers = False
+
+
+class ServerState:
+    """Own requests at a server, and what they taught about it.
+
+    :param settings: the ``DispatchSettings``.
+    :param memory_tokens: size of the engine's memory; 0 if it has none.
+    """
+
+    def __init__(self, settings, memory_tokens):
+        self.settings = settings
+        self.usage = Usage()
+        self.memory = _prompts.PromptMemory(memory_tokens)
+        self.ejection = routing.Ejection(settings)
+        self.slowness = 1.0
+        self.failure_share = 0.0
+        self.duration_ms = None
+
+    def is_ejected(self, now_s):
+        """Whether it is left out for its failures.
+
+        :param now_s: monotonic time.
+        """
+        until_s = self.ejection.until_s
+        return until_s is not None and now_s < until_s
+
+    def learn_first(self, flight, now_s):
+        """Learn from the time to the first part of an answer.
+
+        :param flight: the ``Flight``.
+        :param now_s: monotonic time.
+        """
+        settings = self.settings
+        observed_ms = (now_s - flight.started_s) * 1e3
+        ratio = observed_ms * self.slowness / max(1.0, flight.expected_ms)
+        bounded = min(
+            max(ratio, settings.least_slowness), settings.most_slowness
+        )
+        weight = settings.sample_weight
+        self.slowness += (bounded - self.slowness) * weight
+
+    def learn_end(self, flight, outcome, now_s):
+        """Learn from the end of a request.
+
+        :param flight: the ``Flight``.
+        :param outcome: the ``Outcome``.
+        :param now_s: monotonic time.
+        """
+        weight = self.settings.sample_weight
+        failed = outcome in (_outcomes.Outcome.ERROR, _outcomes.Outcome.LOST)
+        if outcome is not _outcomes.Outcome.ABANDONED:
+            self.failure_share += (failed - self.failure_share) * weight
+        if outcome is _outcomes.Outcome.LOST:
+            self.ejection.failed(now_s)
+        elif outcome is _outcomes.Outcome.OK:
+            self.ejection.succeeded()
+            observed_ms = (now_s - flight.started_s) * 1e3
+            known_ms = self.duration_ms or observed_ms
+            self.duration_ms = known_ms + (observed_ms - known_ms) * weight
+
+
+class _PeerReport(NamedTuple):
+    received_s: float
+    uses: dict[str, messages.ServerUse]
+
+
+class Fleet:
+    """Load of all servers that this entry VM knows of.
+
+    :param settings: the ``DispatchSettings``.
+    """
+
+    def __init__(self, settings):
+        self.settings = settings
+        self._states = {}
+        self._peers = {}
+        self._regions = {}
+        self._sent = []
+
+    def state(self, server_id, memory_tokens=0):
+        """What is known of a server.
+
+        :param server_id: the server.
+        :param memory_tokens: size of its memory, if it is an engine.
+        :returns: :class:`ServerState`.
+        """
+        state = self._states.get(server_id)
+        if state is None:
+            state = ServerState(self.settings, memory_tokens)
+            self._states[server_id] = state
+        elif memory_tokens:
+            state.memory.capacity_tokens = memory_tokens
+        return state
+
+    def forget(self, server_id):
+        """Forget a server that has gone.
+
+        :param server_id: the server.
+        """
+        self._states.pop(server_id, None)
+
+    def restarted(self, server_id):
+        """A server began anew under its id, with an empty memory.
+
+        :param server_id: the server.
+        """
+        state = self._states.get(server_id)
+        if state is not None:
+            state.memory.clear()
+            state.ejection.succeeded()
+            state.ejection.until_s = None
+
+    def begin(self, flight, prompt):
+        """Note that a request is sent.
+
+        :param flight: its ``Flight``.
+        :param prompt: its ``Prompt``, or None.
+        """
+        state = self.state(flight.server_id)
+        usage = state.usage
+        state.usage = usage._replace(
+            waiting=usage.waiting + 1,
+            waiting_tokens=usage.waiting_tokens + flight.unread_tokens,
+            held_tokens=usage.held_tokens + flight.held_tokens,
+        )
+        if prompt is not None and prompt.parts:
+            state.memory.note(prompt.parts)
+            ids = [part.part_id for part in prompt.parts]
+            tokens = [part.tokens for part in prompt.parts]
+            self._sent.append(
+                messages.PromptSent(flight.server_id, ids, tokens)
+            )
+
+    def answers(self, flight, now_s):
+        """Note that the first part of an answer came.
+
+        :param flight: its ``Flight``.
+        :param now_s: monotonic time.
+        """
+        if flight.answers:
+            return
+        flight.answers = True
+        state = self.state(flight.server_id)
+        usage = state.usage
+        state.usage = usage._replace(
+            running=usage.running + 1,
+            waiting=usage.waiting - 1,
+            waiting_tokens=usage.waiting_tokens - flight.unread_tokens,
+        )
+        state.learn_first(flight, now_s)
+
+    def end(self, flight, outcome, now_s):
+        """Note the end of a request.
+
+        :param flight: its ``Flight``.
+        :param outcome: the ``Outcome``.
+        :param now_s: monotonic time.
+        """
+        state = self.state(flight.server_id)
+        usage = state.usage
+        if flight.answers:
+            usage = usage._replace(running=usage.running - 1)
+        else:
+            usage = usage._replace(
+                waiting=usage.waiting - 1,
+                waiting_tokens=usage.waiting_tokens - flight.unread_tokens,
+            )
+        held = usage.held_tokens - flight.held_tokens
+        state.usage = usage._replace(held_tokens=held)
+        state.learn_end(flight, outcome, now_s)
+
+    def report(self, sequence):
+        """What other entry VMs of the region need to know.
+
+        :param sequence: number of the report.
+        :returns: ``UseReport``.
+        """
+        uses = [
+            messages.ServerUse(server_id, *state.usage)
+            for server_id, state in self._states.items()
+            if any(state.usage)
+        ]
+        sent, self._sent = self._sent, []
+        return messages.UseReport(sequence, uses, sent, [])
+
+    def has_news(self):
+        """Whether prompts were sent since the last report."""
+        return bool(self._sent)
+
+    def peer_reported(self, node_id, report, now_s):
+        """Take in what another entry VM of the region has at servers.
+
+        :param node_id: the entry VM.
+        :param report: its ``UseReport``.
+        :param now_s: monotonic time.
+        """
+        uses = {use.server_id: use for use in report.uses}
+        self._peers[node_id] = _PeerReport(now_s, uses)
+        for sent in report.prompts:
+            state = self._states.get(sent.server_id)
+            if state is not None:
+                pairs = zip(sent.parts, sent.tokens, strict=True)
+                parts = tuple(_prompts.Part(i, tokens) for i, tokens in pairs)
+                state.memory.note(parts)
+
+    def peer_heard_s(self, node_id):
+        """When another entry VM last reported; None if it never did.
+
+        :param node_id: the entry VM.
+        """
+        report = self._peers.get(node_id)
+        return None if report is None else report.received_s
+
+    def region_reported(self, load, now_s):
+        """Take in the load of another region's servers.
+
+        :param load: ``RegionLoad``.
+        :param now_s: monotonic time.
+        """
+        uses = {use.server_id: use for use in load.servers}
+        self._regions[load.region] = _PeerReport(now_s, uses)
+
+    def usage(self, server_id, now_s):
+        """Requests of all entry VMs of the region at a server.
+
+        :param server_id: the server.
+        :param now_s: monotonic time.
+        """
+        state = self._states.get(server_id)
+        usage = state.usage if state is not None else Usage()
+        for report in self._peers.values():
+            use = report.uses.get(server_id)
+            if use is not None and now_s - report.received_s < REPORT_AGE_S:
+                usage = usage.plus(use)
+        return usage
+
+    def remote_usage(self, region, server_id, now_s):
+        """Requests at a server of another region.
+
+        :param region: the region.
+        :param server_id: the server.
+        :param now_s: monotonic time.
+        :returns: ``Usage``, or None if nothing is known.
+        """
+        report = self._regions.get(region)
+        if report is None or now_s - report.received_s > 2 * REPORT_AGE_S:
+            return None
+        use = report.uses.get(server_id)
+        own = self._states.get(server_id)
+        usage = own.usage if own is not None else Usage()
+        return usage if use is None else usage.plus(use)
--- /dev/null
+++ b/buckthorntack/dispatch/_prompts.py
@@ -0,0 +1,83 @@
+"""Which parts of prompts a server probably has in its memory."""
+
+import collections
+from typing import NamedTuple
+
+
+class Part(NamedTuple):
+    """A part of a prompt that others may share."""
+
+    part_id: str
+    tokens: int
+
+
+class Prompt(NamedTuple):
+    """Size of a generation, and the parts that its prompt is made of."""
+
+    parts: tuple[Part, ...]
+    tokens: int
+    #: Most tokens that it generates.
+    output_tokens: int
+
+    @property
+    def shared_key(self):
+        """Id of the largest part, by which equal prompts are gathered."""
+        if not self.parts:
+            return ""
+        return max(self.parts, key=lambda part: part.tokens).part_id
+
+
+class PromptMemory:
+    """Parts of prompts in one engine's memory, least recently used first.
+
+    A part is of use only if all parts before it are cached too, so parts are
+    kept under the chain of ids up to them.
+
+    :param capacity_tokens: size of the memory.
+
+    >>> memory = PromptMemory(1000)
+    >>> pack, own = Part("pack", 600), Part("own", 100)
+    >>> memory.note((pack, own))
+    >>> memory.cached_tokens((pack, Part("other", 50)))
+    600
+    """
+
+    def __init__(self, capacity_tokens):
+        self.capacity_tokens = capacity_tokens
+        self.used_tokens = 0
+        self._parts = collections.OrderedDict()
+
+    def cached_tokens(self, parts):
+        """Tokens at the start of a prompt that need not be read.
+
+        :param parts: the prompt's parts, in order.
+        """
+        chain = ""
+        cached = 0
+        for part in parts:
+            chain = f"{chain}/{part.part_id}"
+            if chain not in self._parts:
+                break
+            cached += part.tokens
+        return cached
+
+    def note(self, parts):
+        """Note that a prompt is read.
+
+        :param parts: the prompt's parts, in order.
+        """
+        chain = ""
+        for part in parts:
+            chain = f"{chain}/{part.part_id}"
+            known = self._parts.pop(chain, None)
+            if known is None:
+                self.used_tokens += part.tokens
+            self._parts[chain] = part.tokens
+        while self.used_tokens > self.capacity_tokens and self._parts:
+            _, tokens = self._parts.popitem(last=False)
+            self.used_tokens -= tokens
+
+    def clear(self):
+        """The memory is empty, as after a start."""
+        self._parts.clear()
+        self.used_tokens = 0
--- /dev/null
+++ b/buckthorntack/dispatch/_settings.py
@@ -0,0 +1,61 @@
+"""Figures that the choice of a server depends on."""
+
+from typing import NamedTuple
+
+
+class DispatchSettings(NamedTuple):
+    """Figures that the choice of a server depends on.
+
+    Speeds are starting points; what each server does is learnt on top.
+    """
+
+    #: Prompt tokens that an engine reads in a millisecond; the slower one of
+    #: the engines met so far.
+    prefill_tokens_per_ms: float = 60.0
+    #: Time to the first event of a prompt that is all cached.
+    first_event_ms: float = 90.0
+    #: Time that each request in the batch adds to the next first event: one
+    #: step of decoding for some, a chunk of prefill for a few.
+    batch_ms: float = 0.6
+    #: How long an engine works on a stream, until it is learnt.
+    stream_ms: float = 700.0
+    #: How long a plain service works on a request, until it is learnt.
+    work_ms: float = 80.0
+    #: Weight of a new sample in learnt times.
+    sample_weight: float = 0.08
+    #: Bounds of the learnt ratio of observed to expected time.
+    least_slowness: float = 0.5
+    most_slowness: float = 8.0
+    #: Way to another region and back, once.
+    region_round_trip_ms: float = 112.0
+    #: Expected time that a region must save over the local one before a
+    #: request is sent there: links are shared and priced.
+    region_gain_ms: float = 250.0
+    #: Share of the objective up to which a request stays in its region.
+    stay_share: float = 0.6
+    #: Expected time to the first event, in objectives, at which a request
+    #: of the most urgent kind is refused; less urgent ones are refused
+    #: sooner by the step below.
+    refuse_at_objectives: float = 1.5
+    refuse_step: float = 0.25
+    #: Share of the time left that the expected time must stay below.
+    deadline_share: float = 0.8
+    #: Added for a server that failed all of its last requests.
+    failure_ms: float = 1500.0
+    #: Share of an engine's memory that requests may hold.
+    memory_share: float = 0.92
+    #: Failures in a row after which a server is left out, and for how long.
+    eject_after_failures: int = 3
+    ejection_ms: float = 800.0
+    longest_ejection_ms: float = 4000.0
+    #: Bounds of Retry-After; a client waits up to a third of its time left.
+    least_retry_after_ms: float = 150.0
+    most_retry_after_ms: float = 2000.0
+    #: Part of the budget of repeats that is used; the rest covers requests
+    #: that are counted elsewhere in another window.
+    repeat_share: float = 0.75
+    #: Entry VMs of a region that send to a cold server.
+    cold_senders: int = 3
+    #: Part of the rate of a cold server that is used: requests may bunch up
+    #: on their way.
+    cold_share: float = 0.8
--- /dev/null
+++ b/buckthorntack/gateway/_entry.py
@@ -0,0 +1,313 @@
+"""An entry VM: its listeners, its tasks and its stop."""
+
+import asyncio
+import contextlib
+import datetime
+
+import prometheus_client
+
+from buckthorntack import discovery
+from buckthorntack import events
+from buckthorntack import http1
+from buckthorntack import tasks
+from buckthorntack import transport
+from buckthorntack.gateway import _events
+from buckthorntack.gateway import _following
+from buckthorntack.gateway import _handling
+from buckthorntack.gateway import _knowledge
+from buckthorntack.gateway import _links
+from buckthorntack.gateway import _metrics
+from buckthorntack.gateway import _monitor
+from buckthorntack.schema import messages
+
+_MS = datetime.timedelta(milliseconds=1)
+#: Pause between two reports of own requests to the region's entry VMs; more
+#: with many of them, so that the sum of reports does not grow.
+USE_PERIOD = 100 * _MS
+USE_PERIOD_PER_MEMBER = 30 * _MS
+#: Pause between two reports of a region's load to other regions.
+REGION_PERIOD = 500 * _MS
+EXPIRE_PERIOD = 250 * _MS
+#: Crashes told to others in a second at most; one crash notes all requests
+#: that were running on the server.
+MOST_CRASH_NOTICES = 64
+#: Part of the grace time after which no more connections are taken.
+ACCEPT_SHARE = 0.6
+#: Time kept free at the end of the grace time.
+STOP_MARGIN = 700 * _MS
+STOP_POLL = 50 * _MS
+#: Addresses in one answer of the directory.
+MOST_ADDRESSES = 64
+
+
+class EntryNode:
+    """One entry VM; an asynchronous context manager.
+
+    :param settings: ``NodeSettings``.
+    :param dialect: the ``Dialect``.
+    :param clock: source of time.
+    :param rng: source of randomness.
+    :param listeners: bound sockets by name; others are bound here.
+    :param make_handlers: gives the handlers of readiness and directory, by
+        name, for this node.
+    """
+
+    def __init__(
+        self, settings, dialect, clock, rng, make_handlers, listeners=None
+    ):
+        self.settings = settings
+        self.dialect = dialect
+        self.clock = clock
+        self.rng = rng
+        self.make_handlers = make_handlers
+        self.listeners = dict(listeners or {})
+        self.timing = discovery.Timing()
+        self.registry = discovery.Registry(
+            rng.getrandbits(40) + 1, self.timing, clock.monotonic()
+        )
+        self.knowledge = _knowledge.Knowledge(
+            settings, dialect, self.registry, rng
+        )
+        self.metrics_registry = prometheus_client.CollectorRegistry()
+        self.metrics = _metrics.EntryMetrics(self.metrics_registry)
+        self.following = None
+        self.front = None
+        self._region_load_sent = None
+        self._crash_notices = 0
+        self._use_sequence = 0
+        self._log = events.EventLog("gateway")
+        self._stack = contextlib.AsyncExitStack()
+
+    async def __aenter__(self):
+        await self._stack.__aenter__()
+        try:
+            await self._start()
+        except BaseException:
+            await self._stack.aclose()
+            raise
+        self._log.write(
+            _events.NODE_STARTED,
+            node=self.settings.node_name,
+            role="entry",
+            callers=self.front.address,
+        )
+        return self
+
+    async def __aexit__(self, *exc_info):
+        await self._stack.aclose()
+        self._log.write(
+            _events.NODE_STOPPED, node=self.settings.node_name, role="entry"
+        )
+
+    async def _start(self):
+        settings = self.settings
+        enter = self._stack.enter_async_context
+        self._stack.enter_context(self.knowledge)
+        self.links = await enter(
+            _links.make_links(
+                settings, settings.service_address, self._deliver, self.clock
+            )
+        )
+        self.following = _following.FollowingTask(
+            settings,
+            self.knowledge,
+            self.links,
+            self.timing,
+            self.clock,
+            self.rng,
+        )
+        self.knowledge.set_members()
+        serving = _handling.Serving(
+            self.knowledge, self.clock, self.metrics, self._tell_crash
+        )
+        limits = self.knowledge.limits
+        self.forward = await enter(
+            self._listener(
+                "forward",
+                settings.forward_address,
+                serving.handle_forwarded,
+                limits,
+            )
+        )
+        self.front = await enter(
+            self._listener(
+                "front", settings.service_address, serving.handle, limits
+            )
+        )
+        handlers = self.make_handlers(self)
+        monitor = _monitor.metrics_handler(self.metrics_registry)
+        addresses = {
+            "readiness": settings.readiness_address,
+            "directory": settings.directory_address,
+            "metrics": f"{settings.ip_address}:{settings.metrics_port}",
+        }
+        handlers["metrics"] = monitor
+        for name, address in addresses.items():
+            if address and name in handlers:
+                await enter(self._listener(name, address, handlers[name]))
+        for work in (
+            self.following.run(),
+            self._expire(),
+            self._tell_use(),
+            self._tell_region_load(),
+        ):
+            await enter(tasks.running(work))
+
+    def _listener(self, name, address, handle, limits=http1.Limits):
+        sock = self.listeners.get(name)
+        if sock is None:
+            sock = transport.bind_listener(address)
+        return http1.Listener(sock, handle, limits)
+
+    def _deliver(self, sender, message):
+        now_s = self.clock.monotonic().total_seconds()
+        if isinstance(message, messages.UseReport):
+            self.knowledge.fleet.peer_reported(sender, message, now_s)
+        elif isinstance(message, messages.RegionLoad):
+            self.knowledge.fleet.region_reported(message, now_s)
+        elif isinstance(message, messages.RegistryChanges):
+            self.following.take_changes(sender, message)
+        elif isinstance(message, messages.PresenceReply):
+            self.following.take_reply(sender, message)
+        elif isinstance(message, messages.DirectivesCopy):
+            self.following.take_directives(sender, message)
+        elif isinstance(message, messages.CrashNotice):
+            self.knowledge.crashes.crashed(
+                message.fingerprint, message.attempt
+            )
+
+    def is_ready(self):
+        """Whether new requests are welcome."""
+        return self.following is not None and self.following.state == "ready"
+
+    def directory(self, region, failure_domain):
+        """Addresses of entry VMs for a caller.
+
+        :param region: the caller's region.
+        :param failure_domain: the caller's failure domain.
+        """
+        own = self.settings.service_address
+        nodes = [
+            record
+            for record in self.registry.nodes_of("entry")
+            if record.node_id != own and not self._is_lost(record)
+        ]
+        if self.following.state == "ready":
+            nodes.append(self.following.presence())
+        return discovery.directory(
+            nodes, region, failure_domain, MOST_ADDRESSES, self.rng
+        )
+
+    def _is_lost(self, record):
+        """Whether an entry VM of this region has stopped to report here."""
+        if record.region != self.settings.region:
+            return False
+        heard_s = self.knowledge.fleet.peer_heard_s(record.node_id)
+        if heard_s is None:
+            return False
+        age_s = self.clock.monotonic().total_seconds() - heard_s
+        return age_s > self.timing.guide_silence.total_seconds()
+
+    async def _expire(self):
+        while True:
+            await self.clock.sleep(EXPIRE_PERIOD)
+            self._crash_notices = 0
+            self.knowledge.set_members()
+
+    def _region_peers(self):
+        own = self.settings.service_address
+        return [
+            record.node_id
+            for record in self.registry.nodes_of("entry")
+            if record.region == self.settings.region
+            and record.node_id != own
+            and not record.silent
+        ]
+
+    async def _tell_use(self):
+        fleet = self.knowledge.fleet
+        while True:
+            peers = self._region_peers()
+            if peers:
+                self._use_sequence += 1
+                report = fleet.report(self._use_sequence)
+                for node_id in peers:
+                    self.links.send(node_id, report)
+            period = max(USE_PERIOD, USE_PERIOD_PER_MEMBER * len(peers))
+            await self.clock.sleep(period)
+
+    async def _tell_region_load(self):
+        while True:
+            await self.clock.sleep(REGION_PERIOD)
+            if self._speaks_for_region():
+                self._send_region_load()
+
+    def _speaks_for_region(self):
+        """Whether this is the first of the region's entry VMs by id."""
+        if not self.is_ready():
+            return False
+        own = self.settings.service_address
+        return all(
+            node_id > own or not self._heard(node_id)
+            for node_id in self._region_peers()
+        )
+
+    def _heard(self, node_id):
+        heard_s = self.knowledge.fleet.peer_heard_s(node_id)
+        now_s = self.clock.monotonic().total_seconds()
+        return heard_s is not None and now_s - heard_s < 1.0
+
+    def _send_region_load(self):
+        region = self.settings.region
+        now_s = self.clock.monotonic().total_seconds()
+        servers = [
+            messages.ServerUse(
+                server_id, *self.knowledge.fleet.usage(server_id, now_s)
+            )
+            for server_id, view in self.registry.servers.items()
+            if view.record.region == region and view.record.state == "ready"
+        ]
+        load = messages.RegionLoad(region, servers)
+        for record in self.registry.nodes_of("entry"):
+            if record.region != region and not record.silent:
+                self.links.send(record.node_id, load)
+
+    def _tell_crash(self, fingerprint, server_id, attempt):
+        if self._crash_notices >= MOST_CRASH_NOTICES:
+            return
+        self._crash_notices += 1
+        notice = messages.CrashNotice(fingerprint, server_id, attempt)
+        own = self.settings.service_address
+        for record in self.registry.nodes_of("entry"):
+            if record.node_id != own and not record.silent:
+                self.links.send(record.node_id, notice)
+
+    def take_settings(self, settings):
+        """Take settings that were read again.
+
+        :param settings: ``NodeSettings``.
+        """
+        self.settings = settings
+        for seed in settings.seeds:
+            self.following.learn_seed(seed)
+
+    async def stop(self):
+        """Leave the directory, then finish all requests."""
+        self.following.set_state("stopping")
+        self._log.write(
+            _events.NODE_STOPPING, node=self.settings.node_name, role="entry"
+        )
+        self.front.begin_close()
+        started = self.clock.monotonic()
+        accept_until = started + self.settings.grace * ACCEPT_SHARE
+        end = started + self.settings.grace - STOP_MARGIN
+        while self.clock.monotonic() < accept_until:
+            await self.clock.sleep(STOP_POLL)
+        self.front.stop_accepting()
+        self.forward.stop_accepting()
+        while self.clock.monotonic() < end:
+            if not self.front.busy() and not self.forward.busy():
+                break
+            await self.clock.sleep(STOP_POLL)
+        self.following.set_state("gone")
+        await asyncio.sleep(0)
--- /dev/null
+++ b/buckthorntack/gateway/_spreading.py
@@ -0,0 +1,103 @@
+"""The task by which a control VM spreads directives to entry VMs."""
+
+import asyncio
+import datetime
+
+from buckthorntack.gateway import _following
+from buckthorntack.schema import messages
+
+#: Time after which an entry VM that follows another control VM, and still
+#: lacks a directive, is sent it: its own control VM then has failed to.
+OTHERS_AFTER = datetime.timedelta(milliseconds=1200)
+
+
+class SpreadingTask:
+    """Sends copies of the directives to entry VMs that lack them.
+
+    :param links: ``transport.LinkTask``.
+    :param clock: source of time.
+    """
+
+    def __init__(self, links, clock):
+        self.links = links
+        self.clock = clock
+        self.replica = None
+        self.machine = None
+        self._known = {}
+        self._followers = set()
+        self._changed_at = None
+        self._packed = (-1, b"")
+        self._confirming = None
+        self._unconfirmed = set()
+
+    def changed(self, directives):
+        """Send newer directives to the entry VMs that follow this VM.
+
+        :param directives: ``Directives``.
+        """
+        self._changed_at = self.clock.monotonic()
+        for node_id in list(self._followers):
+            self._send(node_id, True)
+
+    def reported(self, report, follows, now):
+        """Take note of what an entry VM has, and send what it lacks.
+
+        :param report: its ``PresenceReport``.
+        :param follows: whether it follows this control VM.
+        :param now: monotonic time.
+        """
+        node_id = report.node.node_id
+        self._known[node_id] = (report.directives_index, report.version)
+        if follows:
+            self._followers.add(node_id)
+        else:
+            self._followers.discard(node_id)
+        directives = self.machine.directives
+        if directives.version < 0 and not directives.evacuated:
+            return
+        if report.directives_index >= directives.index:
+            return
+        if report.version < 0:
+            self._unconfirmed.add(node_id)
+            self._confirm()
+        elif follows or self._is_overdue(now):
+            self._send(node_id, True)
+
+    def _is_overdue(self, now):
+        changed_at = self._changed_at
+        return changed_at is not None and now - changed_at > OTHERS_AFTER
+
+    def _confirm(self):
+        """Make sure that the copy for entry VMs that start is the newest."""
+        if self._confirming is None or self._confirming.done():
+            self._confirming = asyncio.create_task(self._confirm_and_send())
+
+    async def _confirm_and_send(self):
+        read = await self.replica.read_barrier()
+        waiting, self._unconfirmed = self._unconfirmed, set()
+        for node_id in waiting:
+            self._send(node_id, read.is_ok())
+
+    def _send(self, node_id, confirmed):
+        directives = self.machine.directives
+        index, version = self._known.get(node_id, (-1, -1))
+        if index >= directives.index:
+            return
+        content = b""
+        if version < directives.version:
+            content = self._content()
+        copy = messages.DirectivesCopy(
+            index=directives.index,
+            version=directives.version,
+            content=content,
+            evacuated=directives.evacuated,
+            confirmed=confirmed,
+        )
+        self.links.send(node_id, copy)
+
+    def _content(self):
+        directives = self.machine.directives
+        if self._packed[0] != directives.version:
+            packed = _following.pack(directives.content)
+            self._packed = (directives.version, packed)
+        return self._packed[1]
--- /dev/null
+++ b/buckthorntack/http1/_pool.py
@@ -0,0 +1,124 @@
+"""Connections to servers that are kept for later requests."""
+
+import asyncio
+import collections
+import socket
+
+from buckthorntack import events
+from buckthorntack.http1 import _client
+from buckthorntack.http1 import _errors
+from buckthorntack.http1 import _events
+from buckthorntack.http1 import _server
+
+#: Idle time after which a connection is not used again if its server does
+#: not tell its own limit.
+IDLE_LIMIT_S = 4.0
+#: A connection is not used so shortly before its server closes it; more than
+#: a round trip between regions.
+IDLE_MARGIN_S = 0.5
+MOST_IDLE = 64
+#: Unacknowledged bytes for so long mean that a server is gone or cut off.
+USER_TIMEOUT_MS = 1500
+
+
+class ConnectionPool:
+    """Opens and keeps connections by server; a context manager.
+
+    :param connect_timeout_s: longest wait for a connection.
+    :param id_name: field that names the request in answers.
+    """
+
+    def __init__(self, connect_timeout_s, id_name=b""):
+        self.connect_timeout_s = connect_timeout_s
+        self.id_name = id_name
+        self.opened = 0
+        self._idle = collections.defaultdict(list)
+        self._log = events.EventLog("http1")
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *exc_info):
+        for key in list(self._idle):
+            self.forget(key)
+
+    async def take(self, key, address):
+        """A connection to a server, kept or new.
+
+        :param key: names the server; another one has another key.
+        :param address: IP address and port.
+        :returns: ``Connection``.
+        :raises ConnectError: none could be made.
+        """
+        now = asyncio.get_running_loop().time()
+        idle = self._idle.get(key, ())
+        while idle:
+            connection = idle.pop()
+            if connection.is_reusable() and now < _last_use_s(connection):
+                return connection
+            connection.close()
+        return await self._open(address)
+
+    def give_back(self, key, connection):
+        """Keep a connection if it is sound, else close it.
+
+        :param key: names its server.
+        :param connection: the ``Connection``.
+        """
+        idle = self._idle[key]
+        if not connection.is_reusable() or len(idle) >= MOST_IDLE:
+            connection.close()
+            return
+        connection.idle_since_s = asyncio.get_running_loop().time()
+        idle.append(connection)
+
+    def forget(self, key):
+        """Close the idle connections to a server.
+
+        :param key: names the server.
+        """
+        for connection in self._idle.pop(key, ()):
+            connection.close()
+
+    def idle_count(self, key):
+        """Idle connections to a server.
+
+        :param key: names the server.
+        """
+        return len(self._idle.get(key, ()))
+
+    async def _open(self, address):
+        host, _, port = address.rpartition(":")
+        sock = socket.socket(
+            socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP
+        )
+        loop = asyncio.get_running_loop()
+        try:
+            sock.setblocking(False)
+            _server.set_liveness(sock)
+            sock.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
+            )
+            async with asyncio.timeout(self.connect_timeout_s):
+                await loop.sock_connect(sock, (host, int(port)))
+                _, connection = await loop.create_connection(
+                    lambda: _client.Connection(self.id_name), sock=sock
+                )
+        except (OSError, ValueError) as error:
+            sock.close()
+            self._log.write(
+                _events.CONNECT_FAILED, address=address, error=repr(error)
+            )
+            raise _errors.ConnectError(f"{address}: {error!r}") from None
+        except BaseException:
+            sock.close()
+            raise
+        self.opened += 1
+        return connection
+
+
+def _last_use_s(connection):
+    limit_s = connection.idle_limit_s
+    if limit_s is None:
+        limit_s = IDLE_LIMIT_S
+    return connection.idle_since_s + limit_s - IDLE_MARGIN_S
--- /dev/null
+++ b/buckthorntack/platform/_control_api.py
@@ -0,0 +1,111 @@
+"""Calls of servers and operators at a control VM."""
+
+import urllib.parse
+
+import msgspec
+
+from buckthorntack import events
+from buckthorntack.platform import _announcements
+from buckthorntack.platform import _events
+
+_JSON = [(b"Content-Type", b"application/json")]
+_NO_CONFIGURATION = 404
+
+
+def make_handlers(node):
+    """Handlers of a control VM, by name.
+
+    :param node: the ``gateway.ControlNode``.
+    """
+    api = ControlApi(node)
+    return {"control": api.handle}
+
+
+class ControlApi:
+    """Calls of servers and operators.
+
+    :param node: the ``gateway.ControlNode``.
+    """
+
+    def __init__(self, node):
+        self.node = node
+        self.log = events.EventLog("platform")
+
+    async def handle(self, request, reply):
+        """Answer one call.
+
+        :param request: ``http1.Request``.
+        :param reply: ``http1.Reply``.
+        """
+        path = request.target.partition(b"?")[0].decode("latin-1")
+        _, collection, *rest = path.split("/")
+        name = urllib.parse.unquote("/".join(rest))
+        call = self._CALLS.get((request.method, collection))
+        if call is None:
+            self._send(reply, 404, {"error": "no such call"})
+            return
+        await call(self, request, reply, name)
+
+    async def _announce(self, request, reply, name):
+        read = _announcements.read_announcement(
+            name, request.body, self.node.settings.regions
+        )
+        if read.is_error():
+            self.log.write(
+                _events.ANNOUNCEMENT_UNREADABLE, error=read.error.detail
+            )
+            self._send_error(reply, read.error)
+            return
+        self.node.gathering.announce(read.ok)
+        self._send(reply, 200, {})
+
+    async def _leave(self, request, reply, name):
+        born_ms = _announcements.read_leave(request.body)
+        self.node.gathering.leave(name, born_ms)
+        self._send(reply, 200, {})
+
+    async def _publish(self, request, reply, name):
+        result = await self.node.publish(request.body)
+        if result.is_error():
+            self._send_error(reply, result.error)
+        else:
+            self._send(reply, 200, {"version": result.ok})
+
+    async def _read(self, request, reply, name):
+        result = await self.node.read()
+        if result.is_error():
+            self._send_error(reply, result.error)
+        elif result.ok.version < 0:
+            self._send(reply, _NO_CONFIGURATION, {"error": "none yet"})
+        else:
+            reply.send(200, _JSON, result.ok.content)
+
+    async def _evacuate(self, request, reply, name):
+        await self._order_evacuation(reply, name, True)
+
+    async def _return(self, request, reply, name):
+        await self._order_evacuation(reply, name, False)
+
+    async def _order_evacuation(self, reply, name, evacuated):
+        result = await self.node.evacuate(name, evacuated)
+        if result.is_error():
+            self._send_error(reply, result.error)
+        else:
+            self._send(reply, 200, {})
+
+    def _send(self, reply, status, document):
+        reply.send(status, _JSON, msgspec.json.encode(document))
+
+    def _send_error(self, reply, error):
+        self._send(
+            reply, error.status, {"error": error.detail, "kind": error.kind}
+        )
+
+    _CALLS = {
+        (b"PUT", "instances"): _announce,
+        (b"DELETE", "instances"): _leave,
+        (b"PUT", "config"): _publish,
+        (b"GET", "config"): _read,
+        (b"POST", "evacuations"): _evacuate,
+        (b"DELETE", "evacuations"): _return,
+    }
--- /dev/null
+++ b/buckthorntack/platform/_headers.py
@@ -0,0 +1,43 @@
+"""Names of header fields on the platform, in lower case."""
+
+_PREFIX = b"x-buckthorntack-"
+
+REQUEST_ID = _PREFIX + b"request-id"
+#: How long the sender waits, in milliseconds.
+DEADLINE = _PREFIX + b"deadline-ms"
+#: Id of the only server that shall run the request.
+EXPECT_INSTANCE = _PREFIX + b"expect-instance"
+#: Prompt tokens and most output tokens, parted by a comma.
+TOKEN_COUNT = _PREFIX + b"token-count"
+#: Parts of the prompt, as ID:TOKENS parted by commas.
+PROMPT_PREFIX = _PREFIX + b"prompt-prefix"
+#: Rank from 0, first, to 9.
+PRIORITY = _PREFIX + b"request-priority"
+#: Sent with an answer of a server that did not run the request.
+NOT_EXECUTED = _PREFIX + b"not-executed"
+#: Id of the server that answers.
+INSTANCE_ID = _PREFIX + b"instance-id"
+#: How much longer the server is cold, in milliseconds.
+WARMUP = _PREFIX + b"warmup-ms"
+LAST_EVENT_ID = b"last-event-id"
+RETRY_AFTER = b"retry-after"
+
+#: Fields that only the system sets; a client's are removed.
+SYSTEM_SET = frozenset(
+    (
+        DEADLINE,
+        EXPECT_INSTANCE,
+        PRIORITY,
+        _PREFIX + b"expect-version",
+        _PREFIX + b"kv-hold",
+        _PREFIX + b"kv-backup",
+        _PREFIX + b"kv-from",
+        _PREFIX + b"kv-fetch",
+        _PREFIX + b"pin-ms",
+        b"kv-hold",
+        b"kv-backup",
+        b"kv-from",
+        b"kv-fetch",
+        b"pin-ms",
+    )
+)
--- /dev/null
+++ b/buckthorntack/platform/_settings.py
@@ -0,0 +1,57 @@
+"""Settings of a node, in the form of deploy/settings.json."""
+
+import datetime
+
+import json5
+import msgspec
+
+from buckthorntack import gateway
+from buckthorntack.schema import documents
+
+#: Name of the environment variable with the path of the settings file.
+PATH_VARIABLE = "BUCKTHORNTACK_NODE_FILE"
+
+
+def load_settings(path):
+    """Read the settings file.
+
+    :param path: its path.
+    :returns: ``gateway.NodeSettings``.
+    :raises gateway.SettingsError: it can't be read or is of another form.
+    """
+    try:
+        with open(path, encoding="utf-8") as file:
+            document = json5.load(file)
+        checked = msgspec.convert(document, documents.NodeDocument)
+    except (OSError, ValueError, msgspec.ValidationError) as error:
+        raise gateway.SettingsError(f"{path}: {error}") from None
+    return _settings(checked)
+
+
+def _settings(document):
+    first_port = document["internal_ports"][0]
+    return gateway.NodeSettings(
+        role=document["role"],
+        node_name=document["node_name"],
+        region=document["region"],
+        failure_domain=document["failure_domain"],
+        regions=document["regions"],
+        ip_address=document["ip_address"],
+        service_address=document["service_address"],
+        readiness_address=document["readiness_address"],
+        directory_address=document["directory_address"],
+        link_port=first_port,
+        forward_port=first_port + 1,
+        metrics_port=first_port + 2,
+        seeds=tuple(document["seeds"]),
+        is_first_start=document["first_start"],
+        data_folder=document["data_folder"],
+        announcement_period=datetime.timedelta(
+            milliseconds=document["announcement_ms"]
+        ),
+        tolerated_losses=document["tolerated_losses"],
+        repeat_ratio=document["repeat_ratio"],
+        repeat_slack=document["repeat_slack"],
+        directory_ttl=datetime.timedelta(seconds=document["directory_ttl_s"]),
+        grace=datetime.timedelta(seconds=document["grace_s"]),
+    )
--- a/buckthorntack/routing/__init__.py
+++ b/buckthorntack/routing/__init__.py
@@ -4,6 +4,7 @@
 from buckthorntack.routing._baselines import Policy
 from buckthorntack.routing._baselines import RandomPolicy
 from buckthorntack.routing._baselines import RoundRobinPolicy
+from buckthorntack.routing._ejection import Ejection
 from buckthorntack.routing._errors import ExcludedError
 from buckthorntack.routing._errors import NoServerError
 from buckthorntack.routing._errors import ResidencyError
@@ -28,6 +29,7 @@
 __all__ = [
     "AttemptOutcome",
     "EJECTED",
+    "Ejection",
     "ExcludedError",
     "FORWARDED",
     "LeastLoadedPolicy",
--- /dev/null
+++ b/buckthorntack/schema/_generated/discovery.py
@@ -0,0 +1,142 @@
+"""Generated from discovery.json: do not edit."""
+
+from __future__ import annotations
+
+from typing import Literal
+from typing import NamedTuple
+
+
+class AnnouncedServer(NamedTuple):
+    """
+    A backend server as control VMs pass it on.
+    """
+
+    server_id: str
+    born_ms: int
+    sequence: int
+    state: Literal["ready", "draining", "gone"]
+    service: str
+    address: str
+    failure_domain: str
+    region: str
+    slots: int
+    cold_left_ms: int
+    reclaim_left_ms: int
+    silent: bool
+
+
+class NodePresence(NamedTuple):
+    """
+    A node of ours as control VMs pass it on.
+    """
+
+    node_id: str
+    incarnation: int
+    sequence: int
+    role: Literal["entry", "control"]
+    state: Literal["starting", "ready", "stopping", "gone"]
+    link_address: str
+    service_address: str
+    failure_domain: str
+    region: str
+    silent: bool
+
+
+class PresenceReport(NamedTuple):
+    """
+    A node tells a control VM that it lives, and what it has.
+    """
+
+    node: NodePresence
+    registry_epoch: int
+    registry_stamp: int
+    version: int
+    directives_index: int
+    heard_servers: list[str]
+    heard_nodes: list[str]
+
+
+class PresenceReply(NamedTuple):
+    """
+    Answer of a control VM to a report.
+    """
+
+    incarnation: int
+    accepted: bool
+    registry_epoch: int
+    registry_stamp: int
+    has_majority: bool
+    wants_servers: bool
+
+
+class RegistryChanges(NamedTuple):
+    """
+    Changes of a control VM's registry.
+    """
+
+    registry_epoch: int
+    since_stamp: int
+    stamp: int
+    servers: list[AnnouncedServer]
+    nodes: list[NodePresence]
+
+
+class ServerUse(NamedTuple):
+    """
+    Requests that one entry VM or one region has at a backend server.
+    """
+
+    server_id: str
+    running: int
+    waiting: int
+    waiting_tokens: int
+    held_tokens: int
+
+
+class PromptSent(NamedTuple):
+    """
+    Shared parts of a prompt that a server has read.
+    """
+
+    server_id: str
+    parts: list[str]
+    tokens: list[int]
+
+
+class ControlIdentity(NamedTuple):
+    """
+    Who a control VM's disk belongs to; kept on the disk.
+    """
+
+    node_id: str
+    first_voters: list[str]
+
+
+class CrashNotice(NamedTuple):
+    """
+    A request was running on a server that crashed.
+    """
+
+    fingerprint: str
+    server_id: str
+    attempt: str
+
+
+class RegionLoad(NamedTuple):
+    """
+    Load of the backend servers of a region.
+    """
+
+    region: str
+    servers: list[ServerUse]
+
+
+class UseReport(NamedTuple):
+    """
+    What an entry VM has at the servers of its region.
+    """
+
+    sequence: int
+    uses: list[ServerUse]
+    prompts: list[PromptSent]
+    ejected: list[str]
--- /dev/null
+++ b/buckthorntack/schema/_generated/node_documents.py
@@ -0,0 +1,84 @@
+"""Generated from node.json: do not edit."""
+
+from __future__ import annotations
+
+from typing import Literal
+from typing import TypedDict
+
+
+class NodeDocuments(TypedDict):
+    pass
+
+
+class NodeDocument(TypedDict):
+    """
+    Settings of a node that finds the others by itself.
+    """
+
+    role: Literal["entry", "control"]
+    """
+    What the node does.
+    """
+    node_name: str
+    """
+    Name in log lines.
+    """
+    region: str
+    failure_domain: str
+    regions: dict[str, str]
+    """
+    Region of each failure domain.
+    """
+    ip_address: str
+    service_address: str
+    """
+    IP address and port for callers or, at a control VM, for operators and backend servers.
+    """
+    readiness_address: str
+    """
+    Where the platform asks whether the node is ready; empty for nowhere.
+    """
+    directory_address: str
+    """
+    Where callers ask for entry VMs; empty for nowhere.
+    """
+    internal_ports: list[int]
+    """
+    First and last port for traffic between nodes.
+    """
+    seeds: list[str]
+    """
+    Service addresses of some control VMs.
+    """
+    first_start: bool
+    """
+    Whether the whole deployment starts for the first time.
+    """
+    data_folder: str
+    """
+    Folder for state that lasts; empty at an entry VM.
+    """
+    announcement_ms: int
+    """
+    Pause between two announcements of a backend server.
+    """
+    tolerated_losses: int
+    """
+    Control VMs that may be lost at once.
+    """
+    repeat_ratio: float
+    """
+    Repeated sends for each request.
+    """
+    repeat_slack: float
+    """
+    Repeated sends beyond that in a window.
+    """
+    directory_ttl_s: float
+    """
+    Longest time that callers use an answer of the directory.
+    """
+    grace_s: float
+    """
+    Time between SIGTERM and SIGKILL.
+    """
--- a/buckthorntack/schema/documents.py
+++ b/buckthorntack/schema/documents.py
@@ -37,6 +37,8 @@
 from buckthorntack.schema._generated.keys_documents import OperatorToken
 from buckthorntack.schema._generated.keys_documents import OperatorTokenFile
 from buckthorntack.schema._generated.keys_documents import TokenKeyFile
+from buckthorntack.schema._generated.node_documents import NodeDocument
+from buckthorntack.schema._generated.node_documents import NodeDocuments
 from buckthorntack.schema._generated.objects_documents import BackendServerPool
 from buckthorntack.schema._generated.objects_documents import CallerCredential
 from buckthorntack.schema._generated.objects_documents import DeploymentTerms
@@ -101,6 +103,8 @@
     "ModelVersion",
     "NamedObject",
     "NodeAddress",
+    "NodeDocument",
+    "NodeDocuments",
     "ObjectList",
     "ObjectName",
     "Objects",
--- a/buckthorntack/schema/messages.py
+++ b/buckthorntack/schema/messages.py
@@ -40,6 +40,21 @@
 from buckthorntack.schema._generated.consensus import TransferRequest
 from buckthorntack.schema._generated.consensus import VoteRequest
 from buckthorntack.schema._generated.consensus import VoteResponse
+from buckthorntack.schema._generated.directives import Directives
+from buckthorntack.schema._generated.directives import DirectivesCopy
+from buckthorntack.schema._generated.directives import EvacuateDomain
+from buckthorntack.schema._generated.directives import PublishVersion
+from buckthorntack.schema._generated.discovery import AnnouncedServer
+from buckthorntack.schema._generated.discovery import ControlIdentity
+from buckthorntack.schema._generated.discovery import CrashNotice
+from buckthorntack.schema._generated.discovery import NodePresence
+from buckthorntack.schema._generated.discovery import PresenceReply
+from buckthorntack.schema._generated.discovery import PresenceReport
+from buckthorntack.schema._generated.discovery import PromptSent
+from buckthorntack.schema._generated.discovery import RegionLoad
+from buckthorntack.schema._generated.discovery import RegistryChanges
+from buckthorntack.schema._generated.discovery import ServerUse
+from buckthorntack.schema._generated.discovery import UseReport
 from buckthorntack.schema._generated.forwarding import ForwardAlive
 from buckthorntack.schema._generated.forwarding import ForwardBody
 from buckthorntack.schema._generated.forwarding import ForwardCancel
@@ -92,6 +107,7 @@
 
 __all__ = [
     "Acquittal",
+    "AnnouncedServer",
     "AppendRequest",
     "AppendResponse",
     "ChangeRecord",
@@ -110,12 +126,17 @@
     "ConfigurationSettlement",
     "ConfigurationSnapshot",
     "ConfigurationStep",
+    "ControlIdentity",
     "Conviction",
     "CrashEvidence",
+    "CrashNotice",
+    "Directives",
+    "DirectivesCopy",
     "DomainSummary",
     "EnrolRequest",
     "EnrolResponse",
     "EntryRecord",
+    "EvacuateDomain",
     "FailedAttempts",
     "ForwardAlive",
     "ForwardBody",
@@ -153,25 +174,34 @@
     "MembershipPull",
     "MembershipSummaries",
     "MessageStamp",
+    "NodePresence",
     "PendingChange",
     "Ping",
     "Pong",
+    "PresenceReply",
+    "PresenceReport",
+    "PromptSent",
     "ProposalRefused",
+    "PublishVersion",
     "QuotaGrant",
     "QuotaNeed",
     "ReadRequest",
     "ReadResponse",
     "RecordKey",
+    "RegionLoad",
+    "RegistryChanges",
     "ServerLoad",
     "ServerRecord",
     "ServerRenewal",
     "ServerUpdate",
+    "ServerUse",
     "ServiceSummary",
     "SnapshotChunk",
     "SnapshotChunkResponse",
     "SuspectClaim",
     "TransferRequest",
     "UsageReport",
+    "UseReport",
     "VoteRequest",
     "VoteResponse",
 ]
--- a/buckthorntack/storage/__init__.py
+++ b/buckthorntack/storage/__init__.py
@@ -14,6 +14,8 @@
 from buckthorntack.storage._records import Recovered
 from buckthorntack.storage._records import Snapshot
 from buckthorntack.storage._records import SnapshotInfo
+from buckthorntack.storage._snapshots import read_whole
+from buckthorntack.storage._snapshots import write_whole
 from buckthorntack.storage._store import ReplicaStore
 
 __all__ = [
@@ -32,4 +34,6 @@
     "StorageError",
     "SystemFiles",
     "WritableFile",
+    "read_whole",
+    "write_whole",
 ]
--- a/buckthorntack/transport/_events.py
+++ b/buckthorntack/transport/_events.py
@@ -37,3 +37,11 @@
     logbook.INFO,
     "An HTTP listener takes connections.",
 )
+LINKS_UNAUTHENTICATED = events.declare(
+    1205,
+    "links_unauthenticated",
+    logbook.INFO,
+    "The settings ask for links without keys: any process that reaches the "
+    "link address can send messages.",
+    "name link keys in the settings unless the network is walled",
+)
--- a/buckthorntack/transport/_http.py
+++ b/buckthorntack/transport/_http.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import socket
 import urllib.parse
 
 import litestar
@@ -11,6 +10,7 @@
 
 from buckthorntack import events
 from buckthorntack.transport import _events
+from buckthorntack.transport import _sockets
 
 BACKLOG_CONNECTIONS = 2048
 START_POLL_SECONDS = 0.005
@@ -19,33 +19,6 @@
 KEEP_ALIVE_SECONDS = 75
 
 
-def bind_listener(address):
-    """Bind a listening socket.
-
-    :param address: IP address and port; port 0 takes a free one.
-    :returns: the bound socket.
-    :raises OSError: the address cannot be bound.
-    """
-    host, _, port = address.rpartition(":")
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    # asyncio turns Nagle's algorithm off only on sockets that name TCP.
-    listener = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.bind((host.strip("[]"), int(port)))
-    return listener
-
-
-def listener_url(listener, scheme="http"):
-    """Base URL of a bound socket.
-
-    :param listener: the socket.
-    :param scheme: ``http`` or ``https``.
-    """
-    host, port = listener.getsockname()[:2]
-    shown = f"[{host}]" if ":" in host else host
-    return f"{scheme}://{shown}:{port}"
-
-
 def mounted_app(handle):
     """Application that leaves all paths to one ASGI function.
 
@@ -111,7 +84,7 @@
     def url(self):
         """Base URL of the listener."""
         scheme = "https" if self.certificate_file else "http"
-        return listener_url(self.listener, scheme)
+        return _sockets.listener_url(self.listener, scheme)
 
     async def __aenter__(self):
         config = uvicorn.Config(
