--- a/buckthorntack/directives/_types.py
+++ b/buckthorntack/directives/_types.py
@@ -60,6 +60,10 @@
 
     slots: int
     memory_tokens: int
+    #: Bytes of memory that a token takes, as when it is copied.
+    token_bytes: float = 0.0
+    #: Speed of copies between engines; 0 if they can't copy.
+    transfer_mbps: float = 0.0
 
 
 class Service(NamedTuple):
--- /dev/null
+++ b/buckthorntack/directives/tests/test_directives.py
@@ -0,0 +1,144 @@
+"""Configurations: the check, the choice of a route, the highest version."""
+
+import datetime
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+from buckthorntack import directives
+from buckthorntack.directives.tests import _documents
+from buckthorntack.schema import messages
+
+ROUTE = _documents.route()
+
+
+@pytest.mark.parametrize(
+    ("route", "finding"),
+    [
+        (ROUTE._replace(splits=()), "names no service"),
+        (
+            ROUTE._replace(splits=(directives.Split("gone", 1.0),)),
+            "unknown service gone",
+        ),
+        (
+            ROUTE._replace(splits=(directives.Split("text", 0.0),)),
+            "add up to 0",
+        ),
+        (
+            ROUTE._replace(
+                splits=(
+                    directives.Split("text", 2.0),
+                    directives.Split("desk", -1.0),
+                )
+            ),
+            "below 0",
+        ),
+        (ROUTE._replace(timeout=datetime.timedelta()), "no timeout"),
+        (ROUTE._replace(max_attempts=0), "no attempt"),
+        (ROUTE._replace(path_prefix="/a"), "slashes"),
+    ],
+)
+def test_faults_are_found(route, finding):
+    checked = directives.check(_documents.configuration(route))
+    assert finding in checked.error.detail
+
+
+def test_sound_configuration_passes():
+    configuration = _documents.configuration()
+    assert directives.check(configuration).ok is configuration
+
+
+def test_routes_that_share_a_place_are_refused():
+    routes = [_documents.route("r1"), _documents.route("r2")]
+    checked = directives.check(_documents.configuration(*routes))
+    assert "share a.example/a/" in checked.error.detail
+
+
+def test_all_faults_are_told():
+    bad = ROUTE._replace(timeout=datetime.timedelta(), max_attempts=0)
+    detail = directives.check(_documents.configuration(bad)).error.detail
+    assert "no timeout" in detail
+    assert "no attempt" in detail
+
+
+def test_longest_prefix_wins():
+    table = directives.RouteTable(
+        _documents.configuration(
+            _documents.route("short", "/a/"),
+            _documents.route("long", "/a/b/"),
+        )
+    )
+    assert table.find("a.example", "/a/b/c").name == "long"
+    assert table.find("A.example:80", "/a/bc").name == "short"
+    assert table.find("a.example", "/ab/") is None
+    assert table.find("b.example", "/a/b/c") is None
+
+
+def test_route_of_all_paths():
+    table = directives.RouteTable(
+        _documents.configuration(_documents.route("all", "/"))
+    )
+    assert table.find("a.example", "/x").name == "all"
+
+
+def apply(machine, index, command):
+    data = directives.encode_command(command)
+    return machine.apply(index, data)
+
+
+def publish(version, content=b"c"):
+    return messages.PublishVersion(version, content)
+
+
+def test_older_version_changes_nothing():
+    machine = directives.DirectivesMachine()
+    apply(machine, 1, publish(7, b"seven"))
+    outcome = apply(machine, 2, publish(5, b"five"))
+    assert (outcome.version, outcome.changed) == (7, False)
+    assert machine.directives.content == b"seven"
+    assert machine.directives.index == 1
+
+
+def test_other_content_under_the_held_version_changes_nothing():
+    machine = directives.DirectivesMachine()
+    apply(machine, 1, publish(7, b"seven"))
+    apply(machine, 2, publish(7, b"other"))
+    assert machine.directives.content == b"seven"
+
+
+def test_evacuation_and_its_end():
+    machine = directives.DirectivesMachine()
+    seen = []
+    machine.changed = seen.append
+    apply(machine, 1, messages.EvacuateDomain("b", True))
+    apply(machine, 2, messages.EvacuateDomain("a", True))
+    apply(machine, 3, messages.EvacuateDomain("a", True))
+    assert machine.directives.evacuated == ["a", "b"]
+    apply(machine, 4, messages.EvacuateDomain("b", False))
+    assert machine.directives.evacuated == ["a"]
+    assert [directives.index for directives in seen] == [1, 2, 4]
+
+
+@given(st.lists(st.tuples(st.integers(0, 5), st.binary(max_size=2))))
+def test_highest_version_is_in_force_whatever_the_order(commands):
+    machine = directives.DirectivesMachine()
+    first = {}
+    for index, (version, content) in enumerate(commands):
+        first.setdefault(version, content)
+        before = machine.directives.version
+        apply(machine, index, publish(version, content))
+        assert machine.directives.version >= before
+    if commands:
+        highest = max(version for version, _ in commands)
+        assert machine.directives.version == highest
+        assert machine.directives.content == first[highest]
+
+
+def test_snapshot_restores_all():
+    machine = directives.DirectivesMachine()
+    apply(machine, 1, publish(7, b"seven"))
+    apply(machine, 2, messages.EvacuateDomain("a", True))
+    other = directives.DirectivesMachine()
+    other.restore(machine.snapshot())
+    assert other.directives == machine.directives
--- a/buckthorntack/discovery/_formation.py
+++ b/buckthorntack/discovery/_formation.py
@@ -140,4 +140,4 @@
 
 
 #: Shorter would replace a control VM that only restarts.
-REPLACE_AFTER = datetime.timedelta(seconds=6)
+REPLACE_AFTER = datetime.timedelta(seconds=10)
--- /dev/null
+++ b/buckthorntack/discovery/tests/test_registry.py
@@ -0,0 +1,254 @@
+"""Announcements in any order, from any control VM, lead to one view."""
+
+import datetime
+import itertools
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+from buckthorntack import discovery
+from buckthorntack.discovery.tests import _records
+
+S = datetime.timedelta(seconds=1)
+NOW = 100 * S
+
+
+def make(epoch=1):
+    return discovery.Registry(epoch, discovery.Timing(), NOW)
+
+
+def state_of(registry, server_id="s1"):
+    return registry.servers[server_id].record.state
+
+
+def test_late_announcement_does_not_undo_draining():
+    registry = make()
+    registry.announce(_records.server(sequence=5, state="draining"), NOW)
+    assert not registry.announce(_records.server(sequence=4), NOW + S)
+    assert state_of(registry) == "draining"
+
+
+def test_announcement_after_leaving_is_passed_over():
+    registry = make()
+    registry.announce(_records.server(sequence=5), NOW)
+    assert registry.leave("s1", 1000, NOW)
+    assert not registry.announce(_records.server(sequence=6), NOW + S)
+    assert state_of(registry) == "gone"
+
+
+def test_server_that_starts_again_under_its_id_is_used():
+    registry = make()
+    registry.announce(_records.server(sequence=9), NOW)
+    registry.leave("s1", None, NOW)
+    again = _records.server(born_ms=2000, sequence=1)
+    assert registry.announce(again, NOW + S)
+    assert state_of(registry) == "ready"
+
+
+def test_leaving_of_an_earlier_incarnation_is_passed_over():
+    registry = make()
+    registry.announce(_records.server(born_ms=2000), NOW)
+    assert not registry.leave("s1", 1000, NOW)
+    assert state_of(registry) == "ready"
+
+
+def test_address_belongs_to_the_latest_server():
+    registry = make()
+    old = _records.server("old", address="10.1.0.1:80")
+    new = _records.server("new", address="10.1.0.1:80", born_ms=2000)
+    registry.announce(old, NOW)
+    registry.announce(new, NOW)
+    assert state_of(registry, "old") == "gone"
+    # One that was held up by a partition arrives after its sender's crash.
+    registry.announce(old._replace(sequence=7), NOW + S)
+    assert state_of(registry, "old") == "gone"
+    assert state_of(registry, "new") == "ready"
+
+
+def test_late_announcement_of_a_predecessor_that_was_unknown():
+    registry = make()
+    new = _records.server("new", address="10.1.0.1:80", born_ms=2000)
+    registry.announce(new, NOW)
+    registry.announce(_records.server("old", address="10.1.0.1:80"), NOW)
+    assert state_of(registry, "old") == "gone"
+    assert state_of(registry, "new") == "ready"
+
+
+def test_heartbeats_are_no_news():
+    registry = make()
+    registry.announce(_records.server(), NOW)
+    stamp = registry.stamp
+    for number in range(2, 30):
+        record = _records.server(sequence=number)
+        assert not registry.announce(record, NOW + number * S)
+    assert registry.stamp == stamp
+
+
+def test_countdown_of_a_warmup_is_no_news_but_its_start_is():
+    registry = make()
+    registry.announce(_records.server(cold_left_ms=3000), NOW)
+    later = _records.server(sequence=2, cold_left_ms=2000)
+    assert not registry.announce(later, NOW + S)
+    assert registry.servers["s1"].is_cold(NOW + 2.9 * S)
+    assert not registry.servers["s1"].is_cold(NOW + 3.1 * S)
+    again = _records.server(sequence=3, cold_left_ms=3000)
+    assert registry.announce(again, NOW + 5 * S)
+
+
+def test_time_until_reclaim_is_passed_on_as_it_runs_out():
+    registry = make()
+    record = _records.server(state="draining", reclaim_left_ms=2000)
+    registry.announce(record, NOW)
+    told = registry.changes_since(0, NOW + S).servers[0]
+    assert told.reclaim_left_ms == 1000
+
+
+def test_silent_server_is_told_and_comes_back():
+    registry = make()
+    registry.announce(_records.server(), NOW)
+    for step in range(1, 30):
+        found = registry.expire(NOW + step * 0.25 * S)
+        if found:
+            break
+    assert found == ["s1"]
+    assert registry.servers["s1"].record.silent
+    registry.hear(["s1"], [], NOW + 9 * S)
+    assert not registry.servers["s1"].record.silent
+
+
+def test_pause_of_the_process_makes_nobody_silent():
+    registry = make()
+    registry.announce(_records.server(), NOW)
+    registry.report(_records.node(), NOW)
+    registry.expire(NOW + 0.25 * S)
+    assert registry.expire(NOW + 20 * S) == []
+
+
+def test_node_is_silent_after_a_while():
+    registry = make()
+    registry.report(_records.node(), NOW)
+    found = []
+    for step in range(1, 16):
+        found += registry.expire(NOW + step * 0.25 * S)
+    assert found == ["10.1.0.9:80"]
+
+
+def test_follower_takes_over_who_is_silent():
+    source, copy = make(1), make(2)
+    source.announce(_records.server(), NOW)
+    copy.adopt(source.changes_since(0, NOW), NOW)
+    stamp = source.stamp
+    for step in range(1, 24):
+        source.expire(NOW + step * 0.25 * S)
+    copy.adopt(source.changes_since(stamp, NOW), NOW)
+    assert copy.servers["s1"].record.silent
+    source.hear(["s1"], [], NOW + 9 * S)
+    copy.adopt(source.changes_since(stamp, NOW), NOW)
+    assert not copy.servers["s1"].record.silent
+
+
+def test_draining_survives_a_restart_of_all_control_vms():
+    entry, control = make(1), make(2)
+    entry.announce(_records.server(sequence=5, state="draining"), NOW)
+    # The registry starts empty, and a delayed announcement comes first.
+    control.announce(_records.server(sequence=4), NOW)
+    control.merge(entry.told(["s1"], NOW), NOW)
+    assert state_of(control) == "draining"
+
+
+records = st.builds(
+    _records.server,
+    st.sampled_from(["s1", "s2"]),
+    born_ms=st.sampled_from([1000, 2000]),
+    sequence=st.integers(1, 4),
+    state=st.sampled_from(["ready", "draining", "gone"]),
+)
+
+
+@given(st.lists(records, max_size=8), st.randoms(use_true_random=False))
+def test_registries_that_hear_the_same_agree(heard, rng):
+    # One incarnation says one thing under one number.
+    said = {}
+    heard = [
+        said.setdefault((r.server_id, r.born_ms, r.sequence), r) for r in heard
+    ]
+    shuffled = list(heard)
+    rng.shuffle(shuffled)
+    views = []
+    for order in (heard, shuffled):
+        registry = make()
+        for record in order:
+            registry.announce(record, NOW)
+        views.append(
+            {
+                key: (view.record.born_ms, view.record.state)
+                for key, view in registry.servers.items()
+            }
+        )
+    gone = {(r.server_id, r.born_ms) for r in heard if r.state == "gone"}
+    for view in views:
+        for key, (born_ms, state) in view.items():
+            if (key, born_ms) in gone:
+                assert state == "gone"
+    if not gone:
+        assert views[0] == views[1]
+
+
+@pytest.mark.parametrize("lost", list(itertools.product([0, 1], repeat=4)))
+def test_lost_changes_are_sent_again(lost):
+    """A follower that misses messages has all after its next report."""
+    registry, copy = make(7), make(8)
+    followers = discovery.Followers(registry, discovery.Timing())
+    node = _records.node("10.1.0.5:80")
+    mark = 0
+    followers.reported(_records.report(node, 7, mark), NOW)
+    for number, is_lost in enumerate(lost):
+        registry.announce(_records.server(f"s{number}"), NOW)
+        for _, changes in followers.due(NOW):
+            if not is_lost and changes.since_stamp <= mark:
+                copy.adopt(changes, NOW)
+                mark = changes.stamp
+    followers.reported(_records.report(node, 7, mark), NOW)
+    for _, changes in followers.due(NOW):
+        assert changes.since_stamp <= mark
+        copy.adopt(changes, NOW)
+    assert copy.servers.keys() == registry.servers.keys()
+
+
+def test_follower_of_another_run_gets_all():
+    registry = make(7)
+    registry.announce(_records.server(), NOW)
+    followers = discovery.Followers(registry, discovery.Timing())
+    followers.reported(_records.report(_records.node(), 6, 99), NOW)
+    [(_, changes)] = followers.due(NOW)
+    assert changes.since_stamp == 0
+    assert [s.server_id for s in changes.servers] == ["s1"]
+
+
+def test_directory_names_ready_nodes_of_the_region():
+    nodes = [
+        _records.node("10.1.0.1:80"),
+        _records.node("10.1.0.2:80", state="stopping"),
+        _records.node("10.1.0.3:80", silent=True),
+        _records.node("10.1.0.4:80"),
+        _records.node("10.2.0.1:80", region="kumamoto"),
+    ]
+    rng = random.Random(5)
+    found = discovery.directory(nodes, "fukuoka", "fukuoka-a", 64, rng)
+    assert sorted(found) == ["10.1.0.1:80", "10.1.0.4:80"]
+
+
+def test_directory_of_a_region_without_nodes_names_others():
+    nodes = [_records.node("10.2.0.1:80", region="kumamoto")]
+    rng = random.Random(5)
+    found = discovery.directory(nodes, "fukuoka", "fukuoka-a", 64, rng)
+    assert found == ["10.2.0.1:80"]
+
+
+def test_directory_is_bounded():
+    nodes = [_records.node(f"10.1.0.{n}:80") for n in range(200)]
+    rng = random.Random(5)
+    found = discovery.directory(nodes, "fukuoka", "fukuoka-a", 64, rng)
+    assert len(set(found)) == 64
--- a/buckthorntack/dispatch/__init__.py
+++ b/buckthorntack/dispatch/__init__.py
@@ -8,6 +8,7 @@
 from buckthorntack.dispatch._crashes import CrashLedger
 from buckthorntack.dispatch._events import REQUEST_ROUTED
 from buckthorntack.dispatch._fleet import Fleet
+from buckthorntack.dispatch._fleet import Flight
 from buckthorntack.dispatch._outcomes import Outcome
 from buckthorntack.dispatch._prompts import Part
 from buckthorntack.dispatch._prompts import Prompt
@@ -22,6 +23,7 @@
     "DispatchSettings",
     "Dispatcher",
     "Fleet",
+    "Flight",
     "Forward",
     "Outcome",
     "Part",
--- a/buckthorntack/dispatch/_choice.py
+++ b/buckthorntack/dispatch/_choice.py
@@ -16,6 +16,8 @@
     server_id: str
     expected_ms: float
     unread_tokens: int
+    #: Address of a server that holds more of the prompt; empty for none.
+    fetch_from: str
 
 
 class Forward(NamedTuple):
@@ -50,6 +52,16 @@
     region: str
     expected_ms: float
     unread_tokens: int
+    fetch_from: str
+
+
+class _Holder(NamedTuple):
+    """A server that has the start of a prompt in its memory."""
+
+    server_id: str
+    address: str
+    failure_domain: str
+    cached_tokens: int
 
 
 class Dispatcher:
@@ -93,7 +105,8 @@
                 local.append(view)
             elif wanted.may_leave:
                 remote.append(view)
-        here = self._best_local(wanted, local, now, now_s)
+        holders = self._holders(wanted, servers)
+        here = self._best_local(wanted, local, holders, now, now_s)
         there = self._best_remote(wanted, remote, here, now, now_s)
         if there is not None:
             return self._judged(wanted, there)
@@ -108,12 +121,13 @@
             or record.server_id in wanted.tried
         )
 
-    def _best_local(self, wanted, views, now, now_s):
+    def _best_local(self, wanted, views, holders, now, now_s):
         sound = [view for view in views if not self._is_doubtful(view, now_s)]
         places = []
         for view in sound or views:
             if self._may_warm(wanted, view, now, now_s):
-                places.append(self._local_place(wanted, view, now_s))
+                place = self._local_place(wanted, view, holders, now_s)
+                places.append(place)
         if not places:
             return None
         best = min(place.expected_ms for place in places)
@@ -132,19 +146,74 @@
         server_id = view.record.server_id
         return self.gate.may_send(server_id, per_s, self.members, now_s)
 
-    def _local_place(self, wanted, view, now_s):
+    def _holders(self, wanted, servers):
+        """Servers with parts of the prompt in memory, the best ones first."""
+        if wanted.prompt is None or not wanted.prompt.parts:
+            return []
+        holders = []
+        for view in servers:
+            record = view.record
+            if record.state == "gone" or record.silent:
+                continue
+            state = self.fleet.state(record.server_id)
+            cached = state.memory.cached_tokens(wanted.prompt.parts)
+            if cached >= self.settings.fetch_least_tokens:
+                holders.append(
+                    _Holder(
+                        record.server_id,
+                        record.address,
+                        record.failure_domain,
+                        cached,
+                    )
+                )
+        holders.sort(key=lambda holder: -holder.cached_tokens)
+        return holders
+
+    def _local_place(self, wanted, view, holders, now_s):
         server_id = view.record.server_id
         engine = wanted.service.engine
         memory_tokens = engine.memory_tokens if engine else 0
         state = self.fleet.state(server_id, memory_tokens)
         usage = self.fleet.usage(server_id, now_s)
         unread = 0
+        fetch_from = ""
+        fetch_ms = 0.0
         if wanted.prompt is not None:
             cached = state.memory.cached_tokens(wanted.prompt.parts)
+            fetch = self._fetch(engine, view, cached, holders)
+            if fetch is not None:
+                fetch_from, fetch_ms, cached = fetch
             unread = max(0, wanted.prompt.tokens - cached)
         expected_ms = self._expected_ms(wanted, view, usage, unread, state)
-        expected_ms += self._claim_ms(wanted, view)
-        return _Place(server_id, self.region, expected_ms, unread)
+        expected_ms += fetch_ms + self._claim_ms(wanted, view)
+        return _Place(server_id, self.region, expected_ms, unread, fetch_from)
+
+    def _fetch(self, engine, view, cached, holders):
+        """Copy of the prompt's start that is quicker than reading it.
+
+        :returns: address, time and tokens cached afterwards; or None.
+        """
+        settings = self.settings
+        if engine is None or engine.transfer_mbps <= 0:
+            return None
+        best = None
+        for holder in holders:
+            tokens = holder.cached_tokens - cached
+            if tokens < settings.fetch_least_tokens:
+                break
+            if holder.server_id == view.record.server_id:
+                continue
+            bits = tokens * engine.token_bytes * 8.0
+            fetch_ms = bits / (engine.transfer_mbps * 1e3)
+            if holder.failure_domain != view.record.failure_domain:
+                fetch_ms *= settings.fetch_domain_factor
+            fetch_ms += settings.fetch_setup_ms
+            read_ms = tokens / settings.prefill_tokens_per_ms
+            if fetch_ms > read_ms * settings.fetch_read_share:
+                continue
+            if best is None or fetch_ms < best[1]:
+                best = (holder.address, fetch_ms, holder.cached_tokens)
+        return best
 
     def _claim_ms(self, wanted, view):
         """Small preference for the server that a prompt is gathered at."""
@@ -172,7 +241,7 @@
                 + stream_ms * over / slots
                 + stream_ms * self._memory_excess(wanted, usage)
             )
-            expected_ms *= state.slowness if state else 1.0
+            expected_ms *= self.fleet.slowness(state)
         if state is not None:
             expected_ms += state.failure_share * settings.failure_ms
         return expected_ms
@@ -213,7 +282,7 @@
         unread = wanted.prompt.tokens if wanted.prompt is not None else 0
         expected_ms = self._expected_ms(wanted, view, usage, unread, None)
         expected_ms += self.settings.region_round_trip_ms
-        return _Place(record.server_id, record.region, expected_ms, unread)
+        return _Place(record.server_id, record.region, expected_ms, unread, "")
 
     def _judged(self, wanted, place):
         settings = self.settings
@@ -232,7 +301,12 @@
             return Refuse("expected too late", self._retry_after_ms(over_ms))
         if place.region != self.region:
             return Forward(place.region, place.expected_ms)
-        return Serve(place.server_id, place.expected_ms, place.unread_tokens)
+        return Serve(
+            place.server_id,
+            place.expected_ms,
+            place.unread_tokens,
+            place.fetch_from,
+        )
 
     def _retry_after_ms(self, wait_ms):
         """A time to come back at, spread so that not all come together."""
--- a/buckthorntack/dispatch/_fleet.py
+++ b/buckthorntack/dispatch/_fleet.py
@@ -7,6 +7,8 @@
 from buckthorntack.dispatch import _prompts
 from buckthorntack.schema import messages
 
+#: Smallest shared parts that other regions are told of, in tokens.
+TOLD_TOKENS = 512
 #: Age after which the report of another entry VM counts no more.
 REPORT_AGE_S = 1.5
 
@@ -66,7 +68,7 @@
     """Own requests at a server, and what they taught about it.
 
     :param settings: the ``DispatchSettings``.
-    :param memory_tokens: size of the engine's memory; 0 if it has none.
+    :param memory_tokens: size of the engine's memory.
     """
 
     def __init__(self, settings, memory_tokens):
@@ -74,7 +76,8 @@
         self.usage = Usage()
         self.memory = _prompts.PromptMemory(memory_tokens)
         self.ejection = routing.Ejection(settings)
-        self.slowness = 1.0
+        #: Learnt ratio of observed to expected time; None until it is known.
+        self.slowness = None
         self.failure_share = 0.0
         self.duration_ms = None
 
@@ -86,20 +89,23 @@
         until_s = self.ejection.until_s
         return until_s is not None and now_s < until_s
 
-    def learn_first(self, flight, now_s):
+    def learn_first(self, flight, typical, now_s):
         """Learn from the time to the first part of an answer.
 
         :param flight: the ``Flight``.
+        :param typical: slowness of servers of which nothing is known.
         :param now_s: monotonic time.
+        :returns: the slowness that this answer shows.
         """
         settings = self.settings
+        known = typical if self.slowness is None else self.slowness
         observed_ms = (now_s - flight.started_s) * 1e3
-        ratio = observed_ms * self.slowness / max(1.0, flight.expected_ms)
-        bounded = min(
+        ratio = observed_ms * known / max(1.0, flight.expected_ms)
+        shown = min(
             max(ratio, settings.least_slowness), settings.most_slowness
         )
-        weight = settings.sample_weight
-        self.slowness += (bounded - self.slowness) * weight
+        self.slowness = known + (shown - known) * settings.sample_weight
+        return shown
 
     def learn_end(self, flight, outcome, now_s):
         """Learn from the end of a request.
@@ -134,10 +140,13 @@
 
     def __init__(self, settings):
         self.settings = settings
+        #: Slowness of servers of which nothing is known yet.
+        self.typical_slowness = 1.0
         self._states = {}
         self._peers = {}
         self._regions = {}
         self._sent = []
+        self._shared = []
 
     def state(self, server_id, memory_tokens=0):
         """What is known of a server.
@@ -148,9 +157,9 @@
         """
         state = self._states.get(server_id)
         if state is None:
-            state = ServerState(self.settings, memory_tokens)
+            state = ServerState(self.settings, memory_tokens or 1 << 40)
             self._states[server_id] = state
-        elif memory_tokens:
+        if memory_tokens:
             state.memory.capacity_tokens = memory_tokens
         return state
 
@@ -187,11 +196,28 @@
         )
         if prompt is not None and prompt.parts:
             state.memory.note(prompt.parts)
-            ids = [part.part_id for part in prompt.parts]
-            tokens = [part.tokens for part in prompt.parts]
-            self._sent.append(
-                messages.PromptSent(flight.server_id, ids, tokens)
+            sent = _prompt_sent(flight.server_id, prompt.parts)
+            self._sent.append(sent)
+            self._share(sent)
+
+    def _share(self, sent):
+        """Let other regions know of parts that other requests share.
+
+        The last part belongs to one request or session.
+        """
+        if sum(sent.tokens[:-1]) >= TOLD_TOKENS:
+            shared = sent._replace(
+                parts=sent.parts[:-1], tokens=sent.tokens[:-1]
             )
+            self._shared.append(shared)
+
+    def shared(self):
+        """Shared parts read by servers of the region since the last call.
+
+        :returns: list of ``PromptSent``.
+        """
+        shared, self._shared = self._shared, []
+        return shared
 
     def answers(self, flight, now_s):
         """Note that the first part of an answer came.
@@ -209,7 +235,18 @@
             waiting=usage.waiting - 1,
             waiting_tokens=usage.waiting_tokens - flight.unread_tokens,
         )
-        state.learn_first(flight, now_s)
+        shown = state.learn_first(flight, self.typical_slowness, now_s)
+        weight = self.settings.sample_weight
+        self.typical_slowness += (shown - self.typical_slowness) * weight
+
+    def slowness(self, state):
+        """Ratio of observed to expected time of a server.
+
+        :param state: its :class:`ServerState`; None for the typical one.
+        """
+        if state is None or state.slowness is None:
+            return self.typical_slowness
+        return state.slowness
 
     def end(self, flight, outcome, now_s):
         """Note the end of a request.
@@ -259,11 +296,13 @@
         uses = {use.server_id: use for use in report.uses}
         self._peers[node_id] = _PeerReport(now_s, uses)
         for sent in report.prompts:
-            state = self._states.get(sent.server_id)
-            if state is not None:
-                pairs = zip(sent.parts, sent.tokens, strict=True)
-                parts = tuple(_prompts.Part(i, tokens) for i, tokens in pairs)
-                state.memory.note(parts)
+            self._note_sent(sent)
+            self._share(sent)
+
+    def _note_sent(self, sent):
+        pairs = zip(sent.parts, sent.tokens, strict=True)
+        parts = tuple(_prompts.Part(name, tokens) for name, tokens in pairs)
+        self.state(sent.server_id).memory.note(parts)
 
     def peer_heard_s(self, node_id):
         """When another entry VM last reported; None if it never did.
@@ -281,6 +320,8 @@
         """
         uses = {use.server_id: use for use in load.servers}
         self._regions[load.region] = _PeerReport(now_s, uses)
+        for sent in load.prompts:
+            self._note_sent(sent)
 
     def usage(self, server_id, now_s):
         """Requests of all entry VMs of the region at a server.
@@ -311,3 +352,11 @@
         own = self._states.get(server_id)
         usage = own.usage if own is not None else Usage()
         return usage if use is None else usage.plus(use)
+
+
+def _prompt_sent(server_id, parts):
+    return messages.PromptSent(
+        server_id,
+        [part.part_id for part in parts],
+        [part.tokens for part in parts],
+    )
--- a/buckthorntack/dispatch/_settings.py
+++ b/buckthorntack/dispatch/_settings.py
@@ -40,6 +40,15 @@
     refuse_step: float = 0.25
     #: Share of the time left that the expected time must stay below.
     deadline_share: float = 0.8
+    #: Fewest tokens that are worth a copy from another engine.
+    fetch_least_tokens: int = 48
+    #: Time that a copy takes besides the bytes.
+    fetch_setup_ms: float = 4.0
+    #: How much longer a copy between failure domains takes.
+    fetch_domain_factor: float = 2.0
+    #: A copy is made if it takes at most this share of the time to read: the
+    #: engine goes on with other requests meanwhile.
+    fetch_read_share: float = 1.5
     #: Added for a server that failed all of its last requests.
     failure_ms: float = 1500.0
     #: Share of an engine's memory that requests may hold.
--- /dev/null
+++ b/buckthorntack/dispatch/tests/_world.py
@@ -0,0 +1,71 @@
+"""A region's servers and an entry VM's decisions, without a network."""
+
+import datetime
+import random
+
+from buckthorntack import discovery
+from buckthorntack import dispatch
+from buckthorntack.directives.tests import _documents
+from buckthorntack.discovery.tests import _records
+
+S = datetime.timedelta(seconds=1)
+OWN = "10.1.0.9:80"
+
+
+class World:
+    """Servers as one entry VM sees them.
+
+    :param settings: ``dispatch.DispatchSettings``.
+    """
+
+    def __init__(self, settings=None):
+        self.settings = settings or dispatch.DispatchSettings()
+        self.now = 100 * S
+        self.registry = discovery.Registry(1, discovery.Timing(), self.now)
+        self.fleet = dispatch.Fleet(self.settings)
+        self.gate = dispatch.WarmupGate(
+            OWN, self.settings.cold_senders, self.settings.cold_share
+        )
+        self.dispatcher = dispatch.Dispatcher(
+            "fukuoka", self.fleet, self.gate, self.settings, random.Random(4)
+        )
+        self.dispatcher.members = [OWN]
+
+    def add(self, server_id, **fields):
+        self.registry.announce(_records.server(server_id, **fields), self.now)
+
+    def wanted(self, prompt=None, route=None, service=None, **fields):
+        made = dispatch.Wanted(
+            route or _documents.route(),
+            service or _documents.service(),
+            prompt,
+            frozenset(),
+            5000.0,
+            True,
+        )
+        return made._replace(**fields)
+
+    def choose(self, wanted):
+        views = [
+            view
+            for view in self.registry.servers.values()
+            if view.record.state != "gone"
+        ]
+        return self.dispatcher.choose(wanted, views, self.now)
+
+    def send(self, wanted):
+        """Choose a server and let the request wait there."""
+        decision = self.choose(wanted)
+        assert isinstance(decision, dispatch.Serve), decision
+        flight = self.dispatcher.flight(wanted, decision, self.now)
+        self.fleet.begin(flight, wanted.prompt)
+        return flight
+
+    @property
+    def now_s(self):
+        return self.now.total_seconds()
+
+
+def prompt(pack="pack", pack_tokens=13_300, tokens=3_720, own="own"):
+    parts = (dispatch.Part(pack, pack_tokens), dispatch.Part(own, tokens))
+    return dispatch.Prompt(parts, pack_tokens + tokens, 120)
--- /dev/null
+++ b/buckthorntack/dispatch/tests/test_choice.py
@@ -0,0 +1,164 @@
+"""Which servers get no work, and which are preferred."""
+
+import pytest
+
+from buckthorntack import dispatch
+from buckthorntack.directives.tests import _documents
+from buckthorntack.dispatch.tests import _world
+from buckthorntack.schema import messages
+
+
+@pytest.fixture
+def world():
+    return _world.World()
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"state": "draining"},
+        {"state": "gone"},
+        {"failure_domain": "evacuated"},
+        {"region": "kumamoto"},
+    ],
+)
+def test_barred_server_gets_nothing(world, fields):
+    world.dispatcher.evacuated = frozenset(["evacuated"])
+    world.add("s1", **fields)
+    decision = world.choose(world.wanted())
+    assert isinstance(decision, dispatch.Refuse)
+
+
+def test_request_is_not_sent_twice_to_a_server(world):
+    world.add("s1")
+    wanted = world.wanted(tried=frozenset(["s1"]))
+    assert isinstance(world.choose(wanted), dispatch.Refuse)
+
+
+def test_route_stays_in_its_regions(world):
+    world.add("s1")
+    route = _documents.route(allowed_regions=frozenset(["kumamoto"]))
+    decision = world.choose(world.wanted(route=route))
+    assert isinstance(decision, dispatch.Refuse)
+
+
+def test_silent_server_is_used_only_if_there_is_no_other(world):
+    world.add("s1", silent=True)
+    assert world.choose(world.wanted()).server_id == "s1"
+    world.add("s2")
+    for _ in range(20):
+        assert world.choose(world.wanted()).server_id == "s2"
+
+
+def test_server_that_lost_requests_is_left_out_for_a_while(world):
+    world.add("s1")
+    world.add("s2")
+    for _ in range(world.settings.eject_after_failures):
+        flight = dispatch.Flight("s1", 0, 0, 100.0, world.now_s)
+        world.fleet.begin(flight, None)
+        world.fleet.end(flight, dispatch.Outcome.LOST, world.now_s)
+    for _ in range(20):
+        assert world.choose(world.wanted()).server_id == "s2"
+    world.now += 20 * _world.S
+    assert not world.fleet.state("s1").is_ejected(world.now_s)
+
+
+def test_abandoned_requests_say_nothing_about_a_server(world):
+    world.add("s1")
+    for _ in range(20):
+        flight = world.send(world.wanted())
+        world.fleet.end(flight, dispatch.Outcome.ABANDONED, world.now_s)
+    assert not world.fleet.state("s1").is_ejected(world.now_s)
+    assert world.fleet.state("s1").failure_share == 0.0
+
+
+def test_usage_returns_to_nothing(world):
+    world.add("s1")
+    flights = [world.send(world.wanted(_world.prompt())) for _ in range(4)]
+    for number, flight in enumerate(flights):
+        if number % 2:
+            world.fleet.answers(flight, world.now_s)
+        world.fleet.end(flight, dispatch.Outcome.OK, world.now_s)
+    assert not any(world.fleet.usage("s1", world.now_s))
+
+
+def test_reports_of_other_entry_vms_count_while_they_are_fresh(world):
+    world.add("s1")
+    world.add("s2")
+    other = dispatch.Fleet(world.settings)
+    for _ in range(3):
+        flight = dispatch.Flight("s1", 20_000, 0, 100.0, world.now_s)
+        other.begin(flight, None)
+    world.fleet.peer_reported("peer", other.report(1), world.now_s)
+    for _ in range(20):
+        assert world.choose(world.wanted()).server_id == "s2"
+    world.now += 5 * _world.S
+    assert not any(world.fleet.usage("s1", world.now_s))
+
+
+def test_request_goes_to_an_idle_region_when_its_own_is_busy(world):
+    world.add("s1")
+    world.add("s2", region="kumamoto", failure_domain="kumamoto-a")
+    wanted = world.wanted(_world.prompt())
+    idle = dispatch.Fleet(world.settings)
+    load = idle.report(1)
+    region = _region_load("kumamoto", load.uses)
+    world.fleet.region_reported(region, world.now_s)
+    for number in range(2):
+        prompt = _world.prompt(f"pack{number}", own=f"own{number}")
+        world.send(world.wanted(prompt))
+    decision = world.choose(wanted)
+    assert isinstance(decision, dispatch.Forward)
+    assert decision.region == "kumamoto"
+
+
+def test_region_of_which_nothing_is_known_gets_nothing(world):
+    world.add("s2", region="kumamoto", failure_domain="kumamoto-a")
+    assert isinstance(world.choose(world.wanted()), dispatch.Refuse)
+
+
+def _region_load(region, uses):
+    return messages.RegionLoad(region, uses, [])
+
+
+def test_refusal_says_when_to_come_back(world):
+    world.add("s1")
+    wanted = world.wanted(_world.prompt(), may_leave=False)
+    waits = set()
+    for _ in range(60):
+        decision = world.choose(wanted)
+        if isinstance(decision, dispatch.Refuse):
+            waits.add(decision.retry_after_ms)
+        else:
+            world.send(wanted)
+    settings = world.settings
+    assert len(waits) > 20
+    assert min(waits) >= settings.least_retry_after_ms
+    assert max(waits) <= settings.most_retry_after_ms
+
+
+def test_urgent_requests_are_refused_last(world):
+    world.add("s1")
+    urgent = world.wanted(_world.prompt(), may_leave=False)
+    other = urgent._replace(route=_documents.route(priority=2))
+    while isinstance(world.choose(other), dispatch.Serve):
+        world.send(other)
+    assert isinstance(world.choose(urgent), dispatch.Serve)
+
+
+def test_crashing_request_is_refused_after_three_crashes():
+    ledger = dispatch.CrashLedger()
+    for attempt in ("a", "b", "b", "b"):
+        ledger.crashed("print", attempt)
+    assert not ledger.is_refused("print")
+    ledger.crashed("print", "c")
+    assert ledger.is_refused("print")
+
+
+def test_answered_request_is_cleared_of_crashes():
+    ledger = dispatch.CrashLedger()
+    for attempt in ("a", "b"):
+        ledger.crashed("print", attempt)
+    ledger.answered("print")
+    ledger.crashed("print", "c")
+    assert not ledger.is_refused("print")
--- /dev/null
+++ b/buckthorntack/dispatch/tests/test_cold_return.py
@@ -0,0 +1,57 @@
+"""Servers that come back cold get few requests from all VMs together."""
+
+import datetime
+
+import pytest
+
+from buckthorntack import dispatch
+from buckthorntack.dispatch.tests import _world
+
+PER_S = 5.1
+#: What the platform's rule allows in any second.
+OVERRUN, SLACK = 1.5, 3
+
+
+def most_in_a_second(times):
+    return max(
+        sum(start <= time < start + 1.0 for time in times) for start in times
+    )
+
+
+@pytest.mark.parametrize("members", [1, 2, 3, 8, 30])
+def test_rate_holds_over_all_entry_vms(members):
+    names = [f"10.1.0.{number}:80" for number in range(members)]
+    gates = [dispatch.WarmupGate(name, 3, 0.8) for name in names]
+    sent = []
+    for step in range(400):
+        now_s = step * 0.01
+        for gate in gates:
+            if gate.may_send("s1", PER_S, names, now_s):
+                gate.sent("s1", PER_S, names, now_s)
+                sent.append(now_s)
+    assert most_in_a_second(sent) <= PER_S * OVERRUN + SLACK
+    assert len(sent) > PER_S * 0.5 * 4
+
+
+def test_rate_holds_while_entry_vms_know_different_members():
+    names = [f"10.1.0.{number}:80" for number in range(6)]
+    gates = [dispatch.WarmupGate(name, 3, 0.8) for name in names]
+    sent = []
+    for step in range(400):
+        now_s = step * 0.01
+        for number, gate in enumerate(gates):
+            known = names[: max(2, number + 1)]
+            if gate.may_send("s1", PER_S, known, now_s):
+                gate.sent("s1", PER_S, known, now_s)
+                sent.append(now_s)
+    assert most_in_a_second(sent) <= PER_S * OVERRUN + SLACK
+
+
+def test_warm_server_takes_what_a_cold_one_may_not():
+    world = _world.World()
+    world.add("cold", cold_left_ms=3000)
+    world.add("warm")
+    used = [world.send(world.wanted()).server_id for _ in range(4)]
+    assert "warm" in used
+    world.now += datetime.timedelta(seconds=4)
+    assert not world.registry.servers["cold"].is_cold(world.now)
--- /dev/null
+++ b/buckthorntack/dispatch/tests/test_pack_hotspot.py
@@ -0,0 +1,112 @@
+"""Long prompts that share large parts, more than one server can keep."""
+
+import collections
+import random
+
+from buckthorntack import directives
+from buckthorntack import dispatch
+from buckthorntack.directives.tests import _documents
+from buckthorntack.dispatch.tests import _world
+
+PACKS = 40
+PACK_TOKENS = 4_000
+
+
+def play(world, servers, requests, rng):
+    """Send requests one after the other, each answered before the next."""
+    for number in range(servers):
+        world.add(f"s{number}")
+    placed = collections.defaultdict(set)
+    unread = 0
+    for number in range(requests):
+        pack = f"pack{rng.randrange(PACKS)}"
+        prompt = _world.prompt(pack, PACK_TOKENS, 100, f"own{number}")
+        flight = world.send(world.wanted(prompt))
+        unread += flight.unread_tokens - 100
+        placed[pack].add(flight.server_id)
+        world.now += flight.expected_ms * _world.S / 1000
+        world.fleet.answers(flight, world.now_s)
+        world.fleet.end(flight, dispatch.Outcome.OK, world.now_s)
+        world.now += 0.2 * _world.S
+    return placed, unread
+
+
+def test_a_pack_is_read_at_one_server():
+    world = _world.World()
+    placed, unread = play(world, 2, 800, random.Random(1))
+    assert max(len(servers) for servers in placed.values()) <= 2
+    assert unread <= 1.3 * PACKS * PACK_TOKENS
+
+
+def test_packs_are_shared_out_among_servers():
+    world = _world.World()
+    placed, _ = play(world, 2, 800, random.Random(1))
+    used = collections.Counter(
+        server for servers in placed.values() for server in servers
+    )
+    assert min(used.values()) >= PACKS / 4
+
+
+def test_two_entry_vms_gather_a_pack_at_the_same_server():
+    first, second = _world.World(), _world.World()
+    for world in (first, second):
+        for number in range(4):
+            world.add(f"s{number}")
+    agree = 0
+    for number in range(40):
+        prompt = _world.prompt(f"pack{number}", PACK_TOKENS)
+        chosen = {
+            world.choose(world.wanted(prompt)).server_id
+            for world in (first, second)
+        }
+        agree += len(chosen) == 1
+    assert agree >= 36
+
+
+def test_hot_pack_spreads_over_servers():
+    world = _world.World()
+    for number in range(3):
+        world.add(f"s{number}", slots=64)
+    used = collections.Counter()
+    for number in range(12):
+        prompt = _world.prompt("hot", own=f"own{number}")
+        wanted = world.wanted(prompt, may_leave=False)
+        decision = world.choose(wanted)
+        if isinstance(decision, dispatch.Refuse):
+            break
+        used[world.send(wanted).server_id] += 1
+    assert len(used) == 3
+
+
+def test_pack_is_copied_rather_than_read_again():
+    world = _world.World()
+    profile = directives.EngineProfile(64, 330_000, 35_136.0, 180_000.0)
+    service = _documents.service()._replace(engine=profile)
+    for number in range(2):
+        world.add(f"s{number}", slots=64)
+    first = world.wanted(_world.prompt(own="own1"), service=service)
+    holder = world.send(first).server_id
+    # The holder is busy with long prompts.
+    for _ in range(4):
+        flight = dispatch.Flight(holder, 17_000, 0, 100.0, world.now_s)
+        world.fleet.begin(flight, None)
+    decision = world.choose(
+        world.wanted(_world.prompt(own="own2"), service=service)
+    )
+    assert decision.server_id != holder
+    record = world.registry.servers[holder].record
+    assert decision.fetch_from == record.address
+    assert decision.unread_tokens == 3_720
+
+
+def test_engines_that_cannot_copy_read_again():
+    world = _world.World()
+    for number in range(2):
+        world.add(f"s{number}", slots=64)
+    holder = world.send(world.wanted(_world.prompt(own="own1"))).server_id
+    for _ in range(4):
+        flight = dispatch.Flight(holder, 17_000, 0, 100.0, world.now_s)
+        world.fleet.begin(flight, None)
+    decision = world.choose(world.wanted(_world.prompt(own="own2")))
+    assert decision.server_id != holder
+    assert decision.fetch_from == ""
--- /dev/null
+++ b/buckthorntack/dispatch/tests/test_repeat_budget.py
@@ -0,0 +1,49 @@
+"""Repeats of all entry VMs together stay within the budget of a window."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+from buckthorntack import dispatch
+
+RATIO, SLACK, WINDOW_S = 0.2, 56.0, 10.0
+
+
+@pytest.mark.parametrize("members", [1, 6, 8, 89])
+@pytest.mark.parametrize("per_s", [0, 1, 20])
+def test_storm_of_failures_stays_within_the_budget(members, per_s):
+    budgets = []
+    for _ in range(members):
+        budget = dispatch.RepeatBudgets(RATIO, SLACK, 0.75)
+        budget.set_members(members)
+        budgets.append(budget)
+    repeats = firsts = 0
+    for second in range(int(WINDOW_S)):
+        for budget in budgets:
+            for _ in range(per_s):
+                budget.first("text")
+                firsts += 1
+            for _ in range(50):
+                repeats += budget.take("text", float(second))
+    # One repeat each is the least that a part of the slack can be.
+    assert repeats <= RATIO * firsts + max(SLACK, members)
+
+
+@given(st.lists(st.sampled_from(["first", "take", "fewer", "more"])))
+def test_change_of_members_gives_no_repeats_away(steps):
+    budget = dispatch.RepeatBudgets(RATIO, SLACK, 1.0)
+    budget.set_members(8)
+    firsts = repeats = 0
+    members = 8
+    least = 8
+    for step in steps:
+        if step == "first":
+            firsts += 1
+            budget.first("text")
+        elif step == "take":
+            repeats += budget.take("text", 0.0)
+        else:
+            members = max(1, members + (1 if step == "more" else -1))
+            least = min(least, members)
+            budget.set_members(members)
+    assert repeats <= RATIO * firsts + SLACK / least + 1
--- a/buckthorntack/gateway/_entry.py
+++ b/buckthorntack/gateway/_entry.py
@@ -241,6 +241,8 @@
             await self.clock.sleep(REGION_PERIOD)
             if self._speaks_for_region():
                 self._send_region_load()
+            else:
+                self.knowledge.fleet.shared()
 
     def _speaks_for_region(self):
         """Whether this is the first of the region's entry VMs by id."""
@@ -267,7 +269,8 @@
             for server_id, view in self.registry.servers.items()
             if view.record.region == region and view.record.state == "ready"
         ]
-        load = messages.RegionLoad(region, servers)
+        shared = self.knowledge.fleet.shared()
+        load = messages.RegionLoad(region, servers, shared)
         for record in self.registry.nodes_of("entry"):
             if record.region != region and not record.silent:
                 self.links.send(record.node_id, load)
--- a/buckthorntack/gateway/_handling.py
+++ b/buckthorntack/gateway/_handling.py
@@ -288,7 +288,7 @@
             connection = await pool.take(server_id, view.record.address)
             self.sends += 1
             connection.send(
-                self._payload(server_id, view),
+                self._payload(decision),
                 self.facts.request_id,
                 self.request.method == b"HEAD",
             )
@@ -310,11 +310,16 @@
                 pool.give_back(server_id, connection)
         return result
 
-    def _payload(self, server_id, view):
+    def _payload(self, decision):
         left_ms = max(1.0, self._left_s() * 1e3)
         after = self.stream.last_event if self.stream else None
         headers = self.dialect.server_headers(
-            self.request, server_id, left_ms, self.route.priority, after
+            self.request,
+            decision.server_id,
+            left_ms,
+            self.route.priority,
+            after,
+            decision.fetch_from,
         )
         return http1.encode_request(
             self.request.method,
--- /dev/null
+++ b/buckthorntack/http1/tests/test_exchange.py
@@ -0,0 +1,237 @@
+"""Answers as faulty servers send them, over real sockets."""
+
+import asyncio
+import socket
+import struct
+
+import pytest
+
+from buckthorntack import http1
+from buckthorntack import transport
+
+PATIENCE_S = 20
+ID = b"x-id"
+OWN = b"X-Id: 7\r\n"
+OTHER = b"X-Id: 6\r\n"
+WHOLE = b"HTTP/1.1 200 OK\r\n" + OWN + b"Content-Length: 2\r\n\r\nok"
+LATE = b"HTTP/1.1 200 OK\r\n" + OTHER + b"Content-Length: 4\r\n\r\nlate"
+
+
+class Server:
+    """Plays one script for each connection: what to send, and how to end.
+
+    :param scripts: for each connection, the bytes that answer each request;
+        None closes the connection, ``reset`` resets it.
+    """
+
+    def __init__(self, *scripts):
+        self.scripts = list(scripts)
+        self.connections = 0
+        self.paused = asyncio.Event()
+
+    async def __aenter__(self):
+        sock = transport.bind_listener("127.0.0.1:0")
+        self.address = f"127.0.0.1:{sock.getsockname()[1]}"
+        self.server = await asyncio.start_server(self.serve, sock=sock)
+        return self
+
+    async def __aexit__(self, *exc_info):
+        self.server.close()
+
+    async def serve(self, reader, writer):
+        script = self.scripts[self.connections]
+        self.connections += 1
+        for step in script:
+            if step is None:
+                writer.close()
+                return
+            if step == "reset":
+                sock = writer.get_extra_info("socket")
+                linger = struct.pack("ii", 1, 0)
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                writer.transport.abort()
+                return
+            if step == "pause":
+                await self.paused.wait()
+                continue
+            if step == "await":
+                await reader.readuntil(b"\r\n\r\n")
+                continue
+            writer.write(step)
+            await writer.drain()
+        await reader.read()
+
+
+def run(scenario, *scripts):
+    async def bounded():
+        async with asyncio.timeout(PATIENCE_S), Server(*scripts) as server:
+            with http1.ConnectionPool(2.0, ID) as pool:
+                await scenario(server, pool)
+
+    asyncio.run(bounded())
+
+
+async def ask(server, pool, request_id=b"7"):
+    connection = await pool.take("s", server.address)
+    request = http1.encode_request(b"GET", b"/", [], b"")
+    connection.send(request, request_id)
+    try:
+        head = await connection.head()
+        body = b""
+        while part := await connection.read():
+            body += part
+    finally:
+        pool.give_back("s", connection)
+    return head, body
+
+
+def test_connection_is_kept():
+    async def scenario(server, pool):
+        for _ in range(3):
+            head, body = await ask(server, pool)
+            assert (head.status, body) == (200, b"ok")
+        assert server.connections == 1
+
+    run(scenario, ["await", WHOLE] * 3)
+
+
+def test_late_answer_to_another_request_is_passed_over():
+    async def scenario(server, pool):
+        _, body = await ask(server, pool)
+        assert body == b"ok"
+        assert pool.idle_count("s") == 0
+
+    run(scenario, ["await", LATE, WHOLE])
+
+
+def test_second_answer_poisons_the_connection():
+    async def scenario(server, pool):
+        _, body = await ask(server, pool)
+        assert body == b"ok"
+        assert pool.idle_count("s") == 0
+        _, body = await ask(server, pool)
+        assert body == b"ok"
+        assert server.connections == 2
+
+    run(scenario, ["await", WHOLE + LATE], ["await", WHOLE])
+
+
+def test_bytes_on_an_idle_connection_end_it():
+    async def scenario(server, pool):
+        await ask(server, pool)
+        assert pool.idle_count("s") == 1
+        server.paused.set()
+        while pool._idle["s"][0].is_reusable():
+            await asyncio.sleep(0.005)
+        _, body = await ask(server, pool)
+        assert body == b"ok"
+        assert server.connections == 2
+
+    run(scenario, ["await", WHOLE, "pause", LATE], ["await", WHOLE])
+
+
+@pytest.mark.parametrize(
+    "script",
+    [
+        ["await", b"HTTP/1.1 200 OK\r\n" + OWN, None],
+        ["await", WHOLE[:-1], None],
+        ["await", WHOLE[:-1], "reset"],
+        ["await", b"no answer at all\r\n\r\n", None],
+        ["await", LATE, None],
+        ["await", LATE * 4, "await"],
+        ["await", "reset"],
+        ["await", None],
+    ],
+)
+def test_answer_that_is_not_whole_is_an_error(script):
+    async def scenario(server, pool):
+        with pytest.raises(http1.AnswerBrokenError):
+            await ask(server, pool)
+        assert pool.idle_count("s") == 0
+
+    run(scenario, script)
+
+
+def test_unframed_answer_ends_with_its_connection():
+    head = b"HTTP/1.1 200 OK\r\n" + OWN + b"\r\n"
+
+    async def scenario(server, pool):
+        _, body = await ask(server, pool)
+        assert body == b"whole"
+        assert pool.idle_count("s") == 0
+
+    run(scenario, ["await", head + b"whole", None])
+
+
+def test_unframed_answer_that_is_reset_is_not_whole():
+    head = b"HTTP/1.1 200 OK\r\n" + OWN + b"\r\n"
+
+    async def scenario(server, pool):
+        with pytest.raises(http1.AnswerBrokenError):
+            await ask(server, pool)
+
+    run(scenario, ["await", head + b"part", "reset"])
+
+
+def test_error_of_a_server_that_names_no_request_is_taken():
+    answer = b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n"
+
+    async def scenario(server, pool):
+        head, _ = await ask(server, pool)
+        assert head.status == 400
+
+    run(scenario, ["await", answer])
+
+
+def test_success_that_names_no_request_is_not_taken():
+    answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno"
+
+    async def scenario(server, pool):
+        with pytest.raises(http1.AnswerBrokenError):
+            await ask(server, pool)
+
+    run(scenario, ["await", answer, None])
+
+
+def test_server_that_announces_its_close_is_not_used_again():
+    answer = WHOLE.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n")
+
+    async def scenario(server, pool):
+        await ask(server, pool)
+        assert pool.idle_count("s") == 0
+
+    run(scenario, ["await", answer])
+
+
+def test_short_idle_limit_of_a_server_is_kept():
+    answer = WHOLE.replace(b"\r\n\r\n", b"\r\nKeep-Alive: timeout=0\r\n\r\n")
+
+    async def scenario(server, pool):
+        await ask(server, pool)
+        await ask(server, pool)
+        assert server.connections == 2
+
+    run(scenario, ["await", answer], ["await", WHOLE])
+
+
+def test_nobody_listens():
+    async def scenario(server, pool):
+        sock = transport.bind_listener("127.0.0.1:0")
+        address = f"127.0.0.1:{sock.getsockname()[1]}"
+        sock.close()
+        with pytest.raises(http1.ConnectError):
+            await pool.take("x", address)
+
+    run(scenario, [])
+
+
+def test_hop_by_hop_fields_are_left_out():
+    headers = [
+        (b"Connection", b"close, X-Hop"),
+        (b"X-Hop", b"1"),
+        (b"TE", b"trailers"),
+        (b"Transfer-Encoding", b"chunked"),
+        (b"Content-Length", b"3"),
+        (b"X-End", b"2"),
+    ]
+    assert http1.end_to_end(headers) == [(b"X-End", b"2")]
--- /dev/null
+++ b/buckthorntack/http1/tests/test_listener.py
@@ -0,0 +1,263 @@
+"""Requests as clients and attackers send them, over real sockets."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from buckthorntack import http1
+from buckthorntack import transport
+
+PATIENCE_S = 20
+
+
+class World:
+    """A listener, and what its handler was given."""
+
+    def __init__(self, limits=http1.Limits, gate=None):
+        self.requests = []
+        self.cancelled = 0
+        self.gate = gate
+        self.started = asyncio.Event()
+        self.listener = http1.Listener(
+            transport.bind_listener("127.0.0.1:0"), self.handle, limits
+        )
+
+    async def handle(self, request, reply):
+        self.requests.append(request)
+        self.started.set()
+        if self.gate is not None:
+            try:
+                await self.gate.wait()
+            except asyncio.CancelledError:
+                self.cancelled += 1
+                raise
+        reply.send(200, [(b"X-Target", request.target)], request.body)
+
+    async def connect(self):
+        host, _, port = self.listener.address.rpartition(":")
+        return await asyncio.open_connection(host, int(port))
+
+
+def run(scenario, **options):
+    async def bounded():
+        async with asyncio.timeout(PATIENCE_S):
+            world = World(**options)
+            async with world.listener:
+                await scenario(world)
+
+    asyncio.run(bounded())
+
+
+async def read_answer(reader):
+    head = await reader.readuntil(b"\r\n\r\n")
+    length = 0
+    for line in head.split(b"\r\n"):
+        if line.lower().startswith(b"content-length:"):
+            length = int(line.partition(b":")[2])
+    return head, await reader.readexactly(length)
+
+
+def test_requests_on_one_connection_are_answered_in_order():
+    async def scenario(world):
+        reader, writer = await world.connect()
+        for number in range(5):
+            writer.write(b"GET /%d HTTP/1.1\r\nHost: a\r\n\r\n" % number)
+        for number in range(5):
+            head, _ = await read_answer(reader)
+            assert b"X-Target: /%d\r\n" % number in head
+        writer.close()
+
+    run(scenario)
+
+
+def test_body_in_chunks_is_read_whole():
+    async def scenario(world):
+        reader, writer = await world.connect()
+        writer.write(b"POST / HTTP/1.1\r\nHost: a\r\n")
+        writer.write(b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n")
+        await writer.drain()
+        writer.write(b"2\r\nde\r\n0\r\n\r\n")
+        _, body = await read_answer(reader)
+        assert body == b"abcde"
+        writer.close()
+
+    run(scenario)
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+        b"Content-Length: 3\r\nContent-Length: 4\r\n",
+        b"Content-Length: 3\r\nContent-Length: 3\r\n",
+        b"Transfer-Encoding: chunked, chunked\r\n",
+        b"Transfer-Encoding: gzip\r\n",
+        b"Transfer-Encoding : chunked\r\n",
+        b"Content-Length: +3\r\n",
+        b"Content-Length: 3 3\r\n",
+        b"Host: b\r\nContent-Length: 3\r\n",
+    ],
+)
+def test_ambiguous_framing_is_refused(head):
+    async def scenario(world):
+        reader, writer = await world.connect()
+        writer.write(b"POST / HTTP/1.1\r\nHost: a\r\n" + head + b"\r\n")
+        writer.write(b"0\r\n\r\nGET /smuggled HTTP/1.1\r\nHost: a\r\n\r\n")
+        answer = await reader.read()
+        assert answer.startswith(b"HTTP/1.1 400 ")
+        assert answer.count(b"HTTP/1.1 ") == 1
+        assert world.requests == []
+        writer.close()
+
+    run(scenario)
+
+
+def test_earlier_request_is_answered_before_a_malformed_one_is_refused():
+    async def scenario(world):
+        reader, writer = await world.connect()
+        writer.write(b"GET /1 HTTP/1.1\r\nHost: a\r\n\r\nnonsense\r\n\r\n")
+        answer = await reader.read()
+        assert answer.startswith(b"HTTP/1.1 200 ")
+        assert b"HTTP/1.1 400 " in answer
+        writer.close()
+
+    run(scenario)
+
+
+@pytest.mark.parametrize(
+    ("payload", "status"),
+    [
+        (b"GET / HTTP/1.1\r\nHost: a\r\nX: " + b"x" * 300 + b"\r\n\r\n", 431),
+        (b"GET /" + b"x" * 400 + b" HTTP/1.1\r\nHost: a\r\n", 431),
+        (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 99\r\n\r\n", 413),
+        (
+            b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n"
+            b"\r\n28\r\n" + b"x" * 40 + b"\r\n",
+            413,
+        ),
+    ],
+)
+def test_too_large_is_refused(payload, status):
+    limits = http1.Limits(header_bytes=256, body_bytes=32)
+
+    async def scenario(world):
+        reader, writer = await world.connect()
+        writer.write(payload)
+        answer = await reader.read()
+        assert answer.startswith(b"HTTP/1.1 %d " % status)
+        assert world.requests == []
+        writer.close()
+
+    run(scenario, limits=lambda: limits)
+
+
+def test_request_that_stops_arriving_is_refused():
+    limits = http1.Limits(header_timeout_s=0.1)
+
+    async def scenario(world):
+        reader, writer = await world.connect()
+        writer.write(b"GET / HT")
+        answer = await reader.read()
+        assert answer.startswith(b"HTTP/1.1 408 ")
+        writer.close()
+
+    run(scenario, limits=lambda: limits)
+
+
+def test_idle_connection_is_closed():
+    limits = http1.Limits(idle_timeout_s=0.1)
+
+    async def scenario(world):
+        reader, writer = await world.connect()
+        writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        await read_answer(reader)
+        assert await reader.read() == b""
+        writer.close()
+
+    run(scenario, limits=lambda: limits)
+
+
+def test_handler_ends_when_its_client_leaves():
+    gate = asyncio.Event()
+
+    async def scenario(world):
+        _, writer = await world.connect()
+        writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        await world.started.wait()
+        writer.close()
+        while not world.cancelled:
+            await asyncio.sleep(0.005)
+
+    run(scenario, gate=gate)
+
+
+def test_expectation_is_met():
+    async def scenario(world):
+        reader, writer = await world.connect()
+        writer.write(b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n")
+        writer.write(b"Expect: 100-continue\r\n\r\n")
+        assert (await reader.readline()).startswith(b"HTTP/1.1 100 ")
+        await reader.readline()
+        writer.write(b"ok")
+        _, body = await read_answer(reader)
+        assert body == b"ok"
+        writer.close()
+
+    run(scenario)
+
+
+def test_closing_listener_answers_what_it_read():
+    async def scenario(world):
+        gate = world.gate = asyncio.Event()
+        reader, writer = await world.connect()
+        idle_reader, idle_writer = await world.connect()
+        writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        await world.started.wait()
+        world.listener.stop_accepting()
+        assert await idle_reader.read() == b""
+        assert world.listener.busy() == 1
+        gate.set()
+        head, _ = await read_answer(reader)
+        assert head.startswith(b"HTTP/1.1 200 ")
+        assert b"Connection: close\r\n" in head
+        assert await reader.read() == b""
+        for each in (writer, idle_writer):
+            each.close()
+
+    run(scenario)
+
+
+def test_answer_that_is_cut_does_not_look_whole():
+    async def scenario(world):
+        async def handle(request, reply):
+            reply.start(200, [])
+            reply.write(b"begun")
+
+        world.listener.handle = handle
+        reader, writer = await world.connect()
+        writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        data = b""
+        with contextlib.suppress(ConnectionError):
+            while part := await reader.read(100):
+                data += part
+        assert b"chunked" in data
+        assert not data.endswith(b"0\r\n\r\n")
+        writer.close()
+
+    run(scenario)
+
+
+def test_failure_of_a_handler_is_answered():
+    async def scenario(world):
+        async def handle(request, reply):
+            raise LookupError("fault")
+
+        world.listener.handle = handle
+        reader, writer = await world.connect()
+        writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        answer = await reader.read()
+        assert answer.startswith(b"HTTP/1.1 500 ")
+        writer.close()
+
+    run(scenario)
--- a/buckthorntack/platform/_configuration.py
+++ b/buckthorntack/platform/_configuration.py
@@ -37,6 +37,8 @@
 class _EngineDocument(TypedDict):
     capacity: int
     kv_capacity_tokens: int
+    kv_bytes: NotRequired[float]
+    link_mbps: NotRequired[float]
 
 
 class _ServiceDocument(TypedDict):
@@ -133,7 +135,10 @@
     profile = None
     if engine:
         profile = directives.EngineProfile(
-            engine["capacity"], engine["kv_capacity_tokens"]
+            engine["capacity"],
+            engine["kv_capacity_tokens"],
+            engine.get("kv_bytes", 0.0),
+            engine.get("link_mbps", 0.0),
         )
     return directives.Service(
         name=item["name"],
--- a/buckthorntack/platform/_dialect.py
+++ b/buckthorntack/platform/_dialect.py
@@ -69,7 +69,9 @@
             cold_left_ms=_event(fields.get(_headers.WARMUP)),
         )
 
-    def server_headers(self, request, server_id, left_ms, priority, after):
+    def server_headers(
+        self, request, server_id, left_ms, priority, after, fetch_from
+    ):
         """Header fields of a request as it goes to a server.
 
         :param request: ``http1.Request`` of the client.
@@ -77,11 +79,15 @@
         :param left_ms: how long an answer is waited for.
         :param priority: rank of its route; 0 is the most urgent.
         :param after: last event that is not to be sent again, or None.
+        :param fetch_from: address of a server to copy parts of the prompt
+            from; empty for none.
         """
         headers = self.forward_headers(request, left_ms, after)
         rank = min(FIRST_PRIORITY + PRIORITY_STEP * priority, LAST_PRIORITY)
         headers.append((_headers.EXPECT_INSTANCE, server_id.encode()))
         headers.append((_headers.PRIORITY, str(rank).encode()))
+        if fetch_from:
+            headers.append((_headers.FETCH, fetch_from.encode()))
         return headers
 
     def forward_headers(self, request, left_ms, after):
--- a/buckthorntack/platform/_headers.py
+++ b/buckthorntack/platform/_headers.py
@@ -19,6 +19,8 @@
 INSTANCE_ID = _PREFIX + b"instance-id"
 #: How much longer the server is cold, in milliseconds.
 WARMUP = _PREFIX + b"warmup-ms"
+#: Address of a server whose memory holds parts of the prompt.
+FETCH = b"kv-fetch"
 LAST_EVENT_ID = b"last-event-id"
 RETRY_AFTER = b"retry-after"
 
@@ -37,7 +39,7 @@
         b"kv-hold",
         b"kv-backup",
         b"kv-from",
-        b"kv-fetch",
+        FETCH,
         b"pin-ms",
     )
 )
--- a/buckthorntack/schema/_generated/discovery.py
+++ b/buckthorntack/schema/_generated/discovery.py
@@ -129,6 +129,7 @@
 
     region: str
     servers: list[ServerUse]
+    prompts: list[PromptSent]
 
 
 class UseReport(NamedTuple):
