Keep messages for a lost disk away from the disk that replaced it

A trace shows why: a control VM whose disk was lost came back under a new id at its address, got a message for the old replica and retired itself for good (event 402); the next lost disk left no majority. Ruled out: a lost log; the other two replicas had all 13 entries. Change: group messages name the replica that they are for. Copies of directives go out once after all that was applied in one go, and not to entry VMs that hold nothing and wait for a confirmed one. Registries of control VMs do not take over silence from each other. Now homes go first, and a stopping VM ends when callers have had time to leave (2 s), not after 60 % of the grace time.

--- a/buckthorntack/directives/_matching.py
+++ b/buckthorntack/directives/_matching.py
@@ -33,6 +33,20 @@
             end = path.rfind("/", 0, end)
         return None
 
+    def regions_of(self, host):
+        """Regions that may serve all requests to a host.
+
+        :param host: the host; a port is passed over.
+        :returns: regions; empty if no route of the host is bound to any.
+        """
+        prefixes = self._by_host.get(_without_port(host.lower()), {})
+        bounds = [
+            route.allowed_regions
+            for route in prefixes.values()
+            if route.allowed_regions
+        ]
+        return frozenset.intersection(*bounds) if bounds else frozenset()
+
 
 def _without_port(host):
     name, colon, port = host.rpartition(":")
--- a/buckthorntack/discovery/_directory.py
+++ b/buckthorntack/discovery/_directory.py
@@ -3,7 +3,7 @@
 READY = "ready"
 
 
-def directory(nodes, region, failure_domain, most, rng):
+def directory(nodes, region, failure_domain, homes, most, rng):
     """Addresses of entry VMs for a caller.
 
     Those of the caller's region are named, as long as one of them takes
@@ -12,6 +12,8 @@
     :param nodes: ``NodePresence`` of the entry VMs known.
     :param region: the caller's region.
     :param failure_domain: the caller's failure domain.
+    :param homes: regions that may serve the caller's requests; empty for
+        all.
     :param most: how many addresses to give.
     :param rng: source of randomness.
     :returns: addresses, in random order.
@@ -21,7 +23,8 @@
     ]
     near = [node for node in usable if node.region == region]
     beside = [node for node in near if node.failure_domain == failure_domain]
-    for chosen in (beside, near, usable):
+    at_home = [node for node in usable if node.region in homes]
+    for chosen in (beside, near, at_home, usable):
         if len(chosen) >= 2 or (chosen and chosen is not beside):
             break
     addresses = sorted({node.service_address for node in chosen})
--- a/buckthorntack/discovery/_registry.py
+++ b/buckthorntack/discovery/_registry.py
@@ -14,6 +14,8 @@
 READY = "ready"
 DRAINING = "draining"
 GONE = "gone"
+#: Sequence of a record that no report of the same incarnation replaces.
+LAST_SEQUENCE = 1 << 52
 
 
 class ServerView(NamedTuple):
@@ -116,6 +118,8 @@
             known.record
         ):
             return False
+        if known is None and self._end_former(record):
+            record = record._replace(state=GONE, sequence=LAST_SEQUENCE)
         heard_at = now
         if record.silent and known is not None:
             heard_at = known.heard_at
@@ -127,6 +131,30 @@
         self.nodes[record.node_id] = _NodeView(record, heard_at, stamp)
         return changed
 
+    def _end_former(self, record):
+        """Only the latest node id at an address is alive.
+
+        A control VM has another one after its disk was lost.
+
+        :returns: whether the record is of a former one itself.
+        """
+        for view in list(self.nodes.values()):
+            other = view.record
+            if (
+                other.service_address != record.service_address
+                or other.node_id == record.node_id
+                or other.state == GONE
+            ):
+                continue
+            if other.incarnation > record.incarnation:
+                return True
+            ended = other._replace(state=GONE, sequence=LAST_SEQUENCE)
+            self.stamp += 1
+            self.nodes[other.node_id] = _NodeView(
+                ended, view.heard_at, self.stamp
+            )
+        return False
+
     def hear(self, server_ids, node_ids, now):
         """Note that others have heard of servers and nodes.
 
@@ -223,6 +251,10 @@
             if self.announce(record, now)
         ]
         for record in changes.nodes:
+            known = self.nodes.get(record.node_id)
+            if known is not None:
+                # Each registry finds out itself who is silent.
+                record = record._replace(silent=known.record.silent)
             self.report(record, now)
         return changed
 
--- a/buckthorntack/discovery/tests/test_registry.py
+++ b/buckthorntack/discovery/tests/test_registry.py
@@ -236,19 +236,66 @@
         _records.node("10.2.0.1:80", region="kumamoto"),
     ]
     rng = random.Random(5)
-    found = discovery.directory(nodes, "fukuoka", "fukuoka-a", 64, rng)
+    found = discovery.directory(nodes, "fukuoka", "fukuoka-a", (), 64, rng)
     assert sorted(found) == ["10.1.0.1:80", "10.1.0.4:80"]
 
 
 def test_directory_of_a_region_without_nodes_names_others():
     nodes = [_records.node("10.2.0.1:80", region="kumamoto")]
     rng = random.Random(5)
-    found = discovery.directory(nodes, "fukuoka", "fukuoka-a", 64, rng)
+    found = discovery.directory(nodes, "fukuoka", "fukuoka-a", (), 64, rng)
     assert found == ["10.2.0.1:80"]
 
 
 def test_directory_is_bounded():
     nodes = [_records.node(f"10.1.0.{n}:80") for n in range(200)]
     rng = random.Random(5)
-    found = discovery.directory(nodes, "fukuoka", "fukuoka-a", 64, rng)
+    found = discovery.directory(nodes, "fukuoka", "fukuoka-a", (), 64, rng)
     assert len(set(found)) == 64
+
+
+def test_directory_of_a_region_without_nodes_prefers_homes():
+    nodes = [
+        _records.node("10.1.0.1:80", state="stopping"),
+        _records.node("10.2.0.1:80", region="kumamoto"),
+        _records.node("10.3.0.1:80", region="kagoshima"),
+    ]
+    rng = random.Random(5)
+    found = discovery.directory(
+        nodes, "fukuoka", "fukuoka-a", {"kumamoto"}, 64, rng
+    )
+    assert found == ["10.2.0.1:80"]
+
+
+def test_lost_disk_ends_the_former_node_at_once():
+    registry = make()
+    address = "10.1.0.7:80"
+    old = _records.node(address, "control", sequence=40)
+    new = _records.node(f"{address}~1", "control", incarnation=2)
+    new = new._replace(service_address=address)
+    registry.report(old, NOW)
+    registry.report(new, NOW)
+    assert registry.nodes[address].record.state == "gone"
+    # What others still tell of the former one changes nothing.
+    changes = registry.changes_since(0, NOW)._replace(
+        stamp=0, servers=[], nodes=[old._replace(sequence=41)]
+    )
+    registry.merge(changes, NOW)
+    assert registry.nodes[address].record.state == "gone"
+    other = make()
+    other.report(new, NOW)
+    other.merge(changes, NOW)
+    assert other.nodes[address].record.state == "gone"
+
+
+def test_silence_found_by_another_registry_is_not_taken_over():
+    near, far = make(1), make(2)
+    node = _records.node()
+    near.report(node, NOW)
+    far.report(node, NOW)
+    for step in range(1, 24):
+        near.expire(NOW + step * 0.25 * S)
+        far.hear([], [node.node_id], NOW + step * 0.25 * S)
+    assert near.nodes[node.node_id].record.silent
+    far.merge(near.changes_since(0, NOW + 6 * S), NOW + 6 * S)
+    assert not far.nodes[node.node_id].record.silent
--- a/buckthorntack/gateway/_control.py
+++ b/buckthorntack/gateway/_control.py
@@ -15,6 +15,7 @@
 from buckthorntack import discovery
 from buckthorntack import events
 from buckthorntack import http1
+from buckthorntack import schema
 from buckthorntack import storage
 from buckthorntack import tasks
 from buckthorntack import transport
@@ -33,6 +34,10 @@
 #: Longest wait for a majority; operators turn to another VM after a second.
 ORDER_WAIT_S = 3.0
 READ_WAIT_S = 0.9
+#: Times of the group: the longest links are 55 ms one way.
+TIMING = consensus.Timing(
+    tick=100 * _MS, heartbeat=250 * _MS, election_timeout=900 * _MS
+)
 FORMATION_PERIOD = 500 * _MS
 #: Time for the leadership to be handed over before a planned stop.
 HAND_OVER_S = 1.5
@@ -125,7 +130,8 @@
             self,
             self.clock,
             self.rng,
-            files=self.files,
+            TIMING,
+            self.files,
         )
         self.spreading.replica = replica
         self.replica = await enter(replica)
@@ -170,12 +176,12 @@
         if to not in self.links.addresses:
             address = _identity.link_address_of(to, self.settings.link_port)
             self.links.learn(to, address)
-        self.links.send(to, message)
+        envelope = messages.ReplicaEnvelope(to, schema.pack(message))
+        self.links.send(to, envelope)
 
     def _deliver(self, sender, message):
-        if isinstance(message, consensus.MESSAGE_TYPES):
-            if self.replica is not None:
-                self.replica.deliver(sender, message)
+        if isinstance(message, messages.ReplicaEnvelope):
+            self._deliver_to_replica(sender, message)
         elif self.gathering is None:
             return
         elif isinstance(message, messages.PresenceReport):
@@ -185,6 +191,13 @@
         elif isinstance(message, messages.RegistryChanges):
             self.gathering.take_changes(sender, message)
 
+    def _deliver_to_replica(self, sender, envelope):
+        """Hand over a message unless it is meant for a lost disk."""
+        if self.replica is None:
+            return
+        if envelope.receiver == self.identity.node_id:
+            self.replica.deliver(sender, schema.unpack(envelope.content))
+
     async def publish(self, content):
         """Put a configuration in force.
 
--- a/buckthorntack/gateway/_entry.py
+++ b/buckthorntack/gateway/_entry.py
@@ -31,8 +31,9 @@
 #: Crashes told to others in a second at most; one crash notes all requests
 #: that were running on the server.
 MOST_CRASH_NOTICES = 64
-#: Part of the grace time after which no more connections are taken.
-ACCEPT_SHARE = 0.6
+#: Time after the signal to stop during which connections are still taken:
+#: as long as callers use an answer of the directory that named this VM.
+ACCEPT_TIME = 2000 * _MS
 #: Time kept free at the end of the grace time.
 STOP_MARGIN = 700 * _MS
 STOP_POLL = 50 * _MS
@@ -180,9 +181,10 @@
         """Whether new requests are welcome."""
         return self.following is not None and self.following.state == "ready"
 
-    def directory(self, region, failure_domain):
+    def directory(self, host, region, failure_domain):
         """Addresses of entry VMs for a caller.
 
+        :param host: host that it wants to send requests to.
         :param region: the caller's region.
         :param failure_domain: the caller's failure domain.
         """
@@ -194,8 +196,11 @@
         ]
         if self.following.state == "ready":
             nodes.append(self.following.presence())
+        homes = frozenset()
+        if self.knowledge.table is not None:
+            homes = self.knowledge.table.regions_of(host)
         return discovery.directory(
-            nodes, region, failure_domain, MOST_ADDRESSES, self.rng
+            nodes, region, failure_domain, homes, MOST_ADDRESSES, self.rng
         )
 
     def _is_lost(self, record):
@@ -302,7 +307,7 @@
         )
         self.front.begin_close()
         started = self.clock.monotonic()
-        accept_until = started + self.settings.grace * ACCEPT_SHARE
+        accept_until = started + min(ACCEPT_TIME, self.settings.grace / 2)
         end = started + self.settings.grace - STOP_MARGIN
         while self.clock.monotonic() < accept_until:
             await self.clock.sleep(STOP_POLL)
--- a/buckthorntack/gateway/_spreading.py
+++ b/buckthorntack/gateway/_spreading.py
@@ -26,6 +26,7 @@
         self._known = {}
         self._followers = set()
         self._changed_at = None
+        self._push_due = False
         self._packed = (-1, b"")
         self._confirming = None
         self._unconfirmed = set()
@@ -36,8 +37,20 @@
         :param directives: ``Directives``.
         """
         self._changed_at = self.clock.monotonic()
+        if not self._push_due:
+            self._push_due = True
+            asyncio.get_running_loop().call_soon(self._push)
+
+    def _push(self):
+        """Send the newest state, after all that was applied in one go.
+
+        Entry VMs that hold nothing yet are left out: what a replica applies
+        while it catches up may be old.
+        """
+        self._push_due = False
         for node_id in list(self._followers):
-            self._send(node_id, True)
+            if self._known.get(node_id, (-1, -1))[1] >= 0:
+                self._send(node_id, True)
 
     def reported(self, report, follows, now):
         """Take note of what an entry VM has, and send what it lacks.
--- a/buckthorntack/platform/_entry_api.py
+++ b/buckthorntack/platform/_entry_api.py
@@ -27,7 +27,9 @@
             return
         asked = dict(urllib.parse.parse_qsl(query))
         addresses = node.directory(
-            asked.get("region", ""), asked.get("zone", "")
+            asked.get("name", ""),
+            asked.get("region", ""),
+            asked.get("zone", ""),
         )
         if not addresses:
             reply.send(503, [], b"no entry VM is known to be ready\n")
--- a/buckthorntack/schema/_generated/discovery.py
+++ b/buckthorntack/schema/_generated/discovery.py
@@ -103,6 +103,15 @@
     tokens: list[int]
 
 
+class ReplicaEnvelope(NamedTuple):
+    """
+    A message of a replicated group for one replica; another one may have the address by now.
+    """
+
+    receiver: str
+    content: bytes
+
+
 class ControlIdentity(NamedTuple):
     """
     Who a control VM's disk belongs to; kept on the disk.
--- a/buckthorntack/schema/messages.py
+++ b/buckthorntack/schema/messages.py
@@ -53,6 +53,7 @@
 from buckthorntack.schema._generated.discovery import PromptSent
 from buckthorntack.schema._generated.discovery import RegionLoad
 from buckthorntack.schema._generated.discovery import RegistryChanges
+from buckthorntack.schema._generated.discovery import ReplicaEnvelope
 from buckthorntack.schema._generated.discovery import ServerUse
 from buckthorntack.schema._generated.discovery import UseReport
 from buckthorntack.schema._generated.forwarding import ForwardAlive
@@ -190,6 +191,7 @@
     "RecordKey",
     "RegionLoad",
     "RegistryChanges",
+    "ReplicaEnvelope",
     "ServerLoad",
     "ServerRecord",
     "ServerRenewal",
