Link nodes of a walled network by plain TCP

Cause: a process ended itself in test_lost_disks_one_after_the_other: 'Assertion failed: !_io_error (src/stream_engine_base.cpp:310)', within libzmq, each time a peer was killed and another came up at its address. Ruled out: our use of a socket after its close; the assertion is in the I/O thread and needs no call of ours. Change: links without keys use asyncio connections that carry messages both ways and are opened by need; those with keys stay with pyzmq.

--- a/buckthorntack/gateway/_control.py
+++ b/buckthorntack/gateway/_control.py
@@ -24,7 +24,6 @@
 from buckthorntack.gateway import _events
 from buckthorntack.gateway import _gathering
 from buckthorntack.gateway import _identity
-from buckthorntack.gateway import _links
 from buckthorntack.gateway import _monitor
 from buckthorntack.gateway import _spreading
 from buckthorntack.schema import messages
@@ -116,7 +115,7 @@
         )
         node_id = self.identity.node_id
         self.links = await enter(
-            _links.make_links(settings, node_id, self._deliver, self.clock)
+            transport.PlainLinks(node_id, settings.link_address, self._deliver)
         )
         self.spreading = _spreading.SpreadingTask(self.links, self.clock)
         self.machine = directives.DirectivesMachine(self.spreading.changed)
--- a/buckthorntack/gateway/_entry.py
+++ b/buckthorntack/gateway/_entry.py
@@ -15,7 +15,6 @@
 from buckthorntack.gateway import _following
 from buckthorntack.gateway import _handling
 from buckthorntack.gateway import _knowledge
-from buckthorntack.gateway import _links
 from buckthorntack.gateway import _metrics
 from buckthorntack.gateway import _monitor
 from buckthorntack.schema import messages
@@ -105,8 +104,10 @@
         enter = self._stack.enter_async_context
         self._stack.enter_context(self.knowledge)
         self.links = await enter(
-            _links.make_links(
-                settings, settings.service_address, self._deliver, self.clock
+            transport.PlainLinks(
+                settings.service_address,
+                settings.link_address,
+                self._deliver,
             )
         )
         self.following = _following.FollowingTask(
--- a/buckthorntack/gateway/_following.py
+++ b/buckthorntack/gateway/_following.py
@@ -7,8 +7,8 @@
 
 from buckthorntack import discovery
 from buckthorntack import events
+from buckthorntack.gateway import _addresses
 from buckthorntack.gateway import _events
-from buckthorntack.gateway import _links
 from buckthorntack.schema import messages
 
 #: Wait for a copy of the directives that a majority confirmed, before one
@@ -59,7 +59,7 @@
 
         :param seed: its service address.
         """
-        host = _links.host_of(seed)
+        host = _addresses.host_of(seed)
         self.links.learn(seed, f"{host}:{self.settings.link_port}")
         self.guides.learn(seed)
 
--- a/buckthorntack/gateway/_knowledge.py
+++ b/buckthorntack/gateway/_knowledge.py
@@ -3,7 +3,7 @@
 from buckthorntack import directives
 from buckthorntack import dispatch
 from buckthorntack import http1
-from buckthorntack.gateway import _links
+from buckthorntack.gateway import _addresses
 
 #: Longest wait for a connection to a server of the same region.
 CONNECT_TIMEOUT_S = 0.6
@@ -155,7 +155,7 @@
 
         :param record: its ``NodePresence``.
         """
-        host = _links.host_of(record.link_address)
+        host = _addresses.host_of(record.link_address)
         return f"{host}:{self.settings.forward_port}"
 
     def set_members(self):
--- a/buckthorntack/transport/__init__.py
+++ b/buckthorntack/transport/__init__.py
@@ -1,14 +1,12 @@
 """Links between our own processes, and HTTP listeners.
 
-What needs uvicorn, litestar or httpx is imported on first use, as some
+What needs uvicorn, litestar, httpx or pyzmq is imported on first use, as some
 programs use links alone.
 """
 
 import importlib
 
-from buckthorntack.transport._links import LinkTask
-from buckthorntack.transport._shaping import LinkShaper
-from buckthorntack.transport._shaping import Unshaped
+from buckthorntack.transport._plain_links import PlainLinks
 from buckthorntack.transport._sockets import bind_listener
 from buckthorntack.transport._sockets import listener_url
 
@@ -16,6 +14,7 @@
     "HttpListener",
     "LinkShaper",
     "LinkTask",
+    "PlainLinks",
     "StreamingTransport",
     "Unshaped",
     "bind_listener",
@@ -25,7 +24,10 @@
 
 _ON_FIRST_USE = {
     "HttpListener": "_http",
+    "LinkShaper": "_shaping",
+    "LinkTask": "_links",
     "StreamingTransport": "_streaming",
+    "Unshaped": "_shaping",
     "mounted_app": "_http",
 }
 
--- a/buckthorntack/transport/_events.py
+++ b/buckthorntack/transport/_events.py
@@ -45,3 +45,23 @@
     "link address can send messages.",
     "name link keys in the settings unless the network is walled",
 )
+LINK_OPENED = events.declare(
+    1206,
+    "link_opened",
+    logbook.INFO,
+    "Messages can be exchanged with another node.",
+)
+LINK_LOST = events.declare(
+    1207,
+    "link_lost",
+    logbook.NOTICE,
+    "A connection to another node has ended.",
+    "look at that node and the network between",
+)
+LINK_FAILED = events.declare(
+    1208,
+    "link_failed",
+    logbook.NOTICE,
+    "No connection to another node could be made; messages were dropped.",
+    "look at that node and the network between",
+)
--- a/buckthorntack/transport/_links.py
+++ b/buckthorntack/transport/_links.py
@@ -20,8 +20,7 @@
 from buckthorntack.transport import _shaping
 
 HEARTBEAT_PERIOD_MS = 500
-#: Heartbeats that a link may miss before it is closed and opened anew.
-HEARTBEAT_TIMEOUTS = 3
+HEARTBEAT_TIMEOUT_MS = 1500
 ZAP_DOMAIN = "links"
 RECONNECT_MS = 50
 RECONNECT_MAX_MS = 1000
@@ -64,14 +63,12 @@
 
     :param node_id: this node.
     :param listen_address: IP address and port to receive on.
-    :param keys: ``security.LinkKeys``, the same pair on all nodes; ``None``
-        for links without authentication, on a network walled by its owner.
+    :param keys: ``security.LinkKeys``, the same pair on all nodes.
     :param addresses: link address of each node known from the settings.
     :param handle: called with sender and message for each received one.
     :param clock: source of time.
     :param shaping: delays and losses for trials.
     :param queue_messages: messages kept for a slow peer.
-    :param heartbeat_ms: pause between two heartbeats of an idle link.
     """
 
     def __init__(
@@ -84,9 +81,7 @@
         clock,
         shaping=None,
         queue_messages=10000,
-        heartbeat_ms=HEARTBEAT_PERIOD_MS,
     ):
-        self.heartbeat_ms = heartbeat_ms
         self.node_id = node_id
         self.listen_address = listen_address
         self.keys = keys
@@ -108,16 +103,21 @@
         self._context = zmq.asyncio.Context()
         self._context.max_sockets = MAX_SOCKETS
         self._plain = zmq.Context.shadow(self._context)
-        self._authenticator = self._start_authenticator()
+        self._authenticator = zmq.auth.asyncio.AsyncioAuthenticator(
+            self._context
+        )
+        self._authenticator.start()
+        self._authenticator.configure_curve_callback(
+            ZAP_DOMAIN, _AcceptedKeys(self.keys, self._log)
+        )
         self._arrivals = _shaping.ArrivalQueue(
             self.shaping, self._hand_on, self.clock
         )
         self._router = self._plain.socket(zmq.ROUTER)
         self._configure(self._router)
+        self._router.curve_server = True
         self._router.router_handover = True
-        if self.keys is not None:
-            self._router.curve_server = True
-            self._router.zap_domain = ZAP_DOMAIN.encode()
+        self._router.zap_domain = ZAP_DOMAIN.encode()
         self._router.bind(f"tcp://{self.listen_address}")
         endpoint = self._router.getsockopt_string(zmq.LAST_ENDPOINT)
         self.address = endpoint.removeprefix("tcp://")
@@ -131,33 +131,20 @@
 
     async def __aexit__(self, *exc_info):
         asyncio.get_running_loop().remove_reader(self._router.FD)
-        if self._authenticator is not None:
-            self._authenticator.stop()
+        self._authenticator.stop()
         self._router.close()
         for node_id in {node_id for node_id, _ in self._dealers}:
             self.disconnect(node_id)
         self._context.destroy(linger=0)
 
-    def _start_authenticator(self):
-        if self.keys is None:
-            self._log.write(_events.LINKS_UNAUTHENTICATED)
-            return None
-        authenticator = zmq.auth.asyncio.AsyncioAuthenticator(self._context)
-        authenticator.start()
-        authenticator.configure_curve_callback(
-            ZAP_DOMAIN, _AcceptedKeys(self.keys, self._log)
-        )
-        return authenticator
-
     def _configure(self, socket):
         socket.linger = 0
         socket.sndhwm = self.queue_messages
         socket.rcvhwm = self.queue_messages
-        socket.heartbeat_ivl = self.heartbeat_ms
-        socket.heartbeat_timeout = HEARTBEAT_TIMEOUTS * self.heartbeat_ms
-        if self.keys is not None:
-            socket.curve_publickey = self.keys.public_key
-            socket.curve_secretkey = self.keys.secret_key
+        socket.heartbeat_ivl = HEARTBEAT_PERIOD_MS
+        socket.heartbeat_timeout = HEARTBEAT_TIMEOUT_MS
+        socket.curve_publickey = self.keys.public_key
+        socket.curve_secretkey = self.keys.secret_key
 
     def learn(self, node_id, address):
         """Take in where a node is reached; an old link is dropped.
@@ -192,10 +179,7 @@
     def _open_lane(self, node_id, lane):
         """Sockets to a peer, one for each key that it may have by now."""
         dealers = self._dealers.get((node_id, lane))
-        if dealers is None and self.keys is None:
-            dealers = [self._open(node_id, lane, None)]
-            self._dealers[node_id, lane] = dealers
-        elif dealers is None:
+        if dealers is None:
             own = self.keys.public_key
             others = sorted(self.keys.accepted_public_keys - {own})
             dealers = [
@@ -210,8 +194,7 @@
         dealer.immediate = True
         dealer.reconnect_ivl = RECONNECT_MS
         dealer.reconnect_ivl_max = RECONNECT_MAX_MS
-        if server_key is not None:
-            dealer.curve_serverkey = server_key
+        dealer.curve_serverkey = server_key
         dealer.routing_id = f"{self.node_id}/{lane}".encode()
         dealer.connect(f"tcp://{self.addresses[node_id]}")
         return dealer
