Count attempts over regions; follow packs that are slow to copy

Change: the count of sends travels both ways; a region that gives no count is taken to have used all. Change: copies between regions are reckoned ten times as long, so that they are made only where a token is small; else the prompt is sent to the region that holds its pack. Short prompts are gathered by their shared parts, and long ones go where few streams run. Log lines of ended requests tell the time to the first byte and the longest pause.

--- a/buckthorntack/dispatch/_choice.py
+++ b/buckthorntack/dispatch/_choice.py
@@ -5,9 +5,9 @@
 from buckthorntack.dispatch import _fleet
 from buckthorntack.dispatch import _warmup
 
-#: Claims to a prompt's shared part, as time: enough to break ties, less than
-#: reading a few hundred tokens.
-CLAIM_MS = 4.0
+#: Claims to a prompt's shared parts, as time: enough to gather equal prompts
+#: while servers are about equally busy.
+CLAIM_MS = 8.0
 
 
 class Serve(NamedTuple):
@@ -61,6 +61,7 @@
     server_id: str
     address: str
     failure_domain: str
+    region: str
     cached_tokens: int
 
 
@@ -108,6 +109,8 @@
         holders = self._holders(wanted, servers)
         here = self._best_local(wanted, local, holders, now, now_s)
         there = self._best_remote(wanted, remote, here, now, now_s)
+        if there is None:
+            there = self._holding_region(wanted, remote, here, now, now_s)
         if there is not None:
             return self._judged(wanted, there)
         if here is not None:
@@ -163,6 +166,7 @@
                         record.server_id,
                         record.address,
                         record.failure_domain,
+                        record.region,
                         cached,
                     )
                 )
@@ -205,7 +209,9 @@
                 continue
             bits = tokens * engine.token_bytes * 8.0
             fetch_ms = bits / (engine.transfer_mbps * 1e3)
-            if holder.failure_domain != view.record.failure_domain:
+            if holder.region != view.record.region:
+                fetch_ms *= settings.fetch_region_factor
+            elif holder.failure_domain != view.record.failure_domain:
                 fetch_ms *= settings.fetch_domain_factor
             fetch_ms += settings.fetch_setup_ms
             read_ms = tokens / settings.prefill_tokens_per_ms
@@ -240,12 +246,18 @@
                 + usage.running * settings.batch_ms
                 + stream_ms * over / slots
                 + stream_ms * self._memory_excess(wanted, usage)
+                + self._stall_ms(usage, tokens)
             )
             expected_ms *= self.fleet.slowness(state)
         if state is not None:
             expected_ms += state.failure_share * settings.failure_ms
         return expected_ms
 
+    def _stall_ms(self, usage, tokens):
+        """What streams at an engine lose while it reads prompts."""
+        over = max(0, tokens - self.settings.smooth_tokens)
+        return usage.running * over / 1000.0 * self.settings.stall_ms
+
     def _memory_excess(self, wanted, usage):
         """How far requests go beyond an engine's memory, in memories."""
         room = wanted.service.engine.memory_tokens * self.settings.memory_share
@@ -274,12 +286,43 @@
         gain_ms = here.expected_ms - best.expected_ms
         return best if gain_ms > settings.region_gain_ms else None
 
+    def _holding_region(self, wanted, views, here, now, now_s):
+        """A place elsewhere that has a large part which none here has.
+
+        Reading it again would take an engine's time from all its streams.
+        """
+        settings = self.settings
+        if here is None or here.fetch_from or wanted.prompt is None:
+            return None
+        shared = sum(part.tokens for part in wanted.prompt.parts[:-1])
+        own = wanted.prompt.tokens - shared
+        if here.unread_tokens - own < settings.follow_tokens:
+            return None
+        places = [
+            place
+            for view in views
+            if not view.record.silent and not view.is_cold(now)
+            if (place := self._remote_place(wanted, view, now_s)) is not None
+            and here.unread_tokens - place.unread_tokens
+            >= settings.follow_tokens
+        ]
+        if not places:
+            return None
+        best = min(places, key=lambda place: place.expected_ms)
+        saved = here.unread_tokens - best.unread_tokens
+        worth_ms = saved / settings.prefill_tokens_per_ms
+        return best if best.expected_ms < here.expected_ms + worth_ms else None
+
     def _remote_place(self, wanted, view, now_s):
         record = view.record
         usage = self.fleet.remote_usage(record.region, record.server_id, now_s)
         if usage is None:
             return None
-        unread = wanted.prompt.tokens if wanted.prompt is not None else 0
+        unread = 0
+        if wanted.prompt is not None:
+            memory = self.fleet.state(record.server_id).memory
+            cached = memory.cached_tokens(wanted.prompt.parts)
+            unread = max(0, wanted.prompt.tokens - cached)
         expected_ms = self._expected_ms(wanted, view, usage, unread, None)
         expected_ms += self.settings.region_round_trip_ms
         return _Place(record.server_id, record.region, expected_ms, unread, "")
--- a/buckthorntack/dispatch/_fleet.py
+++ b/buckthorntack/dispatch/_fleet.py
@@ -7,8 +7,9 @@
 from buckthorntack.dispatch import _prompts
 from buckthorntack.schema import messages
 
-#: Smallest shared parts that other regions are told of, in tokens.
-TOLD_TOKENS = 512
+#: Smallest shared parts that other regions are told of, in tokens: copying
+#: fewer saves less than telling costs.
+TOLD_TOKENS = 32
 #: Age after which the report of another entry VM counts no more.
 REPORT_AGE_S = 1.5
 
@@ -195,20 +196,20 @@
             held_tokens=usage.held_tokens + flight.held_tokens,
         )
         if prompt is not None and prompt.parts:
-            state.memory.note(prompt.parts)
             sent = _prompt_sent(flight.server_id, prompt.parts)
-            self._sent.append(sent)
             self._share(sent)
+            self._sent.append(sent)
+            state.memory.note(prompt.parts)
 
     def _share(self, sent):
-        """Let other regions know of parts that other requests share.
+        """Let other regions know of shared parts that are new at a server.
 
         The last part belongs to one request or session.
         """
-        if sum(sent.tokens[:-1]) >= TOLD_TOKENS:
-            shared = sent._replace(
-                parts=sent.parts[:-1], tokens=sent.tokens[:-1]
-            )
+        shared = sent._replace(parts=sent.parts[:-1], tokens=sent.tokens[:-1])
+        memory = self.state(sent.server_id).memory
+        known = memory.cached_tokens(_parts_of(shared))
+        if sum(shared.tokens) - known >= TOLD_TOKENS:
             self._shared.append(shared)
 
     def shared(self):
@@ -296,13 +297,11 @@
         uses = {use.server_id: use for use in report.uses}
         self._peers[node_id] = _PeerReport(now_s, uses)
         for sent in report.prompts:
-            self._note_sent(sent)
             self._share(sent)
+            self._note_sent(sent)
 
     def _note_sent(self, sent):
-        pairs = zip(sent.parts, sent.tokens, strict=True)
-        parts = tuple(_prompts.Part(name, tokens) for name, tokens in pairs)
-        self.state(sent.server_id).memory.note(parts)
+        self.state(sent.server_id).memory.note(_parts_of(sent))
 
     def peer_heard_s(self, node_id):
         """When another entry VM last reported; None if it never did.
@@ -354,6 +353,11 @@
         return usage if use is None else usage.plus(use)
 
 
+def _parts_of(sent):
+    pairs = zip(sent.parts, sent.tokens, strict=True)
+    return tuple(_prompts.Part(name, tokens) for name, tokens in pairs)
+
+
 def _prompt_sent(server_id, parts):
     return messages.PromptSent(
         server_id,
--- a/buckthorntack/dispatch/_prompts.py
+++ b/buckthorntack/dispatch/_prompts.py
@@ -21,10 +21,11 @@
 
     @property
     def shared_key(self):
-        """Id of the largest part, by which equal prompts are gathered."""
-        if not self.parts:
-            return ""
-        return max(self.parts, key=lambda part: part.tokens).part_id
+        """What equal prompts are gathered by: all parts but the last one.
+
+        The last part belongs to one request or session.
+        """
+        return "/".join(part.part_id for part in self.parts[:-1])
 
 
 class PromptMemory:
--- a/buckthorntack/dispatch/_settings.py
+++ b/buckthorntack/dispatch/_settings.py
@@ -41,11 +41,22 @@
     #: Share of the time left that the expected time must stay below.
     deadline_share: float = 0.8
     #: Fewest tokens that are worth a copy from another engine.
-    fetch_least_tokens: int = 48
+    fetch_least_tokens: int = 32
+    #: Prompt tokens that an engine may have to read in one go before the
+    #: pauses of its streams grow too long: it reads in chunks of 2,048, each
+    #: between two tokens of all streams, and an event has 5 to 10 tokens.
+    smooth_tokens: int = 10_000
+    #: Added for each stream at an engine and each 1,000 tokens beyond that.
+    stall_ms: float = 2.0
     #: Time that a copy takes besides the bytes.
     fetch_setup_ms: float = 4.0
-    #: How much longer a copy between failure domains takes.
+    #: How much longer a copy takes between failure domains and between
+    #: regions; the latter as measured: 18 of 180 Gbit/s.
     fetch_domain_factor: float = 2.0
+    fetch_region_factor: float = 10.0
+    #: Shared tokens that no server of the region has and that are worth the
+    #: way to a region where one has them, rather than reading them again.
+    follow_tokens: int = 4_000
     #: A copy is made if it takes at most this share of the time to read: the
     #: engine goes on with other requests meanwhile.
     fetch_read_share: float = 1.5
--- a/buckthorntack/dispatch/tests/test_pack_hotspot.py
+++ b/buckthorntack/dispatch/tests/test_pack_hotspot.py
@@ -7,6 +7,7 @@
 from buckthorntack import dispatch
 from buckthorntack.directives.tests import _documents
 from buckthorntack.dispatch.tests import _world
+from buckthorntack.schema import messages
 
 PACKS = 40
 PACK_TOKENS = 4_000
@@ -110,3 +111,36 @@
     decision = world.choose(world.wanted(_world.prompt(own="own2")))
     assert decision.server_id != holder
     assert decision.fetch_from == ""
+
+
+def two_regions(token_bytes):
+    """An entry VM that knows of a pack at a server of another region."""
+    world = _world.World()
+    profile = directives.EngineProfile(64, 330_000, token_bytes, 180_000.0)
+    service = _documents.service()._replace(engine=profile)
+    world.add("s0", slots=16)
+    world.add("far", region="kumamoto", failure_domain="kumamoto-a", slots=16)
+    sent = messages.PromptSent("far", ["pack"], [13_300])
+    load = messages.RegionLoad("kumamoto", [], [sent])
+    world.fleet.region_reported(load, world.now_s)
+    return world, world.wanted(_world.prompt(), service=service)
+
+
+def test_pack_that_is_slow_to_copy_is_followed_to_its_region():
+    world, wanted = two_regions(131_072.0)
+    decision = world.choose(wanted)
+    assert isinstance(decision, dispatch.Forward)
+    assert decision.region == "kumamoto"
+
+
+def test_pack_that_is_quick_to_copy_is_copied():
+    world, wanted = two_regions(35_136.0)
+    decision = world.choose(wanted)
+    assert isinstance(decision, dispatch.Serve)
+    assert decision.fetch_from == world.registry.servers["far"].record.address
+
+
+def test_pack_that_a_region_has_itself_stays_there():
+    world, wanted = two_regions(131_072.0)
+    world.fleet.state("s0").memory.note(wanted.prompt.parts)
+    assert isinstance(world.choose(wanted), dispatch.Serve)
--- a/buckthorntack/gateway/_handling.py
+++ b/buckthorntack/gateway/_handling.py
@@ -19,6 +19,8 @@
 OWN_PREFIX = b"x-gateway-"
 FORWARDED = b"x-gateway-forwarded"
 RUN_STATE = b"x-gateway-run-state"
+#: Servers that a request was sent to so far, at all entry VMs.
+SENDS = b"x-gateway-sends"
 #: Body of an answer that is kept until it is whole, so that a broken one can
 #: be replaced; larger ones are passed on as they come.
 KEPT_BODY_BYTES = 262_144
@@ -104,20 +106,21 @@
         await self._handle(request, reply, True)
 
     async def _handle(self, request, reply, is_forwarded):
+        sends = _count(request.headers, 0) if is_forwarded else 0
         headers = [
             pair
             for pair in request.headers
             if not pair[0].lower().startswith(OWN_PREFIX)
         ]
         request = request._replace(headers=headers)
-        handling = _Handling(self, request, reply, is_forwarded)
+        handling = _Handling(self, request, reply, is_forwarded, sends)
         await handling.run()
 
 
 class _Handling:
     """One request, from its routing to its final answer."""
 
-    def __init__(self, serving, request, reply, is_forwarded):
+    def __init__(self, serving, request, reply, is_forwarded, sends):
         self.serving = serving
         self.knowledge = serving.knowledge
         self.dialect = serving.knowledge.dialect
@@ -130,7 +133,7 @@
         self.fingerprint = ""
         self.until_s = 0.0
         self.tried = set()
-        self.sends = 0
+        self.sends = sends
         self.connect_failures = 0
         self.may_have_run = False
         self.kept = None
@@ -138,6 +141,8 @@
         self.retry_after_ms = None
         self.place = ""
         self.reason = ""
+        self.first_s = 0.0
+        self.longest_pause_s = 0.0
 
     async def run(self):
         """Give the request its final answer."""
@@ -200,8 +205,11 @@
             timeout_s = min(timeout_s, self.facts.patience_ms / 1e3)
         self.until_s = self.request.received_s + timeout_s - ANSWER_MARGIN_S
 
+    def _now_s(self):
+        return self.serving.clock.monotonic().total_seconds()
+
     def _left_s(self):
-        return self.until_s - self.serving.clock.monotonic().total_seconds()
+        return self.until_s - self._now_s()
 
     async def _attempt_until_answered(self):
         while True:
@@ -258,7 +266,7 @@
         """Take a repeated send from the budget, if there is room for it."""
         if self.sends >= self.route.max_attempts:
             return False
-        now_s = self.serving.clock.monotonic().total_seconds()
+        now_s = self._now_s()
         return self.knowledge.budgets.take(self.service.name, now_s)
 
     def _can_repeat(self):
@@ -304,7 +312,7 @@
             self._note_crash(server_id, error)
             result = _Unknown(error.detail)
         finally:
-            now_s = self.serving.clock.monotonic().total_seconds()
+            now_s = self._now_s()
             fleet.end(flight, outcome, now_s)
             if connection is not None:
                 pool.give_back(server_id, connection)
@@ -344,9 +352,11 @@
         try:
             connection = await pool.take(record.node_id, address)
             self._avoid_region(decision.region)
-            self.sends += 1
+            payload = self._forwarded_payload()
+            # Until it says otherwise, that region may use all attempts.
+            self.sends = max(self.sends + 1, self.route.max_attempts)
             connection.send(
-                self._forwarded_payload(),
+                payload,
                 self.facts.request_id,
                 self.request.method == b"HEAD",
             )
@@ -372,6 +382,7 @@
         after = self.stream.last_event if self.stream else None
         headers = self.dialect.forward_headers(self.request, left_ms, after)
         headers.append((FORWARDED, b"1"))
+        headers.append((SENDS, str(self.sends).encode()))
         return http1.encode_request(
             self.request.method,
             self.request.target,
@@ -396,7 +407,7 @@
             connection.close()
             return _Unknown("silent before its answer")
         if flight is not None:
-            now_s = self.serving.clock.monotonic().total_seconds()
+            now_s = self._now_s()
             self.knowledge.fleet.answers(flight, now_s)
         refusal = self._read_refusal(head)
         if refusal is not None:
@@ -414,6 +425,7 @@
         own = http1.find_header(head.headers, RUN_STATE)
         if own is not None:
             after = _retry_after_ms(head)
+            self.sends = _count(head.headers, self.sends)
             if own == errors.RunState.NOT_RUN.value.encode():
                 return _NotRun(f"{self.place} refused it", after)
             return _Unknown(f"{self.place}: {head.status}")
@@ -512,8 +524,13 @@
 
     async def _next_data(self, connection):
         stall_s = STALL_S if self._can_repeat() else None
+        began_s = self._now_s()
         async with asyncio.timeout(stall_s):
-            return await connection.read()
+            data = await connection.read()
+        self.longest_pause_s = max(
+            self.longest_pause_s, self._now_s() - began_s
+        )
+        return data
 
     def _give_up(self, reason, retry_after_ms):
         """Answer a request that no server will be asked for any more."""
@@ -549,6 +566,7 @@
         headers = self.dialect.own_headers(request_id, retry_after_ms)
         if self.is_forwarded:
             headers.append((RUN_STATE, run_state.value.encode()))
+            headers.append((SENDS, str(self.sends).encode()))
         self.reply.send(status, headers, reason.encode() + b"\n")
 
     def _note_crash(self, server_id, error):
@@ -581,6 +599,7 @@
             request=self._name(),
             route=self.route.name,
             version=self.knowledge.version,
+            prompt_tokens=self.facts.prompt.tokens if self.facts.prompt else 0,
             decision=type(decision).__name__,
             left_ms=round(self._left_s() * 1e3),
             **fields,
@@ -598,12 +617,11 @@
         )
 
     def _observe_first(self):
-        now_s = self.serving.clock.monotonic().total_seconds()
-        first_s = now_s - self.request.received_s
-        self.serving.metrics.first_byte(self.route.kind.value, first_s)
+        self.first_s = self._now_s() - self.request.received_s
+        self.serving.metrics.first_byte(self.route.kind.value, self.first_s)
 
     def _note_end(self, outcome):
-        now_s = self.serving.clock.monotonic().total_seconds()
+        now_s = self._now_s()
         took_s = now_s - self.request.received_s
         kind = self.route.kind.value if self.route else ""
         self.serving.metrics.ended(kind, self.reply.status, outcome, took_s)
@@ -615,6 +633,8 @@
             outcome=outcome,
             status=self.reply.status,
             sends=self.sends,
+            first_ms=round(self.first_s * 1e3),
+            longest_pause_ms=round(self.longest_pause_s * 1e3),
             took_ms=round(took_s * 1e3),
             reason=self.reason,
             forwarded=self.is_forwarded,
@@ -643,6 +663,12 @@
         return None
 
 
+def _count(headers, default):
+    """Servers that a request was sent to, as another entry VM says."""
+    value = http1.find_header(headers, SENDS)
+    return int(value) if value and value.isdigit() else default
+
+
 def _fingerprint(request):
     digest = xxhash.xxh3_64()
     digest.update(request.method)
--- a/buckthorntack/http1/tests/test_exchange.py
+++ b/buckthorntack/http1/tests/test_exchange.py
@@ -121,7 +121,7 @@
         await ask(server, pool)
         assert pool.idle_count("s") == 1
         server.paused.set()
-        while pool._idle["s"][0].is_reusable():
+        while pool._idle["s"][0].is_reusable():  # noqa: ASYNC110
             await asyncio.sleep(0.005)
         _, body = await ask(server, pool)
         assert body == b"ok"
--- a/buckthorntack/http1/tests/test_listener.py
+++ b/buckthorntack/http1/tests/test_listener.py
@@ -186,7 +186,7 @@
         writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
         await world.started.wait()
         writer.close()
-        while not world.cancelled:
+        while not world.cancelled:  # noqa: ASYNC110
             await asyncio.sleep(0.005)
 
     run(scenario, gate=gate)
--- a/buckthorntack/platform/tests/_standins.py
+++ b/buckthorntack/platform/tests/_standins.py
@@ -406,7 +406,7 @@
 
     async def until(self, condition):
         """Wait for a condition."""
-        while not condition():
+        while not condition():  # noqa: ASYNC110
             await asyncio.sleep(POLL_S)
 
     async def ask(self, path, entry="e0", method="GET", body=b"", **headers):
--- a/buckthorntack/platform/tests/test_requests.py
+++ b/buckthorntack/platform/tests/test_requests.py
@@ -1,6 +1,7 @@
 """Requests of callers over a whole deployment on real sockets."""
 
 import asyncio
+import json
 
 import pytest
 
@@ -117,6 +118,37 @@
     run(scenario, ("s1", "desk"), ("s2", "desk"))
 
 
+def test_attempts_are_counted_over_regions():
+    async def scenario(world):
+        gate = asyncio.Event()
+
+        async def reset_later(server, request, reply):
+            await gate.wait()
+            await _standins.reset(server, request, reply)
+
+        fleet = world.nodes["e0"].knowledge.fleet
+        await world.until(
+            lambda: fleet.remote_usage("south", "s1", 0) is not None
+        )
+        for server in world.servers.values():
+            server.behave = reset_later
+        asked = asyncio.create_task(world.ask(SAFE))
+        await world.until(
+            lambda: any(server.requests for server in world.servers.values())
+        )
+        # The region of the caller gets a server while another one tries.
+        near = await world.add_server("near", "desk")
+        near.behave = reset_later
+        gate.set()
+        answer = await asked
+        assert answer.status == 502
+        sent = [len(s.requests) for s in world.servers.values()]
+        assert sum(sent) <= 2
+
+    servers = [(name, "desk", "b1") for name in ("s1", "s2", "s3")]
+    run(scenario, *servers)
+
+
 @pytest.mark.parametrize("behave", [_standins.reset, _standins.hang])
 def test_unsafe_request_is_sent_once(behave):
     async def scenario(world):
@@ -287,20 +319,9 @@
         assert statuses[:3] == [502] * 3
         assert statuses[3:] == [503] * 2
         # An entry VM that was not asked knows of it too.
+        crashes = world.nodes["e1"].knowledge.crashes
         await world.until(
-            lambda: (
-                world.nodes["e1"].knowledge.crashes._crashes
-                and len(
-                    next(
-                        iter(
-                            world.nodes[
-                                "e1"
-                            ].knowledge.crashes._crashes.values()
-                        )
-                    )
-                )
-                == 3
-            )
+            lambda: [len(a) for a in crashes._crashes.values()] == [3]
         )
         other = await world.ask(
             UNSAFE, entry="e1", method="POST", body=b"poison"
@@ -357,6 +378,4 @@
 
 
 def _json(answer):
-    import json
-
     return json.loads(answer.body)
