--- /dev/null
+++ b/buckthorntack/transport/tests/test_plain_links.py
@@ -0,0 +1,165 @@
+"""Links without keys between nodes that come, go and change their disks."""
+
+import asyncio
+
+import pytest
+
+from buckthorntack import transport
+from buckthorntack.schema import messages
+
+PATIENCE_S = 20
+
+
+def ping(number):
+    return messages.Ping(number)
+
+
+class Node:
+    """A node, and what it has received."""
+
+    def __init__(self, node_id, address):
+        self.node_id = node_id
+        self.received = []
+        self.links = transport.PlainLinks(node_id, address, self.take)
+
+    def take(self, sender, message):
+        self.received.append((sender, message.sent_at_ms))
+
+
+def run(scenario):
+    async def bounded():
+        async with asyncio.timeout(PATIENCE_S):
+            await scenario()
+
+    asyncio.run(bounded())
+
+
+async def until(condition):
+    while not condition():  # noqa: ASYNC110
+        await asyncio.sleep(0.005)
+
+
+@pytest.fixture
+def addresses():
+    """Two free addresses."""
+    sockets = [transport.bind_listener("127.0.0.1:0") for _ in range(2)]
+    found = [f"127.0.0.1:{sock.getsockname()[1]}" for sock in sockets]
+    for sock in sockets:
+        sock.close()
+    return found
+
+
+def test_messages_go_both_ways_over_one_connection(addresses):
+    async def scenario():
+        near, far = Node("near", addresses[0]), Node("far", addresses[1])
+        async with near.links, far.links:
+            near.links.learn("far", addresses[1])
+            for number in range(100):
+                assert near.links.send("far", ping(number))
+            await until(lambda: len(far.received) == 100)
+            assert far.received == [("near", n) for n in range(100)]
+            # The other node was told no address.
+            assert far.links.send("near", ping(7))
+            await until(lambda: near.received)
+            assert near.received == [("far", 7)]
+
+    run(scenario)
+
+
+def test_unknown_node_is_sent_nothing(addresses):
+    async def scenario():
+        node = Node("near", addresses[0])
+        async with node.links:
+            assert not node.links.send("far", ping(1))
+            assert node.links.dropped_messages == 1
+
+    run(scenario)
+
+
+def test_own_messages_come_back(addresses):
+    async def scenario():
+        node = Node("near", addresses[0])
+        async with node.links:
+            node.links.send("near", ping(1))
+            await until(lambda: node.received)
+
+    run(scenario)
+
+
+def test_node_that_restarts_is_reached_again(addresses):
+    async def scenario():
+        near = Node("near", addresses[0])
+        async with near.links:
+            near.links.learn("far", addresses[1])
+            for start in range(3):
+                far = Node("far", addresses[1])
+                async with far.links:
+                    number = 0
+                    while not far.received:
+                        number += 1
+                        near.links.send("far", ping(start))
+                        await asyncio.sleep(0.02)
+                    assert set(far.received) == {("near", start)}
+
+    run(scenario)
+
+
+def test_node_with_another_disk_gets_its_messages_under_its_new_id(addresses):
+    async def scenario():
+        near, far = Node("near", addresses[0]), Node("far~2", addresses[1])
+        async with near.links, far.links:
+            near.links.learn("far", addresses[1])
+            near.links.send("far", ping(1))
+            await until(lambda: far.received)
+            far.links.send("near", ping(2))
+            await until(lambda: near.received)
+            assert near.received == [("far~2", 2)]
+            assert near.links.send("far~2", ping(3))
+            await until(lambda: len(far.received) == 2)
+
+    run(scenario)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"\xff\xff\xff\xff",
+        b"\x00\x00\x00\x02me\x00\x00\x00\x05nope!",
+        b"\x00\x00\x00\x02me\x00\x00\x00\x06Ping\x00\xc1",
+        b"GET / HTTP/1.1\r\n\r\n",
+    ],
+)
+def test_foreign_bytes_harm_nobody(addresses, data):
+    async def scenario():
+        node, peer = Node("near", addresses[0]), Node("far", addresses[1])
+        async with node.links, peer.links:
+            host, _, port = addresses[0].rpartition(":")
+            _, writer = await asyncio.open_connection(host, int(port))
+            writer.write(data)
+            await writer.drain()
+            peer.links.learn("near", addresses[0])
+            peer.links.send("near", ping(1))
+            await until(lambda: node.received)
+            assert node.received == [("far", 1)]
+            writer.close()
+
+    run(scenario)
+
+
+def test_message_that_comes_in_pieces_is_whole(addresses):
+    async def scenario():
+        node = Node("near", addresses[0])
+        async with node.links:
+            host, _, port = addresses[0].rpartition(":")
+            _, writer = await asyncio.open_connection(host, int(port))
+            message = b"Ping\x00\x91\x05"
+            data = b"\x00\x00\x00\x02me" + len(message).to_bytes(4) + message
+            for byte in data:
+                writer.write(bytes([byte]))
+                await writer.drain()
+                await asyncio.sleep(0.001)
+            await until(lambda: node.received)
+            assert node.received == [("me", 5)]
+            writer.close()
+
+    run(scenario)
