--- a/buckthorntack/cli/_commands/__init__.py
+++ b/buckthorntack/cli/_commands/__init__.py
@@ -11,6 +11,7 @@
 from buckthorntack.cli._commands import control
 from buckthorntack.cli._commands import diff
 from buckthorntack.cli._commands import entry
+from buckthorntack.cli._commands import explain
 from buckthorntack.cli._commands import get
 from buckthorntack.cli._commands import history
 from buckthorntack.cli._commands import keys
@@ -27,6 +28,7 @@
     check,
     apply,
     diff,
+    explain,
     get,
     history,
     status,
--- a/buckthorntack/platform/_settings.py
+++ b/buckthorntack/platform/_settings.py
@@ -42,7 +42,7 @@
         directory_address=document["directory_address"],
         link_port=first_port,
         forward_port=first_port + 1,
-        metrics_port=first_port + 2,
+        metrics_port=document["metrics_port"],
         seeds=tuple(document["seeds"]),
         is_first_start=document["first_start"],
         data_folder=document["data_folder"],
--- a/buckthorntack/schema/_generated/node_documents.py
+++ b/buckthorntack/schema/_generated/node_documents.py
@@ -42,6 +42,10 @@
     """
     Where callers ask for entry VMs; empty for nowhere.
     """
+    metrics_port: int
+    """
+    Where metrics are served, at /metrics.
+    """
     internal_ports: list[int]
     """
     First and last port for traffic between nodes.
