--- /dev/null
+++ b/buckthorntack/platform/tests/test_formats.py
@@ -0,0 +1,211 @@
+"""Formats of the platform, read and written."""
+
+import json
+import pathlib
+
+from expression import Ok
+import pytest
+
+from buckthorntack import gateway
+from buckthorntack import http1
+from buckthorntack.directives import RequestKind
+from buckthorntack.platform import _announcements
+from buckthorntack.platform import _configuration
+from buckthorntack.platform import _dialect
+from buckthorntack.platform import _settings
+from buckthorntack.platform.tests import _standins
+
+TEMPLATE = pathlib.Path("deploy/settings.json")
+NAMED = {
+    "node_name": "edge-1",
+    "region": "north",
+    "zone": "a1",
+    "zones": {"a1": "north"},
+    "ip": "10.0.0.1",
+    "listen.frontend": "10.0.0.1:8144",
+    "listen.readiness": "10.0.0.1:8140",
+    "listen.registry": "10.0.0.1:8143",
+    "internal_port_range": [7660, 7675],
+    "seeds": ["10.0.0.9:8146"],
+    "bootstrap": True,
+    "heartbeat_ms": 1200,
+    "fault_tolerance.machines": 1,
+    "bounds.retry_ratio": 0.2,
+    "bounds.retry_slack": 56,
+    "bounds.ttl_max_s": 5,
+    "bounds.grace_s": 8,
+}
+
+
+def fill(template, values):
+    """What the platform makes of the template, as far as it uses it."""
+    is_control = "listen.control_plane" in values
+    kept = []
+    for line in template.splitlines():
+        for mark, shown in (("#", is_control), ("^", not is_control)):
+            begin = f"{{{{{mark}listen.control_plane}}}}"
+            before, found, rest = line.partition(begin)
+            if found:
+                inner, _, after = rest.partition("{{/listen.control_plane}}")
+                line = before + (inner if shown else "") + after
+        kept.append(line)
+    text = "\n".join(kept)
+    for name, value in values.items():
+        text = text.replace(f"{{{{{name}|json}}}}", json.dumps(value))
+        text = text.replace(f"{{{{{name}}}}}", str(value))
+    while "{{" in text:
+        before, _, rest = text.partition("{{")
+        text = before + rest.partition("}}")[2]
+    return text
+
+
+def load(tmp_path, text):
+    path = tmp_path / "settings"
+    path.write_text(text)
+    return _settings.load_settings(str(path))
+
+
+def test_settings_of_an_entry_vm(tmp_path):
+    settings = load(tmp_path, fill(TEMPLATE.read_text(), NAMED))
+    assert settings.role == "entry"
+    assert settings.service_address == "10.0.0.1:8144"
+    assert settings.link_address == "10.0.0.1:7660"
+    assert settings.forward_address == "10.0.0.1:7661"
+    assert settings.data_folder == ""
+    assert settings.grace.total_seconds() == 8
+
+
+def test_settings_of_a_control_vm(tmp_path):
+    values = {
+        name: value
+        for name, value in NAMED.items()
+        if not name.startswith("listen.")
+    }
+    values["listen.control_plane"] = "10.0.0.1:8146"
+    values["data_dir"] = "/data/x"
+    settings = load(tmp_path, fill(TEMPLATE.read_text(), values))
+    assert settings.role == "control"
+    assert settings.service_address == "10.0.0.1:8146"
+    assert settings.data_folder == "/data/x"
+    assert settings.is_first_start
+
+
+@pytest.mark.parametrize(
+    "text", ["", "{", "[]", "{}", '{"role": "other"}', "\xff"]
+)
+def test_settings_that_cannot_be_used_are_refused(tmp_path, text):
+    with pytest.raises(gateway.SettingsError):
+        load(tmp_path, text)
+
+
+def test_settings_that_are_missing_are_refused():
+    with pytest.raises(gateway.SettingsError):
+        _settings.load_settings("/nowhere/settings")
+
+
+def test_configuration_is_read_into_named_fields():
+    document = _standins.configuration(
+        3,
+        [
+            _standins.route(
+                "r",
+                None,
+                type="streaming",
+                resumable=True,
+                backends=[
+                    {"service": "text", "weight": 90},
+                    {"service": "desk", "weight": 10},
+                ],
+                itl_target_ms=300,
+                allowed_regions=["north"],
+            )
+        ],
+    )
+    read = _configuration.read_configuration(json.dumps(document).encode())
+    [route] = read.ok.routes
+    assert route.kind is RequestKind.STREAM
+    assert [split.weight for split in route.splits] == [90.0, 10.0]
+    assert route.pause_objective.total_seconds() == 0.3
+    assert route.allowed_regions == frozenset(["north"])
+    assert read.ok.services["text"].engine.token_bytes == 35136
+    assert read.ok.services["desk"].engine is None
+
+
+def test_unknown_kind_is_treated_as_one_that_runs_once():
+    routes = [_standins.route("r", "desk", type="keyed")]
+    content = json.dumps(_standins.configuration(1, routes)).encode()
+    [route] = _configuration.read_configuration(content).ok.routes
+    assert not route.idempotent
+
+
+def test_prompt_is_read():
+    headers = [
+        (b"Host", b"h"),
+        (b"X-Buckthorntack-Request-Id", b"1"),
+        (b"X-Buckthorntack-Token-Count", b"1460,80"),
+        (b"X-Buckthorntack-Prompt-Prefix", b"5c:800, 91:410,e4:250"),
+    ]
+    request = http1.Request(b"POST", b"/a/b?c", headers, b"", 0.0)
+    facts = _dialect.PlatformDialect().read_request(request).ok
+    assert facts.path == "/a/b"
+    assert (facts.prompt.tokens, facts.prompt.output_tokens) == (1460, 80)
+    assert facts.prompt.parts[1] == ("91", 410)
+    assert facts.prompt.shared_key == "5c/91"
+
+
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        (b"X-Buckthorntack-Token-Count", b"many"),
+        (b"X-Buckthorntack-Prompt-Prefix", b"x:y"),
+        (b"X-Buckthorntack-Deadline-Ms", b"soon"),
+        (b"Last-Event-Id", b"x"),
+    ],
+)
+def test_unreadable_fields_count_as_none(name, value):
+    headers = [
+        (b"Host", b"h"),
+        (b"X-Buckthorntack-Request-Id", b"1"),
+        (b"X-Buckthorntack-Token-Count", b"1,1"),
+    ]
+    headers = [pair for pair in headers if pair[0] != name]
+    headers.append((name, value))
+    request = http1.Request(b"POST", b"/", headers, b"", 0.0)
+    facts = _dialect.PlatformDialect().read_request(request).ok
+    assert facts.prompt is None or facts.patience_ms is None
+
+
+@pytest.mark.parametrize("missing", [b"Host", b"X-Buckthorntack-Request-Id"])
+def test_request_without_host_or_id_is_refused(missing):
+    headers = [(b"Host", b"h"), (b"X-Buckthorntack-Request-Id", b"1")]
+    headers = [pair for pair in headers if pair[0] != missing]
+    request = http1.Request(b"GET", b"/", headers, b"", 0.0)
+    assert _dialect.PlatformDialect().read_request(request).is_error()
+
+
+def test_reclaim_notice_is_read():
+    content = json.dumps(
+        {
+            "service": "text",
+            "address": "10.0.0.1:80",
+            "zone": "a1",
+            "capacity": 4,
+            "state": "draining",
+            "sequence": 3,
+            "born": 1700000000000,
+            "remaining_ms": 1500.5,
+            "unknown": [],
+        }
+    ).encode()
+    read = _announcements.read_announcement("s", content, {"a1": "north"})
+    assert isinstance(read, type(Ok(None)))
+    assert read.ok.reclaim_left_ms == 1500
+    assert read.ok.region == "north"
+
+
+@pytest.mark.parametrize(
+    "content", [b"", b"{}", b'{"born": 5}', b"\xff", b"["]
+)
+def test_last_word_of_a_server_may_say_little(content):
+    born_ms = _announcements.read_leave(content)
+    assert born_ms == (5 if b"born" in content else None)
