Treat servers of a domain that is taken back as cold until they tell

Ruled out: the rate over several entry VMs (two senders, each at its part). Change: they count as cold for 2.5 s after the return.

--- a/buckthorntack/dispatch/_choice.py
+++ b/buckthorntack/dispatch/_choice.py
@@ -84,6 +84,7 @@
         #: Entry VMs of this region, this one included.
         self.members = []
         self.evacuated = frozenset()
+        self._presumed_cold = {}
 
     def choose(self, wanted, servers, now):
         """Decide on a request.
@@ -118,6 +119,29 @@
         reason = "no server" if not (local or remote) else "none takes more"
         return Refuse(reason, self._retry_after_ms(400.0))
 
+    def set_evacuated(self, evacuated, now):
+        """Take in which failure domains get no work.
+
+        Servers of a domain that is taken back may be cold and not have told
+        it yet, so they count as cold until they must have.
+
+        :param evacuated: the failure domains.
+        :param now: monotonic time.
+        """
+        until = now + self.settings.presumed_cold
+        for domain in self.evacuated - evacuated:
+            self._presumed_cold[domain] = until
+        self.evacuated = frozenset(evacuated)
+
+    def is_cold(self, view, now):
+        """Whether a server bears few requests only.
+
+        :param view: its ``ServerView``.
+        :param now: monotonic time.
+        """
+        until = self._presumed_cold.get(view.record.failure_domain)
+        return view.is_cold(now) or (until is not None and now < until)
+
     def _is_barred(self, record, wanted):
         return (
             record.failure_domain in self.evacuated
@@ -143,7 +167,7 @@
         return self.fleet.state(view.record.server_id).is_ejected(now_s)
 
     def _may_warm(self, wanted, view, now, now_s):
-        if not view.is_cold(now):
+        if not self.is_cold(view, now):
             return True
         per_s = wanted.service.warmup_per_s
         server_id = view.record.server_id
@@ -275,7 +299,7 @@
         places = [
             place
             for view in views
-            if not view.record.silent and not view.is_cold(now)
+            if not view.record.silent and not self.is_cold(view, now)
             if (place := self._remote_place(wanted, view, now_s)) is not None
         ]
         if not places:
@@ -301,7 +325,7 @@
         places = [
             place
             for view in views
-            if not view.record.silent and not view.is_cold(now)
+            if not view.record.silent and not self.is_cold(view, now)
             if (place := self._remote_place(wanted, view, now_s)) is not None
             and here.unread_tokens - place.unread_tokens
             >= settings.follow_tokens
--- a/buckthorntack/dispatch/_settings.py
+++ b/buckthorntack/dispatch/_settings.py
@@ -1,5 +1,6 @@
 """Figures that the choice of a server depends on."""
 
+import datetime
 from typing import NamedTuple
 
 
@@ -76,6 +77,9 @@
     repeat_share: float = 0.75
     #: Entry VMs of a region that send to a cold server.
     cold_senders: int = 3
+    #: Time for which servers count as cold after their failure domain was
+    #: taken back: two announcements, which come every 1.2 s.
+    presumed_cold: datetime.timedelta = datetime.timedelta(seconds=2.5)
     #: Part of the rate of a cold server that is used: requests may bunch up
     #: on their way.
     cold_share: float = 0.8
--- a/buckthorntack/dispatch/tests/test_choice.py
+++ b/buckthorntack/dispatch/tests/test_choice.py
@@ -23,7 +23,7 @@
     ],
 )
 def test_barred_server_gets_nothing(world, fields):
-    world.dispatcher.evacuated = frozenset(["evacuated"])
+    world.dispatcher.set_evacuated(frozenset(["evacuated"]), world.now)
     world.add("s1", **fields)
     decision = world.choose(world.wanted())
     assert isinstance(decision, dispatch.Refuse)
--- a/buckthorntack/gateway/_handling.py
+++ b/buckthorntack/gateway/_handling.py
@@ -314,7 +314,7 @@
         self.place = server_id
         pool = self.knowledge.pool
         fleet = self.knowledge.fleet
-        if view.is_cold(now):
+        if self.knowledge.dispatcher.is_cold(view, now):
             self.knowledge.gate.sent(
                 server_id,
                 self.service.warmup_per_s,
--- a/buckthorntack/gateway/_knowledge.py
+++ b/buckthorntack/gateway/_knowledge.py
@@ -37,6 +37,7 @@
         self.settings = settings
         self.dialect = dialect
         self.registry = registry
+        self.clock = clock
         self.rng = rng
         self.table = None
         figures = dispatch_settings or dispatch.DispatchSettings()
@@ -89,7 +90,9 @@
         self.directives_index = index
         if configuration is not None and configuration.version > self.version:
             self.table = directives.RouteTable(configuration)
-        self.dispatcher.evacuated = frozenset(evacuated)
+        self.dispatcher.set_evacuated(
+            frozenset(evacuated), self.clock.monotonic()
+        )
         self._tell_change()
         return True
 
--- a/buckthorntack/tests/test_pipe_handler.py
+++ b/buckthorntack/tests/test_pipe_handler.py
@@ -51,7 +51,7 @@
             log.info("x" * 100, extra={"number": number})
         assert handler.left_out > 0
         data = read_all(reader)
-        while handler.left_out or not data.endswith(b"again\"}\n"):
+        while handler.left_out or not data.endswith(b'again"}\n'):
             log.info("again")
             data += read_all(reader)
     lines = parse(data)
