--- a/buckthorntack/gateway/_control.py
+++ b/buckthorntack/gateway/_control.py
@@ -118,7 +118,11 @@
         )
         node_id = self.identity.node_id
         self.links = await enter(
-            transport.PlainLinks(node_id, settings.link_address, self._deliver)
+            transport.PlainLinks(
+                node_id,
+                settings.bound(settings.link_address),
+                self._deliver,
+            )
         )
         self.spreading = _spreading.SpreadingTask(self.links, self.clock)
         self.machine = directives.DirectivesMachine(self.spreading.changed)
@@ -166,7 +170,7 @@
     def _listener(self, name, address, handle):
         sock = self.listeners.get(name)
         if sock is None:
-            sock = transport.bind_listener(address)
+            sock = transport.bind_listener(self.settings.bound(address))
         return http1.Listener(sock, handle)
 
     def send(self, to, message):
--- a/buckthorntack/gateway/_entry.py
+++ b/buckthorntack/gateway/_entry.py
@@ -106,7 +106,7 @@
         self.links = await enter(
             transport.PlainLinks(
                 settings.service_address,
-                settings.link_address,
+                settings.bound(settings.link_address),
                 self._deliver,
             )
         )
@@ -158,7 +158,7 @@
     def _listener(self, name, address, handle, limits=http1.Limits):
         sock = self.listeners.get(name)
         if sock is None:
-            sock = transport.bind_listener(address)
+            sock = transport.bind_listener(self.settings.bound(address))
         return http1.Listener(sock, handle, limits)
 
     def _deliver(self, sender, message):
--- a/buckthorntack/gateway/_settings.py
+++ b/buckthorntack/gateway/_settings.py
@@ -40,6 +40,19 @@
     directory_ttl: datetime.timedelta
     #: Time between SIGTERM and SIGKILL.
     grace: datetime.timedelta
+    #: IP address to bind where a relay stands before the node; empty if
+    #: others use the one that is bound.
+    listen_ip: str = ""
+
+    def bound(self, address):
+        """Address to bind for one that others use.
+
+        :param address: IP address and port.
+        """
+        if not self.listen_ip:
+            return address
+        port = address.rpartition(":")[2]
+        return f"{self.listen_ip}:{port}"
 
     @property
     def link_address(self):
--- a/buckthorntack/platform/__main__.py
+++ b/buckthorntack/platform/__main__.py
@@ -51,8 +51,8 @@
             gc.freeze()
             work = gateway.run(node, _settings.load_settings, path)
             return asyncio.run(work)
-        except errors.GatewayError as error:
-            log.write(_events.START_FAILED, error=str(error))
+        except (errors.GatewayError, OSError) as error:
+            log.write(_events.START_FAILED, error=repr(error))
             return 1
 
 
--- a/buckthorntack/schema/_generated/node_documents.py
+++ b/buckthorntack/schema/_generated/node_documents.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import Literal
+from typing import NotRequired
 from typing import TypedDict
 
 
@@ -86,3 +87,7 @@
     """
     Time between SIGTERM and SIGKILL.
     """
+    listen_ip: NotRequired[str]
+    """
+    IP address to bind in place of ip_address, which others use, where a relay stands between.
+    """
--- /dev/null
+++ b/tools/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak of real processes with faults from outside them."""
--- /dev/null
+++ b/tools/soak/__main__.py
@@ -0,0 +1,33 @@
+"""Run the soak: ``python -m tools.soak --seed 7 --seconds 30``."""
+
+import argparse
+import asyncio
+import random
+import sys
+import tempfile
+
+from tools.soak import _soak
+
+
+def main():
+    """Run one soak and print what was broken."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=None)
+    parser.add_argument("--seconds", type=float, default=30.0)
+    parser.add_argument("--folder", default=None)
+    arguments = parser.parse_args()
+    seed = arguments.seed
+    if seed is None:
+        seed = random.SystemRandom().getrandbits(32)
+    print(f"seed {seed}")
+    with tempfile.TemporaryDirectory() as scratch:
+        folder = arguments.folder or scratch
+        book = asyncio.run(_soak.soak(seed, arguments.seconds, folder))
+    print(f"answers {dict(book.answers)} runs {len(book.runs)}")
+    for text in book.broken:
+        print(f"BROKEN {text}")
+    return 1 if book.broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tools/soak/_processes.py
@@ -0,0 +1,141 @@
+"""Processes of the soak: nodes behind proxies, ended by their ids only."""
+
+import asyncio
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import sys
+
+from tools.soak import _proxy
+
+LINK, FORWARD, METRICS = 7400, 7401, 7402
+CONTROL, FRONT, READY, DIRECTORY = 8400, 8401, 8402, 8403
+GRACE_S = 8.0
+ZONES = {"a1": "north", "b1": "south"}
+
+
+class Node:
+    """One process of buckthorntack, its settings, disk and proxies.
+
+    :param name: its name.
+    :param role: ``entry`` or ``control``.
+    :param zone: its failure domain.
+    :param public: IP address that others use.
+    :param private: IP address that it binds.
+    :param seeds: service addresses of control VMs.
+    :param folder: where its files lie.
+    """
+
+    def __init__(self, name, role, zone, public, private, seeds, folder):
+        self.name = name
+        self.role = role
+        self.zone = zone
+        self.public = public
+        self.private = private
+        self.seeds = seeds
+        self.folder = pathlib.Path(folder, name)
+        self.process = None
+        self.proxies = {}
+        self.first_start = True
+        self._stack = contextlib.AsyncExitStack()
+
+    @property
+    def port(self):
+        """Port of its service address."""
+        return FRONT if self.role == "entry" else CONTROL
+
+    @property
+    def address(self):
+        """Service address that others use."""
+        return f"{self.public}:{self.port}"
+
+    def _document(self):
+        is_entry = self.role == "entry"
+        return {
+            "role": self.role,
+            "node_name": self.name,
+            "region": ZONES[self.zone],
+            "failure_domain": self.zone,
+            "regions": ZONES,
+            "ip_address": self.public,
+            "listen_ip": self.private,
+            "service_address": self.address,
+            "readiness_address": f"{self.public}:{READY}" if is_entry else "",
+            "directory_address": (
+                f"{self.public}:{DIRECTORY}" if is_entry else ""
+            ),
+            "metrics_port": METRICS,
+            "internal_ports": [LINK, METRICS],
+            "seeds": self.seeds,
+            "first_start": self.first_start,
+            "data_folder": "" if is_entry else str(self.folder / "data"),
+            "announcement_ms": 1200,
+            "tolerated_losses": 1,
+            "repeat_ratio": 0.2,
+            "repeat_slack": 56.0,
+            "directory_ttl_s": 5.0,
+            "grace_s": GRACE_S,
+        }
+
+    async def __aenter__(self):
+        (self.folder / "data").mkdir(parents=True, exist_ok=True)
+        for port in (LINK, FORWARD, self.port, READY, DIRECTORY):
+            proxy = _proxy.Proxy(
+                f"{self.public}:{port}", f"{self.private}:{port}"
+            )
+            self.proxies[port] = await self._stack.enter_async_context(proxy)
+        await self.start()
+        return self
+
+    async def __aexit__(self, *exc_info):
+        await self.kill()
+        await self._stack.aclose()
+
+    async def start(self):
+        """Start its process on what its disk holds."""
+        settings = self.folder / "settings.json"
+        settings.write_text(json.dumps(self._document()))
+        with (self.folder / "log").open("ab") as log:  # noqa: ASYNC230
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "buckthorntack.platform",
+                stdout=log,
+                stderr=log,
+                env={**os.environ, "BUCKTHORNTACK_NODE_FILE": str(settings)},
+            )
+        self.first_start = False
+
+    def signal(self, number):
+        """Send a signal to its process, if that still runs.
+
+        :param number: the signal.
+        """
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def kill(self):
+        """Kill its process."""
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGKILL)
+        await self.process.wait()
+
+    async def stop(self):
+        """Stop its process as planned.
+
+        :returns: whether it ended by itself within the grace time.
+        """
+        self.signal(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(GRACE_S):
+                return await self.process.wait() == 0
+        except TimeoutError:
+            await self.kill()
+            return False
+
+    def wipe(self):
+        """Empty its disk; its process must have ended."""
+        for path in sorted((self.folder / "data").rglob("*"), reverse=True):
+            path.unlink() if path.is_file() else path.rmdir()
--- /dev/null
+++ b/tools/soak/_soak.py
@@ -0,0 +1,238 @@
+"""One soak: a deployment, its traffic and its faults."""
+
+import asyncio
+import contextlib
+import os
+import random
+import signal
+
+from buckthorntack import tasks
+from tools.soak import _processes
+from tools.soak import _promises
+from tools.soak import _traffic
+
+CALLERS = 12
+#: Time for the deployment to form, and to recover after the last fault.
+SETTLE_S = 5.0
+RECOVER_S = 10.0
+PAUSE_S = (0.4, 2.0)
+HOLD_S = (0.5, 3.0)
+
+
+class Soak:
+    """One deployment, its traffic and its faults.
+
+    :param seed: of all choices.
+    :param folder: where logs and disks lie.
+    :param checks_times: whether promises about times are checked.
+    """
+
+    def __init__(self, seed, folder, checks_times=True):
+        self.rng = random.Random(seed)
+        self.seed = seed
+        self.folder = folder
+        self.book = _promises.Book(checks_times)
+        self.nodes = {}
+        self.servers = []
+        self._stack = contextlib.AsyncExitStack()
+        self._cases = (
+            self.kill,
+            self.kill,
+            self.stop,
+            self.pause,
+            self.wipe,
+            self.reset,
+            self.silence,
+            self.delay,
+            self.cut_one_way,
+            self.cut,
+            self.drain,
+            self.fail_server,
+            self.herd,
+        )
+
+    async def __aenter__(self):
+        await self._stack.__aenter__()
+        pid = os.getpid()
+        public = f"127.{20 + pid % 70}.{pid // 70 % 250}"
+        private = f"127.{160 + pid % 70}.{pid // 70 % 250}"
+        seeds = [f"{public}.{n}:{_processes.CONTROL}" for n in (1, 2, 3)]
+        zones = list(_processes.ZONES)
+        for number in range(1, 8):
+            role = "control" if number <= 3 else "entry"
+            node = _processes.Node(
+                f"{role}-{number}",
+                role,
+                zones[number % 2],
+                f"{public}.{number}",
+                f"{private}.{number}",
+                seeds,
+                self.folder,
+            )
+            self.nodes[node.name] = node
+            await self._stack.enter_async_context(node)
+        for number in range(8):
+            await self._add_server(f"s{number}", f"{public}.{100 + number}")
+        operating = _traffic.operate(self.book, self.controls, self._rng())
+        await self._stack.enter_async_context(tasks.running(operating))
+        await asyncio.sleep(SETTLE_S)
+        for number in range(CALLERS):
+            seed = self.rng.getrandbits(32) + number
+            caller = _traffic.Caller(self.book, self.entries, seed)
+            await self._stack.enter_async_context(tasks.running(caller.run()))
+        return self
+
+    async def __aexit__(self, *exc_info):
+        await self._stack.aclose()
+
+    async def _add_server(self, name, ip_address):
+        number = int(name[1:])
+        service = "text" if number % 2 else "desk"
+        zone = list(_processes.ZONES)[number // 2 % 2]
+        server = _traffic.SoakServer(
+            self.book, self._rng(), name, ip_address, service, zone
+        )
+        self.servers.append(server)
+        await self._stack.enter_async_context(server.listener)
+        announcing = _traffic.announce(server, self.controls, self._rng())
+        await self._stack.enter_async_context(tasks.running(announcing))
+
+    def _rng(self):
+        return random.Random(self.rng.getrandbits(64))
+
+    @property
+    def controls(self):
+        """Nodes of control VMs."""
+        return [n for n in self.nodes.values() if n.role == "control"]
+
+    @property
+    def entries(self):
+        """Nodes of entry VMs."""
+        return [n for n in self.nodes.values() if n.role == "entry"]
+
+    async def run(self, seconds):
+        """Inject faults, some of them overlapping, then look at recovery.
+
+        :param seconds: how long faults are injected.
+        """
+        loop = asyncio.get_running_loop()
+        until = loop.time() + seconds
+        running = set()
+        while loop.time() < until:
+            case = self.rng.choice(self._cases)
+            node = self.rng.choice(list(self.nodes.values()))
+            hold_s = self.rng.uniform(*HOLD_S)
+            print(f"{loop.time():9.2f} {case.__name__} {node.name}")
+            running.add(loop.create_task(case(node, hold_s)))
+            await asyncio.sleep(self.rng.uniform(*PAUSE_S))
+        await asyncio.gather(*running)
+        for node in self.nodes.values():
+            await self._ensure(node)
+        await asyncio.sleep(RECOVER_S)
+        before = self.book.answers[200]
+        await asyncio.sleep(2.0)
+        if self.book.answers[200] - before < CALLERS:
+            self.book.break_time("nothing is served after the faults")
+
+    async def _ensure(self, node):
+        node.signal(signal.SIGCONT)
+        if node.process.returncode is not None:
+            await node.start()
+
+    async def kill(self, node, hold_s):
+        """A process is killed and starts again."""
+        await node.kill()
+        await asyncio.sleep(hold_s / 4)
+        await self._ensure(node)
+
+    async def herd(self, node, hold_s):
+        """All control VMs, or all entry VMs, are killed at once."""
+        victims = [n for n in self.nodes.values() if n.role == node.role]
+        for victim in victims:
+            await victim.kill()
+        for victim in victims:
+            await self._ensure(victim)
+
+    async def stop(self, node, hold_s):
+        """A planned stop, and a start."""
+        if node.process.returncode is not None:
+            return
+        if not await node.stop() and node.process.returncode != -9:
+            code = node.process.returncode
+            self.book.break_time(f"{node.name} ended with {code}")
+        await self._ensure(node)
+
+    async def pause(self, node, hold_s):
+        """A process stands still for a while."""
+        node.signal(signal.SIGSTOP)
+        await asyncio.sleep(hold_s)
+        node.signal(signal.SIGCONT)
+
+    async def wipe(self, node, hold_s):
+        """A control VM loses its disk; one at a time, and given time."""
+        if node.role != "control" or getattr(self, "_wiping", False):
+            return
+        self._wiping = True
+        await node.kill()
+        node.wipe()
+        await self._ensure(node)
+        await asyncio.sleep(RECOVER_S)
+        self._wiping = False
+
+    async def reset(self, node, hold_s):
+        """Open connections are reset."""
+        for proxy in node.proxies.values():
+            proxy.reset()
+
+    async def silence(self, node, hold_s):
+        """Open connections go silent for good; new ones work."""
+        for proxy in node.proxies.values():
+            proxy.silence()
+
+    async def delay(self, node, hold_s):
+        """All bytes come late for a while."""
+        for proxy in node.proxies.values():
+            proxy.delay_s = 0.1
+        await asyncio.sleep(hold_s)
+        for proxy in node.proxies.values():
+            proxy.delay_s = 0.0
+
+    async def cut_one_way(self, node, hold_s):
+        """Links to other nodes are held up in one direction."""
+        direction = self.rng.choice(["in", "out"])
+        node.proxies[_processes.LINK].held = {direction}
+        await asyncio.sleep(hold_s)
+        node.proxies[_processes.LINK].held = set()
+
+    async def cut(self, node, hold_s):
+        """Links to other nodes are held up."""
+        node.proxies[_processes.LINK].held = {"in", "out"}
+        await asyncio.sleep(hold_s)
+        node.proxies[_processes.LINK].held = set()
+
+    async def drain(self, node, hold_s):
+        """A server says that it leaves; four stay."""
+        left = [s for s in self.servers if not hasattr(s, "drains")]
+        if len(left) > 4:
+            self.rng.choice(left).drains = True
+
+    async def fail_server(self, node, hold_s):
+        """A server breaks off some of its answers for a while."""
+        server = self.rng.choice(self.servers)
+        server.failing = 0.5
+        await asyncio.sleep(hold_s)
+        server.failing = 0.0
+
+
+async def soak(seed, seconds, folder, checks_times=True):
+    """Run one soak.
+
+    :param seed: of all choices.
+    :param seconds: how long faults are injected.
+    :param folder: where logs and disks lie.
+    :param checks_times: whether promises about times are checked.
+    :returns: the ``Book``.
+    """
+    async with Soak(seed, folder, checks_times) as running:
+        await running.run(seconds)
+        return running.book
--- /dev/null
+++ b/tools/soak/_traffic.py
@@ -0,0 +1,192 @@
+"""Callers, servers and an operator of the soak."""
+
+import asyncio
+import contextlib
+import random
+
+from buckthorntack.platform.tests import _standins
+
+EVENTS = 6
+#: Pause between two requests of a caller.
+PAUSE_S = (0.01, 0.06)
+ANNOUNCE_S = 1.0
+PATIENCE_S = 4.0
+
+
+class SoakServer(_standins.Server):
+    """A server that books what it runs, and that faults can be set on."""
+
+    def __init__(self, book, rng, *arguments):
+        super().__init__(*arguments)
+        self.book = book
+        self.rng = rng
+        self.failing = 0.0
+        self.behave = self._serve
+
+    async def _serve(self, server, request, reply):
+        request_id = dict(self.headers(request))[_id_name()].decode()
+        now_s = asyncio.get_running_loop().time()
+        path = request.target.decode()
+        repeatable = not path.startswith("/unsafe")
+        self.book.ran(self.server_id, request_id, repeatable, now_s)
+        if self.rng.random() < self.failing:
+            await _standins.reset(self, request, reply)
+        elif path.startswith("/talk"):
+            await _standins.stream(EVENTS, pause_s=0.02)(self, request, reply)
+        else:
+            await asyncio.sleep(self.rng.random() * 0.05)
+            await _standins.answer_whole(self, request, reply)
+
+
+def _id_name():
+    return b"x-buckthorntack-request-id"
+
+
+class Caller:
+    """Sends requests one after the other, on a connection it keeps.
+
+    :param book: the ``Book``.
+    :param entries: nodes of entry VMs.
+    :param seed: of its choices.
+    """
+
+    def __init__(self, book, entries, seed):
+        self.book = book
+        self.entries = entries
+        self.rng = random.Random(seed)
+        self.number = 0
+        self.seed = seed
+        self._connection = None
+
+    async def run(self):
+        """Send requests until cancelled."""
+        try:
+            while True:
+                await self._one()
+                await asyncio.sleep(self.rng.uniform(*PAUSE_S))
+        finally:
+            self._drop()
+
+    async def _one(self):
+        self.number += 1
+        request_id = f"{self.seed}-{self.number}"
+        kind = self.rng.choice(["safe", "unsafe", "talk"])
+        method = "GET" if kind == "safe" else "POST"
+        body = b"" if kind == "safe" else request_id.encode()
+        target = f"/{kind}/{request_id}"
+        lines = [
+            f"{method} {target} HTTP/1.1",
+            f"Host: {_standins.HOST}",
+            f"X-Buckthorntack-Request-Id: {request_id}",
+            f"X-Buckthorntack-Deadline-Ms: {PATIENCE_S * 1e3:.0f}",
+            f"Content-Length: {len(body)}",
+        ]
+        payload = "\r\n".join([*lines, "", ""]).encode() + body
+        status, whole, answer = 0, False, b""
+        with contextlib.suppress(OSError, TimeoutError, EOFError):
+            async with asyncio.timeout(PATIENCE_S + 1.0):
+                status, whole, answer = await self._exchange(payload)
+        expected = f"{method} {target} ".encode() + body
+        if kind == "talk":
+            expected = _standins.whole_stream(EVENTS)
+        sound = answer == expected
+        self.book.answered(request_id, kind != "unsafe", status, whole, sound)
+        if not whole:
+            self._drop()
+
+    async def _exchange(self, payload):
+        if self._connection is None:
+            entry = self.rng.choice(self.entries)
+            host, _, port = entry.address.rpartition(":")
+            self._connection = await asyncio.open_connection(host, int(port))
+        reader, writer = self._connection
+        writer.write(payload)
+        head = await reader.readuntil(b"\r\n\r\n")
+        status = int(head.split(b" ", 2)[1])
+        fields = head.lower()
+        if b"transfer-encoding: chunked" in fields:
+            whole, body = await _read_chunks(reader)
+        else:
+            length = fields.partition(b"content-length: ")[2]
+            size = int(length.partition(b"\r\n")[0] or 0)
+            whole, body = True, await reader.readexactly(size)
+        if b"connection: close" in fields:
+            self._drop()
+        return status, whole, body
+
+    def _drop(self):
+        if self._connection is not None:
+            self._connection[1].transport.abort()
+            self._connection = None
+
+
+async def _read_chunks(reader):
+    body = b""
+    try:
+        while True:
+            size = int(await reader.readuntil(b"\r\n"), 16)
+            data = await reader.readexactly(size + 2)
+            if not size:
+                return True, body
+            body += data[:-2]
+    except (OSError, EOFError):
+        return False, body
+
+
+async def announce(server, controls, rng):
+    """Announce a server at some control VM, over and over.
+
+    :param server: the ``SoakServer``.
+    :param controls: nodes of control VMs.
+    :param rng: source of randomness.
+    """
+    state = "ready"
+    while True:
+        node = rng.choice(controls)
+        state = "draining" if getattr(server, "drains", False) else state
+        body = _standins.json.dumps(server.announcement(state=state)).encode()
+        path = f"/instances/{server.server_id}"
+        with contextlib.suppress(OSError, TimeoutError, EOFError):
+            async with asyncio.timeout(1.0):
+                answer = await _standins.call(node.address, "PUT", path, body)
+            loop = asyncio.get_running_loop()
+            if answer.status == 200 and state == "draining":
+                at_s = server.book.drained_at
+                at_s.setdefault(server.server_id, loop.time())
+        await asyncio.sleep(ANNOUNCE_S)
+
+
+async def operate(book, controls, rng):
+    """Publish configurations and read them back, over and over.
+
+    :param book: the ``Book``.
+    :param controls: nodes of control VMs.
+    :param rng: source of randomness.
+    """
+    version = acknowledged = 0
+    while True:
+        version += rng.randrange(1, 4)
+        document = _standins.configuration(version)
+        book.sent[version] = document
+        body = _standins.json.dumps(document).encode()
+        for _ in range(40):
+            node = rng.choice(controls)
+            with contextlib.suppress(OSError, TimeoutError, EOFError):
+                async with asyncio.timeout(1.0):
+                    answer = await _standins.call(
+                        node.address, "PUT", "/config", body
+                    )
+                if answer.status == 200:
+                    acknowledged = version
+                    break
+            await asyncio.sleep(0.1)
+        for _ in range(4):
+            node = rng.choice(controls)
+            known = acknowledged
+            with contextlib.suppress(OSError, TimeoutError, EOFError):
+                async with asyncio.timeout(1.5):
+                    answer = await _standins.call(
+                        node.address, "GET", "/config"
+                    )
+                book.read_back(answer.status, answer.body, known)
+            await asyncio.sleep(0.2)
