Read new packs at one place; send a region's load across once

Change: a large part that nobody is known to hold is read at the server that all entry VMs choose by the same hash, with a bound by how full of shared parts its memory is. The load of a region goes to one entry VM of each other region, drawn by lot, which passes it on. Seen: the new test fails without the change; not yet measured.

--- a/buckthorntack/dispatch/_choice.py
+++ b/buckthorntack/dispatch/_choice.py
@@ -8,6 +8,11 @@
 #: Claims to a prompt's shared parts, as time: enough to gather equal prompts
 #: while servers are about equally busy.
 CLAIM_MS = 8.0
+#: The same for a large part that no server is known to hold: entry VMs that
+#: have not heard of each other's requests yet choose the same server.
+FIRST_CLAIM_MS = 40.0
+#: Added for such a part at a server whose memory is full of shared parts.
+FULL_MS = 60.0
 
 
 class Serve(NamedTuple):
@@ -112,6 +117,9 @@
         there = self._best_remote(wanted, remote, here, now, now_s)
         if there is None:
             there = self._holding_region(wanted, remote, here, now, now_s)
+        if there is None and not holders:
+            views = [*local, *remote]
+            there = self._first_reader(wanted, views, here, now, now_s)
         if there is not None:
             return self._judged(wanted, there)
         if here is not None:
@@ -213,7 +221,12 @@
                 fetch_from, fetch_ms, cached = fetch
             unread = max(0, wanted.prompt.tokens - cached)
         expected_ms = self._expected_ms(wanted, view, usage, unread, state)
-        expected_ms += fetch_ms + self._claim_ms(wanted, view)
+        most_ms = CLAIM_MS
+        unheld = self._unheld_tokens(wanted, unread)
+        if not holders and unheld >= self.settings.follow_tokens:
+            most_ms = FIRST_CLAIM_MS
+            expected_ms += FULL_MS * state.memory.shared_share()
+        expected_ms += fetch_ms + self._claim_ms(wanted, view, most_ms)
         return _Place(server_id, self.region, expected_ms, unread, fetch_from)
 
     def _fetch(self, engine, view, cached, holders):
@@ -245,13 +258,19 @@
                 best = (holder.address, fetch_ms, holder.cached_tokens)
         return best
 
-    def _claim_ms(self, wanted, view):
+    def _unheld_tokens(self, wanted, unread):
+        """Shared tokens among those that a server would have to read."""
+        if wanted.prompt is None or not wanted.prompt.parts:
+            return 0
+        return unread - wanted.prompt.parts[-1].tokens
+
+    def _claim_ms(self, wanted, view, most_ms):
         """Small preference for the server that a prompt is gathered at."""
         if wanted.prompt is None or not wanted.prompt.parts:
             return 0.0
         key = wanted.prompt.shared_key
         claim = _warmup.rendezvous_value(key, view.record.server_id)
-        return CLAIM_MS * (1.0 - claim)
+        return most_ms * (1.0 - claim)
 
     def _expected_ms(self, wanted, view, usage, unread, state):
         settings = self.settings
@@ -318,9 +337,8 @@
         settings = self.settings
         if here is None or here.fetch_from or wanted.prompt is None:
             return None
-        shared = sum(part.tokens for part in wanted.prompt.parts[:-1])
-        own = wanted.prompt.tokens - shared
-        if here.unread_tokens - own < settings.follow_tokens:
+        unheld = self._unheld_tokens(wanted, here.unread_tokens)
+        if unheld < settings.follow_tokens:
             return None
         places = [
             place
@@ -337,6 +355,39 @@
         worth_ms = saved / settings.prefill_tokens_per_ms
         return best if best.expected_ms < here.expected_ms + worth_ms else None
 
+    def _first_reader(self, wanted, views, here, now, now_s):
+        """The place elsewhere that is to read a large part that none has.
+
+        All entry VMs choose the same one, so that it is read once.
+        """
+        if here is None or here.fetch_from or wanted.prompt is None:
+            return None
+        unheld = self._unheld_tokens(wanted, here.unread_tokens)
+        if unheld < self.settings.follow_tokens:
+            return None
+        sound = [
+            view
+            for view in views
+            if not view.record.silent and not self.is_cold(view, now)
+        ]
+        if not sound:
+            return None
+        key = wanted.prompt.shared_key
+        chosen = max(
+            sound,
+            key=lambda view: _warmup.rendezvous_value(
+                key, view.record.server_id
+            ),
+        )
+        if chosen.record.region == self.region:
+            return None
+        place = self._remote_place(wanted, chosen, now_s)
+        objective_ms = wanted.route.objective.total_seconds() * 1e3
+        most_ms = objective_ms * self.settings.stay_share
+        if place is None or place.expected_ms > most_ms:
+            return None
+        return place
+
     def _remote_place(self, wanted, view, now_s):
         record = view.record
         usage = self.fleet.remote_usage(record.region, record.server_id, now_s)
--- a/buckthorntack/dispatch/_prompts.py
+++ b/buckthorntack/dispatch/_prompts.py
@@ -46,7 +46,9 @@
     def __init__(self, capacity_tokens):
         self.capacity_tokens = capacity_tokens
         self.used_tokens = 0
+        self.shared_tokens = 0
         self._parts = collections.OrderedDict()
+        self._shared = set()
 
     def cached_tokens(self, parts):
         """Tokens at the start of a prompt that need not be read.
@@ -68,17 +70,32 @@
         :param parts: the prompt's parts, in order.
         """
         chain = ""
-        for part in parts:
+        for number, part in enumerate(parts, 1):
             chain = f"{chain}/{part.part_id}"
             known = self._parts.pop(chain, None)
             if known is None:
                 self.used_tokens += part.tokens
             self._parts[chain] = part.tokens
+            if number < len(parts) and chain not in self._shared:
+                self._shared.add(chain)
+                self.shared_tokens += part.tokens
         while self.used_tokens > self.capacity_tokens and self._parts:
-            _, tokens = self._parts.popitem(last=False)
+            oldest, tokens = self._parts.popitem(last=False)
             self.used_tokens -= tokens
+            if oldest in self._shared:
+                self._shared.discard(oldest)
+                self.shared_tokens -= tokens
+
+    def shared_share(self):
+        """Share of the memory that parts of several requests take.
+
+        The last part of a prompt belongs to one request or session.
+        """
+        return self.shared_tokens / max(1, self.capacity_tokens)
 
     def clear(self):
         """The memory is empty, as after a start."""
         self._parts.clear()
+        self._shared.clear()
         self.used_tokens = 0
+        self.shared_tokens = 0
--- a/buckthorntack/dispatch/tests/_world.py
+++ b/buckthorntack/dispatch/tests/_world.py
@@ -16,9 +16,10 @@
     """Servers as one entry VM sees them.
 
     :param settings: ``dispatch.DispatchSettings``.
+    :param region: region of the entry VM.
     """
 
-    def __init__(self, settings=None):
+    def __init__(self, settings=None, region="fukuoka"):
         self.settings = settings or dispatch.DispatchSettings()
         self.now = 100 * S
         self.registry = discovery.Registry(1, discovery.Timing(), self.now)
@@ -27,7 +28,7 @@
             OWN, self.settings.cold_senders, self.settings.cold_share
         )
         self.dispatcher = dispatch.Dispatcher(
-            "fukuoka", self.fleet, self.gate, self.settings, random.Random(4)
+            region, self.fleet, self.gate, self.settings, random.Random(4)
         )
         self.dispatcher.members = [OWN]
 
--- a/buckthorntack/dispatch/tests/test_pack_hotspot.py
+++ b/buckthorntack/dispatch/tests/test_pack_hotspot.py
@@ -1,6 +1,7 @@
 """Long prompts that share large parts, more than one server can keep."""
 
 import collections
+import datetime
 import random
 
 from buckthorntack import directives
@@ -144,3 +145,28 @@
     world, wanted = two_regions(131_072.0)
     world.fleet.state("s0").memory.note(wanted.prompt.parts)
     assert isinstance(world.choose(wanted), dispatch.Serve)
+
+
+def test_entry_vms_of_all_regions_read_a_new_pack_at_one_place():
+    """None of them has heard of the others' requests yet."""
+    regions = ("fukuoka", "kumamoto", "kagoshima")
+    profile = directives.EngineProfile(64, 330_000, 131_072.0, 180_000.0)
+    service = _documents.service()._replace(engine=profile)
+    slow = _documents.route(objective=datetime.timedelta(seconds=1.2))
+    places = []
+    for pack in range(12):
+        readers = set()
+        for region in regions:
+            world = _world.World(region=region)
+            for number, home in enumerate(regions * 2):
+                world.add(f"s{number}", region=home, failure_domain=home)
+            for other in regions:
+                load = messages.RegionLoad(other, [], [])
+                world.fleet.region_reported(load, world.now_s)
+            prompt = _world.prompt(f"pack{pack}", tokens=500)
+            wanted = world.wanted(prompt, route=slow, service=service)
+            decision = world.choose(wanted)
+            at_home = isinstance(decision, dispatch.Serve)
+            readers.add(region if at_home else decision.region)
+        places.append(len(readers))
+    assert places == [1] * 12
--- a/buckthorntack/gateway/_entry.py
+++ b/buckthorntack/gateway/_entry.py
@@ -166,7 +166,7 @@
         if isinstance(message, messages.UseReport):
             self.knowledge.fleet.peer_reported(sender, message, now_s)
         elif isinstance(message, messages.RegionLoad):
-            self.knowledge.fleet.region_reported(message, now_s)
+            self._take_region_load(sender, message, now_s)
         elif isinstance(message, messages.RegistryChanges):
             self.following.take_changes(sender, message)
         elif isinstance(message, messages.PresenceReply):
@@ -277,9 +277,22 @@
         ]
         shared = self.knowledge.fleet.shared()
         load = messages.RegionLoad(region, servers, shared)
-        for record in self.registry.nodes_of("entry"):
-            if record.region != region and not record.silent:
-                self.links.send(record.node_id, load)
+        for other in sorted(set(self.settings.regions.values()) - {region}):
+            entries = self.knowledge.entries_of(other)
+            if entries:
+                self.links.send(self.rng.choice(entries).node_id, load)
+
+    def _take_region_load(self, sender, load, now_s):
+        """Take the load of another region, and pass it on in this one.
+
+        It crosses between regions once, to an entry VM drawn by lot.
+        """
+        self.knowledge.fleet.region_reported(load, now_s)
+        known = self.registry.nodes.get(sender)
+        if known is None or known.record.region != load.region:
+            return
+        for node_id in self._region_peers():
+            self.links.send(node_id, load)
 
     def _tell_crash(self, fingerprint, server_id, attempt):
         if self._crash_notices >= MOST_CRASH_NOTICES:
