Use kept connections sooner after one was dropped while idle

A server, or something between, may drop an idle connection without notice; what is sent next on it is lost, and an unsafe request cannot be sent again. A drop is noted by how long the connection was idle, and later ones to that server are used for at most 0.7 of it.

--- a/buckthorntack/http1/_client.py
+++ b/buckthorntack/http1/_client.py
@@ -28,6 +28,8 @@
         self.id_name = id_name
         self.transport = None
         self.idle_since_s = 0.0
+        #: How long it was idle before the exchange at hand; None if it is new.
+        self.idled_s = None
         #: How long the server keeps it open while idle; None if not told.
         self.idle_limit_s = None
         self.exchanges = 0
@@ -53,11 +55,13 @@
         self._closes = False
         self._poisoned = False
         self._until_end = False
+        self._received = False
 
     def connection_made(self, transport):
         self.transport = transport
 
     def data_received(self, data):
+        self._received = True
         if self._parser is None or self._complete:
             # Nothing is awaited: whatever comes belongs to no request.
             self._poisoned = True
@@ -245,6 +249,13 @@
             and self.transport.get_write_buffer_size() == 0
         )
 
+    def was_dropped(self):
+        """Whether a kept connection ended without a byte of an answer.
+
+        The server, or something between, may have dropped it while idle.
+        """
+        return self.idled_s is not None and not self._received and self._closes
+
     def close(self):
         """Give the connection up; the server notices at once."""
         if self.transport is not None:
--- a/buckthorntack/http1/_pool.py
+++ b/buckthorntack/http1/_pool.py
@@ -17,6 +17,10 @@
 #: a round trip between regions.
 IDLE_MARGIN_S = 0.5
 MOST_IDLE = 64
+#: Part of the idle time after which a connection was found dropped that later
+#: ones may reach, and the shortest such limit.
+DROPPED_SHARE = 0.7
+LEAST_IDLE_LIMIT_S = 0.2
 #: Unacknowledged bytes for so long mean that a server is gone or cut off.
 USER_TIMEOUT_MS = 1500
 
@@ -33,6 +37,7 @@
         self.id_name = id_name
         self.opened = 0
         self._idle = collections.defaultdict(list)
+        self._limits_s = {}
         self._log = events.EventLog("http1")
 
     def __enter__(self):
@@ -54,7 +59,11 @@
         idle = self._idle.get(key, ())
         while idle:
             connection = idle.pop()
-            if connection.is_reusable() and now < _last_use_s(connection):
+            idled_s = now - connection.idle_since_s
+            limit_s = self._limits_s.get(key, idled_s)
+            in_time = now < _last_use_s(connection) and idled_s <= limit_s
+            if connection.is_reusable() and in_time:
+                connection.idled_s = idled_s
                 return connection
             connection.close()
         return await self._open(address)
@@ -65,6 +74,8 @@
         :param key: names its server.
         :param connection: the ``Connection``.
         """
+        if connection.was_dropped():
+            self._note_dropped(key, connection.idled_s)
         idle = self._idle[key]
         if not connection.is_reusable() or len(idle) >= MOST_IDLE:
             connection.close()
@@ -72,11 +83,18 @@
         connection.idle_since_s = asyncio.get_running_loop().time()
         idle.append(connection)
 
+    def _note_dropped(self, key, idled_s):
+        """Use connections to a server sooner after one was dropped."""
+        limit_s = max(LEAST_IDLE_LIMIT_S, DROPPED_SHARE * idled_s)
+        known_s = self._limits_s.get(key, limit_s)
+        self._limits_s[key] = min(known_s, limit_s)
+
     def forget(self, key):
         """Close the idle connections to a server.
 
         :param key: names the server.
         """
+        self._limits_s.pop(key, None)
         for connection in self._idle.pop(key, ()):
             connection.close()
 
--- a/buckthorntack/http1/tests/test_exchange.py
+++ b/buckthorntack/http1/tests/test_exchange.py
@@ -235,3 +235,26 @@
         (b"X-End", b"2"),
     ]
     assert http1.end_to_end(headers) == [(b"X-End", b"2")]
+
+
+def test_connections_are_used_sooner_after_one_was_dropped_while_idle():
+    async def scenario(server, pool):
+        await ask(server, pool)
+        [kept] = pool._idle["s"]
+        kept.idle_since_s -= 2.0
+        server.paused.set()
+        with pytest.raises(http1.AnswerBrokenError):
+            await ask(server, pool)
+        await ask(server, pool)
+        [kept] = pool._idle["s"]
+        kept.idle_since_s -= 1.5
+        # 1.4 s is the limit now: a new connection is made.
+        await ask(server, pool)
+        assert server.connections == 3
+
+    run(
+        scenario,
+        ["await", WHOLE, "pause", "await", "reset"],
+        ["await", WHOLE],
+        ["await", WHOLE],
+    )
