--- a/tools/soak/_proxy.py
+++ b/tools/soak/_proxy.py
@@ -67,13 +67,16 @@
             for each in pair:
                 each.transport.abort()
 
+    async def _while_held(self, pair, direction):
+        while pair in self._silent or direction in self.held:  # noqa: ASYNC110
+            await asyncio.sleep(_HOLD_S)
+
     async def _relay(self, reader, writer, pair, direction):
         with contextlib.suppress(OSError):
             while data := await reader.read(_PART_BYTES):
                 if self.delay_s:
                     await asyncio.sleep(self.delay_s)
-                while direction in self.held or pair in self._silent:  # noqa: ASYNC110
-                    await asyncio.sleep(_HOLD_S)
+                await self._while_held(pair, direction)
                 writer.write(data)
                 await writer.drain()
             if pair not in self._silent:
