Begin periodic work again when it fails

Change: periodic work logs its failure (event 2223) and begins again. The soak lets a process that is younger than 2 s end by the signal.

--- a/buckthorntack/gateway/_control.py
+++ b/buckthorntack/gateway/_control.py
@@ -17,13 +17,13 @@
 from buckthorntack import http1
 from buckthorntack import schema
 from buckthorntack import storage
-from buckthorntack import tasks
 from buckthorntack import transport
 from buckthorntack.discovery import _formation
 from buckthorntack.gateway import _errors
 from buckthorntack.gateway import _events
 from buckthorntack.gateway import _gathering
 from buckthorntack.gateway import _identity
+from buckthorntack.gateway import _loops
 from buckthorntack.gateway import _monitor
 from buckthorntack.gateway import _spreading
 from buckthorntack.schema import messages
@@ -161,11 +161,11 @@
         address = f"{settings.ip_address}:{settings.metrics_port}"
         await enter(self._listener("metrics", address, metrics))
         for work in (
-            self.gathering.run(),
-            self.gathering.expire(),
-            self._form(),
+            self.gathering.run,
+            self.gathering.expire,
+            self._form,
         ):
-            await enter(tasks.running(work))
+            await enter(_loops.keep_running(work))
 
     def _listener(self, name, address, handle):
         sock = self.listeners.get(name)
--- a/buckthorntack/gateway/_entry.py
+++ b/buckthorntack/gateway/_entry.py
@@ -9,12 +9,12 @@
 from buckthorntack import discovery
 from buckthorntack import events
 from buckthorntack import http1
-from buckthorntack import tasks
 from buckthorntack import transport
 from buckthorntack.gateway import _events
 from buckthorntack.gateway import _following
 from buckthorntack.gateway import _handling
 from buckthorntack.gateway import _knowledge
+from buckthorntack.gateway import _loops
 from buckthorntack.gateway import _metrics
 from buckthorntack.gateway import _monitor
 from buckthorntack.schema import messages
@@ -148,12 +148,12 @@
             if address and name in handlers:
                 await enter(self._listener(name, address, handlers[name]))
         for work in (
-            self.following.run(),
-            self._expire(),
-            self._tell_use(),
-            self._tell_region_load(),
+            self.following.run,
+            self._expire,
+            self._tell_use,
+            self._tell_region_load,
         ):
-            await enter(tasks.running(work))
+            await enter(_loops.keep_running(work))
 
     def _listener(self, name, address, handle, limits=http1.Limits):
         sock = self.listeners.get(name)
--- a/buckthorntack/gateway/_events.py
+++ b/buckthorntack/gateway/_events.py
@@ -119,6 +119,13 @@
     logbook.NOTICE,
     "A read of the configuration could not be confirmed by a majority.",
 )
+TASK_FAILED = events.declare(
+    2223,
+    "task_failed",
+    logbook.ERROR,
+    "Work of the node failed and is begun again.",
+    "report the error",
+)
 CRASH_NOTED = events.declare(
     2218,
     "crash_noted",
--- /dev/null
+++ b/buckthorntack/gateway/tests/test_loops.py
@@ -0,0 +1,26 @@
+"""Work of a node goes on after a failure."""
+
+import asyncio
+
+from buckthorntack.gateway import _loops
+
+
+def test_work_that_fails_is_begun_again(monkeypatch):
+    monkeypatch.setattr(_loops, "RESTART_S", 0.0)
+    begun = []
+
+    async def scenario():
+        again = asyncio.Event()
+
+        async def work():
+            begun.append(len(begun))
+            if len(begun) < 3:
+                raise LookupError("fault")
+            again.set()
+            await asyncio.Event().wait()
+
+        async with _loops.keep_running(work), asyncio.timeout(20):
+            await again.wait()
+
+    asyncio.run(scenario())
+    assert begun == [0, 1, 2]
--- a/tools/soak/_processes.py
+++ b/tools/soak/_processes.py
@@ -7,12 +7,15 @@
 import pathlib
 import signal
 import sys
+import time
 
 from tools.soak import _proxy
 
 LINK, FORWARD, METRICS = 7400, 7401, 7402
 CONTROL, FRONT, READY, DIRECTORY = 8400, 8401, 8402, 8403
 GRACE_S = 8.0
+#: A process that is told to stop sooner after its start has begun nothing.
+STARTING_S = 2.0
 ZONES = {"a1": "north", "b1": "south"}
 
 
@@ -39,6 +42,7 @@
         self.process = None
         self.proxies = {}
         self.first_start = True
+        self._started_s = 0.0
         self._stack = contextlib.AsyncExitStack()
 
     @property
@@ -107,6 +111,7 @@
                 env={**os.environ, "BUCKTHORNTACK_NODE_FILE": str(settings)},
             )
         self.first_start = False
+        self._started_s = time.monotonic()
 
     def signal(self, number):
         """Send a signal to its process, if that still runs.
@@ -127,10 +132,13 @@
 
         :returns: whether it ended by itself within the grace time.
         """
+        young = time.monotonic() - self._started_s < STARTING_S
+        process = self.process
         self.signal(signal.SIGTERM)
         try:
             async with asyncio.timeout(GRACE_S):
-                return await self.process.wait() == 0
+                code = await process.wait()
+                return code == 0 or (young and code == -signal.SIGTERM)
         except TimeoutError:
             await self.kill()
             return False
