Say once what both node types and both sides of HTTP do

Found on reading the whole change; behaviour stays, no test is touched. - transport.set_liveness serves HTTP connections, their pool and links; it stood in two places, and the pool set one option twice. - gateway Node holds start, stop, listeners and metrics of both node types; OwnPresence what a node says of itself; link_address_of the one way from an id or address to a link. - clock.milliseconds in place of a rounding of its own. - The choice of a place: one test for servers that are open to any load, one for large parts, named weights in place of bare numbers. - The life of a request: one way to strip fields of ours and to build a payload; an answer that is sent whole is no longer called failed. - Removed, as nothing read it: the mark of a forwarded request (its listener tells), cold time in answers, five methods and fields, an event.

--- a/buckthorntack/discovery/_followers.py
+++ b/buckthorntack/discovery/_followers.py
@@ -57,13 +57,5 @@
             sent.append((node_id, changes))
         return sent
 
-    def entries(self):
-        """Entry VMs that follow this registry."""
-        return [
-            node_id
-            for node_id, follower in self._followers.items()
-            if follower.role == "entry"
-        ]
-
     def __contains__(self, node_id):
         return node_id in self._followers
--- a/buckthorntack/dispatch/_choice.py
+++ b/buckthorntack/dispatch/_choice.py
@@ -14,6 +14,16 @@
 #: Added for such a part at a server whose memory is full of shared parts.
 FULL_MS = 60.0
 
+#: Places whose expected times differ by less are equal.
+NEAR_MS = 1.0
+#: Waits, in times of a stream, for each memory that requests lack.
+EXCESS_WEIGHT = 4.0
+#: Retry-After where no server is known that may take the request: a part of
+#: the time between two announcements.
+NO_PLACE_RETRY_MS = 400.0
+#: By how much a Retry-After is shortened or lengthened.
+RETRY_SPREAD = (0.75, 1.25)
+
 
 class Serve(NamedTuple):
     """Send the request to a server of this region."""
@@ -124,7 +134,7 @@
         if here is not None:
             return self._judged(wanted, here)
         reason = "no server" if not (local or remote) else "none takes more"
-        return Refuse(reason, self._retry_after_ms(400.0))
+        return Refuse(reason, self._retry_after_ms(NO_PLACE_RETRY_MS))
 
     def set_evacuated(self, evacuated, now):
         """Take in which failure domains get no work.
@@ -165,7 +175,9 @@
         if not places:
             return None
         best = min(place.expected_ms for place in places)
-        near = [place for place in places if place.expected_ms <= best + 1.0]
+        near = [
+            place for place in places if place.expected_ms <= best + NEAR_MS
+        ]
         return near[0] if len(near) == 1 else self.rng.choice(near)
 
     def _is_doubtful(self, view, now_s):
@@ -301,7 +313,7 @@
         """How far requests go beyond an engine's memory, in memories."""
         room = wanted.service.engine.memory_tokens * self.settings.memory_share
         held = usage.held_tokens + _held_tokens(wanted.prompt)
-        return max(0.0, held - room) / max(1.0, room) * 4.0
+        return max(0.0, held - room) / max(1.0, room) * EXCESS_WEIGHT
 
     def _best_remote(self, wanted, views, here, now, now_s):
         """A place elsewhere that is worth the way, or None."""
@@ -311,15 +323,10 @@
             stay_ms = objective_ms * settings.stay_share
             if here.expected_ms <= stay_ms:
                 return None
-        places = [
-            place
-            for view in views
-            if not view.record.silent and not self.is_cold(view, now)
-            if (place := self._remote_place(wanted, view, now_s)) is not None
-        ]
+        places = self._remote_places(wanted, views, now, now_s)
         if not places:
             return None
-        best = min(places, key=lambda place: place.expected_ms)
+        best = min(places, key=_expected)
         if here is None:
             return best
         gain_ms = here.expected_ms - best.expected_ms
@@ -331,22 +338,17 @@
         Reading it again would take an engine's time from all its streams.
         """
         settings = self.settings
-        if here is None or here.fetch_from or wanted.prompt is None:
-            return None
-        unheld = self._unheld_tokens(wanted, here.unread_tokens)
-        if unheld < settings.follow_tokens:
+        if not self._reads_large_part(wanted, here):
             return None
         places = [
             place
-            for view in views
-            if not view.record.silent and not self.is_cold(view, now)
-            if (place := self._remote_place(wanted, view, now_s)) is not None
-            and here.unread_tokens - place.unread_tokens
+            for place in self._remote_places(wanted, views, now, now_s)
+            if here.unread_tokens - place.unread_tokens
             >= settings.follow_tokens
         ]
         if not places:
             return None
-        best = min(places, key=lambda place: place.expected_ms)
+        best = min(places, key=_expected)
         saved = here.unread_tokens - best.unread_tokens
         worth_ms = saved / settings.prefill_tokens_per_ms
         return best if best.expected_ms < here.expected_ms + worth_ms else None
@@ -356,16 +358,9 @@
 
         All entry VMs choose the same one, so that it is read once.
         """
-        if here is None or here.fetch_from or wanted.prompt is None:
-            return None
-        unheld = self._unheld_tokens(wanted, here.unread_tokens)
-        if unheld < self.settings.follow_tokens:
+        if not self._reads_large_part(wanted, here):
             return None
-        sound = [
-            view
-            for view in views
-            if not view.record.silent and not self.is_cold(view, now)
-        ]
+        sound = [view for view in views if self._is_open(view, now)]
         if not sound:
             return None
         key = wanted.prompt.shared_key
@@ -384,6 +379,26 @@
             return None
         return place
 
+    def _reads_large_part(self, wanted, here):
+        """Whether the best place here has to read a large shared part."""
+        if here is None or here.fetch_from:
+            return False
+        unheld = self._unheld_tokens(wanted, here.unread_tokens)
+        return unheld >= self.settings.follow_tokens
+
+    def _is_open(self, view, now):
+        """Whether a server is heard of and bears any number of requests."""
+        return not view.record.silent and not self.is_cold(view, now)
+
+    def _remote_places(self, wanted, views, now, now_s):
+        """Places elsewhere whose load is known."""
+        places = [
+            self._remote_place(wanted, view, now_s)
+            for view in views
+            if self._is_open(view, now)
+        ]
+        return [place for place in places if place is not None]
+
     def _remote_place(self, wanted, view, now_s):
         record = view.record
         usage = self.fleet.remote_usage(record.region, record.server_id, now_s)
@@ -425,7 +440,7 @@
     def _retry_after_ms(self, wait_ms):
         """A time to come back at, spread so that not all come together."""
         settings = self.settings
-        spread = 0.75 + 0.5 * self.rng.random()
+        spread = self.rng.uniform(*RETRY_SPREAD)
         return min(
             max(wait_ms * spread, settings.least_retry_after_ms),
             settings.most_retry_after_ms,
@@ -448,6 +463,10 @@
         )
 
 
+def _expected(place):
+    return place.expected_ms
+
+
 def _held_tokens(prompt):
     if prompt is None:
         return 0
--- a/buckthorntack/dispatch/_crashes.py
+++ b/buckthorntack/dispatch/_crashes.py
@@ -53,10 +53,3 @@
         :param fingerprint: names equal requests.
         """
         return len(self._crashes.get(fingerprint, ())) >= MOST_CRASHES
-
-    def is_suspect(self, fingerprint):
-        """Whether a server crashed while an equal request ran.
-
-        :param fingerprint: names equal requests.
-        """
-        return fingerprint in self._crashes
--- a/buckthorntack/dispatch/_fleet.py
+++ b/buckthorntack/dispatch/_fleet.py
@@ -288,10 +288,6 @@
         sent, self._sent = self._sent, []
         return messages.UseReport(sequence, uses, sent, [])
 
-    def has_news(self):
-        """Whether prompts were sent since the last report."""
-        return bool(self._sent)
-
     def peer_reported(self, node_id, report, now_s):
         """Take in what another entry VM of the region has at servers.
 
--- a/buckthorntack/gateway/_control.py
+++ b/buckthorntack/gateway/_control.py
@@ -8,23 +8,20 @@
 
 from expression import Error
 from expression import Ok
-import prometheus_client
 
 from buckthorntack import consensus
 from buckthorntack import directives
 from buckthorntack import discovery
-from buckthorntack import events
-from buckthorntack import http1
 from buckthorntack import schema
 from buckthorntack import storage
 from buckthorntack import transport
-from buckthorntack.discovery import _formation
+from buckthorntack.gateway import _addresses
 from buckthorntack.gateway import _errors
 from buckthorntack.gateway import _events
 from buckthorntack.gateway import _gathering
 from buckthorntack.gateway import _identity
 from buckthorntack.gateway import _loops
-from buckthorntack.gateway import _monitor
+from buckthorntack.gateway import _node
 from buckthorntack.gateway import _spreading
 from buckthorntack.schema import messages
 
@@ -45,70 +42,28 @@
 HAND_OVER_S = 1.5
 
 
-class ControlNode:
-    """One control VM; an asynchronous context manager.
+class ControlNode(_node.Node):
+    """One control VM.
+
+    The handlers name ``control``, the one of operators and servers.
 
-    :param settings: ``NodeSettings``.
-    :param dialect: the ``Dialect``.
-    :param clock: source of time.
-    :param rng: source of randomness.
-    :param make_handlers: gives the handler of operators and servers, under
-        the name ``control``, for this node.
-    :param listeners: bound sockets by name; others are bound here.
     :param files: file operations.
     """
 
-    def __init__(
-        self,
-        settings,
-        dialect,
-        clock,
-        rng,
-        make_handlers,
-        listeners=None,
-        files=None,
-    ):
-        self.settings = settings
-        self.dialect = dialect
-        self.clock = clock
-        self.rng = rng
-        self.make_handlers = make_handlers
-        self.listeners = dict(listeners or {})
+    def __init__(self, *arguments, files=None, **options):
+        super().__init__(*arguments, **options)
         self.files = files or storage.SystemFiles()
-        self.timing = discovery.Timing()
-        self.registry = discovery.Registry(
-            rng.getrandbits(40) + 1, self.timing, clock.monotonic()
-        )
-        self.metrics_registry = prometheus_client.CollectorRegistry()
         self.identity = None
         self.gathering = None
         self.replica = None
         self.spreading = None
         self.listener = None
-        self._log = events.EventLog("gateway")
-        self._stack = contextlib.AsyncExitStack()
 
-    async def __aenter__(self):
-        await self._stack.__aenter__()
-        try:
-            await self._start()
-        except BaseException:
-            await self._stack.aclose()
-            raise
-        self._log.write(
-            _events.NODE_STARTED,
-            node=self.settings.node_name,
-            role="control",
-            node_id=self.identity.node_id,
-            operators=self.listener.address,
-        )
-        return self
-
-    async def __aexit__(self, *exc_info):
-        await self._stack.aclose()
-        self._log.write(
-            _events.NODE_STOPPED, node=self.settings.node_name, role="control"
-        )
+    def _described(self):
+        return {
+            "node_id": self.identity.node_id,
+            "operators": self.listener.address,
+        }
 
     async def _start(self):
         settings = self.settings
@@ -152,14 +107,10 @@
             self.clock,
         )
         handlers = self.make_handlers(self)
-        self.listener = await enter(
-            self._listener(
-                "control", settings.service_address, handlers["control"]
-            )
+        self.listener = await self._listen(
+            "control", settings.service_address, handlers["control"]
         )
-        metrics = _monitor.metrics_handler(self.metrics_registry)
-        address = f"{settings.ip_address}:{settings.metrics_port}"
-        await enter(self._listener("metrics", address, metrics))
+        await self._serve_metrics()
         for work in (
             self.gathering.run,
             self.gathering.expire,
@@ -167,12 +118,6 @@
         ):
             await enter(_loops.keep_running(work))
 
-    def _listener(self, name, address, handle):
-        sock = self.listeners.get(name)
-        if sock is None:
-            sock = transport.bind_listener(self.settings.bound(address))
-        return http1.Listener(sock, handle)
-
     def send(self, to, message):
         """Send a message of the group to another replica.
 
@@ -180,7 +125,7 @@
         :param message: the message.
         """
         if to not in self.links.addresses:
-            address = _identity.link_address_of(to, self.settings.link_port)
+            address = _addresses.link_address_of(to, self.settings.link_port)
             self.links.learn(to, address)
         envelope = messages.ReplicaEnvelope(to, schema.pack(message))
         self.links.send(to, envelope)
@@ -280,14 +225,16 @@
     async def _form(self):
         """Grow and mend the group while this replica leads it."""
         voters = 2 * self.settings.tolerated_losses + 1
-        formation = discovery.Formation(voters, _formation.REPLACE_AFTER)
+        formation = None
         while True:
             await self.clock.sleep(FORMATION_PERIOD)
             if not self.replica.is_leader():
+                formation = None
+                continue
+            if formation is None:
                 formation = discovery.Formation(
-                    voters, _formation.REPLACE_AFTER
+                    voters, discovery.REPLACE_AFTER
                 )
-                continue
             now = self.clock.monotonic()
             change = formation.next_change(
                 self.replica.status(), self.gathering.present_controls(), now
@@ -334,10 +281,8 @@
 
     async def stop(self):
         """Hand the leadership on and finish what was begun."""
-        self._log.write(
-            _events.NODE_STOPPING, node=self.settings.node_name, role="control"
-        )
-        self.gathering.state = "stopping"
+        self._note(_events.NODE_STOPPING)
+        self.gathering.own.state = "stopping"
         self.listener.begin_close()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(HAND_OVER_S):
--- a/buckthorntack/gateway/_dialect.py
+++ b/buckthorntack/gateway/_dialect.py
@@ -27,8 +27,6 @@
     not_run: bool
     #: Whether another server has the address now.
     is_other_server: bool
-    #: How much longer the server is cold; None if it does not say.
-    cold_left_ms: int | None
 
 
 class Dialect(Protocol):
--- a/buckthorntack/gateway/_entry.py
+++ b/buckthorntack/gateway/_entry.py
@@ -1,14 +1,9 @@
 """An entry VM: its listeners, its tasks and its stop."""
 
 import asyncio
-import contextlib
 import datetime
 
-import prometheus_client
-
 from buckthorntack import discovery
-from buckthorntack import events
-from buckthorntack import http1
 from buckthorntack import transport
 from buckthorntack.gateway import _events
 from buckthorntack.gateway import _following
@@ -16,7 +11,7 @@
 from buckthorntack.gateway import _knowledge
 from buckthorntack.gateway import _loops
 from buckthorntack.gateway import _metrics
-from buckthorntack.gateway import _monitor
+from buckthorntack.gateway import _node
 from buckthorntack.schema import messages
 
 _MS = datetime.timedelta(milliseconds=1)
@@ -27,6 +22,8 @@
 #: Pause between two reports of a region's load to other regions.
 REGION_PERIOD = 500 * _MS
 EXPIRE_PERIOD = 250 * _MS
+#: Silence after which the next entry VM speaks for the region: some reports.
+SPEAKER_SILENCE_S = 1.0
 #: Crashes told to others in one message; one crash notes all requests that
 #: were running on the server.
 MOST_CRASH_NOTICES = 64
@@ -40,64 +37,26 @@
 MOST_ADDRESSES = 64
 
 
-class EntryNode:
-    """One entry VM; an asynchronous context manager.
+class EntryNode(_node.Node):
+    """One entry VM.
 
-    :param settings: ``NodeSettings``.
-    :param dialect: the ``Dialect``.
-    :param clock: source of time.
-    :param rng: source of randomness.
-    :param listeners: bound sockets by name; others are bound here.
-    :param make_handlers: gives the handlers of readiness and directory, by
-        name, for this node.
+    The handlers name ``readiness`` and ``directory``.
     """
 
-    def __init__(
-        self, settings, dialect, clock, rng, make_handlers, listeners=None
-    ):
-        self.settings = settings
-        self.dialect = dialect
-        self.clock = clock
-        self.rng = rng
-        self.make_handlers = make_handlers
-        self.listeners = dict(listeners or {})
-        self.timing = discovery.Timing()
-        self.registry = discovery.Registry(
-            rng.getrandbits(40) + 1, self.timing, clock.monotonic()
-        )
+    def __init__(self, *arguments, **options):
+        super().__init__(*arguments, **options)
         self.knowledge = _knowledge.Knowledge(
-            settings, dialect, self.registry, clock, rng
+            self.settings, self.dialect, self.registry, self.clock, self.rng
         )
-        self.metrics_registry = prometheus_client.CollectorRegistry()
         self.metrics = _metrics.EntryMetrics(self.metrics_registry)
         self.following = None
         self.front = None
-        self._region_load_sent = None
+        self.forward = None
         self._crash_notices = []
         self._use_sequence = 0
-        self._log = events.EventLog("gateway")
-        self._stack = contextlib.AsyncExitStack()
-
-    async def __aenter__(self):
-        await self._stack.__aenter__()
-        try:
-            await self._start()
-        except BaseException:
-            await self._stack.aclose()
-            raise
-        self._log.write(
-            _events.NODE_STARTED,
-            node=self.settings.node_name,
-            role="entry",
-            callers=self.front.address,
-        )
-        return self
 
-    async def __aexit__(self, *exc_info):
-        await self._stack.aclose()
-        self._log.write(
-            _events.NODE_STOPPED, node=self.settings.node_name, role="entry"
-        )
+    def _described(self):
+        return {"callers": self.front.address}
 
     async def _start(self):
         settings = self.settings
@@ -123,30 +82,24 @@
             self.knowledge, self.clock, self.metrics, self._tell_crash
         )
         limits = self.knowledge.limits
-        self.forward = await enter(
-            self._listener(
-                "forward",
-                settings.forward_address,
-                serving.handle_forwarded,
-                limits,
-            )
+        self.forward = await self._listen(
+            "forward",
+            settings.forward_address,
+            serving.handle_forwarded,
+            limits,
         )
-        self.front = await enter(
-            self._listener(
-                "front", settings.service_address, serving.handle, limits
-            )
+        self.front = await self._listen(
+            "front", settings.service_address, serving.handle, limits
         )
         handlers = self.make_handlers(self)
-        monitor = _monitor.metrics_handler(self.metrics_registry)
         addresses = {
             "readiness": settings.readiness_address,
             "directory": settings.directory_address,
-            "metrics": f"{settings.ip_address}:{settings.metrics_port}",
         }
-        handlers["metrics"] = monitor
         for name, address in addresses.items():
-            if address and name in handlers:
-                await enter(self._listener(name, address, handlers[name]))
+            if address:
+                await self._listen(name, address, handlers[name])
+        await self._serve_metrics()
         for work in (
             self.following.run,
             self._expire,
@@ -155,12 +108,6 @@
         ):
             await enter(_loops.keep_running(work))
 
-    def _listener(self, name, address, handle, limits=http1.Limits):
-        sock = self.listeners.get(name)
-        if sock is None:
-            sock = transport.bind_listener(self.settings.bound(address))
-        return http1.Listener(sock, handle, limits)
-
     def _deliver(self, sender, message):
         now_s = self.clock.monotonic().total_seconds()
         if isinstance(message, messages.UseReport):
@@ -223,14 +170,21 @@
             self._send_crash_notices()
             self.knowledge.set_members()
 
-    def _region_peers(self):
+    def _other_entries(self):
+        """Records of the other entry VMs that are heard of."""
         own = self.settings.service_address
         return [
-            record.node_id
+            record
             for record in self.registry.nodes_of("entry")
+            if record.node_id != own and not record.silent
+        ]
+
+    def _region_peers(self):
+        """Ids of the other entry VMs of this region."""
+        return [
+            record.node_id
+            for record in self._other_entries()
             if record.region == self.settings.region
-            and record.node_id != own
-            and not record.silent
         ]
 
     async def _tell_use(self):
@@ -266,7 +220,7 @@
     def _heard(self, node_id):
         heard_s = self.knowledge.fleet.peer_heard_s(node_id)
         now_s = self.clock.monotonic().total_seconds()
-        return heard_s is not None and now_s - heard_s < 1.0
+        return heard_s is not None and now_s - heard_s < SPEAKER_SILENCE_S
 
     def _send_region_load(self):
         region = self.settings.region
@@ -307,10 +261,8 @@
             return
         told = messages.CrashNotices(self._crash_notices)
         self._crash_notices = []
-        own = self.settings.service_address
-        for record in self.registry.nodes_of("entry"):
-            if record.node_id != own and not record.silent:
-                self.links.send(record.node_id, told)
+        for record in self._other_entries():
+            self.links.send(record.node_id, told)
 
     def take_settings(self, settings):
         """Take settings that were read again.
@@ -324,9 +276,7 @@
     async def stop(self):
         """Leave the directory, then finish all requests."""
         self.following.set_state("stopping")
-        self._log.write(
-            _events.NODE_STOPPING, node=self.settings.node_name, role="entry"
-        )
+        self._note(_events.NODE_STOPPING)
         self.front.begin_close()
         started = self.clock.monotonic()
         accept_until = started + min(ACCEPT_TIME, self.settings.grace / 2)
--- a/buckthorntack/gateway/_event_stream.py
+++ b/buckthorntack/gateway/_event_stream.py
@@ -33,7 +33,6 @@
     def __init__(self, last_event):
         self.last_event = last_event
         self._rest = b""
-        self._resumes = False
 
     def feed(self, data):
         """Take bytes of the stream.
--- a/buckthorntack/gateway/_events.py
+++ b/buckthorntack/gateway/_events.py
@@ -80,13 +80,6 @@
     logbook.INFO,
     "A request has its final answer, or its client has left.",
 )
-ANNOUNCEMENT_REFUSED = events.declare(
-    2212,
-    "announcement_unreadable",
-    logbook.WARNING,
-    "What a backend server said of itself could not be read.",
-    "look for a sender of another version",
-)
 DIRECTIVE_ACCEPTED = events.declare(
     2213,
     "directive_accepted",
--- a/buckthorntack/gateway/_following.py
+++ b/buckthorntack/gateway/_following.py
@@ -9,6 +9,7 @@
 from buckthorntack import events
 from buckthorntack.gateway import _addresses
 from buckthorntack.gateway import _events
+from buckthorntack.gateway import _presence
 from buckthorntack.schema import messages
 
 #: Pause between reports of an entry VM that has no configuration yet.
@@ -25,7 +26,7 @@
 
     :param settings: ``NodeSettings``.
     :param knowledge: the ``Knowledge``.
-    :param links: ``transport.LinkTask``.
+    :param links: ``transport.PlainLinks``.
     :param timing: ``discovery.Timing``.
     :param clock: source of time.
     :param rng: source of randomness.
@@ -39,14 +40,14 @@
         self.timing = timing
         self.clock = clock
         self.rng = rng
-        self.state = "starting"
+        self.own = _presence.OwnPresence(
+            settings.service_address, "entry", "starting", clock
+        )
         self.guides = discovery.Guides(
             settings.region, settings.failure_domain, timing, rng
         )
         for seed in settings.seeds:
             self.learn_seed(seed)
-        self._incarnation = int(clock.wall().timestamp() * 1000)
-        self._sequence = 0
         self._guide = None
         self._marks = {}
         self._rounds = 0
@@ -57,25 +58,18 @@
 
         :param seed: its service address.
         """
-        host = _addresses.host_of(seed)
-        self.links.learn(seed, f"{host}:{self.settings.link_port}")
+        address = _addresses.link_address_of(seed, self.settings.link_port)
+        self.links.learn(seed, address)
         self.guides.learn(seed)
 
     def presence(self):
         """What this node says of itself."""
-        settings = self.settings
-        return messages.NodePresence(
-            node_id=settings.service_address,
-            incarnation=self._incarnation,
-            sequence=self._sequence,
-            role="entry",
-            state=self.state,
-            link_address=settings.link_address,
-            service_address=settings.service_address,
-            failure_domain=settings.failure_domain,
-            region=settings.region,
-            silent=False,
-        )
+        return self.own.record(self.settings)
+
+    @property
+    def state(self):
+        """State of this node, as control VMs are told it."""
+        return self.own.state
 
     async def run(self):
         """Report until cancelled."""
@@ -92,15 +86,15 @@
         :param state: ``ready``, ``stopping`` or ``gone``.
         """
         if state != self.state:
-            self.state = state
-            self._sequence += 1
+            self.own.state = state
+            self.own.sequence += 1
             self._rounds = 0
             self.report()
 
     def report(self):
         """Report to the control VM that is followed, at times to all."""
         now = self.clock.monotonic()
-        self._sequence += 1
+        self.own.sequence += 1
         targets = self.guides.choose(now)
         self._note_guide()
         if self._rounds % TELL_ALL_PERIOD == 0:
@@ -149,9 +143,7 @@
         """
         now = self.clock.monotonic()
         self.guides.answered(sender, reply.has_majority, now)
-        if not reply.accepted and reply.incarnation >= self._incarnation:
-            # The time of day was ahead when this node started before.
-            self._incarnation = reply.incarnation + 1
+        self.own.take_reply(reply)
         if reply.wants_servers:
             changes = self.registry.told(list(self.registry.servers), now)
             self.links.send(sender, changes)
--- a/buckthorntack/gateway/_gathering.py
+++ b/buckthorntack/gateway/_gathering.py
@@ -4,8 +4,9 @@
 
 from buckthorntack import discovery
 from buckthorntack import events
+from buckthorntack.gateway import _addresses
 from buckthorntack.gateway import _events
-from buckthorntack.gateway import _identity
+from buckthorntack.gateway import _presence
 from buckthorntack.schema import messages
 
 _MS = datetime.timedelta(milliseconds=1)
@@ -20,7 +21,7 @@
     :param settings: ``NodeSettings``.
     :param node_id: id of this control VM.
     :param registry: the ``discovery.Registry``.
-    :param links: ``transport.LinkTask``.
+    :param links: ``transport.PlainLinks``.
     :param replica: ``consensus.ReplicaTask`` of the directives.
     :param spread: told of reports; see ``SpreadingTask``.
     :param timing: ``discovery.Timing``.
@@ -47,9 +48,7 @@
         self.timing = timing
         self.clock = clock
         self.followers = discovery.Followers(registry, timing)
-        self.state = "ready"
-        self._incarnation = int(clock.wall().timestamp() * 1000)
-        self._sequence = 0
+        self.own = _presence.OwnPresence(node_id, "control", "ready", clock)
         self._marks = {}
         self._heard_servers = set()
         self._heard_nodes = set()
@@ -57,19 +56,7 @@
 
     def presence(self):
         """What this node says of itself."""
-        settings = self.settings
-        return messages.NodePresence(
-            node_id=self.node_id,
-            incarnation=self._incarnation,
-            sequence=self._sequence,
-            role="control",
-            state=self.state,
-            link_address=settings.link_address,
-            service_address=settings.service_address,
-            failure_domain=settings.failure_domain,
-            region=settings.region,
-            silent=False,
-        )
+        return self.own.record(self.settings)
 
     def announce(self, record):
         """Take the announcement of a server.
@@ -152,9 +139,7 @@
         :param sender: the control VM.
         :param reply: ``PresenceReply``.
         """
-        if not reply.accepted and reply.incarnation >= self._incarnation:
-            # The time of day was ahead when this node started before.
-            self._incarnation = reply.incarnation + 1
+        self.own.take_reply(reply)
 
     def take_changes(self, sender, changes):
         """Take changes of another registry.
@@ -210,7 +195,7 @@
 
     def report(self):
         """Report to all other control VMs once."""
-        self._sequence += 1
+        self.own.sequence += 1
         self.registry.report(self.presence(), self.clock.monotonic())
         self.registry.hear([], [self.node_id], self.clock.monotonic())
         heard_servers = sorted(self._heard_servers)
@@ -240,7 +225,7 @@
         own = self.settings.service_address
         for seed in self.settings.seeds:
             if seed != own and seed not in peers.values():
-                address = _identity.link_address_of(
+                address = _addresses.link_address_of(
                     seed, self.settings.link_port
                 )
                 self.links.learn(seed, address)
--- a/buckthorntack/gateway/_handling.py
+++ b/buckthorntack/gateway/_handling.py
@@ -5,6 +5,7 @@
 
 import xxhash
 
+from buckthorntack import clock as clocks
 from buckthorntack import dispatch
 from buckthorntack import errors
 from buckthorntack import events
@@ -17,7 +18,6 @@
 #: Fields of ours between entry VMs; removed from what clients and servers
 #: send.
 OWN_PREFIX = b"x-gateway-"
-FORWARDED = b"x-gateway-forwarded"
 RUN_STATE = b"x-gateway-run-state"
 #: Servers that a request was sent to so far, at all entry VMs.
 SENDS = b"x-gateway-sends"
@@ -114,12 +114,7 @@
 
     async def _handle(self, request, reply, is_forwarded):
         sends = _count(request.headers, 0) if is_forwarded else 0
-        headers = [
-            pair
-            for pair in request.headers
-            if not pair[0].lower().startswith(OWN_PREFIX)
-        ]
-        request = request._replace(headers=headers)
+        request = request._replace(headers=_without_own(request.headers))
         handling = _Handling(self, request, reply, is_forwarded, sends)
         await handling.run()
 
@@ -329,7 +324,7 @@
             connection = await pool.take(server_id, view.record.address)
             self.sends += 1
             connection.send(
-                self._payload(decision),
+                self._server_payload(decision),
                 self.facts.request_id,
                 self.request.method == b"HEAD",
             )
@@ -351,24 +346,31 @@
                 pool.give_back(server_id, connection)
         return result
 
-    def _payload(self, decision):
-        left_ms = max(1.0, self._left_s() * 1e3)
-        after = self.stream.last_event if self.stream else None
+    def _server_payload(self, decision):
         headers = self.dialect.server_headers(
             self.request,
             decision.server_id,
-            left_ms,
+            self._sent_left_ms(),
             self.route.priority,
-            after,
+            self._last_event(),
             decision.fetch_from,
         )
+        return self._payload(headers)
+
+    def _payload(self, headers):
+        request = self.request
         return http1.encode_request(
-            self.request.method,
-            self.request.target,
-            headers,
-            self.request.body,
+            request.method, request.target, headers, request.body
         )
 
+    def _sent_left_ms(self):
+        """Time left as others are told it."""
+        return max(1.0, self._left_s() * 1e3)
+
+    def _last_event(self):
+        """Last event that this entry VM knows the client to have."""
+        return self.stream.last_event if self.stream else None
+
     async def _ask_region(self, decision):
         """Hand the request over to an entry VM of another region."""
         self.place = decision.region
@@ -411,17 +413,11 @@
                 self.tried.add(view.record.server_id)
 
     def _forwarded_payload(self):
-        left_ms = max(1.0, self._left_s() * 1e3)
-        after = self.stream.last_event if self.stream else None
-        headers = self.dialect.forward_headers(self.request, left_ms, after)
-        headers.append((FORWARDED, b"1"))
-        headers.append((SENDS, str(self.sends).encode()))
-        return http1.encode_request(
-            self.request.method,
-            self.request.target,
-            headers,
-            self.request.body,
+        headers = self.dialect.forward_headers(
+            self.request, self._sent_left_ms(), self._last_event()
         )
+        headers.append((SENDS, str(self.sends).encode()))
+        return self._payload(headers)
 
     async def _take_answer(self, connection, expected_ms, flight):
         patience_s = None
@@ -487,10 +483,9 @@
             if size_bytes > KEPT_BODY_BYTES:
                 return await self._relay_large(connection, head, parts)
         body = b"".join(parts)
-        failed = _Failed(head, body)
         if head.status >= 500 and self._can_repeat():
-            return failed
-        self._send_failed(failed)
+            return _Failed(head, body)
+        self._send_whole(head, body)
         if head.status < 500:
             self.knowledge.crashes.answered(self.fingerprint)
         return _Ended()
@@ -509,17 +504,13 @@
         self.reply.end()
         return _Ended()
 
-    def _send_failed(self, failed):
-        self._start(failed.head, len(failed.body))
-        self.reply.write(failed.body)
+    def _send_whole(self, head, body):
+        self._start(head, len(body))
+        self.reply.write(body)
         self.reply.end()
 
     def _start(self, head, length):
-        headers = [
-            pair
-            for pair in http1.end_to_end(head.headers)
-            if not pair[0].lower().startswith(OWN_PREFIX)
-        ]
+        headers = _without_own(http1.end_to_end(head.headers))
         self.reply.start(head.status, headers, head.reason, length)
         self._observe_first()
 
@@ -570,7 +561,7 @@
         if self.reply.started:
             self.reply.abort()
         elif self.kept is not None:
-            self._send_failed(self.kept)
+            self._send_whole(*self.kept)
         elif self.may_have_run:
             self._answer(502, self.reason, errors.RunState.UNKNOWN)
         else:
@@ -581,7 +572,7 @@
             if not self.reply.ended:
                 self.reply.abort()
         elif self.kept is not None:
-            self._send_failed(self.kept)
+            self._send_whole(*self.kept)
         elif self.sends:
             self._answer(504, "out of time", errors.RunState.UNKNOWN)
         else:
@@ -626,7 +617,7 @@
             view = self.knowledge.registry.servers[server_id]
             fields["running"] = usage.running
             fields["waiting"] = usage.waiting
-            fields["server_age_ms"] = _ms(now - view.heard_at)
+            fields["server_age_ms"] = clocks.milliseconds(now - view.heard_at)
         self.serving.log.write(
             dispatch.REQUEST_ROUTED,
             request=self._name(),
@@ -674,8 +665,11 @@
         )
 
 
-def _ms(duration):
-    return round(duration.total_seconds() * 1e3)
+def _without_own(headers):
+    """Header fields but for those between entry VMs."""
+    return [
+        pair for pair in headers if not pair[0].lower().startswith(OWN_PREFIX)
+    ]
 
 
 def _outcome_of(result, status):
--- a/buckthorntack/gateway/_identity.py
+++ b/buckthorntack/gateway/_identity.py
@@ -4,7 +4,6 @@
 
 from buckthorntack import discovery
 from buckthorntack import storage
-from buckthorntack.discovery import _formation
 from buckthorntack.schema import messages
 
 _NAME = "identity"
@@ -43,18 +42,8 @@
     if settings.is_first_start and address in settings.seeds:
         return messages.ControlIdentity(address, sorted(settings.seeds))
     mark = f"{rng.getrandbits(48):012x}"
-    node_id = f"{address}{_formation.DISK_MARK}{mark}"
+    node_id = f"{address}{discovery.DISK_MARK}{mark}"
     return messages.ControlIdentity(node_id, [])
 
 
-def link_address_of(node_id, link_port):
-    """Where a control VM takes messages.
-
-    :param node_id: its node id.
-    :param link_port: port of links; the same on all VMs.
-    """
-    host = discovery.address_of(node_id).rpartition(":")[0]
-    return f"{host}:{link_port}"
-
-
 _DECODER = msgspec.msgpack.Decoder(messages.ControlIdentity)
--- a/buckthorntack/gateway/_spreading.py
+++ b/buckthorntack/gateway/_spreading.py
@@ -20,7 +20,7 @@
 class SpreadingTask:
     """Sends copies of the directives to entry VMs that lack them.
 
-    :param links: ``transport.LinkTask``.
+    :param links: ``transport.PlainLinks``.
     :param clock: source of time.
     """
 
--- a/buckthorntack/http1/_pool.py
+++ b/buckthorntack/http1/_pool.py
@@ -5,6 +5,7 @@
 import socket
 
 from buckthorntack import events
+from buckthorntack import transport
 from buckthorntack.http1 import _client
 from buckthorntack.http1 import _errors
 from buckthorntack.http1 import _events
@@ -35,7 +36,6 @@
     def __init__(self, connect_timeout_s, id_name=b""):
         self.connect_timeout_s = connect_timeout_s
         self.id_name = id_name
-        self.opened = 0
         self._idle = collections.defaultdict(list)
         self._limits_s = {}
         self._log = events.EventLog("http1")
@@ -113,9 +113,8 @@
         loop = asyncio.get_running_loop()
         try:
             sock.setblocking(False)
-            _server.set_liveness(sock)
-            sock.setsockopt(
-                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
+            transport.set_liveness(
+                sock, USER_TIMEOUT_MS, _server.PROBE_AFTER_S
             )
             async with asyncio.timeout(self.connect_timeout_s):
                 await loop.sock_connect(sock, (host, int(port)))
@@ -131,7 +130,6 @@
         except BaseException:
             sock.close()
             raise
-        self.opened += 1
         return connection
 
 
--- a/buckthorntack/http1/_server.py
+++ b/buckthorntack/http1/_server.py
@@ -8,12 +8,12 @@
 import collections
 import contextlib
 import http
-import socket
 from typing import NamedTuple
 
 import httptools
 
 from buckthorntack import events
+from buckthorntack import transport as transports
 from buckthorntack.http1 import _events
 from buckthorntack.http1 import _messages
 
@@ -163,7 +163,7 @@
         self.transport = transport
         transport.set_write_buffer_limits(high=HIGH_WATER_BYTES)
         raw = transport.get_extra_info("socket")
-        set_liveness(raw)
+        transports.set_liveness(raw, USER_TIMEOUT_MS, PROBE_AFTER_S)
         host, port = transport.get_extra_info("peername")[:2]
         self.peer = f"{host}:{port}"
         self.listener.connections.add(self)
@@ -377,19 +377,6 @@
             self.transport.close()
 
 
-def set_liveness(sock):
-    """Let the kernel find out when a peer is gone without a word.
-
-    :param sock: a TCP socket.
-    """
-    tcp = socket.IPPROTO_TCP
-    sock.setsockopt(tcp, socket.TCP_NODELAY, 1)
-    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(tcp, socket.TCP_KEEPIDLE, PROBE_AFTER_S)
-    sock.setsockopt(tcp, socket.TCP_KEEPINTVL, 1)
-
-
 class Listener:
     """Takes connections at one address; an asynchronous context manager.
 
--- a/buckthorntack/platform/_dialect.py
+++ b/buckthorntack/platform/_dialect.py
@@ -66,7 +66,6 @@
             not_run=_headers.NOT_EXECUTED in fields
             or head.status == MISDIRECTED,
             is_other_server=head.status == MISDIRECTED,
-            cold_left_ms=_event(fields.get(_headers.WARMUP)),
         )
 
     def server_headers(
--- a/buckthorntack/platform/_headers.py
+++ b/buckthorntack/platform/_headers.py
@@ -17,8 +17,6 @@
 NOT_EXECUTED = _PREFIX + b"not-executed"
 #: Id of the server that answers.
 INSTANCE_ID = _PREFIX + b"instance-id"
-#: How much longer the server is cold, in milliseconds.
-WARMUP = _PREFIX + b"warmup-ms"
 #: Address of a server whose memory holds parts of the prompt.
 FETCH = b"kv-fetch"
 LAST_EVENT_ID = b"last-event-id"
--- a/buckthorntack/transport/__init__.py
+++ b/buckthorntack/transport/__init__.py
@@ -9,6 +9,7 @@
 from buckthorntack.transport._plain_links import PlainLinks
 from buckthorntack.transport._sockets import bind_listener
 from buckthorntack.transport._sockets import listener_url
+from buckthorntack.transport._sockets import set_liveness
 
 __all__ = [
     "HttpListener",
@@ -20,6 +21,7 @@
     "bind_listener",
     "listener_url",
     "mounted_app",
+    "set_liveness",
 ]
 
 _ON_FIRST_USE = {
--- a/buckthorntack/transport/_plain_links.py
+++ b/buckthorntack/transport/_plain_links.py
@@ -7,7 +7,6 @@
 import asyncio
 import collections
 import contextlib
-import socket
 
 from buckthorntack import events
 from buckthorntack import schema
@@ -45,7 +44,9 @@
 
     def connection_made(self, transport):
         self.transport = transport
-        _set_liveness(transport.get_extra_info("socket"))
+        _sockets.set_liveness(
+            transport.get_extra_info("socket"), USER_TIMEOUT_MS, PROBE_AFTER_S
+        )
         transport.write(_frame(self.links.node_id.encode()))
         self.links.opened(self)
 
@@ -296,12 +297,3 @@
 
 def _frame(data):
     return len(data).to_bytes(_LENGTH_BYTES) + data
-
-
-def _set_liveness(sock):
-    tcp = socket.IPPROTO_TCP
-    sock.setsockopt(tcp, socket.TCP_NODELAY, 1)
-    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(tcp, socket.TCP_KEEPIDLE, PROBE_AFTER_S)
-    sock.setsockopt(tcp, socket.TCP_KEEPINTVL, 1)
--- a/buckthorntack/transport/_sockets.py
+++ b/buckthorntack/transport/_sockets.py
@@ -1,4 +1,4 @@
-"""Sockets that listeners take over."""
+"""Listening sockets, and how connections notice that a peer is gone."""
 
 import socket
 
@@ -28,3 +28,19 @@
     host, port = listener.getsockname()[:2]
     shown = f"[{host}]" if ":" in host else host
     return f"{scheme}://{shown}:{port}"
+
+
+def set_liveness(sock, user_timeout_ms, probe_after_s):
+    """Let the kernel find out when a peer is gone without a word.
+
+    :param sock: a TCP socket.
+    :param user_timeout_ms: how long sent bytes may stay unacknowledged
+        (RFC 5482).
+    :param probe_after_s: idle time after which the peer is probed.
+    """
+    tcp = socket.IPPROTO_TCP
+    sock.setsockopt(tcp, socket.TCP_NODELAY, 1)
+    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, user_timeout_ms)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(tcp, socket.TCP_KEEPIDLE, probe_after_s)
+    sock.setsockopt(tcp, socket.TCP_KEEPINTVL, 1)
