Tell load through relays, and of large prompts at once

Cause: on the grown deployments 20 entry VMs of a region told each other of their requests every 600 ms, as each report went to all others; an engine works for 200-500 ms on a request, so placement did not see the load. Large prompts of different entry VMs met at one engine and stalled its streams. Ruled out, in plays of the new emulator: random choice among nearly equal servers (no gain at 3, 8 and 20 ms), a higher weight of running streams. Change: one entry VM of each failure domain relays sums, every 50 ms, and at once when a prompt of 6,000 unread tokens or more is sent; messages grow with the number of entry VMs, not its square. Small prompts are told as a sum of tokens only. Streams that a long prompt would stall weigh more (5 ms for 1,000 tokens), and a request leaves its region sooner (0.4 of the objective, 120 ms). A prompt that is late on an idle engine is not refused for its size. buckthorntack/emulator plays engines and the decisions of all entry VMs in virtual time. The test of a request that goes to an idle region sends one prompt before it, not two: it goes sooner now.

--- a/buckthorntack/dispatch/__init__.py
+++ b/buckthorntack/dispatch/__init__.py
@@ -7,6 +7,7 @@
 from buckthorntack.dispatch._choice import Wanted
 from buckthorntack.dispatch._crashes import CrashLedger
 from buckthorntack.dispatch._events import REQUEST_ROUTED
+from buckthorntack.dispatch._exchange import UseExchange
 from buckthorntack.dispatch._fleet import Fleet
 from buckthorntack.dispatch._fleet import Flight
 from buckthorntack.dispatch._outcomes import Outcome
@@ -32,6 +33,7 @@
     "Refuse",
     "RepeatBudgets",
     "Serve",
+    "UseExchange",
     "Wanted",
     "WarmupGate",
 ]
--- a/buckthorntack/dispatch/_choice.py
+++ b/buckthorntack/dispatch/_choice.py
@@ -416,15 +416,14 @@
     def _judged(self, wanted, place):
         settings = self.settings
         objective_ms = wanted.route.objective.total_seconds() * 1e3
-        objectives = settings.refuse_at_objectives
-        objectives -= settings.refuse_step * min(wanted.route.priority, 3)
-        most_ms = min(
-            objective_ms * objectives, wanted.left_ms * settings.deadline_share
-        )
+        deadline_ms = wanted.left_ms * settings.deadline_share
         if wanted.service.engine is None:
             # A late answer of a plain service costs it nothing more than one
             # in time, and its queue is short.
-            most_ms = wanted.left_ms * settings.deadline_share
+            most_ms = deadline_ms
+        else:
+            most_ms = self._longest_wait_ms(wanted, place, objective_ms)
+            most_ms = min(most_ms, deadline_ms)
         if place.expected_ms > most_ms:
             over_ms = place.expected_ms - objective_ms * settings.stay_share
             return Refuse("expected too late", self._retry_after_ms(over_ms))
@@ -437,6 +436,21 @@
             place.fetch_from,
         )
 
+    def _longest_wait_ms(self, wanted, place, objective_ms):
+        """Expected time up to which an engine is asked.
+
+        A prompt that takes an idle engine long is late anywhere: it is not
+        refused for its size, only for the queue before it.
+        """
+        settings = self.settings
+        objectives = settings.refuse_at_objectives
+        objectives -= settings.refuse_step * min(wanted.route.priority, 3)
+        alone_ms = settings.first_event_ms
+        alone_ms += place.unread_tokens / settings.prefill_tokens_per_ms
+        alone_ms *= self.fleet.typical_slowness
+        queue_ms = objective_ms * settings.queue_share
+        return max(objective_ms * objectives, alone_ms + queue_ms)
+
     def _retry_after_ms(self, wait_ms):
         """A time to come back at, spread so that not all come together."""
         settings = self.settings
--- /dev/null
+++ b/buckthorntack/dispatch/_exchange.py
@@ -0,0 +1,275 @@
+"""Who tells whom, within a region, of requests at servers.
+
+Each failure domain has a relay, the first of its entry VMs that answers.  The
+others report to it; relays report the sum of their domain to each other, and
+the sum of all others to each entry VM of their domain.  So each message holds
+the load of many, and their number grows with the entry VMs, not its square.
+
+A sum counts only reports of a smaller scope, so no request is counted over and
+over, however entry VMs differ about who relays; who changes its relay takes
+its report back from the former one.
+"""
+
+from typing import NamedTuple
+
+from buckthorntack.schema import messages
+
+#: Silence of a relay after which another one is asked: ten reports.
+RELAY_SILENCE_S = 0.5
+#: Time for which a silent relay is passed over, unless it reports again.
+SUSPECT_S = 3.0
+#: Longest pause between two reports to the same entry VM, with no change.
+IDLE_S = 0.4
+#: Pause between two reports that tell which entry VMs are heard.
+HEARD_PERIOD_S = 0.5
+#: Age up to which an entry VM counts as heard in them.
+HEARD_AGE_S = 0.8
+#: Relays of another failure domain that are told while none of them answers.
+MOST_UNHEARD_RELAYS = 2
+
+
+#: Prompt tokens, unread, that others are told of at once: an engine reads
+#: them for so long that a second such prompt would stall its streams.
+URGENT_TOKENS = 6_000
+
+
+class News(NamedTuple):
+    """What servers have read."""
+
+    prompts: list
+    #: Tokens by server, beside those prompts.
+    reads: dict[str, int]
+
+
+class _Pending(NamedTuple):
+    """News to be passed on."""
+
+    sender: str
+    scope: str
+    news: News
+
+
+class UseExchange:
+    """Spreads what the entry VMs of a region have at its servers.
+
+    :param fleet: the ``Fleet``.
+    :param own_id: id of this entry VM.
+    :param failure_domain: where it is.
+    """
+
+    def __init__(self, fleet, own_id, failure_domain):
+        self.fleet = fleet
+        self.own_id = own_id
+        self.failure_domain = failure_domain
+        self._domains = {}
+        self._domain_of = {}
+        self._relay = ""
+        self._relay_since_s = 0.0
+        #: Relays that still count a report of this entry VM.
+        self._left = set()
+        self._suspected = {}
+        self._heard_s = {}
+        #: When each entry VM last reported for itself only.
+        self._reporters = {}
+        #: Relay that last reported for another failure domain, and when.
+        self._other_relays = {}
+        self._pending = []
+        self._last = {}
+        self._heard_told_s = -HEARD_PERIOD_S
+        self._sequence = 0
+        #: Whether others should hear at once, as a large prompt was sent.
+        self.is_urgent = False
+        self.set_members({})
+
+    def set_members(self, members):
+        """Take in which entry VMs of the region there are.
+
+        :param members: failure domain of each, by id.
+        """
+        members = {**members, self.own_id: self.failure_domain}
+        if members == self._domain_of:
+            return
+        self._domain_of = members
+        self._domains = {}
+        for node_id in sorted(members):
+            domain = self._domains.setdefault(members[node_id], [])
+            domain.append(node_id)
+
+    def heard_s(self, node_id):
+        """When an entry VM last reported, to here or to a relay.
+
+        :param node_id: the entry VM.
+        :returns: monotonic time, or None if it never did.
+        """
+        return self._heard_s.get(node_id)
+
+    def take(self, sender, report, now_s):
+        """Take in a report of another entry VM.
+
+        :param sender: its id.
+        :param report: its ``UseReport``.
+        :param now_s: monotonic time.
+        """
+        for node_id in (sender, *report.heard):
+            self._heard_s[node_id] = now_s
+        self._suspected.pop(sender, None)
+        self._choose_relay(now_s)
+        if report.scope == "own":
+            self._reporters[sender] = now_s
+            self.fleet.peer_reported(sender, report, now_s)
+        elif report.scope == "domain":
+            domain = self._domain_of.get(sender)
+            if domain is None or self._relay != self.own_id:
+                return
+            self._other_relays[domain] = (sender, now_s)
+            self.fleet.peer_reported(_key(domain), report, now_s)
+        elif sender == self._relay:
+            self.fleet.peer_reported(sender, report, now_s)
+        else:
+            return
+        if report.is_urgent and report.scope != "region":
+            self.is_urgent = True
+        reads = {read.server_id: read.tokens for read in report.reads}
+        if report.prompts or reads:
+            news = News(report.prompts, reads)
+            self._pending.append(_Pending(sender, report.scope, news))
+
+    def sent(self, flight):
+        """Note that a request is sent to a server.
+
+        :param flight: its ``Flight``.
+        """
+        if flight.unread_tokens >= URGENT_TOKENS:
+            self.is_urgent = True
+
+    def due(self, now_s):
+        """Reports to be sent now.
+
+        :param now_s: monotonic time.
+        :returns: list of entry VM and ``UseReport``.
+        """
+        self._choose_relay(now_s)
+        self._sequence += 1
+        news = self.fleet.take_news()
+        self._pending.append(_Pending(self.own_id, "own", news))
+        tells_heard = now_s - self._heard_told_s >= HEARD_PERIOD_S
+        if tells_heard:
+            self._heard_told_s = now_s
+        due = []
+        for node_id, scope in self._receivers(now_s):
+            heard = []
+            if tells_heard and scope != "own":
+                heard = self._heard_lately(scope, now_s)
+            report = self._report(node_id, scope, heard)
+            if self._is_due(node_id, report, now_s):
+                due.append((node_id, report))
+        due.extend((node_id, self._empty_report()) for node_id in self._left)
+        self._left.clear()
+        self._pending = []
+        self.is_urgent = False
+        return due
+
+    def _empty_report(self):
+        return messages.UseReport(self._sequence, "own", [], [], [], [], False)
+
+    def _choose_relay(self, now_s):
+        relay = self._relay
+        if relay and relay != self.own_id:
+            heard_s = max(self._relay_since_s, self._heard_s.get(relay, 0.0))
+            if now_s - heard_s > RELAY_SILENCE_S:
+                self._suspected[relay] = now_s + SUSPECT_S
+        for node_id in self._domains[self.failure_domain]:
+            until_s = self._suspected.get(node_id)
+            if until_s is not None and now_s < until_s:
+                continue
+            if node_id != relay:
+                self._follow(node_id, now_s)
+            return
+
+    def _follow(self, node_id, now_s):
+        self.fleet.forget_peer(self._relay)
+        if self._relay == self.own_id:
+            for domain in self._domains:
+                self.fleet.forget_peer(_key(domain))
+        if self._relay not in ("", self.own_id):
+            self._left.add(self._relay)
+        self._left.discard(node_id)
+        self._relay = node_id
+        self._relay_since_s = now_s
+        self._last.clear()
+
+    def _receivers(self, now_s):
+        """Entry VMs to report to, and the scope of each report."""
+        is_relay = self._relay == self.own_id
+        served = {
+            node_id
+            for node_id, heard_s in self._reporters.items()
+            if now_s - heard_s <= RELAY_SILENCE_S
+        }
+        receivers = [(node_id, "region") for node_id in sorted(served)]
+        if not is_relay:
+            return [(self._relay, "own"), *receivers]
+        for domain, node_ids in self._domains.items():
+            if domain == self.failure_domain:
+                continue
+            sender, heard_s = self._other_relays.get(domain, ("", 0.0))
+            if sender and now_s - heard_s <= RELAY_SILENCE_S:
+                receivers.append((sender, "domain"))
+                continue
+            for node_id in node_ids[:MOST_UNHEARD_RELAYS]:
+                receivers.append((node_id, "domain"))
+        return receivers
+
+    def _heard_lately(self, scope, now_s):
+        heard = {self.own_id}
+        for node_id, heard_s in self._heard_s.items():
+            is_near = self._domain_of.get(node_id) == self.failure_domain
+            if now_s - heard_s <= HEARD_AGE_S and (
+                is_near or scope == "region"
+            ):
+                heard.add(node_id)
+        return sorted(heard)
+
+    def _report(self, node_id, scope, heard):
+        if scope == "own":
+            uses = self.fleet.own_uses()
+        elif scope == "domain":
+            others = {_key(domain) for domain in self._domains}
+            uses = self.fleet.uses_without({*others, self._relay})
+        else:
+            uses = self.fleet.uses_without({node_id})
+        prompts, reads = self._news_for(node_id, scope)
+        return messages.UseReport(
+            self._sequence, scope, uses, prompts, reads, heard, self.is_urgent
+        )
+
+    def _news_for(self, node_id, scope):
+        prompts, reads = [], {}
+        for pending in self._pending:
+            if pending.sender == node_id:
+                continue
+            if scope == "own" and pending.sender != self.own_id:
+                continue
+            if scope == "domain" and pending.scope != "own":
+                continue
+            prompts.extend(pending.news.prompts)
+            for server_id, tokens in pending.news.reads.items():
+                reads[server_id] = reads.get(server_id, 0) + tokens
+        told = [
+            messages.ServerRead(server_id, tokens)
+            for server_id, tokens in reads.items()
+        ]
+        return prompts, told
+
+    def _is_due(self, node_id, report, now_s):
+        uses, sent_s = self._last.get(node_id, (None, -IDLE_S))
+        has_news = report.prompts or report.reads or report.heard
+        if uses == report.uses and not has_news and now_s - sent_s < IDLE_S:
+            return False
+        self._last[node_id] = (report.uses, now_s)
+        return True
+
+
+def _key(domain):
+    """Name under which the fleet keeps the report for another domain."""
+    return f"domain {domain}"
--- a/buckthorntack/dispatch/_fleet.py
+++ b/buckthorntack/dispatch/_fleet.py
@@ -3,13 +3,17 @@
 from typing import NamedTuple
 
 from buckthorntack import routing
+from buckthorntack.dispatch import _exchange
 from buckthorntack.dispatch import _outcomes
 from buckthorntack.dispatch import _prompts
 from buckthorntack.schema import messages
 
-#: Smallest shared parts that other regions are told of, in tokens: copying
-#: fewer saves less than telling costs.
-TOLD_TOKENS = 32
+#: Smallest shared parts, in tokens, that other entry VMs are told of one by
+#: one: engines read fewer in less time than a copy or another way takes.
+TOLD_TOKENS = 500
+#: Time after which a part that is still used is told again, so that others
+#: keep it among those used last.
+TELL_AGAIN_S = 3.0
 #: Age after which the report of another entry VM counts no more.
 REPORT_AGE_S = 1.5
 
@@ -150,6 +154,9 @@
         self._peer_usage = {}
         self._regions = {}
         self._sent = []
+        self._reads = {}
+        #: When shared parts were last told of, by server and last part.
+        self._told_s = {}
         self._shared = []
 
     def state(self, server_id, memory_tokens=0):
@@ -201,21 +208,45 @@
             held_tokens=usage.held_tokens + flight.held_tokens,
         )
         if prompt is not None and prompt.parts:
-            sent = _prompt_sent(flight.server_id, prompt.parts)
-            self._share(sent)
-            self._sent.append(sent)
+            self._note_read(flight, prompt.parts)
             state.memory.note(prompt.parts)
 
-    def _share(self, sent):
-        """Let other regions know of shared parts that are new at a server.
+    def _note_read(self, flight, parts):
+        """Note what others need to know of a prompt.
 
-        The last part belongs to one request or session.
+        Large shared parts are told one by one; of all else only the size, as
+        it takes the place of other parts in the server's memory.
         """
-        shared = sent._replace(parts=sent.parts[:-1], tokens=sent.tokens[:-1])
+        server_id = flight.server_id
+        shared = _prompt_sent(server_id, parts[:-1])
+        tokens = flight.unread_tokens
+        if sum(shared.tokens) >= TOLD_TOKENS:
+            self._share(shared)
+            known = self.state(server_id).memory.cached_tokens(parts)
+            tokens = parts[-1].tokens
+            key = (server_id, shared.parts[-1])
+            told_s = self._told_s.get(key)
+            is_old = told_s is None or flight.started_s - told_s > TELL_AGAIN_S
+            if is_old or sum(shared.tokens) - known >= TOLD_TOKENS:
+                self._told_s[key] = flight.started_s
+                self._sent.append(shared)
+        self._reads[server_id] = self._reads.get(server_id, 0) + tokens
+
+    def take_news(self):
+        """What servers have read for this entry VM since the last call.
+
+        :returns: ``News``.
+        """
+        news = _exchange.News(self._sent, self._reads)
+        self._sent, self._reads = [], {}
+        return news
+
+    def _share(self, sent):
+        """Let other regions know of shared parts that are new at a server."""
         memory = self.state(sent.server_id).memory
-        known = memory.cached_tokens(_parts_of(shared))
-        if sum(shared.tokens) - known >= TOLD_TOKENS:
-            self._shared.append(shared)
+        known = memory.cached_tokens(_parts_of(sent))
+        if sum(sent.tokens) - known >= TOLD_TOKENS:
+            self._shared.append(sent)
 
     def shared(self):
         """Shared parts read by servers of the region since the last call.
@@ -274,32 +305,60 @@
         state.usage = usage._replace(held_tokens=held)
         state.learn_end(flight, outcome, now_s)
 
-    def report(self, sequence):
-        """What other entry VMs of the region need to know.
+    def own_uses(self):
+        """What this entry VM has at servers.
 
-        :param sequence: number of the report.
-        :returns: ``UseReport``.
+        :returns: list of ``ServerUse``.
         """
-        uses = [
+        return [
             messages.ServerUse(server_id, *state.usage)
             for server_id, state in self._states.items()
             if any(state.usage)
         ]
-        sent, self._sent = self._sent, []
-        return messages.UseReport(sequence, uses, sent, [])
 
-    def peer_reported(self, node_id, report, now_s):
-        """Take in what another entry VM of the region has at servers.
+    def uses_without(self, senders):
+        """What all have at servers whose reports are known, but for some.
+
+        :param senders: names under which reports were taken in.
+        :returns: list of ``ServerUse``.
+        """
+        total = {use.server_id: Usage(*use[1:]) for use in self.own_uses()}
+        for sender, report in self._peers.items():
+            if sender in senders:
+                continue
+            for server_id, use in report.uses.items():
+                known = total.get(server_id, Usage())
+                total[server_id] = known.plus(use)
+        return [
+            messages.ServerUse(server_id, *usage)
+            for server_id, usage in total.items()
+        ]
+
+    def peer_reported(self, sender, report, now_s):
+        """Take in what others of the region have at servers.
+
+        It takes the place of the former report under that name.
 
-        :param node_id: the entry VM.
-        :param report: its ``UseReport``.
+        :param sender: name of the one or of those whose requests it counts.
+        :param report: ``UseReport``.
         :param now_s: monotonic time.
         """
         uses = {use.server_id: use for use in report.uses}
-        self._replace_report(node_id, _PeerReport(now_s, uses))
+        self._replace_report(sender, _PeerReport(now_s, uses))
         for sent in report.prompts:
             self._share(sent)
             self._note_sent(sent)
+        for read in report.reads:
+            self.state(read.server_id).memory.note_others(read.tokens)
+
+    def forget_peer(self, sender):
+        """Count the report under a name no more.
+
+        :param sender: the name.
+        """
+        if sender in self._peers:
+            self._replace_report(sender, _PeerReport(0.0, {}))
+            del self._peers[sender]
 
     def _replace_report(self, node_id, report):
         """Count a report in place of the former one of its sender."""
@@ -316,22 +375,16 @@
 
         :param now_s: monotonic time.
         """
-        for node_id, report in list(self._peers.items()):
-            if report.uses and now_s - report.received_s > REPORT_AGE_S:
-                silent = _PeerReport(report.received_s, {})
-                self._replace_report(node_id, silent)
+        for sender, report in list(self._peers.items()):
+            if now_s - report.received_s > REPORT_AGE_S:
+                self.forget_peer(sender)
+        for key, told_s in list(self._told_s.items()):
+            if now_s - told_s > TELL_AGAIN_S:
+                del self._told_s[key]
 
     def _note_sent(self, sent):
         self.state(sent.server_id).memory.note(_parts_of(sent))
 
-    def peer_heard_s(self, node_id):
-        """When another entry VM last reported; None if it never did.
-
-        :param node_id: the entry VM.
-        """
-        report = self._peers.get(node_id)
-        return None if report is None else report.received_s
-
     def region_reported(self, load, now_s):
         """Take in the load of another region's servers.
 
--- a/buckthorntack/dispatch/_prompts.py
+++ b/buckthorntack/dispatch/_prompts.py
@@ -49,6 +49,7 @@
         self.shared_tokens = 0
         self._parts = collections.OrderedDict()
         self._shared = set()
+        self._others = 0
 
     def cached_tokens(self, parts):
         """Tokens at the start of a prompt that need not be read.
@@ -79,6 +80,19 @@
             if number < len(parts) and chain not in self._shared:
                 self._shared.add(chain)
                 self.shared_tokens += part.tokens
+        self._make_room()
+
+    def note_others(self, tokens):
+        """Note that parts were read of which only the size is known.
+
+        :param tokens: their size.
+        """
+        self._others += 1
+        self._parts[f"#{self._others}"] = tokens
+        self.used_tokens += tokens
+        self._make_room()
+
+    def _make_room(self):
         while self.used_tokens > self.capacity_tokens and self._parts:
             oldest, tokens = self._parts.popitem(last=False)
             self.used_tokens -= tokens
--- a/buckthorntack/dispatch/_settings.py
+++ b/buckthorntack/dispatch/_settings.py
@@ -31,14 +31,17 @@
     region_round_trip_ms: float = 112.0
     #: Expected time that a region must save over the local one before a
     #: request is sent there: links are shared and priced.
-    region_gain_ms: float = 250.0
+    region_gain_ms: float = 120.0
     #: Share of the objective up to which a request stays in its region.
-    stay_share: float = 0.6
+    stay_share: float = 0.4
     #: Expected time to the first event, in objectives, at which a request
     #: of the most urgent kind is refused; less urgent ones are refused
     #: sooner by the step below.
     refuse_at_objectives: float = 1.5
     refuse_step: float = 0.25
+    #: Part of the objective that a prompt may wait at an engine for which it
+    #: is too large to be answered in time.
+    queue_share: float = 0.0
     #: Share of the time left that the expected time must stay below.
     deadline_share: float = 0.8
     #: Fewest tokens that are worth a copy from another engine.
@@ -48,7 +51,7 @@
     #: between two tokens of all streams, and an event has 5 to 10 tokens.
     smooth_tokens: int = 10_000
     #: Added for each stream at an engine and each 1,000 tokens beyond that.
-    stall_ms: float = 2.0
+    stall_ms: float = 5.0
     #: Time that a copy takes besides the bytes.
     fetch_setup_ms: float = 4.0
     #: How much longer a copy takes between failure domains: as measured, 18
--- a/buckthorntack/dispatch/tests/test_choice.py
+++ b/buckthorntack/dispatch/tests/test_choice.py
@@ -91,7 +91,8 @@
     for _ in range(3):
         flight = dispatch.Flight("s1", 20_000, 0, 100.0, world.now_s)
         other.begin(flight, None)
-    world.fleet.peer_reported("peer", other.report(1), world.now_s)
+    report = messages.UseReport(1, "own", other.own_uses(), [], [], [], False)
+    world.fleet.peer_reported("peer", report, world.now_s)
     for _ in range(20):
         assert world.choose(world.wanted()).server_id == "s2"
     world.now += 5 * _world.S
@@ -104,12 +105,9 @@
     world.add("s2", region="kumamoto", failure_domain="kumamoto-a")
     wanted = world.wanted(_world.prompt())
     idle = dispatch.Fleet(world.settings)
-    load = idle.report(1)
-    region = _region_load("kumamoto", load.uses)
+    region = _region_load("kumamoto", idle.own_uses())
     world.fleet.region_reported(region, world.now_s)
-    for number in range(2):
-        prompt = _world.prompt(f"pack{number}", own=f"own{number}")
-        world.send(world.wanted(prompt))
+    world.send(world.wanted(_world.prompt("other", own="own0")))
     decision = world.choose(wanted)
     assert isinstance(decision, dispatch.Forward)
     assert decision.region == "kumamoto"
@@ -178,7 +176,7 @@
             messages.ServerUse(f"s{n}", *(rng.randrange(5) for _ in range(4)))
             for n in rng.sample(range(5), 3)
         ]
-        report = messages.UseReport(1, uses, [], [])
+        report = messages.UseReport(1, "own", uses, [], [], [], False)
         world.fleet.peer_reported(peer, report, world.now_s)
         newest[peer] = uses
     for number in range(5):
--- /dev/null
+++ b/buckthorntack/dispatch/tests/test_exchange.py
@@ -0,0 +1,178 @@
+"""Reports of load within a region: complete, counted once, told in time."""
+
+import itertools
+import random
+
+import pytest
+
+from buckthorntack import dispatch
+from buckthorntack.dispatch import _exchange
+
+PERIOD_S = 0.05
+DOMAINS = ("a", "b")
+
+
+class _Mesh:
+    """Entry VMs of a region that exchange reports without a network."""
+
+    def __init__(self, count, seed=1):
+        self.rng = random.Random(seed)
+        self.now_s = 100.0
+        self.down = set()
+        self.messages = 0
+        members = {f"vm{n:02}": DOMAINS[n % 2] for n in range(count)}
+        settings = dispatch.DispatchSettings()
+        self.fleets = {name: dispatch.Fleet(settings) for name in members}
+        self.exchanges = {}
+        for name, domain in members.items():
+            exchange = dispatch.UseExchange(self.fleets[name], name, domain)
+            exchange.set_members(members)
+            self.exchanges[name] = exchange
+
+    def up(self):
+        return [name for name in self.exchanges if name not in self.down]
+
+    def turn(self, names=None):
+        """Let entry VMs send what is due, in random order."""
+        names = list(names or self.up())
+        self.rng.shuffle(names)
+        for name in names:
+            for other, report in self.exchanges[name].due(self.now_s):
+                self.messages += 1
+                if other not in self.down:
+                    self.exchanges[other].take(name, report, self.now_s)
+        for name in names:
+            self.fleets[name].drop_old_reports(self.now_s)
+        self.now_s += PERIOD_S
+
+    def send(self, name, server_id="s", unread_tokens=10, prompt=None):
+        flight = dispatch.Flight(
+            server_id, unread_tokens, 100, 100.0, self.now_s
+        )
+        self.fleets[name].begin(flight, prompt)
+        self.exchanges[name].sent(flight)
+        return flight
+
+    def seen(self):
+        """Requests that wait at the server, as each entry VM believes."""
+        return {
+            name: self.fleets[name].usage("s").waiting for name in self.up()
+        }
+
+
+@pytest.mark.parametrize("count", [1, 2, 3, 7, 20])
+def test_everyone_learns_of_all_requests(count):
+    mesh = _Mesh(count)
+    for name in mesh.up():
+        mesh.send(name)
+    for _ in range(6):
+        mesh.turn()
+    assert set(mesh.seen().values()) == {count}
+
+
+def test_messages_grow_with_entry_vms_not_with_their_square():
+    sent = {}
+    for count in (10, 40):
+        mesh = _Mesh(count)
+        for _ in range(20):
+            for name in mesh.up():
+                mesh.send(name)
+            mesh.turn()
+        sent[count] = mesh.messages
+    assert sent[40] <= 4.5 * sent[10]
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_sums_are_right_again_soon_after_relays_come_and_go(seed):
+    mesh = _Mesh(8, seed)
+    flights = []
+    most_turns = round(_exchange.RELAY_SILENCE_S / PERIOD_S)
+    excess_turns = 0
+    for _ in range(150):
+        chance = mesh.rng.random()
+        if chance < 0.05 and len(mesh.down) < 4:
+            mesh.down.add(mesh.rng.choice(mesh.up()))
+        elif chance < 0.1 and mesh.down:
+            mesh.down.remove(mesh.rng.choice(sorted(mesh.down)))
+        name = mesh.rng.choice(mesh.up())
+        flights.append((name, mesh.send(name)))
+        mesh.turn()
+        most = max(mesh.seen().values())
+        excess_turns = excess_turns + 1 if most > len(flights) else 0
+        assert excess_turns <= most_turns
+        assert most <= 2 * len(flights)
+    mesh.down.clear()
+    for _ in range(120):
+        mesh.turn()
+    assert set(mesh.seen().values()) == {len(flights)}
+
+
+def test_another_relay_is_asked_when_one_falls_silent():
+    mesh = _Mesh(6)
+    for _ in range(4):
+        mesh.turn()
+    mesh.down = {"vm00", "vm01"}
+    for name in mesh.up():
+        mesh.send(name)
+    silence_turns = round(
+        (_exchange.RELAY_SILENCE_S + 2 * _exchange.IDLE_S) / PERIOD_S
+    )
+    for _ in range(silence_turns + 6):
+        mesh.turn()
+    assert set(mesh.seen().values()) == {4}
+
+
+def test_a_silent_entry_vm_is_known_to_all():
+    mesh = _Mesh(6)
+    for _ in range(30):
+        mesh.turn()
+    mesh.down = {"vm05"}
+    since_s = mesh.now_s
+    for _ in range(40):
+        mesh.turn()
+    for name, other in itertools.permutations(mesh.up(), 2):
+        assert mesh.exchanges[name].heard_s(other) > since_s
+        last_s = mesh.exchanges[name].heard_s("vm05")
+        assert last_s is not None
+        assert last_s <= since_s + 3 * _exchange.HEARD_AGE_S
+
+
+def test_large_shared_parts_are_told_to_all():
+    mesh = _Mesh(6)
+    parts = (dispatch.Part("pack", 13_300), dispatch.Part("own", 3_720))
+    prompt = dispatch.Prompt(parts, 17_020, 100)
+    mesh.send("vm04", unread_tokens=17_020, prompt=prompt)
+    assert mesh.exchanges["vm04"].is_urgent
+    for _ in range(5):
+        mesh.turn()
+    for name in mesh.up():
+        memory = mesh.fleets[name].state("s").memory
+        assert memory.cached_tokens(parts[:1]) == 13_300
+        assert memory.used_tokens == 17_020
+
+
+def test_small_prompts_take_memory_at_servers_of_others():
+    mesh = _Mesh(4)
+    for number in range(50):
+        parts = (dispatch.Part("all", 55), dispatch.Part(f"{number}", 300))
+        prompt = dispatch.Prompt(parts, 355, 50)
+        mesh.send("vm03", unread_tokens=300, prompt=prompt)
+        mesh.turn()
+    for _ in range(5):
+        mesh.turn()
+    for name in mesh.up():
+        used = mesh.fleets[name].state("s").memory.used_tokens
+        assert used >= 50 * 300
+
+
+def test_only_large_prompts_are_told_at_once():
+    mesh = _Mesh(3)
+    mesh.send("vm02", unread_tokens=_exchange.URGENT_TOKENS - 1)
+    assert not mesh.exchanges["vm02"].is_urgent
+    mesh.send("vm02", unread_tokens=_exchange.URGENT_TOKENS)
+    assert mesh.exchanges["vm02"].is_urgent
+    [(relay, report)] = mesh.exchanges["vm02"].due(mesh.now_s)
+    assert not mesh.exchanges["vm02"].is_urgent
+    mesh.exchanges[relay].due(mesh.now_s)
+    mesh.exchanges[relay].take("vm02", report, mesh.now_s)
+    assert mesh.exchanges[relay].is_urgent
--- /dev/null
+++ b/buckthorntack/emulator/_deployment.py
@@ -0,0 +1,358 @@
+"""A deployment in virtual time: entry VMs that decide, engines that work."""
+
+import datetime
+import heapq
+import itertools
+import random
+from typing import NamedTuple
+
+from buckthorntack import directives
+from buckthorntack import discovery
+from buckthorntack import dispatch
+from buckthorntack.emulator import _engine
+from buckthorntack.schema import messages
+
+_MS = datetime.timedelta(milliseconds=1)
+#: Ways of one message.
+DOMAIN_MS = 0.3
+REGION_MS = 55.0
+#: Share of the time left that a caller waits before it comes back.
+LONGEST_RETURN_SHARE = 1 / 3
+
+
+class Region(NamedTuple):
+    """A region of a deployment."""
+
+    name: str
+    engines: int
+    entries: int
+    #: Failure domains that engines and entry VMs are spread over.
+    failure_domains: int = 2
+
+
+class Result(NamedTuple):
+    """What became of one request."""
+
+    kind: str
+    region: str
+    arrived_ms: float
+    #: ``answered``, ``refused`` or ``late`` (its caller has left).
+    outcome: str
+    first_ms: float
+    longest_pause_ms: float
+    prompt_tokens: int
+    unread_tokens: int
+
+    def is_on_time(self, route):
+        """Whether it was answered within the objectives of its route.
+
+        :param route: the ``directives.Route``.
+        """
+        return (
+            self.outcome == "answered"
+            and self.first_ms <= route.objective / _MS
+            and self.longest_pause_ms <= route.pause_objective / _MS
+        )
+
+
+class _Entry:
+    """One entry VM: its own belief of the load, and its decisions."""
+
+    def __init__(self, name, region, failure_domain, settings, rng):
+        self.name = name
+        self.region = region
+        self.failure_domain = failure_domain
+        self.fleet = dispatch.Fleet(settings)
+        gate = dispatch.WarmupGate(
+            name, settings.cold_senders, settings.cold_share
+        )
+        self.dispatcher = dispatch.Dispatcher(
+            region, self.fleet, gate, settings, rng
+        )
+        self.dispatcher.members = [name]
+        self.exchange = dispatch.UseExchange(self.fleet, name, failure_domain)
+
+
+class _Request:
+    """One request of a caller, over all its attempts."""
+
+    def __init__(self, number, arrived_ms, region, kind, prompt, output):
+        self.number = number
+        self.arrived_ms = arrived_ms
+        self.region = region
+        self.kind = kind
+        self.prompt = prompt
+        self.output = output
+        self.tries = 0
+        self.way_ms = 0.0
+        self.unread_tokens = 0
+
+    def until_ms(self):
+        """When its caller leaves."""
+        return self.arrived_ms + self.kind.route.timeout / _MS
+
+
+class Deployment:
+    """Plays requests on model engines, with the decisions of a node.
+
+    :param regions: list of :class:`Region`.
+    :param figures: ``EngineFigures`` of all engines.
+    :param settings: ``dispatch.DispatchSettings``.
+    :param use_period_ms: pause between two reports of an entry VM to the
+        others of its region.
+    :param region_period_ms: pause between two reports of a region to others.
+    :param seed: of everything random.
+    """
+
+    def __init__(
+        self,
+        regions,
+        figures=None,
+        settings=None,
+        use_period_ms=50.0,
+        region_period_ms=500.0,
+        seed=1,
+    ):
+        self.figures = figures or _engine.EngineFigures()
+        self.settings = settings or dispatch.DispatchSettings()
+        self.use_period_ms = use_period_ms
+        self.region_period_ms = region_period_ms
+        self.rng = random.Random(seed)
+        self.service = directives.Service(
+            name="text",
+            health_path="/healthz",
+            max_connections=1000,
+            warmup_per_s=0.0,
+            engine=directives.EngineProfile(
+                self.figures.slots, self.figures.memory_tokens
+            ),
+        )
+        self.registry = discovery.Registry(
+            1, discovery.Timing(), datetime.timedelta()
+        )
+        self.engines = {}
+        self.entries = {}
+        self._by_name = {}
+        self.results = []
+        self._regions = {}
+        self._events = []
+        self._numbers = itertools.count()
+        self._busy = set()
+        self._flights = {}
+        for region in regions:
+            self._add(region)
+
+    def _add(self, region):
+        for number in range(region.engines):
+            server_id = f"{region.name}-engine-{number}"
+            domain = f"{region.name}-{number % region.failure_domains}"
+            self.engines[server_id] = _engine.Engine(self.figures)
+            self._regions[server_id] = region.name
+            self.registry.announce(
+                messages.AnnouncedServer(
+                    server_id=server_id,
+                    service=self.service.name,
+                    address=server_id,
+                    failure_domain=domain,
+                    region=region.name,
+                    slots=self.figures.slots,
+                    state="ready",
+                    cold_left_ms=0,
+                    reclaim_left_ms=-1,
+                    born_ms=1,
+                    sequence=1,
+                    silent=False,
+                ),
+                datetime.timedelta(),
+            )
+        self.entries[region.name] = [
+            _Entry(
+                f"{region.name}-entry-{number}",
+                region.name,
+                f"{region.name}-{number % region.failure_domains}",
+                self.settings,
+                random.Random(self.rng.random()),
+            )
+            for number in range(region.entries)
+        ]
+        members = {
+            entry.name: entry.failure_domain
+            for entry in self.entries[region.name]
+        }
+        for number, entry in enumerate(self.entries[region.name]):
+            entry.exchange.set_members(members)
+            self._by_name[entry.name] = entry
+            share = number / region.entries
+            self._at(share * self.use_period_ms, self._tell_use, entry)
+        self._at(self.region_period_ms, self._tell_region, region.name)
+
+    def _at(self, time_ms, action, *arguments):
+        item = (time_ms, next(self._numbers), action, arguments)
+        heapq.heappush(self._events, item)
+
+    def play(self, arrivals, until_ms):
+        """Play requests.
+
+        :param arrivals: as of ``Traffic.arrivals``.
+        :param until_ms: virtual time at which to stop.
+        :returns: list of :class:`Result`.
+        """
+        for number, arrival in enumerate(arrivals):
+            request = _Request(number, *arrival)
+            self._at(request.arrived_ms, self._arrive, request)
+        while self._events and self._events[0][0] <= until_ms:
+            time_ms, _, action, arguments = heapq.heappop(self._events)
+            action(time_ms, *arguments)
+        return self.results
+
+    def tokens_read(self):
+        """Prompt tokens that all engines have read."""
+        return sum(engine.tokens_read for engine in self.engines.values())
+
+    def _arrive(self, now_ms, request):
+        entry = self.rng.choice(self.entries[request.region])
+        self._decide(now_ms, request, entry, frozenset(), True)
+
+    def _decide(self, now_ms, request, entry, tried, may_leave):
+        wanted = dispatch.Wanted(
+            request.kind.route,
+            self.service,
+            request.prompt,
+            tried,
+            request.until_ms() - now_ms,
+            may_leave,
+        )
+        views = list(self.registry.servers.values())
+        now = now_ms * _MS
+        decision = entry.dispatcher.choose(wanted, views, now)
+        if isinstance(decision, dispatch.Refuse):
+            self._refused(now_ms, request, decision.retry_after_ms)
+        elif isinstance(decision, dispatch.Forward):
+            other = self.rng.choice(self.entries[decision.region])
+            request.way_ms = REGION_MS
+            self._at(
+                now_ms + REGION_MS, self._decide, request, other, tried, False
+            )
+        else:
+            flight = entry.dispatcher.flight(wanted, decision, now)
+            entry.fleet.begin(flight, request.prompt)
+            entry.exchange.sent(flight)
+            self._tell_if_urgent(now_ms, entry)
+            self._at(
+                now_ms + DOMAIN_MS, self._reach, request, entry, flight, wanted
+            )
+
+    def _refused(self, now_ms, request, retry_after_ms):
+        request.tries += 1
+        left_ms = request.until_ms() - now_ms
+        if request.tries > 1 or left_ms <= 0:
+            self._end(request, "refused", 0.0, 0.0)
+            return
+        wait_ms = min(retry_after_ms, left_ms * LONGEST_RETURN_SHARE)
+        self._at(now_ms + wait_ms, self._arrive, request)
+
+    def _reach(self, now_ms, request, entry, flight, wanted):
+        engine = self.engines[flight.server_id]
+        run = _engine.Run(
+            request.number,
+            request.prompt,
+            request.output,
+            request.kind.route.priority,
+        )
+        request.unread_tokens = flight.unread_tokens
+        if not engine.submit(run, now_ms):
+            entry.fleet.end(flight, dispatch.Outcome.FULL, now_ms / 1e3)
+            tried = wanted.tried | {flight.server_id}
+            self._decide(now_ms, request, entry, tried, wanted.may_leave)
+            return
+        self._flights[run] = (request, entry, flight)
+        self._at(request.until_ms(), self._leave, run, engine)
+        if flight.server_id not in self._busy:
+            self._wake(now_ms, flight.server_id)
+
+    def _wake(self, now_ms, server_id):
+        next_ms = self.engines[server_id].next_ms(now_ms)
+        if next_ms is None:
+            self._busy.discard(server_id)
+            return
+        self._busy.add(server_id)
+        self._at(next_ms, self._step, server_id)
+
+    def _step(self, now_ms, server_id):
+        engine = self.engines[server_id]
+        end_ms, told, ended = engine.step(now_ms)
+        for run in told:
+            request, entry, flight = self._flights[run]
+            entry.fleet.answers(flight, end_ms / 1e3)
+        for run in ended:
+            request, entry, flight = self._flights.pop(run)
+            entry.fleet.end(flight, dispatch.Outcome.OK, end_ms / 1e3)
+            times = run.event_times_ms
+            pauses = [
+                late - early for early, late in itertools.pairwise(times)
+            ]
+            first_ms = times[0] + request.way_ms - request.arrived_ms
+            self._end(request, "answered", first_ms, max(pauses, default=0.0))
+        if end_ms == now_ms:
+            return
+        self._at(end_ms, self._wake, server_id)
+
+    def _leave(self, now_ms, run, engine):
+        if run not in self._flights:
+            return
+        request, entry, flight = self._flights.pop(run)
+        engine.cancel(run)
+        entry.fleet.end(flight, dispatch.Outcome.ABANDONED, now_ms / 1e3)
+        self._end(request, "late", 0.0, 0.0)
+
+    def _end(self, request, outcome, first_ms, longest_pause_ms):
+        self.results.append(
+            Result(
+                request.kind.route.name,
+                request.region,
+                request.arrived_ms,
+                outcome,
+                first_ms,
+                longest_pause_ms,
+                request.prompt.tokens,
+                request.unread_tokens,
+            )
+        )
+
+    def _tell_use(self, now_ms, entry):
+        self._send_due(now_ms, entry)
+        entry.fleet.drop_old_reports(now_ms / 1e3)
+        self._at(now_ms + self.use_period_ms, self._tell_use, entry)
+
+    def _tell_if_urgent(self, now_ms, entry):
+        if entry.exchange.is_urgent:
+            self._send_due(now_ms, entry)
+
+    def _send_due(self, now_ms, entry):
+        for name, report in entry.exchange.due(now_ms / 1e3):
+            other = self._by_name[name]
+            self._at(
+                now_ms + DOMAIN_MS, self._take_use, other, entry.name, report
+            )
+
+    def _take_use(self, now_ms, entry, sender, report):
+        entry.exchange.take(sender, report, now_ms / 1e3)
+        self._tell_if_urgent(now_ms, entry)
+
+    def _tell_region(self, now_ms, region):
+        speaker = self.entries[region][0]
+        for entry in self.entries[region][1:]:
+            entry.fleet.shared()
+        uses = [
+            messages.ServerUse(server_id, *speaker.fleet.usage(server_id))
+            for server_id, name in self._regions.items()
+            if name == region
+        ]
+        load = messages.RegionLoad(region, uses, speaker.fleet.shared())
+        for name, entries in self.entries.items():
+            for entry in entries if name != region else ():
+                self._at(now_ms + REGION_MS, self._take_region, entry, load)
+        self._at(now_ms + self.region_period_ms, self._tell_region, region)
+
+    def _take_region(self, now_ms, entry, load):
+        entry.fleet.region_reported(load, now_ms / 1e3)
--- a/buckthorntack/gateway/_entry.py
+++ b/buckthorntack/gateway/_entry.py
@@ -15,10 +15,11 @@
 from buckthorntack.schema import messages
 
 _MS = datetime.timedelta(milliseconds=1)
-#: Pause between two reports of own requests to the region's entry VMs; more
-#: with many of them, so that the sum of reports does not grow.
-USE_PERIOD = 100 * _MS
-USE_PERIOD_PER_MEMBER = 30 * _MS
+#: Pause between two reports of requests at servers: short against the time
+#: that an engine works on one.
+USE_PERIOD = 50 * _MS
+#: Shortest such pause, when others should hear of a large prompt at once.
+LEAST_USE_PAUSE = 4 * _MS
 #: Pause between two reports of a region's load to other regions.
 REGION_PERIOD = 500 * _MS
 EXPIRE_PERIOD = 250 * _MS
@@ -53,7 +54,6 @@
         self.front = None
         self.forward = None
         self._crash_notices = []
-        self._use_sequence = 0
 
     def _described(self):
         return {"callers": self.front.address}
@@ -111,7 +111,8 @@
     def _deliver(self, sender, message):
         now_s = self.clock.monotonic().total_seconds()
         if isinstance(message, messages.UseReport):
-            self.knowledge.fleet.peer_reported(sender, message, now_s)
+            self.knowledge.exchange.take(sender, message, now_s)
+            self.knowledge.tell_if_urgent()
         elif isinstance(message, messages.RegionLoad):
             self._take_region_load(sender, message, now_s)
         elif isinstance(message, messages.RegistryChanges):
@@ -156,7 +157,7 @@
         """Whether an entry VM of this region has stopped to report here."""
         if record.region != self.settings.region:
             return False
-        heard_s = self.knowledge.fleet.peer_heard_s(record.node_id)
+        heard_s = self.knowledge.exchange.heard_s(record.node_id)
         if heard_s is None:
             return False
         age_s = self.clock.monotonic().total_seconds() - heard_s
@@ -188,16 +189,12 @@
         ]
 
     async def _tell_use(self):
-        fleet = self.knowledge.fleet
         while True:
-            peers = self._region_peers()
-            if peers:
-                self._use_sequence += 1
-                report = fleet.report(self._use_sequence)
-                for node_id in peers:
-                    self.links.send(node_id, report)
-            period = max(USE_PERIOD, USE_PERIOD_PER_MEMBER * len(peers))
-            await self.clock.sleep(period)
+            now_s = self.clock.monotonic().total_seconds()
+            for node_id, report in self.knowledge.exchange.due(now_s):
+                self.links.send(node_id, report)
+            await self.clock.sleep(LEAST_USE_PAUSE)
+            await self.knowledge.urgent_news(USE_PERIOD - LEAST_USE_PAUSE)
 
     async def _tell_region_load(self):
         while True:
@@ -218,7 +215,7 @@
         )
 
     def _heard(self, node_id):
-        heard_s = self.knowledge.fleet.peer_heard_s(node_id)
+        heard_s = self.knowledge.exchange.heard_s(node_id)
         now_s = self.clock.monotonic().total_seconds()
         return heard_s is not None and now_s - heard_s < SPEAKER_SILENCE_S
 
--- a/buckthorntack/gateway/_handling.py
+++ b/buckthorntack/gateway/_handling.py
@@ -318,6 +318,8 @@
             )
         flight = self.knowledge.dispatcher.flight(wanted, decision, now)
         fleet.begin(flight, wanted.prompt)
+        self.knowledge.exchange.sent(flight)
+        self.knowledge.tell_if_urgent()
         outcome = Outcome.ABANDONED
         connection = None
         try:
--- a/buckthorntack/gateway/_knowledge.py
+++ b/buckthorntack/gateway/_knowledge.py
@@ -42,6 +42,9 @@
         self.table = None
         figures = dispatch_settings or dispatch.DispatchSettings()
         self.fleet = dispatch.Fleet(figures)
+        self.exchange = dispatch.UseExchange(
+            self.fleet, settings.service_address, settings.failure_domain
+        )
         self.gate = dispatch.WarmupGate(
             settings.service_address, figures.cold_senders, figures.cold_share
         )
@@ -59,6 +62,7 @@
         self.directives_index = -1
         self.started_at = clock.monotonic()
         self._changed = asyncio.Event()
+        self._urgent = asyncio.Event()
         self._by_service = {}
         self._incarnations = {}
 
@@ -109,6 +113,21 @@
             async with asyncio.timeout(timeout_s):
                 await self._changed.wait()
 
+    def tell_if_urgent(self):
+        """Wake whoever waits for news that others should hear at once."""
+        if self.exchange.is_urgent:
+            self._urgent.set()
+
+    async def urgent_news(self, longest):
+        """Wait until others should hear of something, but not for ever.
+
+        :param longest: longest wait.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(longest.total_seconds()):
+                await self._urgent.wait()
+        self._urgent.clear()
+
     def limits(self):
         """Limits of requests now.
 
@@ -195,8 +214,9 @@
         self.budgets.set_members(len(entries))
         own = self.settings.service_address
         members = {
-            record.node_id
+            record.node_id: record.failure_domain
             for record in entries
             if record.region == self.settings.region and not record.silent
         }
-        self.dispatcher.members = sorted(members | {own})
+        self.dispatcher.members = sorted({*members, own})
+        self.exchange.set_members(members)
--- a/buckthorntack/schema/_generated/discovery.py
+++ b/buckthorntack/schema/_generated/discovery.py
@@ -93,6 +93,15 @@
     held_tokens: int
 
 
+class ServerRead(NamedTuple):
+    """
+    Tokens that a server has read and nobody is told of one by one.
+    """
+
+    server_id: str
+    tokens: int
+
+
 class PromptSent(NamedTuple):
     """
     Shared parts of a prompt that a server has read.
@@ -151,10 +160,13 @@
 
 class UseReport(NamedTuple):
     """
-    What an entry VM has at the servers of its region.
+    What entry VMs have at the servers of their region.
     """
 
     sequence: int
+    scope: Literal["own", "domain", "region"]
     uses: list[ServerUse]
     prompts: list[PromptSent]
-    ejected: list[str]
+    reads: list[ServerRead]
+    heard: list[str]
+    is_urgent: bool
--- a/buckthorntack/schema/messages.py
+++ b/buckthorntack/schema/messages.py
@@ -55,6 +55,7 @@
 from buckthorntack.schema._generated.discovery import RegionLoad
 from buckthorntack.schema._generated.discovery import RegistryChanges
 from buckthorntack.schema._generated.discovery import ReplicaEnvelope
+from buckthorntack.schema._generated.discovery import ServerRead
 from buckthorntack.schema._generated.discovery import ServerUse
 from buckthorntack.schema._generated.discovery import UseReport
 from buckthorntack.schema._generated.forwarding import ForwardAlive
@@ -195,6 +196,7 @@
     "RegistryChanges",
     "ReplicaEnvelope",
     "ServerLoad",
+    "ServerRead",
     "ServerRecord",
     "ServerRenewal",
     "ServerUpdate",
