Compare places by what a request costs others, regions included

Change: a place has a cost besides its expected time: what its streams lose while a prompt is read. A request counts at a server of another region until that region reports it, every 200 ms; reports pass through the relays. A refusal by another region lets the next one be asked, and takes nothing from the budget of repeats, as no server was sent anything.

--- a/buckthorntack/dispatch/_choice.py
+++ b/buckthorntack/dispatch/_choice.py
@@ -40,6 +40,9 @@
 
     region: str
     expected_ms: float
+    #: The server there that seems best now; that region decides anew.
+    server_id: str
+    unread_tokens: int
 
 
 class Refuse(NamedTuple):
@@ -66,6 +69,9 @@
     server_id: str
     region: str
     expected_ms: float
+    #: What places are compared by: the expected time, and what the request
+    #: costs others.
+    cost_ms: float
     unread_tokens: int
     fetch_from: str
 
@@ -123,16 +129,17 @@
                 remote.append(view)
         holders = self._holders(wanted, servers)
         here = self._best_local(wanted, local, holders, now, now_s)
-        there = self._best_remote(wanted, remote, here, now, now_s)
-        if there is None:
-            there = self._holding_region(wanted, remote, here, now, now_s)
-        if there is None and not holders:
+        there = None
+        if not holders:
             views = [*local, *remote]
             there = self._first_reader(wanted, views, here, now, now_s)
-        if there is not None:
-            return self._judged(wanted, there)
-        if here is not None:
-            return self._judged(wanted, here)
+        if there is None:
+            there = self._best_remote(
+                wanted, remote, here, holders, now, now_s
+            )
+        best = there or here
+        if best is not None:
+            return self._judged(wanted, best)
         reason = "no server" if not (local or remote) else "none takes more"
         return Refuse(reason, self._retry_after_ms(NO_PLACE_RETRY_MS))
 
@@ -174,10 +181,8 @@
                 places.append(place)
         if not places:
             return None
-        best = min(place.expected_ms for place in places)
-        near = [
-            place for place in places if place.expected_ms <= best + NEAR_MS
-        ]
+        best = min(place.cost_ms for place in places)
+        near = [place for place in places if place.cost_ms <= best + NEAR_MS]
         return near[0] if len(near) == 1 else self.rng.choice(near)
 
     def _is_doubtful(self, view, now_s):
@@ -231,13 +236,26 @@
                 fetch_from, fetch_ms, cached = fetch
             unread = max(0, wanted.prompt.tokens - cached)
         expected_ms = self._expected_ms(wanted, view, usage, unread, state)
+        expected_ms += fetch_ms
+        cost_ms = expected_ms + self._cost_ms(
+            wanted, view, usage, unread, state, holders
+        )
+        return _Place(
+            server_id, self.region, expected_ms, cost_ms, unread, fetch_from
+        )
+
+    def _cost_ms(self, wanted, view, usage, unread, state, holders):
+        """What a request costs others at a server, with its claim to it."""
         most_ms = CLAIM_MS
+        cost_ms = 0.0
         unheld = self._unheld_tokens(wanted, unread)
         if not holders and unheld >= self.settings.follow_tokens:
             most_ms = FIRST_CLAIM_MS
-            expected_ms += FULL_MS * state.memory.shared_share()
-        expected_ms += fetch_ms + self._claim_ms(wanted, view, most_ms)
-        return _Place(server_id, self.region, expected_ms, unread, fetch_from)
+            cost_ms += FULL_MS * state.memory.shared_share()
+        cost_ms += self._claim_ms(wanted, view, most_ms)
+        if wanted.service.engine is not None:
+            cost_ms += self._stall_ms(usage, unread)
+        return cost_ms
 
     def _fetch(self, engine, view, cached, holders):
         """Copy of the prompt's start that is quicker than reading it.
@@ -297,17 +315,20 @@
                 + usage.running * settings.batch_ms
                 + stream_ms * over / slots
                 + stream_ms * self._memory_excess(wanted, usage)
-                + self._stall_ms(usage, tokens)
             )
             expected_ms *= self.fleet.slowness(state)
         if state is not None:
             expected_ms += state.failure_share * settings.failure_ms
         return expected_ms
 
-    def _stall_ms(self, usage, tokens):
+    def _stall_ms(self, usage, unread):
         """What streams at an engine lose while it reads prompts."""
-        over = max(0, tokens - self.settings.smooth_tokens)
-        return usage.running * over / 1000.0 * self.settings.stall_ms
+        settings = self.settings
+        tokens = usage.waiting_tokens + unread
+        over = max(0, tokens - settings.smooth_tokens)
+        stall_ms = over / 1000.0 * settings.stall_ms
+        stall_ms += unread / 1000.0 * settings.delay_ms
+        return usage.running * stall_ms
 
     def _memory_excess(self, wanted, usage):
         """How far requests go beyond an engine's memory, in memories."""
@@ -315,50 +336,40 @@
         held = usage.held_tokens + _held_tokens(wanted.prompt)
         return max(0.0, held - room) / max(1.0, room) * EXCESS_WEIGHT
 
-    def _best_remote(self, wanted, views, here, now, now_s):
-        """A place elsewhere that is worth the way, or None."""
+    def _best_remote(self, wanted, views, here, holders, now, now_s):
+        """A place elsewhere that is worth the way, or None.
+
+        Others are looked at if the region is busy, and for prompts with a
+        large part: to read it again would take an engine's time from all its
+        streams.
+        """
         settings = self.settings
-        objective_ms = wanted.route.objective.total_seconds() * 1e3
+        gain_ms = settings.region_gain_ms
         if here is not None:
+            is_large = self._has_large_part(wanted)
+            objective_ms = wanted.route.objective.total_seconds() * 1e3
             stay_ms = objective_ms * settings.stay_share
-            if here.expected_ms <= stay_ms:
+            if here.expected_ms <= stay_ms and not is_large:
                 return None
-        places = self._remote_places(wanted, views, now, now_s)
+            if here.fetch_from:
+                # The copy serves later requests of the region too.
+                gain_ms = settings.gather_ms
+            elif is_large:
+                gain_ms = 0.0
+        places = self._remote_places(wanted, views, holders, now, now_s)
         if not places:
             return None
-        best = min(places, key=_expected)
-        if here is None:
+        best = min(places, key=_cost)
+        if here is None or best.cost_ms + gain_ms < here.cost_ms:
             return best
-        gain_ms = here.expected_ms - best.expected_ms
-        return best if gain_ms > settings.region_gain_ms else None
-
-    def _holding_region(self, wanted, views, here, now, now_s):
-        """A place elsewhere that has a large part which none here has.
-
-        Reading it again would take an engine's time from all its streams.
-        """
-        settings = self.settings
-        if not self._reads_large_part(wanted, here):
-            return None
-        places = [
-            place
-            for place in self._remote_places(wanted, views, now, now_s)
-            if here.unread_tokens - place.unread_tokens
-            >= settings.follow_tokens
-        ]
-        if not places:
-            return None
-        best = min(places, key=_expected)
-        saved = here.unread_tokens - best.unread_tokens
-        worth_ms = saved / settings.prefill_tokens_per_ms
-        return best if best.expected_ms < here.expected_ms + worth_ms else None
+        return None
 
     def _first_reader(self, wanted, views, here, now, now_s):
         """The place elsewhere that is to read a large part that none has.
 
         All entry VMs choose the same one, so that it is read once.
         """
-        if not self._reads_large_part(wanted, here):
+        if here is None or not self._has_large_part(wanted):
             return None
         sound = [view for view in views if self._is_open(view, now)]
         if not sound:
@@ -372,46 +383,51 @@
         )
         if chosen.record.region == self.region:
             return None
-        place = self._remote_place(wanted, chosen, now_s)
-        objective_ms = wanted.route.objective.total_seconds() * 1e3
-        most_ms = objective_ms * self.settings.stay_share
-        if place is None or place.expected_ms > most_ms:
+        place = self._remote_place(wanted, chosen, (), now_s)
+        most_ms = here.cost_ms + self.settings.gather_ms
+        if place is None or place.cost_ms > most_ms:
             return None
         return place
 
-    def _reads_large_part(self, wanted, here):
-        """Whether the best place here has to read a large shared part."""
-        if here is None or here.fetch_from:
+    def _has_large_part(self, wanted):
+        """Whether a prompt has shared parts that are long to read."""
+        prompt = wanted.prompt
+        if prompt is None or not prompt.parts:
             return False
-        unheld = self._unheld_tokens(wanted, here.unread_tokens)
-        return unheld >= self.settings.follow_tokens
+        shared = prompt.tokens - prompt.parts[-1].tokens
+        return shared >= self.settings.follow_tokens
 
     def _is_open(self, view, now):
         """Whether a server is heard of and bears any number of requests."""
         return not view.record.silent and not self.is_cold(view, now)
 
-    def _remote_places(self, wanted, views, now, now_s):
+    def _remote_places(self, wanted, views, holders, now, now_s):
         """Places elsewhere whose load is known."""
         places = [
-            self._remote_place(wanted, view, now_s)
+            self._remote_place(wanted, view, holders, now_s)
             for view in views
             if self._is_open(view, now)
         ]
         return [place for place in places if place is not None]
 
-    def _remote_place(self, wanted, view, now_s):
+    def _remote_place(self, wanted, view, holders, now_s):
         record = view.record
         usage = self.fleet.remote_usage(record.region, record.server_id, now_s)
         if usage is None:
             return None
         unread = 0
+        state = self.fleet.state(record.server_id)
         if wanted.prompt is not None:
-            memory = self.fleet.state(record.server_id).memory
-            cached = memory.cached_tokens(wanted.prompt.parts)
+            cached = state.memory.cached_tokens(wanted.prompt.parts)
             unread = max(0, wanted.prompt.tokens - cached)
         expected_ms = self._expected_ms(wanted, view, usage, unread, None)
         expected_ms += self.settings.region_round_trip_ms
-        return _Place(record.server_id, record.region, expected_ms, unread, "")
+        cost_ms = expected_ms + self._cost_ms(
+            wanted, view, usage, unread, state, holders
+        )
+        return _Place(
+            record.server_id, record.region, expected_ms, cost_ms, unread, ""
+        )
 
     def _judged(self, wanted, place):
         settings = self.settings
@@ -424,11 +440,16 @@
         else:
             most_ms = self._longest_wait_ms(wanted, place, objective_ms)
             most_ms = min(most_ms, deadline_ms)
-        if place.expected_ms > most_ms:
-            over_ms = place.expected_ms - objective_ms * settings.stay_share
+        if place.cost_ms > most_ms:
+            over_ms = place.cost_ms - objective_ms * settings.stay_share
             return Refuse("expected too late", self._retry_after_ms(over_ms))
         if place.region != self.region:
-            return Forward(place.region, place.expected_ms)
+            return Forward(
+                place.region,
+                place.expected_ms,
+                place.server_id,
+                place.unread_tokens,
+            )
         return Serve(
             place.server_id,
             place.expected_ms,
@@ -477,8 +498,8 @@
         )
 
 
-def _expected(place):
-    return place.expected_ms
+def _cost(place):
+    return place.cost_ms
 
 
 def _held_tokens(prompt):
--- a/buckthorntack/dispatch/_exchange.py
+++ b/buckthorntack/dispatch/_exchange.py
@@ -142,6 +142,24 @@
         if flight.unread_tokens >= URGENT_TOKENS:
             self.is_urgent = True
 
+    def next_hops(self, sender, now_s):
+        """Entry VMs to pass a message on to that is for all of the region.
+
+        :param sender: who sent it; "" if it came from another region.
+        :param now_s: monotonic time.
+        :returns: list of entry VMs.
+        """
+        self._choose_relay(now_s)
+        if self._relay != self.own_id:
+            return [] if sender in self._domain_of else [self._relay]
+        domain = self._domain_of.get(sender, self.failure_domain)
+        return [
+            node_id
+            for node_id, scope in self._receivers(now_s)
+            if node_id != sender
+            and (scope == "region" or domain == self.failure_domain)
+        ]
+
     def due(self, now_s):
         """Reports to be sent now.
 
@@ -150,6 +168,7 @@
         """
         self._choose_relay(now_s)
         self._sequence += 1
+        self.fleet.drop_forwarded(now_s)
         news = self.fleet.take_news()
         self._pending.append(_Pending(self.own_id, "own", news))
         tells_heard = now_s - self._heard_told_s >= HEARD_PERIOD_S
--- a/buckthorntack/dispatch/_fleet.py
+++ b/buckthorntack/dispatch/_fleet.py
@@ -1,5 +1,6 @@
 """What an entry VM knows of the load of backend servers."""
 
+import collections
 from typing import NamedTuple
 
 from buckthorntack import routing
@@ -14,6 +15,9 @@
 #: Time after which a part that is still used is told again, so that others
 #: keep it among those used last.
 TELL_AGAIN_S = 3.0
+#: Time until a region's report counts a request that was handed to it: the
+#: way there, the pause between two reports and the way back.
+FORWARDED_S = 0.35
 #: Age after which the report of another entry VM counts no more.
 REPORT_AGE_S = 1.5
 
@@ -158,6 +162,7 @@
         #: When shared parts were last told of, by server and last part.
         self._told_s = {}
         self._shared = []
+        self._forwarded = collections.deque()
 
     def state(self, server_id, memory_tokens=0):
         """What is known of a server.
@@ -256,6 +261,29 @@
         shared, self._shared = self._shared, []
         return shared
 
+    def forwarded(self, forward, prompt, now_s):
+        """Count a request at a server elsewhere until its region reports it.
+
+        :param forward: the ``Forward``.
+        :param prompt: the ``Prompt``, or None.
+        :param now_s: monotonic time.
+        """
+        held = prompt.tokens + prompt.output_tokens if prompt else 0
+        usage = Usage(0, 1, forward.unread_tokens, held)
+        state = self.state(forward.server_id)
+        state.usage = state.usage.plus(usage)
+        until_s = now_s + FORWARDED_S
+        self._forwarded.append((until_s, state, usage))
+
+    def drop_forwarded(self, now_s):
+        """Count requests no more that their region has reported by now.
+
+        :param now_s: monotonic time.
+        """
+        while self._forwarded and self._forwarded[0][0] <= now_s:
+            _, state, usage = self._forwarded.popleft()
+            state.usage = state.usage.plus(usage, -1)
+
     def answers(self, flight, now_s):
         """Note that the first part of an answer came.
 
@@ -418,8 +446,7 @@
         if report is None or now_s - report.received_s > 2 * REPORT_AGE_S:
             return None
         use = report.uses.get(server_id)
-        own = self._states.get(server_id)
-        usage = own.usage if own is not None else Usage()
+        usage = self.usage(server_id)
         return usage if use is None else usage.plus(use)
 
 
--- a/buckthorntack/dispatch/_settings.py
+++ b/buckthorntack/dispatch/_settings.py
@@ -17,7 +17,7 @@
     first_event_ms: float = 90.0
     #: Time that each request in the batch adds to the next first event: one
     #: step of decoding for some, a chunk of prefill for a few.
-    batch_ms: float = 0.6
+    batch_ms: float = 1.5
     #: How long an engine works on a stream, until it is learnt.
     stream_ms: float = 700.0
     #: How long a plain service works on a request, until it is learnt.
@@ -31,9 +31,9 @@
     region_round_trip_ms: float = 112.0
     #: Expected time that a region must save over the local one before a
     #: request is sent there: links are shared and priced.
-    region_gain_ms: float = 120.0
+    region_gain_ms: float = 60.0
     #: Share of the objective up to which a request stays in its region.
-    stay_share: float = 0.4
+    stay_share: float = 0.2
     #: Expected time to the first event, in objectives, at which a request
     #: of the most urgent kind is refused; less urgent ones are refused
     #: sooner by the step below.
@@ -52,6 +52,9 @@
     smooth_tokens: int = 10_000
     #: Added for each stream at an engine and each 1,000 tokens beyond that.
     stall_ms: float = 5.0
+    #: Added for each stream at an engine and each 1,000 tokens at all: how
+    #: long these take to read, for each of them.
+    delay_ms: float = 1.0
     #: Time that a copy takes besides the bytes.
     fetch_setup_ms: float = 4.0
     #: How much longer a copy takes between failure domains: as measured, 18
@@ -60,6 +63,9 @@
     #: Shared tokens that no server of the region has and that are worth the
     #: way to a region where one has them, rather than reading them again.
     follow_tokens: int = 4_000
+    #: What the way to the one place that reads a new large part may cost more
+    #: than to read it here: about the time of another read, later.
+    gather_ms: float = 180.0
     #: A copy is made if it takes at most this share of the time to read: the
     #: engine goes on with other requests meanwhile.
     fetch_read_share: float = 1.5
--- a/buckthorntack/dispatch/tests/test_choice.py
+++ b/buckthorntack/dispatch/tests/test_choice.py
@@ -107,7 +107,8 @@
     idle = dispatch.Fleet(world.settings)
     region = _region_load("kumamoto", idle.own_uses())
     world.fleet.region_reported(region, world.now_s)
-    world.send(world.wanted(_world.prompt("other", own="own0")))
+    other = _world.prompt("other", own="own0")
+    world.send(world.wanted(other, may_leave=False))
     decision = world.choose(wanted)
     assert isinstance(decision, dispatch.Forward)
     assert decision.region == "kumamoto"
--- a/buckthorntack/dispatch/tests/test_exchange.py
+++ b/buckthorntack/dispatch/tests/test_exchange.py
@@ -176,3 +176,19 @@
     mesh.exchanges[relay].due(mesh.now_s)
     mesh.exchanges[relay].take("vm02", report, mesh.now_s)
     assert mesh.exchanges[relay].is_urgent
+
+
+@pytest.mark.parametrize("count", [1, 2, 5, 21])
+def test_a_message_for_all_reaches_each_entry_vm_once(count):
+    mesh = _Mesh(count)
+    for _ in range(4):
+        mesh.turn()
+    for first in mesh.up():
+        reached = [first]
+        due = [("elsewhere", first)]
+        while due:
+            sender, name = due.pop()
+            hops = mesh.exchanges[name].next_hops(sender, mesh.now_s)
+            reached.extend(hops)
+            due.extend((name, other) for other in hops)
+        assert sorted(reached) == mesh.up()
--- a/buckthorntack/emulator/_deployment.py
+++ b/buckthorntack/emulator/_deployment.py
@@ -110,7 +110,7 @@
         figures=None,
         settings=None,
         use_period_ms=50.0,
-        region_period_ms=500.0,
+        region_period_ms=200.0,
         seed=1,
     ):
         self.figures = figures or _engine.EngineFigures()
@@ -211,27 +211,41 @@
 
     def _arrive(self, now_ms, request):
         entry = self.rng.choice(self.entries[request.region])
-        self._decide(now_ms, request, entry, frozenset(), True)
+        self._decide(now_ms, request, entry, frozenset())
 
-    def _decide(self, now_ms, request, entry, tried, may_leave):
+    def _decide(self, now_ms, request, entry, tried, sender=None):
+        """Choose a place for a request.
+
+        :param sender: entry VM of another region that handed it over.
+        """
         wanted = dispatch.Wanted(
             request.kind.route,
             self.service,
             request.prompt,
             tried,
             request.until_ms() - now_ms,
-            may_leave,
+            sender is None,
         )
         views = list(self.registry.servers.values())
         now = now_ms * _MS
+        entry.fleet.drop_forwarded(now_ms / 1e3)
         decision = entry.dispatcher.choose(wanted, views, now)
         if isinstance(decision, dispatch.Refuse):
-            self._refused(now_ms, request, decision.retry_after_ms)
+            if sender is None:
+                self._refused(now_ms, request, decision.retry_after_ms)
+                return
+            tried |= {
+                name
+                for name, region in self._regions.items()
+                if region == entry.region
+            }
+            self._at(now_ms + REGION_MS, self._decide, request, sender, tried)
         elif isinstance(decision, dispatch.Forward):
             other = self.rng.choice(self.entries[decision.region])
             request.way_ms = REGION_MS
+            entry.fleet.forwarded(decision, request.prompt, now_ms / 1e3)
             self._at(
-                now_ms + REGION_MS, self._decide, request, other, tried, False
+                now_ms + REGION_MS, self._decide, request, other, tried, entry
             )
         else:
             flight = entry.dispatcher.flight(wanted, decision, now)
@@ -239,7 +253,13 @@
             entry.exchange.sent(flight)
             self._tell_if_urgent(now_ms, entry)
             self._at(
-                now_ms + DOMAIN_MS, self._reach, request, entry, flight, wanted
+                now_ms + DOMAIN_MS,
+                self._reach,
+                request,
+                entry,
+                flight,
+                tried,
+                sender,
             )
 
     def _refused(self, now_ms, request, retry_after_ms):
@@ -251,7 +271,7 @@
         wait_ms = min(retry_after_ms, left_ms * LONGEST_RETURN_SHARE)
         self._at(now_ms + wait_ms, self._arrive, request)
 
-    def _reach(self, now_ms, request, entry, flight, wanted):
+    def _reach(self, now_ms, request, entry, flight, tried, sender):
         engine = self.engines[flight.server_id]
         run = _engine.Run(
             request.number,
@@ -262,8 +282,8 @@
         request.unread_tokens = flight.unread_tokens
         if not engine.submit(run, now_ms):
             entry.fleet.end(flight, dispatch.Outcome.FULL, now_ms / 1e3)
-            tried = wanted.tried | {flight.server_id}
-            self._decide(now_ms, request, entry, tried, wanted.may_leave)
+            tried |= {flight.server_id}
+            self._decide(now_ms, request, entry, tried, sender)
             return
         self._flights[run] = (request, entry, flight)
         self._at(request.until_ms(), self._leave, run, engine)
--- a/buckthorntack/gateway/_entry.py
+++ b/buckthorntack/gateway/_entry.py
@@ -20,8 +20,9 @@
 USE_PERIOD = 50 * _MS
 #: Shortest such pause, when others should hear of a large prompt at once.
 LEAST_USE_PAUSE = 4 * _MS
-#: Pause between two reports of a region's load to other regions.
-REGION_PERIOD = 500 * _MS
+#: Pause between two reports of a region's load to other regions: about the
+#: time of the way there and back, which counts in any case.
+REGION_PERIOD = 200 * _MS
 EXPIRE_PERIOD = 250 * _MS
 #: Silence after which the next entry VM speaks for the region: some reports.
 SPEAKER_SILENCE_S = 1.0
@@ -241,10 +242,7 @@
         It crosses between regions once, to an entry VM drawn by lot.
         """
         self.knowledge.fleet.region_reported(load, now_s)
-        known = self.registry.nodes.get(sender)
-        if known is None or known.record.region != load.region:
-            return
-        for node_id in self._region_peers():
+        for node_id in self.knowledge.exchange.next_hops(sender, now_s):
             self.links.send(node_id, load)
 
     def _tell_crash(self, fingerprint, server_id, attempt):
--- a/buckthorntack/gateway/_handling.py
+++ b/buckthorntack/gateway/_handling.py
@@ -249,6 +249,7 @@
             if isinstance(decision, dispatch.Refuse):
                 self._give_up(decision.reason, decision.retry_after_ms)
                 return
+            sends_before = self.sends
             if isinstance(decision, dispatch.Serve):
                 result = await self._ask_server(wanted, decision, now)
             else:
@@ -256,7 +257,7 @@
             if isinstance(result, _Ended):
                 return
             self._log_failure(result)
-            if not self._may_go_on(result):
+            if not self._may_go_on(result, sends_before):
                 self._give_up(self.reason, self.retry_after_ms)
                 return
 
@@ -271,7 +272,7 @@
             not self.is_forwarded and not self.reply.started,
         )
 
-    def _may_go_on(self, result):
+    def _may_go_on(self, result, sends_before):
         """Note how an attempt failed; whether another one may be made."""
         if isinstance(result, _NotSent):
             self.reason = result.reason
@@ -288,6 +289,9 @@
             self.retry_after_ms = result.retry_after_ms
         if self.may_have_run and not self.route.idempotent:
             return False
+        if isinstance(result, _NotRun) and self.sends == sends_before:
+            # No server got it, so that the next send is no repeated one.
+            return self.sends < self.route.max_attempts
         return self._may_repeat()
 
     def _may_repeat(self):
@@ -389,6 +393,9 @@
         try:
             connection = await pool.take(record.node_id, address)
             self._avoid_region(decision.region)
+            self.knowledge.fleet.forwarded(
+                decision, self.facts.prompt, self._now_s()
+            )
             payload = self._forwarded_payload()
             # Until it says otherwise, that region may use all attempts.
             self.sends = max(self.sends + 1, self.route.max_attempts)
