--- a/buckthorntack/http1/tests/test_exchange.py
+++ b/buckthorntack/http1/tests/test_exchange.py
@@ -262,18 +262,17 @@
 
 def test_request_that_is_given_up_is_reset_not_delivered():
     """The server sees a reset, so that it does not begin on the request."""
-    ended = []
+    ended = asyncio.Queue()
 
-    async def scenario(server, pool):
-        async def serve(reader, writer):
-            try:
-                while await reader.read(65_536):
-                    await asyncio.sleep(0)
-                ended.append("closed")
-            except ConnectionResetError:
-                ended.append("reset")
-            writer.close()
+    async def serve(reader, writer):
+        try:
+            await reader.read()
+            ended.put_nowait("closed")
+        except ConnectionResetError:
+            ended.put_nowait("reset")
+        writer.close()
 
+    async def scenario(server, pool):
         sock = transport.bind_listener("127.0.0.1:0")
         address = f"127.0.0.1:{sock.getsockname()[1]}"
         async with await asyncio.start_server(serve, sock=sock):
@@ -281,8 +280,6 @@
             connection.send(b"POST / HTTP/1.1\r\n", b"7", False)
             await asyncio.sleep(0.01)
             pool.give_back("s", connection)
-            while not ended:
-                await asyncio.sleep(0.01)
+            assert await ended.get() == "reset"
 
     run(scenario)
-    assert ended == ["reset"]
