--- a/buckthorntack/dispatch/_exchange.py
+++ b/buckthorntack/dispatch/_exchange.py
@@ -96,6 +96,11 @@
             domain = self._domains.setdefault(members[node_id], [])
             domain.append(node_id)
 
+    @property
+    def relay(self):
+        """Entry VM that this one reports to; "" before the first report."""
+        return self._relay
+
     def heard_s(self, node_id):
         """When an entry VM last reported, to here or to a relay.
 
--- a/buckthorntack/gateway/_entry.py
+++ b/buckthorntack/gateway/_entry.py
@@ -55,6 +55,8 @@
         self.front = None
         self.forward = None
         self._crash_notices = []
+        #: Relay of reports of load that the log names last.
+        self._relay = ""
 
     def _described(self):
         return {"callers": self.front.address}
@@ -190,13 +192,27 @@
         ]
 
     async def _tell_use(self):
+        exchange = self.knowledge.exchange
         while True:
             now_s = self.clock.monotonic().total_seconds()
-            for node_id, report in self.knowledge.exchange.due(now_s):
+            for node_id, report in exchange.due(now_s):
                 self.links.send(node_id, report)
+            if exchange.relay != self._relay:
+                self._note_relay(now_s)
             await self.clock.sleep(LEAST_USE_PAUSE)
             await self.knowledge.urgent_news(USE_PERIOD - LEAST_USE_PAUSE)
 
+    def _note_relay(self, now_s):
+        former, self._relay = self._relay, self.knowledge.exchange.relay
+        heard_s = self.knowledge.exchange.heard_s(former)
+        age_ms = None if heard_s is None else round((now_s - heard_s) * 1e3)
+        self._log.write(
+            _events.RELAY_CHANGED,
+            relay=self._relay,
+            former=former,
+            former_age_ms=age_ms,
+        )
+
     async def _tell_region_load(self):
         while True:
             await self.clock.sleep(REGION_PERIOD)
--- a/buckthorntack/gateway/_events.py
+++ b/buckthorntack/gateway/_events.py
@@ -125,3 +125,10 @@
     logbook.NOTICE,
     "A server's connection broke while it ran a request.",
 )
+RELAY_CHANGED = events.declare(
+    2224,
+    "relay_changed",
+    logbook.INFO,
+    "Another entry VM of the failure domain relays reports of load.",
+    "look at the entry VM that relayed before",
+)
