Let engines serve kinds in order; count half of a refusal's harm

Change: no rank is told to engines; less urgent kinds are refused sooner, as before. A refusal counts half of what the request costs others, and that cost is 2 ms for each stream and 1,000 tokens. Retry-After is counted up to 0.6 of the objective again.

--- a/buckthorntack/dispatch/_choice.py
+++ b/buckthorntack/dispatch/_choice.py
@@ -440,8 +440,10 @@
         else:
             most_ms = self._longest_wait_ms(wanted, place, objective_ms)
             most_ms = min(most_ms, deadline_ms)
-        if place.cost_ms > most_ms:
-            over_ms = place.cost_ms - objective_ms * settings.stay_share
+        harm_ms = place.cost_ms - place.expected_ms
+        judged_ms = place.expected_ms + harm_ms * settings.refuse_harm_share
+        if judged_ms > most_ms:
+            over_ms = judged_ms - objective_ms * settings.in_time_share
             return Refuse("expected too late", self._retry_after_ms(over_ms))
         if place.region != self.region:
             return Forward(
--- a/buckthorntack/dispatch/_settings.py
+++ b/buckthorntack/dispatch/_settings.py
@@ -42,6 +42,10 @@
     #: Part of the objective that a prompt may wait at an engine for which it
     #: is too large to be answered in time.
     queue_share: float = 0.0
+    #: Part of what a request costs others that counts when it is refused.
+    refuse_harm_share: float = 0.5
+    #: Part of the objective that a request which comes back is to find.
+    in_time_share: float = 0.6
     #: Share of the time left that the expected time must stay below.
     deadline_share: float = 0.8
     #: Fewest tokens that are worth a copy from another engine.
@@ -54,7 +58,7 @@
     stall_ms: float = 5.0
     #: Added for each stream at an engine and each 1,000 tokens at all: how
     #: long these take to read, for each of them.
-    delay_ms: float = 1.0
+    delay_ms: float = 2.0
     #: Time that a copy takes besides the bytes.
     fetch_setup_ms: float = 4.0
     #: How much longer a copy takes between failure domains: as measured, 18
--- a/buckthorntack/emulator/_engine.py
+++ b/buckthorntack/emulator/_engine.py
@@ -81,8 +81,8 @@
         self.cache = dispatch.PromptMemory(figures.memory_tokens)
         self.running = []
         self.waiting = collections.deque()
-        #: Shared tokens that were read though they had been read before.
         self.tokens_read = 0
+        self.preempted = 0
 
     def submit(self, run, now_ms):
         """Take a request.
@@ -107,19 +107,40 @@
                 runs.remove(run)
 
     def _admit(self, now_ms):
-        while len(self.running) < self.figures.slots:
+        while True:
             ready = [run for run in self.waiting if run.ready_ms <= now_ms]
             if not ready:
                 return
             first = min(ready, key=lambda run: (run.priority, run.ready_ms))
-            if not self._has_memory(first):
-                return
+            is_full = len(self.running) >= self.figures.slots
+            if is_full or not self._has_memory(first):
+                if not self._preempts(first):
+                    return
+                continue
             self.waiting.remove(first)
             cached = self.cache.cached_tokens(first.prompt.parts)
             first.unread_tokens = max(1, first.prompt.tokens - cached)
             self.cache.note(first.prompt.parts)
             self.running.append(first)
 
+    def _preempts(self, first):
+        """Put the newest of the least urgent requests back, if it is less so.
+
+        What it generated is kept; its prompt and that are read in again.
+        """
+        if not self.running:
+            return False
+        last = max(
+            enumerate(self.running), key=lambda p: (p[1].priority, p[0])
+        )
+        run = last[1]
+        if run.priority <= first.priority:
+            return False
+        self.running.remove(run)
+        self.waiting.append(run)
+        self.preempted += 1
+        return True
+
     def _has_memory(self, run):
         held = sum(other.held_tokens for other in self.running)
         need = run.prompt.tokens + run.output_tokens
--- a/buckthorntack/emulator/tests/test_engine.py
+++ b/buckthorntack/emulator/tests/test_engine.py
@@ -73,3 +73,13 @@
         engine.submit(emulator.Run(n, _prompt(), 5, 0), 0.0) for n in range(3)
     ]
     assert taken == [True, True, False]
+
+
+@pytest.mark.parametrize(("priority", "put_back"), [(0, 1), (1, 0)])
+def test_a_full_engine_puts_less_urgent_requests_back(priority, put_back):
+    engine = emulator.Engine(emulator.EngineFigures(slots=1))
+    long = emulator.Run("long", _prompt("a", 20_000), 50, 1)
+    engine.submit(long, 0.0)
+    engine.submit(emulator.Run("short", _prompt("b", 100), 10, priority), 300.0)
+    _play(engine)
+    assert engine.preempted == put_back
--- a/buckthorntack/gateway/_dialect.py
+++ b/buckthorntack/gateway/_dialect.py
@@ -49,15 +49,12 @@
         :returns: :class:`AnswerFacts`.
         """
 
-    def server_headers(
-        self, request, server_id, left_ms, priority, after, fetch_from
-    ):
+    def server_headers(self, request, server_id, left_ms, after, fetch_from):
         """Header fields of a request as it goes to a server.
 
         :param request: ``http1.Request`` of the client.
         :param server_id: server that it is meant for.
         :param left_ms: how long an answer is waited for.
-        :param priority: rank of its route; 0 is the most urgent.
         :param after: last event that is not to be sent again, or None.
         :param fetch_from: address of a server to copy parts of the prompt
             from; empty for none.
--- a/buckthorntack/gateway/_handling.py
+++ b/buckthorntack/gateway/_handling.py
@@ -360,7 +360,6 @@
             self.request,
             decision.server_id,
             self._sent_left_ms(),
-            self.route.priority,
             self._last_event(),
             decision.fetch_from,
         )
--- a/buckthorntack/platform/_dialect.py
+++ b/buckthorntack/platform/_dialect.py
@@ -10,11 +10,6 @@
 from buckthorntack.platform import _configuration
 from buckthorntack.platform import _headers
 
-#: Priority header of the most urgent routes, and its step for each rank; 5
-#: is what servers assume without one.
-FIRST_PRIORITY = 3
-PRIORITY_STEP = 2
-LAST_PRIORITY = 9
 MISDIRECTED = 421
 
 
@@ -68,23 +63,18 @@
             is_other_server=head.status == MISDIRECTED,
         )
 
-    def server_headers(
-        self, request, server_id, left_ms, priority, after, fetch_from
-    ):
+    def server_headers(self, request, server_id, left_ms, after, fetch_from):
         """Header fields of a request as it goes to a server.
 
         :param request: ``http1.Request`` of the client.
         :param server_id: server that it is meant for.
         :param left_ms: how long an answer is waited for.
-        :param priority: rank of its route; 0 is the most urgent.
         :param after: last event that is not to be sent again, or None.
         :param fetch_from: address of a server to copy parts of the prompt
             from; empty for none.
         """
         headers = self.forward_headers(request, left_ms, after)
-        rank = min(FIRST_PRIORITY + PRIORITY_STEP * priority, LAST_PRIORITY)
         headers.append((_headers.EXPECT_INSTANCE, server_id.encode()))
-        headers.append((_headers.PRIORITY, str(rank).encode()))
         if fetch_from:
             headers.append((_headers.FETCH, fetch_from.encode()))
         return headers
--- a/buckthorntack/platform/_headers.py
+++ b/buckthorntack/platform/_headers.py
@@ -11,7 +11,8 @@
 TOKEN_COUNT = _PREFIX + b"token-count"
 #: Parts of the prompt, as ID:TOKENS parted by commas.
 PROMPT_PREFIX = _PREFIX + b"prompt-prefix"
-#: Rank from 0, first, to 9.
+#: Rank from 0, first, to 9.  It is not set: an engine that is full puts
+#: requests of lower rank back, and reads their prompts again.
 PRIORITY = _PREFIX + b"request-priority"
 #: Sent with an answer of a server that did not run the request.
 NOT_EXECUTED = _PREFIX + b"not-executed"
--- a/buckthorntack/platform/tests/test_requests.py
+++ b/buckthorntack/platform/tests/test_requests.py
@@ -32,6 +32,7 @@
             body=b"body",
             X_Own="kept",
             X_Buckthorntack_Pin_Ms="9",
+            X_Buckthorntack_Request_Priority="0",
             Kv_From="10.0.0.1:1/2",
             X_Gateway_Forwarded="1",
         )
@@ -46,6 +47,7 @@
         for name in fields:
             assert not name.startswith(b"x-gateway-")
         assert b"x-buckthorntack-pin-ms" not in fields
+        assert b"x-buckthorntack-request-priority" not in fields
         assert b"kv-from" not in fields
         assert b"connection" not in fields
 
