--- /dev/null
+++ b/benchmarks/region_peak.py
@@ -0,0 +1,130 @@
+"""Plays one region's peak of a large deployment in virtual time.
+
+31 engines and 60 entry VMs in three regions; one of them has most of the
+requests.  Prints what became of the requests of each kind.  Usage::
+
+    python -m benchmarks.region_peak [--region north] [--load 1.6] [--seed 1]
+"""
+
+import argparse
+import collections
+import datetime
+import random
+
+from buckthorntack import emulator
+from buckthorntack.directives.tests import _documents
+
+_MS = datetime.timedelta(milliseconds=1)
+ENTRIES = 20
+#: Engines of each region, and its part of the requests at its peak.
+REGIONS = {"north": (14, 273.0), "middle": (10, 228.0), "south": (7, 195.0)}
+#: Questions may be served in these only.
+HOMES = frozenset(("north", "middle"))
+PEAK_TIMES = 2.8
+NIGHT_TIMES = 0.17
+REVIEW_SHARE = 0.057
+QUESTION_SHARE = 0.684
+
+
+def kinds(peak, load):
+    """The kinds of request.
+
+    :param peak: the region that has its peak.
+    :param load: factor of all rates.
+    """
+    review = _documents.route(
+        "review",
+        objective=863 * _MS,
+        pause_objective=300 * _MS,
+        timeout=6475 * _MS,
+        priority=1,
+        max_attempts=1,
+        resumable=False,
+    )
+    question = _documents.route(
+        "question",
+        objective=623 * _MS,
+        pause_objective=300 * _MS,
+        timeout=4156 * _MS,
+        allowed_regions=HOMES,
+    )
+    rates = {
+        region: rate * load * (PEAK_TIMES if region == peak else NIGHT_TIMES)
+        for region, (_, rate) in REGIONS.items()
+    }
+    away = sum(rate for name, rate in rates.items() if name not in HOMES)
+    return [
+        emulator.Kind(
+            review,
+            {name: rate * REVIEW_SHARE for name, rate in rates.items()},
+            ((13_300, 332),),
+            3_720,
+            0.9,
+            120,
+            0.8,
+        ),
+        emulator.Kind(
+            question,
+            {
+                name: (rates[name] + away / len(HOMES)) * QUESTION_SHARE
+                for name in sorted(HOMES)
+            },
+            ((55, 16), (37, 3994)),
+            291,
+            0.9,
+            45,
+            0.8,
+        ),
+    ]
+
+
+def outcome(result, route):
+    """One word for what became of a request.
+
+    :param result: ``emulator.Result``.
+    :param route: its ``directives.Route``.
+    """
+    if result.outcome != "answered":
+        return result.outcome
+    if result.is_on_time(route):
+        return "in_time"
+    is_late = result.first_ms > route.objective / _MS
+    return "late_first" if is_late else "paused"
+
+
+def main():
+    """Play one peak and print the shares of each outcome."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--region", choices=REGIONS, default="north")
+    parser.add_argument("--load", type=float, default=1.0)
+    parser.add_argument("--seconds", type=float, default=12.0)
+    parser.add_argument("--seed", type=int, default=1)
+    options = parser.parse_args()
+    played = kinds(options.region, options.load)
+    deployment = emulator.Deployment(
+        [
+            emulator.Region(name, engines, ENTRIES)
+            for name, (engines, _) in REGIONS.items()
+        ],
+        seed=options.seed,
+    )
+    until_ms = options.seconds * 1e3
+    traffic = emulator.Traffic(played, random.Random(options.seed))
+    # What was sent last is answered or given up by then.
+    longest_ms = max(kind.route.timeout / _MS for kind in played)
+    results = deployment.play(
+        traffic.arrivals(until_ms), until_ms + longest_ms
+    )
+    for kind in played:
+        own = [one for one in results if one.kind == kind.route.name]
+        counts = collections.Counter(outcome(one, kind.route) for one in own)
+        shares = "  ".join(
+            f"{name} {count / len(own):.3f}"
+            for name, count in sorted(counts.items())
+        )
+        print(f"{kind.route.name}: {len(own)} requests  {shares}")
+    print(f"prompt tokens read: {deployment.tokens_read()}")
+
+
+if __name__ == "__main__":
+    main()
--- a/buckthorntack/emulator/_deployment.py
+++ b/buckthorntack/emulator/_deployment.py
@@ -16,6 +16,8 @@
 #: Ways of one message.
 DOMAIN_MS = 0.3
 REGION_MS = 55.0
+#: Entry VMs tell engines no rank of requests.
+EQUAL_RANK = 5
 #: Share of the time left that a caller waits before it comes back.
 LONGEST_RETURN_SHARE = 1 / 3
 
@@ -277,7 +279,7 @@
             request.number,
             request.prompt,
             request.output,
-            request.kind.route.priority,
+            EQUAL_RANK,
         )
         request.unread_tokens = flight.unread_tokens
         if not engine.submit(run, now_ms):
--- a/buckthorntack/emulator/tests/test_engine.py
+++ b/buckthorntack/emulator/tests/test_engine.py
@@ -80,6 +80,8 @@
     engine = emulator.Engine(emulator.EngineFigures(slots=1))
     long = emulator.Run("long", _prompt("a", 20_000), 50, 1)
     engine.submit(long, 0.0)
-    engine.submit(emulator.Run("short", _prompt("b", 100), 10, priority), 300.0)
+    engine.submit(
+        emulator.Run("short", _prompt("b", 100), 10, priority), 300.0
+    )
     _play(engine)
     assert engine.preempted == put_back
