--- a/buckthorntack/dispatch/__init__.py
+++ b/buckthorntack/dispatch/__init__.py
@@ -1,11 +1,11 @@
 """Where a request goes: which server, which region, or nowhere."""
 
 from buckthorntack.dispatch._choice import Dispatcher
-from buckthorntack.dispatch._choice import Forward
-from buckthorntack.dispatch._choice import Refuse
-from buckthorntack.dispatch._choice import Serve
-from buckthorntack.dispatch._choice import Wanted
 from buckthorntack.dispatch._crashes import CrashLedger
+from buckthorntack.dispatch._decisions import Forward
+from buckthorntack.dispatch._decisions import Refuse
+from buckthorntack.dispatch._decisions import Serve
+from buckthorntack.dispatch._decisions import Wanted
 from buckthorntack.dispatch._events import REQUEST_ROUTED
 from buckthorntack.dispatch._exchange import UseExchange
 from buckthorntack.dispatch._fleet import Fleet
--- a/buckthorntack/dispatch/_choice.py
+++ b/buckthorntack/dispatch/_choice.py
@@ -1,23 +1,12 @@
 """The choice of a server by the time that each is expected to take."""
 
-from typing import NamedTuple
-
+from buckthorntack.dispatch import _decisions
+from buckthorntack.dispatch import _estimates
 from buckthorntack.dispatch import _fleet
 from buckthorntack.dispatch import _warmup
 
-#: Claims to a prompt's shared parts, as time: enough to gather equal prompts
-#: while servers are about equally busy.
-CLAIM_MS = 8.0
-#: The same for a large part that no server is known to hold: entry VMs that
-#: have not heard of each other's requests yet choose the same server.
-FIRST_CLAIM_MS = 40.0
-#: Added for such a part at a server whose memory is full of shared parts.
-FULL_MS = 60.0
-
 #: Places whose expected times differ by less are equal.
 NEAR_MS = 1.0
-#: Waits, in times of a stream, for each memory that requests lack.
-EXCESS_WEIGHT = 4.0
 #: Retry-After where no server is known that may take the request: a part of
 #: the time between two announcements.
 NO_PLACE_RETRY_MS = 400.0
@@ -25,66 +14,6 @@
 RETRY_SPREAD = (0.75, 1.25)
 
 
-class Serve(NamedTuple):
-    """Send the request to a server of this region."""
-
-    server_id: str
-    expected_ms: float
-    unread_tokens: int
-    #: Address of a server that holds more of the prompt; empty for none.
-    fetch_from: str
-
-
-class Forward(NamedTuple):
-    """Send the request to an entry VM of another region."""
-
-    region: str
-    expected_ms: float
-    #: The server there that seems best now; that region decides anew.
-    server_id: str
-    unread_tokens: int
-
-
-class Refuse(NamedTuple):
-    """Refuse the request; it is sent nowhere."""
-
-    reason: str
-    retry_after_ms: float
-
-
-class Wanted(NamedTuple):
-    """What a request asks for."""
-
-    route: object
-    service: object
-    prompt: object
-    #: Servers that it was sent to already.
-    tried: frozenset[str]
-    left_ms: float
-    #: Whether another region may be asked.
-    may_leave: bool
-
-
-class _Place(NamedTuple):
-    server_id: str
-    region: str
-    expected_ms: float
-    #: What places are compared by: the expected time, and what the request
-    #: costs others.
-    cost_ms: float
-    unread_tokens: int
-    fetch_from: str
-
-
-class _Holder(NamedTuple):
-    """A server that has the start of a prompt in its memory."""
-
-    server_id: str
-    address: str
-    failure_domain: str
-    cached_tokens: int
-
-
 class Dispatcher:
     """Chooses servers for requests.
 
@@ -101,6 +30,7 @@
         self.gate = gate
         self.settings = settings
         self.rng = rng
+        self.estimator = _estimates.Estimator(region, fleet, settings)
         #: Entry VMs of this region, this one included.
         self.members = []
         self.evacuated = frozenset()
@@ -112,7 +42,7 @@
         :param wanted: what it asks for.
         :param servers: ``ServerView`` of all servers of its service.
         :param now: monotonic time.
-        :returns: :class:`Serve`, :class:`Forward` or :class:`Refuse`.
+        :returns: ``Serve``, ``Forward`` or ``Refuse``.
         """
         now_s = now.total_seconds()
         allowed = wanted.route.allowed_regions
@@ -127,7 +57,7 @@
                 local.append(view)
             elif wanted.may_leave:
                 remote.append(view)
-        holders = self._holders(wanted, servers)
+        holders = self.estimator.holders(wanted, servers)
         here = self._best_local(wanted, local, holders, now, now_s)
         there = None
         if not holders:
@@ -141,7 +71,9 @@
         if best is not None:
             return self._judged(wanted, best)
         reason = "no server" if not (local or remote) else "none takes more"
-        return Refuse(reason, self._retry_after_ms(NO_PLACE_RETRY_MS))
+        return _decisions.Refuse(
+            reason, self._retry_after_ms(NO_PLACE_RETRY_MS)
+        )
 
     def set_evacuated(self, evacuated, now):
         """Take in which failure domains get no work.
@@ -177,7 +109,7 @@
         places = []
         for view in sound or views:
             if self._may_warm(wanted, view, now, now_s):
-                place = self._local_place(wanted, view, holders, now_s)
+                place = self.estimator.local_place(wanted, view, holders)
                 places.append(place)
         if not places:
             return None
@@ -197,145 +129,6 @@
         server_id = view.record.server_id
         return self.gate.may_send(server_id, per_s, self.members, now_s)
 
-    def _holders(self, wanted, servers):
-        """Servers with parts of the prompt in memory, the best ones first."""
-        if wanted.prompt is None or not wanted.prompt.parts:
-            return []
-        holders = []
-        for view in servers:
-            record = view.record
-            if record.state == "gone" or record.silent:
-                continue
-            state = self.fleet.state(record.server_id)
-            cached = state.memory.cached_tokens(wanted.prompt.parts)
-            if cached >= self.settings.fetch_least_tokens:
-                holders.append(
-                    _Holder(
-                        record.server_id,
-                        record.address,
-                        record.failure_domain,
-                        cached,
-                    )
-                )
-        holders.sort(key=lambda holder: -holder.cached_tokens)
-        return holders
-
-    def _local_place(self, wanted, view, holders, now_s):
-        server_id = view.record.server_id
-        engine = wanted.service.engine
-        memory_tokens = engine.memory_tokens if engine else 0
-        state = self.fleet.state(server_id, memory_tokens)
-        usage = self.fleet.usage(server_id)
-        unread = 0
-        fetch_from = ""
-        fetch_ms = 0.0
-        if wanted.prompt is not None:
-            cached = state.memory.cached_tokens(wanted.prompt.parts)
-            fetch = self._fetch(engine, view, cached, holders)
-            if fetch is not None:
-                fetch_from, fetch_ms, cached = fetch
-            unread = max(0, wanted.prompt.tokens - cached)
-        expected_ms = self._expected_ms(wanted, view, usage, unread, state)
-        expected_ms += fetch_ms
-        cost_ms = expected_ms + self._cost_ms(
-            wanted, view, usage, unread, state, holders
-        )
-        return _Place(
-            server_id, self.region, expected_ms, cost_ms, unread, fetch_from
-        )
-
-    def _cost_ms(self, wanted, view, usage, unread, state, holders):
-        """What a request costs others at a server, with its claim to it."""
-        most_ms = CLAIM_MS
-        cost_ms = 0.0
-        unheld = self._unheld_tokens(wanted, unread)
-        if not holders and unheld >= self.settings.follow_tokens:
-            most_ms = FIRST_CLAIM_MS
-            cost_ms += FULL_MS * state.memory.shared_share()
-        cost_ms += self._claim_ms(wanted, view, most_ms)
-        if wanted.service.engine is not None:
-            cost_ms += self._stall_ms(usage, unread)
-        return cost_ms
-
-    def _fetch(self, engine, view, cached, holders):
-        """Copy of the prompt's start that is quicker than reading it.
-
-        :returns: address, time and tokens cached afterwards; or None.
-        """
-        settings = self.settings
-        if engine is None or engine.transfer_mbps <= 0:
-            return None
-        best = None
-        for holder in holders:
-            tokens = holder.cached_tokens - cached
-            if tokens < settings.fetch_least_tokens:
-                break
-            if holder.server_id == view.record.server_id:
-                continue
-            bits = tokens * engine.token_bytes * 8.0
-            fetch_ms = bits / (engine.transfer_mbps * 1e3)
-            if holder.failure_domain != view.record.failure_domain:
-                fetch_ms *= settings.fetch_domain_factor
-            fetch_ms += settings.fetch_setup_ms
-            read_ms = tokens / settings.prefill_tokens_per_ms
-            if fetch_ms > read_ms * settings.fetch_read_share:
-                continue
-            if best is None or fetch_ms < best[1]:
-                best = (holder.address, fetch_ms, holder.cached_tokens)
-        return best
-
-    def _unheld_tokens(self, wanted, unread):
-        """Shared tokens among those that a server would have to read."""
-        if wanted.prompt is None or not wanted.prompt.parts:
-            return 0
-        return unread - wanted.prompt.parts[-1].tokens
-
-    def _claim_ms(self, wanted, view, most_ms):
-        """Small preference for the server that a prompt is gathered at."""
-        if wanted.prompt is None or not wanted.prompt.parts:
-            return 0.0
-        key = wanted.prompt.shared_key
-        claim = _warmup.rendezvous_value(key, view.record.server_id)
-        return most_ms * (1.0 - claim)
-
-    def _expected_ms(self, wanted, view, usage, unread, state):
-        settings = self.settings
-        present = usage.running + usage.waiting
-        slots = max(1, view.record.slots)
-        over = max(0, present + 1 - slots)
-        if wanted.service.engine is None:
-            work_ms = (state and state.duration_ms) or settings.work_ms
-            expected_ms = work_ms * (1.0 + over / slots)
-        else:
-            stream_ms = (state and state.duration_ms) or settings.stream_ms
-            tokens = usage.waiting_tokens + unread
-            expected_ms = (
-                settings.first_event_ms
-                + tokens / settings.prefill_tokens_per_ms
-                + usage.running * settings.batch_ms
-                + stream_ms * over / slots
-                + stream_ms * self._memory_excess(wanted, usage)
-            )
-            expected_ms *= self.fleet.slowness(state)
-        if state is not None:
-            expected_ms += state.failure_share * settings.failure_ms
-        return expected_ms
-
-    def _stall_ms(self, usage, unread):
-        """What streams at an engine lose while it reads prompts."""
-        settings = self.settings
-        tokens = usage.waiting_tokens + unread
-        over = max(0, tokens - settings.smooth_tokens)
-        stall_ms = over / 1000.0 * settings.stall_ms
-        stall_ms += unread / 1000.0 * settings.delay_ms
-        return usage.running * stall_ms
-
-    def _memory_excess(self, wanted, usage):
-        """How far requests go beyond an engine's memory, in memories."""
-        room = wanted.service.engine.memory_tokens * self.settings.memory_share
-        held = usage.held_tokens + _held_tokens(wanted.prompt)
-        return max(0.0, held - room) / max(1.0, room) * EXCESS_WEIGHT
-
     def _best_remote(self, wanted, views, here, holders, now, now_s):
         """A place elsewhere that is worth the way, or None.
 
@@ -346,7 +139,7 @@
         settings = self.settings
         gain_ms = settings.region_gain_ms
         if here is not None:
-            is_large = self._has_large_part(wanted)
+            is_large = self.estimator.has_large_part(wanted)
             objective_ms = wanted.route.objective.total_seconds() * 1e3
             stay_ms = objective_ms * settings.stay_share
             if here.expected_ms <= stay_ms and not is_large:
@@ -369,7 +162,7 @@
 
         All entry VMs choose the same one, so that it is read once.
         """
-        if here is None or not self._has_large_part(wanted):
+        if here is None or not self.estimator.has_large_part(wanted):
             return None
         sound = [view for view in views if self._is_open(view, now)]
         if not sound:
@@ -383,20 +176,12 @@
         )
         if chosen.record.region == self.region:
             return None
-        place = self._remote_place(wanted, chosen, (), now_s)
+        place = self.estimator.remote_place(wanted, chosen, (), now_s)
         most_ms = here.cost_ms + self.settings.gather_ms
         if place is None or place.cost_ms > most_ms:
             return None
         return place
 
-    def _has_large_part(self, wanted):
-        """Whether a prompt has shared parts that are long to read."""
-        prompt = wanted.prompt
-        if prompt is None or not prompt.parts:
-            return False
-        shared = prompt.tokens - prompt.parts[-1].tokens
-        return shared >= self.settings.follow_tokens
-
     def _is_open(self, view, now):
         """Whether a server is heard of and bears any number of requests."""
         return not view.record.silent and not self.is_cold(view, now)
@@ -404,31 +189,12 @@
     def _remote_places(self, wanted, views, holders, now, now_s):
         """Places elsewhere whose load is known."""
         places = [
-            self._remote_place(wanted, view, holders, now_s)
+            self.estimator.remote_place(wanted, view, holders, now_s)
             for view in views
             if self._is_open(view, now)
         ]
         return [place for place in places if place is not None]
 
-    def _remote_place(self, wanted, view, holders, now_s):
-        record = view.record
-        usage = self.fleet.remote_usage(record.region, record.server_id, now_s)
-        if usage is None:
-            return None
-        unread = 0
-        state = self.fleet.state(record.server_id)
-        if wanted.prompt is not None:
-            cached = state.memory.cached_tokens(wanted.prompt.parts)
-            unread = max(0, wanted.prompt.tokens - cached)
-        expected_ms = self._expected_ms(wanted, view, usage, unread, None)
-        expected_ms += self.settings.region_round_trip_ms
-        cost_ms = expected_ms + self._cost_ms(
-            wanted, view, usage, unread, state, holders
-        )
-        return _Place(
-            record.server_id, record.region, expected_ms, cost_ms, unread, ""
-        )
-
     def _judged(self, wanted, place):
         settings = self.settings
         objective_ms = wanted.route.objective.total_seconds() * 1e3
@@ -444,15 +210,17 @@
         judged_ms = place.expected_ms + harm_ms * settings.refuse_harm_share
         if judged_ms > most_ms:
             over_ms = judged_ms - objective_ms * settings.in_time_share
-            return Refuse("expected too late", self._retry_after_ms(over_ms))
+            return _decisions.Refuse(
+                "expected too late", self._retry_after_ms(over_ms)
+            )
         if place.region != self.region:
-            return Forward(
+            return _decisions.Forward(
                 place.region,
                 place.expected_ms,
                 place.server_id,
                 place.unread_tokens,
             )
-        return Serve(
+        return _decisions.Serve(
             place.server_id,
             place.expected_ms,
             place.unread_tokens,
@@ -490,7 +258,7 @@
         :param serve: the decision.
         :param now: monotonic time.
         """
-        held = _held_tokens(wanted.prompt)
+        held = _estimates.held_tokens(wanted.prompt)
         return _fleet.Flight(
             serve.server_id,
             serve.unread_tokens,
@@ -502,9 +270,3 @@
 
 def _cost(place):
     return place.cost_ms
-
-
-def _held_tokens(prompt):
-    if prompt is None:
-        return 0
-    return prompt.tokens + prompt.output_tokens
--- a/buckthorntack/dispatch/_exchange.py
+++ b/buckthorntack/dispatch/_exchange.py
@@ -181,8 +181,10 @@
         if tells_heard:
             self._heard_told_s = now_s
         due = []
+        total = self.fleet.total_usage()
         for node_id, scope in self._receivers(now_s):
-            report = self._report(node_id, scope, tells_heard, now_s)
+            uses = self._uses_for(node_id, scope, total)
+            report = self._report(node_id, scope, uses, tells_heard, now_s)
             if report is not None:
                 due.append((node_id, report))
         due.extend((node_id, self._empty_report()) for node_id in self._left)
@@ -254,7 +256,7 @@
                 heard.add(node_id)
         return sorted(heard)
 
-    def _report(self, node_id, scope, tells_heard, now_s):
+    def _report(self, node_id, scope, uses, tells_heard, now_s):
         """A report for an entry VM; None if there is nothing to tell.
 
         It names the servers whose figures have changed; every now and then
@@ -262,7 +264,7 @@
         """
         last, whole_s = self._last.get(node_id, ({}, -WHOLE_PERIOD_S))
         is_whole = now_s - whole_s >= WHOLE_PERIOD_S
-        uses = {use.server_id: use for use in self._uses_for(node_id, scope)}
+        uses = {use.server_id: use for use in uses}
         told = list(uses.values())
         if not is_whole:
             told = [use for use in told if last.get(use.server_id) != use]
@@ -289,13 +291,13 @@
             self.is_urgent,
         )
 
-    def _uses_for(self, node_id, scope):
+    def _uses_for(self, node_id, scope, total):
         if scope == "own":
             return self.fleet.own_uses()
         if scope == "domain":
             others = {_key(domain) for domain in self._domains}
-            return self.fleet.uses_without({*others, self._relay})
-        return self.fleet.uses_without({node_id})
+            return self.fleet.uses_without(total, others)
+        return self.fleet.uses_without(total, {node_id})
 
     def _news_for(self, node_id, scope):
         prompts, reads = [], {}
--- a/buckthorntack/dispatch/_fleet.py
+++ b/buckthorntack/dispatch/_fleet.py
@@ -17,7 +17,7 @@
 TELL_AGAIN_S = 3.0
 #: Time until a region's report counts a request that was handed to it: the
 #: way there, the pause between two reports and the way back.
-FORWARDED_S = 0.35
+FORWARDED_S = 0.45
 #: Age after which the report of another entry VM counts no more.
 REPORT_AGE_S = 1.5
 
@@ -344,22 +344,36 @@
             if any(state.usage)
         ]
 
-    def uses_without(self, senders):
-        """What all have at servers whose reports are known, but for some.
+    def total_usage(self):
+        """What all have at servers whose reports are known.
 
+        :returns: ``Usage`` by server.
+        """
+        total = dict(self._peer_usage)
+        for server_id, state in self._states.items():
+            if any(state.usage):
+                others = total.get(server_id)
+                usage = state.usage
+                total[server_id] = usage.plus(others) if others else usage
+        return total
+
+    def uses_without(self, total, senders):
+        """What all have at servers, but for some.
+
+        :param total: as of :meth:`total_usage`.
         :param senders: names under which reports were taken in.
         :returns: list of ``ServerUse``.
         """
-        total = {use.server_id: Usage(*use[1:]) for use in self.own_uses()}
-        for sender, report in self._peers.items():
-            if sender in senders:
-                continue
-            for server_id, use in report.uses.items():
-                known = total.get(server_id, Usage())
-                total[server_id] = known.plus(use)
+        left = dict(total)
+        for sender in senders:
+            report = self._peers.get(sender)
+            for server_id, use in (report.uses if report else {}).items():
+                known = left.get(server_id, Usage())
+                left[server_id] = known.plus(use, -1)
         return [
             messages.ServerUse(server_id, *usage)
-            for server_id, usage in total.items()
+            for server_id, usage in left.items()
+            if any(usage)
         ]
 
     def peer_reported(self, sender, report, now_s):
@@ -374,9 +388,12 @@
         """
         uses = {use.server_id: use for use in report.uses}
         former = self._peers.get(sender)
-        if not report.is_whole and former is not None:
-            uses = {**former.uses, **uses}
-        self._replace_report(sender, _PeerReport(now_s, uses))
+        known = former.uses if former is not None else {}
+        if report.is_whole:
+            for server_id in known.keys() - uses.keys():
+                uses[server_id] = Usage()
+        self._count_changes(known, uses)
+        self._peers[sender] = _PeerReport(now_s, {**known, **uses})
         for sent in report.prompts:
             self._share(sent)
             self._note_sent(sent)
@@ -388,19 +405,20 @@
 
         :param sender: the name.
         """
-        if sender in self._peers:
-            self._replace_report(sender, _PeerReport(0.0, {}))
-            del self._peers[sender]
-
-    def _replace_report(self, node_id, report):
-        """Count a report in place of the former one of its sender."""
-        usage = self._peer_usage
-        former = self._peers.get(node_id)
-        for uses, times in ((former, -1), (report, 1)):
-            for server_id, use in (uses.uses if uses else {}).items():
-                known = usage.get(server_id, Usage())
-                usage[server_id] = known.plus(use, times)
-        self._peers[node_id] = report
+        former = self._peers.pop(sender, None)
+        if former is not None:
+            gone = dict.fromkeys(former.uses, Usage())
+            self._count_changes(former.uses, gone)
+
+    def _count_changes(self, known, uses):
+        """Count new figures of a report in place of its former ones."""
+        total = self._peer_usage
+        for server_id, use in uses.items():
+            former = known.get(server_id)
+            if use == former:
+                continue
+            usage = total.get(server_id, Usage()).plus(use)
+            total[server_id] = usage.plus(former, -1) if former else usage
 
     def drop_old_reports(self, now_s):
         """Count reports no more whose senders have fallen silent.
--- a/buckthorntack/dispatch/_prompts.py
+++ b/buckthorntack/dispatch/_prompts.py
@@ -19,6 +19,11 @@
     #: Most tokens that it generates.
     output_tokens: int
 
+    @property
+    def shared_tokens(self):
+        """Tokens of all parts but the last one."""
+        return sum(part.tokens for part in self.parts[:-1])
+
     @property
     def shared_key(self):
         """What equal prompts are gathered by: all parts but the last one.
--- a/buckthorntack/dispatch/_settings.py
+++ b/buckthorntack/dispatch/_settings.py
@@ -48,8 +48,9 @@
     in_time_share: float = 0.6
     #: Share of the time left that the expected time must stay below.
     deadline_share: float = 0.8
-    #: Fewest tokens that are worth a copy from another engine.
-    fetch_least_tokens: int = 32
+    #: Fewest tokens that are worth a copy from another engine: they are read
+    #: in the time that it takes to begin one.
+    fetch_least_tokens: int = 256
     #: Prompt tokens that an engine may have to read in one go before the
     #: pauses of its streams grow too long: it reads in chunks of 2,048, each
     #: between two tokens of all streams, and an event has 5 to 10 tokens.
--- a/buckthorntack/emulator/_deployment.py
+++ b/buckthorntack/emulator/_deployment.py
@@ -111,8 +111,8 @@
         regions,
         figures=None,
         settings=None,
-        use_period_ms=50.0,
-        region_period_ms=200.0,
+        use_period_ms=75.0,
+        region_period_ms=300.0,
         seed=1,
     ):
         self.figures = figures or _engine.EngineFigures()
--- a/buckthorntack/gateway/_entry.py
+++ b/buckthorntack/gateway/_entry.py
@@ -17,12 +17,12 @@
 _MS = datetime.timedelta(milliseconds=1)
 #: Pause between two reports of requests at servers: short against the time
 #: that an engine works on one.
-USE_PERIOD = 50 * _MS
+USE_PERIOD = 75 * _MS
 #: Shortest such pause, when others should hear of a large prompt at once.
 LEAST_USE_PAUSE = 4 * _MS
-#: Pause between two reports of a region's load to other regions: about the
-#: time of the way there and back, which counts in any case.
-REGION_PERIOD = 200 * _MS
+#: Pause between two reports of a region's load to other regions: some times
+#: of the way there and back, which counts in any case.
+REGION_PERIOD = 300 * _MS
 EXPIRE_PERIOD = 250 * _MS
 #: Silence after which the next entry VM speaks for the region: some reports.
 SPEAKER_SILENCE_S = 1.0
