Log how the body of a server's answer ended

Change: framing, body_bytes and ended_inside_event in request_ended, and the counter gateway_body_ends_total by framing and place. No decision changed.

--- a/buckthorntack/gateway/_metrics.py
+++ b/buckthorntack/gateway/_metrics.py
@@ -53,6 +53,13 @@
             registry=registry,
         )
 
+        self._body_ends = prometheus_client.Counter(
+            "gateway_body_ends",
+            "Response bodies that have ended as their framing tells.",
+            ["framing", "place"],
+            registry=registry,
+        )
+
     def record_request(self, kind, status, outcome, duration_s):
         """Count a request that has ended.
 
@@ -72,6 +79,15 @@
         """
         self._first_byte_seconds.labels(kind).observe(first_byte_s)
 
+    def record_body_end(self, framing, place):
+        """Count a response body that its framing marks as complete.
+
+        :param framing: value of its ``http1.BodyFraming``.
+        :param place: ``"inside_event"`` if it ended there, else
+            ``"boundary"``.
+        """
+        self._body_ends.labels(framing, place).inc()
+
     def record_failed_attempt(self, result):
         """Count a failed attempt.
 
--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -157,6 +157,10 @@
         self.reason = ""
         self.first_byte_s = 0.0
         self.longest_gap_s = 0.0
+        #: Framing, size and state at the end of the last body received.
+        self.framing = ""
+        self.body_bytes = 0
+        self.ended_inside_event = False
 
     async def run(self):
         """Process the request up to its final response."""
@@ -490,6 +494,9 @@
                 raise
             connection.close()
             return _Unknown("silent before its answer")
+        self.framing = head.framing.value
+        self.body_bytes = 0
+        self.ended_inside_event = False
         if in_flight is not None:
             now_s = self._now_s()
             self.shared_state.fleet.on_first_byte(in_flight, now_s)
@@ -543,6 +550,8 @@
             if size_bytes > MAX_BUFFERED_BODY_BYTES:
                 return await self._relay_unbuffered(connection, head, parts)
         body = b"".join(parts)
+        self.body_bytes = size_bytes
+        self._record_body_end(is_inside_event=False)
         if head.status >= 500 and self._can_retry():
             return _Failed(head, body)
         self._send_buffered(head, body)
@@ -553,14 +562,17 @@
     async def _relay_unbuffered(self, connection, head, parts):
         self._start_response(head, head.length)
         for part in parts:
+            self.body_bytes += len(part)
             self.reply.write(part)
         try:
             while data := await connection.read():
+                self.body_bytes += len(data)
                 self.reply.write(data)
                 await self.reply.flush()
         except http1.IncompleteResponseError:
             self.reply.abort()
             return _Completed()
+        self._record_body_end(is_inside_event=False)
         self.reply.end()
         return _Completed()
 
@@ -585,8 +597,11 @@
         stream = self.stream
         if stream is not None:
             stream.discard_partial_event()
+        boundary = _event_stream.EventBoundary()
         try:
             while data:
+                boundary.feed(data)
+                self.body_bytes += len(data)
                 complete_events = (
                     stream.feed(data) if stream is not None else data
                 )
@@ -604,6 +619,7 @@
         except _event_stream.StreamOrderError as error:
             connection.close()
             return _Unknown(error.detail)
+        self._record_body_end(boundary.is_inside_event)
         if not self.reply.started:
             self._start_response(head, None)
         if stream is not None:
@@ -724,6 +740,12 @@
             self.route.kind.value, self.first_byte_s
         )
 
+    def _record_body_end(self, is_inside_event):
+        """Record the end of a body that its framing marks as complete."""
+        self.ended_inside_event = is_inside_event
+        place = "inside_event" if is_inside_event else "boundary"
+        self.handler.metrics.record_body_end(self.framing, place)
+
     def _log_end(self, outcome):
         now_s = self._now_s()
         duration_s = now_s - self.request.received_s
@@ -739,6 +761,9 @@
             outcome=outcome,
             status=self.reply.status,
             sends=self.send_count,
+            framing=self.framing,
+            body_bytes=self.body_bytes,
+            ended_inside_event=self.ended_inside_event,
             first_ms=round(self.first_byte_s * 1e3),
             longest_pause_ms=round(self.longest_gap_s * 1e3),
             took_ms=round(duration_s * 1e3),
--- a/buckthorntack/http1/_client.py
+++ b/buckthorntack/http1/_client.py
@@ -124,15 +124,9 @@
         if self._is_skipping:
             return
         self._status = status
-        codings = _messages.find_header(self._headers, b"transfer-encoding")
-        length = _messages.find_header(self._headers, b"content-length")
-        has_body = status not in (204, 304) and not self._is_head
-        self._ends_at_close = has_body and codings is None and length is None
-        content_length = (
-            int(length) if length is not None and not codings else None
-        )
-        head = _messages.ResponseHead(
-            status, self._reason, self._headers, content_length
+        head = self._build_head(status)
+        self._ends_at_close = (
+            head.framing is _messages.BodyFraming.CONNECTION_CLOSE
         )
         if not self._head.done():
             self._head.set_result(head)
@@ -140,6 +134,24 @@
             self._is_closing = True
             self._finish()
 
+    def _build_head(self, status):
+        codings = _messages.find_header(self._headers, b"transfer-encoding")
+        length = _messages.find_header(self._headers, b"content-length")
+        if status in (204, 304) or self._is_head:
+            framing = _messages.BodyFraming.NO_BODY
+        elif codings is not None:
+            framing = _messages.BodyFraming.CHUNKED
+        elif length is not None:
+            framing = _messages.BodyFraming.LENGTH
+        else:
+            framing = _messages.BodyFraming.CONNECTION_CLOSE
+        content_length = (
+            int(length) if length is not None and not codings else None
+        )
+        return _messages.ResponseHead(
+            status, self._reason, self._headers, content_length, framing
+        )
+
     def _is_expected_response(self):
         """Return whether the response has the id of the pending request.
 
--- a/buckthorntack/http1/_messages.py
+++ b/buckthorntack/http1/_messages.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 messages, header fields and their encoding."""
 
+import enum
 from typing import NamedTuple
 
 #: Header fields that apply to a single connection (RFC 9110, section 7.6.1).
@@ -33,6 +34,16 @@
     received_s: float
 
 
+class BodyFraming(enum.Enum):
+    """What marks the end of a response body (RFC 9112, section 6.3)."""
+
+    NO_BODY = "none"
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    #: The server closes the connection after the last byte.
+    CONNECTION_CLOSE = "close"
+
+
 class ResponseHead(NamedTuple):
     """Status and header fields of a response."""
 
@@ -42,6 +53,7 @@
     #: Length of the body in bytes; None if the body is chunked or ends when
     #: the connection closes.
     length: int | None
+    framing: BodyFraming
 
 
 def find_header(headers, name):
