--- a/buckthorntack/platform/tests/_standins.py
+++ b/buckthorntack/platform/tests/_standins.py
@@ -148,6 +148,33 @@
     return behave
 
 
+def raw_stream(body, framing):
+    """Behaviour: a stream of these bytes, continued after the last known.
+
+    :param body: the bytes; the server closes its connection after them.
+    :param framing: ``http1.BodyFraming`` of the response, whose end is sent
+        even if the last event is incomplete.
+    """
+
+    async def behave(server, request, reply):
+        last = http1.find_header(request.headers, b"last-event-id")
+        rest = body[len(whole_stream(int(last) + 1)) :] if last else body
+        head = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+        for name, value in server.headers(request):
+            head += name + b": " + value + b"\r\n"
+        if framing is http1.BodyFraming.CHUNKED:
+            head += b"Transfer-Encoding: chunked\r\n"
+            chunk = b"%x\r\n%b\r\n" % (len(rest), rest) if rest else b""
+            rest = chunk + b"0\r\n\r\n"
+        elif framing is http1.BodyFraming.LENGTH:
+            head += b"Content-Length: %d\r\n" % len(rest)
+        transport = reply.connection.transport
+        transport.write(head + b"\r\n" + rest)
+        transport.close()
+
+    return behave
+
+
 def whole_stream(events):
     """Body of a stream from its first event."""
     return b"".join(b"id: %d\ndata: e%d\n\n" % (n, n) for n in range(events))
