Treat a stream that ends inside an event as broken off

Cause: the end of a body was taken for the end of the stream. A body without length and chunks ends with its connection, so that a run whose server closes the connection looked like one that is done; the bytes after the last event were written and the last chunk was sent. The same holds for a body that its server frames as complete within an event. Class: the transport's end mark used as the application's. Change: a stream is complete if its body has ended and the last event has; any other end is that of a lost connection. A stream that may be resumed goes on at another server, others are cut so that their callers see it. A stream without length and without any event is not an answer either. Why it works: the check is at the one place that ends a relayed stream, after whatever framing, so that no framing can bypass it. In the test of resumption the expected order of the two attempts was wrong (None sorts first); the compared values are the same.

--- a/buckthorntack/gateway/_event_stream.py
+++ b/buckthorntack/gateway/_event_stream.py
@@ -36,6 +36,11 @@
         """
         self._tail = (self._tail + data)[-_MAX_EVENT_END_BYTES:]
 
+    @property
+    def is_empty(self):
+        """Whether no byte was received."""
+        return not self._tail
+
     @property
     def is_inside_event(self):
         """Whether the last event that has begun is incomplete."""
--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -620,6 +620,7 @@
             connection.close()
             return _Unknown(error.detail)
         self._record_body_end(boundary.is_inside_event)
+        _check_stream_end(head, boundary)
         if not self.reply.started:
             self._start_response(head, None)
         if stream is not None:
@@ -781,6 +782,23 @@
     ]
 
 
+def _check_stream_end(head, boundary):
+    """Check that a stream was not broken off.
+
+    :param head: head of the response.
+    :param boundary: the ``EventBoundary`` of the received body.
+    :raises IncompleteResponseError: the stream ended inside an event, or its
+        connection closed before the first one.
+    """
+    if boundary.is_inside_event:
+        raise http1.IncompleteResponseError("the stream ended inside an event")
+    is_unframed = head.framing is http1.BodyFraming.CONNECTION_CLOSE
+    if is_unframed and boundary.is_empty:
+        raise http1.IncompleteResponseError(
+            "the connection closed before the first event"
+        )
+
+
 def _classify_outcome(result, status):
     if isinstance(result, _NotRun):
         return Outcome.FULL
--- a/buckthorntack/platform/tests/test_broken_streams.py
+++ b/buckthorntack/platform/tests/test_broken_streams.py
@@ -84,7 +84,7 @@
         resumed = [
             http1.find_header(r.headers, b"last-event-id") for r in requests
         ]
-        assert sorted(resumed, key=str) == [b"2", None]
+        assert sorted(resumed, key=bool) == [None, b"2"]
 
     run(scenario, *BOTH_SERVERS)
 
