Reset a response without framing that breaks off

Callers that speak HTTP/1.0 get a body without length as one that ends with its connection. A response that was cut, whose handler failed or whose listener stopped closed the connection orderly, so that they saw a short body as the whole one. Change: the socket of such a response resets on close from its head on, so that a kill of the process resets it as well, until all data of an ended body is with the kernel.

--- a/buckthorntack/http1/_client.py
+++ b/buckthorntack/http1/_client.py
@@ -3,11 +3,10 @@
 import asyncio
 import collections
 import re
-import socket
-import struct
 
 import httptools
 
+from buckthorntack import transport as transports
 from buckthorntack.http1 import _errors
 from buckthorntack.http1 import _messages
 
@@ -300,12 +299,6 @@
         """
         if self.transport is None:
             return
-        sock = self.transport.get_extra_info("socket")
-        if (
-            sock is not None
-            and not self.is_reusable()
-            and not self._is_closing
-        ):
-            reset = struct.pack("ii", 1, 0)
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, reset)
+        if not self.is_reusable() and not self._is_closing:
+            transports.set_reset_on_close(self.transport, True)
         self.transport.abort()
--- a/buckthorntack/http1/_server.py
+++ b/buckthorntack/http1/_server.py
@@ -60,6 +60,7 @@
         self.started = False
         self.ended = False
         self._chunked = False
+        self._ends_at_close = False
 
     def start(self, status, headers, reason=b"", length=None):
         """Send the head of the response.
@@ -80,6 +81,9 @@
             fields.append((b"Transfer-Encoding", b"chunked"))
         elif has_body:
             self.keep_alive = False
+            self._ends_at_close = True
+            # Only a reset tells the client that the body is incomplete.
+            transports.set_reset_on_close(self.connection.transport, True)
         if self.connection.listener.closing:
             self.keep_alive = False
         if not self.keep_alive:
@@ -101,6 +105,19 @@
             data = b"%x\r\n%b\r\n" % (len(data), data)
         self._send(data)
 
+    async def finish(self):
+        """Close the connection after a complete response.
+
+        If its close ends the body, the close waits until all data was passed
+        to the kernel.
+        """
+        transport = self.connection.transport
+        if self._ends_at_close:
+            transport.set_write_buffer_limits(high=0)
+            await self.flush()
+            transports.set_reset_on_close(transport, False)
+        transport.close()
+
     async def flush(self):
         """Wait until the write buffer is below its high-water mark."""
         await self.connection.writable.wait()
@@ -358,7 +375,7 @@
         if not response.ended:
             self.transport.abort()
         elif not response.keep_alive:
-            self.transport.close()
+            await response.finish()
         else:
             self._start_next_request()
 
--- a/buckthorntack/transport/__init__.py
+++ b/buckthorntack/transport/__init__.py
@@ -10,6 +10,7 @@
 from buckthorntack.transport._sockets import bind_listener
 from buckthorntack.transport._sockets import configure_dead_peer_detection
 from buckthorntack.transport._sockets import listener_url
+from buckthorntack.transport._sockets import set_reset_on_close
 
 __all__ = [
     "HttpListener",
@@ -21,6 +22,7 @@
     "bind_listener",
     "listener_url",
     "mounted_app",
+    "set_reset_on_close",
     "configure_dead_peer_detection",
 ]
 
--- a/buckthorntack/transport/_sockets.py
+++ b/buckthorntack/transport/_sockets.py
@@ -1,6 +1,11 @@
-"""Listening sockets, and detection of dead TCP peers."""
+"""Listening sockets, resets, and detection of dead TCP peers."""
 
 import socket
+import struct
+
+#: Values of SO_LINGER, ``struct linger``.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+_CLOSE_ORDERLY = struct.pack("ii", 0, 0)
 
 
 def bind_listener(address):
@@ -46,3 +51,19 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(tcp, socket.TCP_KEEPIDLE, keepalive_idle_s)
     sock.setsockopt(tcp, socket.TCP_KEEPINTVL, 1)
+
+
+def set_reset_on_close(transport, enabled):
+    """Choose whether a close resets a connection (RST) or ends it (FIN).
+
+    A reset also follows if the process is killed.  It discards the data that
+    the kernel has not sent yet.
+
+    :param transport: asyncio transport of a TCP connection.
+    :param enabled: whether a close resets the connection.
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return
+    linger = _RESET_ON_CLOSE if enabled else _CLOSE_ORDERLY
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
