Accept answers of backend servers that end with their connection

Callers of the product's own interface got a failure, and requests that may not be repeated an unknown outcome, when a backend server answered without a length: the entry role took the end of every connection for a loss. Cause: StreamingTransport completed a body only by its length or last chunk. Evidence: test_unframed_response_ends_with_its_connection failed before ('ReadError: connection lost: None'). Change: such a body ends with its connection; a reset, and the end of a framed body before its time, stay errors, with tests. The rule that finds the framing is one function, used by both clients.

--- a/buckthorntack/http1/__init__.py
+++ b/buckthorntack/http1/__init__.py
@@ -7,6 +7,7 @@
 from buckthorntack.http1._messages import BodyFraming
 from buckthorntack.http1._messages import encode_request
 from buckthorntack.http1._messages import exclude_headers
+from buckthorntack.http1._messages import find_body_framing
 from buckthorntack.http1._messages import find_header
 from buckthorntack.http1._messages import Request
 from buckthorntack.http1._messages import ResponseHead
@@ -30,6 +31,7 @@
     "Request",
     "encode_request",
     "strip_hop_by_hop_headers",
+    "find_body_framing",
     "find_header",
     "exclude_headers",
 ]
--- a/buckthorntack/http1/_client.py
+++ b/buckthorntack/http1/_client.py
@@ -134,21 +134,15 @@
             self._finish()
 
     def _build_head(self, status):
-        codings = _messages.find_header(self._headers, b"transfer-encoding")
-        length = _messages.find_header(self._headers, b"content-length")
-        if status in (204, 304) or self._is_head:
-            framing = _messages.BodyFraming.NO_BODY
-        elif codings is not None:
-            framing = _messages.BodyFraming.CHUNKED
-        elif length is not None:
-            framing = _messages.BodyFraming.LENGTH
-        else:
-            framing = _messages.BodyFraming.CONNECTION_CLOSE
-        content_length = (
-            int(length) if length is not None and not codings else None
+        framing = _messages.find_body_framing(
+            status, self._headers, self._is_head
         )
+        length = None
+        if framing is not _messages.BodyFraming.CHUNKED:
+            value = _messages.find_header(self._headers, b"content-length")
+            length = int(value) if value is not None else None
         return _messages.ResponseHead(
-            status, self._reason, self._headers, content_length, framing
+            status, self._reason, self._headers, length, framing
         )
 
     def _is_expected_response(self):
--- a/buckthorntack/http1/_messages.py
+++ b/buckthorntack/http1/_messages.py
@@ -72,6 +72,26 @@
     return None
 
 
+def find_body_framing(status, headers, is_head=False):
+    """Return what marks the end of a response body.
+
+    :param status: status code.
+    :param headers: pairs of name and value.
+    :param is_head: whether it is the response to a ``HEAD`` request.
+    :returns: :class:`BodyFraming`.
+
+    >>> find_body_framing(200, [(b"Server", b"a")])
+    <BodyFraming.CONNECTION_CLOSE: 'close'>
+    """
+    if status in (204, 304) or is_head:
+        return BodyFraming.NO_BODY
+    if find_header(headers, b"transfer-encoding") is not None:
+        return BodyFraming.CHUNKED
+    if find_header(headers, b"content-length") is not None:
+        return BodyFraming.LENGTH
+    return BodyFraming.CONNECTION_CLOSE
+
+
 def exclude_headers(headers, names):
     """Return the header fields whose names are not excluded.
 
--- a/buckthorntack/transport/_streaming.py
+++ b/buckthorntack/transport/_streaming.py
@@ -11,6 +11,8 @@
 import httptools
 import httpx
 
+from buckthorntack import http1
+
 #: Buffered body bytes above which reading from the socket pauses.
 MAX_BUFFERED_BYTES = 262_144
 #: Idle connections kept for each origin.
@@ -34,6 +36,7 @@
         self.buffered_bytes = 0
         self.is_complete = False
         self.is_reusable = False
+        self.ends_at_close = False
         self.failure = None
         self.idle_since_s = 0.0
         self._waiter = None
@@ -47,6 +50,7 @@
         self.parts.clear()
         self.is_complete = False
         self.is_reusable = False
+        self.ends_at_close = False
 
     def connection_made(self, transport):
         """Store the transport.
@@ -74,7 +78,10 @@
             self.transport.pause_reading()
 
     def eof_received(self):
-        """Close the transport when the server has closed its side."""
+        """End a body without framing, and close the transport."""
+        if self.ends_at_close and self.failure is None:
+            self.is_complete = True
+            self._wake()
         return False
 
     def connection_lost(self, exc):
@@ -104,6 +111,8 @@
     def on_headers_complete(self):
         """Complete the future of the head."""
         self.status = self.parser.get_status_code()
+        framing = http1.find_body_framing(self.status, self.headers)
+        self.ends_at_close = framing is http1.BodyFraming.CONNECTION_CLOSE
         if not self.head.done():
             self.head.set_result(None)
 
