Do not take buffered events that end inside one for an answer

An answer of a plain service with events that ended inside one reached its caller as complete, and was stored as the answer of its idempotency key. Change: buffered bodies of type text/event-stream must end between events. The check of the boundary moves to http1, as both request paths use it.

--- a/buckthorntack/entry/_attempt.py
+++ b/buckthorntack/entry/_attempt.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from buckthorntack import errors
+from buckthorntack import http1
 from buckthorntack import retries
 from buckthorntack import transport
 
@@ -220,7 +221,7 @@
             return await self._read_events(
                 response, target, sink, relay, timer
             )
-        return await self._read_body(response, target, timer)
+        return await self._read_body(response, target, timer, is_stream)
 
     async def _read_events(self, response, target, sink, relay, timer):
         loop = asyncio.get_running_loop()
@@ -249,11 +250,15 @@
             await sink.start(200, headers, target.attempt_id)
         await sink.write(events)
 
-    async def _read_body(self, response, target, timer):
+    async def _read_body(self, response, target, timer, is_stream):
         chunks = []
+        boundary = http1.EventBoundary()
         async for data in response.stream:
             timer.reschedule(self._next_timeout())
             chunks.append(data)
+            boundary.feed(data)
+        if is_stream and boundary.is_inside_event:
+            return retries.LostMidStream(target.server_id)
         body = b"".join(chunks)
         status = response.status_code
         state = response.headers.get(STATE_HEADER, "")
--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -597,7 +597,7 @@
         stream = self.stream
         if stream is not None:
             stream.discard_partial_event()
-        boundary = _event_stream.EventBoundary()
+        boundary = http1.EventBoundary()
         try:
             while data:
                 boundary.feed(data)
--- a/buckthorntack/http1/__init__.py
+++ b/buckthorntack/http1/__init__.py
@@ -4,6 +4,7 @@
 from buckthorntack.http1._errors import ConnectError
 from buckthorntack.http1._errors import IncompleteResponseError
 from buckthorntack.http1._errors import UnexpectedResponseError
+from buckthorntack.http1._event_boundary import EventBoundary
 from buckthorntack.http1._messages import BodyFraming
 from buckthorntack.http1._messages import encode_request
 from buckthorntack.http1._messages import exclude_headers
@@ -19,6 +20,7 @@
 
 __all__ = [
     "BodyFraming",
+    "EventBoundary",
     "IncompleteResponseError",
     "ResponseHead",
     "ConnectError",
