Pass on events with CRLF or CR line ends as they arrive

Callers of a resumable stream whose server ends lines with CRLF or CR got all events at its end, with their order unchecked; a server that broke off was not continued after the events that it had sent. Cause: only two LF ended an event. Change: any pair of line ends does; data without CR takes the path it took.

--- a/buckthorntack/gateway/_event_stream.py
+++ b/buckthorntack/gateway/_event_stream.py
@@ -5,7 +5,9 @@
 from buckthorntack import errors
 
 _EVENT_END = b"\n\n"
-_EVENT_ID = re.compile(rb"^id:[ ]?(\d{1,18})\r?$", re.MULTILINE)
+#: The end of an event with any line ends; a CR may begin a CRLF.
+_ANY_EVENT_END = re.compile(rb"(?:\r\n|\r(?!\n)|\n)(?:\r\n|\r|\n)")
+_EVENT_ID = re.compile(rb"^id:[ ]?(\d{1,18})$", re.MULTILINE)
 
 
 class StreamOrderError(errors.GatewayError):
@@ -43,12 +45,12 @@
         :raises StreamOrderError: an event is missing or repeated.
         """
         self._partial_event += data
-        boundary = self._partial_event.rfind(_EVENT_END)
-        if boundary < 0:
+        boundary = _find_last_boundary(self._partial_event)
+        if not boundary:
             return b""
-        complete = self._partial_event[: boundary + len(_EVENT_END)]
+        complete = self._partial_event[:boundary]
         self._partial_event = self._partial_event[len(complete) :]
-        for match in _EVENT_ID.finditer(complete):
+        for match in _EVENT_ID.finditer(_normalize_line_ends(complete)):
             self._check_event_order(int(match.group(1)))
         return complete
 
@@ -70,3 +72,20 @@
     def discard_partial_event(self):
         """Discard a partial event, as another server continues the stream."""
         self._partial_event = b""
+
+
+def _find_last_boundary(data):
+    """Return the number of bytes up to the end of the last complete event."""
+    if b"\r" not in data:
+        start = data.rfind(_EVENT_END)
+        return start + len(_EVENT_END) if start >= 0 else 0
+    boundary = 0
+    for match in _ANY_EVENT_END.finditer(data):
+        boundary = match.end()
+    return boundary
+
+
+def _normalize_line_ends(data):
+    if b"\r" not in data:
+        return data
+    return data.replace(b"\r\n", b"\n").replace(b"\r", b"\n")
--- a/buckthorntack/gateway/tests/test_event_stream.py
+++ b/buckthorntack/gateway/tests/test_event_stream.py
@@ -42,3 +42,23 @@
     stream = _event_stream.EventStream(4)
     assert stream.feed(event) == event
     assert stream.last_event_id == 5
+
+
+# Guards against events with CRLF or CR line ends that were held back until
+# the end of their stream, and not checked.
+@pytest.mark.parametrize("line_end", [b"\r\n", b"\r", b"\n"])
+@given(cuts=st.lists(st.integers(0, 200), max_size=6))
+def test_events_come_out_as_they_arrive_with_any_line_ends(line_end, cuts):
+    whole = WHOLE.replace(b"\n", line_end)
+    stream = _event_stream.EventStream(None)
+    edges = [0, *sorted(cuts), len(whole)]
+    out = b""
+    for start, end in zip(edges, edges[1:], strict=False):
+        out += stream.feed(whole[start:end])
+        received = whole[: max(start, end)]
+        # A trailing CR may belong to a CRLF.
+        known = received.count(2 * line_end) - received.endswith(b"\r")
+        assert stream.last_event_id is not None or known < 1
+        assert (stream.last_event_id or 0) >= known - 1
+    assert out + stream.take_remainder() == whole
+    assert stream.last_event_id == 7
