Let the soak's servers end streams inside an event, with any framing

Half of its streams now come in chunks, with a length or with neither, and failing ones end inside an event or are reset. Its proxies forward a reset as a reset, no longer as an end, and both test clients count a body without framing as whole only if its connection was not reset.

--- a/buckthorntack/http1/tests/test_exchange.py
+++ b/buckthorntack/http1/tests/test_exchange.py
@@ -1,8 +1,6 @@
 """Responses of faulty servers, over real sockets."""
 
 import asyncio
-import socket
-import struct
 
 import pytest
 
@@ -53,9 +51,7 @@
                 writer.close()
                 return
             if step == "reset":
-                sock = writer.get_extra_info("socket")
-                linger = struct.pack("ii", 1, 0)
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                transport.set_reset_on_close(writer.transport, True)
                 writer.transport.abort()
                 return
             if step == "pause":
--- a/buckthorntack/platform/tests/_standins.py
+++ b/buckthorntack/platform/tests/_standins.py
@@ -469,13 +469,17 @@
 async def _read_answer(reader):
     head = (await reader.readuntil(b"\r\n\r\n"))[:-4]
     data = b""
-    with contextlib.suppress(ConnectionError):
+    was_reset = False
+    try:
         while part := await reader.read(65536):
             data += part
+    except ConnectionError:
+        was_reset = True
     if b"transfer-encoding: chunked" not in head.lower():
         found = head.lower().partition(b"content-length: ")[2]
-        length = int(found.partition(b"\r\n")[0] or len(data))
-        return Answer(head, data, len(data) == length)
+        length = found.partition(b"\r\n")[0]
+        whole = len(data) == int(length) if length else not was_reset
+        return Answer(head, data, whole)
     body = b""
     while data:
         size, _, data = data.partition(b"\r\n")
--- a/tools/soak/_proxy.py
+++ b/tools/soak/_proxy.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 
+from buckthorntack import transport
+
 _PART_BYTES = 65536
 #: Pause of a direction that is held up, between two looks at it.
 _HOLD_S = 0.02
@@ -39,7 +41,7 @@
         """Reset all open connections."""
         for writers in list(self._open):
             for writer in writers:
-                writer.transport.abort()
+                _reset(writer)
 
     def silence(self):
         """Let all open connections go silent for good."""
@@ -52,7 +54,7 @@
                 host, int(port)
             )
         except OSError:
-            writer.transport.abort()
+            _reset(writer)
             return
         pair = (writer, far_writer)
         self._open.add(pair)
@@ -83,4 +85,10 @@
                 writer.write_eof()
                 return
         for each in pair:
-            each.transport.abort()
+            _reset(each)
+
+
+def _reset(writer):
+    """Reset a connection, as its other side was reset."""
+    transport.set_reset_on_close(writer.transport, True)
+    writer.transport.abort()
--- a/tools/soak/_traffic.py
+++ b/tools/soak/_traffic.py
@@ -4,12 +4,22 @@
 import contextlib
 import random
 
+from buckthorntack import http1
 from buckthorntack.platform.tests import _standins
 
 EVENTS = 6
 #: Pause between two requests of a caller.
 PAUSE_S = (0.01, 0.06)
 ANNOUNCE_S = 1.0
+#: Share of streams that a server sends at once, with any framing.
+RAW_SHARE = 0.5
+#: Share of failing streams that are reset; the others end inside an event.
+RESET_SHARE = 0.5
+FRAMINGS = (
+    http1.BodyFraming.CHUNKED,
+    http1.BodyFraming.LENGTH,
+    http1.BodyFraming.CONNECTION_CLOSE,
+)
 PATIENCE_S = 4.0
 
 
@@ -29,14 +39,35 @@
         path = request.target.decode()
         repeatable = not path.startswith("/unsafe")
         self.book.ran(self.server_id, request_id, repeatable, now_s)
+        is_stream = path.startswith("/talk")
         if self.rng.random() < self.failing:
-            await _standins.reset(self, request, reply)
-        elif path.startswith("/talk"):
+            await self._break_off(request, reply, is_stream)
+        elif is_stream and self.rng.random() < RAW_SHARE:
+            whole = _standins.whole_stream(EVENTS)
+            await self._stream_raw(whole, request, reply)
+        elif is_stream:
             await _standins.stream(EVENTS, pause_s=0.02)(self, request, reply)
         else:
             await asyncio.sleep(self.rng.random() * 0.05)
             await _standins.answer_whole(self, request, reply)
 
+    async def _break_off(self, request, reply, is_stream):
+        if not is_stream or self.rng.random() < RESET_SHARE:
+            await _standins.reset(self, request, reply)
+            return
+        last = http1.find_header(request.headers, b"last-event-id")
+        first = int(last) + 1 if last else 0
+        number = self.rng.randrange(first, EVENTS)
+        start = len(_standins.whole_stream(number))
+        end = len(_standins.whole_stream(number + 1))
+        whole = _standins.whole_stream(EVENTS)
+        cut = self.rng.randrange(start + 1, end)
+        await self._stream_raw(whole[:cut], request, reply)
+
+    async def _stream_raw(self, body, request, reply):
+        framing = self.rng.choice(FRAMINGS)
+        await _standins.raw_stream(body, framing)(self, request, reply)
+
 
 def _id_name():
     return b"x-buckthorntack-request-id"
@@ -108,7 +139,7 @@
             whole, body = await _read_chunks(reader)
         else:
             length = fields.partition(b"content-length: ")[2]
-            size = int(length.partition(b"\r\n")[0] or 0)
+            size = int(length.partition(b"\r\n")[0])
             whole, body = True, await reader.readexactly(size)
         if b"connection: close" in fields:
             self._drop()
