Do not run requests that break off, at the stand-ins of servers

The stand-ins took a disconnect within a request body for its end and ran the part; a test that cuts a request would have seen a run that no server does.

--- a/buckthorntack/standins/_asgi.py
+++ b/buckthorntack/standins/_asgi.py
@@ -4,13 +4,16 @@
 
 
 async def read_body(receive):
-    """Read a request's whole body.
+    """Read the whole body of a request.
 
-    :param receive: ASGI receive.
+    :param receive: ASGI receive function.
+    :returns: the body; None if the client disconnected before its end.
     """
     parts = []
     while True:
         message = await receive()
+        if message["type"] == "http.disconnect":
+            return None
         parts.append(message.get("body", b""))
         if not message.get("more_body"):
             return b"".join(parts)
--- a/buckthorntack/standins/_engine.py
+++ b/buckthorntack/standins/_engine.py
@@ -161,6 +161,8 @@
 
     async def _run(self, scope, receive, send):
         body = await _asgi.read_body(receive)
+        if body is None:
+            return
         attempt_id = _asgi.header(scope, "x-attempt-id")
         if self.faults.refuse_not_run > 0:
             self.faults.refuse_not_run -= 1
@@ -344,7 +346,10 @@
             attempt.cancel()
 
     async def _order(self, receive, send):
-        order = json.loads(await _asgi.read_body(receive))
+        body = await _asgi.read_body(receive)
+        if body is None:
+            return
+        order = json.loads(body)
         if order["fencing"] < self.fencing and not self.faults.ignores_fencing:
             reason = "an order with a higher fencing number was seen"
             refused = {"accepted": False, "fencing": self.fencing}
--- a/buckthorntack/standins/_service.py
+++ b/buckthorntack/standins/_service.py
@@ -33,6 +33,8 @@
 
     async def __call__(self, scope, receive, send):
         body = await _asgi.read_body(receive)
+        if body is None:
+            return
         if scope["path"].startswith("/attempts/"):
             await self._attempt(scope, send)
             return
