--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -157,7 +157,7 @@
         self.reason = ""
         self.first_byte_s = 0.0
         self.longest_gap_s = 0.0
-        #: Framing, size and state at the end of the last body received.
+        #: Framing, size and end of the body of the last attempt.
         self.framing = ""
         self.body_bytes = 0
         self.ended_inside_event = False
@@ -283,6 +283,7 @@
                 )
                 return
             send_count_before = self.send_count
+            self._reset_body_record()
             if isinstance(decision, dispatch.Serve):
                 result = await self._send_to_server(
                     routing_request, decision, now
@@ -495,8 +496,6 @@
             connection.close()
             return _Unknown("silent before its answer")
         self.framing = head.framing.value
-        self.body_bytes = 0
-        self.ended_inside_event = False
         if in_flight is not None:
             now_s = self._now_s()
             self.shared_state.fleet.on_first_byte(in_flight, now_s)
@@ -733,6 +732,8 @@
             result=type(result).__name__,
             reason=getattr(result, "reason", ""),
             sends=self.send_count,
+            framing=self.framing,
+            body_bytes=self.body_bytes,
         )
 
     def _record_first_byte(self):
@@ -741,6 +742,11 @@
             self.route.kind.value, self.first_byte_s
         )
 
+    def _reset_body_record(self):
+        self.framing = ""
+        self.body_bytes = 0
+        self.ended_inside_event = False
+
     def _record_body_end(self, is_inside_event):
         """Record the end of a body that its framing marks as complete."""
         self.ended_inside_event = is_inside_event
