State the length of whole answers of the own interface

Evidence: test_whole_answer_states_its_length failed before for both kinds. Change: whole answers, replays, errors and documents are sent by one function that states their length; streams keep their end mark.

--- a/buckthorntack/entry/_render.py
+++ b/buckthorntack/entry/_render.py
@@ -5,6 +5,7 @@
 from buckthorntack.entry import _sink
 
 JSON_TYPE = ("content-type", "application/json")
+LENGTH_HEADER = "content-length"
 MS_PER_SECOND = 1000
 
 
@@ -50,10 +51,10 @@
     document = json.dumps(build_error_document(error, request_id)).encode()
     if sink.started:
         await sink.write(b"event: error\ndata: " + document + b"\n\n")
+        await sink.finish()
     else:
-        await sink.start(error.status, build_error_headers(error), "")
-        await sink.write(document)
-    await sink.finish()
+        headers = build_error_headers(error)
+        await send_whole(sink, error.status, headers, document)
 
 
 async def send_json(sink, document, status=200):
@@ -64,6 +65,21 @@
     :param status: HTTP status code.
     """
     data = json.dumps(document).encode()
-    await sink.start(status, [JSON_TYPE], "")
-    await sink.write(data)
+    await send_whole(sink, status, [JSON_TYPE], data)
+
+
+async def send_whole(sink, status, headers, body, attempt_id=""):
+    """Send a response whose whole body is known, with its length.
+
+    :param sink: sink for the response.
+    :param status: HTTP status code.
+    :param headers: pairs of name and value.
+    :param body: the body.
+    :param attempt_id: id of the attempt that responds; empty for none.
+    """
+    fields = [pair for pair in headers if pair[0] != LENGTH_HEADER]
+    if body:
+        fields.append((LENGTH_HEADER, str(len(body))))
+    await sink.start(status, fields, attempt_id)
+    await sink.write(body)
     await sink.finish()
--- a/buckthorntack/entry/_runner.py
+++ b/buckthorntack/entry/_runner.py
@@ -17,6 +17,7 @@
 from buckthorntack.entry import _events
 from buckthorntack.entry import _forwarding
 from buckthorntack.entry import _relay
+from buckthorntack.entry import _render
 
 #: Failures in which the server closed or reset the connection.
 CLOSED_FAILURES = (retries.LostBeforeHead, retries.LostMidStream)
@@ -100,9 +101,9 @@
             )
             raise error
         completed = components.idempotency.build_replay(request, claimed)
-        await sink.start(completed.status, completed.headers, "")
-        await sink.write(completed.body)
-        await sink.finish()
+        await _render.send_whole(
+            sink, completed.status, completed.headers, completed.body
+        )
 
     async def drain(self):
         """Wait for all running non-idempotent requests to end.
@@ -206,13 +207,16 @@
         return result.tokens
 
     async def _send_response(self, completed):
-        if not self.sink.started:
-            attempt_id = self.target.attempt_id if self.target else ""
-            await self.sink.start(
-                completed.status, completed.headers, attempt_id
-            )
-            await self.sink.write(completed.body)
-        await self.sink.finish()
+        if self.sink.started:
+            await self.sink.finish()
+            return
+        await _render.send_whole(
+            self.sink,
+            completed.status,
+            completed.headers,
+            completed.body,
+            self.target.attempt_id if self.target else "",
+        )
 
     async def _handle_failure(self, failure):
         now = self.components.clock.monotonic()
--- a/buckthorntack/entry/tests/fakes.py
+++ b/buckthorntack/entry/tests/fakes.py
@@ -240,12 +240,14 @@
     def __init__(self):
         self.started = False
         self.status = None
+        self.headers = []
         self.attempt_id = ""
         self.body = b""
         self.finished = False
 
     async def start(self, status, headers, attempt_id):
         assert not self.started
+        self.headers = list(headers)
         self.started = True
         self.status = status
         self.attempt_id = attempt_id
--- a/buckthorntack/entry/tests/test_attempt_faults.py
+++ b/buckthorntack/entry/tests/test_attempt_faults.py
@@ -103,6 +103,14 @@
     assert len(backend.runs) == 1
 
 
+# Guards against a whole answer that a caller without chunks, as in HTTP/1.0,
+# can't tell from one that was cut.
+@pytest.mark.parametrize("kind", ["whole", "booking"])
+def test_whole_answer_states_its_length(kind):
+    _, sink, _ = run_scenario(kind, ["ok"])
+    assert sink.headers.count(("content-length", str(len(fakes.BODY)))) == 1
+
+
 @pytest.mark.parametrize("kind", KINDS)
 @pytest.mark.parametrize("fault", RUN_FAULTS)
 def test_failure_of_the_first_attempt(kind, fault):
