--- a/buckthorntack/gateway/_metrics.py
+++ b/buckthorntack/gateway/_metrics.py
@@ -52,7 +52,6 @@
             ["result"],
             registry=registry,
         )
-
         self._body_ends = prometheus_client.Counter(
             "gateway_body_ends",
             "Response bodies that have ended as their framing tells.",
