Stop sending to a server once a response says that it leaves

A worker that leaves says so in all its answers (Server-Leaving: 1). The entry VM went on sending to it until a control VM knew that it drains, and took it back if an announcement said ready. Change: the server counts as draining at this entry VM until its incarnation ends; later announcements of the same incarnation do not undo it. Evidence: four tests failed before, among them requests after an answer with 200 and with 503 while control VMs held the server as ready. Draining servers of the soak send the field.

--- a/buckthorntack/discovery/_registry.py
+++ b/buckthorntack/discovery/_registry.py
@@ -57,6 +57,8 @@
         self.stamp = 0
         self.servers = {}
         self.nodes = {}
+        #: Incarnations of servers that said in a response that they leave.
+        self._leaving = {}
         self._checked_at = now
 
     def merge_server(self, record, now):
@@ -71,6 +73,8 @@
             return False
         if record.state != GONE and self._is_address_taken(record):
             record = record._replace(state=GONE)
+        if record.state == READY and self._is_leaving(record):
+            record = record._replace(state=DRAINING)
         view = ServerView(
             record,
             _cold_until(record, now),
@@ -107,6 +111,30 @@
         self._store_server(known._replace(record=record, last_heard_at=now))
         return True
 
+    def mark_server_leaving(self, server_id, now):
+        """Mark a server as draining after a response said that it leaves.
+
+        The mark holds until its incarnation ends, whatever announcements of
+        it arrive.
+
+        :param server_id: id of the server.
+        :param now: monotonic time.
+        :returns: whether the record changed.
+        """
+        known = self.servers.get(server_id)
+        if known is None or known.record.state == GONE:
+            return False
+        self._leaving[server_id] = known.record.born_ms
+        if known.record.state == DRAINING:
+            return False
+        record = known.record._replace(state=DRAINING)
+        self._store_server(known._replace(record=record, last_heard_at=now))
+        return True
+
+    def _is_leaving(self, record):
+        born_ms = self._leaving.get(record.server_id)
+        return born_ms is not None and record.born_ms <= born_ms
+
     def merge_node(self, record, now):
         """Merge a node record, sent by the node itself or by another node.
 
@@ -218,6 +246,7 @@
             record = view.record
             if silence > self.timing.retention:
                 del self.servers[record.server_id]
+                self._leaving.pop(record.server_id, None)
             elif record.silent or record.state == GONE:
                 continue
             elif silence > self.timing.server_silence_timeout:
--- a/buckthorntack/discovery/tests/test_registry.py
+++ b/buckthorntack/discovery/tests/test_registry.py
@@ -306,3 +306,25 @@
     assert near.nodes[node.node_id].record.silent
     far.merge_changes(near.changes_since(0, NOW + 6 * S), NOW + 6 * S)
     assert not far.nodes[node.node_id].record.silent
+
+
+# Guards against a server that said in an answer that it leaves, and that an
+# announcement made ready again.
+def test_server_that_leaves_stays_draining_for_its_incarnation():
+    registry = make_registry()
+    registry.merge_server(_records.server(sequence=5), NOW)
+    assert registry.mark_server_leaving("s1", NOW)
+    assert not registry.mark_server_leaving("s1", NOW)
+    registry.merge_server(_records.server(sequence=6), NOW + S)
+    assert state_of(registry) == "draining"
+    successor = _records.server(sequence=1, born_ms=2000)
+    registry.merge_server(successor, NOW + 2 * S)
+    assert state_of(registry) == "ready"
+
+
+def test_unknown_or_gone_server_is_not_marked_as_leaving():
+    registry = make_registry()
+    assert not registry.mark_server_leaving("s1", NOW)
+    registry.merge_server(_records.server(state="gone"), NOW)
+    assert not registry.mark_server_leaving("s1", NOW)
+    assert state_of(registry) == "gone"
--- a/buckthorntack/gateway/_dialect.py
+++ b/buckthorntack/gateway/_dialect.py
@@ -27,6 +27,8 @@
     not_run: bool
     #: Whether another server now uses the address.
     is_other_server: bool
+    #: Whether the server states that it is leaving.
+    is_leaving: bool
 
 
 class Dialect(Protocol):
--- a/buckthorntack/gateway/_events.py
+++ b/buckthorntack/gateway/_events.py
@@ -125,6 +125,12 @@
     logbook.NOTICE,
     "The connection to a server broke while it ran a request.",
 )
+SERVER_LEAVING = events.declare(
+    2225,
+    "server_leaving",
+    logbook.NOTICE,
+    "A server said in a response that it leaves; it gets no more requests.",
+)
 RELAY_CHANGED = events.declare(
     2224,
     "relay_changed",
--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -499,6 +499,7 @@
         if in_flight is not None:
             now_s = self._now_s()
             self.shared_state.fleet.on_first_byte(in_flight, now_s)
+            self._note_server_state(head)
         refusal = self._parse_refusal(head)
         if refusal is not None:
             await self._discard_body(connection)
@@ -507,6 +508,21 @@
             return await self._relay_stream(connection, head, first_data)
         return await self._relay_buffered(connection, head)
 
+    def _note_server_state(self, head):
+        """Note what a response tells of the server that sent it."""
+        metadata = self.dialect.parse_response(head)
+        if metadata.is_other_server or not metadata.is_leaving:
+            return
+        server_id = self.destination
+        now = self.handler.clock.monotonic()
+        if self.shared_state.registry.mark_server_leaving(server_id, now):
+            self.shared_state.on_servers_changed([server_id])
+            self.handler.log.write(
+                _events.SERVER_LEAVING,
+                request=self._request_id_text(),
+                server=server_id,
+            )
+
     def _is_stream(self, head):
         return self.route.kind is RequestKind.STREAM and head.status == 200
 
--- a/buckthorntack/platform/_dialect.py
+++ b/buckthorntack/platform/_dialect.py
@@ -61,6 +61,7 @@
             not_run=_headers.NOT_EXECUTED in fields
             or head.status == MISDIRECTED,
             is_other_server=head.status == MISDIRECTED,
+            is_leaving=fields.get(_headers.SERVER_LEAVING) == b"1",
         )
 
     def build_server_headers(
--- a/buckthorntack/platform/_headers.py
+++ b/buckthorntack/platform/_headers.py
@@ -16,6 +16,8 @@
 PRIORITY = _PREFIX + b"request-priority"
 #: Sent with an answer of a server that did not run the request.
 NOT_EXECUTED = _PREFIX + b"not-executed"
+#: Sent with all answers of a server that is leaving.
+SERVER_LEAVING = b"server-leaving"
 #: Id of the server that answers.
 INSTANCE_ID = _PREFIX + b"instance-id"
 #: Address of a server whose memory holds parts of the prompt.
--- a/buckthorntack/platform/tests/test_requests.py
+++ b/buckthorntack/platform/tests/test_requests.py
@@ -410,3 +410,27 @@
         assert (await world.ask(SAFE)).status == 200
 
     run(scenario)
+
+
+# Guards against requests to a server after an answer that said it leaves
+# (DRAIN), while control VMs still take it for ready.
+@pytest.mark.parametrize("status", [200, 503])
+def test_server_that_leaves_gets_nothing_after_its_answer(status):
+    headers = [(b"Server-Leaving", b"1")]
+    if status == 503:
+        headers.append((b"X-Buckthorntack-Not-Executed", b"1"))
+    leaving = _standins.answer_with(status, *headers)
+
+    async def scenario(world):
+        server = world.servers["s1"]
+        server.behave = leaving
+        await world.ask(SAFE)
+        assert len(server.requests) == 1
+        await world.announce(server)
+        other = await world.add_server("s2", "desk")
+        for _ in range(10):
+            assert (await world.ask(SAFE)).status == 200
+        assert len(server.requests) == 1
+        assert len(other.requests) >= 10
+
+    run(scenario, ("s1", "desk"))
--- a/tools/soak/_traffic.py
+++ b/tools/soak/_traffic.py
@@ -51,6 +51,13 @@
             await asyncio.sleep(self.rng.random() * 0.05)
             await _standins.answer_whole(self, request, reply)
 
+    def headers(self, request):
+        """Return the headers of its responses."""
+        headers = super().headers(request)
+        if getattr(self, "drains", False):
+            headers.append((b"Server-Leaving", b"1"))
+        return headers
+
     async def _break_off(self, request, reply, is_stream):
         if not is_stream or self.rng.random() < RESET_SHARE:
             await _standins.reset(self, request, reply)
