Keep the pause that a server asks for with 503 and Retry-After

A worker that refuses with 503 may say for how long it wants nothing from this machine. The entry VM ignored it and sent it the next request. Change: the server gets nothing from this entry VM until that time is over, also requests that were connecting meanwhile. If all servers of the region are paused and no other region can serve, the request is refused at once and its client told to return after the first pause. A pause lasts 600 s at most, values that are no positive number of seconds are ignored.

--- a/buckthorntack/dispatch/_choice.py
+++ b/buckthorntack/dispatch/_choice.py
@@ -46,7 +46,7 @@
         """
         now_s = now.total_seconds()
         allowed = request.route.allowed_regions
-        local, remote = [], []
+        local, remote, pause_ends_s = [], [], []
         for view in servers:
             record = view.record
             if record.state != "ready" or self._is_excluded(record, request):
@@ -54,7 +54,11 @@
             if allowed and record.region not in allowed:
                 continue
             if record.region == self.region:
-                local.append(view)
+                state = self.fleet.state(record.server_id)
+                if state.is_paused(now_s):
+                    pause_ends_s.append(state.paused_until_s)
+                else:
+                    local.append(view)
             elif request.can_forward:
                 remote.append(view)
         holders = self.estimator.find_holders(request, servers)
@@ -72,11 +76,20 @@
         best = remote_best or local_best
         if best is not None:
             return self._decide(request, best)
-        reason = "no server" if not (local or remote) else "none takes more"
-        return _decisions.Refuse(
-            reason, self._retry_after_ms(NO_SERVER_RETRY_MS)
+        return self._refuse_without_candidate(
+            bool(local or remote), pause_ends_s, now_s
         )
 
+    def _refuse_without_candidate(self, has_servers, pause_ends_s, now_s):
+        wait_ms = NO_SERVER_RETRY_MS
+        reason = "none takes more" if has_servers else "no server"
+        if pause_ends_s and not has_servers:
+            reason = "all servers paused"
+            wait_ms = (min(pause_ends_s) - now_s) * 1e3
+            # The jitter must not end the wait before the pause.
+            wait_ms /= RETRY_JITTER_RANGE[0]
+        return _decisions.Refuse(reason, self._retry_after_ms(wait_ms))
+
     def set_evacuated(self, evacuated, now):
         """Set the failure domains that get no requests.
 
--- a/buckthorntack/dispatch/_fleet.py
+++ b/buckthorntack/dispatch/_fleet.py
@@ -20,6 +20,8 @@
 FORWARD_REPORT_DELAY_S = 0.45
 #: Age after which the report of another entry VM expires.
 MAX_REPORT_AGE_S = 1.5
+#: Longest pause that a server may ask for; bounds the harm of a faulty value.
+MAX_PAUSE_S = 600.0
 
 
 class Usage(NamedTuple):
@@ -90,6 +92,23 @@
         self.slowdown = None
         self.failure_share = 0.0
         self.duration_ms = None
+        self.paused_until_s = 0.0
+
+    def pause(self, now_s, pause_s):
+        """Send nothing to the server for a time, as it asked for.
+
+        :param now_s: monotonic time.
+        :param pause_s: length of the pause in seconds.
+        """
+        until_s = now_s + min(pause_s, MAX_PAUSE_S)
+        self.paused_until_s = max(self.paused_until_s, until_s)
+
+    def is_paused(self, now_s):
+        """Whether the server has asked for no requests at present.
+
+        :param now_s: monotonic time.
+        """
+        return now_s < self.paused_until_s
 
     def is_ejected(self, now_s):
         """Whether the server is ejected because of failures.
--- a/buckthorntack/dispatch/tests/test_choice.py
+++ b/buckthorntack/dispatch/tests/test_choice.py
@@ -197,3 +197,34 @@
                         a + b for a, b in zip(expected, use[1:], strict=True)
                     ]
         assert list(world.fleet.usage(f"s{number}")) == expected
+
+
+# Guards against requests to a server within the time for which it wants none
+# (BUDGET).
+def test_server_that_asked_for_a_pause_gets_nothing_until_its_end(world):
+    world.add_server("s1")
+    world.add_server("s2")
+    world.fleet.state("s1").pause(world.now_s, 10.0)
+    for _ in range(20):
+        assert world.choose(world.make_request()).server_id == "s2"
+    world.now += 10 * _world.SECOND
+    chosen = {world.choose(world.make_request()).server_id for _ in range(40)}
+    assert chosen == {"s1", "s2"}
+
+
+def test_shorter_pause_does_not_end_a_longer_one(world):
+    state = world.fleet.state("s1")
+    state.pause(world.now_s, 10.0)
+    state.pause(world.now_s, 1.0)
+    assert state.is_paused(world.now_s + 5.0)
+
+
+# Guards against a client that is told to return before the end of the pause.
+def test_refusal_names_the_end_of_the_first_pause(world):
+    for server_id, seconds in (("s1", 0.8), ("s2", 0.6)):
+        world.add_server(server_id)
+        world.fleet.state(server_id).pause(world.now_s, seconds)
+    decision = world.choose(world.make_request())
+    assert isinstance(decision, dispatch.Refuse)
+    assert decision.reason == "all servers paused"
+    assert 600 <= decision.retry_after_ms <= 1000
--- a/buckthorntack/gateway/_dialect.py
+++ b/buckthorntack/gateway/_dialect.py
@@ -29,6 +29,9 @@
     is_other_server: bool
     #: Whether the server states that it is leaving.
     is_leaving: bool
+    #: Time for which a server that refused wants no requests from this node,
+    #: in seconds; None if it does not say.
+    pause_s: float | None
 
 
 class Dialect(Protocol):
--- a/buckthorntack/gateway/_events.py
+++ b/buckthorntack/gateway/_events.py
@@ -131,6 +131,12 @@
     logbook.NOTICE,
     "A server said in a response that it leaves; it gets no more requests.",
 )
+SERVER_PAUSED = events.declare(
+    2226,
+    "server_paused",
+    logbook.INFO,
+    "A server refused a request and wants none for a while; it gets none.",
+)
 RELAY_CHANGED = events.declare(
     2224,
     "relay_changed",
--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -372,6 +372,9 @@
         connection = None
         try:
             connection = await pool.acquire(server_id, view.record.address)
+            if fleet.state(server_id).is_paused(self._now_s()):
+                # Another request was refused while this one connected.
+                return _NotSent(f"{server_id} is paused")
             self.send_count += 1
             connection.send(
                 self._encode_server_request(decision),
@@ -511,11 +514,23 @@
     def _note_server_state(self, head):
         """Note what a response tells of the server that sent it."""
         metadata = self.dialect.parse_response(head)
-        if metadata.is_other_server or not metadata.is_leaving:
+        if metadata.is_other_server:
             return
         server_id = self.destination
         now = self.handler.clock.monotonic()
-        if self.shared_state.registry.mark_server_leaving(server_id, now):
+        if metadata.pause_s is not None:
+            state = self.shared_state.fleet.state(server_id)
+            state.pause(now.total_seconds(), metadata.pause_s)
+            self.handler.log.write(
+                _events.SERVER_PAUSED,
+                request=self._request_id_text(),
+                server=server_id,
+                pause_s=metadata.pause_s,
+            )
+        registry = self.shared_state.registry
+        if metadata.is_leaving and registry.mark_server_leaving(
+            server_id, now
+        ):
             self.shared_state.on_servers_changed([server_id])
             self.handler.log.write(
                 _events.SERVER_LEAVING,
--- a/buckthorntack/platform/_dialect.py
+++ b/buckthorntack/platform/_dialect.py
@@ -1,5 +1,7 @@
 """Formats of requests and responses on the platform."""
 
+import math
+
 from expression import Error
 from expression import Ok
 
@@ -11,6 +13,7 @@
 from buckthorntack.platform import _headers
 
 MISDIRECTED = 421
+UNAVAILABLE = 503
 
 
 class UnreadableRequestError(errors.GatewayError):
@@ -62,6 +65,7 @@
             or head.status == MISDIRECTED,
             is_other_server=head.status == MISDIRECTED,
             is_leaving=fields.get(_headers.SERVER_LEAVING) == b"1",
+            pause_s=_pause_s(head.status, fields.get(_headers.RETRY_AFTER)),
         )
 
     def build_server_headers(
@@ -137,6 +141,17 @@
         return None
 
 
+def _pause_s(status, value):
+    """A pause in seconds; None if the response asks for none."""
+    if status != UNAVAILABLE or value is None:
+        return None
+    try:
+        pause_s = float(value)
+    except ValueError:
+        return None
+    return pause_s if math.isfinite(pause_s) and pause_s > 0 else None
+
+
 def _event(value):
     try:
         return int(value) if value else None
--- a/buckthorntack/platform/tests/test_formats.py
+++ b/buckthorntack/platform/tests/test_formats.py
@@ -212,3 +212,25 @@
 def test_last_word_of_a_server_may_say_little(content):
     born_ms = _announcements.read_leave(content)
     assert born_ms == (5 if b"born" in content else None)
+
+
+@pytest.mark.parametrize(
+    ("status", "value", "pause_s"),
+    [
+        (503, b"1.5", 1.5),
+        (503, b"0", None),
+        (503, b"-1", None),
+        (503, b"nan", None),
+        (503, b"inf", None),
+        (503, b"Fri, 04 Dec 2026 08:00:00 GMT", None),
+        (503, None, None),
+        (200, b"1.5", None),
+    ],
+)
+def test_pause_that_a_server_asks_for(status, value, pause_s):
+    headers = [] if value is None else [(b"Retry-After", value)]
+    head = http1.ResponseHead(
+        status, b"", headers, 0, http1.BodyFraming.LENGTH
+    )
+    dialect = _dialect.PlatformDialect()
+    assert dialect.parse_response(head).pause_s == pause_s
--- a/buckthorntack/platform/tests/test_requests.py
+++ b/buckthorntack/platform/tests/test_requests.py
@@ -434,3 +434,46 @@
         assert len(other.requests) >= 10
 
     run(scenario, ("s1", "desk"))
+
+
+# Guards against requests to a server that answered 503 with Retry-After,
+# before that time is over (BUDGET).
+def test_server_that_refuses_with_retry_after_gets_nothing_meanwhile():
+    full = _standins.answer_with(
+        503,
+        (b"X-Buckthorntack-Not-Executed", b"1"),
+        (b"Retry-After", b"30"),
+    )
+
+    async def scenario(world):
+        server = world.servers["s1"]
+        server.behave = full
+        assert (await world.ask(SAFE)).status == 503
+        other = await world.add_server("s2", "desk")
+        for _ in range(10):
+            assert (await world.ask(SAFE)).status == 200
+        assert len(server.requests) == 1
+        assert len(other.requests) == 10
+
+    run(scenario, ("s1", "desk"))
+
+
+# Guards against requests that connect to a server while it refuses another
+# one with Retry-After.
+def test_server_that_is_paused_during_a_connect_gets_nothing():
+    async def scenario(world):
+        shared_state = world.nodes["e0"].shared_state
+        acquire = shared_state.pool.acquire
+
+        async def acquire_and_pause(key, address):
+            connection = await acquire(key, address)
+            now_s = world.nodes["e0"].clock.monotonic().total_seconds()
+            shared_state.fleet.state(key).pause(now_s, 30.0)
+            return connection
+
+        shared_state.pool.acquire = acquire_and_pause
+        answer = await world.ask(UNSAFE, method="POST")
+        assert answer.status == 503
+        assert world.servers["s1"].requests == []
+
+    run(scenario, ("s1", "desk"))
