--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -499,11 +499,12 @@
             connection.close()
             return _Unknown("silent before its answer")
         self.framing = head.framing.value
+        metadata = self.dialect.parse_response(head)
         if in_flight is not None:
             now_s = self._now_s()
             self.shared_state.fleet.on_first_byte(in_flight, now_s)
-            self._note_server_state(head)
-        refusal = self._parse_refusal(head)
+            self._note_server_state(metadata)
+        refusal = self._parse_refusal(head, metadata)
         if refusal is not None:
             await self._discard_body(connection)
             return refusal
@@ -511,9 +512,8 @@
             return await self._relay_stream(connection, head, first_data)
         return await self._relay_buffered(connection, head)
 
-    def _note_server_state(self, head):
+    def _note_server_state(self, metadata):
         """Note what a response tells of the server that sent it."""
-        metadata = self.dialect.parse_response(head)
         if metadata.is_other_server:
             return
         server_id = self.destination
@@ -541,7 +541,7 @@
     def _is_stream(self, head):
         return self.route.kind is RequestKind.STREAM and head.status == 200
 
-    def _parse_refusal(self, head):
+    def _parse_refusal(self, head, metadata):
         """Return the result of a response that refuses the request.
 
         :returns: ``_NotRun`` or ``_Unknown``; None for any other response.
@@ -555,7 +555,6 @@
                     f"{self.destination} refused it", retry_after_ms
                 )
             return _Unknown(f"{self.destination}: {head.status}")
-        metadata = self.dialect.parse_response(head)
         if metadata.is_other_server:
             self.shared_state.registry.mark_server_gone(
                 self.destination, None, self.handler.clock.monotonic()
