Log when the directory leads callers out of their region

What operators could not see: where an answer of the directory led its callers and what the answering entry VM knew. The event directory_widened tells the scope, the state and configuration version of that entry VM and the states of all entry VMs it knows; gateway_directory_answers_total counts answers by scope. The selection is as before.

--- a/buckthorntack/discovery/__init__.py
+++ b/buckthorntack/discovery/__init__.py
@@ -7,7 +7,9 @@
 """
 
 from buckthorntack.discovery._control_selector import ControlVmSelector
-from buckthorntack.discovery._directory import select_entry_addresses
+from buckthorntack.discovery._directory import AddressScope
+from buckthorntack.discovery._directory import DirectoryAnswer
+from buckthorntack.discovery._directory import select_entry_vms
 from buckthorntack.discovery._followers import Followers
 from buckthorntack.discovery._member_changes import AddLearner
 from buckthorntack.discovery._member_changes import address_of
@@ -21,6 +23,8 @@
 from buckthorntack.discovery._timing import Timing
 
 __all__ = [
+    "AddressScope",
+    "DirectoryAnswer",
     "DISK_ID_SEPARATOR",
     "VOTER_ABSENCE_TIMEOUT",
     "AddLearner",
@@ -33,5 +37,5 @@
     "ServerView",
     "Timing",
     "address_of",
-    "select_entry_addresses",
+    "select_entry_vms",
 ]
--- a/buckthorntack/discovery/_directory.py
+++ b/buckthorntack/discovery/_directory.py
@@ -1,9 +1,31 @@
 """Selection of the entry VMs that a caller is given."""
 
+import enum
+from typing import NamedTuple
+
 READY = "ready"
 
 
-def select_entry_addresses(
+class AddressScope(enum.StrEnum):
+    """Where the entry VMs lie that a caller is given."""
+
+    FAILURE_DOMAIN = "failure_domain"
+    REGION = "region"
+    HOME_REGIONS = "home_regions"
+    ALL_REGIONS = "all_regions"
+    #: No entry VM that may be named is ready.
+    NONE = "none"
+
+
+class DirectoryAnswer(NamedTuple):
+    """Entry VMs that a caller is given."""
+
+    scope: AddressScope
+    #: Service addresses in random order.
+    addresses: list[str]
+
+
+def select_entry_vms(
     nodes, region, failure_domain, home_regions, max_addresses, rng
 ):
     """Select the nearest entry VMs that take requests.
@@ -19,7 +41,7 @@
         if all may.
     :param max_addresses: largest number of addresses.
     :param rng: random number generator.
-    :returns: addresses, in random order.
+    :returns: :class:`DirectoryAnswer`.
     """
     usable = [
         node for node in nodes if node.state == READY and not node.silent
@@ -29,9 +51,16 @@
         node for node in in_region if node.failure_domain == failure_domain
     ]
     in_home_regions = [node for node in usable if node.region in home_regions]
-    for chosen in (in_failure_domain, in_region, in_home_regions, usable):
-        if len(chosen) >= 2 or (chosen and chosen is not in_failure_domain):
-            break
+    chosen = usable
+    scope = AddressScope.ALL_REGIONS
+    if len(in_failure_domain) >= 2:
+        chosen, scope = in_failure_domain, AddressScope.FAILURE_DOMAIN
+    elif in_region:
+        chosen, scope = in_region, AddressScope.REGION
+    elif in_home_regions:
+        chosen, scope = in_home_regions, AddressScope.HOME_REGIONS
+    if not chosen:
+        scope = AddressScope.NONE
     addresses = sorted({node.service_address for node in chosen})
     rng.shuffle(addresses)
-    return addresses[:max_addresses]
+    return DirectoryAnswer(scope, addresses[:max_addresses])
--- a/buckthorntack/discovery/tests/test_registry.py
+++ b/buckthorntack/discovery/tests/test_registry.py
@@ -237,27 +237,27 @@
         _records.node("10.2.0.1:80", region="kumamoto"),
     ]
     rng = random.Random(5)
-    found = discovery.select_entry_addresses(
+    found = discovery.select_entry_vms(
         nodes, "fukuoka", "fukuoka-a", (), 64, rng
-    )
+    ).addresses
     assert sorted(found) == ["10.1.0.1:80", "10.1.0.4:80"]
 
 
 def test_directory_of_a_region_without_nodes_names_others():
     nodes = [_records.node("10.2.0.1:80", region="kumamoto")]
     rng = random.Random(5)
-    found = discovery.select_entry_addresses(
+    found = discovery.select_entry_vms(
         nodes, "fukuoka", "fukuoka-a", (), 64, rng
-    )
+    ).addresses
     assert found == ["10.2.0.1:80"]
 
 
 def test_directory_is_bounded():
     nodes = [_records.node(f"10.1.0.{n}:80") for n in range(200)]
     rng = random.Random(5)
-    found = discovery.select_entry_addresses(
+    found = discovery.select_entry_vms(
         nodes, "fukuoka", "fukuoka-a", (), 64, rng
-    )
+    ).addresses
     assert len(set(found)) == 64
 
 
@@ -268,9 +268,9 @@
         _records.node("10.3.0.1:80", region="kagoshima"),
     ]
     rng = random.Random(5)
-    found = discovery.select_entry_addresses(
+    found = discovery.select_entry_vms(
         nodes, "fukuoka", "fukuoka-a", {"kumamoto"}, 64, rng
-    )
+    ).addresses
     assert found == ["10.2.0.1:80"]
 
 
--- a/buckthorntack/gateway/_entry.py
+++ b/buckthorntack/gateway/_entry.py
@@ -1,6 +1,7 @@
 """Entry VM: listeners, background tasks and graceful stop."""
 
 import asyncio
+import collections
 import datetime
 
 from buckthorntack import discovery
@@ -40,6 +41,11 @@
 STOP_POLL_PERIOD = 50 * _MS
 #: Maximum number of addresses in one directory response.
 MAX_DIRECTORY_ADDRESSES = 64
+#: Scopes of directory answers that keep callers in their region.
+_LOCAL_SCOPES = (
+    discovery.AddressScope.FAILURE_DOMAIN,
+    discovery.AddressScope.REGION,
+)
 
 
 class EntryNode(_node.Node):
@@ -60,6 +66,8 @@
         self._crash_notices = []
         #: Relay of usage reports at the last ``relay_changed`` event.
         self._logged_relay = ""
+        #: Scope of the last directory answer, by region of the caller.
+        self._directory_scopes = {}
 
     def _start_log_fields(self):
         return {"callers": self.front_listener.address}
@@ -160,7 +168,7 @@
             allowed_regions = self.shared_state.table.list_allowed_regions(
                 host
             )
-        return discovery.select_entry_addresses(
+        answer = discovery.select_entry_vms(
             nodes,
             region,
             failure_domain,
@@ -168,6 +176,32 @@
             MAX_DIRECTORY_ADDRESSES,
             self.rng,
         )
+        self._record_directory_answer(answer, host, region, nodes)
+        return answer.addresses
+
+    def _record_directory_answer(self, answer, host, region, nodes):
+        """Count an answer; log it if callers are led out of their region."""
+        self.metrics.record_directory_answer(answer.scope.value)
+        if region not in self.settings.regions.values():
+            return
+        former = self._directory_scopes.get(region)
+        self._directory_scopes[region] = answer.scope
+        if answer.scope is former or answer.scope in _LOCAL_SCOPES:
+            return
+        states = collections.Counter(
+            f"{node.region}:{'silent' if node.silent else node.state}"
+            for node in nodes
+        )
+        self._log.write(
+            _events.DIRECTORY_WIDENED,
+            host=host,
+            region=region,
+            scope=answer.scope.value,
+            state=self.following.state,
+            version=self.shared_state.version,
+            entry_vms=dict(sorted(states.items())),
+            addresses=",".join(answer.addresses),
+        )
 
     def _is_lost(self, record):
         """Whether an entry VM of this region has stopped reporting."""
--- a/buckthorntack/gateway/_events.py
+++ b/buckthorntack/gateway/_events.py
@@ -144,3 +144,11 @@
     "Another entry VM of the failure domain relays the usage reports.",
     "check the entry VM that relayed before",
 )
+DIRECTORY_WIDENED = events.declare(
+    2227,
+    "directory_widened",
+    logbook.NOTICE,
+    "The directory has no entry VM of a caller's region to name; logged when"
+    " its answers to callers of the region change their scope.",
+    "check the entry VMs of the caller's region",
+)
--- a/buckthorntack/gateway/_metrics.py
+++ b/buckthorntack/gateway/_metrics.py
@@ -58,6 +58,12 @@
             ["framing", "place"],
             registry=registry,
         )
+        self._directory_answers = prometheus_client.Counter(
+            "gateway_directory_answers",
+            "Answers of the directory, by where the named entry VMs lie.",
+            ["scope"],
+            registry=registry,
+        )
 
     def record_request(self, kind, status, outcome, duration_s):
         """Count a request that has ended.
@@ -93,3 +99,10 @@
         :param result: class name of its result.
         """
         self._failed_attempts.labels(result).inc()
+
+    def record_directory_answer(self, scope):
+        """Count an answer of the directory.
+
+        :param scope: value of its ``discovery.AddressScope``.
+        """
+        self._directory_answers.labels(scope).inc()
