Keep callers in their regions while home regions are unknown

Cause: an empty set of home regions stood for three things: no restriction, no configuration yet, and routes of one host that have no home region in common. The selection took each for "all regions".

Evidence: with answers logged, mazatlan-2 answered at 8.2 s from configuration 11 for jera91.example, whose routes have the homes {sinaloa, sonora}, {sinaloa} and {sonora}, and mazatlan-1 at 8.25 s without a configuration; both named all four entry VMs of sonora and bajasur.

Change: HostResidency tells whether a host is restricted, by what all its routes allow and by what any of them does; None means that it is not known. The directory names the caller's region, then common homes, then homes of any route, and all regions only for a host known to have no restriction.

--- a/buckthorntack/directives/__init__.py
+++ b/buckthorntack/directives/__init__.py
@@ -8,6 +8,7 @@
 from buckthorntack.directives._machine import decode_command
 from buckthorntack.directives._machine import DirectivesMachine
 from buckthorntack.directives._machine import encode_command
+from buckthorntack.directives._route_table import HostResidency
 from buckthorntack.directives._route_table import RouteTable
 from buckthorntack.directives._types import Configuration
 from buckthorntack.directives._types import EngineProfile
@@ -22,6 +23,7 @@
     "Configuration",
     "DirectivesMachine",
     "EngineProfile",
+    "HostResidency",
     "InvalidConfigurationError",
     "RequestKind",
     "RequestLimits",
--- a/buckthorntack/directives/_route_table.py
+++ b/buckthorntack/directives/_route_table.py
@@ -1,6 +1,19 @@
 """Lookup of the route of a request."""
 
 import collections
+from typing import NamedTuple
+
+
+class HostResidency(NamedTuple):
+    """Regions that may serve the routes of one host."""
+
+    #: Whether any route restricts its regions. The other fields are empty if
+    #: none does, but an empty field alone does not mean that.
+    is_restricted: bool
+    #: Regions that every route with a restriction allows.
+    common_regions: frozenset[str]
+    #: Regions that at least one route with a restriction allows.
+    any_regions: frozenset[str]
 
 
 class RouteTable:
@@ -33,23 +46,27 @@
             end = path.rfind("/", 0, end)
         return None
 
-    def list_allowed_regions(self, host):
-        """Return the regions that may serve every request to a host.
+    def find_host_residency(self, host):
+        """Return where requests to a host may be served.
 
         :param host: the host; its port is ignored.
-        :returns: set of regions; empty if no route of the host restricts its
-            regions.
+        :returns: :class:`HostResidency`; None if the host has no route, so
+            that its residency is not known.
         """
-        prefixes = self._by_host.get(_strip_port(host.lower()), {})
+        prefixes = self._by_host.get(_strip_port(host.lower()))
+        if not prefixes:
+            return None
         region_sets = [
             route.allowed_regions
             for route in prefixes.values()
             if route.allowed_regions
         ]
-        return (
-            frozenset.intersection(*region_sets)
-            if region_sets
-            else frozenset()
+        if not region_sets:
+            return HostResidency(False, frozenset(), frozenset())
+        return HostResidency(
+            True,
+            frozenset.intersection(*region_sets),
+            frozenset.union(*region_sets),
         )
 
 
--- a/buckthorntack/discovery/_directory.py
+++ b/buckthorntack/discovery/_directory.py
@@ -26,19 +26,22 @@
 
 
 def select_entry_vms(
-    nodes, region, failure_domain, home_regions, max_addresses, rng
+    nodes, region, failure_domain, residency, max_addresses, rng
 ):
     """Select the nearest entry VMs that take requests.
 
     The caller's failure domain is enough if it has two of them.  Otherwise
-    the first non-empty set is used: the caller's region, the home regions,
-    all regions.  Entry VMs of another region have a longer round trip.
+    the first non-empty set is used: the caller's region, then the regions
+    that may serve every route of the host, then those that may serve one.
+    All regions follow only if the host is known to have no restriction.
+    Entry VMs of another region have a longer round trip.
 
     :param nodes: ``NodePresence`` of the known entry VMs.
     :param region: the caller's region.
     :param failure_domain: the caller's failure domain.
-    :param home_regions: regions that may serve the caller's requests; empty
-        if all may.
+    :param residency: ``directives.HostResidency`` of the host that the caller
+        asks for; None if it is not known, so that only the caller's region
+        is safe.
     :param max_addresses: largest number of addresses.
     :param rng: random number generator.
     :returns: :class:`DirectoryAnswer`.
@@ -50,17 +53,26 @@
     in_failure_domain = [
         node for node in in_region if node.failure_domain == failure_domain
     ]
-    in_home_regions = [node for node in usable if node.region in home_regions]
-    chosen = usable
-    scope = AddressScope.ALL_REGIONS
     if len(in_failure_domain) >= 2:
-        chosen, scope = in_failure_domain, AddressScope.FAILURE_DOMAIN
+        scope, chosen = AddressScope.FAILURE_DOMAIN, in_failure_domain
     elif in_region:
-        chosen, scope = in_region, AddressScope.REGION
-    elif in_home_regions:
-        chosen, scope = in_home_regions, AddressScope.HOME_REGIONS
-    if not chosen:
-        scope = AddressScope.NONE
+        scope, chosen = AddressScope.REGION, in_region
+    else:
+        scope, chosen = _select_remote(usable, residency)
     addresses = sorted({node.service_address for node in chosen})
     rng.shuffle(addresses)
     return DirectoryAnswer(scope, addresses[:max_addresses])
+
+
+def _select_remote(usable, residency):
+    """Return scope and entry VMs for a caller without any in its region."""
+    if residency is None:
+        return AddressScope.NONE, []
+    if not residency.is_restricted:
+        scope = AddressScope.ALL_REGIONS if usable else AddressScope.NONE
+        return scope, usable
+    for home_regions in (residency.common_regions, residency.any_regions):
+        chosen = [node for node in usable if node.region in home_regions]
+        if chosen:
+            return AddressScope.HOME_REGIONS, chosen
+    return AddressScope.NONE, []
--- a/buckthorntack/discovery/tests/test_registry.py
+++ b/buckthorntack/discovery/tests/test_registry.py
@@ -8,11 +8,13 @@
 from hypothesis import strategies as st
 import pytest
 
+from buckthorntack import directives
 from buckthorntack import discovery
 from buckthorntack.discovery.tests import _records
 
 S = datetime.timedelta(seconds=1)
 NOW = 100 * S
+OPEN = directives.HostResidency(False, frozenset(), frozenset())
 
 
 def make_registry(epoch=1):
@@ -238,7 +240,7 @@
     ]
     rng = random.Random(5)
     found = discovery.select_entry_vms(
-        nodes, "fukuoka", "fukuoka-a", (), 64, rng
+        nodes, "fukuoka", "fukuoka-a", OPEN, 64, rng
     ).addresses
     assert sorted(found) == ["10.1.0.1:80", "10.1.0.4:80"]
 
@@ -247,7 +249,7 @@
     nodes = [_records.node("10.2.0.1:80", region="kumamoto")]
     rng = random.Random(5)
     found = discovery.select_entry_vms(
-        nodes, "fukuoka", "fukuoka-a", (), 64, rng
+        nodes, "fukuoka", "fukuoka-a", OPEN, 64, rng
     ).addresses
     assert found == ["10.2.0.1:80"]
 
@@ -256,7 +258,7 @@
     nodes = [_records.node(f"10.1.0.{n}:80") for n in range(200)]
     rng = random.Random(5)
     found = discovery.select_entry_vms(
-        nodes, "fukuoka", "fukuoka-a", (), 64, rng
+        nodes, "fukuoka", "fukuoka-a", OPEN, 64, rng
     ).addresses
     assert len(set(found)) == 64
 
@@ -267,9 +269,11 @@
         _records.node("10.2.0.1:80", region="kumamoto"),
         _records.node("10.3.0.1:80", region="kagoshima"),
     ]
+    kumamoto = frozenset({"kumamoto"})
+    homes = directives.HostResidency(True, kumamoto, kumamoto)
     rng = random.Random(5)
     found = discovery.select_entry_vms(
-        nodes, "fukuoka", "fukuoka-a", {"kumamoto"}, 64, rng
+        nodes, "fukuoka", "fukuoka-a", homes, 64, rng
     ).addresses
     assert found == ["10.2.0.1:80"]
 
--- a/buckthorntack/gateway/_entry.py
+++ b/buckthorntack/gateway/_entry.py
@@ -163,23 +163,20 @@
         ]
         if self.following.state == "ready":
             nodes.append(self.following.presence())
-        allowed_regions = frozenset()
-        if self.shared_state.table is not None:
-            allowed_regions = self.shared_state.table.list_allowed_regions(
-                host
-            )
+        table = self.shared_state.table
+        residency = None if table is None else table.find_host_residency(host)
         answer = discovery.select_entry_vms(
             nodes,
             region,
             failure_domain,
-            allowed_regions,
+            residency,
             MAX_DIRECTORY_ADDRESSES,
             self.rng,
         )
-        self._record_directory_answer(answer, host, region, nodes)
+        self._record_directory_answer(answer, host, region, residency, nodes)
         return answer.addresses
 
-    def _record_directory_answer(self, answer, host, region, nodes):
+    def _record_directory_answer(self, answer, host, region, residency, nodes):
         """Count an answer; log it if callers are led out of their region."""
         self.metrics.record_directory_answer(answer.scope.value)
         if region not in self.settings.regions.values():
@@ -199,6 +196,9 @@
             scope=answer.scope.value,
             state=self.following.state,
             version=self.shared_state.version,
+            home_regions=(
+                None if residency is None else sorted(residency.any_regions)
+            ),
             entry_vms=dict(sorted(states.items())),
             addresses=",".join(answer.addresses),
         )
