--- a/buckthorntack/discovery/_directory.py
+++ b/buckthorntack/discovery/_directory.py
@@ -1,25 +1,50 @@
 """Selection of the entry VMs that a caller is given."""
 
+import enum
+from typing import NamedTuple
+
 READY = "ready"
 
 
-def select_entry_addresses(
-    nodes, region, failure_domain, home_regions, max_addresses, rng
+class AddressScope(enum.StrEnum):
+    """Where the entry VMs lie that a caller is given."""
+
+    FAILURE_DOMAIN = "failure_domain"
+    REGION = "region"
+    HOME_REGIONS = "home_regions"
+    ALL_REGIONS = "all_regions"
+    #: No entry VM that may be named is ready.
+    NONE = "none"
+
+
+class DirectoryAnswer(NamedTuple):
+    """Entry VMs that a caller is given."""
+
+    scope: AddressScope
+    #: Service addresses in random order.
+    addresses: list[str]
+
+
+def select_entry_vms(
+    nodes, region, failure_domain, residency, max_addresses, rng
 ):
     """Select the nearest entry VMs that take requests.
 
     The caller's failure domain is enough if it has two of them.  Otherwise
-    the first non-empty set is used: the caller's region, the home regions,
-    all regions.  Entry VMs of another region have a longer round trip.
+    the first non-empty set is used: the caller's region, then the regions
+    that may serve every route of the host, then those that may serve one.
+    All regions follow only if the host is known to have no restriction.
+    Entry VMs of another region have a longer round trip.
 
     :param nodes: ``NodePresence`` of the known entry VMs.
     :param region: the caller's region.
     :param failure_domain: the caller's failure domain.
-    :param home_regions: regions that may serve the caller's requests; empty
-        if all may.
+    :param residency: ``directives.HostResidency`` of the host that the caller
+        asks for; None if it is not known, so that only the caller's region
+        is safe.
     :param max_addresses: largest number of addresses.
     :param rng: random number generator.
-    :returns: addresses, in random order.
+    :returns: :class:`DirectoryAnswer`.
     """
     usable = [
         node for node in nodes if node.state == READY and not node.silent
@@ -28,10 +53,26 @@
     in_failure_domain = [
         node for node in in_region if node.failure_domain == failure_domain
     ]
-    in_home_regions = [node for node in usable if node.region in home_regions]
-    for chosen in (in_failure_domain, in_region, in_home_regions, usable):
-        if len(chosen) >= 2 or (chosen and chosen is not in_failure_domain):
-            break
+    if len(in_failure_domain) >= 2:
+        scope, chosen = AddressScope.FAILURE_DOMAIN, in_failure_domain
+    elif in_region:
+        scope, chosen = AddressScope.REGION, in_region
+    else:
+        scope, chosen = _select_remote(usable, residency)
     addresses = sorted({node.service_address for node in chosen})
     rng.shuffle(addresses)
-    return addresses[:max_addresses]
+    return DirectoryAnswer(scope, addresses[:max_addresses])
+
+
+def _select_remote(usable, residency):
+    """Return scope and entry VMs for a caller without any in its region."""
+    if residency is None:
+        return AddressScope.NONE, []
+    if not residency.is_restricted:
+        scope = AddressScope.ALL_REGIONS if usable else AddressScope.NONE
+        return scope, usable
+    for home_regions in (residency.common_regions, residency.any_regions):
+        chosen = [node for node in usable if node.region in home_regions]
+        if chosen:
+            return AddressScope.HOME_REGIONS, chosen
+    return AddressScope.NONE, []
