Show that prompt parts are fetched from outside the home regions

The test fails: for a route with home regions, the dispatcher names a server of another region as the source of a cached prefix.

--- a/buckthorntack/dispatch/tests/test_pack_hotspot.py
+++ b/buckthorntack/dispatch/tests/test_pack_hotspot.py
@@ -149,6 +149,19 @@
     assert decision.fetch_from == world.registry.servers["far"].record.address
 
 
+# A server outside the home regions of a route was told the prompt of its
+# request, as a copy of the cached part was fetched from there.
+def test_prefix_is_not_fetched_from_outside_the_home_regions():
+    world, request = two_regions(35_136.0)
+    assert world.choose(request).fetch_from
+    homes = frozenset(["fukuoka"])
+    route = _documents.route(allowed_regions=homes)
+    decision = world.choose(request._replace(route=route))
+    assert isinstance(decision, dispatch.Serve)
+    assert decision.fetch_from == ""
+    assert decision.unread_tokens == request.prompt.tokens
+
+
 def test_pack_that_a_region_has_itself_stays_there():
     world, request = two_regions(131_072.0)
     world.fleet.state("s0").cache.add_prompt(request.prompt.parts)
