Fetch prompt parts only from home regions of the route

What callers saw: nothing; a request of a route with home regions could be sent to its server with Kv-Fetch of a server outside them, which then learnt the prompt, and copied for it what must stay in the home regions.

Cause: find_holders looked for cached prefixes at all servers of the service. Servers that may not get the request were left out only as candidates.

Evidence: the test on a server of another region that caches the prefix got that server's address.

Change: a server outside the route's regions is no holder.

Tests of dispatch and emulator pass.

--- a/buckthorntack/dispatch/_estimates.py
+++ b/buckthorntack/dispatch/_estimates.py
@@ -43,6 +43,9 @@
     def find_holders(self, request, servers):
         """Find servers that cache a prefix of the prompt, longest first.
 
+        A server that may not serve the route is none of them, as a copy from
+        it would tell it the prompt.
+
         :param request: the ``RoutingRequest``.
         :param servers: ``ServerView`` of all servers of the service.
         :returns: list of ``_CacheHolder``.
@@ -51,11 +54,14 @@
         min_tokens = self.settings.min_fetch_tokens
         if prompt is None or prompt.shared_tokens < min_tokens:
             return []
+        allowed = request.route.allowed_regions
         holders = []
         for view in servers:
             record = view.record
             if record.state == "gone" or record.silent:
                 continue
+            if allowed and record.region not in allowed:
+                continue
             state = self.fleet.state(record.server_id)
             cached = state.cache.cached_tokens(prompt.parts)
             if cached >= min_tokens:
