Send only the digest of an answer to a home outside the residency

What callers saw: nothing; the answer of a request that is not idempotent left its organisation's regions if the ledger home of its key lies elsewhere.

Cause: the claim tells the home not to store the answer, but the outcome carried it all the same, the own one and that of a lost entry VM. The home replaced it by its digest only when it applied the operation, after the replicas had written it to their logs.

Evidence: the two tests got the header and body in what is sent to the home.

Change: an entry VM sends status and digest to such a home.

--- a/buckthorntack/entry/_idempotency.py
+++ b/buckthorntack/entry/_idempotency.py
@@ -79,20 +79,39 @@
         response = None
         if outcome.run_state is errors.RunState.RAN:
             response = await self.attempt_client.fetch(target)
-        call_key = (home, request.organisation, request.idempotency_key)
         if response is None:
             await self.client.report_server_outcome(
-                *call_key, lost_attempt_id, outcome.run_state
+                home,
+                request.organisation,
+                request.idempotency_key,
+                lost_attempt_id,
+                outcome.run_state,
+            )
+            return
+        await self._report_answer(home, request, lost_attempt_id, response)
+
+    async def _report_answer(self, home, request, attempt_id, answer):
+        """Report that an attempt ran.
+
+        A home outside the organisation's residency gets the digest of the
+        answer only, as its replicas write to their logs what they get.
+        """
+        call_key = (home, request.organisation, request.idempotency_key)
+        if home["region"] in request.allowed_regions:
+            await self.client.report_response(
+                *call_key,
+                attempt_id,
+                answer.status,
+                answer.headers,
+                answer.body,
             )
             return
         await self.client.report_server_outcome(
             *call_key,
-            lost_attempt_id,
-            outcome.run_state,
-            status=response.status,
-            headers=response.headers,
-            body=response.body,
-            answer_known=True,
+            attempt_id,
+            errors.RunState.RAN,
+            status=answer.status,
+            body=ledger.body_digest(answer.body),
         )
 
     async def report_outcome(self, request, attempt_id, outcome):
@@ -105,13 +124,7 @@
         home = self._find_home(request)
         call_key = (home, request.organisation, request.idempotency_key)
         if isinstance(outcome, _attempt.Completed):
-            await self.client.report_response(
-                *call_key,
-                attempt_id,
-                outcome.status,
-                outcome.headers,
-                outcome.body,
-            )
+            await self._report_answer(home, request, attempt_id, outcome)
         elif outcome is errors.RunState.NOT_RUN:
             await self.client.report_not_run(*call_key, attempt_id)
         elif outcome is errors.RunState.RAN:
