--- a/buckthorntack/gateway/_entry.py
+++ b/buckthorntack/gateway/_entry.py
@@ -66,7 +66,8 @@
         self._crash_notices = []
         #: Relay of usage reports at the last ``relay_changed`` event.
         self._logged_relay = ""
-        #: Scope of the last directory answer, by region of the caller.
+        #: Scope of the last directory answer, by the caller's region and its
+        #: host, which is empty for hosts without routes.
         self._directory_scopes = {}
 
     def _start_log_fields(self):
@@ -181,8 +182,9 @@
         self.metrics.record_directory_answer(answer.scope.value)
         if region not in self.settings.regions.values():
             return
-        former = self._directory_scopes.get(region)
-        self._directory_scopes[region] = answer.scope
+        key = (region, "" if residency is None else host)
+        former = self._directory_scopes.get(key)
+        self._directory_scopes[key] = answer.scope
         if answer.scope is former or answer.scope in _LOCAL_SCOPES:
             return
         states = collections.Counter(
--- a/buckthorntack/gateway/_events.py
+++ b/buckthorntack/gateway/_events.py
@@ -149,6 +149,6 @@
     "directory_widened",
     logbook.NOTICE,
     "The directory has no entry VM of a caller's region to name; logged when"
-    " its answers to callers of the region change their scope.",
+    " the scope of its answers for a region and host changes.",
     "check the entry VMs of the caller's region",
 )
--- a/buckthorntack/gateway/tests/test_directory.py
+++ b/buckthorntack/gateway/tests/test_directory.py
@@ -4,6 +4,7 @@
 import itertools
 import random
 
+import logbook
 import pytest
 
 from buckthorntack import clock
@@ -179,3 +180,27 @@
         if outside & set(node.directory(host, "alpha", "a1")):
             led_outside.append(states)
     assert led_outside == []
+
+
+# Operators could not see that the directory led callers to other regions, nor
+# what the answering entry VM knew.
+def test_answers_beyond_the_region_are_logged_once_for_each_host():
+    node = _entry_node("stopping", _configuration())
+    _add_remote_peers(node)
+    with logbook.TestHandler().applicationbound() as written:
+        for host in (HOME_HOST, OPEN_HOST, HOME_HOST, OPEN_HOST):
+            node.directory(host, "alpha", "a1")
+    widened = [
+        record.extra
+        for record in written.records
+        if record.extra["name"] == "directory_widened"
+    ]
+    assert [(e["host"], e["scope"], e["version"]) for e in widened] == [
+        (HOME_HOST, "home_regions", 1),
+        (OPEN_HOST, "all_regions", 1),
+    ]
+    assert widened[0]["home_regions"] == ["alpha", "beta"]
+    answers = node.metrics_registry.get_sample_value(
+        "gateway_directory_answers_total", {"scope": "home_regions"}
+    )
+    assert answers == 2
