Narrow the regions of a route to those of a newer configuration

RouteTable.narrow_route returns a route within the regions that are allowed now, and nothing if none is left.

--- a/buckthorntack/directives/_route_table.py
+++ b/buckthorntack/directives/_route_table.py
@@ -46,6 +46,25 @@
             end = path.rfind("/", 0, end)
         return None
 
+    def narrow_route(self, route):
+        """Return a route of an older table within the regions allowed now.
+
+        Only the regions change: a request is served by the route that it was
+        accepted with, also if the route was removed since.
+
+        :param route: the ``Route``.
+        :returns: the ``Route``; None if no region may serve it any longer.
+        """
+        current = self._by_host.get(route.host.lower(), {}).get(
+            route.path_prefix
+        )
+        if current is None or not current.allowed_regions:
+            return route
+        if not route.allowed_regions:
+            return route._replace(allowed_regions=current.allowed_regions)
+        regions = route.allowed_regions & current.allowed_regions
+        return route._replace(allowed_regions=regions) if regions else None
+
     def find_host_residency(self, host):
         """Return where requests to a host may be served.
 
--- a/buckthorntack/directives/tests/test_directives.py
+++ b/buckthorntack/directives/tests/test_directives.py
@@ -142,3 +142,34 @@
     other = directives.DirectivesMachine()
     other.restore(machine.snapshot())
     assert other.directives == machine.directives
+
+
+# Retries went on by the route of an older configuration and could reach
+# regions that a newer one had taken from it.
+@pytest.mark.parametrize(
+    ("accepted", "current", "allowed"),
+    [
+        ("", "", ""),
+        ("ab", "", "ab"),
+        ("", "ab", "ab"),
+        ("ab", "bc", "b"),
+        ("a", "b", None),
+    ],
+)
+def test_regions_that_a_newer_configuration_takes_are_not_used(
+    accepted, current, allowed
+):
+    old = _documents.route(allowed_regions=frozenset(accepted))
+    new = _documents.route(allowed_regions=frozenset(current))
+    table = directives.RouteTable(_documents.configuration(new, version=2))
+    narrowed = table.narrow_route(old)
+    if allowed is None:
+        assert narrowed is None
+    else:
+        assert narrowed == old._replace(allowed_regions=frozenset(allowed))
+
+
+def test_route_that_was_removed_keeps_its_regions():
+    old = _documents.route("gone", "/gone/", allowed_regions=frozenset("a"))
+    table = directives.RouteTable(_documents.configuration(version=2))
+    assert table.narrow_route(old) == old
