Log the server incarnation and prompt parts of a crash

The event crash_noted told only a fingerprint of the whole request, so that logs could not show which part of a prompt the lost requests had in common. It now has the incarnation of the server, the ids of the shared prompt parts, whether the answer had begun, and for how long. No change of logic.

--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -157,6 +157,8 @@
         self.reason = ""
         self.first_byte_s = 0.0
         self.longest_gap_s = 0.0
+        #: When the answer of the last attempt began; None if it did not.
+        self.answer_started_s = None
         #: Framing, size and end of the body of the last attempt.
         self.framing = ""
         self.body_bytes = 0
@@ -390,7 +392,7 @@
             result = _NotSent(error.detail)
         except http1.IncompleteResponseError as error:
             outcome = Outcome.LOST
-            self._record_crash(server_id, error)
+            self._record_crash(view, error)
             result = _Unknown(error.detail)
         finally:
             now_s = self._now_s()
@@ -499,6 +501,7 @@
             connection.close()
             return _Unknown("silent before its answer")
         self.framing = head.framing.value
+        self.answer_started_s = self._now_s()
         metadata = self.dialect.parse_response(head)
         if in_flight is not None:
             now_s = self._now_s()
@@ -711,7 +714,8 @@
             headers.append((SEND_COUNT_HEADER, str(self.send_count).encode()))
         self.reply.send(status, headers, reason.encode() + b"\n")
 
-    def _record_crash(self, server_id, error):
+    def _record_crash(self, view, error):
+        server_id = view.record.server_id
         attempt = f"{self.metadata.request_id.decode('latin-1')}/{server_id}"
         if self.shared_state.crashes.record_crash(self.fingerprint, attempt):
             self.handler.report_crash(self.fingerprint, server_id, attempt)
@@ -720,9 +724,26 @@
                 request=self._request_id_text(),
                 fingerprint=self.fingerprint,
                 server=server_id,
+                born_ms=view.record.born_ms,
+                parts=",".join(self._list_shared_part_ids()),
+                answer_begun=self.answer_started_s is not None,
+                answer_ms=round(self._answer_duration_s() * 1e3),
                 error=error.detail,
             )
 
+    def _list_shared_part_ids(self):
+        """List the ids of the prompt's parts that other prompts may share."""
+        prompt = self.metadata.prompt
+        if prompt is None:
+            return []
+        return [part.part_id for part in prompt.parts[:-1]]
+
+    def _answer_duration_s(self):
+        """Time since the answer of the last attempt began."""
+        if self.answer_started_s is None:
+            return 0.0
+        return self._now_s() - self.answer_started_s
+
     def _request_id_text(self):
         return (
             self.metadata.request_id.decode("latin-1") if self.metadata else ""
@@ -773,6 +794,7 @@
         )
 
     def _reset_body_record(self):
+        self.answer_started_s = None
         self.framing = ""
         self.body_bytes = 0
         self.ended_inside_event = False
