Show that prompt parts that crash servers are not refused

Requests of which no two are alike, but that share a part that crashes the server that begins to answer it, go on ending servers at all entry VMs: crashes are counted by whole request.

--- /dev/null
+++ b/buckthorntack/platform/tests/test_crashing_parts.py
@@ -0,0 +1,67 @@
+"""Prompts of which a part crashes the servers that answer them."""
+
+import itertools
+
+from buckthorntack import http1
+from buckthorntack.platform import _headers
+from buckthorntack.platform.tests import _standins
+from buckthorntack.platform.tests import test_requests
+
+PATH = "/draft/x"
+CULPRIT = b"culprit:"
+MAX_CRASHES = 5
+SERVERS = tuple((f"s{number}", "text") for number in range(6))
+
+
+def crash_on_culprit(crashed):
+    """Behaviour: break off answers to prompts with the crashing part.
+
+    :param crashed: list that gets the ids of the servers.
+    """
+
+    async def behave(server, request, reply):
+        parts = http1.find_header(request.headers, _headers.PROMPT_PREFIX)
+        if CULPRIT in parts:
+            crashed.append(server.server_id)
+            behaviour = _standins.stream(3, cut_after=1)
+        else:
+            behaviour = _standins.stream(3)
+        await behaviour(server, request, reply)
+
+    return behave
+
+
+async def ask(world, entry, number, part="tools"):
+    """Send a request for a stream whose prompt no other has."""
+    return await world.ask(
+        PATH,
+        entry=entry,
+        method="POST",
+        body=b"%d" % number,
+        X_Buckthorntack_Token_Count="60,10",
+        X_Buckthorntack_Prompt_Prefix=f"first:20,{part}:20,own{number}:20",
+    )
+
+
+# Guards against requests that crash one server after the other, as they share
+# a part of their prompts but no two of them are equal.
+def test_part_that_crashes_servers_is_refused_at_all_entry_vms():
+    async def scenario(world):
+        crashed = []
+        for server in world.servers.values():
+            server.behave = crash_on_culprit(crashed)
+        numbers = itertools.count()
+        for entry in ("e0", "e1", "e0"):
+            answer = await ask(world, entry, next(numbers))
+            assert answer.status == 200
+        for entry in ("e0", "e1", "e2"):
+            answer = await ask(world, entry, next(numbers), "culprit")
+            while answer.status != 503:
+                assert len(crashed) <= MAX_CRASHES
+                answer = await ask(world, entry, next(numbers), "culprit")
+            assert float(answer.headers[b"retry-after"]) > 0
+        answer = await ask(world, "e0", next(numbers))
+        assert answer.status == 200
+        assert answer.whole
+
+    test_requests.run(scenario, *SERVERS)
--- /dev/null
+++ b/buckthorntack/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Quarantine of requests and prompt parts that crash backend servers."""
