Decide by prompt part what crashes servers

Callers lost their answers each time a server ended under a request whose prompt had a certain part. Crashes were counted by whole request, and no two were alike, so that none was ever refused.

The new package keeps, for each crash (server and incarnation), the subjects of the attempts lost at it: the whole request and each shared part of its prompt. The subject in most unexplained crashes is blamed after three crashes; one whose answers went on in the last minute after five in three separate seconds. A subject whose answers go on is cleared. One entry VM at a time sends a trial after 20 s, then 40 s. Records merge as a set union.

The gateway does not use it yet.

--- /dev/null
+++ b/buckthorntack/quarantine/_evidence.py
@@ -0,0 +1,142 @@
+"""Crashes of backend servers and the subjects of the attempts lost at them."""
+
+import collections
+import datetime
+from typing import NamedTuple
+
+from buckthorntack.quarantine import _types
+
+
+class _Crash(NamedTuple):
+    at: datetime.timedelta
+    depth_by_key: dict[str, int]
+
+
+class CrashEvidence:
+    """Crashes that count, by subject; merging reports is a set union.
+
+    :param settings: ``QuarantineSettings``.
+    """
+
+    def __init__(self, settings: _types.QuarantineSettings):
+        self.settings = settings
+        self._crashes = collections.OrderedDict()
+        self._crash_ids_by_key = {}
+
+    def __len__(self):
+        return len(self._crashes)
+
+    def __contains__(self, crash_id):
+        return crash_id in self._crashes
+
+    def add(
+        self,
+        crash_id: _types.CrashId,
+        subjects: tuple[_types.Subject, ...],
+        at: datetime.timedelta,
+    ) -> list[str]:
+        """Add subjects to a crash.
+
+        :param crash_id: the crash.
+        :param subjects: subjects of attempts that were lost at it.
+        :param at: monotonic time of the crash; the earliest one reported
+            counts.
+        :returns: keys of the subjects that are new to the crash.
+        """
+        crash = self._crashes.get(crash_id)
+        if crash is None:
+            crash = self._crashes[crash_id] = _Crash(at, {})
+        elif at < crash.at:
+            crash = self._crashes[crash_id] = crash._replace(at=at)
+        added = []
+        for key, depth in subjects:
+            room = self.settings.max_subjects_of_crash - len(
+                crash.depth_by_key
+            )
+            if key in crash.depth_by_key or room <= 0:
+                continue
+            crash.depth_by_key[key] = depth
+            self._crash_ids_by_key.setdefault(key, set()).add(crash_id)
+            added.append(key)
+        if len(self._crashes) > self.settings.max_crashes:
+            self._remove(next(iter(self._crashes)))
+        return added
+
+    def expire(self, now: datetime.timedelta) -> None:
+        """Forget crashes that no longer count.
+
+        :param now: current monotonic time.
+        """
+        retention = self.settings.crash_retention
+        expired = [
+            crash_id
+            for crash_id, crash in self._crashes.items()
+            if now - crash.at > retention
+        ]
+        for crash_id in expired:
+            self._remove(crash_id)
+
+    def _remove(self, crash_id):
+        crash = self._crashes.pop(crash_id)
+        for key in crash.depth_by_key:
+            crash_ids = self._crash_ids_by_key[key]
+            crash_ids.discard(crash_id)
+            if not crash_ids:
+                del self._crash_ids_by_key[key]
+
+    def list_keys(self, crash_id: _types.CrashId) -> list[str]:
+        """List the keys of the subjects of a crash.
+
+        :param crash_id: the crash.
+        """
+        crash = self._crashes.get(crash_id)
+        return [] if crash is None else list(crash.depth_by_key)
+
+    def find_depth(self, key: str) -> int:
+        """Return the place of a subject in the prompt.
+
+        :param key: key of a subject that has crashes.
+        """
+        crash_id = next(iter(self._crash_ids_by_key[key]))
+        return self._crashes[crash_id].depth_by_key[key]
+
+    def list_crashes(
+        self, key: str, since: datetime.timedelta | None
+    ) -> list[_types.CrashId]:
+        """List the crashes that a subject may have caused, oldest first.
+
+        :param key: key of the subject.
+        :param since: crashes up to this time do not count; None for none.
+        """
+        crash_ids = self._crash_ids_by_key.get(key, ())
+        counted = [
+            crash_id
+            for crash_id in crash_ids
+            if since is None or self._crashes[crash_id].at > since
+        ]
+        return sorted(counted, key=lambda c: (self._crashes[c].at, c))
+
+    def is_explained(self, crash_id: _types.CrashId, blamed) -> bool:
+        """Whether a subject that is blamed took part in a crash.
+
+        :param crash_id: the crash.
+        :param blamed: set of keys.
+        """
+        return not blamed.isdisjoint(self._crashes[crash_id].depth_by_key)
+
+    def count_moments(
+        self, crash_ids: list[_types.CrashId], moment: datetime.timedelta
+    ) -> int:
+        """Count the separate moments of crashes.
+
+        :param crash_ids: the crashes, oldest first.
+        :param moment: longest time between the crashes of one moment.
+        """
+        count = 0
+        started_at = None
+        for crash_id in crash_ids:
+            at = self._crashes[crash_id].at
+            if started_at is None or at - started_at > moment:
+                started_at = at
+                count += 1
+        return count
--- /dev/null
+++ b/buckthorntack/quarantine/_quarantine.py
@@ -0,0 +1,430 @@
+"""Decision which requests and prompt parts crash backend servers."""
+
+import collections
+import datetime
+import math
+
+import xxhash
+
+from buckthorntack.quarantine import _blames
+from buckthorntack.quarantine import _evidence
+from buckthorntack.quarantine import _recent_times
+from buckthorntack.quarantine import _types
+from buckthorntack.schema import messages
+
+_MS = datetime.timedelta(milliseconds=1)
+
+
+class Quarantine:
+    """Requests and prompt parts that one entry VM refuses.
+
+    A crash ends all attempts of a server, most of which did not cause it.  So
+    the fewest subjects that explain the crashes are blamed: the one in most
+    unexplained crashes first.  A subject whose answers go on is cleared.
+
+    All records may be merged late, repeatedly and in any order.
+
+    :param node_id: id of this entry VM.
+    :param settings: the settings.
+    """
+
+    def __init__(
+        self,
+        node_id: str,
+        settings: _types.QuarantineSettings | None = None,
+    ):
+        self.node_id = node_id
+        self.settings = settings or _types.QuarantineSettings()
+        self._members = (node_id,)
+        retention = self.settings.good_retention
+        max_good = self.settings.max_good
+        self._own_good = _recent_times.RecentTimes(retention, max_good)
+        self._reported_good = _recent_times.RecentTimes(retention, max_good)
+        self._clears = _recent_times.RecentTimes(
+            self.settings.clear_retention, self.settings.max_clears
+        )
+        self._evidence = _evidence.CrashEvidence(self.settings)
+        self._blames = collections.OrderedDict()
+        #: Times from which crashes are evaluated.
+        self._unevaluated = {}
+        self._reported_crashes = {}
+        self._unsent_subjects = {}
+        self._unsent_blames = {}
+        self._unsent_clears = {}
+        self._changes = []
+
+    def __len__(self):
+        """Number of records kept."""
+        return (
+            len(self._own_good)
+            + len(self._reported_good)
+            + len(self._clears)
+            + len(self._evidence)
+            + len(self._blames)
+        )
+
+    def set_members(self, node_ids: list[str]) -> None:
+        """Set the live entry VMs, which share the trials.
+
+        :param node_ids: their ids, with or without this one.
+        """
+        self._members = tuple(sorted({*node_ids, self.node_id}))
+
+    def list_blamed(self) -> list[str]:
+        """List the keys of the subjects that are refused."""
+        return list(self._blames)
+
+    def check(
+        self,
+        subjects: tuple[_types.Subject, ...],
+        now: datetime.timedelta,
+    ) -> _types.Verdict:
+        """Check an attempt; each needs this, directly before it is sent.
+
+        If it is a :class:`Trial`, call :meth:`start_trial` before a server
+        gets it.
+
+        :param subjects: result of :func:`list_subjects`.
+        :param now: current monotonic time.
+        """
+        self._evaluate_settled(now)
+        if not self._blames:
+            return _types.Admitted()
+        blamed = [key for key, _ in subjects if key in self._blames]
+        if not blamed:
+            return _types.Admitted()
+        key = blamed[0]
+        if len(blamed) > 1 or not self._may_try(key, now):
+            return _types.Refused(key, self.settings.retry_after)
+        return _types.Trial(key)
+
+    def start_trial(self, key: str, now: datetime.timedelta) -> None:
+        """Record that a server gets a trial; the next one is due later.
+
+        :param key: key of the :class:`Trial`.
+        :param now: current monotonic time.
+        """
+        blame = self._blames[key]
+        self._blames[key] = blame._replace(
+            trials=blame.trials + 1, tried_at=now
+        )
+        self._unsent_blames[key] = None
+        self._changes.append(_types.TrialStarted(key, blame.trials + 1))
+
+    def _may_try(self, key, now):
+        return _blames.may_try(
+            key,
+            self._blames[key],
+            self.node_id,
+            self._members,
+            self.settings,
+            now,
+        )
+
+    def on_answer_continued(
+        self,
+        subjects: tuple[_types.Subject, ...],
+        now: datetime.timedelta,
+    ) -> None:
+        """Record that an answer was completed or goes on.
+
+        Called when a 2xx answer is complete, or when its data still arrives
+        :data:`CONTINUED_ANSWER` after its first data.
+
+        :param subjects: subjects of the attempt.
+        :param now: current monotonic time.
+        """
+        for key, _ in subjects:
+            if key in self._blames or self._is_suspected(key):
+                self._unsent_clears[key] = now
+                self._clear(key, now)
+            self._own_good.record(key, now)
+
+    def _is_suspected(self, key):
+        """Whether one further crash may lead to a blame."""
+        if not self._evidence:
+            return False
+        good_at = self._last_good(key)
+        crash_ids = self._evidence.list_crashes(key, good_at)
+        min_crashes = self.settings.min_crashes
+        if good_at is not None:
+            min_crashes = self.settings.min_crashes_of_good
+        return len(crash_ids) >= min_crashes - 1
+
+    def on_attempt_lost(
+        self,
+        crash_id: _types.CrashId,
+        subjects: tuple[_types.Subject, ...],
+        now: datetime.timedelta,
+    ) -> bool:
+        """Record an attempt whose connection broke before its answer went on.
+
+        Not called for attempts after :meth:`on_answer_continued`.
+
+        :param crash_id: the server and its incarnation.
+        :param subjects: subjects of the attempt.
+        :param now: current monotonic time.
+        :returns: whether the crash is new for one of the subjects.
+        """
+        added = self._add_subjects(crash_id, subjects, now)
+        if not added:
+            return False
+        self._reported_crashes.setdefault(crash_id, now)
+        unsent = self._unsent_subjects.setdefault(crash_id, {})
+        unsent.update(
+            (subject.key, subject)
+            for subject in subjects
+            if subject.key in added
+        )
+        self._unevaluated.setdefault(crash_id, now + self.settings.settling)
+        return True
+
+    def merge(
+        self, update: messages.QuarantineUpdate, now: datetime.timedelta
+    ) -> None:
+        """Merge the records of another entry VM.
+
+        :param update: the records.
+        :param now: current monotonic time.
+        """
+        for record in update.clears:
+            self._clear(record.key, now - record.age_ms * _MS)
+        for record in update.crashes:
+            self._merge_crash(record, now)
+        for record in update.blames:
+            self._merge_blame(record, now)
+
+    def _merge_crash(self, record, now):
+        at = now - record.age_ms * _MS
+        if now - at > self.settings.crash_retention:
+            return
+        subjects = []
+        for key, depth, good_age_ms in record.subjects:
+            subjects.append(_types.Subject(key, depth))
+            if good_age_ms >= 0:
+                self._reported_good.record(key, now - good_age_ms * _MS)
+        crash_id = _types.CrashId(record.server_id, record.born_ms)
+        if self._add_subjects(crash_id, subjects, at):
+            at = now + self.settings.settling
+            self._unevaluated.setdefault(crash_id, at)
+
+    def _add_subjects(self, crash_id, subjects, at):
+        added = self._evidence.add(crash_id, subjects, at)
+        known = set(self._evidence.list_keys(crash_id))
+        cut = sum(key not in known for key, _ in subjects)
+        if cut:
+            change = _types.SubjectsCut(crash_id.server_id, cut)
+            self._changes.append(change)
+        return added
+
+    def _merge_blame(self, record, now):
+        blame = _blames.decode(record, now)
+        cleared_at = self._clears.get(record.key)
+        if cleared_at is not None and cleared_at >= blame.blamed_at:
+            return
+        known = self._blames.get(record.key)
+        if known is None:
+            self._add_blame(record.key, blame, 0)
+        else:
+            self._blames[record.key] = known.merge(blame)
+
+    def _clear(self, key, at):
+        known = self._clears.get(key)
+        if known is None or at - known > self.settings.clear_tolerance:
+            self._clears.record(key, at)
+        self._reported_good.record(key, at)
+        blame = self._blames.get(key)
+        if blame is not None and blame.blamed_at <= at:
+            del self._blames[key]
+            self._unsent_blames.pop(key, None)
+            self._changes.append(_types.SubjectCleared(key))
+
+    def _last_good(self, key):
+        times = (self._own_good.get(key), self._reported_good.get(key))
+        return max((time for time in times if time is not None), default=None)
+
+    def _evaluate_settled(self, now):
+        """Evaluate the crashes of which all reports should have come."""
+        if not self._unevaluated:
+            return
+        due = [
+            crash_id
+            for crash_id, due_at in self._unevaluated.items()
+            if due_at <= now
+        ]
+        for crash_id in due:
+            del self._unevaluated[crash_id]
+            for key in self._evaluate(crash_id, now):
+                if crash_id in self._reported_crashes:
+                    self._unsent_blames[key] = None
+
+    def _evaluate(self, crash_id, now):
+        """Blame the fewest subjects that explain the crashes of enough.
+
+        :returns: keys of the subjects that are blamed now.
+        """
+        blamed = []
+        if crash_id not in self._evidence:
+            return blamed
+        keys = self._evidence.list_keys(crash_id)
+        while not self._evidence.is_explained(crash_id, self._blames.keys()):
+            ranked = [
+                (rank, key)
+                for key in keys
+                if (rank := self._rank(key, now)) is not None
+            ]
+            if not ranked:
+                break
+            rank, key = max(ranked)
+            depth = self._evidence.find_depth(key)
+            blame = _blames.Blame(depth, now, 0, None)
+            self._add_blame(key, blame, rank[0])
+            blamed.append(key)
+        return blamed
+
+    def _rank(self, key, now):
+        """Return the strength of the evidence; None if it is not enough."""
+        settings = self.settings
+        good_at = self._last_good(key)
+        is_good = (
+            good_at is not None and now - good_at <= settings.good_retention
+        )
+        crash_ids = self._evidence.list_crashes(key, good_at)
+        min_crashes = settings.min_crashes
+        if is_good:
+            min_crashes = settings.min_crashes_of_good
+        if len(crash_ids) < min_crashes:
+            return None
+        unexplained = [
+            crash_id
+            for crash_id in crash_ids
+            if not self._evidence.is_explained(crash_id, self._blames.keys())
+        ]
+        moment, min_moments = settings.moment, settings.min_moments
+        if is_good:
+            # The crashes of other subjects end its attempts as well.
+            crash_ids = unexplained
+            moment = settings.moment_of_good
+            min_moments = settings.min_moments_of_good
+        moments = self._evidence.count_moments(crash_ids, moment)
+        if len(crash_ids) < min_crashes or moments < min_moments:
+            return None
+        depth = self._evidence.find_depth(key)
+        # A tie goes to the subject without an answer for the longest time.
+        quiet_s = (now - good_at).total_seconds() if is_good else math.inf
+        return (len(unexplained), quiet_s, depth)
+
+    def _add_blame(self, key, blame, crashes):
+        self._blames[key] = blame
+        self._changes.append(_types.SubjectBlamed(key, crashes))
+        if len(self._blames) > self.settings.max_blames:
+            self._end_blame(next(iter(self._blames)))
+
+    def _end_blame(self, key):
+        del self._blames[key]
+        self._unsent_blames.pop(key, None)
+        self._changes.append(_types.SubjectCleared(key))
+
+    def expire(self, now: datetime.timedelta) -> None:
+        """Forget old records; called about every second.
+
+        :param now: current monotonic time.
+        """
+        self._own_good.expire(now)
+        self._reported_good.expire(now)
+        self._clears.expire(now)
+        self._evidence.expire(now)
+        self._reported_crashes = {
+            crash_id: at
+            for crash_id, at in self._reported_crashes.items()
+            if now - at <= self.settings.crash_retention
+        }
+        for key, blame in list(self._blames.items()):
+            changed_at = blame.tried_at or blame.blamed_at
+            if now - changed_at > self.settings.blame_retention:
+                self._end_blame(key)
+
+    def take_changes(self) -> list[_types.Change]:
+        """Return and clear what has changed, to be logged."""
+        changes, self._changes = self._changes, []
+        return changes
+
+    def take_update(
+        self, now: datetime.timedelta
+    ) -> messages.QuarantineUpdate | None:
+        """Return and clear the records that all other entry VMs need.
+
+        :param now: current monotonic time.
+        :returns: the records; None if there are none.
+        """
+        self._evaluate_settled(now)
+        if not (
+            self._unsent_subjects or self._unsent_blames or self._unsent_clears
+        ):
+            return None
+        crashes = [
+            self._encode_crash(crash_id, subjects, now)
+            for crash_id, subjects in self._unsent_subjects.items()
+        ]
+        blames = self._encode_blames(self._unsent_blames, now)
+        clears = [
+            messages.ClearRecord(key, (now - at) // _MS)
+            for key, at in self._unsent_clears.items()
+        ]
+        self._unsent_subjects = {}
+        self._unsent_blames = {}
+        self._unsent_clears = {}
+        return messages.QuarantineUpdate(crashes, blames, clears)
+
+    def _encode_crash(self, crash_id, subjects, now):
+        records = [
+            messages.LostSubject(key, depth, self._good_age_ms(key, now))
+            for key, depth in subjects.values()
+        ]
+        # Those that no answer went on for are the likeliest culprits.
+        records.sort(key=lambda record: record.good_age_ms >= 0)
+        cut = len(records) - self.settings.max_subjects_sent
+        if cut > 0:
+            change = _types.SubjectsCut(crash_id.server_id, cut)
+            self._changes.append(change)
+        return messages.CrashRecord(
+            *crash_id,
+            (now - self._reported_crashes.get(crash_id, now)) // _MS,
+            records[: self.settings.max_subjects_sent],
+        )
+
+    def _good_age_ms(self, key, now):
+        at = self._own_good.get(key)
+        return -1 if at is None else (now - at) // _MS
+
+    def _encode_blames(self, keys, now):
+        return [
+            _blames.encode(key, self._blames[key], now)
+            for key in keys
+            if key in self._blames
+        ]
+
+    def digest(self) -> str:
+        """Return a digest of all blames and clears; empty if there are none.
+
+        Entry VMs with equal digests need not exchange their records.
+        """
+        if not self._blames and not self._clears:
+            return ""
+        items = [
+            f"{key}/{blame.trials}" for key, blame in self._blames.items()
+        ]
+        items += [key for key, _ in self._clears]
+        return xxhash.xxh3_64_hexdigest("\n".join(sorted(items)).encode())
+
+    def export(self, now: datetime.timedelta) -> messages.QuarantineUpdate:
+        """Return all blames and clears, for an entry VM that lacks some.
+
+        :param now: current monotonic time.
+        """
+        clears = [
+            messages.ClearRecord(key, (now - at) // _MS)
+            for key, at in self._clears
+        ]
+        blames = self._encode_blames(self._blames, now)
+        return messages.QuarantineUpdate([], blames, clears)
--- a/buckthorntack/schema/messages.py
+++ b/buckthorntack/schema/messages.py
@@ -102,6 +102,13 @@
 from buckthorntack.schema._generated.placement import LeaseRequest
 from buckthorntack.schema._generated.placement import LeaseRow
 from buckthorntack.schema._generated.placement import LeaseSnapshot
+from buckthorntack.schema._generated.quarantine import BlameRecord
+from buckthorntack.schema._generated.quarantine import ClearRecord
+from buckthorntack.schema._generated.quarantine import CrashRecord
+from buckthorntack.schema._generated.quarantine import LostSubject
+from buckthorntack.schema._generated.quarantine import QuarantineDigest
+from buckthorntack.schema._generated.quarantine import QuarantineTable
+from buckthorntack.schema._generated.quarantine import QuarantineUpdate
 from buckthorntack.schema._generated.retries import Acquittal
 from buckthorntack.schema._generated.retries import Conviction
 from buckthorntack.schema._generated.retries import CrashEvidence
@@ -113,7 +120,9 @@
     "AnnouncedServer",
     "AppendRequest",
     "AppendResponse",
+    "BlameRecord",
     "ChangeRecord",
+    "ClearRecord",
     "ConfigurationChunk",
     "ConfigurationChunkRequest",
     "ConfigurationCopy",
@@ -134,6 +143,7 @@
     "CrashEvidence",
     "CrashNotice",
     "CrashNotices",
+    "CrashRecord",
     "Directives",
     "DirectivesCopy",
     "DomainSummary",
@@ -169,6 +179,7 @@
     "LedgerSettle",
     "LedgerSnapshot",
     "LogEntry",
+    "LostSubject",
     "MembershipDelta",
     "MembershipDigest",
     "MembershipDigestDetail",
@@ -187,6 +198,9 @@
     "PromptSent",
     "ProposalRefused",
     "PublishVersion",
+    "QuarantineDigest",
+    "QuarantineTable",
+    "QuarantineUpdate",
     "QuotaGrant",
     "QuotaNeed",
     "ReadRequest",
