Tell crashes apart by the start of the attempts they ended

Crashes of one moment were those within 100 ms of each other, and a server counted once an incarnation. A request that is resent at once could so end servers, or be reset by a server that goes on, without a limit. Now a crash is a further one if it ended an attempt that was sent after the crash before; this needs no clock threshold. on_attempt_lost takes the time at which the attempt was sent.

While the reports of a crash are still coming in, requests with a subject that has enough crashes are refused, though nobody is blamed yet.

--- a/buckthorntack/quarantine/__init__.py
+++ b/buckthorntack/quarantine/__init__.py
@@ -6,6 +6,7 @@
 from buckthorntack.quarantine._types import Change
 from buckthorntack.quarantine._types import CONTINUED_ANSWER
 from buckthorntack.quarantine._types import CrashId
+from buckthorntack.quarantine._types import Incarnation
 from buckthorntack.quarantine._types import list_subjects
 from buckthorntack.quarantine._types import QuarantineSettings
 from buckthorntack.quarantine._types import Refused
@@ -22,6 +23,7 @@
     "Admitted",
     "Change",
     "CrashId",
+    "Incarnation",
     "Quarantine",
     "QuarantineSettings",
     "Refused",
--- a/buckthorntack/quarantine/_evidence.py
+++ b/buckthorntack/quarantine/_evidence.py
@@ -2,6 +2,7 @@
 
 import collections
 import datetime
+import itertools
 from typing import NamedTuple
 
 from buckthorntack.quarantine import _types
@@ -9,7 +10,13 @@
 
 class _Crash(NamedTuple):
     at: datetime.timedelta
-    depth_by_key: dict[str, int]
+    lost_by_key: dict[str, "_Lost"]
+
+
+class _Lost(NamedTuple):
+    depth: int
+    #: Shortest time from the start of an attempt to the crash.
+    ran_for: datetime.timedelta
 
 
 class CrashEvidence:
@@ -34,13 +41,15 @@
         crash_id: _types.CrashId,
         subjects: tuple[_types.Subject, ...],
         at: datetime.timedelta,
+        ran_for: datetime.timedelta,
     ) -> list[str]:
         """Add subjects to a crash.
 
         :param crash_id: the crash.
-        :param subjects: subjects of attempts that were lost at it.
+        :param subjects: subjects of an attempt that was lost at it.
         :param at: monotonic time of the crash; the earliest one reported
             counts.
+        :param ran_for: time from the start of the attempt to the crash.
         :returns: keys of the subjects that are new to the crash.
         """
         crash = self._crashes.get(crash_id)
@@ -50,18 +59,36 @@
             crash = self._crashes[crash_id] = crash._replace(at=at)
         added = []
         for key, depth in subjects:
-            room = self.settings.max_subjects_of_crash - len(
-                crash.depth_by_key
-            )
-            if key in crash.depth_by_key or room <= 0:
+            known = crash.lost_by_key.get(key)
+            if known is not None:
+                if ran_for < known.ran_for:
+                    crash.lost_by_key[key] = _Lost(depth, ran_for)
+                continue
+            if len(crash.lost_by_key) >= self.settings.max_subjects_of_crash:
                 continue
-            crash.depth_by_key[key] = depth
+            crash.lost_by_key[key] = _Lost(depth, ran_for)
             self._crash_ids_by_key.setdefault(key, set()).add(crash_id)
             added.append(key)
         if len(self._crashes) > self.settings.max_crashes:
             self._remove(next(iter(self._crashes)))
         return added
 
+    def identify(
+        self, incarnation: _types.Incarnation, sent_at: datetime.timedelta
+    ) -> _types.CrashId:
+        """Return the crash at which an attempt was lost.
+
+        An attempt that was sent after a crash was not lost at it.
+
+        :param incarnation: the server.
+        :param sent_at: monotonic time of the start of the attempt.
+        """
+        for occurrence in itertools.count():
+            crash_id = _types.CrashId(*incarnation, occurrence)
+            crash = self._crashes.get(crash_id)
+            if crash is None or crash.at >= sent_at:
+                return crash_id
+
     def expire(self, now: datetime.timedelta) -> None:
         """Forget crashes that no longer count.
 
@@ -78,7 +105,7 @@
 
     def _remove(self, crash_id):
         crash = self._crashes.pop(crash_id)
-        for key in crash.depth_by_key:
+        for key in crash.lost_by_key:
             crash_ids = self._crash_ids_by_key[key]
             crash_ids.discard(crash_id)
             if not crash_ids:
@@ -90,7 +117,20 @@
         :param crash_id: the crash.
         """
         crash = self._crashes.get(crash_id)
-        return [] if crash is None else list(crash.depth_by_key)
+        return [] if crash is None else list(crash.lost_by_key)
+
+    def count_missing(
+        self,
+        crash_id: _types.CrashId,
+        subjects: tuple[_types.Subject, ...],
+    ) -> int:
+        """Count subjects for which a crash has no room.
+
+        :param crash_id: the crash.
+        :param subjects: subjects that were added to it.
+        """
+        lost_by_key = self._crashes[crash_id].lost_by_key
+        return sum(key not in lost_by_key for key, _ in subjects)
 
     def find_depth(self, key: str) -> int:
         """Return the place of a subject in the prompt.
@@ -98,7 +138,7 @@
         :param key: key of a subject that has crashes.
         """
         crash_id = next(iter(self._crash_ids_by_key[key]))
-        return self._crashes[crash_id].depth_by_key[key]
+        return self._crashes[crash_id].lost_by_key[key].depth
 
     def list_crashes(
         self, key: str, since: datetime.timedelta | None
@@ -122,21 +162,31 @@
         :param crash_id: the crash.
         :param blamed: set of keys.
         """
-        return not blamed.isdisjoint(self._crashes[crash_id].depth_by_key)
+        return not blamed.isdisjoint(self._crashes[crash_id].lost_by_key)
 
     def count_moments(
-        self, crash_ids: list[_types.CrashId], moment: datetime.timedelta
+        self,
+        key: str,
+        crash_ids: list[_types.CrashId],
+        moment: datetime.timedelta,
     ) -> int:
-        """Count the separate moments of crashes.
+        """Count the separate moments of crashes that a subject took part in.
 
+        Of two crashes with separate moments, the later one ended an attempt
+        that was sent after the earlier one.
+
+        :param key: key of the subject.
         :param crash_ids: the crashes, oldest first.
-        :param moment: longest time between the crashes of one moment.
+        :param moment: further time between the crashes of two moments.
         """
         count = 0
-        started_at = None
+        earliest = None
         for crash_id in crash_ids:
-            at = self._crashes[crash_id].at
-            if started_at is None or at - started_at > moment:
-                started_at = at
+            crash = self._crashes[crash_id]
+            sent_at = crash.at - crash.lost_by_key[key].ran_for
+            if earliest is None or (
+                sent_at > earliest and crash.at - earliest >= moment
+            ):
+                earliest = crash.at
                 count += 1
         return count
--- a/buckthorntack/quarantine/_quarantine.py
+++ b/buckthorntack/quarantine/_quarantine.py
@@ -88,6 +88,10 @@
         :param now: current monotonic time.
         """
         self._evaluate_settled(now)
+        if self._unevaluated:
+            for key, _ in subjects:
+                if self._rank(key, now) is not None:
+                    return _types.Refused(key, self.settings.retry_after)
         if not self._blames:
             return _types.Admitted()
         blamed = [key for key, _ in subjects if key in self._blames]
@@ -153,29 +157,30 @@
 
     def on_attempt_lost(
         self,
-        crash_id: _types.CrashId,
+        incarnation: _types.Incarnation,
         subjects: tuple[_types.Subject, ...],
+        sent_at: datetime.timedelta,
         now: datetime.timedelta,
     ) -> bool:
         """Record an attempt whose connection broke before its answer went on.
 
         Not called for attempts after :meth:`on_answer_continued`.
 
-        :param crash_id: the server and its incarnation.
+        :param incarnation: the server.
         :param subjects: subjects of the attempt.
+        :param sent_at: monotonic time at which the attempt was sent.
         :param now: current monotonic time.
         :returns: whether the crash is new for one of the subjects.
         """
-        added = self._add_subjects(crash_id, subjects, now)
+        crash_id = self._evidence.identify(incarnation, sent_at)
+        added = self._add_subjects(crash_id, subjects, now, now - sent_at)
         if not added:
             return False
         self._reported_crashes.setdefault(crash_id, now)
         unsent = self._unsent_subjects.setdefault(crash_id, {})
-        unsent.update(
-            (subject.key, subject)
-            for subject in subjects
-            if subject.key in added
-        )
+        for key, depth in subjects:
+            if key in added:
+                unsent[key] = (depth, now - sent_at)
         self._unevaluated.setdefault(crash_id, now + self.settings.settling)
         return True
 
@@ -198,20 +203,23 @@
         at = now - record.age_ms * _MS
         if now - at > self.settings.crash_retention:
             return
-        subjects = []
-        for key, depth, good_age_ms in record.subjects:
-            subjects.append(_types.Subject(key, depth))
+        crash_id = _types.CrashId(
+            record.server_id, record.born_ms, record.occurrence
+        )
+        is_new = False
+        for key, depth, ran_ms, good_age_ms in record.subjects:
+            subjects = (_types.Subject(key, depth),)
+            if self._add_subjects(crash_id, subjects, at, ran_ms * _MS):
+                is_new = True
             if good_age_ms >= 0:
                 self._reported_good.record(key, now - good_age_ms * _MS)
-        crash_id = _types.CrashId(record.server_id, record.born_ms)
-        if self._add_subjects(crash_id, subjects, at):
-            at = now + self.settings.settling
-            self._unevaluated.setdefault(crash_id, at)
-
-    def _add_subjects(self, crash_id, subjects, at):
-        added = self._evidence.add(crash_id, subjects, at)
-        known = set(self._evidence.list_keys(crash_id))
-        cut = sum(key not in known for key, _ in subjects)
+        if is_new:
+            due_at = now + self.settings.settling
+            self._unevaluated.setdefault(crash_id, due_at)
+
+    def _add_subjects(self, crash_id, subjects, at, ran_for):
+        added = self._evidence.add(crash_id, subjects, at, ran_for)
+        cut = self._evidence.count_missing(crash_id, subjects)
         if cut:
             change = _types.SubjectsCut(crash_id.server_id, cut)
             self._changes.append(change)
@@ -300,13 +308,13 @@
             for crash_id in crash_ids
             if not self._evidence.is_explained(crash_id, self._blames.keys())
         ]
-        moment, min_moments = settings.moment, settings.min_moments
+        moment, min_moments = 0 * _MS, settings.min_moments
         if is_good:
             # The crashes of other subjects end its attempts as well.
             crash_ids = unexplained
             moment = settings.moment_of_good
             min_moments = settings.min_moments_of_good
-        moments = self._evidence.count_moments(crash_ids, moment)
+        moments = self._evidence.count_moments(key, crash_ids, moment)
         if len(crash_ids) < min_crashes or moments < min_moments:
             return None
         depth = self._evidence.find_depth(key)
@@ -378,8 +386,10 @@
 
     def _encode_crash(self, crash_id, subjects, now):
         records = [
-            messages.LostSubject(key, depth, self._good_age_ms(key, now))
-            for key, depth in subjects.values()
+            messages.LostSubject(
+                key, depth, ran_for // _MS, self._good_age_ms(key, now)
+            )
+            for key, (depth, ran_for) in subjects.items()
         ]
         # Those that no answer went on for are the likeliest culprits.
         records.sort(key=lambda record: record.good_age_ms >= 0)
--- a/buckthorntack/quarantine/_types.py
+++ b/buckthorntack/quarantine/_types.py
@@ -17,11 +17,21 @@
     depth: int
 
 
+class Incarnation(NamedTuple):
+    """One start of a backend server."""
+
+    server_id: str
+    born_ms: int
+
+
 class CrashId(NamedTuple):
-    """Identity of a crash: the backend server and its incarnation."""
+    """Identity of a crash."""
 
     server_id: str
     born_ms: int
+    #: Number of the crash within the incarnation: a server may reset its
+    #: connections and go on, or restart before its new incarnation is known.
+    occurrence: int
 
 
 class Admitted(NamedTuple):
@@ -82,11 +92,11 @@
     min_crashes: int = 3
     #: Crashes that this takes if answers went on shortly before.
     min_crashes_of_good: int = 5
-    #: Number of separate moments of these crashes.
+    #: Number of separate moments of these crashes.  In a loss of power, many
+    #: servers end at one moment.
     min_moments: int = 2
     min_moments_of_good: int = 3
-    #: Crashes that are closer together have one moment, as in a loss of power.
-    moment: datetime.timedelta = 100 * _MS
+    #: Crashes of one moment are closer together than this.
     moment_of_good: datetime.timedelta = _SECOND
     #: Time from the first report of a crash until reports of other entry VMs
     #: should have come.
--- a/buckthorntack/quarantine/tests/_decision.py
+++ b/buckthorntack/quarantine/tests/_decision.py
@@ -54,9 +54,12 @@
         limit_s = quarantine.CONTINUED_ANSWER.total_seconds()
         if answer_s is not None and answer_s >= limit_s:
             return
-        crash_id = quarantine.CrashId(server.name, server.starts)
-        subjects = _list_subjects(request)
-        self.quarantine.on_attempt_lost(crash_id, subjects, _time(now_s))
+        self.quarantine.on_attempt_lost(
+            quarantine.Incarnation(server.name, server.starts),
+            _list_subjects(request),
+            _time(request.attempted_s),
+            _time(now_s),
+        )
 
     def on_answer_continued(self, request, now_s):
         """Record an answer that has gone on for some time."""
--- a/buckthorntack/quarantine/tests/_simulation.py
+++ b/buckthorntack/quarantine/tests/_simulation.py
@@ -40,6 +40,8 @@
         self.duration_s = duration_s
         self.sent_s = 0.0
         self.attempts = 0
+        #: When the last attempt was sent.
+        self.attempted_s = 0.0
         self.entry = None
         self.tried = set()
         self.has_begun_first = False
@@ -195,6 +197,7 @@
         server = self.rng.choice(servers)
         request.tried.add(server.server_id)
         request.attempts += 1
+        request.attempted_s = self.now_s
         in_touch = (
             not entry.is_cut_off
             and self.now_s - entry.in_touch_from_s >= CONTACT_S
--- a/buckthorntack/quarantine/tests/test_quarantine.py
+++ b/buckthorntack/quarantine/tests/test_quarantine.py
@@ -19,14 +19,15 @@
     return quarantine.list_subjects(request, part_ids)
 
 
-def crash(table, number, now, *lost):
+def crash(table, number, now, *lost, ran_for=GAP / 2):
     """Let a server crash and wait until it is evaluated.
 
     :param lost: subjects of each lost attempt.
+    :param ran_for: time since they were sent.
     """
     for attempt in lost:
-        crash_id = quarantine.CrashId(f"s{number}", 1)
-        table.on_attempt_lost(crash_id, attempt, now)
+        server = quarantine.Incarnation(f"s{number}", 1)
+        table.on_attempt_lost(server, attempt, now - ran_for, now)
     table.check((), now + GAP / 2)
 
 
@@ -228,3 +229,17 @@
     assert len(record.subjects) == 10
     assert "part/bad" in [subject.key for subject in record.subjects]
     assert quarantine.SubjectsCut("s1", 12) in table.take_changes()
+
+
+# Guards against a request that is repeated at servers which reset its
+# connections and go on, and that counts once for each of them.
+def test_repeated_resets_of_one_incarnation_count():
+    table = quarantine.Quarantine("e1")
+    lost = subjects("first", "bad")
+    for number in range(3):
+        now = SECOND + number * 4 * MS
+        server = quarantine.Incarnation("s1", 1)
+        table.on_attempt_lost(server, lost, now - 2 * MS, now)
+        verdict = table.check(lost, now + MS)
+        is_last = number == 2
+        assert isinstance(verdict, quarantine.Refused) is is_last
--- a/buckthorntack/schema/_generated/quarantine.py
+++ b/buckthorntack/schema/_generated/quarantine.py
@@ -12,6 +12,7 @@
 
     key: str
     depth: int
+    ran_ms: int
     good_age_ms: int
 
 
@@ -22,6 +23,7 @@
 
     server_id: str
     born_ms: int
+    occurrence: int
     age_ms: int
     subjects: list[LostSubject]
 
