Refuse prompt parts that crash servers at all entry VMs

Callers of the users' platform got 502 and lost running answers while one part of a prompt ended one server after the other: entry VMs counted whole requests, of which no two were alike, and looked at the count only when a request arrived, not before a retry.

Entry VMs now use the quarantine of crashes by prompt part. It is asked before each attempt, directly before a server gets it, and in the region that a request is forwarded to.

Two tests of the former tracker now test the quarantine with the same attempts and results; one test waits for the blame at the other entry VM instead of reading private state of the tracker.

--- a/buckthorntack/dispatch/__init__.py
+++ b/buckthorntack/dispatch/__init__.py
@@ -1,7 +1,6 @@
 """Choice of the backend server or region that gets a request."""
 
 from buckthorntack.dispatch._choice import Dispatcher
-from buckthorntack.dispatch._crashes import CrashTracker
 from buckthorntack.dispatch._decisions import Forward
 from buckthorntack.dispatch._decisions import Refuse
 from buckthorntack.dispatch._decisions import RoutingRequest
@@ -20,7 +19,6 @@
 
 __all__ = [
     "REQUEST_ROUTED",
-    "CrashTracker",
     "DispatchSettings",
     "Dispatcher",
     "Fleet",
--- a/buckthorntack/dispatch/tests/test_choice.py
+++ b/buckthorntack/dispatch/tests/test_choice.py
@@ -156,24 +156,6 @@
     assert isinstance(world.choose(urgent), dispatch.Serve)
 
 
-def test_crashing_request_is_refused_after_three_crashes():
-    tracker = dispatch.CrashTracker()
-    for attempt in ("a", "b", "b", "b"):
-        tracker.record_crash("print", attempt)
-    assert not tracker.is_refused("print")
-    tracker.record_crash("print", "c")
-    assert tracker.is_refused("print")
-
-
-def test_answered_request_is_cleared_of_crashes():
-    tracker = dispatch.CrashTracker()
-    for attempt in ("a", "b"):
-        tracker.record_crash("print", attempt)
-    tracker.clear_crashes("print")
-    tracker.record_crash("print", "c")
-    assert not tracker.is_refused("print")
-
-
 @pytest.mark.parametrize("seed", range(5))
 def test_sum_of_reports_is_that_of_the_newest_ones(seed):
     rng = random.Random(seed)
--- a/buckthorntack/gateway/_entry.py
+++ b/buckthorntack/gateway/_entry.py
@@ -9,6 +9,7 @@
 from buckthorntack.gateway import _following
 from buckthorntack.gateway import _metrics
 from buckthorntack.gateway import _node
+from buckthorntack.gateway import _quarantine_task
 from buckthorntack.gateway import _request_handler
 from buckthorntack.gateway import _shared_state
 from buckthorntack.gateway import _supervision
@@ -23,14 +24,11 @@
 #: Period of load reports to other regions: a few inter-region round trips, by
 #: which the reports take effect late in any case.
 REGION_LOAD_PERIOD = 300 * _MS
-#: Period of dropping old reports and of sending crash notices.
+#: Period of dropping old reports.
 EXPIRE_PERIOD = 250 * _MS
 #: Time without a report, several report periods, after which the next entry VM
 #: by id sends the load reports of the region.
 REGION_REPORTER_TIMEOUT_S = 1.0
-#: Maximum number of crash notices in one message; a server crash causes one
-#: for each request that was running on the server.
-MAX_CRASH_NOTICES = 64
 #: Time after the stop signal during which connections are still accepted, as
 #: callers use a directory response that lists this VM for that long.
 STOP_ACCEPT_TIME = 2000 * _MS
@@ -57,7 +55,7 @@
         self.following = None
         self.front_listener = None
         self.forward_listener = None
-        self._crash_notices = []
+        self.quarantine_task = None
         #: Relay of usage reports at the last ``relay_changed`` event.
         self._logged_relay = ""
 
@@ -84,11 +82,17 @@
             self.rng,
         )
         self.shared_state.update_members()
+        self.quarantine_task = _quarantine_task.QuarantineTask(
+            self.shared_state,
+            self.links,
+            self.metrics,
+            self._other_entry_vms,
+        )
         request_handler = _request_handler.RequestHandler(
             self.shared_state,
             self.clock,
             self.metrics,
-            self._queue_crash_notice,
+            self.quarantine_task.wake,
         )
         limits = self.shared_state.limits
         self.forward_listener = await self._listen(
@@ -111,6 +115,7 @@
         await self._serve_metrics()
         for work in (
             self.following.run,
+            self.quarantine_task.run,
             self._expire,
             self._tell_use,
             self._tell_region_load,
@@ -130,11 +135,12 @@
             self.following.on_presence_reply(sender, message)
         elif isinstance(message, messages.DirectivesCopy):
             self.following.on_directives_copy(sender, message)
-        elif isinstance(message, messages.CrashNotices):
-            for notice in message.notices:
-                self.shared_state.crashes.record_crash(
-                    notice.fingerprint, notice.attempt
-                )
+        elif isinstance(message, messages.QuarantineUpdate):
+            self.quarantine_task.on_update(message)
+        elif isinstance(message, messages.QuarantineDigest):
+            self.quarantine_task.on_digest(sender, message)
+        elif isinstance(message, messages.QuarantineTable):
+            self.quarantine_task.on_table(sender, message)
 
     def is_ready(self):
         """Whether the node accepts new requests."""
@@ -184,7 +190,6 @@
             await self.clock.sleep(EXPIRE_PERIOD)
             now_s = self.clock.monotonic().total_seconds()
             self.shared_state.fleet.expire_reports(now_s)
-            self._send_crash_notices()
             self.shared_state.update_members()
 
     def _other_entry_vms(self):
@@ -281,20 +286,6 @@
         for node_id in self.shared_state.exchange.next_hops(sender, now_s):
             self.links.send(node_id, load)
 
-    def _queue_crash_notice(self, fingerprint, server_id, attempt):
-        if len(self._crash_notices) < MAX_CRASH_NOTICES:
-            notice = messages.CrashNotice(fingerprint, server_id, attempt)
-            self._crash_notices.append(notice)
-
-    def _send_crash_notices(self):
-        """Send pending crash notices to all other entry VMs."""
-        if not self._crash_notices:
-            return
-        crash_notices = messages.CrashNotices(self._crash_notices)
-        self._crash_notices = []
-        for record in self._other_entry_vms():
-            self.links.send(record.node_id, crash_notices)
-
     def apply_settings(self, settings):
         """Apply reloaded settings.
 
--- a/buckthorntack/gateway/_metrics.py
+++ b/buckthorntack/gateway/_metrics.py
@@ -59,6 +59,17 @@
             registry=registry,
         )
 
+        self._refusals = prometheus_client.Counter(
+            "gateway_quarantine_refusals",
+            "Requests that were refused as they crash servers.",
+            registry=registry,
+        )
+        self._blamed = prometheus_client.Gauge(
+            "gateway_quarantined_subjects",
+            "Requests and prompt parts refused as they crash servers.",
+            registry=registry,
+        )
+
     def record_request(self, kind, status, outcome, duration_s):
         """Count a request that has ended.
 
@@ -87,6 +98,17 @@
         """
         self._body_ends.labels(framing, place).inc()
 
+    def record_quarantine_refusal(self):
+        """Count a request that is refused as it crashes servers."""
+        self._refusals.inc()
+
+    def record_quarantine_size(self, count):
+        """Record the size of the quarantine.
+
+        :param count: number of requests and prompt parts refused at present.
+        """
+        self._blamed.set(count)
+
     def record_failed_attempt(self, result):
         """Count a failed attempt.
 
--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -10,6 +10,7 @@
 from buckthorntack import errors
 from buckthorntack import events
 from buckthorntack import http1
+from buckthorntack import quarantine
 from buckthorntack.directives import RequestKind
 from buckthorntack.dispatch import Outcome
 from buckthorntack.gateway import _event_stream
@@ -50,9 +51,6 @@
 STARTUP_WAIT_SHARE = 0.25
 #: Longest wait of a request during startup.
 MAX_STARTUP_WAIT_S = 1.2
-#: Retry-After of requests that crash servers; long enough to break a loop of
-#: crashes and retries.
-CRASH_RETRY_AFTER_MS = 10_000.0
 
 
 class _Completed(NamedTuple):
@@ -91,15 +89,15 @@
     :param shared_state: the ``SharedState``.
     :param clock: source of time.
     :param metrics: the ``EntryMetrics``.
-    :param report_crash: called with fingerprint, server id and attempt when
-        the connection to a server breaks during a request.
+    :param on_quarantine_changed: called without arguments when the quarantine
+        has records for other entry VMs.
     """
 
-    def __init__(self, shared_state, clock, metrics, report_crash):
+    def __init__(self, shared_state, clock, metrics, on_quarantine_changed):
         self.shared_state = shared_state
         self.clock = clock
         self.metrics = metrics
-        self.report_crash = report_crash
+        self.on_quarantine_changed = on_quarantine_changed
         self.log = events.EventLog("gateway")
 
     async def handle(self, request, reply):
@@ -144,7 +142,8 @@
         self.metadata = None
         self.route = None
         self.service = None
-        self.fingerprint = ""
+        #: What the quarantine counts crashes by.
+        self.subjects = ()
         self.deadline_s = 0.0
         self.excluded_ids = set()
         self.send_count = send_count
@@ -159,6 +158,11 @@
         self.longest_gap_s = 0.0
         #: When the answer of the last attempt began; None if it did not.
         self.answer_started_s = None
+        self.attempt_sent_at = None
+        #: Whether the quarantine knows that the last answer went on.
+        self.has_continued = False
+        #: Error of a large answer that broke off while it was relayed.
+        self.relay_error = None
         #: Framing, size and end of the body of the last attempt.
         self.framing = ""
         self.body_bytes = 0
@@ -185,9 +189,10 @@
         if not self._find_route():
             return
         self.service = self._choose_service()
-        self.fingerprint = _compute_fingerprint(self.request)
-        if self.shared_state.crashes.is_refused(self.fingerprint):
-            self._send_refusal("crashes servers", CRASH_RETRY_AFTER_MS)
+        self.subjects = quarantine.list_subjects(
+            _compute_fingerprint(self.request), self._list_shared_part_ids()
+        )
+        if self._is_quarantined():
             return
         if not self.is_forwarded:
             self.shared_state.budgets.record_request(self.service.name)
@@ -272,6 +277,8 @@
             if self._remaining_s() <= 0:
                 # A delayed timer must not let an expired request be sent.
                 raise TimeoutError
+            if self._is_quarantined():
+                return
             now = self.handler.clock.monotonic()
             routing_request = self._build_routing_request()
             servers = self.shared_state.list_servers(self.service.name)
@@ -377,6 +384,8 @@
             if fleet.state(server_id).is_paused(self._now_s()):
                 # Another request was refused while this one connected.
                 return _NotSent(f"{server_id} is paused")
+            if not self._start_attempt():
+                return _NotSent("a subject was refused meanwhile")
             self.send_count += 1
             connection.send(
                 self._encode_server_request(decision),
@@ -387,6 +396,8 @@
                 connection, decision.expected_ms, in_flight
             )
             outcome = _classify_outcome(result, self.reply.status)
+            if self.relay_error is not None:
+                self._record_crash(view, self.relay_error)
         except http1.ConnectError as error:
             outcome = Outcome.LOST
             result = _NotSent(error.detail)
@@ -577,6 +588,7 @@
         parts = []
         size_bytes = 0
         while data := await connection.read():
+            self._note_answer_data(head)
             parts.append(data)
             size_bytes += len(data)
             if size_bytes > MAX_BUFFERED_BODY_BYTES:
@@ -587,8 +599,7 @@
         if head.status >= 500 and self._can_retry():
             return _Failed(head, body)
         self._send_buffered(head, body)
-        if head.status < 500:
-            self.shared_state.crashes.clear_crashes(self.fingerprint)
+        self._note_answer_end(head)
         return _Completed()
 
     async def _relay_unbuffered(self, connection, head, parts):
@@ -598,14 +609,17 @@
             self.reply.write(part)
         try:
             while data := await connection.read():
+                self._note_answer_data(head)
                 self.body_bytes += len(data)
                 self.reply.write(data)
                 await self.reply.flush()
-        except http1.IncompleteResponseError:
+        except http1.IncompleteResponseError as error:
+            self.relay_error = error
             self.reply.abort()
             return _Completed()
         self._record_body_end(is_inside_event=False)
         self.reply.end()
+        self._note_answer_end(head)
         return _Completed()
 
     def _send_buffered(self, head, body):
@@ -632,6 +646,7 @@
         boundary = http1.EventBoundary()
         try:
             while data:
+                self._note_answer_data(head)
                 boundary.feed(data)
                 self.body_bytes += len(data)
                 complete_events = (
@@ -658,7 +673,7 @@
         if stream is not None:
             self.reply.write(stream.take_remainder())
         self.reply.end()
-        self.shared_state.crashes.clear_crashes(self.fingerprint)
+        self._note_answer_end(head)
         return _Completed()
 
     async def _read_stream_data(self, connection):
@@ -714,22 +729,81 @@
             headers.append((SEND_COUNT_HEADER, str(self.send_count).encode()))
         self.reply.send(status, headers, reason.encode() + b"\n")
 
+    def _is_quarantined(self):
+        """Send the final failure if the quarantine refuses the request."""
+        verdict = self.shared_state.quarantine.check(
+            self.subjects, self.handler.clock.monotonic()
+        )
+        if not isinstance(verdict, quarantine.Refused):
+            return False
+        self.handler.metrics.record_quarantine_refusal()
+        self._send_final_failure(
+            "crashes servers", clocks.milliseconds(verdict.retry_after)
+        )
+        return True
+
+    def _start_attempt(self):
+        """Return whether a server may get the request now."""
+        now = self.handler.clock.monotonic()
+        verdict = self.shared_state.quarantine.check(self.subjects, now)
+        if isinstance(verdict, quarantine.Refused):
+            return False
+        if isinstance(verdict, quarantine.Trial):
+            self.shared_state.quarantine.start_trial(verdict.key, now)
+            self.handler.on_quarantine_changed()
+        self.attempt_sent_at = now
+        return True
+
+    def _note_answer_data(self, head):
+        """Tell the quarantine once that an answer goes on."""
+        limit_s = quarantine.CONTINUED_ANSWER.total_seconds()
+        if not self.has_continued and self._answer_duration_s() >= limit_s:
+            self._note_continued(head)
+
+    def _note_answer_end(self, head):
+        """Tell the quarantine of a complete answer.
+
+        One that ends with its connection may have been broken off.
+        """
+        is_framed = head.framing is not http1.BodyFraming.CONNECTION_CLOSE
+        if is_framed and not self.has_continued:
+            self._note_continued(head)
+
+    def _note_continued(self, head):
+        if not 200 <= head.status < 300:
+            return
+        self.has_continued = True
+        self.shared_state.quarantine.on_answer_continued(
+            self.subjects, self.handler.clock.monotonic()
+        )
+        if not self.shared_state.quarantine.is_idle:
+            self.handler.on_quarantine_changed()
+
     def _record_crash(self, view, error):
-        server_id = view.record.server_id
-        attempt = f"{self.metadata.request_id.decode('latin-1')}/{server_id}"
-        if self.shared_state.crashes.record_crash(self.fingerprint, attempt):
-            self.handler.report_crash(self.fingerprint, server_id, attempt)
-            self.handler.log.write(
-                _events.CRASH_NOTED,
-                request=self._request_id_text(),
-                fingerprint=self.fingerprint,
-                server=server_id,
-                born_ms=view.record.born_ms,
-                parts=",".join(self._list_shared_part_ids()),
-                answer_begun=self.answer_started_s is not None,
-                answer_ms=round(self._answer_duration_s() * 1e3),
-                error=error.detail,
+        """Record a connection that broke while its server ran the request."""
+        record = view.record
+        is_new = not self.has_continued and (
+            self.shared_state.quarantine.on_attempt_lost(
+                quarantine.Incarnation(record.server_id, record.born_ms),
+                self.subjects,
+                self.attempt_sent_at,
+                self.handler.clock.monotonic(),
             )
+        )
+        if is_new:
+            self.handler.on_quarantine_changed()
+        self.handler.log.write(
+            _events.CRASH_NOTED,
+            request=self._request_id_text(),
+            fingerprint=self.subjects[0].key,
+            server=record.server_id,
+            born_ms=record.born_ms,
+            parts=",".join(self._list_shared_part_ids()),
+            answer_begun=self.answer_started_s is not None,
+            answer_ms=round(self._answer_duration_s() * 1e3),
+            counted=is_new,
+            error=error.detail,
+        )
 
     def _list_shared_part_ids(self):
         """List the ids of the prompt's parts that other prompts may share."""
@@ -795,6 +869,8 @@
 
     def _reset_body_record(self):
         self.answer_started_s = None
+        self.has_continued = False
+        self.relay_error = None
         self.framing = ""
         self.body_bytes = 0
         self.ended_inside_event = False
--- a/buckthorntack/gateway/_shared_state.py
+++ b/buckthorntack/gateway/_shared_state.py
@@ -6,6 +6,7 @@
 from buckthorntack import directives
 from buckthorntack import dispatch
 from buckthorntack import http1
+from buckthorntack import quarantine
 from buckthorntack.gateway import _addresses
 
 #: Connect timeout for servers, which are in the same region.
@@ -63,7 +64,7 @@
             settings.repeat_slack,
             dispatch_parameters.retry_budget_share,
         )
-        self.crashes = dispatch.CrashTracker()
+        self.quarantine = quarantine.Quarantine(settings.service_address)
         self.pool = http1.ConnectionPool(
             CONNECT_TIMEOUT_S, dialect.request_id_header
         )
--- a/buckthorntack/platform/tests/test_requests.py
+++ b/buckthorntack/platform/tests/test_requests.py
@@ -322,10 +322,8 @@
         assert statuses[:3] == [502] * 3
         assert statuses[3:] == [503] * 2
         # An entry VM that was not asked knows of it too.
-        crashes = world.nodes["e1"].shared_state.crashes
-        await world.until(
-            lambda: [len(a) for a in crashes._crashes.values()] == [3]
-        )
+        quarantine = world.nodes["e1"].shared_state.quarantine
+        await world.until(quarantine.list_blamed)
         other = await world.ask(
             UNSAFE, entry="e1", method="POST", body=b"poison"
         )
--- a/buckthorntack/quarantine/_quarantine.py
+++ b/buckthorntack/quarantine/_quarantine.py
@@ -63,6 +63,16 @@
             + len(self._blames)
         )
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether there is nothing to send or to evaluate."""
+        return not (
+            self._unevaluated
+            or self._unsent_subjects
+            or self._unsent_blames
+            or self._unsent_clears
+        )
+
     def set_members(self, node_ids: list[str]) -> None:
         """Set the live entry VMs, which share the trials.
 
--- a/buckthorntack/quarantine/tests/test_quarantine.py
+++ b/buckthorntack/quarantine/tests/test_quarantine.py
@@ -231,6 +231,43 @@
     assert quarantine.SubjectsCut("s1", 12) in table.take_changes()
 
 
+def lose(table, server, step):
+    """Lose an attempt of the same request at a server.
+
+    :param step: place in the sequence of attempts.
+    """
+    sent_at = SECOND + step * GAP
+    incarnation = quarantine.Incarnation(server, 1)
+    lost_at = sent_at + 2 * MS
+    table.on_attempt_lost(incarnation, subjects(), sent_at, lost_at)
+
+
+# Guards against a request that crashes one server after the other.
+def test_crashing_request_is_refused_after_three_crashes():
+    table = quarantine.Quarantine("e1")
+    for server, step in (("a", 0), ("b", 1), ("b", 1), ("b", 1)):
+        lose(table, server, step)
+    now = SECOND + 2 * GAP
+    assert isinstance(table.check(subjects(), now), quarantine.Admitted)
+    lose(table, "c", 2)
+    now += 2 * MS
+    assert isinstance(table.check(subjects(), now), quarantine.Refused)
+    now += GAP
+    assert isinstance(table.check(subjects(), now), quarantine.Refused)
+    assert table.list_blamed() == ["request/q"]
+
+
+# Guards against crashes that count after an equal request was answered.
+def test_answered_request_is_cleared_of_crashes():
+    table = quarantine.Quarantine("e1")
+    for step, server in enumerate("ab"):
+        lose(table, server, step)
+    table.on_answer_continued(subjects(), SECOND + 2 * GAP)
+    lose(table, "c", 2)
+    now = SECOND + 3 * GAP
+    assert isinstance(table.check(subjects(), now), quarantine.Admitted)
+
+
 # Guards against a request that is repeated at servers which reset its
 # connections and go on, and that counts once for each of them.
 def test_repeated_resets_of_one_incarnation_count():
--- a/buckthorntack/schema/_generated/discovery.py
+++ b/buckthorntack/schema/_generated/discovery.py
@@ -130,24 +130,6 @@
     first_voters: list[str]
 
 
-class CrashNotice(NamedTuple):
-    """
-    A request was running on a server that crashed.
-    """
-
-    fingerprint: str
-    server_id: str
-    attempt: str
-
-
-class CrashNotices(NamedTuple):
-    """
-    Crashes that an entry VM has seen.
-    """
-
-    notices: list[CrashNotice]
-
-
 class RegionLoad(NamedTuple):
     """
     Load of the backend servers of a region.
--- a/buckthorntack/schema/messages.py
+++ b/buckthorntack/schema/messages.py
@@ -46,8 +46,6 @@
 from buckthorntack.schema._generated.directives import PublishVersion
 from buckthorntack.schema._generated.discovery import AnnouncedServer
 from buckthorntack.schema._generated.discovery import ControlIdentity
-from buckthorntack.schema._generated.discovery import CrashNotice
-from buckthorntack.schema._generated.discovery import CrashNotices
 from buckthorntack.schema._generated.discovery import NodePresence
 from buckthorntack.schema._generated.discovery import PresenceReply
 from buckthorntack.schema._generated.discovery import PresenceReport
@@ -141,8 +139,6 @@
     "ControlIdentity",
     "Conviction",
     "CrashEvidence",
-    "CrashNotice",
-    "CrashNotices",
     "CrashRecord",
     "Directives",
     "DirectivesCopy",
