--- a/buckthorntack/schema/messages.py
+++ b/buckthorntack/schema/messages.py
@@ -46,8 +46,6 @@
 from buckthorntack.schema._generated.directives import PublishVersion
 from buckthorntack.schema._generated.discovery import AnnouncedServer
 from buckthorntack.schema._generated.discovery import ControlIdentity
-from buckthorntack.schema._generated.discovery import CrashNotice
-from buckthorntack.schema._generated.discovery import CrashNotices
 from buckthorntack.schema._generated.discovery import NodePresence
 from buckthorntack.schema._generated.discovery import PresenceReply
 from buckthorntack.schema._generated.discovery import PresenceReport
@@ -102,6 +100,13 @@
 from buckthorntack.schema._generated.placement import LeaseRequest
 from buckthorntack.schema._generated.placement import LeaseRow
 from buckthorntack.schema._generated.placement import LeaseSnapshot
+from buckthorntack.schema._generated.quarantine import BlameRecord
+from buckthorntack.schema._generated.quarantine import ClearRecord
+from buckthorntack.schema._generated.quarantine import CrashRecord
+from buckthorntack.schema._generated.quarantine import LostSubject
+from buckthorntack.schema._generated.quarantine import QuarantineDigest
+from buckthorntack.schema._generated.quarantine import QuarantineTable
+from buckthorntack.schema._generated.quarantine import QuarantineUpdate
 from buckthorntack.schema._generated.retries import Acquittal
 from buckthorntack.schema._generated.retries import Conviction
 from buckthorntack.schema._generated.retries import CrashEvidence
@@ -113,7 +118,9 @@
     "AnnouncedServer",
     "AppendRequest",
     "AppendResponse",
+    "BlameRecord",
     "ChangeRecord",
+    "ClearRecord",
     "ConfigurationChunk",
     "ConfigurationChunkRequest",
     "ConfigurationCopy",
@@ -132,8 +139,7 @@
     "ControlIdentity",
     "Conviction",
     "CrashEvidence",
-    "CrashNotice",
-    "CrashNotices",
+    "CrashRecord",
     "Directives",
     "DirectivesCopy",
     "DomainSummary",
@@ -169,6 +175,7 @@
     "LedgerSettle",
     "LedgerSnapshot",
     "LogEntry",
+    "LostSubject",
     "MembershipDelta",
     "MembershipDigest",
     "MembershipDigestDetail",
@@ -187,6 +194,9 @@
     "PromptSent",
     "ProposalRefused",
     "PublishVersion",
+    "QuarantineDigest",
+    "QuarantineTable",
+    "QuarantineUpdate",
     "QuotaGrant",
     "QuotaNeed",
     "ReadRequest",
