Keep retries within the regions that a newer configuration allows

Cause: a request keeps the route that it was accepted with, regions included, for all its attempts.

Evidence: test_retry_keeps_to_regions_that_a_newer_configuration_allows failed: two servers of the removed region got the request, the second one after version 2 was in force.

Change: before each attempt the route is narrowed to what the newest configuration allows; without a region left the request fails as far as it got.

--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -277,7 +277,7 @@
             if self._remaining_s() <= 0:
                 # A delayed timer must not let an expired request be sent.
                 raise TimeoutError
-            if self._is_quarantined():
+            if self._is_quarantined() or not self._narrow_route():
                 return
             now = self.handler.clock.monotonic()
             routing_request = self._build_routing_request()
@@ -306,6 +306,18 @@
                 self._send_final_failure(self.reason, self.retry_after_ms)
                 return
 
+    def _narrow_route(self):
+        """Keep to the regions of the newest configuration.
+
+        :returns: False if no region is left and the request has failed.
+        """
+        route = self.shared_state.table.narrow_route(self.route)
+        if route is None:
+            self._send_final_failure("no region may serve it", None)
+            return False
+        self.route = route
+        return True
+
     def _build_routing_request(self):
         prompt = self.metadata.prompt if self.service.engine else None
         return dispatch.RoutingRequest(
--- a/buckthorntack/platform/tests/test_requests.py
+++ b/buckthorntack/platform/tests/test_requests.py
@@ -108,6 +108,31 @@
     run(scenario, ("s1", "desk", "b1"), routes=[route])
 
 
+# A retry went on by the route that its request was accepted with, and ran in a
+# region that a newer configuration had taken from the route.
+def test_retry_keeps_to_regions_that_a_newer_configuration_allows():
+    async def scenario(world):
+        gate = asyncio.Event()
+
+        async def reset_later(server, request, reply):
+            await gate.wait()
+            await _standins.reset(server, request, reply)
+
+        for server in world.servers.values():
+            server.behave = reset_later
+        asked = asyncio.create_task(world.ask(SAFE))
+        servers = world.servers.values()
+        await world.until(lambda: any(s.requests for s in servers))
+        narrowed = _standins.route("safe", "desk", allowed_regions=["south"])
+        await world.publish(_standins.configuration(2, [narrowed]))
+        await world.in_force(2)
+        gate.set()
+        assert (await asked).status == 502
+        assert sum(len(server.requests) for server in servers) == 1
+
+    run(scenario, ("s1", "desk"), ("s2", "desk"))
+
+
 def test_safe_request_is_sent_again_after_a_reset():
     async def scenario(world):
         world.servers["s1"].behave = _standins.reset
