--- a/buckthorntack/platform/tests/test_crashing_parts.py
+++ b/buckthorntack/platform/tests/test_crashing_parts.py
@@ -65,3 +65,27 @@
         assert answer.whole
 
     test_requests.run(scenario, *SERVERS)
+
+
+# Guards against an entry VM that starts after a part was refused and lets
+# requests with it reach servers.
+def test_entry_vm_that_starts_later_refuses_the_part():
+    async def scenario(world):
+        crashed = []
+        for server in world.servers.values():
+            server.behave = crash_on_culprit(crashed)
+        numbers = itertools.count()
+        answer = await ask(world, "e0", next(numbers), "culprit")
+        while answer.status != 503:
+            assert len(crashed) <= MAX_CRASHES
+            answer = await ask(world, "e0", next(numbers), "culprit")
+        await world.kill("e1")
+        await world.start_entry("e1", "a1")
+        table = world.nodes["e1"].shared_state.quarantine
+        await world.until(lambda: "part/culprit" in table.list_blamed())
+        before = len(crashed)
+        answer = await ask(world, "e1", next(numbers), "culprit")
+        assert answer.status == 503
+        assert len(crashed) == before
+
+    test_requests.run(scenario, *SERVERS)
