Count unframed answers that end when their server crashes

An answer with neither a length nor chunks ends with its connection, so a crash at the end of an event looks like a complete answer. The crash then did not count against its prompt parts, and the requests of callers went on ending servers.

Such an end is no longer only neutral: if the server crashed within 300 ms, as other attempts of any entry VM tell, it counts as lost.

--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -159,6 +159,8 @@
         #: When the answer of the last attempt began; None if it did not.
         self.answer_started_s = None
         self.attempt_sent_at = None
+        #: Server of the last attempt; None if it is in another region.
+        self.incarnation = None
         #: Whether the quarantine knows that the last answer went on.
         self.has_continued = False
         #: Error of a large answer that broke off while it was relayed.
@@ -384,7 +386,7 @@
             if fleet.state(server_id).is_paused(self._now_s()):
                 # Another request was refused while this one connected.
                 return _NotSent(f"{server_id} is paused")
-            if not self._start_attempt():
+            if not self._start_attempt(view.record):
                 return _NotSent("a subject was refused meanwhile")
             self.send_count += 1
             connection.send(
@@ -397,13 +399,13 @@
             )
             outcome = _classify_outcome(result, self.reply.status)
             if self.relay_error is not None:
-                self._record_crash(view, self.relay_error)
+                self._record_crash(self.relay_error)
         except http1.ConnectError as error:
             outcome = Outcome.LOST
             result = _NotSent(error.detail)
         except http1.IncompleteResponseError as error:
             outcome = Outcome.LOST
-            self._record_crash(view, error)
+            self._record_crash(error)
             result = _Unknown(error.detail)
         finally:
             now_s = self._now_s()
@@ -742,8 +744,11 @@
         )
         return True
 
-    def _start_attempt(self):
-        """Return whether a server may get the request now."""
+    def _start_attempt(self, server):
+        """Return whether a server may get the request now.
+
+        :param server: its ``AnnouncedServer``.
+        """
         now = self.handler.clock.monotonic()
         verdict = self.shared_state.quarantine.check(self.subjects, now)
         if isinstance(verdict, quarantine.Refused):
@@ -752,6 +757,9 @@
             self.shared_state.quarantine.start_trial(verdict.key, now)
             self.handler.on_quarantine_changed()
         self.attempt_sent_at = now
+        self.incarnation = quarantine.Incarnation(
+            server.server_id, server.born_ms
+        )
         return True
 
     def _note_answer_data(self, head):
@@ -765,9 +773,18 @@
 
         One that ends with its connection may have been broken off.
         """
-        is_framed = head.framing is not http1.BodyFraming.CONNECTION_CLOSE
-        if is_framed and not self.has_continued:
+        if self.has_continued:
+            return
+        if head.framing is not http1.BodyFraming.CONNECTION_CLOSE:
             self._note_continued(head)
+        elif self.incarnation is not None:
+            self.shared_state.quarantine.on_unframed_answer_ended(
+                self.incarnation,
+                self.subjects,
+                self.attempt_sent_at,
+                self.handler.clock.monotonic(),
+            )
+            self._send_quarantine_records()
 
     def _note_continued(self, head):
         if not 200 <= head.status < 300:
@@ -776,15 +793,17 @@
         self.shared_state.quarantine.on_answer_continued(
             self.subjects, self.handler.clock.monotonic()
         )
+        self._send_quarantine_records()
+
+    def _send_quarantine_records(self):
         if not self.shared_state.quarantine.is_idle:
             self.handler.on_quarantine_changed()
 
-    def _record_crash(self, view, error):
+    def _record_crash(self, error):
         """Record a connection that broke while its server ran the request."""
-        record = view.record
         is_new = not self.has_continued and (
             self.shared_state.quarantine.on_attempt_lost(
-                quarantine.Incarnation(record.server_id, record.born_ms),
+                self.incarnation,
                 self.subjects,
                 self.attempt_sent_at,
                 self.handler.clock.monotonic(),
@@ -796,8 +815,8 @@
             _events.CRASH_NOTED,
             request=self._request_id_text(),
             fingerprint=self.subjects[0].key,
-            server=record.server_id,
-            born_ms=record.born_ms,
+            server=self.incarnation.server_id,
+            born_ms=self.incarnation.born_ms,
             parts=",".join(self._list_shared_part_ids()),
             answer_begun=self.answer_started_s is not None,
             answer_ms=round(self._answer_duration_s() * 1e3),
@@ -869,6 +888,7 @@
 
     def _reset_body_record(self):
         self.answer_started_s = None
+        self.incarnation = None
         self.has_continued = False
         self.relay_error = None
         self.framing = ""
--- a/buckthorntack/quarantine/_evidence.py
+++ b/buckthorntack/quarantine/_evidence.py
@@ -89,6 +89,14 @@
             if crash is None or crash.at >= sent_at:
                 return crash_id
 
+    def find_time(self, crash_id: _types.CrashId) -> datetime.timedelta | None:
+        """Return the time of a crash; None if there was none.
+
+        :param crash_id: the crash.
+        """
+        crash = self._crashes.get(crash_id)
+        return None if crash is None else crash.at
+
     def expire(self, now: datetime.timedelta) -> None:
         """Forget crashes that no longer count.
 
--- a/buckthorntack/quarantine/_quarantine.py
+++ b/buckthorntack/quarantine/_quarantine.py
@@ -45,6 +45,9 @@
         )
         self._evidence = _evidence.CrashEvidence(self.settings)
         self._blames = collections.OrderedDict()
+        self._unframed_ends = collections.deque(
+            maxlen=self.settings.max_unframed_ends
+        )
         #: Times from which crashes are evaluated.
         self._unevaluated = {}
         self._reported_crashes = {}
@@ -183,14 +186,61 @@
         :returns: whether the crash is new for one of the subjects.
         """
         crash_id = self._evidence.identify(incarnation, sent_at)
-        added = self._add_subjects(crash_id, subjects, now, now - sent_at)
+        attempt = _types.Attempt(incarnation, subjects, sent_at, now)
+        is_new = self._report(crash_id, attempt, now)
+        self._report_unframed_ends(crash_id, now)
+        return is_new
+
+    def on_unframed_answer_ended(
+        self,
+        incarnation: _types.Incarnation,
+        subjects: tuple[_types.Subject, ...],
+        sent_at: datetime.timedelta,
+        now: datetime.timedelta,
+    ) -> None:
+        """Record an answer that ended with its connection.
+
+        It may have been broken off: if the server crashed then, it counts as
+        lost.  Not called after :meth:`on_answer_continued`.
+
+        :param incarnation: the server.
+        :param subjects: subjects of the attempt.
+        :param sent_at: monotonic time at which the attempt was sent.
+        :param now: current monotonic time.
+        """
+        attempt = _types.Attempt(incarnation, subjects, sent_at, now)
+        self._unframed_ends.append(attempt)
+        crash_id = self._evidence.identify(incarnation, sent_at)
+        self._report_unframed_ends(crash_id, now)
+
+    def _report_unframed_ends(self, crash_id, now):
+        """Report answers that ended when their server crashed."""
+        crashed_at = self._evidence.find_time(crash_id)
+        if crashed_at is None:
+            return
+        for attempt in self._unframed_ends:
+            delay = abs(attempt.ended_at - crashed_at)
+            if (
+                attempt.incarnation == crash_id[:2]
+                and delay <= self.settings.max_end_delay
+            ):
+                self._report(crash_id, attempt, now)
+
+    def _report(self, crash_id, attempt, now):
+        """Add an attempt to a crash, for all entry VMs.
+
+        :returns: whether the crash is new for one of its subjects.
+        """
+        _, subjects, sent_at, ended_at = attempt
+        ran_for = ended_at - sent_at
+        added = self._add_subjects(crash_id, subjects, ended_at, ran_for)
         if not added:
             return False
-        self._reported_crashes.setdefault(crash_id, now)
+        self._reported_crashes.setdefault(crash_id, ended_at)
         unsent = self._unsent_subjects.setdefault(crash_id, {})
         for key, depth in subjects:
             if key in added:
-                unsent[key] = (depth, now - sent_at)
+                unsent[key] = (depth, ran_for)
         self._unevaluated.setdefault(crash_id, now + self.settings.settling)
         return True
 
@@ -226,6 +276,7 @@
         if is_new:
             due_at = now + self.settings.settling
             self._unevaluated.setdefault(crash_id, due_at)
+            self._report_unframed_ends(crash_id, now)
 
     def _add_subjects(self, crash_id, subjects, at, ran_for):
         added = self._evidence.add(crash_id, subjects, at, ran_for)
--- a/buckthorntack/quarantine/_types.py
+++ b/buckthorntack/quarantine/_types.py
@@ -54,6 +54,15 @@
 Verdict = Admitted | Trial | Refused
 
 
+class Attempt(NamedTuple):
+    """An attempt that ended at a server; times are monotonic."""
+
+    incarnation: Incarnation
+    subjects: tuple[Subject, ...]
+    sent_at: datetime.timedelta
+    ended_at: datetime.timedelta
+
+
 class SubjectBlamed(NamedTuple):
     """A subject is refused from now on."""
 
@@ -101,6 +110,9 @@
     #: Time from the first report of a crash until reports of other entry VMs
     #: should have come.
     settling: datetime.timedelta = 100 * _MS
+    #: Longest time between a crash and the end of an answer that it may have
+    #: broken off.
+    max_end_delay: datetime.timedelta = 300 * _MS
     #: Time for which an answer that went on counts for its subjects.
     good_retention: datetime.timedelta = 60 * _SECOND
     #: Time for which a crash counts.
@@ -119,6 +131,7 @@
     retry_after: datetime.timedelta = 10 * _SECOND
     max_good: int = 65_536
     max_crashes: int = 256
+    max_unframed_ends: int = 1024
     max_subjects_of_crash: int = 512
     #: Subjects of one crash in a message.
     max_subjects_sent: int = 128
--- a/buckthorntack/quarantine/tests/_decision.py
+++ b/buckthorntack/quarantine/tests/_decision.py
@@ -67,6 +67,15 @@
             _list_subjects(request), _time(now_s)
         )
 
+    def on_unframed_answer_ended(self, request, server, now_s):
+        """Record the end of an answer that may have been broken off."""
+        self.quarantine.on_unframed_answer_ended(
+            quarantine.Incarnation(server.name, server.starts),
+            _list_subjects(request),
+            _time(request.attempted_s),
+            _time(now_s),
+        )
+
     def on_completed(self, request, now_s):
         """Record a complete answer."""
         self.on_answer_continued(request, now_s)
--- a/buckthorntack/quarantine/tests/_simulation.py
+++ b/buckthorntack/quarantine/tests/_simulation.py
@@ -94,6 +94,8 @@
     :param loss: share of messages that are lost.
     :param doubling: share of messages that arrive twice.
     :param lateness: share of messages that arrive late.
+    :param is_unframed: whether answers end with their connection, so that a
+        crash looks like their end.
     """
 
     def __init__(
@@ -104,11 +106,13 @@
         loss=0.0,
         doubling=0.0,
         lateness=0.0,
+        is_unframed=False,
     ):
         self.rng = random.Random(seed)
         self.loss = loss
         self.doubling = doubling
         self.lateness = lateness
+        self.is_unframed = is_unframed
         self.entries = {
             f"e{n}": Entry(f"e{n}", "ns"[n % 2], self.rng)
             for n in range(entries)
@@ -250,7 +254,17 @@
         if self._is_running(request, server, start):
             del server.running[request]
             request.outcome = "answered"
-            request.entry.decision.on_completed(request, self.now_s)
+            if self.is_unframed:
+                self._end_unframed(request, server)
+            else:
+                request.entry.decision.on_completed(request, self.now_s)
+
+    def _end_unframed(self, request, server):
+        request.outcome = "answered"
+        if request.entry.is_up:
+            request.entry.decision.on_unframed_answer_ended(
+                request, server, self.now_s
+            )
 
     def _crash_by(self, server, start, part):
         if server.server_id == start and server.is_up:
@@ -264,6 +278,9 @@
         server.is_up = False
         for request, began_s in server.running.items():
             request.was_lost = True
+            if self.is_unframed and began_s is not None:
+                self._end_unframed(request, server)
+                continue
             answer_s = None if began_s is None else self.now_s - began_s
             if request.entry.is_up:
                 request.entry.decision.on_lost(
--- a/buckthorntack/quarantine/tests/test_crashing_parts.py
+++ b/buckthorntack/quarantine/tests/test_crashing_parts.py
@@ -94,6 +94,15 @@
         assert_bounds(world)
 
 
+# Guards against a part whose broken answers look complete, as they end with
+# their connections.
+def test_part_whose_broken_answers_look_complete_is_refused():
+    for seed in SEEDS:
+        world = start(seed, {"culprit": 2}, is_unframed=True)
+        world.run(END_S)
+        assert_bounds(world)
+
+
 # Guards against crash reports that count only if they come in order and once.
 def test_late_doubled_and_lost_reports_do_not_matter():
     for seed in SEEDS:
