--- a/buckthorntack/gateway/_quarantine_task.py
+++ b/buckthorntack/gateway/_quarantine_task.py
@@ -90,7 +90,7 @@
     def _compare(self, now):
         """Compare with one other entry VM, often one of this region."""
         peers = self.list_peers()
-        self.quarantine.set_members([record.node_id for record in peers])
+        self._set_members(peers)
         digest = self.quarantine.digest()
         is_starting = now - self._started_at < STARTUP_PERIOD
         if not peers or (not digest and not is_starting):
@@ -101,6 +101,12 @@
         node_id = self.rng.choice(peers).node_id
         self.links.send(node_id, messages.QuarantineDigest(digest))
 
+    def _set_members(self, peers, sender=None):
+        node_ids = [record.node_id for record in peers]
+        if sender is not None:
+            node_ids.append(sender)
+        self.quarantine.set_members(node_ids)
+
     def on_update(self, update):
         """Handle new records of another entry VM.
 
@@ -124,6 +130,9 @@
         :param sender: id of the other entry VM.
         :param message: ``QuarantineTable``.
         """
+        # An entry VM that starts may know of no other yet, and must not take
+        # itself for the only one that may send a trial.
+        self._set_members(self.list_peers(), sender)
         self.quarantine.merge(message.update, self.clock.monotonic())
         is_equal = message.digest == self.quarantine.digest()
         if not message.is_reply and not is_equal:
--- a/buckthorntack/quarantine/_quarantine.py
+++ b/buckthorntack/quarantine/_quarantine.py
@@ -187,8 +187,10 @@
         """
         crash_id = self._evidence.identify(incarnation, sent_at)
         attempt = _types.Attempt(incarnation, subjects, sent_at, now)
+        is_first = crash_id not in self._evidence
         is_new = self._report(crash_id, attempt, now)
-        self._report_unframed_ends(crash_id, now)
+        if is_first:
+            self._report_unframed_ends(crash_id, now)
         return is_new
 
     def on_unframed_answer_ended(
@@ -266,6 +268,7 @@
         crash_id = _types.CrashId(
             record.server_id, record.born_ms, record.occurrence
         )
+        is_first = crash_id not in self._evidence
         is_new = False
         for key, depth, ran_ms, good_age_ms in record.subjects:
             subjects = (_types.Subject(key, depth),)
@@ -276,6 +279,7 @@
         if is_new:
             due_at = now + self.settings.settling
             self._unevaluated.setdefault(crash_id, due_at)
+        if is_first:
             self._report_unframed_ends(crash_id, now)
 
     def _add_subjects(self, crash_id, subjects, at, ran_for):
