Refuse prompt blocks that crash each engine on our own path

Requests that shared a block of their prompts, no two of them equal, crashed server after server. Cause: the quarantine judged whole requests only.

The entry VM now has the blocks judged by the package quarantine, which counts crashes by subject. Blocks are subjects for each service apart, the first 64 of a prompt. An answer whose data arrives for 0.5 s clears its blocks. The check is made before each attempt, and again directly before it is sent. Records are gossiped as items of a limited size; the age of an item follows from the time to live that is left.

Whole requests are still judged by retries.Quarantine, with its stricter bound and its runs alone: acquittals there name the crash they refer to, while the package compares times.

--- a/buckthorntack/entry/_attempt.py
+++ b/buckthorntack/entry/_attempt.py
@@ -78,7 +78,9 @@
         await self._pooled.aclose()
         await self._unpooled.aclose()
 
-    async def run(self, request, target, priority, sink, relay, on_head):
+    async def run(
+        self, request, target, priority, sink, relay, on_head, on_data
+    ):
         """Send a request to a backend server and receive its response.
 
         :param request: the ``GatewayRequest``.
@@ -87,6 +89,7 @@
         :param sink: sink that the events of a stream are written to.
         :param relay: the ``EventRelay`` of a stream, else ``None``.
         :param on_head: function called when the head has been received.
+        :param on_data: function called when data has been received.
         :returns: :class:`Completed` or a failure type of ``retries``.
         """
         headers = {
@@ -101,16 +104,17 @@
         )
         response_context = _open_response(client, outgoing)
         return await self._receive(
-            response_context, target, sink, relay, on_head
+            response_context, target, sink, relay, on_head, on_data
         )
 
-    async def resume(self, target, sink, relay, on_head):
+    async def resume(self, target, sink, relay, on_head, on_data=lambda: None):
         """Receive the rest of an attempt's response on a new connection.
 
         :param target: the :class:`Target`.
         :param sink: sink that the events of a stream are written to.
         :param relay: the ``EventRelay`` of a stream, else ``None``.
         :param on_head: function called when the head has been received.
+        :param on_data: function called when data has been received.
         :returns: :class:`Completed` or a failure type of ``retries``.
         """
         after = relay.last_event if relay is not None else -1
@@ -121,7 +125,7 @@
             self._unpooled, _build_request("GET", url)
         )
         result = await self._receive(
-            response_context, target, sink, relay, on_head
+            response_context, target, sink, relay, on_head, on_data
         )
         if isinstance(result, Completed) and result.status == 404:
             return retries.ResumeFailed(target.server_id)
@@ -186,7 +190,9 @@
         except (httpx.HTTPError, TimeoutError):
             return
 
-    async def _receive(self, response_context, target, sink, relay, on_head):
+    async def _receive(
+        self, response_context, target, sink, relay, on_head, on_data
+    ):
         server_id = target.server_id
         has_head = False
         try:
@@ -199,7 +205,7 @@
                         return retries.CrossedAnswer(server_id)
                     on_head()
                     return await self._read_response(
-                        response, target, sink, relay, timer
+                        response, target, sink, relay, timer, on_data
                     )
         except TimeoutError:
             return retries.Silent(server_id)
@@ -214,19 +220,26 @@
         now = asyncio.get_running_loop().time()
         return now + self.idle_timeout.total_seconds()
 
-    async def _read_response(self, response, target, sink, relay, timer):
+    async def _read_response(
+        self, response, target, sink, relay, timer, on_data
+    ):
         kind = response.headers.get("content-type", "")
         is_stream = kind.startswith(EVENT_STREAM_TYPE)
         if relay is not None and is_stream and response.status_code == 200:
             return await self._read_events(
-                response, target, sink, relay, timer
+                response, target, sink, relay, timer, on_data
             )
-        return await self._read_body(response, target, timer, is_stream)
+        return await self._read_body(
+            response, target, timer, is_stream, on_data
+        )
 
-    async def _read_events(self, response, target, sink, relay, timer):
+    async def _read_events(
+        self, response, target, sink, relay, timer, on_data
+    ):
         loop = asyncio.get_running_loop()
         idle_timeout_s = self.idle_timeout.total_seconds()
         async for data in response.stream:
+            on_data()
             if timer.when() - loop.time() < idle_timeout_s / 2:
                 timer.reschedule(loop.time() + idle_timeout_s)
             events = relay.feed(data)
@@ -250,10 +263,11 @@
             await sink.start(200, headers, target.attempt_id)
         await sink.write(events)
 
-    async def _read_body(self, response, target, timer, is_stream):
+    async def _read_body(self, response, target, timer, is_stream, on_data):
         chunks = []
         boundary = http1.EventBoundary()
         async for data in response.stream:
+            on_data()
             timer.reschedule(self._next_timeout())
             chunks.append(data)
             boundary.feed(data)
--- a/buckthorntack/entry/_crash_monitor.py
+++ b/buckthorntack/entry/_crash_monitor.py
@@ -4,11 +4,13 @@
 import datetime
 import functools
 
+from buckthorntack import clock as clocks
 from buckthorntack import events
 from buckthorntack import membership
 from buckthorntack import retries
 from buckthorntack import schema
 from buckthorntack import tasks
+from buckthorntack.entry import _prompt_quarantine
 from buckthorntack.schema import messages
 
 #: Interval between updates of the quarantine and the crash detector.
@@ -23,13 +25,15 @@
     """Task that propagates crashes and failed attempts to all entry VMs.
 
     :param quarantine: the ``retries.Quarantine``.
+    :param prompts: the ``PromptQuarantine``.
     :param limiter: the ``retries.AttemptLimiter``.
     :param members: the ``MembershipTask`` that gossips the items.
     :param clock: source of time.
     """
 
-    def __init__(self, quarantine, limiter, members, clock):
+    def __init__(self, quarantine, prompts, limiter, members, clock):
         self.quarantine = quarantine
+        self.prompts = prompts
         self.limiter = limiter
         self.members = members
         self.clock = clock
@@ -53,7 +57,8 @@
 
         :param request: the ``GatewayRequest``.
         :returns: ``Clean``, or ``Suspect`` if the request must run isolated.
-        :raises GatewayError: the request crashed servers or failed too often.
+        :raises GatewayError: the request or a block of its prompt crashed
+            servers, or the request failed too often.
         """
         now = self.clock.monotonic()
         refusal = self.limiter.check(request.fingerprint, now)
@@ -62,6 +67,7 @@
         verdict = self.quarantine.verdict(request.fingerprint, now)
         if isinstance(verdict, retries.Convicted):
             raise verdict.error
+        self.prompts.check(request, now)
         return verdict
 
     async def claim(self, request, server_id):
@@ -95,6 +101,15 @@
         self.quarantine.release_claim(fingerprint, self.clock.monotonic())
         self.propagate()
 
+    def start_attempt(self, request):
+        """Check a request directly before an attempt is sent to a server.
+
+        :param request: the ``GatewayRequest``.
+        :raises GatewayError: a block of its prompt crashes servers.
+        """
+        self.prompts.start_attempt(request, self.clock.monotonic())
+        self.propagate()
+
     def on_attempt_started(self, fingerprint, server_id):
         """Record that an attempt was sent to a server.
 
@@ -103,6 +118,13 @@
         """
         self.quarantine.on_attempt_started(fingerprint, server_id)
 
+    def on_answer_continued(self, request):
+        """Record that an answer was completed or goes on.
+
+        :param request: the ``GatewayRequest``.
+        """
+        self.prompts.on_answer_continued(request, self.clock.monotonic())
+
     def on_attempt_ended(self, fingerprint, server_id, is_complete):
         """Record the end of an attempt.
 
@@ -121,16 +143,24 @@
             self.quarantine.on_attempt_failed(fingerprint, server_id)
         self.propagate()
 
-    def on_connection_lost(self, record, fingerprint, closed):
+    def on_connection_lost(self, record, request, closed, progress):
         """Record that a connection was lost during an attempt.
 
         :param record: ``ServerRecord`` at the time the attempt was sent.
-        :param fingerprint: fingerprint of the request.
+        :param request: the ``GatewayRequest``.
         :param closed: whether the server closed or reset the connection.
+        :param progress: the ``AttemptProgress``; if the answer had gone on
+            for some time, no block of the prompt caused the loss.
         """
         now = self.clock.monotonic()
+        subjects = ()
+        if not progress.has_continued:
+            subjects = _prompt_quarantine.list_subjects(request)
+        lost = retries.LostRequest(
+            request.fingerprint, subjects, progress.sent_at, now
+        )
         self.detector.on_connection_lost(
-            record.server_id, record.incarnation, fingerprint, closed, now
+            record.server_id, record.incarnation, lost, closed, now
         )
 
     def on_connect_refused(self, server_id):
@@ -165,7 +195,11 @@
         if crash is None:
             return
         now = self.clock.monotonic()
-        suspects = self.quarantine.on_server_crashed(*crash, now)
+        self.prompts.on_server_crashed(crash)
+        fingerprints = frozenset(lost.fingerprint for lost in crash.requests)
+        suspects = self.quarantine.on_server_crashed(
+            crash.server_id, crash.incarnation, fingerprints, now
+        )
         for fingerprint in suspects:
             self._log.write(
                 retries.SUSPECTED,
@@ -181,17 +215,23 @@
             *self.limiter.take_items(),
         ]
         for item in changed_items:
-            key = retries.item_key(item)
-            version = max(self._versions.get(key, 0) + 1, self._wall_ms())
-            self._versions[key] = version
-            name, payload = schema.encode(item)
-            value = name + b"\0" + payload
-            self.members.publish(
-                messages.Item(ITEM_KIND, key, value, version, ITEM_TTL_MS)
-            )
+            self._publish(retries.item_key(item), item, ITEM_TTL_MS)
+        for key, update, ttl in self.prompts.take_items(
+            self.clock.monotonic()
+        ):
+            self._publish(key, update, clocks.milliseconds(ttl))
         if len(self._versions) > self.quarantine.settings.max_items:
             self._versions.clear()
 
+    def _publish(self, key, message, ttl_ms):
+        version = max(self._versions.get(key, 0) + 1, self._wall_ms())
+        self._versions[key] = version
+        name, payload = schema.encode(message)
+        value = name + b"\0" + payload
+        self.members.publish(
+            messages.Item(ITEM_KIND, key, value, version, ttl_ms)
+        )
+
     def _wall_ms(self):
         return int(self.clock.wall().timestamp() * 1e3)
 
@@ -200,23 +240,29 @@
             return
         name, _, payload = change.item.value.partition(b"\0")
         try:
-            item = schema.decode(name, payload)
+            message = schema.decode(name, payload)
         except schema.MalformedMessageError:
             return
-        self._merge_item(item)
+        self._merge_message(message, change.item)
 
     @functools.singledispatchmethod
-    def _merge_item(self, item):
-        self.quarantine.merge(item, self.clock.monotonic())
+    def _merge_message(self, message, item):
+        self.quarantine.merge(message, self.clock.monotonic())
+
+    @_merge_message.register
+    def _(self, message: messages.FailedAttempts, item):
+        self.limiter.merge(message, self.clock.monotonic())
 
-    @_merge_item.register
-    def _(self, item: messages.FailedAttempts):
-        self.limiter.merge(item, self.clock.monotonic())
+    @_merge_message.register
+    def _(self, message: messages.QuarantineUpdate, item):
+        age = _prompt_quarantine.compute_age(item, message)
+        self.prompts.merge(message, self.clock.monotonic() - age)
 
     async def _run(self):
         while True:
             await self.clock.sleep(TICK)
             now = self.clock.monotonic()
             self.quarantine.tick(now)
+            self.prompts.tick(now)
             self.detector.expire(now)
             self.propagate()
--- a/buckthorntack/entry/_role.py
+++ b/buckthorntack/entry/_role.py
@@ -28,6 +28,7 @@
 from buckthorntack.entry import _forwarding
 from buckthorntack.entry import _idempotency
 from buckthorntack.entry import _metrics
+from buckthorntack.entry import _prompt_quarantine
 from buckthorntack.entry import _runner
 from buckthorntack.schema import messages
 
@@ -251,11 +252,11 @@
             self.rng,
         )
         return _admission_task.AdmissionTask(
-            controller, self._list_quota_peers, self.links, self.clock
+            controller, self._list_peers, self.links, self.clock
         )
 
-    def _list_quota_peers(self):
-        """Return the other entry VMs, of all regions, that share quotas."""
+    def _list_peers(self):
+        """Return the ids of the other entry VMs of all regions."""
         regions = {self.components.region}
         regions |= {summary.region for summary in self.members.summaries()}
         local_id = self.settings["node_id"]
@@ -267,11 +268,19 @@
         ]
 
     def _create_crash_monitor(self):
-        quarantine = retries.Quarantine(
-            self.settings["node_id"], retries.QuarantineSettings()
+        node_id = self.settings["node_id"]
+        settings = retries.QuarantineSettings()
+        prompts = _prompt_quarantine.PromptQuarantine(
+            node_id,
+            self._list_peers,
+            datetime.timedelta(milliseconds=settings.max_propagation_ms),
         )
         return _crash_monitor.CrashMonitorTask(
-            quarantine, self._limiter, self.members, self.clock
+            retries.Quarantine(node_id, settings),
+            prompts,
+            self._limiter,
+            self.members,
+            self.clock,
         )
 
     async def _start_listeners(self, enter):
--- a/buckthorntack/entry/_runner.py
+++ b/buckthorntack/entry/_runner.py
@@ -13,6 +13,7 @@
 from buckthorntack import routing
 from buckthorntack.entry import _admission_task
 from buckthorntack.entry import _attempt
+from buckthorntack.entry import _attempt_progress
 from buckthorntack.entry import _errors
 from buckthorntack.entry import _events
 from buckthorntack.entry import _forwarding
@@ -25,6 +26,8 @@
 NOT_RUN_FAILURES = (retries.ConnectRefused, retries.SaidNotRun)
 #: Failures of a connection on which the attempt was sent.
 CONNECTION_FAILURES = (*CLOSED_FAILURES, retries.Silent)
+#: Lowest HTTP status of an answer that is an error.
+MIN_ERROR_STATUS = 400
 #: Time for which a server is reserved for a suspect request that waits for
 #: its claim.
 RESERVATION_DURATION = datetime.timedelta(seconds=3)
@@ -174,6 +177,9 @@
         self.decision = None
         self.route = None
         self.is_suspect = False
+        self.progress = _attempt_progress.AttemptProgress(
+            components.clock.monotonic()
+        )
         self._log = events.EventLog("entry")
 
     def check_servers(self):
@@ -384,11 +390,13 @@
         self.target = _attempt.Target(
             attempt_id, decision.server_id, decision.url
         )
+        self._check_prompt_before_attempt()
         if not request.idempotent:
             granted = await self._claim_key()
             if isinstance(granted, ledger.Replay):
                 self.target = None
                 return components.idempotency.build_replay(request, granted)
+        self.progress = _attempt_progress.AttemptProgress(now)
         if request.streamed:
             self.relay = _relay.EventRelay(attempt_id, -1)
         components.router.on_attempt_started(
@@ -401,6 +409,14 @@
         )
         return await self._track_attempt(self._send_attempt())
 
+    def _check_prompt_before_attempt(self):
+        """Check the prompt again, as time may have passed since routing."""
+        try:
+            self.components.crash_monitor.start_attempt(self.request)
+        except errors.GatewayError as error:
+            self.target = None
+            raise self._build_refusal(error) from error
+
     async def _claim_key(self):
         try:
             granted = await self.components.idempotency.claim(
@@ -425,8 +441,13 @@
             self.sink,
             self.relay,
             self._on_head,
+            self._on_data,
         )
 
+    def _on_data(self):
+        if self.progress.record_data(self.components.clock.monotonic()):
+            self.components.crash_monitor.on_answer_continued(self.request)
+
     def _on_head(self):
         now = self.components.clock.monotonic()
         self.components.router.on_attempt_first_byte(
@@ -454,6 +475,8 @@
             raise
         finally:
             finished = isinstance(result, _attempt.Completed)
+            if finished and result.status < MIN_ERROR_STATUS:
+                components.crash_monitor.on_answer_continued(request)
             components.crash_monitor.on_attempt_ended(
                 request.fingerprint, target.server_id, finished
             )
@@ -476,8 +499,9 @@
         if isinstance(result, CONNECTION_FAILURES) and self.record is not None:
             self.components.crash_monitor.on_connection_lost(
                 self.record,
-                self.request.fingerprint,
+                self.request,
                 isinstance(result, CLOSED_FAILURES),
+                self.progress,
             )
         elif isinstance(
             result, (retries.ConnectRefused, retries.ResumeFailed)
@@ -491,7 +515,11 @@
             return retries.ResumeFailed(self._target_name())
         return await self._track_attempt(
             self.components.attempt_client.resume(
-                self.target, self.sink, self.relay, lambda: None
+                self.target,
+                self.sink,
+                self.relay,
+                lambda: None,
+                self._on_data,
             )
         )
 
--- a/buckthorntack/entry/tests/fakes.py
+++ b/buckthorntack/entry/tests/fakes.py
@@ -24,6 +24,7 @@
 from buckthorntack.entry import _crash_monitor
 from buckthorntack.entry import _forwarding
 from buckthorntack.entry import _idempotency
+from buckthorntack.entry import _prompt_quarantine
 from buckthorntack.entry import _request
 from buckthorntack.entry import _runner
 from buckthorntack.routing.tests import _records
@@ -432,6 +433,9 @@
     components.retry_policy = retries.RetryPolicy(retry_settings, rng, limiter)
     components.crash_monitor = _crash_monitor.CrashMonitorTask(
         retries.Quarantine("e1", retries.QuarantineSettings()),
+        _prompt_quarantine.PromptQuarantine(
+            "e1", lambda: (), datetime.timedelta(seconds=1)
+        ),
         limiter,
         components.members,
         loop_clock,
--- a/buckthorntack/entry/tests/test_prompt_crash_faults.py
+++ b/buckthorntack/entry/tests/test_prompt_crash_faults.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import datetime
+import math
 import random
 
 import httpx
@@ -14,6 +15,7 @@
 
 from buckthorntack import membership
 from buckthorntack import retries
+from buckthorntack.entry import _prompt_quarantine
 from buckthorntack.entry.tests import fakes
 
 ENTRY_COUNT = 3
@@ -46,6 +48,8 @@
     def __init__(self, rng):
         self.rng = rng
         self.on_restart = None
+        #: Time from which no request crashes its server.
+        self.mended_s = math.inf
         self.up_again_s = {}
         self.incarnations = {}
         #: Times at which servers crashed.
@@ -61,7 +65,7 @@
             return httpx.Response(404, stream=_Chunks(iter_nothing()))
         head = {"x-attempt-id": request.headers["x-attempt-id"]}
         incarnation = self.incarnations.get(host, 1)
-        if b"crashing" in request.content:
+        if b"crashing" in request.content and _now_s() < self.mended_s:
             self.arrival_times_s.append(_now_s())
             answer = self._crash(host, incarnation)
         else:
@@ -163,8 +167,14 @@
             components = fakes.make_components(self.backend, servers=SERVERS)
             members = GossipingMembers(self.rng)
             components.members = members
-            components.crash_monitor.members = members
-            components.crash_monitor.quarantine.node_id = f"e{number}"
+            monitor = components.crash_monitor
+            monitor.members = members
+            monitor.quarantine.node_id = f"e{number}"
+            monitor.prompts = _prompt_quarantine.PromptQuarantine(
+                f"e{number}",
+                lambda: [f"e{peer}" for peer in range(ENTRY_COUNT)],
+                datetime.timedelta(seconds=MAX_PROPAGATION_S),
+            )
             self.entries.append(components)
         for components in self.entries:
             components.members.peers = [
@@ -268,6 +278,25 @@
     assert not any(errors), errors
 
 
+# Guards against refusing a block for good.
+@pytest.mark.parametrize("seed", range(3))
+def test_prompt_block_is_served_again_once_it_is_mended(seed):
+    async def scenario():
+        deployment = Deployment(seed)
+        deployment.backend.mended_s = 15.0
+        async with deployment.running():
+            return await deployment.send_repeatedly(
+                0.5, "crashing", (FIRST_BLOCK, 12)
+            )
+
+    results = fakes.run(scenario())
+    refused = [time for time, error in results if error is not None]
+    assert any(time > 15.0 for time in refused)
+    errors = [error for time, error in results if time > 40.0]
+    assert errors
+    assert not any(errors), errors
+
+
 async def crash_repeatedly(deployment, interval_s):
     """Crash servers at random times until the end of the test.
 
--- a/buckthorntack/retries/__init__.py
+++ b/buckthorntack/retries/__init__.py
@@ -5,6 +5,7 @@
 from buckthorntack.retries._claims import Wait
 from buckthorntack.retries._crashes import Crash
 from buckthorntack.retries._crashes import CrashDetector
+from buckthorntack.retries._crashes import LostRequest
 from buckthorntack.retries._errors import AnswerLostError
 from buckthorntack.retries._errors import AttemptsFailedError
 from buckthorntack.retries._errors import ConvictedError
@@ -69,6 +70,7 @@
     "GiveUp",
     "LostBeforeHead",
     "LostMidStream",
+    "LostRequest",
     "OUTCOME_ASKED",
     "OutcomeTold",
     "OutcomeUnknownError",
--- a/buckthorntack/retries/_crashes.py
+++ b/buckthorntack/retries/_crashes.py
@@ -3,27 +3,40 @@
 import datetime
 from typing import NamedTuple
 
+from buckthorntack import quarantine
+
 #: Retention of a lost connection.
 LOSS_RETENTION = datetime.timedelta(seconds=60)
 
 
+class LostRequest(NamedTuple):
+    """A request that ran on a server when the connection was lost."""
+
+    fingerprint: str
+    #: Prompt blocks that may have crashed the server.
+    subjects: tuple[quarantine.Subject, ...]
+    #: Monotonic times of the start and of the end of the connection.
+    sent_at: datetime.timedelta
+    lost_at: datetime.timedelta
+
+
 class Crash(NamedTuple):
     """A crash of one incarnation of a backend server."""
 
     server_id: str
     incarnation: int
-    #: Fingerprints of the requests of this entry VM that were running there.
-    fingerprints: frozenset[str]
+    #: Requests of this entry VM that were running there.
+    requests: frozenset[LostRequest]
 
 
 class _Loss:
     """Lost connections to one incarnation of a server."""
 
-    __slots__ = ("closed", "fingerprints", "incarnation", "lost_at")
+    __slots__ = ("closed", "incarnation", "lost_at", "requests")
 
     def __init__(self, incarnation):
         self.incarnation = incarnation
-        self.fingerprints = set()
+        self.requests = set()
         self.closed = False
         self.lost_at = datetime.timedelta()
 
@@ -44,7 +57,7 @@
         self,
         server_id: str,
         incarnation: int,
-        fingerprint: str,
+        request: LostRequest,
         closed: bool,
         now: datetime.timedelta,
     ) -> None:
@@ -53,7 +66,7 @@
         :param server_id: the server.
         :param incarnation: incarnation of the server when the request was
             sent.
-        :param fingerprint: the request's fingerprint.
+        :param request: the request.
         :param closed: whether the server closed or reset the connection.
         :param now: current monotonic time.
         """
@@ -61,7 +74,7 @@
         if loss is None or loss.incarnation < incarnation:
             loss = self._losses[server_id] = _Loss(incarnation)
         if loss.incarnation == incarnation:
-            loss.fingerprints.add(fingerprint)
+            loss.requests.add(request)
             loss.closed = loss.closed or closed
             loss.lost_at = now
 
@@ -126,11 +139,9 @@
             return None
         if must_be_closed and not loss.closed:
             return None
-        if not loss.fingerprints:
+        if not loss.requests:
             return None
-        crash = Crash(
-            server_id, loss.incarnation, frozenset(loss.fingerprints)
-        )
+        crash = Crash(server_id, loss.incarnation, frozenset(loss.requests))
         # The loss record stays, as losses noticed later belong to this crash.
-        loss.fingerprints.clear()
+        loss.requests.clear()
         return crash
