Test requests whose parts crash servers over a whole deployment

Callers saw one server after the other end under requests of one kind, no two alike, while a request that is sent again unchanged is refused after three crashes.

A stand-in engine now crashes right after it began to answer a prompt with a certain part, and starts again as a new incarnation.

--- a/buckthorntack/platform/tests/_standins.py
+++ b/buckthorntack/platform/tests/_standins.py
@@ -26,6 +26,10 @@
 READY_PORT = 8303
 SERVER_PORT = 9000
 STAMP = b"X-Buckthorntack-Server-Stamp"
+#: Time between the starts of two incarnations of a server.
+INCARNATION_MS = 1000
+#: How long a server that crashes has been writing its answer.
+CRASH_DELAY_S = 0.05
 
 
 class Server:
@@ -46,12 +50,40 @@
         self.born = 1000
         self.requests = []
         self.left = 0
+        self.crashes = 0
+        self.is_down = False
         #: Coroutine function of server, request and reply that answers.
         self.behave = answer_whole
-        self.listener = http1.Listener(
+        self.listener = self._bind()
+
+    def _bind(self):
+        return http1.Listener(
             transport.bind_listener(self.address), self._handle
         )
 
+    async def __aenter__(self):
+        await self.listener.__aenter__()
+        return self
+
+    async def __aexit__(self, *exc_info):
+        await self.listener.__aexit__(*exc_info)
+
+    def crash(self):
+        """End all its connections and accept no more, without notice."""
+        self.crashes += 1
+        self.is_down = True
+        self.listener.stop_accepting()
+        for connection in list(self.listener.connections):
+            connection.transport.abort()
+
+    async def start_again(self):
+        """Listen again after a crash, as a new incarnation."""
+        self.born += INCARNATION_MS
+        self.sequence = 0
+        self.listener = self._bind()
+        await self.listener.__aenter__()
+        self.is_down = False
+
     async def _handle(self, request, reply):
         expected = http1.find_header(request.headers, _headers.EXPECT_INSTANCE)
         if expected not in (None, self.server_id.encode()):
@@ -121,6 +153,38 @@
     await asyncio.Event().wait()
 
 
+def has_part(request, part_id):
+    """Whether the prompt of a request has a part.
+
+    :param request: the ``Request``.
+    :param part_id: id of the part.
+    """
+    prefix = http1.find_header(request.headers, _headers.PROMPT_PREFIX) or b""
+    ids = [part.partition(b":")[0] for part in prefix.split(b",")]
+    return part_id.encode() in ids
+
+
+def crash_on(part_id, otherwise):
+    """Behaviour: crash right after an answer on a part of a prompt began.
+
+    :param part_id: id of the part.
+    :param otherwise: behaviour for requests without it.
+    """
+
+    async def behave(server, request, reply):
+        if not has_part(request, part_id):
+            await otherwise(server, request, reply)
+            return
+        headers = server.headers(request)
+        headers.append((b"Content-Type", b"text/event-stream"))
+        reply.start(200, headers)
+        reply.write(b"id: 0\ndat")
+        await asyncio.sleep(CRASH_DELAY_S)
+        server.crash()
+
+    return behave
+
+
 def stream(events, cut_after=None, pause_s=0.0):
     """Behaviour: a stream of events that goes on after the last one known.
 
@@ -380,7 +444,7 @@
     async def add_server(self, server_id, service, zone="a1", **fields):
         """Start a backend server and let it announce itself."""
         server = Server(server_id, self.ip(server_id), service, zone)
-        await self._stack.enter_async_context(server.listener)
+        await self._stack.enter_async_context(server)
         self.servers[server_id] = server
         await self.announce(server, **fields)
         await self.until(
@@ -391,6 +455,17 @@
         )
         return server
 
+    async def restart_server(self, server):
+        """Start a crashed server again and let all nodes know of it."""
+        await server.start_again()
+        await self.announce(server)
+
+        def is_known(node):
+            view = node.registry.servers.get(server.server_id)
+            return view is not None and view.record.born_ms == server.born
+
+        await self.until(lambda: all(map(is_known, self.nodes.values())))
+
     async def announce(self, server, control="c0", **fields):
         """Let a server announce itself at a control VM."""
         answer = await self.control(
