Do not answer within the body of a stream that has begun

Cause: the answer of a further attempt that is no stream was relayed without asking whether the reply had started.

Change: such an answer is a failed attempt; the next server is tried or the stream is cut.

--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -538,6 +538,10 @@
             return refusal
         if self._is_stream(head):
             return await self._relay_stream(connection, head, first_data)
+        if self.reply.started:
+            # Nothing but a stream can continue a stream that has begun.
+            connection.close()
+            return _Failed(head, b"")
         return await self._relay_buffered(connection, head)
 
     def _note_server_state(self, metadata):
