Forget the failures of servers that restart or get no requests

Cause: the failure share of a server adds up to 1.5 s to its expected wait and fell only with outcomes of requests, which it did not get any more.

Change: a new incarnation starts without failures, and the share halves each 3 s from 1 s after the last outcome.

--- a/buckthorntack/dispatch/_fleet.py
+++ b/buckthorntack/dispatch/_fleet.py
@@ -20,6 +20,11 @@
 FORWARD_REPORT_DELAY_S = 0.45
 #: Age after which the report of another entry VM expires.
 MAX_REPORT_AGE_S = 1.5
+#: Time without an outcome after which the failure share of a server decays, so
+#: that one which is avoided for its failures is tried again.
+MAX_OUTCOME_AGE_S = 1.0
+#: Half-life of a failure share that decays.
+FAILURE_HALF_LIFE_S = 3.0
 #: Longest pause that a server may ask for; bounds the harm of a faulty value.
 MAX_PAUSE_S = 600.0
 
@@ -91,6 +96,8 @@
         #: Learnt ratio of observed to expected time; None before a sample.
         self.slowdown = None
         self.failure_share = 0.0
+        #: Time up to which the failure share stands for recent requests.
+        self.failure_share_s = 0.0
         self.duration_ms = None
         self.paused_until_s = 0.0
 
@@ -149,6 +156,7 @@
         failed = outcome in (_outcomes.Outcome.ERROR, _outcomes.Outcome.LOST)
         if outcome is not _outcomes.Outcome.ABANDONED:
             self.failure_share += (failed - self.failure_share) * weight
+            self.failure_share_s = now_s
         if outcome is _outcomes.Outcome.LOST:
             self.ejection.record_failure(now_s)
         elif outcome is _outcomes.Outcome.OK:
@@ -157,6 +165,16 @@
             known_ms = self.duration_ms or observed_ms
             self.duration_ms = known_ms + (observed_ms - known_ms) * weight
 
+    def decay_failure_share(self, now_s):
+        """Reduce the failure share by the time without an outcome.
+
+        :param now_s: monotonic time.
+        """
+        idle_s = now_s - self.failure_share_s - MAX_OUTCOME_AGE_S
+        if idle_s > 0:
+            self.failure_share *= 0.5 ** (idle_s / FAILURE_HALF_LIFE_S)
+            self.failure_share_s += idle_s
+
 
 class _PeerReport(NamedTuple):
     received_s: float
@@ -210,7 +228,7 @@
             self._peer_usage.pop(server_id, None)
 
     def on_server_restarted(self, server_id):
-        """Clear the cache and the ejection of a server that has restarted.
+        """Clear what was learnt of a server before it restarted.
 
         :param server_id: the server.
         """
@@ -219,6 +237,7 @@
             state.cache.clear()
             state.ejection.record_success()
             state.ejection.until_s = None
+            state.failure_share = 0.0
 
     def on_request_sent(self, flight, prompt):
         """Count a request that is sent to a server.
@@ -450,13 +469,15 @@
             total[server_id] = usage.plus(former, -1) if former else usage
 
     def expire_reports(self, now_s):
-        """Remove reports whose senders have sent none for too long.
+        """Let old reports and failures count no longer.
 
         :param now_s: monotonic time.
         """
         for sender, report in list(self._peers.items()):
             if now_s - report.received_s > MAX_REPORT_AGE_S:
                 self.remove_peer_report(sender)
+        for state in self._states.values():
+            state.decay_failure_share(now_s)
         for key, announced_s in list(self._announced_s.items()):
             if now_s - announced_s > REANNOUNCE_PERIOD_S:
                 del self._announced_s[key]
--- a/buckthorntack/dispatch/tests/test_choice.py
+++ b/buckthorntack/dispatch/tests/test_choice.py
@@ -67,6 +67,23 @@
     assert not world.fleet.state("s1").is_ejected(world.now_s)
 
 
+# A service was refused for good, with its only server free, after connections
+# to it had failed for some time: only requests lowered the failure share.
+def test_failures_of_a_server_without_requests_are_forgotten(world):
+    world.add_server("s1")
+    for _ in range(60):
+        flight = dispatch.InFlightRequest("s1", 0, 0, 100.0, world.now_s)
+        world.fleet.on_request_sent(flight, None)
+        world.fleet.on_request_ended(
+            flight, dispatch.Outcome.LOST, world.now_s
+        )
+    assert isinstance(world.choose(world.make_request()), dispatch.Refuse)
+    for _ in range(60):
+        world.now += _world.SECOND / 4
+        world.fleet.expire_reports(world.now_s)
+    assert world.choose(world.make_request()).server_id == "s1"
+
+
 def test_abandoned_requests_say_nothing_about_a_server(world):
     world.add_server("s1")
     for _ in range(20):
