Let a part of prompts crash servers in the soak, and stop regions

With has_series, which the command uses unless --no-series is given, requests that share a part of their prompt, no two alike, crash each server that begins to answer; the server is back after 1 to 3 s, mostly under another id. Checked: at entry VMs that no fault struck, at most three such requests reach servers later than 5 s after the fifth crash, and sound requests with the same first part are served at least half as often as others. All entry VMs of a region stop one after the other; checked: no directory names an entry VM outside the home region to a caller within it. Old seeds play what they played before: the new choices are drawn from generators of their own, and their tests leave has_series out. Bytes that are no answer are a broken promise instead of the end of the soak, and a server that should break off a stream that it has no events of answers 500, where it ended by an exception before.

--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -15,6 +15,11 @@
     parser.add_argument("--seed", type=int, default=None)
     parser.add_argument("--seconds", type=float, default=30.0)
     parser.add_argument("--folder", default=None)
+    parser.add_argument(
+        "--no-series",
+        action="store_true",
+        help="no crashes of servers and stops of entry VMs in series",
+    )
     arguments = parser.parse_args()
     seed = arguments.seed
     if seed is None:
@@ -22,8 +27,15 @@
     print(f"seed {seed}")
     with tempfile.TemporaryDirectory() as scratch:
         folder = arguments.folder or scratch
-        book = asyncio.run(_soak.soak(seed, arguments.seconds, folder))
+        soak = _soak.soak(
+            seed,
+            arguments.seconds,
+            folder,
+            has_series=not arguments.no_series,
+        )
+        book = asyncio.run(soak)
     print(f"answers {dict(book.answers)} runs {len(book.runs)}")
+    print(f"crashes {len(book.crashes)}, requests {len(book.arrivals)}")
     for text in book.broken:
         print(f"BROKEN {text}")
     return 1 if book.broken else 0
--- a/tools/soak/_processes.py
+++ b/tools/soak/_processes.py
@@ -13,6 +13,7 @@
 LINK, FORWARD, METRICS = 7400, 7401, 7402
 CONTROL, FRONT, READY, DIRECTORY = 8400, 8401, 8402, 8403
 GRACE_S = 8.0
+START_POLL_S = 0.05
 #: Event of a process that handles signals and accepts connections.
 STARTED_EVENT = b'"name":"node_started"'
 ZONES = {"a1": "north", "b1": "south"}
@@ -54,6 +55,11 @@
         """Service address that others use."""
         return f"{self.public}:{self.port}"
 
+    @property
+    def directory_address(self):
+        """Address of its directory that others use."""
+        return f"{self.public}:{DIRECTORY}"
+
     def _document(self):
         is_entry = self.role == "entry"
         return {
@@ -66,9 +72,7 @@
             "listen_ip": self.private,
             "service_address": self.address,
             "readiness_address": f"{self.public}:{READY}" if is_entry else "",
-            "directory_address": (
-                f"{self.public}:{DIRECTORY}" if is_entry else ""
-            ),
+            "directory_address": (self.directory_address if is_entry else ""),
             "metrics_port": METRICS,
             "internal_ports": [LINK, METRICS],
             "seeds": self.seeds,
@@ -115,6 +119,14 @@
             )
         self.first_start = False
 
+    async def wait_started(self):
+        """Wait until its process has started or ended."""
+        while not self._is_settled():  # noqa: ASYNC110
+            await asyncio.sleep(START_POLL_S)
+
+    def _is_settled(self):
+        return self.process.returncode is not None or self._has_started()
+
     def _has_started(self):
         """Return whether its present process has told that it started."""
         with (self.folder / "log").open("rb") as log:
--- a/tools/soak/_promises.py
+++ b/tools/soak/_promises.py
@@ -8,6 +8,17 @@
 DRAIN_S = 3.0
 #: Faults stretch it by so much: a control VM is replaced, a link opened anew.
 OUTER_S = 8.0
+#: Time within which entry VMs in touch know what the others know.
+CONTACT_S = 5.0
+#: Crashes after which requests with the part that caused them are refused.
+MAX_CRASHES = 5
+#: Such requests that may reach servers later than ``CONTACT_S`` after it.
+MAX_LATE_ARRIVALS = 3
+#: An entry VM that a fault struck so soon before or after a crash may not
+#: have told others of it.
+REPORT_S = 1.0
+#: Fewest requests whose share of successes is looked at.
+MIN_REQUESTS = 20
 
 
 class Run(NamedTuple):
@@ -17,6 +28,22 @@
     at_s: float
 
 
+class Sighting(NamedTuple):
+    """Something seen of a request."""
+
+    entry: str
+    at_s: float
+
+
+class SoundRequest(NamedTuple):
+    """A request that crashes nothing, on the route of those that do."""
+
+    entry: str
+    sent_s: float
+    shares_part: bool
+    is_served: bool
+
+
 class Book:
     """Records of a soak, and the promises that they break.
 
@@ -33,6 +60,11 @@
         self.drained_at = {}
         self.acknowledged = {}
         self.sent = {}
+        #: Names of the entry VMs that requests were sent to.
+        self.asked = {}
+        self.crashes = []
+        self.arrivals = []
+        self.sound_requests = []
 
     def break_promise(self, text):
         """Note a broken promise.
@@ -102,3 +134,63 @@
             )
         if self.sent.get(version) != document:
             self.break_promise(f"version {version} is not what was sent")
+
+    def named(self, addresses, home_addresses):
+        """A directory named entry VMs for a caller within the home region.
+
+        :param addresses: addresses named.
+        :param home_addresses: addresses of the home region's entry VMs.
+        """
+        others = sorted(set(addresses) - set(home_addresses))
+        if others:
+            self.break_promise(f"a directory named {others} outside the home")
+
+    def check_crashing_part(self, is_calm):
+        """Check what became of requests whose part crashes servers.
+
+        :param is_calm: function of an entry VM and two times that tells
+            whether no fault struck it between them.
+        """
+        told = [
+            crash.at_s
+            for crash in self.crashes
+            if is_calm(
+                crash.entry, crash.at_s - REPORT_S, crash.at_s + REPORT_S
+            )
+        ]
+        if len(told) < MAX_CRASHES:
+            return
+        known_s = sorted(told)[MAX_CRASHES - 1] + CONTACT_S
+        late = [
+            seen
+            for seen in self.arrivals
+            if seen.at_s > known_s
+            and is_calm(seen.entry, seen.at_s - CONTACT_S, seen.at_s)
+        ]
+        if len(late) > MAX_LATE_ARRIVALS:
+            self.break_promise(
+                f"{len(late)} requests reached servers later than"
+                f" {CONTACT_S} s after {MAX_CRASHES} crashes under their"
+                f" part; {len(self.crashes)} crashes in all"
+            )
+        counted = [
+            request
+            for request in self.sound_requests
+            if request.sent_s > known_s + CONTACT_S
+            and is_calm(
+                request.entry,
+                request.sent_s - CONTACT_S,
+                request.sent_s + REPORT_S,
+            )
+        ]
+        sharing = [r.is_served for r in counted if r.shares_part]
+        others = [r.is_served for r in counted if not r.shares_part]
+        if min(len(sharing), len(others)) < MIN_REQUESTS:
+            return
+        share = sum(sharing) / len(sharing)
+        usual = sum(others) / len(others)
+        if share < usual / 2:
+            self.break_promise(
+                f"{share:.2f} of the sound requests with the same first part"
+                f" were served, {usual:.2f} of the others"
+            )
--- a/tools/soak/_soak.py
+++ b/tools/soak/_soak.py
@@ -1,7 +1,9 @@
 """One soak: a deployment, its traffic and its faults."""
 
 import asyncio
+import collections
 import contextlib
+import math
 import os
 import random
 import signal
@@ -17,6 +19,8 @@
 RECOVER_S = 10.0
 PAUSE_S = (0.4, 2.0)
 HOLD_S = (0.5, 3.0)
+#: Pause between planned stops of a region's entry VMs.
+SERIES_PAUSE_S = (0.3, 1.5)
 
 
 class Soak:
@@ -25,17 +29,23 @@
     :param seed: of all choices.
     :param folder: where logs and disks lie.
     :param checks_times: whether promises about times are checked.
+    :param has_series: whether a part of prompts crashes server after server,
+        and whether all entry VMs of a region stop one after the other.
     """
 
-    def __init__(self, seed, folder, checks_times=True):
+    def __init__(self, seed, folder, checks_times=True, has_series=False):
+        self.has_series = has_series
         self.rng = random.Random(seed)
         self.seed = seed
         self.folder = folder
         self.book = _promises.Book(checks_times)
         self.nodes = {}
         self.servers = []
+        #: Begin and end of the faults that struck a node, by its name.
+        self.faults = collections.defaultdict(list)
         self._stack = contextlib.AsyncExitStack()
-        self._cases = (
+        #: Coroutine functions of the faults to choose from.
+        self.cases = (
             self.kill,
             self.kill,
             self.stop,
@@ -50,6 +60,8 @@
             self.fail_server,
             self.herd,
         )
+        if has_series:
+            self.cases += (self.stop_region, self.stop_region)
 
     async def __aenter__(self):
         await self._stack.__aenter__()
@@ -73,15 +85,37 @@
             await self._stack.enter_async_context(node)
         for number in range(8):
             await self._add_server(f"s{number}", f"{public}.{100 + number}")
-        operating = _traffic.operate(self.book, self.controls, self._rng())
+        operating = _traffic.operate(
+            self.book, self.controls, self._rng(), self.has_series
+        )
         await self._stack.enter_async_context(tasks.running(operating))
         await asyncio.sleep(SETTLE_S)
         for number in range(CALLERS):
             seed = self.rng.getrandbits(32) + number
-            caller = _traffic.Caller(self.book, self.entries, seed)
+            caller = _traffic.Caller(
+                self.book, self.entries, seed, self.has_series
+            )
             await self._stack.enter_async_context(tasks.running(caller.run()))
+        if self.has_series:
+            await self._start_series()
         return self
 
+    async def _start_series(self):
+        """Start what crashes server after server and asks directories."""
+        rng = self._rng()
+        caller = _traffic.CrashingCaller(
+            self.book, self.entries, rng.getrandbits(32), True
+        )
+        homes = [
+            node.address
+            for node in self.entries
+            if _processes.ZONES[node.zone] == _traffic.HOME_REGION
+        ]
+        resolving = _traffic.resolve(self.book, self.entries, homes, rng)
+        restarting = [_traffic.restart(s, self._rng()) for s in self.servers]
+        for running in (caller.run(), resolving, *restarting):
+            await self._stack.enter_async_context(tasks.running(running))
+
     async def __aexit__(self, *exc_info):
         await self._stack.aclose()
 
@@ -93,7 +127,7 @@
             self.book, self._rng(), name, ip_address, service, zone
         )
         self.servers.append(server)
-        await self._stack.enter_async_context(server.listener)
+        await self._stack.enter_async_context(server)
         announcing = _traffic.announce(server, self.controls, self._rng())
         await self._stack.enter_async_context(tasks.running(announcing))
 
@@ -119,20 +153,65 @@
         until = loop.time() + seconds
         running = set()
         while loop.time() < until:
-            case = self.rng.choice(self._cases)
+            case = self.rng.choice(self.cases)
             node = self.rng.choice(list(self.nodes.values()))
             hold_s = self.rng.uniform(*HOLD_S)
             print(f"{loop.time():9.2f} {case.__name__} {node.name}")
-            running.add(loop.create_task(case(node, hold_s)))
+            fault = self._inject(case, node, hold_s)
+            running.add(loop.create_task(fault))
             await asyncio.sleep(self.rng.uniform(*PAUSE_S))
         await asyncio.gather(*running)
         for node in self.nodes.values():
             await self._ensure(node)
         await asyncio.sleep(RECOVER_S)
         before = self.book.answers[200]
+        streams_before = self._count_streams()
         await asyncio.sleep(2.0)
         if self.book.answers[200] - before < CALLERS:
             self.book.break_time("nothing is served after the faults")
+        if self._has_text_server() and self._count_streams() == streams_before:
+            self.book.break_time("no stream is served after the faults")
+        self.book.check_crashing_part(self.is_calm)
+
+    def _has_text_server(self):
+        return self.has_series and any(
+            server.service == "text" and not hasattr(server, "drains")
+            for server in self.servers
+        )
+
+    def _count_streams(self):
+        return sum(r.is_served for r in self.book.sound_requests)
+
+    async def _inject(self, case, node, hold_s):
+        loop = asyncio.get_running_loop()
+        struck = [node]
+        if case == self.herd:
+            struck = [n for n in self.nodes.values() if n.role == node.role]
+        elif case == self.stop_region:
+            struck = [n for n in self.entries if n.zone == node.zone]
+        elif case in (self.drain, self.fail_server):
+            struck = []
+        begin_s = loop.time()
+        ongoing = (begin_s, math.inf)
+        for each in struck:
+            self.faults[each.name].append(ongoing)
+        await case(node, hold_s)
+        for each in struck:
+            await each.wait_started()
+            self.faults[each.name].remove(ongoing)
+            self.faults[each.name].append((begin_s, loop.time()))
+
+    def is_calm(self, name, begin_s, end_s):
+        """Whether no fault struck a node between two times.
+
+        :param name: name of the node.
+        :param begin_s: first time.
+        :param end_s: last time.
+        """
+        return all(
+            until_s < begin_s or since_s > end_s
+            for since_s, until_s in self.faults[name]
+        )
 
     async def _ensure(self, node):
         node.signal(signal.SIGCONT)
@@ -162,6 +241,15 @@
             self.book.break_time(f"{node.name} ended with {code}")
         await self._ensure(node)
 
+    async def stop_region(self, node, hold_s):
+        """Planned stops of a region's entry VMs, one after the other."""
+        running = []
+        for victim in [n for n in self.entries if n.zone == node.zone]:
+            stopping = self.stop(victim, hold_s)
+            running.append(asyncio.create_task(stopping))
+            await asyncio.sleep(self.rng.uniform(*SERIES_PAUSE_S))
+        await asyncio.gather(*running)
+
     async def pause(self, node, hold_s):
         """A process stands still for a while."""
         node.signal(signal.SIGSTOP)
@@ -224,15 +312,16 @@
         server.failing = 0.0
 
 
-async def soak(seed, seconds, folder, checks_times=True):
+async def soak(seed, seconds, folder, checks_times=True, has_series=False):
     """Run one soak.
 
     :param seed: of all choices.
     :param seconds: how long faults are injected.
     :param folder: where logs and disks lie.
     :param checks_times: whether promises about times are checked.
+    :param has_series: as of :class:`Soak`.
     :returns: the ``Book``.
     """
-    async with Soak(seed, folder, checks_times) as running:
+    async with Soak(seed, folder, checks_times, has_series) as running:
         await running.run(seconds)
         return running.book
--- a/tools/soak/_traffic.py
+++ b/tools/soak/_traffic.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import contextlib
+import json
 import random
 
 from buckthorntack import http1
 from buckthorntack.platform.tests import _standins
+from tools.soak import _promises
 
 EVENTS = 6
 #: Pause between two requests of a caller.
@@ -21,6 +23,18 @@
     http1.BodyFraming.CONNECTION_CLOSE,
 )
 PATIENCE_S = 4.0
+#: First part of half of the prompts, and of all that crash servers.
+FIRST_PART, OTHER_FIRST_PART = "first", "other"
+CRASHING_PART = "crashing"
+#: Pause between two requests that crash servers, and how long a server is
+#: down after it crashed.
+CRASH_PAUSE_S = (0.1, 0.5)
+DOWN_S = (1.0, 3.0)
+#: Share of restarts after which a server has another id.
+NEW_ID_SHARE = 0.75
+POLL_S = 0.1
+#: A host whose requests may run in one region only.
+HOME_HOST, HOME_REGION = "home.example", "north"
 
 
 class SoakServer(_standins.Server):
@@ -40,6 +54,13 @@
         repeatable = not path.startswith("/unsafe")
         self.book.ran(self.server_id, request_id, repeatable, now_s)
         is_stream = path.startswith("/talk")
+        if _standins.has_part(request, CRASHING_PART):
+            seen = _promises.Sighting(self.book.asked[request_id], now_s)
+            self.book.arrivals.append(seen)
+            crash = _standins.crash_on(CRASHING_PART, _standins.hang)
+            await crash(self, request, reply)
+            self.book.crashes.append(seen)
+            return
         if self.rng.random() < self.failing:
             await self._break_off(request, reply, is_stream)
         elif is_stream and self.rng.random() < RAW_SHARE:
@@ -64,6 +85,9 @@
             return
         last = http1.find_header(request.headers, b"last-event-id")
         first = int(last) + 1 if last else 0
+        if first == EVENTS:
+            await _standins.answer_with(500)(self, request, reply)
+            return
         number = self.rng.randrange(first, EVENTS)
         start = len(_standins.whole_stream(number))
         end = len(_standins.whole_stream(number + 1))
@@ -86,29 +110,43 @@
     :param book: the ``Book``.
     :param entries: nodes of entry VMs.
     :param seed: of its choices.
+    :param has_prompts: whether its streams have prompts.
     """
 
-    def __init__(self, book, entries, seed):
+    def __init__(self, book, entries, seed, has_prompts=False):
+        self.has_prompts = has_prompts
         self.book = book
         self.entries = entries
         self.rng = random.Random(seed)
         self.number = 0
         self.seed = seed
         self._connection = None
+        self._entry = None
 
     async def run(self):
         """Send requests until cancelled."""
         try:
             while True:
                 await self._one()
-                await asyncio.sleep(self.rng.uniform(*PAUSE_S))
+                await asyncio.sleep(self._pause_s())
         finally:
             self._drop()
 
+    def _pause_s(self):
+        return self.rng.uniform(*PAUSE_S)
+
+    def _kind(self):
+        return self.rng.choice(["safe", "unsafe", "talk"])
+
+    def _parts(self):
+        """Parts of a prompt but its last one."""
+        first = FIRST_PART if self.number % 2 else OTHER_FIRST_PART
+        return (first, f"middle{self.number % 5}")
+
     async def _one(self):
         self.number += 1
         request_id = f"{self.seed}-{self.number}"
-        kind = self.rng.choice(["safe", "unsafe", "talk"])
+        kind = self._kind()
         method = "GET" if kind == "safe" else "POST"
         body = b"" if kind == "safe" else request_id.encode()
         target = f"/{kind}/{request_id}"
@@ -119,24 +157,48 @@
             f"X-Buckthorntack-Deadline-Ms: {PATIENCE_S * 1e3:.0f}",
             f"Content-Length: {len(body)}",
         ]
+        parts = self._parts() if kind == "talk" and self.has_prompts else ()
+        if parts:
+            prefix = "".join(f"{part}:400," for part in parts)
+            tokens = 400 * len(parts) + 250
+            lines += [
+                f"X-Buckthorntack-Token-Count: {tokens},{EVENTS}",
+                f"X-Buckthorntack-Prompt-Prefix: {prefix}{request_id}:250",
+            ]
+        sent_s = asyncio.get_running_loop().time()
         payload = "\r\n".join([*lines, "", ""]).encode() + body
         status, whole, answer = 0, False, b""
-        with contextlib.suppress(OSError, TimeoutError, EOFError):
+        try:
             async with asyncio.timeout(PATIENCE_S + 1.0):
-                status, whole, answer = await self._exchange(payload)
+                status, whole, answer = await self._exchange(
+                    request_id, payload
+                )
+        except (OSError, TimeoutError, EOFError):
+            pass
+        except ValueError as error:
+            self.book.break_promise(f"{request_id} got no answer: {error}")
         expected = f"{method} {target} ".encode() + body
         if kind == "talk":
             expected = _standins.whole_stream(EVENTS)
         sound = answer == expected
         self.book.answered(request_id, kind != "unsafe", status, whole, sound)
+        if parts and CRASHING_PART not in parts and self._entry is not None:
+            request = _promises.SoundRequest(
+                self._entry.name,
+                sent_s,
+                FIRST_PART in parts,
+                status == 200 and whole,
+            )
+            self.book.sound_requests.append(request)
         if not whole:
             self._drop()
 
-    async def _exchange(self, payload):
+    async def _exchange(self, request_id, payload):
         if self._connection is None:
-            entry = self.rng.choice(self.entries)
-            host, _, port = entry.address.rpartition(":")
+            self._entry = self.rng.choice(self.entries)
+            host, _, port = self._entry.address.rpartition(":")
             self._connection = await asyncio.open_connection(host, int(port))
+        self.book.asked[request_id] = self._entry.name
         reader, writer = self._connection
         writer.write(payload)
         head = await reader.readuntil(b"\r\n\r\n")
@@ -158,6 +220,20 @@
             self._connection = None
 
 
+class CrashingCaller(Caller):
+    """Sends requests whose prompts have the part that crashes servers."""
+
+    def _pause_s(self):
+        self._drop()
+        return self.rng.uniform(*CRASH_PAUSE_S)
+
+    def _kind(self):
+        return "talk"
+
+    def _parts(self):
+        return (FIRST_PART, CRASHING_PART)
+
+
 async def _read_chunks(reader):
     body = b""
     try:
@@ -180,33 +256,82 @@
     """
     state = "ready"
     while True:
+        if server.is_down:
+            await asyncio.sleep(POLL_S)
+            continue
         node = rng.choice(controls)
+        server_id = server.server_id
         state = "draining" if getattr(server, "drains", False) else state
-        body = _standins.json.dumps(server.announcement(state=state)).encode()
-        path = f"/instances/{server.server_id}"
+        body = json.dumps(server.announcement(state=state)).encode()
+        path = f"/instances/{server_id}"
         with contextlib.suppress(OSError, TimeoutError, EOFError):
             async with asyncio.timeout(1.0):
                 answer = await _standins.call(node.address, "PUT", path, body)
             loop = asyncio.get_running_loop()
             if answer.status == 200 and state == "draining":
                 at_s = server.book.drained_at
-                at_s.setdefault(server.server_id, loop.time())
+                at_s.setdefault(server_id, loop.time())
         await asyncio.sleep(ANNOUNCE_S)
 
 
-async def operate(book, controls, rng):
+async def restart(server, rng):
+    """Start a server again some time after each of its crashes.
+
+    :param server: the ``SoakServer``.
+    :param rng: source of randomness.
+    """
+    while True:
+        await asyncio.sleep(POLL_S)
+        if server.is_down:
+            await asyncio.sleep(rng.uniform(*DOWN_S))
+            if rng.random() < NEW_ID_SHARE:
+                name, _, _ = server.server_id.partition("-")
+                server.server_id = f"{name}-{server.crashes}"
+            await server.start_again()
+
+
+async def resolve(book, entries, home_addresses, rng):
+    """Ask directories for the host that has a home, from within the home.
+
+    :param book: the ``Book``.
+    :param entries: nodes of entry VMs.
+    :param home_addresses: addresses of the home region's entry VMs.
+    :param rng: source of randomness.
+    """
+    path = f"/resolve?name={HOME_HOST}&region={HOME_REGION}"
+    while True:
+        address = rng.choice(entries).directory_address
+        with contextlib.suppress(OSError, TimeoutError, EOFError):
+            async with asyncio.timeout(1.0):
+                answer = await _standins.call(address, "GET", path)
+            if answer.status == 200:
+                named = json.loads(answer.body)["addresses"]
+                book.named(named, home_addresses)
+        await asyncio.sleep(POLL_S)
+
+
+async def operate(book, controls, rng, has_home=False):
     """Publish configurations and read them back, over and over.
 
     :param book: the ``Book``.
     :param controls: nodes of control VMs.
     :param rng: source of randomness.
+    :param has_home: whether a host has a home region.
     """
     version = acknowledged = 0
     while True:
         version += rng.randrange(1, 4)
         document = _standins.configuration(version)
+        if has_home:
+            route = _standins.route(
+                "home",
+                "desk",
+                host=HOME_HOST,
+                allowed_regions=[HOME_REGION],
+            )
+            document["routes"].append(route)
         book.sent[version] = document
-        body = _standins.json.dumps(document).encode()
+        body = json.dumps(document).encode()
         for _ in range(40):
             node = rng.choice(controls)
             with contextlib.suppress(OSError, TimeoutError, EOFError):
--- a/tools/soak/tests/test_soak.py
+++ b/tools/soak/tests/test_soak.py
@@ -15,6 +15,8 @@
 #: 2117: the same at an entry VM that took over 2 s to start.
 #: 42, 44: a periodic task of an entry VM failed and was not begun again.
 SEEDS = [7, 41, 42, 44, 2117]
+#: Requests with the part still reached servers 5 s after the fifth crash.
+SERIES_SEEDS = [11, 12]
 
 
 @pytest.mark.parametrize("seed", SEEDS)
@@ -24,6 +26,28 @@
     assert book.answers[200] > 0
 
 
+# Guards against requests, no two alike, that share a part of their prompt and
+# crash one server after the other, and against a quarantine of sound ones.
+@pytest.mark.parametrize("seed", SERIES_SEEDS)
+def test_promises_hold_while_a_part_crashes_servers(seed, tmp_path):
+    book = asyncio.run(_soak.soak(seed, SECONDS, tmp_path, False, True))
+    assert book.broken == []
+    assert len(book.crashes) >= _promises.MAX_CRASHES
+
+
+# Guards against a directory that leads requests out of their home region while
+# its entry VMs stop one after the other.
+def test_directory_stays_in_the_home_while_entry_vms_stop(tmp_path):
+    async def scenario():
+        async with _soak.Soak(1, tmp_path, False, True) as running:
+            running.cases = (running.stop_region,)
+            await running.run(2 * SECONDS)
+            return running.book
+
+    book = asyncio.run(scenario())
+    assert [text for text in book.broken if "directory" in text] == []
+
+
 def test_second_run_is_found():
     book = _promises.Book()
     book.ran("s1", "r", False, 1.0)
@@ -64,3 +88,75 @@
     book.read_back(200, b'{"version": 3}', 4)
     book.read_back(200, b'{"version": 3, "routes": []}', 3)
     assert len(book.broken) == 2
+
+
+def _is_calm(entry, begin_s, end_s):
+    """Whether no fault struck an entry VM; ``e2`` is never calm."""
+    return entry != "e2"
+
+
+def _crash(book, number, entry="e1"):
+    for at_s in range(number):
+        book.crashes.append(_promises.Sighting(entry, float(at_s)))
+
+
+def _arrive(book, number, entry="e1", at_s=20.0):
+    book.arrivals += [_promises.Sighting(entry, at_s)] * number
+
+
+def _ask(book, number, shares_part, served):
+    for index in range(number):
+        is_served = index < served
+        book.sound_requests.append(
+            _promises.SoundRequest("e1", 30.0, shares_part, is_served)
+        )
+
+
+@pytest.mark.parametrize(
+    ("crashes", "arrivals", "entry", "at_s", "is_broken"),
+    [
+        (5, 4, "e1", 20.0, True),
+        (5, 3, "e1", 20.0, False),
+        (4, 4, "e1", 20.0, False),
+        (5, 4, "e2", 20.0, False),
+        (5, 4, "e1", 8.9, False),
+    ],
+)
+def test_requests_that_go_on_crashing_servers_are_found(
+    crashes, arrivals, entry, at_s, is_broken
+):
+    book = _promises.Book()
+    _crash(book, crashes)
+    _arrive(book, arrivals, entry, at_s)
+    book.check_crashing_part(_is_calm)
+    assert bool(book.broken) == is_broken
+
+
+def test_crashes_that_others_may_not_know_are_left_out():
+    book = _promises.Book()
+    _crash(book, 4)
+    _crash(book, 4, "e2")
+    _arrive(book, 4)
+    book.check_crashing_part(_is_calm)
+    assert book.broken == []
+
+
+@pytest.mark.parametrize(
+    ("requests", "served", "is_broken"),
+    [(20, 9, True), (20, 10, False), (19, 0, False)],
+)
+def test_refusal_of_sound_requests_is_found(requests, served, is_broken):
+    book = _promises.Book()
+    _crash(book, 5)
+    _ask(book, requests, True, served)
+    _ask(book, requests, False, requests)
+    book.check_crashing_part(_is_calm)
+    assert bool(book.broken) == is_broken
+
+
+def test_entry_vm_outside_the_home_is_found():
+    book = _promises.Book()
+    book.named(["a", "b"], ["a", "b"])
+    assert book.broken == []
+    book.named(["a", "c"], ["a", "b"])
+    assert "outside the home" in book.broken[0]
