--- /dev/null
+++ b/buckthorntack/http1/tests/test_endless_requests.py
@@ -0,0 +1,81 @@
+"""Callers that send bytes without end that are no request."""
+
+import asyncio
+
+import pytest
+
+from buckthorntack import http1
+from buckthorntack import transport
+from buckthorntack.http1.tests import endless
+
+TEST_TIMEOUT_S = 20
+#: No timeout ends a request, so that only sizes do.
+LIMITS = http1.Limits(header_timeout_s=600.0)
+#: Bytes that a caller may send of a piece without end.
+MAX_TAKEN_BYTES = 2 * LIMITS.header_bytes + 65_536
+
+each_request = pytest.mark.parametrize(
+    "parts", endless.REQUESTS.values(), ids=endless.REQUESTS
+)
+
+
+async def handle(request, reply):
+    """Answer with the names of the request's headers."""
+    names = b",".join(name for name, _ in request.headers)
+    reply.send(200, [], names)
+
+
+async def exchange(parts):
+    """Send bytes until the listener closes; return its response."""
+    sock = transport.bind_listener("127.0.0.1:0")
+    listener = http1.Listener(sock, handle, lambda: LIMITS)
+    async with asyncio.timeout(TEST_TIMEOUT_S), listener:
+        host, _, port = listener.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        sent_bytes = 0
+        try:
+            for part in parts:
+                writer.write(part)
+                await writer.drain()
+                sent_bytes += len(part)
+                # Gives the listener time, so that little is in transit.
+                await asyncio.sleep(0.001)
+        except ConnectionError:
+            return sent_bytes, b""
+        response = await reader.read()
+        writer.close()
+        return sent_bytes, response
+
+
+# Guards against a caller that sends chunk lines or trailers without end,
+# which were read and kept until a timeout.
+@each_request
+def test_request_without_end_is_rejected(parts):
+    reads = endless.pieces(*parts, 4096)
+    sent_bytes, _ = asyncio.run(exchange(reads))
+    assert sent_bytes <= MAX_TAKEN_BYTES
+
+
+# Guards against the same where a few bytes too many are sent and no more.
+@each_request
+def test_request_whose_framing_is_too_large_gets_an_error(parts):
+    first, repeated = parts
+    count = (LIMITS.header_bytes + 4096) // len(repeated)
+    _, response = asyncio.run(exchange([first, repeated * count]))
+    assert response.split(b" ")[1] in (b"400", b"431")
+
+
+# Guards against trailers that count as headers of the request.
+def test_trailers_are_no_headers():
+    request = endless.REQUEST_HEAD + b"0\r\nX-Late: 1\r\n\r\n"
+    close = request.replace(b"Host", b"Connection: close\r\nHost")
+    _, response = asyncio.run(exchange([close]))
+    assert response.startswith(b"HTTP/1.1 200")
+    assert b"X-Late" not in response
+
+
+# Guards against a target over the limit that arrives in one read.
+def test_large_target_is_rejected():
+    request = b"GET /%b HTTP/1.1\r\nHost: a\r\n\r\n" % (b"a" * 20_000)
+    _, response = asyncio.run(exchange([request]))
+    assert response.startswith(b"HTTP/1.1 431")
