Limit what a response holds besides its body

Callers of a server that sent heads, interim responses, chunk lines, trailers or answers to other requests without end waited up to their deadline; the head was kept in memory, and the server was not ejected. Cause: http1.Connection counted only buffered body bytes; the limit on answers to other requests counted only whole ones. Change: bytes since the last one of the body (64 KiB), and of answers to other requests (4 MiB), are counted; above, the connection is closed and the attempt counts as lost, with the reason in the log line of the failed attempt.

--- a/buckthorntack/http1/__init__.py
+++ b/buckthorntack/http1/__init__.py
@@ -6,10 +6,12 @@
 from buckthorntack.http1._errors import UnexpectedResponseError
 from buckthorntack.http1._event_boundary import EventBoundary
 from buckthorntack.http1._messages import BodyFraming
+from buckthorntack.http1._messages import count_header_bytes
 from buckthorntack.http1._messages import encode_request
 from buckthorntack.http1._messages import exclude_headers
 from buckthorntack.http1._messages import find_body_framing
 from buckthorntack.http1._messages import find_header
+from buckthorntack.http1._messages import MAX_FRAMING_BYTES
 from buckthorntack.http1._messages import Request
 from buckthorntack.http1._messages import ResponseHead
 from buckthorntack.http1._messages import strip_hop_by_hop_headers
@@ -21,6 +23,7 @@
 __all__ = [
     "BodyFraming",
     "EventBoundary",
+    "MAX_FRAMING_BYTES",
     "IncompleteResponseError",
     "ResponseHead",
     "ConnectError",
@@ -31,6 +34,7 @@
     "Listener",
     "ResponseWriter",
     "Request",
+    "count_header_bytes",
     "encode_request",
     "strip_hop_by_hop_headers",
     "find_body_framing",
--- a/buckthorntack/http1/_client.py
+++ b/buckthorntack/http1/_client.py
@@ -16,6 +16,9 @@
 #: Responses to other requests that are skipped before the connection is
 #: closed.
 MAX_SKIPPED_RESPONSES = 2
+#: Bytes of responses to other requests that are skipped before the connection
+#: is closed.
+MAX_SKIPPED_BYTES = 4_194_304
 _KEEP_ALIVE = re.compile(rb"timeout\s*=\s*(\d+)")
 
 
@@ -50,7 +53,10 @@
         self._status = 0
         self._reason = b""
         self._headers = []
+        #: Bytes received since the last byte of the body.
+        self._framing_bytes = 0
         self._skipped_count = 0
+        self._skipped_bytes = 0
         self._is_skipping = False
         self._complete = False
         self._failure = None
@@ -69,8 +75,17 @@
             self._is_out_of_sync = True
             self.transport.abort()
             return
+        if self._failure is not None:
+            return
+        self._framing_bytes += len(data)
+        was_skipping = self._is_skipping
         try:
             self._parser.feed_data(data)
+            if was_skipping or self._is_skipping:
+                self._skipped_bytes += len(data)
+            self._check_sizes()
+        except _errors.UnexpectedResponseError as error:
+            self._fail(error)
         except httptools.HttpParserUpgrade:
             self._fail(_errors.UnexpectedResponseError("protocol upgrade"))
         except httptools.HttpParserError as error:
@@ -84,6 +99,22 @@
             self._paused = True
             self.transport.pause_reading()
 
+    def _check_sizes(self):
+        """Check the sizes of what is received besides the body.
+
+        :raises UnexpectedResponseError: there is too much of it.
+        """
+        if self._complete:
+            return
+        if self._framing_bytes > _messages.MAX_FRAMING_BYTES:
+            raise _errors.UnexpectedResponseError(
+                "a head, chunk line or trailer section is too large"
+            )
+        if self._skipped_bytes > MAX_SKIPPED_BYTES:
+            raise _errors.UnexpectedResponseError(
+                "responses to other requests are too large"
+            )
+
     def eof_received(self):
         if (
             self._ends_at_close
@@ -106,6 +137,7 @@
             return
         self._headers = []
         self._reason = b""
+        self._is_skipping = False
 
     def on_status(self, status):
         if not self._complete:
@@ -118,6 +150,12 @@
     def on_headers_complete(self):
         if self._complete:
             return
+        header_bytes = _messages.count_header_bytes(self._headers)
+        if header_bytes > _messages.MAX_FRAMING_BYTES:
+            self._fail(
+                _errors.UnexpectedResponseError("the head is too large")
+            )
+            raise self._failure
         status = self._parser.get_status_code()
         self._is_skipping = status < 200 or not self._is_expected_response()
         if self._is_skipping:
@@ -159,7 +197,10 @@
         return response_id is None and self._parser.get_status_code() >= 400
 
     def on_body(self, body):
-        if self._complete or self._is_skipping:
+        if self._complete:
+            return
+        self._framing_bytes = 0
+        if self._is_skipping:
             return
         self._parts.append(body)
         self._buffered_bytes += len(body)
--- a/buckthorntack/http1/_messages.py
+++ b/buckthorntack/http1/_messages.py
@@ -20,6 +20,10 @@
 #: Header fields of message framing, which the sender of each hop sets itself.
 FRAMING_HEADERS = frozenset((b"content-length", b"expect"))
 
+#: Largest head of a response with the interim responses before it, largest
+#: chunk line and largest trailer section.  Servers send some kilobytes.
+MAX_FRAMING_BYTES = 65_536
+
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -92,6 +96,17 @@
     return BodyFraming.CONNECTION_CLOSE
 
 
+def count_header_bytes(headers):
+    """Return the size of the lines of header fields in bytes.
+
+    :param headers: pairs of name and value.
+
+    >>> count_header_bytes([(b"A", b"b")])
+    6
+    """
+    return sum(len(name) + len(value) + 4 for name, value in headers)
+
+
 def exclude_headers(headers, names):
     """Return the header fields whose names are not excluded.
 
