Leave trailers out of the headers

A trailer of a request became a header of it, also one that the gateway sets or checks, and one of a response was passed on if the head was not sent yet. Cause: httptools reports trailers as it reports headers, and both sides appended them to the list of the head. Change: fields after the end of the head are left out (RFC 9110, section 6.5.1).

--- a/buckthorntack/http1/_client.py
+++ b/buckthorntack/http1/_client.py
@@ -57,6 +57,7 @@
         self._framing_bytes = 0
         self._skipped_count = 0
         self._skipped_bytes = 0
+        self._is_reading_head = True
         self._is_skipping = False
         self._complete = False
         self._failure = None
@@ -137,6 +138,7 @@
             return
         self._headers = []
         self._reason = b""
+        self._is_reading_head = True
         self._is_skipping = False
 
     def on_status(self, status):
@@ -144,12 +146,13 @@
             self._reason += status
 
     def on_header(self, name, value):
-        if not self._complete:
+        if not self._complete and self._is_reading_head:
             self._headers.append((name, value))
 
     def on_headers_complete(self):
         if self._complete:
             return
+        self._is_reading_head = False
         header_bytes = _messages.count_header_bytes(self._headers)
         if header_bytes > _messages.MAX_FRAMING_BYTES:
             self._fail(
--- a/buckthorntack/http1/_server.py
+++ b/buckthorntack/http1/_server.py
@@ -233,7 +233,8 @@
         self._target += url
 
     def on_header(self, name, value):
-        self._headers.append((name, value))
+        if self._is_reading_head:
+            self._headers.append((name, value))
 
     def on_headers_complete(self):
         self._is_reading_head = False
