Limit chunk lines, trailers and the target of a request

A caller could send chunk lines and trailers without end up to header_timeout, trailers were kept, and a target above header_bytes was taken in one read. Cause: header_bytes was checked against the head only, without its first line if the head came in one read. Change: header_bytes limits each chunk line and the trailers, too; the caller gets a 431 and its connection is closed.

--- a/buckthorntack/http1/_server.py
+++ b/buckthorntack/http1/_server.py
@@ -181,6 +181,8 @@
         self._body = []
         self._body_bytes = 0
         self._head_bytes = 0
+        #: Bytes received since the head or the last byte of the body.
+        self._framing_bytes = 0
         self._is_reading_head = True
         self._is_reading = False
 
@@ -214,6 +216,8 @@
             return
         if self._is_reading_head:
             self._head_bytes += len(data)
+        else:
+            self._framing_bytes += len(data)
         if not self._is_reading:
             self._is_reading = True
             self._set_timer(self.listener.limits().header_timeout_s)
@@ -223,8 +227,10 @@
             self._reject(400, "upgrades are not supported")
         except httptools.HttpParserError as error:
             self._reject(400, f"not HTTP/1.1: {error}")
-        if not self.refused and self._is_reading_head:
+        if self._is_reading_head:
             self._check_head_size()
+        elif self._framing_bytes > self.listener.limits().header_bytes:
+            self._reject(431, "a chunk line or the trailers are too large")
 
     def eof_received(self):
         return False
@@ -249,6 +255,7 @@
             self.transport.write(CONTINUE)
 
     def on_body(self, body):
+        self._framing_bytes = 0
         self._body.append(body)
         self._body_bytes += len(body)
         self._check_body_size(self._body_bytes)
@@ -309,7 +316,8 @@
     def _check_head_size(self):
         size = self._head_bytes
         if not self._is_reading_head:
-            size = sum(len(n) + len(v) + 4 for n, v in self._headers)
+            size = len(self._target)
+            size += _messages.count_header_bytes(self._headers)
         if size > self.listener.limits().header_bytes:
             self._reject(431, "the header is too large")
 
