Close connections of the entry role that carry no response

Calls of the product's own interface waited for their idle timeout, which each byte renewed, while a server sent heads, chunk lines or trailers without end; an interim response was taken for the answer, and bytes that arrived on an idle connection for a part of the next one. Cause: StreamingTransport parsed all bytes as parts of the pending response, and limited only what it kept of the body. Change: the limit of http1 applies; bytes without a pending response close the connection; interim responses are passed over and trailers left out.

--- a/buckthorntack/transport/_streaming.py
+++ b/buckthorntack/transport/_streaming.py
@@ -20,6 +20,8 @@
 #: Shorter than the idle timeout of servers, so that no connection is reused
 #: at the moment its server closes it.
 MAX_IDLE_SECONDS = 2.0
+#: Responses with a lower status are interim.
+FIRST_FINAL_STATUS = 200
 DEFAULT_PORTS = {"http": 80, "https": 443}
 
 
@@ -37,6 +39,9 @@
         self.is_complete = False
         self.is_reusable = False
         self.ends_at_close = False
+        #: Bytes received since the last byte of the body.
+        self.framing_bytes = 0
+        self.is_reading_head = True
         self.failure = None
         self.idle_since_s = 0.0
         self._waiter = None
@@ -51,6 +56,7 @@
         self.is_complete = False
         self.is_reusable = False
         self.ends_at_close = False
+        self.framing_bytes = 0
 
     def connection_made(self, transport):
         """Store the transport.
@@ -64,19 +70,32 @@
 
         :param data: the bytes.
         """
+        if self.parser is None or self.is_complete or self.failure:
+            # No response is pending, so these bytes belong to no request.
+            self.is_reusable = False
+            self.transport.abort()
+            return
+        self.framing_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError as error:
-            self._fail(
-                httpx.RemoteProtocolError(f"malformed response: {error}")
-            )
-            self.transport.abort()
+            self._reject(f"malformed response: {error}")
+            return
+        is_too_large = self.framing_bytes > http1.MAX_FRAMING_BYTES
+        if is_too_large and not self.is_complete:
+            self._reject("a head, chunk line or trailer section is too large")
             return
         self._wake()
         if self.buffered_bytes > MAX_BUFFERED_BYTES and not self._paused:
             self._paused = True
             self.transport.pause_reading()
 
+    def _reject(self, detail):
+        """Close the connection, as its server sent no valid response."""
+        self.is_reusable = False
+        self._fail(httpx.RemoteProtocolError(detail))
+        self.transport.abort()
+
     def eof_received(self):
         """End a body without framing, and close the transport."""
         if self.ends_at_close and self.failure is None:
@@ -100,17 +119,35 @@
             self.head.exception()
         self._wake()
 
+    def on_message_begin(self):
+        """Prepare for the head of a response or of an interim response."""
+        if self.is_complete:
+            self.is_reusable = False
+            return
+        self.headers = []
+        self.is_reading_head = True
+
     def on_header(self, name, value):
-        """Store a header of the response.
+        """Store a header of the response; trailers are ignored.
 
         :param name: header name.
         :param value: header value.
         """
-        self.headers.append((name, value))
+        if self.is_reading_head and not self.is_complete:
+            self.headers.append((name, value))
 
     def on_headers_complete(self):
-        """Complete the future of the head."""
-        self.status = self.parser.get_status_code()
+        """Complete the future of the head, unless the response is interim."""
+        if self.is_complete:
+            return
+        self.is_reading_head = False
+        status = self.parser.get_status_code()
+        if status < FIRST_FINAL_STATUS:
+            return
+        if http1.count_header_bytes(self.headers) > http1.MAX_FRAMING_BYTES:
+            self._reject("the head is too large")
+            raise self.failure
+        self.status = status
         framing = http1.find_body_framing(self.status, self.headers)
         self.ends_at_close = framing is http1.BodyFraming.CONNECTION_CLOSE
         if not self.head.done():
@@ -121,11 +158,18 @@
 
         :param body: bytes of the part.
         """
+        if self.is_complete:
+            return
+        self.framing_bytes = 0
         self.parts.append(body)
         self.buffered_bytes += len(body)
 
     def on_message_complete(self):
-        """Mark the response as complete."""
+        """Mark the response as complete, unless it is interim."""
+        if self.is_complete:
+            return
+        if self.parser.get_status_code() < FIRST_FINAL_STATUS:
+            return
         self.is_complete = True
         self.is_reusable = self.parser.should_keep_alive()
 
