Limit the size of a whole answer of the own interface

A server whose whole answer had no end filled the memory of the entry VM, as each read renewed the idle timeout. Cause: _read_body kept all parts of an answer without a limit. Change: above 32 MiB the attempt counts as lost in its answer and its connection is closed; a new log line tells why the answer of an attempt was lost.

--- a/buckthorntack/entry/_attempt.py
+++ b/buckthorntack/entry/_attempt.py
@@ -8,9 +8,11 @@
 import msgspec
 
 from buckthorntack import errors
+from buckthorntack import events as logs
 from buckthorntack import http1
 from buckthorntack import retries
 from buckthorntack import transport
+from buckthorntack.entry import _events
 
 ATTEMPT_HEADER = "x-attempt-id"
 STATE_HEADER = "x-run-state"
@@ -18,6 +20,8 @@
 CONNECT_TIMEOUT_SECONDS = 1.0
 #: Timeout of an outcome query or a cancellation as a whole.
 QUERY_TIMEOUT_SECONDS = 2.0
+#: Largest whole answer that is taken.
+MAX_BODY_BYTES = 33_554_432
 EVENT_STREAM_TYPE = "text/event-stream"
 #: Headers of a server's response that are passed on to the caller.
 RESPONSE_HEADERS = ("content-type", "location", "etag", "cache-control")
@@ -67,6 +71,7 @@
         self._pooled = None
         self._unpooled = None
         self._cancel_tasks = set()
+        self._log = logs.EventLog("entry")
 
     async def __aenter__(self):
         self._pooled = transport.StreamingTransport()
@@ -205,7 +210,13 @@
             return retries.Silent(server_id)
         except CONNECT_ERRORS:
             return retries.ConnectRefused(server_id)
-        except httpx.HTTPError:
+        except (httpx.HTTPError, http1.IncompleteResponseError) as error:
+            self._log.write(
+                _events.ANSWER_LOST,
+                server=server_id,
+                attempt=target.attempt_id,
+                error=repr(error),
+            )
             if has_head:
                 return retries.LostMidStream(server_id)
             return retries.LostBeforeHead(server_id)
@@ -252,11 +263,16 @@
 
     async def _read_body(self, response, target, timer, is_stream):
         chunks = []
+        size_bytes = 0
         boundary = http1.EventBoundary()
         async for data in response.stream:
             timer.reschedule(self._next_timeout())
             chunks.append(data)
-            boundary.feed(data)
+            size_bytes += len(data)
+            if size_bytes > MAX_BODY_BYTES:
+                raise http1.UnexpectedResponseError("the body is too large")
+            if is_stream:
+                boundary.feed(data)
         if is_stream and boundary.is_inside_event:
             return retries.LostMidStream(target.server_id)
         body = b"".join(chunks)
--- a/buckthorntack/entry/_events.py
+++ b/buckthorntack/entry/_events.py
@@ -74,3 +74,10 @@
     "A planned stop took longer than drain_ms; its requests were aborted.",
     "raise timing.drain_ms, or set it to 0 to wait for all requests",
 )
+ANSWER_LOST = events.declare(
+    1329,
+    "attempt_answer_lost",
+    logbook.NOTICE,
+    "A backend server's answer broke off, was malformed or had no end.",
+    "check whether the server crashed or sends bytes that are no response",
+)
