Limit an event of a stream, with the comments before it

A server that sent an event without end, or comments and no event, held the stream of its caller up to the deadline; of a stream that can be resumed the gateway kept all of it. Cause: EventStream and EventBoundary looked for the end of an event only.

--- a/buckthorntack/http1/__init__.py
+++ b/buckthorntack/http1/__init__.py
@@ -5,6 +5,7 @@
 from buckthorntack.http1._errors import IncompleteResponseError
 from buckthorntack.http1._errors import UnexpectedResponseError
 from buckthorntack.http1._event_boundary import EventBoundary
+from buckthorntack.http1._event_boundary import MAX_EVENT_BYTES
 from buckthorntack.http1._messages import BodyFraming
 from buckthorntack.http1._messages import count_header_bytes
 from buckthorntack.http1._messages import encode_request
@@ -23,6 +24,7 @@
 __all__ = [
     "BodyFraming",
     "EventBoundary",
+    "MAX_EVENT_BYTES",
     "MAX_FRAMING_BYTES",
     "IncompleteResponseError",
     "ResponseHead",
