Limit what an attempt's stream brings without a new event

A server that sent an event without end, comments or the same event again and again to the entry role held its caller's stream, and the first was kept. Cause: EventRelay waited for the end of an event without a limit, and every byte renewed the idle timeout. Evidence: 3 cases of test_stream_without_a_new_event_is_an_error failed before. Change: after 1 MiB without an event of a greater number than those before on the connection the attempt ends as one with a foreign answer. Events that are sent again after a new connection, in order, are not limited. Measured: these cases, a long stream that is replayed, and test_relay.py pass.

--- a/buckthorntack/entry/_relay.py
+++ b/buckthorntack/entry/_relay.py
@@ -1,5 +1,6 @@
 """Validation of the server-sent events of one attempt."""
 
+from buckthorntack import http1
 from buckthorntack.entry import _errors
 
 END_MARK = b"data: [DONE]"
@@ -37,10 +38,16 @@
         self.error = None
         self._prefix = f"id: {attempt_id}/".encode()
         self._incomplete = b""
+        #: Bytes since the last event with a greater number than those before
+        #: on this connection.
+        self._open_bytes = 0
+        self._last_seen = -1
 
     def on_reconnected(self):
         """Discard the incomplete event of the previous connection."""
         self._incomplete = b""
+        self._open_bytes = 0
+        self._last_seen = -1
 
     def feed(self, data):
         """Process received bytes of the stream.
@@ -49,6 +56,15 @@
         :returns: bytes of the complete events to pass on; empty once
             :attr:`error` is set.
         """
+        self._open_bytes += len(data)
+        complete = self._take_complete(data)
+        events = self._check_events(complete) if complete else b""
+        if self._open_bytes > http1.MAX_EVENT_BYTES:
+            self._set_error("no event with a new number")
+        return b"" if self.error is not None else events
+
+    def _take_complete(self, data):
+        """Return the complete events, and keep the incomplete one."""
         if self._incomplete:
             data = self._incomplete + data
         end = data.rfind(SEPARATOR) + len(SEPARATOR)
@@ -56,8 +72,7 @@
             self._incomplete = data
             return b""
         self._incomplete = data[end:]
-        complete = data[:end] if end < len(data) else data
-        return self._check_events(complete)
+        return data[:end] if end < len(data) else data
 
     def _check_events(self, complete):
         """Return complete events without those that the caller received."""
@@ -77,6 +92,9 @@
     def _record_event(self, event):
         """Record an event and return whether it is new."""
         number = self._parse_number(event)
+        if number > self._last_seen:
+            self._last_seen = number
+            self._open_bytes = len(self._incomplete)
         if number <= self.last_event:
             return False
         if number != self.last_event + 1:
