Limit the body of a refusal that is read

A request that a server refused with a body without end waited up to its deadline, although another server could have answered it. Cause: _discard_body read to the end, so that the connection could be reused. Change: above 64 KiB or 1.5 s the connection is closed, and as the response was not whole the request may have run and the server counts as lost.

--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -26,6 +26,10 @@
 #: Responses with a body up to this size are buffered, so that the request can
 #: be retried if one breaks off; larger ones are passed on as they arrive.
 MAX_BUFFERED_BODY_BYTES = 262_144
+#: Body bytes of a refusal that are read so that its connection can be reused.
+MAX_REFUSAL_BODY_BYTES = 65_536
+#: Longest time to read the body of a refusal.
+REFUSAL_BODY_TIMEOUT_S = 1.5
 #: Maximum number of failed connects for a request; a failed connect sends
 #: nothing.
 MAX_CONNECT_FAILURES = 3
@@ -566,8 +570,23 @@
         return None
 
     async def _discard_body(self, connection):
-        while await connection.read():
-            pass
+        """Read the body of a refusal.
+
+        :raises IncompleteResponseError: the body does not end.
+        """
+        size_bytes = 0
+        try:
+            async with asyncio.timeout(REFUSAL_BODY_TIMEOUT_S):
+                while data := await connection.read():
+                    size_bytes += len(data)
+                    if size_bytes > MAX_REFUSAL_BODY_BYTES:
+                        raise http1.UnexpectedResponseError(
+                            "the body of a refusal is too large"
+                        )
+        except TimeoutError:
+            raise http1.IncompleteResponseError(
+                "the body of a refusal did not end in time"
+            ) from None
 
     async def _relay_buffered(self, connection, head):
         """Relay a response once complete, or as it arrives if large."""
