Count a large body that breaks off as a failure of its server

A server that broke off bodies above 256 KiB, or whose framing became no HTTP in one, counted as healthy and was sent more requests. Cause: _relay_unbuffered took the error, as the caller had a part of the body, and told a completed request. Change: the error ends the attempt as lost, with its log line; a body that has begun and is no stream that can be resumed is not tried elsewhere.

--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -329,6 +329,9 @@
             self.retry_after_ms = result.retry_after_ms
         if self.may_have_run and not self.route.is_idempotent:
             return False
+        if self.reply.started and self.stream is None:
+            # Another response cannot continue the body that was sent.
+            return False
         if (
             isinstance(result, _NotRun)
             and self.send_count == send_count_before
@@ -612,14 +615,10 @@
         for part in parts:
             self.body_bytes += len(part)
             self.reply.write(part)
-        try:
-            while data := await connection.read():
-                self.body_bytes += len(data)
-                self.reply.write(data)
-                await self.reply.flush()
-        except http1.IncompleteResponseError:
-            self.reply.abort()
-            return _Completed()
+        while data := await connection.read():
+            self.body_bytes += len(data)
+            self.reply.write(data)
+            await self.reply.flush()
         self._record_body_end(is_inside_event=False)
         self.reply.end()
         return _Completed()
