Log bytes of a server that belong to no request

Connections with bytes after a whole response, or while idle, were closed without a line that tells why, although the event foreign_answer was declared for them.

--- a/buckthorntack/http1/_client.py
+++ b/buckthorntack/http1/_client.py
@@ -317,6 +317,11 @@
             and self.transport.get_write_buffer_size() == 0
         )
 
+    @property
+    def is_out_of_sync(self):
+        """Whether bytes arrived that belong to no request of this side."""
+        return self._is_out_of_sync
+
     def was_dropped(self):
         """Return whether a reused connection closed before any response byte.
 
--- a/buckthorntack/http1/_pool.py
+++ b/buckthorntack/http1/_pool.py
@@ -73,7 +73,7 @@
             if connection.is_reusable() and is_recent:
                 connection.idle_before_s = idle_before_s
                 return connection
-            connection.close()
+            self._close(key, connection)
         return await self._open(address)
 
     def release(self, key, connection):
@@ -86,11 +86,16 @@
             self._reduce_idle_timeout(key, connection.idle_before_s)
         idle = self._idle[key]
         if not connection.is_reusable() or len(idle) >= MAX_IDLE_CONNECTIONS:
-            connection.close()
+            self._close(key, connection)
             return
         connection.idle_since_s = asyncio.get_running_loop().time()
         idle.append(connection)
 
+    def _close(self, key, connection):
+        if connection.is_out_of_sync:
+            self._log.write(_events.FOREIGN_ANSWER, server=key)
+        connection.close()
+
     def _reduce_idle_timeout(self, key, idle_before_s):
         """Shorten the idle timeout of a server that dropped a connection."""
         timeout_s = max(MIN_IDLE_TIMEOUT_S, DROPPED_IDLE_RATIO * idle_before_s)
