--- a/buckthorntack/http1/tests/test_endless_responses.py
+++ b/buckthorntack/http1/tests/test_endless_responses.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import logbook
 import pytest
 
 from buckthorntack import http1
@@ -190,3 +191,25 @@
         assert body_bytes == 200_000
 
     asyncio.run(scenario())
+
+
+# Guards against connections that are closed for such bytes without a log line.
+def test_bytes_after_a_response_are_logged():
+    head = b"HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 2\r\n\r\n"
+
+    async def scenario():
+        async with (
+            asyncio.timeout(TEST_TIMEOUT_S),
+            endless.EndlessServer(head + b"ok", b"a") as server,
+        ):
+            with http1.ConnectionPool(2.0, b"x-id") as pool:
+                connection = await pool.acquire("s", server.address)
+                connection.send(REQUEST, b"7")
+                await read_all(connection)
+                while not connection.is_out_of_sync:  # noqa: ASYNC110
+                    await asyncio.sleep(0.005)
+                pool.release("s", connection)
+
+    with logbook.TestHandler() as handler:
+        asyncio.run(scenario())
+    assert any("foreign_answer" in line for line in handler.formatted_records)
--- a/buckthorntack/platform/tests/test_endless_servers.py
+++ b/buckthorntack/platform/tests/test_endless_servers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import logbook
 import pytest
 
 from buckthorntack.platform import _headers
@@ -222,3 +223,18 @@
         assert len(answer.body) == 256 * 16_384
 
     test_requests.run(scenario, SERVER)
+
+
+# Guards against a failed attempt whose log line does not tell why.
+@each_answer
+def test_reason_of_the_failed_attempt_is_logged(sent):
+    async def scenario(world):
+        world.servers["s1"].behave = send_without_end(*sent)
+        await world.ask(test_requests.UNSAFE, method="POST")
+
+    with logbook.TestHandler() as handler:
+        test_requests.run(scenario, SERVER)
+    lines = handler.formatted_records
+    failed = [line for line in lines if "attempt_failed" in line]
+    assert len(failed) == 1
+    assert "too large" in failed[0]
