--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -27,6 +27,10 @@
 #: Responses with a body up to this size are buffered, so that the request can
 #: be retried if one breaks off; larger ones are passed on as they arrive.
 MAX_BUFFERED_BODY_BYTES = 262_144
+#: Body bytes of a refusal that are read so that its connection can be reused.
+MAX_REFUSAL_BODY_BYTES = 65_536
+#: Longest time to read the body of a refusal.
+REFUSAL_BODY_TIMEOUT_S = 1.5
 #: Maximum number of failed connects for a request; a failed connect sends
 #: nothing.
 MAX_CONNECT_FAILURES = 3
@@ -163,8 +167,6 @@
         self.incarnation = None
         #: Whether the quarantine knows that the last answer went on.
         self.has_continued = False
-        #: Error of a large answer that broke off while it was relayed.
-        self.relay_error = None
         #: Framing, size and end of the body of the last attempt.
         self.framing = ""
         self.body_bytes = 0
@@ -348,6 +350,9 @@
             self.retry_after_ms = result.retry_after_ms
         if self.may_have_run and not self.route.is_idempotent:
             return False
+        if self.reply.started and self.stream is None:
+            # Another response cannot continue the body that was sent.
+            return False
         if (
             isinstance(result, _NotRun)
             and self.send_count == send_count_before
@@ -410,8 +415,6 @@
                 connection, decision.expected_ms, in_flight
             )
             outcome = _classify_outcome(result, self.reply.status)
-            if self.relay_error is not None:
-                self._record_crash(self.relay_error)
         except http1.ConnectError as error:
             outcome = Outcome.LOST
             result = _NotSent(error.detail)
@@ -598,8 +601,23 @@
         return None
 
     async def _discard_body(self, connection):
-        while await connection.read():
-            pass
+        """Read the body of a refusal.
+
+        :raises IncompleteResponseError: the body does not end.
+        """
+        size_bytes = 0
+        try:
+            async with asyncio.timeout(REFUSAL_BODY_TIMEOUT_S):
+                while data := await connection.read():
+                    size_bytes += len(data)
+                    if size_bytes > MAX_REFUSAL_BODY_BYTES:
+                        raise http1.UnexpectedResponseError(
+                            "the body of a refusal is too large"
+                        )
+        except TimeoutError:
+            raise http1.IncompleteResponseError(
+                "the body of a refusal did not end in time"
+            ) from None
 
     async def _relay_buffered(self, connection, head):
         """Relay a response once complete, or as it arrives if large."""
@@ -625,16 +643,11 @@
         for part in parts:
             self.body_bytes += len(part)
             self.reply.write(part)
-        try:
-            while data := await connection.read():
-                self._note_answer_data(head)
-                self.body_bytes += len(data)
-                self.reply.write(data)
-                await self.reply.flush()
-        except http1.IncompleteResponseError as error:
-            self.relay_error = error
-            self.reply.abort()
-            return _Completed()
+        while data := await connection.read():
+            self._note_answer_data(head)
+            self.body_bytes += len(data)
+            self.reply.write(data)
+            await self.reply.flush()
         self._record_body_end(is_inside_event=False)
         self.reply.end()
         self._note_answer_end(head)
@@ -906,7 +919,6 @@
         self.answer_started_s = None
         self.incarnation = None
         self.has_continued = False
-        self.relay_error = None
         self.framing = ""
         self.body_bytes = 0
         self.ended_inside_event = False
