Start a process of the soak once when faults overlap

Two faults that overlap at one node each found its process ended and each started one; the first of them was never ended.

Node.ensure_running holds a lock over the check and the start.

--- a/tools/soak/_processes.py
+++ b/tools/soak/_processes.py
@@ -43,6 +43,8 @@
         self.proxies = {}
         self.first_start = True
         self._log_start_bytes = 0
+        #: Held while its process is started: faults may overlap.
+        self._start_lock = asyncio.Lock()
         self._stack = contextlib.AsyncExitStack()
 
     @property
@@ -119,6 +121,13 @@
             )
         self.first_start = False
 
+    async def ensure_running(self):
+        """Start its process if that has ended, or let it go on."""
+        async with self._start_lock:
+            self.signal(signal.SIGCONT)
+            if self.process.returncode is not None:
+                await self.start()
+
     async def wait_started(self):
         """Wait until its process has started or ended."""
         while not self._is_settled():  # noqa: ASYNC110
--- a/tools/soak/_soak.py
+++ b/tools/soak/_soak.py
@@ -162,7 +162,7 @@
             await asyncio.sleep(self.rng.uniform(*PAUSE_S))
         await asyncio.gather(*running)
         for node in self.nodes.values():
-            await self._ensure(node)
+            await node.ensure_running()
         await asyncio.sleep(RECOVER_S)
         before = self.book.answers[200]
         streams_before = self._count_streams()
@@ -213,16 +213,11 @@
             for since_s, until_s in self.faults[name]
         )
 
-    async def _ensure(self, node):
-        node.signal(signal.SIGCONT)
-        if node.process.returncode is not None:
-            await node.start()
-
     async def kill(self, node, hold_s):
         """A process is killed and starts again."""
         await node.kill()
         await asyncio.sleep(hold_s / 4)
-        await self._ensure(node)
+        await node.ensure_running()
 
     async def herd(self, node, hold_s):
         """All control VMs, or all entry VMs, are killed at once."""
@@ -230,7 +225,7 @@
         for victim in victims:
             await victim.kill()
         for victim in victims:
-            await self._ensure(victim)
+            await victim.ensure_running()
 
     async def stop(self, node, hold_s):
         """A planned stop, and a start."""
@@ -239,7 +234,7 @@
         if not await node.stop() and node.process.returncode != -9:
             code = node.process.returncode
             self.book.break_time(f"{node.name} ended with {code}")
-        await self._ensure(node)
+        await node.ensure_running()
 
     async def stop_region(self, node, hold_s):
         """Planned stops of a region's entry VMs, one after the other."""
@@ -263,7 +258,7 @@
         self._wiping = True
         await node.kill()
         node.wipe()
-        await self._ensure(node)
+        await node.ensure_running()
         await asyncio.sleep(RECOVER_S)
         self._wiping = False
 
