Do not let one request's crashes hide a part that was sound before

A part of a prompt that answers went on for, and that then began to crash servers, was not refused: each request with it was blamed after three crashes of its own, and so were parts that only this request had, which explained the crashes away.

Now a blamed subject explains crashes of others only if several of the lost requests had it; lost subjects carry a hash of their request. For a subject known to be sound all crashes since its last answer count, of which one must be unexplained, in moments 300 ms apart (before: 1 s).

Parts without answers before keep all bounds, as before, also beside 20,000 distinct parts a minute (new test).

--- a/buckthorntack/quarantine/_evidence.py
+++ b/buckthorntack/quarantine/_evidence.py
@@ -15,6 +15,8 @@
 
 class _Lost(NamedTuple):
     depth: int
+    #: Hash of the request that had it; empty if several had.
+    request: str
     #: Shortest time from the start of an attempt to the crash.
     ran_for: datetime.timedelta
 
@@ -42,6 +44,7 @@
         subjects: tuple[_types.Subject, ...],
         at: datetime.timedelta,
         ran_for: datetime.timedelta,
+        request: str,
     ) -> list[str]:
         """Add subjects to a crash.
 
@@ -50,6 +53,8 @@
         :param at: monotonic time of the crash; the earliest one reported
             counts.
         :param ran_for: time from the start of the attempt to the crash.
+        :param request: hash of the whole request; empty if several had the
+            subjects.
         :returns: keys of the subjects that are new to the crash.
         """
         crash = self._crashes.get(crash_id)
@@ -61,12 +66,15 @@
         for key, depth in subjects:
             known = crash.lost_by_key.get(key)
             if known is not None:
-                if ran_for < known.ran_for:
-                    crash.lost_by_key[key] = _Lost(depth, ran_for)
+                crash.lost_by_key[key] = _Lost(
+                    depth,
+                    request if request == known.request else "",
+                    min(ran_for, known.ran_for),
+                )
                 continue
             if len(crash.lost_by_key) >= self.settings.max_subjects_of_crash:
                 continue
-            crash.lost_by_key[key] = _Lost(depth, ran_for)
+            crash.lost_by_key[key] = _Lost(depth, request, ran_for)
             self._crash_ids_by_key.setdefault(key, set()).add(crash_id)
             added.append(key)
         if len(self._crashes) > self.settings.max_crashes:
@@ -140,6 +148,26 @@
         lost_by_key = self._crashes[crash_id].lost_by_key
         return sum(key not in lost_by_key for key, _ in subjects)
 
+    def find_request(self, crash_id: _types.CrashId, key: str) -> str:
+        """Return the only request that had a subject at a crash.
+
+        :param crash_id: the crash.
+        :param key: key of the subject.
+        :returns: hash of the request; empty if several had it.
+        """
+        return self._crashes[crash_id].lost_by_key[key].request
+
+    def is_shared(self, key: str) -> bool:
+        """Whether several requests that were lost had a subject.
+
+        :param key: key of the subject.
+        """
+        requests = {
+            self.find_request(crash_id, key)
+            for crash_id in self._crash_ids_by_key.get(key, ())
+        }
+        return len(requests) > 1 or "" in requests
+
     def find_depth(self, key: str) -> int:
         """Return the place of a subject in the prompt.
 
--- a/buckthorntack/quarantine/_quarantine.py
+++ b/buckthorntack/quarantine/_quarantine.py
@@ -102,8 +102,9 @@
         """
         self._evaluate_settled(now)
         if self._unevaluated:
+            explaining = self._explaining()
             for key, _ in subjects:
-                if self._rank(key, now) is not None:
+                if self._rank(key, explaining, now) is not None:
                     return _types.Refused(key, self.settings.retry_after)
         if not self._blames:
             return _types.Admitted()
@@ -235,7 +236,11 @@
         """
         _, subjects, sent_at, ended_at = attempt
         ran_for = ended_at - sent_at
-        added = self._add_subjects(crash_id, subjects, ended_at, ran_for)
+        request = xxhash.xxh32_hexdigest(subjects[0].key.encode())
+        added = self._evidence.add(
+            crash_id, subjects, ended_at, ran_for, request
+        )
+        self._note_cut(crash_id, subjects)
         if not added:
             return False
         self._reported_crashes.setdefault(crash_id, ended_at)
@@ -270,10 +275,13 @@
         )
         is_first = crash_id not in self._evidence
         is_new = False
-        for key, depth, ran_ms, good_age_ms in record.subjects:
+        for key, depth, request, ran_ms, good_age_ms in record.subjects:
             subjects = (_types.Subject(key, depth),)
-            if self._add_subjects(crash_id, subjects, at, ran_ms * _MS):
+            if self._evidence.add(
+                crash_id, subjects, at, ran_ms * _MS, request
+            ):
                 is_new = True
+            self._note_cut(crash_id, subjects)
             if good_age_ms >= 0:
                 self._reported_good.record(key, now - good_age_ms * _MS)
         if is_new:
@@ -282,13 +290,11 @@
         if is_first:
             self._report_unframed_ends(crash_id, now)
 
-    def _add_subjects(self, crash_id, subjects, at, ran_for):
-        added = self._evidence.add(crash_id, subjects, at, ran_for)
+    def _note_cut(self, crash_id, subjects):
         cut = self._evidence.count_missing(crash_id, subjects)
         if cut:
             change = _types.SubjectsCut(crash_id.server_id, cut)
             self._changes.append(change)
-        return added
 
     def _merge_blame(self, record, now):
         blame = _blames.decode(record, now)
@@ -340,11 +346,15 @@
         if crash_id not in self._evidence:
             return blamed
         keys = self._evidence.list_keys(crash_id)
-        while not self._evidence.is_explained(crash_id, self._blames.keys()):
+        while True:
+            explaining = self._explaining()
+            if self._evidence.is_explained(crash_id, explaining):
+                break
             ranked = [
                 (rank, key)
                 for key in keys
-                if (rank := self._rank(key, now)) is not None
+                if key not in self._blames
+                and (rank := self._rank(key, explaining, now)) is not None
             ]
             if not ranked:
                 break
@@ -353,9 +363,19 @@
             blame = _blames.Blame(depth, now, 0, None)
             self._add_blame(key, blame, rank[0])
             blamed.append(key)
+            if depth:
+                break
         return blamed
 
-    def _rank(self, key, now):
+    def _explaining(self):
+        """Keys of the blamed subjects that explain crashes of others.
+
+        One that a single request had does not: other parts of that request
+        may crash servers in other requests.
+        """
+        return {key for key in self._blames if self._evidence.is_shared(key)}
+
+    def _rank(self, key, explaining, now):
         """Return the strength of the evidence; None if it is not enough."""
         settings = self.settings
         good_at = self._last_good(key)
@@ -371,16 +391,16 @@
         unexplained = [
             crash_id
             for crash_id in crash_ids
-            if not self._evidence.is_explained(crash_id, self._blames.keys())
+            if not self._evidence.is_explained(crash_id, explaining)
         ]
+        if not unexplained:
+            return None
         moment, min_moments = 0 * _MS, settings.min_moments
         if is_good:
-            # The crashes of other subjects end its attempts as well.
-            crash_ids = unexplained
             moment = settings.moment_of_good
             min_moments = settings.min_moments_of_good
         moments = self._evidence.count_moments(key, crash_ids, moment)
-        if len(crash_ids) < min_crashes or moments < min_moments:
+        if moments < min_moments:
             return None
         depth = self._evidence.find_depth(key)
         # A tie goes to the subject without an answer for the longest time.
@@ -438,6 +458,7 @@
         crashes = [
             self._encode_crash(crash_id, subjects, now)
             for crash_id, subjects in self._unsent_subjects.items()
+            if crash_id in self._evidence
         ]
         blames = self._encode_blames(self._unsent_blames, now)
         clears = [
@@ -452,7 +473,11 @@
     def _encode_crash(self, crash_id, subjects, now):
         records = [
             messages.LostSubject(
-                key, depth, ran_for // _MS, self._good_age_ms(key, now)
+                key,
+                depth,
+                self._evidence.find_request(crash_id, key),
+                ran_for // _MS,
+                self._good_age_ms(key, now),
             )
             for key, (depth, ran_for) in subjects.items()
         ]
--- a/buckthorntack/quarantine/_types.py
+++ b/buckthorntack/quarantine/_types.py
@@ -106,7 +106,7 @@
     min_moments: int = 2
     min_moments_of_good: int = 3
     #: Crashes of one moment are closer together than this.
-    moment_of_good: datetime.timedelta = _SECOND
+    moment_of_good: datetime.timedelta = 300 * _MS
     #: Time from the first report of a crash until reports of other entry VMs
     #: should have come.
     settling: datetime.timedelta = 100 * _MS
--- a/buckthorntack/quarantine/tests/test_crashing_parts.py
+++ b/buckthorntack/quarantine/tests/test_crashing_parts.py
@@ -16,6 +16,7 @@
 CULPRIT_RATE = 4.0
 SOUND_RATE = 30.0
 SEEDS = range(4)
+MORE_SEEDS = range(8)
 #: When the mended part no longer crashes servers.
 REPAIRED_S = 25.0
 
@@ -29,24 +30,42 @@
     )
 
 
-def draw_culprit_parts(part, place, rng):
+def draw_distinct_parts(rng):
+    """Parts of a sound request, of which others share only the first."""
+    return (
+        _simulation.FIRST_PART,
+        f"file{rng.getrandbits(64)}",
+        f"note{rng.getrandbits(64)}",
+    )
+
+
+def draw_culprit_parts(part, place, draw_parts, rng):
     """Parts of a sound request with another one put in."""
-    parts = list(draw_sound_parts(rng))
+    parts = list(draw_parts(rng))
     parts.insert(place, part)
     return tuple(parts)
 
 
-def start(seed, culprits, sound_rate=SOUND_RATE, **options):
+def start(
+    seed,
+    culprits,
+    sound_rate=SOUND_RATE,
+    draw_parts=draw_sound_parts,
+    culprits_from_s=ONSET_S,
+    **options,
+):
     """Start a simulation.
 
     :param culprits: place by part that crashes servers.
+    :param draw_parts: function that draws the parts of a sound request.
+    :param culprits_from_s: when requests with these parts begin to come.
     """
     world = _simulation.Simulation(seed, **options)
-    world.add_traffic(sound_rate, 0.0, END_S, draw_sound_parts)
+    world.add_traffic(sound_rate, 0.0, END_S, draw_parts)
     for part, place in culprits.items():
         world.at(ONSET_S, world.start_crashing, part)
-        draw = functools.partial(draw_culprit_parts, part, place)
-        world.add_traffic(CULPRIT_RATE, ONSET_S, END_S, draw)
+        draw = functools.partial(draw_culprit_parts, part, place, draw_parts)
+        world.add_traffic(CULPRIT_RATE, culprits_from_s, END_S, draw)
     return world
 
 
@@ -94,6 +113,34 @@
         assert_bounds(world)
 
 
+# Guards against blame for parts that no other request has, 20,000 a minute,
+# which hides the part that all crashes share.
+@pytest.mark.parametrize("place", [1, 3])
+def test_part_beside_distinct_parts_is_refused(place):
+    for seed in SEEDS:
+        world = start(
+            seed,
+            {"culprit": place},
+            sound_rate=333.0,
+            draw_parts=draw_distinct_parts,
+            servers=20,
+        )
+        world.run(END_S)
+        assert_bounds(world)
+
+
+# Guards against a part that was answered before it began to crash servers,
+# while parts that happen to run beside it are blamed.
+@pytest.mark.parametrize("servers", [6, 3])
+@pytest.mark.parametrize("count", [1, 2])
+def test_part_that_was_sound_before_is_refused(count, servers):
+    for seed in MORE_SEEDS:
+        culprits = {f"culprit{number}": 1 for number in range(count)}
+        world = start(seed, culprits, culprits_from_s=0.0, servers=servers)
+        world.run(END_S)
+        assert_bounds(world)
+
+
 # Guards against a part whose broken answers look complete, as they end with
 # their connections.
 def test_part_whose_broken_answers_look_complete_is_refused():
--- a/buckthorntack/schema/_generated/quarantine.py
+++ b/buckthorntack/schema/_generated/quarantine.py
@@ -12,6 +12,7 @@
 
     key: str
     depth: int
+    request: str
     ran_ms: int
     good_age_ms: int
 
