--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -733,9 +733,7 @@
 
     def _is_quarantined(self):
         """Send the final failure if the quarantine refuses the request."""
-        verdict = self.shared_state.quarantine.check(
-            self.subjects, self.handler.clock.monotonic()
-        )
+        verdict = self._check_quarantine(self.handler.clock.monotonic())
         if not isinstance(verdict, quarantine.Refused):
             return False
         self.handler.metrics.record_quarantine_refusal()
@@ -744,13 +742,18 @@
         )
         return True
 
+    def _check_quarantine(self, now):
+        return self.shared_state.quarantine.check(
+            self.subjects, now, is_retry=self.send_count > 0
+        )
+
     def _start_attempt(self, server):
         """Return whether a server may get the request now.
 
         :param server: its ``AnnouncedServer``.
         """
         now = self.handler.clock.monotonic()
-        verdict = self.shared_state.quarantine.check(self.subjects, now)
+        verdict = self._check_quarantine(now)
         if isinstance(verdict, quarantine.Refused):
             return False
         if isinstance(verdict, quarantine.Trial):
--- a/buckthorntack/quarantine/_quarantine.py
+++ b/buckthorntack/quarantine/_quarantine.py
@@ -91,6 +91,7 @@
         self,
         subjects: tuple[_types.Subject, ...],
         now: datetime.timedelta,
+        is_retry: bool = False,
     ) -> _types.Verdict:
         """Check an attempt; each needs this, directly before it is sent.
 
@@ -99,11 +100,15 @@
 
         :param subjects: result of :func:`list_subjects`.
         :param now: current monotonic time.
+        :param is_retry: whether a server got the request before.  While a
+            crash is still evaluated, a retry is refused only for its parts.
         """
         self._evaluate_settled(now)
         if self._unevaluated:
             explaining = self._explaining()
-            for key, _ in subjects:
+            for key, depth in subjects:
+                if is_retry and not depth:
+                    continue
                 if self._rank(key, explaining, now) is not None:
                     return _types.Refused(key, self.settings.retry_after)
         if not self._blames:
