Refuse a whole request only from its caller's next attempt on

Cause: three resets blame the whole request, and each retry was checked against this. The check before the quarantine was made once, at the start.

Change: a retry is refused for its parts alone.

Result: the new test failed before and passes; modules quarantine and platform/test_requests pass.

--- a/buckthorntack/quarantine/_quarantine.py
+++ b/buckthorntack/quarantine/_quarantine.py
@@ -100,15 +100,16 @@
 
         :param subjects: result of :func:`list_subjects`.
         :param now: current monotonic time.
-        :param is_retry: whether a server got the request before.  While a
-            crash is still evaluated, a retry is refused only for its parts.
+        :param is_retry: whether a server got the request before.  A retry is
+            refused only for its parts; the whole request is refused when it
+            is sent again by its caller.
         """
         self._evaluate_settled(now)
+        if is_retry:
+            subjects = tuple(subject for subject in subjects if subject.depth)
         if self._unevaluated:
             explaining = self._explaining()
-            for key, depth in subjects:
-                if is_retry and not depth:
-                    continue
+            for key, _ in subjects:
                 if self._rank(key, explaining, now) is not None:
                     return _types.Refused(key, self.settings.retry_after)
         if not self._blames:
--- a/buckthorntack/quarantine/tests/test_quarantine.py
+++ b/buckthorntack/quarantine/tests/test_quarantine.py
@@ -257,6 +257,21 @@
     assert table.list_blamed() == ["request/q"]
 
 
+# A request that two servers had reset, one of which was sound again, was not
+# sent on to that one after a further reset, if this took over 100 ms.
+def test_whole_request_is_refused_from_its_callers_next_attempt_on():
+    table = quarantine.Quarantine("e1")
+    for number in range(3):
+        now = SECOND + number * GAP
+        crash(table, number, now, subjects("a", request="q"))
+        table.on_answer_continued(subjects("a", request="r"), now + GAP / 2)
+    assert table.list_blamed() == ["request/q"]
+    lost = subjects("a", request="q")
+    retry = table.check(lost, now + GAP, is_retry=True)
+    assert isinstance(retry, quarantine.Admitted)
+    assert isinstance(table.check(lost, now + GAP), quarantine.Refused)
+
+
 # Guards against crashes that count after an equal request was answered.
 def test_answered_request_is_cleared_of_crashes():
     table = quarantine.Quarantine("e1")
