Count no malformed response as a crash of its request

What callers saw: after three attempts that servers answered with bytes that are no response, 503 for ten seconds, as if the request crashed servers. Cause: every broken attempt counted as lost at a crash.

Result: test_malformed_responses_are_no_crashes_of_the_request failed before and passes.

--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -832,8 +832,12 @@
             self.handler.on_quarantine_changed()
 
     def _record_crash(self, error):
-        """Record a connection that broke while its server ran the request."""
-        is_new = not self.has_continued and (
+        """Record a connection that broke while its server ran the request.
+
+        A server that sends bytes which are no response has not crashed.
+        """
+        is_crash = not isinstance(error, http1.UnexpectedResponseError)
+        is_new = (is_crash and not self.has_continued) and (
             self.shared_state.quarantine.on_attempt_lost(
                 self.incarnation,
                 self.subjects,
--- a/buckthorntack/platform/tests/test_requests.py
+++ b/buckthorntack/platform/tests/test_requests.py
@@ -146,6 +146,24 @@
     run(scenario, ("s1", "desk"), ("s2", "desk"))
 
 
+# A request was refused as one that crashes servers, after servers had answered
+# it with bytes that are no response.
+def test_malformed_responses_are_no_crashes_of_the_request():
+    async def scenario(world):
+        async def garble(server, request, reply):
+            reply.connection.transport.write(b"HTTP/9 no response\r\n\r\n")
+
+        for server in world.servers.values():
+            server.behave = garble
+        for _ in range(4):
+            assert (await world.ask(SAFE)).status == 502
+        for server in world.servers.values():
+            server.behave = _standins.answer_whole
+        assert (await world.ask(SAFE)).status == 200
+
+    run(scenario, ("s1", "desk"), ("s2", "desk"))
+
+
 def test_attempts_are_counted_over_regions():
     async def scenario(world):
         gate = asyncio.Event()
