Tell the shared quarantine which request lost an attempt on our own path

Cause: a blamed subject explains crashes only if several requests had it, and the request was taken to be the first subject, which on our own path is the first prompt block: alike in all of them, or missing.

Change: on_attempt_lost takes the fingerprint; requests without subjects are not reported.

--- a/buckthorntack/entry/_prompt_quarantine.py
+++ b/buckthorntack/entry/_prompt_quarantine.py
@@ -117,8 +117,14 @@
         # A crash may be confirmed seconds later, so that crashes at one time
         # would seem to be apart.
         for lost in sorted(crash.requests, key=lambda lost: lost.lost_at):
+            if not lost.subjects:
+                continue
             self._quarantine.on_attempt_lost(
-                incarnation, lost.subjects, lost.sent_at, lost.lost_at
+                incarnation,
+                lost.subjects,
+                lost.sent_at,
+                lost.lost_at,
+                lost.fingerprint,
             )
 
     def merge(
--- a/buckthorntack/quarantine/_quarantine.py
+++ b/buckthorntack/quarantine/_quarantine.py
@@ -181,6 +181,7 @@
         subjects: tuple[_types.Subject, ...],
         sent_at: datetime.timedelta,
         now: datetime.timedelta,
+        fingerprint: str = "",
     ) -> bool:
         """Record an attempt whose connection broke before its answer went on.
 
@@ -190,10 +191,18 @@
         :param subjects: subjects of the attempt.
         :param sent_at: monotonic time at which the attempt was sent.
         :param now: current monotonic time.
+        :param fingerprint: identifier shared by equal requests; needed if the
+            whole request is not the first of the subjects.
         :returns: whether the crash is new for one of the subjects.
         """
         crash_id = self._evidence.identify(incarnation, sent_at)
-        attempt = _types.Attempt(incarnation, subjects, sent_at, now)
+        attempt = _types.Attempt(
+            incarnation,
+            subjects,
+            sent_at,
+            now,
+            fingerprint or subjects[0].key,
+        )
         is_first = crash_id not in self._evidence
         is_new = self._report(crash_id, attempt, now)
         if is_first:
@@ -217,7 +226,9 @@
         :param sent_at: monotonic time at which the attempt was sent.
         :param now: current monotonic time.
         """
-        attempt = _types.Attempt(incarnation, subjects, sent_at, now)
+        attempt = _types.Attempt(
+            incarnation, subjects, sent_at, now, subjects[0].key
+        )
         self._unframed_ends.append(attempt)
         crash_id = self._evidence.identify(incarnation, sent_at)
         self._report_unframed_ends(crash_id, now)
@@ -240,9 +251,9 @@
 
         :returns: whether the crash is new for one of its subjects.
         """
-        _, subjects, sent_at, ended_at = attempt
+        _, subjects, sent_at, ended_at, fingerprint = attempt
         ran_for = ended_at - sent_at
-        request = xxhash.xxh32_hexdigest(subjects[0].key.encode())
+        request = xxhash.xxh32_hexdigest(fingerprint.encode())
         added = self._evidence.add(
             crash_id, subjects, ended_at, ran_for, request
         )
--- a/buckthorntack/quarantine/_types.py
+++ b/buckthorntack/quarantine/_types.py
@@ -61,6 +61,8 @@
     subjects: tuple[Subject, ...]
     sent_at: datetime.timedelta
     ended_at: datetime.timedelta
+    #: Identifier shared by equal requests.
+    fingerprint: str
 
 
 class SubjectBlamed(NamedTuple):
