--- a/buckthorntack/entry/_attempt.py
+++ b/buckthorntack/entry/_attempt.py
@@ -8,9 +8,11 @@
 import msgspec
 
 from buckthorntack import errors
+from buckthorntack import events as logs
 from buckthorntack import http1
 from buckthorntack import retries
 from buckthorntack import transport
+from buckthorntack.entry import _events
 
 ATTEMPT_HEADER = "x-attempt-id"
 STATE_HEADER = "x-run-state"
@@ -18,6 +20,8 @@
 CONNECT_TIMEOUT_SECONDS = 1.0
 #: Timeout of an outcome query or a cancellation as a whole.
 QUERY_TIMEOUT_SECONDS = 2.0
+#: Largest whole answer that is taken.
+MAX_BODY_BYTES = 33_554_432
 EVENT_STREAM_TYPE = "text/event-stream"
 #: Headers of a server's response that are passed on to the caller.
 RESPONSE_HEADERS = ("content-type", "location", "etag", "cache-control")
@@ -67,6 +71,7 @@
         self._pooled = None
         self._unpooled = None
         self._cancel_tasks = set()
+        self._log = logs.EventLog("entry")
 
     async def __aenter__(self):
         self._pooled = transport.StreamingTransport()
@@ -78,7 +83,9 @@
         await self._pooled.aclose()
         await self._unpooled.aclose()
 
-    async def run(self, request, target, priority, sink, relay, on_head):
+    async def run(
+        self, request, target, priority, sink, relay, on_head, on_data
+    ):
         """Send a request to a backend server and receive its response.
 
         :param request: the ``GatewayRequest``.
@@ -87,6 +94,7 @@
         :param sink: sink that the events of a stream are written to.
         :param relay: the ``EventRelay`` of a stream, else ``None``.
         :param on_head: function called when the head has been received.
+        :param on_data: function called when data has been received.
         :returns: :class:`Completed` or a failure type of ``retries``.
         """
         headers = {
@@ -101,16 +109,17 @@
         )
         response_context = _open_response(client, outgoing)
         return await self._receive(
-            response_context, target, sink, relay, on_head
+            response_context, target, sink, relay, on_head, on_data
         )
 
-    async def resume(self, target, sink, relay, on_head):
+    async def resume(self, target, sink, relay, on_head, on_data=lambda: None):
         """Receive the rest of an attempt's response on a new connection.
 
         :param target: the :class:`Target`.
         :param sink: sink that the events of a stream are written to.
         :param relay: the ``EventRelay`` of a stream, else ``None``.
         :param on_head: function called when the head has been received.
+        :param on_data: function called when data has been received.
         :returns: :class:`Completed` or a failure type of ``retries``.
         """
         after = relay.last_event if relay is not None else -1
@@ -121,7 +130,7 @@
             self._unpooled, _build_request("GET", url)
         )
         result = await self._receive(
-            response_context, target, sink, relay, on_head
+            response_context, target, sink, relay, on_head, on_data
         )
         if isinstance(result, Completed) and result.status == 404:
             return retries.ResumeFailed(target.server_id)
@@ -186,7 +195,9 @@
         except (httpx.HTTPError, TimeoutError):
             return
 
-    async def _receive(self, response_context, target, sink, relay, on_head):
+    async def _receive(
+        self, response_context, target, sink, relay, on_head, on_data
+    ):
         server_id = target.server_id
         has_head = False
         try:
@@ -199,13 +210,19 @@
                         return retries.CrossedAnswer(server_id)
                     on_head()
                     return await self._read_response(
-                        response, target, sink, relay, timer
+                        response, target, sink, relay, timer, on_data
                     )
         except TimeoutError:
             return retries.Silent(server_id)
         except CONNECT_ERRORS:
             return retries.ConnectRefused(server_id)
-        except httpx.HTTPError:
+        except (httpx.HTTPError, http1.IncompleteResponseError) as error:
+            self._log.write(
+                _events.ANSWER_LOST,
+                server=server_id,
+                attempt=target.attempt_id,
+                error=repr(error),
+            )
             if has_head:
                 return retries.LostMidStream(server_id)
             return retries.LostBeforeHead(server_id)
@@ -214,19 +231,26 @@
         now = asyncio.get_running_loop().time()
         return now + self.idle_timeout.total_seconds()
 
-    async def _read_response(self, response, target, sink, relay, timer):
+    async def _read_response(
+        self, response, target, sink, relay, timer, on_data
+    ):
         kind = response.headers.get("content-type", "")
         is_stream = kind.startswith(EVENT_STREAM_TYPE)
         if relay is not None and is_stream and response.status_code == 200:
             return await self._read_events(
-                response, target, sink, relay, timer
+                response, target, sink, relay, timer, on_data
             )
-        return await self._read_body(response, target, timer, is_stream)
+        return await self._read_body(
+            response, target, timer, is_stream, on_data
+        )
 
-    async def _read_events(self, response, target, sink, relay, timer):
+    async def _read_events(
+        self, response, target, sink, relay, timer, on_data
+    ):
         loop = asyncio.get_running_loop()
         idle_timeout_s = self.idle_timeout.total_seconds()
         async for data in response.stream:
+            on_data()
             if timer.when() - loop.time() < idle_timeout_s / 2:
                 timer.reschedule(loop.time() + idle_timeout_s)
             events = relay.feed(data)
@@ -250,13 +274,19 @@
             await sink.start(200, headers, target.attempt_id)
         await sink.write(events)
 
-    async def _read_body(self, response, target, timer, is_stream):
+    async def _read_body(self, response, target, timer, is_stream, on_data):
         chunks = []
+        size_bytes = 0
         boundary = http1.EventBoundary()
         async for data in response.stream:
+            on_data()
             timer.reschedule(self._next_timeout())
             chunks.append(data)
-            boundary.feed(data)
+            size_bytes += len(data)
+            if size_bytes > MAX_BODY_BYTES:
+                raise http1.UnexpectedResponseError("the body is too large")
+            if is_stream:
+                boundary.feed(data)
         if is_stream and boundary.is_inside_event:
             return retries.LostMidStream(target.server_id)
         body = b"".join(chunks)
--- a/buckthorntack/platform/tests/test_requests.py
+++ b/buckthorntack/platform/tests/test_requests.py
@@ -108,6 +108,31 @@
     run(scenario, ("s1", "desk", "b1"), routes=[route])
 
 
+# A retry went on by the route that its request was accepted with, and ran in a
+# region that a newer configuration had taken from the route.
+def test_retry_keeps_to_regions_that_a_newer_configuration_allows():
+    async def scenario(world):
+        gate = asyncio.Event()
+
+        async def reset_later(server, request, reply):
+            await gate.wait()
+            await _standins.reset(server, request, reply)
+
+        for server in world.servers.values():
+            server.behave = reset_later
+        asked = asyncio.create_task(world.ask(SAFE))
+        servers = world.servers.values()
+        await world.until(lambda: any(s.requests for s in servers))
+        narrowed = _standins.route("safe", "desk", allowed_regions=["south"])
+        await world.publish(_standins.configuration(2, [narrowed]))
+        await world.in_force(2)
+        gate.set()
+        assert (await asked).status == 502
+        assert sum(len(server.requests) for server in servers) == 1
+
+    run(scenario, ("s1", "desk"), ("s2", "desk"))
+
+
 def test_safe_request_is_sent_again_after_a_reset():
     async def scenario(world):
         world.servers["s1"].behave = _standins.reset
@@ -121,6 +146,24 @@
     run(scenario, ("s1", "desk"), ("s2", "desk"))
 
 
+# A request was refused as one that crashes servers, after servers had answered
+# it with bytes that are no response.
+def test_malformed_responses_are_no_crashes_of_the_request():
+    async def scenario(world):
+        async def garble(server, request, reply):
+            reply.connection.transport.write(b"HTTP/9 no response\r\n\r\n")
+
+        for server in world.servers.values():
+            server.behave = garble
+        for _ in range(4):
+            assert (await world.ask(SAFE)).status == 502
+        for server in world.servers.values():
+            server.behave = _standins.answer_whole
+        assert (await world.ask(SAFE)).status == 200
+
+    run(scenario, ("s1", "desk"), ("s2", "desk"))
+
+
 def test_attempts_are_counted_over_regions():
     async def scenario(world):
         gate = asyncio.Event()
@@ -322,10 +365,8 @@
         assert statuses[:3] == [502] * 3
         assert statuses[3:] == [503] * 2
         # An entry VM that was not asked knows of it too.
-        crashes = world.nodes["e1"].shared_state.crashes
-        await world.until(
-            lambda: [len(a) for a in crashes._crashes.values()] == [3]
-        )
+        quarantine = world.nodes["e1"].shared_state.quarantine
+        await world.until(quarantine.list_blamed)
         other = await world.ask(
             UNSAFE, entry="e1", method="POST", body=b"poison"
         )
