Share the stand-in that cuts a connection once an event is set

Two tests of requests held the same function; one came with the check of retries under a newer configuration. Assertions are as before; all tests of the module pass.

--- a/buckthorntack/platform/tests/_standins.py
+++ b/buckthorntack/platform/tests/_standins.py
@@ -148,6 +148,19 @@
     reply.abort()
 
 
+def reset_after(gate):
+    """Behaviour: cut the connection once an event is set.
+
+    :param gate: the ``asyncio.Event``.
+    """
+
+    async def behave(server, request, reply):
+        await gate.wait()
+        await reset(server, request, reply)
+
+    return behave
+
+
 async def hang(server, request, reply):
     """Never answer."""
     await asyncio.Event().wait()
--- a/buckthorntack/platform/tests/test_requests.py
+++ b/buckthorntack/platform/tests/test_requests.py
@@ -113,13 +113,8 @@
 def test_retry_keeps_to_regions_that_a_newer_configuration_allows():
     async def scenario(world):
         gate = asyncio.Event()
-
-        async def reset_later(server, request, reply):
-            await gate.wait()
-            await _standins.reset(server, request, reply)
-
         for server in world.servers.values():
-            server.behave = reset_later
+            server.behave = _standins.reset_after(gate)
         asked = asyncio.create_task(world.ask(SAFE))
         servers = world.servers.values()
         await world.until(lambda: any(s.requests for s in servers))
@@ -167,24 +162,19 @@
 def test_attempts_are_counted_over_regions():
     async def scenario(world):
         gate = asyncio.Event()
-
-        async def reset_later(server, request, reply):
-            await gate.wait()
-            await _standins.reset(server, request, reply)
-
         fleet = world.nodes["e0"].shared_state.fleet
         await world.until(
             lambda: fleet.remote_usage("south", "s1", 0) is not None
         )
         for server in world.servers.values():
-            server.behave = reset_later
+            server.behave = _standins.reset_after(gate)
         asked = asyncio.create_task(world.ask(SAFE))
         await world.until(
             lambda: any(server.requests for server in world.servers.values())
         )
         # The region of the caller gets a server while another one tries.
         near = await world.add_server("near", "desk")
-        near.behave = reset_later
+        near.behave = _standins.reset_after(gate)
         gate.set()
         answer = await asked
         assert answer.status == 502
