Log a control group without a leader and an entry VM without a configuration

A control VM now reports after 3 s without a leader which voters the group has and which control VMs are live, with gauges of both; an entry VM reports what it waits for. No logic is changed.

--- a/buckthorntack/discovery/_control_selector.py
+++ b/buckthorntack/discovery/_control_selector.py
@@ -32,6 +32,17 @@
         self.followed_id = None
         self._control_vms = {}
 
+    @property
+    def control_vm_ids(self):
+        """Node ids of the known control VMs."""
+        return list(self._control_vms)
+
+    @property
+    def has_majority(self):
+        """Whether the followed control VM has a majority; None if none is."""
+        followed = self._control_vms.get(self.followed_id)
+        return None if followed is None else followed.has_majority
+
     def add(self, node_id, region="", failure_domain=""):
         """Add a control VM, or update its region and failure domain.
 
--- a/buckthorntack/gateway/_control.py
+++ b/buckthorntack/gateway/_control.py
@@ -21,7 +21,9 @@
 from buckthorntack.gateway import _events
 from buckthorntack.gateway import _gathering
 from buckthorntack.gateway import _identity
+from buckthorntack.gateway import _metrics
 from buckthorntack.gateway import _node
+from buckthorntack.gateway import _notices
 from buckthorntack.gateway import _supervision
 from buckthorntack.schema import messages
 
@@ -42,6 +44,12 @@
 )
 #: Period of the check for membership changes of the consensus group.
 MEMBER_CHECK_PERIOD = 500 * _MS
+#: Period at which the state of the group is observed.
+OBSERVATION_PERIOD = 1000 * _MS
+#: Time without a leader that exceeds that of an election.
+LEADERLESS_DELAY = 3000 * _MS
+#: Interval between two reports that the group has no leader.
+LEADERLESS_INTERVAL = 10_000 * _MS
 #: Longest wait for a leadership transfer before a planned stop.
 LEADERSHIP_TRANSFER_TIMEOUT_S = 1.5
 
@@ -63,6 +71,10 @@
         self.replica = None
         self.distribution = None
         self.listener = None
+        self.metrics = _metrics.ControlMetrics(self.metrics_registry)
+        self._leaderless = _notices.LastingCondition(
+            LEADERLESS_DELAY, LEADERLESS_INTERVAL
+        )
 
     def _start_log_fields(self):
         return {
@@ -124,6 +136,7 @@
             self.gathering.run,
             self.gathering.expire,
             self._form,
+            self._observe,
         ):
             await enter(_supervision.supervise(work))
 
@@ -257,6 +270,31 @@
                     outcome="done" if result.is_ok() else str(result.error),
                 )
 
+    async def _observe(self):
+        """Observe the group periodically until cancelled."""
+        while True:
+            await self.clock.sleep(OBSERVATION_PERIOD)
+            self._observe_group()
+
+    def _observe_group(self):
+        """Record the state of the group; log if it stays without a leader."""
+        status = self.replica.status()
+        live = self.gathering.list_live_controls()
+        self.metrics.record_group(status, live)
+        lasted = self._leaderless.check(
+            not status.leader, self.clock.monotonic()
+        )
+        if lasted is not None:
+            self._log.write(
+                _events.GROUP_WITHOUT_LEADER,
+                lasted_ms=lasted // _MS,
+                term=status.term,
+                can_vote=status.can_vote,
+                voters=",".join(status.voters),
+                learners=",".join(status.learners),
+                live=",".join(sorted(live)),
+            )
+
     @functools.singledispatchmethod
     async def _change_members(self, change):
         raise TypeError(f"{type(change).__name__} is not a membership change")
--- a/buckthorntack/gateway/_events.py
+++ b/buckthorntack/gateway/_events.py
@@ -152,3 +152,19 @@
     " the scope of its answers for a region and host changes.",
     "check the entry VMs of the caller's region",
 )
+GROUP_WITHOUT_LEADER = events.declare(
+    2228,
+    "group_without_leader",
+    logbook.ERROR,
+    "The control group has had no leader for a while; nothing is accepted"
+    " or read.",
+    "start the control VMs among its voters again",
+)
+CONFIGURATION_AWAITED = events.declare(
+    2229,
+    "configuration_awaited",
+    logbook.NOTICE,
+    "An entry VM that started has no configuration yet and refuses all"
+    " requests.",
+    "check the control VMs",
+)
--- a/buckthorntack/gateway/_following.py
+++ b/buckthorntack/gateway/_following.py
@@ -9,6 +9,7 @@
 from buckthorntack import events
 from buckthorntack.gateway import _addresses
 from buckthorntack.gateway import _events
+from buckthorntack.gateway import _notices
 from buckthorntack.gateway import _presence
 from buckthorntack.schema import messages
 
@@ -17,6 +18,9 @@
 #: Every nth report goes to all control VMs, so that they have a record of
 #: the entry VM if the control VM that it follows fails.
 BROADCAST_INTERVAL_REPORTS = 4
+#: Time without a configuration that exceeds the usual one after a start, and
+#: interval between two reports of it.
+CONFIGURATION_DELAY = datetime.timedelta(seconds=3)
 #: Maximum size of a configuration after decompression.
 MAX_CONTENT_BYTES = 64 * 1024 * 1024
 
@@ -51,6 +55,9 @@
         self._logged_control_vm = None
         self._merged_stamps = {}
         self._report_round = 0
+        self._unconfigured = _notices.LastingCondition(
+            CONFIGURATION_DELAY, CONFIGURATION_DELAY
+        )
         self._log = events.EventLog("gateway")
 
     def add_seed(self, seed):
@@ -76,12 +83,27 @@
         while True:
             self.report()
             is_starting = self.state == "starting"
+            self._observe_start(is_starting)
             await self.clock.sleep(
                 STARTING_REPORT_PERIOD
                 if is_starting
                 else self.timing.report_interval
             )
 
+    def _observe_start(self, is_starting):
+        """Log if this node stays without a configuration."""
+        lasted = self._unconfigured.check(is_starting, self.clock.monotonic())
+        if lasted is None:
+            return
+        selector = self.control_selector
+        self._log.write(
+            _events.CONFIGURATION_AWAITED,
+            lasted_ms=lasted // datetime.timedelta(milliseconds=1),
+            followed=selector.followed_id,
+            has_majority=selector.has_majority,
+            control_vms=",".join(sorted(selector.control_vm_ids)),
+        )
+
     def set_state(self, state):
         """Change the state of this node and report it to all control VMs.
 
--- a/buckthorntack/gateway/_metrics.py
+++ b/buckthorntack/gateway/_metrics.py
@@ -1,4 +1,4 @@
-"""Prometheus metrics of an entry VM."""
+"""Prometheus metrics of entry VMs and control VMs."""
 
 import prometheus_client
 
@@ -128,3 +128,39 @@
         :param scope: value of its ``discovery.AddressScope``.
         """
         self._directory_answers.labels(scope).inc()
+
+
+class ControlMetrics:
+    """Gauges of a control VM.
+
+    :param registry: ``prometheus_client.CollectorRegistry``.
+    """
+
+    def __init__(self, registry):
+        self._members = prometheus_client.Gauge(
+            "gateway_group_members",
+            "Members of the control group that this control VM knows, by"
+            " role and by whether they report to it.",
+            ["role", "live"],
+            registry=registry,
+        )
+        self._has_leader = prometheus_client.Gauge(
+            "gateway_group_has_leader",
+            "1 if a leader of the control group is known, otherwise 0.",
+            registry=registry,
+        )
+
+    def record_group(self, status, live):
+        """Record the members and the leader of the control group.
+
+        :param status: ``consensus.ReplicaStatus``.
+        :param live: node ids of the control VMs that report.
+        """
+        for role, node_ids in (
+            ("voter", status.voters),
+            ("learner", status.learners),
+        ):
+            count = sum(node_id in live for node_id in node_ids)
+            self._members.labels(role, "yes").set(count)
+            self._members.labels(role, "no").set(len(node_ids) - count)
+        self._has_leader.set(1 if status.leader else 0)
