Reproduce the loss of the control group's majority without a network

The simulation drives real replicas, registries, reports and the planner of member changes through losses within what is tolerated, and expects a leader, an acknowledged change and reads at all control VMs within 12 s. Planner and stop are called through functions that ControlNode uses too; no logic is changed.

--- a/buckthorntack/consensus/tests/simulation.py
+++ b/buckthorntack/consensus/tests/simulation.py
@@ -71,12 +71,14 @@
     :param names: node ids of the first voters.
     :param seed: seed of the replicas' random numbers.
     :param lost_commands: types of commands that are never written to a disk.
+    :param timing: a ``consensus.Timing``.
     """
 
-    def __init__(self, names, seed=0, lost_commands=()):
+    def __init__(self, names, seed=0, lost_commands=(), timing=TIMING):
         self.now = datetime.timedelta()
         self.rng = random.Random(seed)
         self.lost_commands = lost_commands
+        self.timing = timing
         self.first_voters = tuple(names)
         self.nodes = {}
         self.envelopes = []
@@ -112,7 +114,7 @@
             node.applied = data.split(b",") if data else []
             node.applied_index = recovered.snapshot.info.index
         node.replica = consensus.Replica(
-            GROUP, name, node.first_voters, recovered, TIMING, self.rng
+            GROUP, name, node.first_voters, recovered, self.timing, self.rng
         )
 
     def crash(self, name):
--- a/buckthorntack/gateway/_control.py
+++ b/buckthorntack/gateway/_control.py
@@ -54,6 +54,37 @@
 LEADERSHIP_TRANSFER_TIMEOUT_S = 1.5
 
 
+def make_planner(settings):
+    """Return a planner of the member changes of the control group.
+
+    :param settings: ``NodeSettings`` of the leader.
+    :returns: ``discovery.MemberChangePlanner``.
+    """
+    max_voters = 2 * settings.tolerated_losses + 1
+    return discovery.MemberChangePlanner(
+        max_voters, discovery.VOTER_ABSENCE_TIMEOUT
+    )
+
+
+def plan_change(planner, status, gathering, now):
+    """Return the next member change of the control group, if one is needed.
+
+    :param planner: ``discovery.MemberChangePlanner`` of the leader.
+    :param status: ``consensus.ReplicaStatus`` of the leader.
+    :param gathering: ``GatheringTask`` of the leader.
+    :param now: monotonic time.
+    """
+    return planner.next_change(status, gathering.list_live_controls(), now)
+
+
+def has_handed_over(status):
+    """Whether a control VM that stops may end.
+
+    :param status: its ``consensus.ReplicaStatus``.
+    """
+    return status.leader != status.node_id
+
+
 class ControlNode(_node.Node):
     """Control VM.
 
@@ -246,7 +277,6 @@
 
     async def _form(self):
         """Change the members of the group while this replica is leader."""
-        voters = 2 * self.settings.tolerated_losses + 1
         planner = None
         while True:
             await self.clock.sleep(MEMBER_CHECK_PERIOD)
@@ -254,12 +284,12 @@
                 planner = None
                 continue
             if planner is None:
-                planner = discovery.MemberChangePlanner(
-                    voters, discovery.VOTER_ABSENCE_TIMEOUT
-                )
-            now = self.clock.monotonic()
-            change = planner.next_change(
-                self.replica.status(), self.gathering.list_live_controls(), now
+                planner = make_planner(self.settings)
+            change = plan_change(
+                planner,
+                self.replica.status(),
+                self.gathering,
+                self.clock.monotonic(),
             )
             if change is not None:
                 result = await self._change_members(change)
