Replace a voter of a group by joint consensus

Until now a voter was removed before its successor was promoted, or the other way round: for the time between the two commits a group of three needed two of two or three of four, and one loss ended it. A replacement is now one change. Its entry makes the voters before and after it decide together; once it is committed, the leader adds the entry by which the new voters decide alone. The voter that is replaced is retired, or stays in the group as a learner and can be promoted again with the disk that it has.

Scenarios: a loss of any of the four nodes after any number of messages, a leader that fails before the second entry, and separate majorities. Two faults put into the decisions are noticed. Random schedules replace voters too. Nothing uses replacements yet.

--- a/buckthorntack/consensus/_configuration.py
+++ b/buckthorntack/consensus/_configuration.py
@@ -13,19 +13,35 @@
     """Members of a group, by node id.
 
     ``voters`` maps each voter to the identity of its disk, which is empty
-    until the first leader records it.
+    until the first leader records it.  While a voter is being replaced,
+    ``outgoing`` has the voters before it, and each decision needs a majority
+    of both sets (joint consensus).
     """
 
     voters: dict[str, str] = {}
     learners: list[str] = []
     retired: list[str] = []
+    outgoing: dict[str, str] = {}
+
+    @property
+    def is_joint(self):
+        """Whether a voter is being replaced."""
+        return bool(self.outgoing)
+
+    def all_voters(self):
+        """Disk identities of the voters of both sets, by node id.
+
+        >>> Configuration({"a": "", "d": ""}, outgoing={"c": "i"}).all_voters()
+        {'c': 'i', 'a': '', 'd': ''}
+        """
+        return {**self.outgoing, **self.voters}
 
     def members(self):
         """Nodes that receive the log: voters and learners."""
-        return [*self.voters, *self.learners]
+        return list(dict.fromkeys([*self.all_voters(), *self.learners]))
 
     def has_quorum(self, nodes):
-        """Whether nodes are a majority of the voters.
+        """Whether nodes are a majority of the voters, of both sets if joint.
 
         :param nodes: node ids.
 
@@ -33,12 +49,19 @@
         True
         >>> Configuration({"a": "", "b": ""}).has_quorum({"a", "x"})
         False
+        >>> joint = Configuration(
+        ...     dict.fromkeys("abd", ""), outgoing=dict.fromkeys("abc", "")
+        ... )
+        >>> joint.has_quorum({"a", "d"}), joint.has_quorum({"a", "c", "d"})
+        (False, True)
         """
-        present = sum(1 for voter in self.voters if voter in nodes)
-        return 2 * present > len(self.voters)
+        return all(
+            2 * sum(voter in nodes for voter in voters) > len(voters)
+            for voters in self._voter_sets()
+        )
 
     def quorum_value(self, values):
-        """Largest value that a majority of the voters have reached.
+        """Largest value that a majority has reached, of both sets if joint.
 
         :param values: value by node id; a missing one counts as 0.
 
@@ -47,9 +70,18 @@
         ... )
         4
         """
-        reached = [values.get(voter, 0) for voter in self.voters]
-        reached.sort(reverse=True)
-        return reached[len(reached) // 2] if reached else 0
+        return min(
+            _majority_value([values.get(voter, 0) for voter in voters])
+            for voters in self._voter_sets()
+        )
+
+    def _voter_sets(self):
+        return [self.voters, self.outgoing] if self.outgoing else [self.voters]
+
+
+def _majority_value(values):
+    values.sort(reverse=True)
+    return values[len(values) // 2] if values else 0
 
 
 _DECODER = msgspec.msgpack.Decoder(Configuration)
--- a/buckthorntack/consensus/_elections.py
+++ b/buckthorntack/consensus/_elections.py
@@ -34,10 +34,10 @@
 
     :param state: the replica's state.
     """
-    identity = state.configuration.voters.get(state.node_id)
+    identity = state.configuration.all_voters().get(state.node_id)
     if identity is None and state.history[-1][0] > state.commit_index:
         members = _state.configuration_at(state, state.history[-1][0] - 1)
-        identity = members.voters.get(state.node_id)
+        identity = members.all_voters().get(state.node_id)
     if identity is None:
         return False
     return can_vote(state, identity)
@@ -75,7 +75,7 @@
         _state.persist_hard_state(state)
         _state.change_role(state, _state.Role.CANDIDATE)
     state.votes = {state.node_id}
-    for node, identity in state.configuration.voters.items():
+    for node, identity in state.configuration.all_voters().items():
         if node == state.node_id:
             continue
         message = messages.VoteRequest(
@@ -196,7 +196,7 @@
 
 
 def _is_only_voter(state):
-    return list(state.configuration.voters) == [state.node_id]
+    return list(state.configuration.all_voters()) == [state.node_id]
 
 
 def _is_up_to_date(state, request):
--- a/buckthorntack/consensus/_inputs.py
+++ b/buckthorntack/consensus/_inputs.py
@@ -43,6 +43,15 @@
     node: str
 
 
+class Replace(NamedTuple):
+    """Replace a voter by a learner that has caught up."""
+
+    proposal_id: str
+    node: str
+    successor: str
+    retire: bool
+
+
 class Remove(NamedTuple):
     """Remove a member permanently."""
 
--- a/buckthorntack/consensus/_members.py
+++ b/buckthorntack/consensus/_members.py
@@ -1,4 +1,10 @@
-"""Membership changes, one at a time, and leadership transfer."""
+"""Membership changes, one at a time, and leadership transfer.
+
+A voter is replaced by joint consensus: the entry of the replacement makes the
+voters before and after it decide together.  Once it is committed, the leader
+adds an entry by which the new voters decide alone.  No majority is lost at any
+step if one of the voters, old or new, fails.
+"""
 
 from expression import Error
 from expression import Ok
@@ -18,11 +24,17 @@
     :returns: a ``Configuration``.
     """
     known = {**state.peers, state.node_id: state.identity}
-    voters = {
-        node: identity or known.get(node, "")
-        for node, identity in state.configuration.voters.items()
-    }
-    return state.configuration._replace(voters=voters)
+
+    def complete(voters):
+        return {
+            node: identity or known.get(node, "")
+            for node, identity in voters.items()
+        }
+
+    members = state.configuration
+    return members._replace(
+        voters=complete(members.voters), outgoing=complete(members.outgoing)
+    )
 
 
 def add_learner(state, proposal_id, node):
@@ -55,19 +67,48 @@
     :param node: id of the learner.
     :returns: ``Result`` of None.
     """
+    refusal = _find_refusal(state) or _find_promotion_refusal(state, node)
+    if refusal is not None:
+        return Error(refusal)
+    promoted = _with_voter(state, node)
+    return _append_change(state, proposal_id, promoted)
+
+
+def replace(state, proposal_id, node, successor, retire):
+    """Replace a voter by a learner that has caught up.
+
+    :param state: the replica's state.
+    :param proposal_id: id of the proposal of this change.
+    :param node: id of the voter.
+    :param successor: id of the learner.
+    :param retire: whether the voter is removed permanently; otherwise it
+        becomes a learner.
+    :returns: ``Result`` of None.
+    """
     members = state.configuration
-    refusal = _find_refusal(state)
+    refusal = _find_refusal(state) or _find_promotion_refusal(state, successor)
     if refusal is not None:
         return Error(refusal)
-    if node not in members.learners:
-        return Error(_errors.MemberChangeError(f"{node} is not a learner"))
-    if not has_caught_up(state, node):
-        return Error(_errors.LearnerBehindError(f"{node} lacks log entries"))
-    learners = [name for name in members.learners if name != node]
-    identity = state.progress[node].identity
-    voters = {**members.voters, node: identity}
-    changed = members._replace(voters=voters, learners=learners)
-    return _append_change(state, proposal_id, changed)
+    if node not in members.voters:
+        return Error(_errors.MemberChangeError(f"{node} is not a voter"))
+    changed = _with_voter(state, successor)
+    del changed.voters[node]
+    (changed.retired if retire else changed.learners).append(node)
+    joint = changed._replace(outgoing=dict(members.voters))
+    if not joint.has_quorum(_elections.list_active_nodes(state)):
+        detail = f"too few voters respond to replace {node}"
+        return Error(_errors.QuorumAtRiskError(detail))
+    return _append_change(state, proposal_id, joint)
+
+
+def leave_joint(state):
+    """Let the new voters decide alone once their replacement is committed.
+
+    :param state: the state of the leader.
+    """
+    index, members = state.history[-1]
+    if members.is_joint and state.commit_index >= index:
+        _append_change(state, "", members._replace(outgoing={}))
 
 
 def remove(state, proposal_id, node):
@@ -160,7 +201,7 @@
     :param state: the replica's state.
     """
     index, members = state.history[-1]
-    if state.node_id in members.voters or state.commit_index < index:
+    if state.node_id in members.all_voters() or state.commit_index < index:
         return
     _state.become_follower(state, state.term)
 
@@ -177,11 +218,31 @@
         return _errors.ChangeInProgressError(
             "no entry of this term is committed"
         )
-    if state.history[-1][0] > state.commit_index:
+    index, members = state.history[-1]
+    if index > state.commit_index or members.is_joint:
         return _errors.ChangeInProgressError(f"group {state.group}")
     return None
 
 
+def _find_promotion_refusal(state, node):
+    if node not in state.configuration.learners:
+        return _errors.MemberChangeError(f"{node} is not a learner")
+    if not has_caught_up(state, node):
+        return _errors.LearnerBehindError(f"{node} lacks log entries")
+    return None
+
+
+def _with_voter(state, learner):
+    """Copy of the configuration in which a learner is a voter."""
+    members = state.configuration
+    identity = state.progress[learner].identity
+    return configurations.Configuration(
+        voters={**members.voters, learner: identity},
+        learners=[name for name in members.learners if name != learner],
+        retired=list(members.retired),
+    )
+
+
 def _append_change(state, proposal_id, members):
     data = configurations.encode(members)
     kind = configurations.KIND_CONFIGURATION
--- a/buckthorntack/consensus/_replica.py
+++ b/buckthorntack/consensus/_replica.py
@@ -142,6 +142,22 @@
         self.state.now = now
         return _members.promote(self.state, proposal_id, node)
 
+    def replace(self, proposal_id, node, successor, retire, now):
+        """Replace a voter by a learner that has caught up.
+
+        :param proposal_id: id of the proposal of this change.
+        :param node: id of the voter.
+        :param successor: id of the learner.
+        :param retire: whether the voter is removed permanently; otherwise it
+            becomes a learner.
+        :param now: monotonic time.
+        :returns: ``Result`` of None.
+        """
+        self.state.now = now
+        return _members.replace(
+            self.state, proposal_id, node, successor, retire
+        )
+
     def remove(self, proposal_id, node, now):
         """Remove a voter or learner; its node id can't be reused.
 
@@ -214,6 +230,8 @@
         _state.persist_entries(state)
         if state.is_leader:
             _replication.advance_commit(state)
+            _members.leave_joint(state)
+            _state.persist_entries(state)
             _members.step_down_if_removed(state)
         if state.is_leader:
             _replication.send_entries(state)
@@ -249,6 +267,7 @@
             voters=list(members.voters),
             learners=members.learners,
             retired=members.retired,
+            outgoing=list(members.outgoing),
             peers=[self._peer_status(node, now) for node in state.progress],
             failure=failure,
         )
--- a/buckthorntack/consensus/_replication.py
+++ b/buckthorntack/consensus/_replication.py
@@ -241,7 +241,7 @@
         entries=entries,
         commit_index=state.commit_index,
         round=state.round,
-        voter_identity=state.configuration.voters.get(node, ""),
+        voter_identity=state.configuration.all_voters().get(node, ""),
     )
     state.progress[node].commit_index = state.commit_index
     _state.send(state, node, request)
@@ -289,7 +289,7 @@
 
 
 def _is_known_disk(state, node, identity):
-    recorded = state.configuration.voters.get(node)
+    recorded = state.configuration.all_voters().get(node)
     if recorded is None:
         return True
     return identity == (recorded or state.peers.get(node, identity))
--- a/buckthorntack/consensus/_status.py
+++ b/buckthorntack/consensus/_status.py
@@ -30,6 +30,8 @@
     voters: list[str]
     learners: list[str]
     retired: list[str]
+    #: Voters before a replacement that is not complete; otherwise empty.
+    outgoing: list[str]
     #: Other members; empty unless this replica is the leader.
     peers: list[PeerStatus]
     #: Text of the error that stopped the replica; empty while it runs.
--- a/buckthorntack/consensus/_task.py
+++ b/buckthorntack/consensus/_task.py
@@ -173,6 +173,20 @@
         """
         return await self._submit(inputs.Promote, node)
 
+    async def replace(self, node, successor, retire):
+        """Replace a voter by a learner that has caught up.
+
+        Only the leader can do this.  The voter goes on deciding for a short
+        time after this returns.
+
+        :param node: id of the voter.
+        :param successor: id of the learner.
+        :param retire: whether the voter is removed permanently; otherwise it
+            becomes a learner.
+        :returns: ``Result`` of None.
+        """
+        return await self._submit(inputs.Replace, node, successor, retire)
+
     async def remove(self, node):
         """Remove a member permanently.
 
@@ -274,7 +288,7 @@
         detail = f"{self.node_id} in {self.group}"
         return _errors.ReplicaStoppedError(detail)
 
-    async def _submit(self, kind, argument):
+    async def _submit(self, kind, *arguments):
         if self._has_ended():
             return Error(self._stopped_error())
         if len(self._proposals) >= self.timing.waiting_proposals:
@@ -286,7 +300,7 @@
         proposal = _proposals.proposal_id(self._proposer, self._sequence)
         future = asyncio.get_running_loop().create_future()
         self._proposals.add(proposal, future, self.clock.monotonic())
-        self._enqueue(kind(proposal, argument))
+        self._enqueue(kind(proposal, *arguments))
         return await future
 
     async def _tick(self):
@@ -472,6 +486,12 @@
         result = self._replica.promote(item.proposal_id, item.node, now)
         self._resolve_if_refused(item, result)
 
+    @_handle_input.register
+    def _(self, item: inputs.Replace):
+        now = self.clock.monotonic()
+        result = self._replica.replace(*item, now)
+        self._resolve_if_refused(item, result)
+
     @_handle_input.register
     def _(self, item: inputs.Remove):
         now = self.clock.monotonic()
@@ -587,6 +607,7 @@
             group=self.group,
             index=entry.index,
             voters=",".join(members.voters),
+            outgoing=",".join(members.outgoing),
             learners=",".join(members.learners),
         )
 
--- a/buckthorntack/consensus/tests/scenarios.py
+++ b/buckthorntack/consensus/tests/scenarios.py
@@ -495,7 +495,95 @@
     simulation.check(not simulation.find_leaders(), "the leader did not stop")
 
 
+def _start_group_with_learner():
+    """Start a group of a, b and c, led by a, with the learner d."""
+    simulation = start_group("abc")
+    make_leader(simulation, "a")
+    simulation.change("add_learner", "a", "d")
+    simulation.add_node("d")
+    simulation.run_until_stable(20)
+    return simulation
+
+
+def _lose(simulation, name):
+    """Lose a node for good, with the messages that it would get."""
+    del simulation.nodes[name]
+    simulation.envelopes = [
+        envelope for envelope in simulation.envelopes if envelope.to != name
+    ]
+
+
+def replacement_needs_majorities_of_both_sets():
+    """Old and new voters never decide apart while a voter is replaced.
+
+    Otherwise b and c, which do not know of the replacement, elect a leader
+    while a and d commit entries.
+    """
+    simulation = _start_group_with_learner()
+    assert simulation.change("replace", "a", "c", "d", True).is_ok()
+    simulation.propose("a")
+    exchange(simulation, "ad")
+    if try_election(simulation, "b", "bc"):
+        simulation.propose("b")
+        exchange(simulation, "bc")
+    simulation.check_agreement()
+
+
+def loss_while_a_voter_is_replaced():
+    """A voter that fails at any step of a replacement does not stop the group.
+
+    The voter that is replaced still takes part, as in a planned stop.
+    """
+    for victim in "abcd":
+        for steps in range(8):
+            simulation = _start_group_with_learner()
+            assert simulation.change("replace", "a", "c", "d", False).is_ok()
+            exchange(simulation, "abcd", steps)
+            _lose(simulation, victim)
+            simulation.run_until_stable(120)
+            leaders = simulation.find_leaders()
+            simulation.check(bool(leaders), f"no leader without {victim}")
+            last = max(simulation.committed)
+            simulation.propose(leaders[0].name)
+            simulation.run_until_stable(20)
+            simulation.check(
+                max(simulation.committed) > last, f"halt without {victim}"
+            )
+
+
+def new_leader_completes_a_replacement():
+    """A leader that finds a replacement begun lets the new voters decide."""
+    simulation = _start_group_with_learner()
+    assert simulation.change("replace", "a", "c", "d", False).is_ok()
+    exchange(simulation, "abd", 2)
+    simulation.crash("a")
+    simulation.run_until_stable(60)
+    members = simulation.find_leaders()[0].replica.state.configuration
+    simulation.check(not members.is_joint, "the replacement is not complete")
+    simulation.check(set(members.voters) == set("abd"), "c has a vote")
+    simulation.check(members.learners == ["c"], "c is no learner")
+
+
+def replaced_voter_comes_back_as_a_voter():
+    """A voter that became a learner can be made a voter again."""
+    simulation = _start_group_with_learner()
+    assert simulation.change("replace", "a", "c", "d", False).is_ok()
+    simulation.run_until_stable(20)
+    assert simulation.change("replace", "a", "b", "c", True).is_ok()
+    simulation.run_until_stable(20)
+    members = simulation.nodes["a"].replica.state.configuration
+    simulation.check(set(members.voters) == set("acd"), "c has no vote")
+    simulation.check(members.retired == ["b"], "b is not retired")
+    simulation.crash("a")
+    simulation.run_until_stable(60)
+    simulation.check_agreement()
+
+
 ALL = (
+    replacement_needs_majorities_of_both_sets,
+    loss_while_a_voter_is_replaced,
+    new_leader_completes_a_replacement,
+    replaced_voter_comes_back_as_a_voter,
     replica_that_founded_anew_stops_leading,
     founder_that_lost_its_disk_stops,
     snapshots_go_to_one_replica_at_a_time,
--- a/buckthorntack/consensus/tests/simulation.py
+++ b/buckthorntack/consensus/tests/simulation.py
@@ -176,12 +176,12 @@
         node.replica.read(self.sequence, self.now)
         self.execute_commands(node)
 
-    def change(self, kind, name, subject):
+    def change(self, kind, name, *arguments):
         """Request a membership change at a replica.
 
         :param kind: name of the ``Replica`` method.
         :param name: replica that gets the request.
-        :param subject: node to add, promote or remove.
+        :param arguments: those of the method, such as the node to add.
         :returns: result of the method, or None if the replica is down.
         """
         node = self.nodes[name]
@@ -189,7 +189,7 @@
             return None
         self.sequence += 1
         step = getattr(node.replica, kind)
-        result = step(f"{name}/{self.sequence}", subject, self.now)
+        result = step(f"{name}/{self.sequence}", *arguments, self.now)
         self.execute_commands(node)
         return result
 
@@ -413,6 +413,7 @@
             "learner": 1,
             "promote": 2,
             "remove": 1,
+            "replace": 2,
             "lose_disk": 1,
         }
 
@@ -507,6 +508,22 @@
     def promote(self):
         self.simulation.change("promote", self.leader(), self.name())
 
+    def replace(self):
+        """Replace a random voter by a learner."""
+        leader = self.leader()
+        node = self.simulation.nodes[leader]
+        if not node.replica:
+            return
+        members = node.replica.state.configuration
+        if members.learners and members.voters:
+            self.simulation.change(
+                "replace",
+                leader,
+                self.rng.choice(list(members.voters)),
+                self.rng.choice(members.learners),
+                self.rng.random() < 0.5,
+            )
+
     def lose_disk(self):
         leaders = self.simulation.find_leaders()
         if self.simulation.lost_disks or not leaders:
--- a/buckthorntack/consensus/tests/test_scenarios.py
+++ b/buckthorntack/consensus/tests/test_scenarios.py
@@ -81,7 +81,18 @@
         return True
 
 
+def decides_with_new_voters_alone(self):
+    return [self.voters]
+
+
 FAULTS = [
+    Fault(
+        "ignores_the_outgoing_voters",
+        configurations.Configuration,
+        "_voter_sets",
+        decides_with_new_voters_alone,
+    ),
+    Fault("stays_joint", _members, "leave_joint", lambda state: None),
     Fault(
         "commits_by_count", _replication, "advance_commit", commits_by_count
     ),
--- a/buckthorntack/discovery/tests/test_member_changes.py
+++ b/buckthorntack/discovery/tests/test_member_changes.py
@@ -37,6 +37,7 @@
         voters=list(voters),
         learners=list(learners),
         retired=list(retired),
+        outgoing=[],
         peers=peers,
         failure="",
     )
