Take news of a node's silence for no sign of life

A control VM that noted a node as silent told the others, and its record made them believe that the node had just been heard: each noted the silence up to 2.9 s after the one before it (12.6, 15.5 and 18.4 s for a VM lost at 8.0 s). Directories named such entry VMs longer, and the vote of a control VM was kept longer.

Only a record that is newer and not silent counts as a sign of life. The test failed before: two of three registries knew nothing of the silence after its timeout and two lags.

--- a/buckthorntack/discovery/_registry.py
+++ b/buckthorntack/discovery/_registry.py
@@ -135,11 +135,13 @@
         born_ms = self._leaving.get(record.server_id)
         return born_ms is not None and record.born_ms <= born_ms
 
-    def merge_node(self, record, now):
+    def merge_node(self, record, now, is_sign_of_life=True):
         """Merge a node record, sent by the node itself or by another node.
 
         :param record: ``NodePresence``.
         :param now: monotonic time.
+        :param is_sign_of_life: whether the record shows that the node was
+            heard of late.
         :returns: whether the record changed in more than its sequence.
         """
         known = self.nodes.get(record.node_id)
@@ -150,7 +152,7 @@
         if known is None and self._retire_former_nodes(record):
             record = record._replace(state=GONE, sequence=LAST_SEQUENCE)
         last_heard_at = now
-        if record.silent and known is not None:
+        if known is not None and (record.silent or not is_sign_of_life):
             last_heard_at = known.last_heard_at
         changed = known is None or _without_sequence(
             record
@@ -284,10 +286,14 @@
         ]
         for record in changes.nodes:
             known = self.nodes.get(record.node_id)
-            if known is not None:
-                # Each registry detects the silence of nodes by itself.
-                record = record._replace(silent=known.record.silent)
-            self.merge_node(record, now)
+            if known is None:
+                self.merge_node(record, now)
+                continue
+            is_newer = _node_version(record) > _node_version(known.record)
+            is_sign_of_life = is_newer and not record.silent
+            # Each registry detects the silence of nodes by itself.
+            record = record._replace(silent=known.record.silent)
+            self.merge_node(record, now, is_sign_of_life)
         return changed
 
     def adopt_changes(self, changes, now):
--- a/buckthorntack/discovery/tests/test_registry.py
+++ b/buckthorntack/discovery/tests/test_registry.py
@@ -314,6 +314,33 @@
 
 # Guards against a server that said in an answer that it leaves, and that an
 # announcement made ready again.
+# Guards against news of a node's silence that count as a sign of life.
+def test_registries_note_the_silence_of_a_node_at_the_same_time():
+    timing = discovery.Timing()
+    registries = [make_registry(epoch) for epoch in (1, 2, 3)]
+    lag = 0.3 * S
+    for number, registry in enumerate(registries):
+        last = _records.node(sequence=7 - number)
+        registry.merge_node(last, NOW + number * lag)
+    end = NOW + timing.node_silence_timeout + 2 * lag
+    now = NOW
+    while now < end:
+        now += 0.1 * S
+        for registry in registries:
+            registry.mark_silent(now)
+        for sender in registries:
+            changes = sender.changes_since(0, now)
+            for receiver in registries:
+                if receiver is not sender:
+                    receiver.merge_changes(changes, now)
+    now += 0.1 * S
+    for registry in registries:
+        registry.mark_silent(now)
+    assert all(
+        registry.nodes["10.1.0.9:80"].record.silent for registry in registries
+    )
+
+
 def test_server_that_leaves_stays_draining_for_its_incarnation():
     registry = make_registry()
     registry.merge_server(_records.server(sequence=5), NOW)
