Let a replica without a vote forget a leader that it no longer hears

A learner, or a replica that was removed, named its last leader for ever. A control VM in that state told entry VMs that it has a majority, so that those of its failure domain followed it, and handed proposals and reads to a VM that was gone. Voters forget the leader with their first trial vote; the others now do so after the same time. The scenario failed before.

--- a/buckthorntack/consensus/_elections.py
+++ b/buckthorntack/consensus/_elections.py
@@ -9,7 +9,7 @@
 
 
 def tick(state):
-    """Start a pre-vote if the election timeout has passed.
+    """Start a pre-vote, or forget the leader, after the election timeout.
 
     :param state: the replica's state.
     """
@@ -24,6 +24,9 @@
     _state.schedule_election_retry(state)
     if can_start_election(state):
         start_election(state, trial=True)
+    else:
+        # Without a vote nothing else would end the belief in a lost leader.
+        _state.become_follower(state, state.term)
 
 
 def can_start_election(state):
--- a/buckthorntack/consensus/tests/scenarios.py
+++ b/buckthorntack/consensus/tests/scenarios.py
@@ -564,6 +564,20 @@
     simulation.check(members.learners == ["c"], "c is no learner")
 
 
+def learner_forgets_a_leader_that_is_gone():
+    """A learner does not go on naming a leader that it no longer hears.
+
+    It would tell entry VMs that it has a majority.
+    """
+    simulation = _start_group_with_learner()
+    for name in "abc":
+        simulation.crash(name)
+    for _ in range(60):
+        simulation.tick("d")
+    leader = simulation.nodes["d"].replica.state.leader
+    simulation.check(not leader, f"d still names {leader}")
+
+
 def replaced_voter_comes_back_as_a_voter():
     """A voter that became a learner can be made a voter again."""
     simulation = _start_group_with_learner()
@@ -583,6 +597,7 @@
     replacement_needs_majorities_of_both_sets,
     loss_while_a_voter_is_replaced,
     new_leader_completes_a_replacement,
+    learner_forgets_a_leader_that_is_gone,
     replaced_voter_comes_back_as_a_voter,
     replica_that_founded_anew_stops_leading,
     founder_that_lost_its_disk_stops,
