Read and log the limits that servers name

Nothing read Server-Limit, and no log told when a server names, changes or ends a limit, and whom it told. The dialect reads it, the fleet records what each incarnation said last, and server_limit logs changes. A value that is no rate says nothing. An answer without a limit ends one only if its request was sent after the limit was known. Where requests go is unchanged. The emulator's engines can name limits.

--- a/buckthorntack/dispatch/__init__.py
+++ b/buckthorntack/dispatch/__init__.py
@@ -14,6 +14,7 @@
 from buckthorntack.dispatch._prompts import PrefixCache
 from buckthorntack.dispatch._prompts import Prompt
 from buckthorntack.dispatch._retry_budgets import RetryBudgets
+from buckthorntack.dispatch._server_limits import ServerLimits
 from buckthorntack.dispatch._settings import DispatchSettings
 from buckthorntack.dispatch._warmup import WarmupLimiter
 
@@ -31,6 +32,7 @@
     "Refuse",
     "RetryBudgets",
     "Serve",
+    "ServerLimits",
     "UsageExchange",
     "RoutingRequest",
     "WarmupLimiter",
--- a/buckthorntack/dispatch/_fleet.py
+++ b/buckthorntack/dispatch/_fleet.py
@@ -7,6 +7,7 @@
 from buckthorntack.dispatch import _exchange
 from buckthorntack.dispatch import _outcomes
 from buckthorntack.dispatch import _prompts
+from buckthorntack.dispatch import _server_limits
 from buckthorntack.schema import messages
 
 #: Smallest shared prefix that is announced individually to other entry VMs:
@@ -191,6 +192,7 @@
         self.settings = settings
         #: Slowdown assumed for servers without samples.
         self.typical_slowdown = 1.0
+        self.limits = _server_limits.ServerLimits()
         self._states = {}
         self._peers = {}
         #: Sum of the usage of other entry VMs of the region, by server.
@@ -224,6 +226,7 @@
         :param server_id: the server.
         """
         self._states.pop(server_id, None)
+        self.limits.remove_server(server_id)
         if not any(self._peer_usage.get(server_id, ())):
             self._peer_usage.pop(server_id, None)
 
--- a/buckthorntack/emulator/_deployment.py
+++ b/buckthorntack/emulator/_deployment.py
@@ -71,7 +71,6 @@
         self.dispatcher = dispatch.Dispatcher(
             region, self.fleet, warmup_limiter, settings, rng
         )
-        self.dispatcher.members = [name]
         self.exchange = dispatch.UsageExchange(
             self.fleet, name, failure_domain
         )
@@ -106,6 +105,8 @@
         others of its region.
     :param region_period_ms: pause between two reports of a region to others.
     :param seed: of everything random.
+    :param limits: function that returns the requests per second that an
+        engine names in an answer, or None, from its id and the time in ms.
     """
 
     def __init__(
@@ -116,12 +117,16 @@
         use_period_ms=75.0,
         region_period_ms=300.0,
         seed=1,
+        limits=None,
     ):
         self.figures = figures or _engine.EngineFigures()
         self.settings = settings or dispatch.DispatchSettings()
         self.use_period_ms = use_period_ms
         self.region_period_ms = region_period_ms
         self.rng = random.Random(seed)
+        self.limits = limits or (lambda server_id, now_ms: None)
+        #: Times in ms at which requests reach each engine.
+        self.arrivals = {}
         self.service = directives.Service(
             name="text",
             health_path="/healthz",
@@ -185,6 +190,7 @@
         }
         for number, entry in enumerate(self.entries[region.name]):
             entry.exchange.set_members(members)
+            entry.dispatcher.members = sorted(members)
             self._by_name[entry.name] = entry
             share = number / region.entries
             self._at(share * self.use_period_ms, self._tell_use, entry)
@@ -281,6 +287,7 @@
 
     def _reach(self, now_ms, request, entry, flight, tried, sender):
         engine = self.engines[flight.server_id]
+        self.arrivals.setdefault(flight.server_id, []).append(now_ms)
         run = _engine.Run(
             request.number,
             request.prompt,
@@ -314,6 +321,7 @@
         for run in told:
             request, entry, flight = self._flights[run]
             entry.fleet.on_first_byte(flight, end_ms / 1e3)
+            self._tell_limit(end_ms, server_id, entry, flight)
         for run in ended:
             request, entry, flight = self._flights.pop(run)
             entry.fleet.on_request_ended(
@@ -329,6 +337,16 @@
             return
         self._at(end_ms, self._wake, server_id)
 
+    def _tell_limit(self, now_ms, server_id, entry, flight):
+        """Tell an entry VM what the engine's answer says of its limit."""
+        entry.fleet.limits.on_answer(
+            server_id,
+            self.registry.servers[server_id].record.born_ms,
+            self.limits(server_id, now_ms),
+            flight.started_s,
+            now_ms / 1e3,
+        )
+
     def _leave(self, now_ms, run, engine):
         if run not in self._flights:
             return
--- a/buckthorntack/gateway/_dialect.py
+++ b/buckthorntack/gateway/_dialect.py
@@ -20,6 +20,17 @@
     last_event_id: int | None
 
 
+class StatedRate(NamedTuple):
+    """Rate of requests that a server says it takes."""
+
+    #: Requests per second of all entry VMs together; None for no limit.
+    per_s: float | None
+
+
+#: A response that names no limit.
+NO_LIMIT = StatedRate(None)
+
+
 class ResponseMetadata(NamedTuple):
     """Fields parsed from the head of a server's response."""
 
@@ -32,6 +43,8 @@
     #: Time for which a server that refused wants no requests from this node,
     #: in seconds; None if it does not say.
     pause_s: float | None
+    #: What it says of a limit; None if that can't be read.
+    limit: StatedRate | None
 
 
 class Dialect(Protocol):
--- a/buckthorntack/gateway/_events.py
+++ b/buckthorntack/gateway/_events.py
@@ -168,6 +168,14 @@
     " over in time.",
     "check the other control VMs before stopping one more",
 )
+SERVER_LIMIT = events.declare(
+    2231,
+    "server_limit",
+    logbook.NOTICE,
+    "A server names another limit for the requests of all entry VMs, or none"
+    " any more.",
+    "check why the server is in need",
+)
 CONFIGURATION_AWAITED = events.declare(
     2229,
     "configuration_awaited",
--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -562,6 +562,7 @@
                 server=server_id,
                 pause_s=metadata.pause_s,
             )
+        self._note_limit(metadata.limit, now)
         registry = self.shared_state.registry
         if metadata.is_leaving and registry.mark_server_leaving(
             server_id, now
@@ -573,6 +574,19 @@
                 server=server_id,
             )
 
+    def _note_limit(self, limit, now):
+        if limit is None:
+            return
+        limits = self.shared_state.fleet.limits
+        limits.on_answer(
+            self.incarnation.server_id,
+            self.incarnation.born_ms,
+            limit.per_s,
+            self.attempt_sent_at.total_seconds(),
+            now.total_seconds(),
+        )
+        self.shared_state.log_limits(self.incarnation.server_id)
+
     def _is_stream(self, head):
         return self.route.kind is RequestKind.STREAM and head.status == 200
 
--- a/buckthorntack/gateway/_shared_state.py
+++ b/buckthorntack/gateway/_shared_state.py
@@ -5,9 +5,11 @@
 
 from buckthorntack import directives
 from buckthorntack import dispatch
+from buckthorntack import events
 from buckthorntack import http1
 from buckthorntack import quarantine
 from buckthorntack.gateway import _addresses
+from buckthorntack.gateway import _events
 
 #: Connect timeout for servers, which are in the same region.
 CONNECT_TIMEOUT_S = 0.6
@@ -73,6 +75,7 @@
         )
         self.directives_index = -1
         self.started_at = clock.monotonic()
+        self._log = events.EventLog("gateway")
         self._changed = asyncio.Event()
         self._urgent = asyncio.Event()
         self._by_service = {}
@@ -140,6 +143,21 @@
                 await self._urgent.wait()
         self._urgent.clear()
 
+    def log_limits(self, told_by):
+        """Log the changes of servers' limits.
+
+        :param told_by: id of the server or entry VM that told them.
+        """
+        for stated in self.fleet.limits.take_changes():
+            self._log.write(
+                _events.SERVER_LIMIT,
+                server=stated.server_id,
+                born_ms=stated.born_ms,
+                per_s=stated.per_s,
+                stated_version=stated.version,
+                told_by=told_by,
+            )
+
     def limits(self):
         """Return the request limits of the active configuration.
 
--- a/buckthorntack/platform/_dialect.py
+++ b/buckthorntack/platform/_dialect.py
@@ -66,6 +66,7 @@
             is_other_server=head.status == MISDIRECTED,
             is_leaving=fields.get(_headers.SERVER_LEAVING) == b"1",
             pause_s=_pause_s(head.status, fields.get(_headers.RETRY_AFTER)),
+            limit=_limit(fields.get(_headers.SERVER_LIMIT)),
         )
 
     def build_server_headers(
@@ -152,6 +153,23 @@
     return pause_s if math.isfinite(pause_s) and pause_s > 0 else None
 
 
+def _limit(value):
+    """What a response says of a limit of its server.
+
+    A value that is no rate says nothing: neither that there is a limit nor
+    that there is none.
+    """
+    if value is None:
+        return gateway.NO_LIMIT
+    try:
+        per_s = float(value)
+    except ValueError:
+        return None
+    if not math.isfinite(per_s) or per_s < 0:
+        return None
+    return gateway.StatedRate(per_s)
+
+
 def _event(value):
     try:
         return int(value) if value else None
--- a/buckthorntack/platform/_headers.py
+++ b/buckthorntack/platform/_headers.py
@@ -18,6 +18,9 @@
 NOT_EXECUTED = _PREFIX + b"not-executed"
 #: Sent with all answers of a server that is leaving.
 SERVER_LEAVING = b"server-leaving"
+#: Requests per second that a server takes of all entry VMs together, in its
+#: answers for as long as the limit holds.
+SERVER_LIMIT = b"server-limit"
 #: Id of the server that answers.
 INSTANCE_ID = _PREFIX + b"instance-id"
 #: Address of a server whose memory holds parts of the prompt.
--- a/buckthorntack/platform/tests/test_formats.py
+++ b/buckthorntack/platform/tests/test_formats.py
@@ -234,3 +234,24 @@
     )
     dialect = _dialect.PlatformDialect()
     assert dialect.parse_response(head).pause_s == pause_s
+
+
+@pytest.mark.parametrize(
+    ("value", "limit"),
+    [
+        (b"1.1", gateway.StatedRate(1.1)),
+        (b"0", gateway.StatedRate(0.0)),
+        (b" 3 ", gateway.StatedRate(3.0)),
+        (None, gateway.NO_LIMIT),
+        (b"-1", None),
+        (b"nan", None),
+        (b"inf", None),
+        (b"many", None),
+        (b"", None),
+    ],
+)
+def test_limit_that_a_server_names(value, limit):
+    headers = [] if value is None else [(b"Server-Limit", value)]
+    head = http1.ResponseHead(200, b"", headers, 0, http1.BodyFraming.LENGTH)
+    dialect = _dialect.PlatformDialect()
+    assert dialect.parse_response(head).limit == limit
