Keep the limit that a server names over all entry VMs

Operators saw LIMIT: a server that named 1.1 requests a second got 81 in 4 s, 12 allowed.

The limit is now part of a server's state that spreads: the entry VM that is told reports it to the others of its region at once, and to other regions with their load. Each statement has a version that grows with each change seen in an answer, so that an old one does not come back by way of others; one on a server that is gone is passed over.

One decision, ServerRates, says whether a server may get one more request, for cold servers as before and for limited ones: 3 entry VMs and one more for each request a second share the rate, each with slots of its own. In any 4 s that is at most 4 L + 1.5 (3 + L) requests, 5.5 L + 4.5, of 6 L + 5 allowed. A slot is moved up by half an interval after a late request, so that the rate is used; less urgent routes leave a slot to others for a quarter or half of it. The limiter of cold servers is the same code without tolerance; its first requests are spread by rank too.

What limited servers don't take goes to others at once, also of other regions; these forward nothing to limited servers unless there are no others. What none can take is refused at once, with a Retry-After spread over the time of a turn.

--- a/buckthorntack/dispatch/__init__.py
+++ b/buckthorntack/dispatch/__init__.py
@@ -15,8 +15,8 @@
 from buckthorntack.dispatch._prompts import Prompt
 from buckthorntack.dispatch._retry_budgets import RetryBudgets
 from buckthorntack.dispatch._server_limits import ServerLimits
+from buckthorntack.dispatch._server_rates import ServerRates
 from buckthorntack.dispatch._settings import DispatchSettings
-from buckthorntack.dispatch._warmup import WarmupLimiter
 
 __all__ = [
     "REQUEST_ROUTED",
@@ -33,7 +33,7 @@
     "RetryBudgets",
     "Serve",
     "ServerLimits",
+    "ServerRates",
     "UsageExchange",
     "RoutingRequest",
-    "WarmupLimiter",
 ]
--- a/buckthorntack/dispatch/_choice.py
+++ b/buckthorntack/dispatch/_choice.py
@@ -3,13 +3,15 @@
 from buckthorntack.dispatch import _decisions
 from buckthorntack.dispatch import _estimates
 from buckthorntack.dispatch import _fleet
-from buckthorntack.dispatch import _warmup
+from buckthorntack.dispatch import _shared_rate
 
 #: Candidates whose costs differ by at most this are tied.
 TIE_MS = 1.0
 #: Retry-After if no known server may take the request: a fraction of the time
 #: between two announcements.
 NO_SERVER_RETRY_MS = 400.0
+#: Rate of turns at limited servers that the longest wait for one stands for.
+MIN_TURNS_PER_S = 0.5
 #: Bounds of the random factor applied to Retry-After.
 RETRY_JITTER_RANGE = (0.75, 1.25)
 
@@ -19,20 +21,18 @@
 
     :param region: region of this entry VM.
     :param fleet: the ``Fleet``.
-    :param warmup_limiter: the ``WarmupLimiter``.
+    :param rates: the ``ServerRates``.
     :param settings: the ``DispatchSettings``.
     :param rng: source of randomness.
     """
 
-    def __init__(self, region, fleet, warmup_limiter, settings, rng):
+    def __init__(self, region, fleet, rates, settings, rng):
         self.region = region
         self.fleet = fleet
-        self.warmup_limiter = warmup_limiter
+        self.rates = rates
         self.settings = settings
         self.rng = rng
         self.estimator = _estimates.Estimator(region, fleet, settings)
-        #: Entry VMs of this region, this one included.
-        self.members = []
         self.evacuated = frozenset()
         self._cold_until = {}
 
@@ -70,19 +70,34 @@
                 request, views, local_best, now, now_s
             )
         if remote_best is None:
+            available = [
+                view for view in remote if self._is_available(view, now)
+            ]
+            if not available and not local:
+                # Limited servers of other regions are all that there is.
+                available = [
+                    view for view in remote if self._is_warm(view, now)
+                ]
             remote_best = self._best_remote(
-                request, remote, local_best, holders, now, now_s
+                request, available, local_best, holders, now_s
             )
         best = remote_best or local_best
         if best is not None:
             return self._decide(request, best)
         return self._refuse_without_candidate(
-            bool(local or remote), pause_ends_s, now_s
+            [*local, *remote], pause_ends_s, now_s
         )
 
-    def _refuse_without_candidate(self, has_servers, pause_ends_s, now_s):
+    def _refuse_without_candidate(self, views, pause_ends_s, now_s):
         wait_ms = NO_SERVER_RETRY_MS
+        has_servers = bool(views)
         reason = "none takes more" if has_servers else "no server"
+        limits = [self.rates.limit_of(view) for view in views]
+        if has_servers and None not in limits:
+            reason = "all servers limited"
+            # One of the callers that wait for a turn gets it at a time.
+            turn_ms = 1e3 / max(sum(limits), MIN_TURNS_PER_S)
+            wait_ms += turn_ms * self.rng.random()
         if pause_ends_s and not has_servers:
             reason = "all servers paused"
             wait_ms = (min(pause_ends_s) - now_s) * 1e3
@@ -146,15 +161,31 @@
         return self.fleet.state(view.record.server_id).is_ejected(now_s)
 
     def _can_send(self, request, view, now, now_s):
+        return self.rates.may_send(
+            view,
+            self._warmup_per_s(request, view, now),
+            request.route.priority,
+            now_s,
+        )
+
+    def _warmup_per_s(self, request, view, now):
+        """Requests per second to a cold server; 0 if they are not limited."""
         if not self.is_cold(view, now):
-            return True
-        per_s = request.service.warmup_per_s
-        server_id = view.record.server_id
-        return self.warmup_limiter.may_send(
-            server_id, per_s, self.members, now_s
+            return 0.0
+        return request.service.warmup_per_s
+
+    def on_request_sent(self, request, view, now):
+        """Count a request against the rates that its server takes.
+
+        :param request: the ``RoutingRequest``.
+        :param view: ``ServerView`` of the server.
+        :param now: monotonic time.
+        """
+        self.rates.on_request_sent(
+            view, self._warmup_per_s(request, view, now), now.total_seconds()
         )
 
-    def _best_remote(self, request, views, local_best, holders, now, now_s):
+    def _best_remote(self, request, views, local_best, holders, now_s):
         """Return a candidate in another region that is worth the round trip.
 
         Other regions are considered if the local region is busy or the
@@ -176,9 +207,7 @@
                 gain_ms = settings.affinity_gain_ms
             elif is_large:
                 gain_ms = 0.0
-        candidates = self._remote_candidates(
-            request, views, holders, now, now_s
-        )
+        candidates = self._remote_candidates(request, views, holders, now_s)
         if not candidates:
             return None
         best = min(candidates, key=_cost_of)
@@ -202,7 +231,7 @@
         key = request.prompt.shared_key
         chosen = max(
             healthy,
-            key=lambda view: _warmup.rendezvous_score(
+            key=lambda view: _shared_rate.rendezvous_score(
                 key, view.record.server_id
             ),
         )
@@ -215,15 +244,19 @@
         return candidate
 
     def _is_available(self, view, now):
+        """Whether a server takes requests at any rate."""
+        is_limited = self.rates.limit_of(view) is not None
+        return self._is_warm(view, now) and not is_limited
+
+    def _is_warm(self, view, now):
         """Whether a server is neither silent nor cold."""
         return not view.record.silent and not self.is_cold(view, now)
 
-    def _remote_candidates(self, request, views, holders, now, now_s):
+    def _remote_candidates(self, request, views, holders, now_s):
         """Return the candidates in other regions whose load is known."""
         candidates = [
             self.estimator.estimate_remote(request, view, holders, now_s)
             for view in views
-            if self._is_available(view, now)
         ]
         return [candidate for candidate in candidates if candidate is not None]
 
--- a/buckthorntack/dispatch/_estimates.py
+++ b/buckthorntack/dispatch/_estimates.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple
 
 from buckthorntack.dispatch import _decisions
-from buckthorntack.dispatch import _warmup
+from buckthorntack.dispatch import _shared_rate
 
 #: Largest affinity penalty: enough to send equal prompts to the same server
 #: while the servers are about equally busy.
@@ -202,7 +202,7 @@
         if request.prompt is None or not request.prompt.parts:
             return 0.0
         key = request.prompt.shared_key
-        score = _warmup.rendezvous_score(key, view.record.server_id)
+        score = _shared_rate.rendezvous_score(key, view.record.server_id)
         return max_affinity_ms * (1.0 - score)
 
     def _expected_ms(self, request, view, usage, unread, state):
--- a/buckthorntack/dispatch/_exchange.py
+++ b/buckthorntack/dispatch/_exchange.py
@@ -83,7 +83,8 @@
         self._last_reported = {}
         self._heard_list_sent_s = -HEARD_LIST_PERIOD_S
         self._sequence = 0
-        #: Whether to report at once because a large prompt was sent.
+        #: Whether to report at once because a large prompt was sent, or the
+        #: limit of a server changed.
         self.is_urgent = False
         self.set_members({})
 
@@ -138,6 +139,8 @@
             self.fleet.on_peer_report(sender, report, now_s)
         else:
             return
+        if self.fleet.limits.merge(report.limits, now_s):
+            self.is_urgent = True
         if report.is_urgent and report.scope != "region":
             self.is_urgent = True
         reads = {read.server_id: read.tokens for read in report.reads}
@@ -155,6 +158,10 @@
         if flight.unread_tokens >= URGENT_PROMPT_TOKENS:
             self.is_urgent = True
 
+    def on_limit_changed(self):
+        """Record that an answer of a server changed its limit."""
+        self.is_urgent = True
+
     def next_hops(self, sender, now_s):
         """Entry VMs to forward a region-wide broadcast to.
 
@@ -206,7 +213,7 @@
 
     def _empty_report(self):
         return messages.UseReport(
-            self._sequence, "own", True, [], [], [], [], False
+            self._sequence, "own", True, [], [], [], [], False, []
         )
 
     def _choose_relay(self, now_s):
@@ -277,8 +284,8 @@
         The report contains the servers whose usage has changed, and all
         servers once per ``FULL_REPORT_PERIOD_S``.
         """
-        last, full_report_s = self._last_reported.get(
-            node_id, ({}, -FULL_REPORT_PERIOD_S)
+        last, last_limits, full_report_s = self._last_reported.get(
+            node_id, ({}, [], -FULL_REPORT_PERIOD_S)
         )
         is_whole = now_s - full_report_s >= FULL_REPORT_PERIOD_S
         uses = {use.server_id: use for use in uses}
@@ -292,14 +299,19 @@
                 for server_id in last
                 if server_id not in uses
             )
+        all_limits = self.fleet.limits.list_statements()
+        limits = all_limits
+        if not is_whole:
+            limits = [limit for limit in limits if limit not in last_limits]
         prompts, reads = self._updates_for(node_id, scope)
         heard = []
         if includes_heard and scope != "own":
             heard = self._list_heard(scope, now_s)
-        if not (is_whole or changed or prompts or reads or heard):
+        if not (is_whole or changed or prompts or reads or heard or limits):
             return None
         self._last_reported[node_id] = (
             uses,
+            all_limits,
             now_s if is_whole else full_report_s,
         )
         return messages.UseReport(
@@ -311,6 +323,7 @@
             reads,
             heard,
             self.is_urgent,
+            limits,
         )
 
     def _select_uses(self, node_id, scope, total):
--- a/buckthorntack/dispatch/_fleet.py
+++ b/buckthorntack/dispatch/_fleet.py
@@ -186,13 +186,14 @@
     """Load of all known servers.
 
     :param settings: the ``DispatchSettings``.
+    :param is_known_server: as ``is_known`` of ``ServerLimits``.
     """
 
-    def __init__(self, settings):
+    def __init__(self, settings, is_known_server=None):
         self.settings = settings
         #: Slowdown assumed for servers without samples.
         self.typical_slowdown = 1.0
-        self.limits = _server_limits.ServerLimits()
+        self.limits = _server_limits.ServerLimits(is_known_server)
         self._states = {}
         self._peers = {}
         #: Sum of the usage of other entry VMs of the region, by server.
@@ -496,6 +497,7 @@
         """
         uses = {use.server_id: use for use in load.servers}
         self._regions[load.region] = _PeerReport(now_s, uses)
+        self.limits.merge(load.limits, now_s)
         for sent in load.prompts:
             self._record_announced(sent)
 
--- a/buckthorntack/dispatch/tests/_world.py
+++ b/buckthorntack/dispatch/tests/_world.py
@@ -24,17 +24,16 @@
         self.now = 100 * SECOND
         self.registry = discovery.Registry(1, discovery.Timing(), self.now)
         self.fleet = dispatch.Fleet(self.settings)
-        self.warmup_limiter = dispatch.WarmupLimiter(
-            OWN, self.settings.cold_senders, self.settings.cold_rate_share
+        self.rates = dispatch.ServerRates(
+            OWN, self.fleet.limits, self.settings
         )
         self.dispatcher = dispatch.Dispatcher(
             region,
             self.fleet,
-            self.warmup_limiter,
+            self.rates,
             self.settings,
             random.Random(4),
         )
-        self.dispatcher.members = [OWN]
 
     def add_server(self, server_id, **fields):
         self.registry.merge_server(
--- a/buckthorntack/dispatch/tests/test_choice.py
+++ b/buckthorntack/dispatch/tests/test_choice.py
@@ -115,7 +115,7 @@
         flight = dispatch.InFlightRequest("s1", 20_000, 0, 100.0, world.now_s)
         other.on_request_sent(flight, None)
     report = messages.UseReport(
-        1, "own", True, other.list_local_uses(), [], [], [], False
+        1, "own", True, other.list_local_uses(), [], [], [], False, []
     )
     world.fleet.on_peer_report("peer", report, world.now_s)
     for _ in range(20):
@@ -145,7 +145,7 @@
 
 
 def _region_load(region, uses):
-    return messages.RegionLoad(region, uses, [])
+    return messages.RegionLoad(region, uses, [], [])
 
 
 def test_refusal_says_when_to_come_back(world):
@@ -184,7 +184,9 @@
             messages.ServerUse(f"s{n}", *(rng.randrange(5) for _ in range(4)))
             for n in rng.sample(range(5), 3)
         ]
-        report = messages.UseReport(1, "own", True, uses, [], [], [], False)
+        report = messages.UseReport(
+            1, "own", True, uses, [], [], [], False, []
+        )
         world.fleet.on_peer_report(peer, report, world.now_s)
         newest[peer] = uses
     for number in range(5):
--- a/buckthorntack/dispatch/tests/test_cold_return.py
+++ b/buckthorntack/dispatch/tests/test_cold_return.py
@@ -20,16 +20,30 @@
     )
 
 
+def _make_gate(name):
+    return dispatch.ServerRates(
+        name, dispatch.ServerLimits(), dispatch.DispatchSettings()
+    )
+
+
+def _view_of_server():
+    world = _world.World()
+    world.add_server("s1")
+    return world.registry.servers["s1"]
+
+
 @pytest.mark.parametrize("members", [1, 2, 3, 8, 30])
 def test_rate_holds_over_all_entry_vms(members):
     names = [f"10.1.0.{number}:80" for number in range(members)]
-    gates = [dispatch.WarmupLimiter(name, 3, 0.8) for name in names]
+    view = _view_of_server()
+    gates = [_make_gate(name) for name in names]
     sent = []
     for step in range(400):
         now_s = step * 0.01
-        for warmup_limiter in gates:
-            if warmup_limiter.may_send("s1", PER_S, names, now_s):
-                warmup_limiter.on_request_sent("s1", PER_S, names, now_s)
+        for gate in gates:
+            gate.members = names
+            if gate.may_send(view, PER_S, 0, now_s):
+                gate.on_request_sent(view, PER_S, now_s)
                 sent.append(now_s)
     assert most_in_a_second(sent) <= PER_S * OVERRUN + SLACK
     assert len(sent) > PER_S * 0.5 * 4
@@ -37,14 +51,15 @@
 
 def test_rate_holds_while_entry_vms_know_different_members():
     names = [f"10.1.0.{number}:80" for number in range(6)]
-    gates = [dispatch.WarmupLimiter(name, 3, 0.8) for name in names]
+    view = _view_of_server()
+    gates = [_make_gate(name) for name in names]
     sent = []
     for step in range(400):
         now_s = step * 0.01
-        for number, warmup_limiter in enumerate(gates):
-            known = names[: max(2, number + 1)]
-            if warmup_limiter.may_send("s1", PER_S, known, now_s):
-                warmup_limiter.on_request_sent("s1", PER_S, known, now_s)
+        for number, gate in enumerate(gates):
+            gate.members = names[: max(2, number + 1)]
+            if gate.may_send(view, PER_S, 0, now_s):
+                gate.on_request_sent(view, PER_S, now_s)
                 sent.append(now_s)
     assert most_in_a_second(sent) <= PER_S * OVERRUN + SLACK
 
@@ -72,9 +87,8 @@
     for _ in range(240):
         world.now += 0.01 * _world.SECOND
         if isinstance(world.choose(request), dispatch.Serve):
-            world.warmup_limiter.on_request_sent(
-                "s1", PER_S, world.dispatcher.members, world.now_s
-            )
+            view = world.registry.servers["s1"]
+            world.dispatcher.on_request_sent(request, view, world.now)
             sent.append(world.now_s)
     assert sent
     assert most_in_a_second(sent) <= PER_S * OVERRUN + SLACK
--- a/buckthorntack/dispatch/tests/test_pack_hotspot.py
+++ b/buckthorntack/dispatch/tests/test_pack_hotspot.py
@@ -130,7 +130,7 @@
         "far", region="kumamoto", failure_domain="kumamoto-a", slots=16
     )
     sent = messages.PromptSent("far", ["pack"], [13_300])
-    load = messages.RegionLoad("kumamoto", [], [sent])
+    load = messages.RegionLoad("kumamoto", [], [sent], [])
     world.fleet.on_region_load(load, world.now_s)
     return world, world.make_request(_world.prompt(), service=service)
 
@@ -184,7 +184,7 @@
                     f"s{number}", region=home, failure_domain=home
                 )
             for other in regions:
-                load = messages.RegionLoad(other, [], [])
+                load = messages.RegionLoad(other, [], [], [])
                 world.fleet.on_region_load(load, world.now_s)
             prompt = _world.prompt(f"pack{pack}", tokens=500)
             request = world.make_request(prompt, route=slow, service=service)
--- a/buckthorntack/emulator/_deployment.py
+++ b/buckthorntack/emulator/_deployment.py
@@ -65,11 +65,9 @@
         self.region = region
         self.failure_domain = failure_domain
         self.fleet = dispatch.Fleet(settings)
-        warmup_limiter = dispatch.WarmupLimiter(
-            name, settings.cold_senders, settings.cold_rate_share
-        )
+        self.rates = dispatch.ServerRates(name, self.fleet.limits, settings)
         self.dispatcher = dispatch.Dispatcher(
-            region, self.fleet, warmup_limiter, settings, rng
+            region, self.fleet, self.rates, settings, rng
         )
         self.exchange = dispatch.UsageExchange(
             self.fleet, name, failure_domain
@@ -190,7 +188,7 @@
         }
         for number, entry in enumerate(self.entries[region.name]):
             entry.exchange.set_members(members)
-            entry.dispatcher.members = sorted(members)
+            entry.rates.members = sorted(members)
             self._by_name[entry.name] = entry
             share = number / region.entries
             self._at(share * self.use_period_ms, self._tell_use, entry)
@@ -260,6 +258,8 @@
                 now_ms + REGION_MS, self._decide, request, other, tried, entry
             )
         else:
+            view = self.registry.servers[decision.server_id]
+            entry.dispatcher.on_request_sent(wanted, view, now)
             flight = entry.dispatcher.create_in_flight_request(
                 wanted, decision, now
             )
@@ -339,13 +339,16 @@
 
     def _tell_limit(self, now_ms, server_id, entry, flight):
         """Tell an entry VM what the engine's answer says of its limit."""
-        entry.fleet.limits.on_answer(
+        is_changed = entry.fleet.limits.on_answer(
             server_id,
             self.registry.servers[server_id].record.born_ms,
             self.limits(server_id, now_ms),
             flight.started_s,
             now_ms / 1e3,
         )
+        if is_changed:
+            entry.exchange.on_limit_changed()
+            self._tell_if_urgent(now_ms, entry)
 
     def _leave(self, now_ms, run, engine):
         if run not in self._flights:
@@ -401,7 +404,10 @@
             if name == region
         ]
         load = messages.RegionLoad(
-            region, uses, speaker.fleet.take_shared_parts()
+            region,
+            uses,
+            speaker.fleet.take_shared_parts(),
+            speaker.fleet.limits.list_statements(),
         )
         for name, entries in self.entries.items():
             for entry in entries if name != region else ():
--- a/buckthorntack/gateway/_entry.py
+++ b/buckthorntack/gateway/_entry.py
@@ -135,6 +135,7 @@
         now_s = self.clock.monotonic().total_seconds()
         if isinstance(message, messages.UseReport):
             self.shared_state.exchange.on_report(sender, message, now_s)
+            self.shared_state.log_limits(sender)
             self.shared_state.wake_if_urgent()
         elif isinstance(message, messages.RegionLoad):
             self._on_region_load(sender, message, now_s)
@@ -307,7 +308,17 @@
             if view.record.region == region and view.record.state == "ready"
         ]
         shared = self.shared_state.fleet.take_shared_parts()
-        load = messages.RegionLoad(region, servers, shared)
+        local_ids = {
+            server_id
+            for server_id, view in self.registry.servers.items()
+            if view.record.region == region
+        }
+        limits = [
+            limit
+            for limit in self.shared_state.fleet.limits.list_statements()
+            if limit.server_id in local_ids
+        ]
+        load = messages.RegionLoad(region, servers, shared, limits)
         for other in sorted(set(self.settings.regions.values()) - {region}):
             entry_vms = self.shared_state.list_entry_vms(other)
             if entry_vms:
@@ -319,6 +330,7 @@
         The other region sends it only once, to a random entry VM.
         """
         self.shared_state.fleet.on_region_load(load, now_s)
+        self.shared_state.log_limits(sender)
         for node_id in self.shared_state.exchange.next_hops(sender, now_s):
             self.links.send(node_id, load)
 
--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -383,13 +383,9 @@
         self.destination = server_id
         pool = self.shared_state.pool
         fleet = self.shared_state.fleet
-        if self.shared_state.dispatcher.is_cold(view, now):
-            self.shared_state.warmup_limiter.on_request_sent(
-                server_id,
-                self.service.warmup_per_s,
-                self.shared_state.dispatcher.members,
-                now.total_seconds(),
-            )
+        self.shared_state.dispatcher.on_request_sent(
+            routing_request, view, now
+        )
         in_flight = self.shared_state.dispatcher.create_in_flight_request(
             routing_request, decision, now
         )
@@ -577,15 +573,17 @@
     def _note_limit(self, limit, now):
         if limit is None:
             return
-        limits = self.shared_state.fleet.limits
-        limits.on_answer(
+        is_changed = self.shared_state.fleet.limits.on_answer(
             self.incarnation.server_id,
             self.incarnation.born_ms,
             limit.per_s,
             self.attempt_sent_at.total_seconds(),
             now.total_seconds(),
         )
-        self.shared_state.log_limits(self.incarnation.server_id)
+        if is_changed:
+            self.shared_state.exchange.on_limit_changed()
+            self.shared_state.wake_if_urgent()
+            self.shared_state.log_limits(self.incarnation.server_id)
 
     def _is_stream(self, head):
         return self.route.kind is RequestKind.STREAM and head.status == 200
--- a/buckthorntack/gateway/_shared_state.py
+++ b/buckthorntack/gateway/_shared_state.py
@@ -45,19 +45,17 @@
         self.rng = rng
         self.table = None
         dispatch_parameters = dispatch_settings or dispatch.DispatchSettings()
-        self.fleet = dispatch.Fleet(dispatch_parameters)
+        self.fleet = dispatch.Fleet(dispatch_parameters, self._is_known_server)
         self.exchange = dispatch.UsageExchange(
             self.fleet, settings.service_address, settings.failure_domain
         )
-        self.warmup_limiter = dispatch.WarmupLimiter(
-            settings.service_address,
-            dispatch_parameters.cold_senders,
-            dispatch_parameters.cold_rate_share,
+        self.rates = dispatch.ServerRates(
+            settings.service_address, self.fleet.limits, dispatch_parameters
         )
         self.dispatcher = dispatch.Dispatcher(
             settings.region,
             self.fleet,
-            self.warmup_limiter,
+            self.rates,
             dispatch_parameters,
             rng,
         )
@@ -173,6 +171,10 @@
             limits.idle_timeout.total_seconds(),
         )
 
+    def _is_known_server(self, server_id):
+        view = self.registry.servers.get(server_id)
+        return view is not None and view.record.state != "gone"
+
     def on_servers_changed(self, server_ids):
         """Update the state of servers after changes of the registry.
 
@@ -195,7 +197,7 @@
     def _remove_server(self, server_id):
         self._incarnations.pop(server_id, None)
         self.fleet.remove_server(server_id)
-        self.warmup_limiter.remove_server(server_id)
+        self.rates.remove_server(server_id)
         self.pool.close_idle(server_id)
 
     def list_servers(self, service):
@@ -250,5 +252,5 @@
             for record in entry_vms
             if record.region == self.settings.region and not record.silent
         }
-        self.dispatcher.members = sorted({*members, own_address})
+        self.rates.members = sorted({*members, own_address})
         self.exchange.set_members(members)
--- a/buckthorntack/schema/_generated/discovery.py
+++ b/buckthorntack/schema/_generated/discovery.py
@@ -130,6 +130,18 @@
     first_voters: list[str]
 
 
+class ServerLimit(NamedTuple):
+    """
+    What a backend server said last of the requests that it takes.
+    """
+
+    server_id: str
+    born_ms: int
+    version: int
+    is_named: bool
+    per_s: float
+
+
 class RegionLoad(NamedTuple):
     """
     Load of the backend servers of a region.
@@ -138,6 +150,7 @@
     region: str
     servers: list[ServerUse]
     prompts: list[PromptSent]
+    limits: list[ServerLimit]
 
 
 class UseReport(NamedTuple):
@@ -153,3 +166,4 @@
     reads: list[ServerRead]
     heard: list[str]
     is_urgent: bool
+    limits: list[ServerLimit]
--- a/buckthorntack/schema/messages.py
+++ b/buckthorntack/schema/messages.py
@@ -53,6 +53,7 @@
 from buckthorntack.schema._generated.discovery import RegionLoad
 from buckthorntack.schema._generated.discovery import RegistryChanges
 from buckthorntack.schema._generated.discovery import ReplicaEnvelope
+from buckthorntack.schema._generated.discovery import ServerLimit
 from buckthorntack.schema._generated.discovery import ServerRead
 from buckthorntack.schema._generated.discovery import ServerUse
 from buckthorntack.schema._generated.discovery import UseReport
@@ -205,6 +206,7 @@
     "RegionLoad",
     "RegistryChanges",
     "ReplicaEnvelope",
+    "ServerLimit",
     "ServerLoad",
     "ServerRead",
     "ServerRecord",
