Keep the limits of servers on the own interface too

A server of the own interface names its limit in its announcements (limit_per_s), which reach all entry VMs of its region. The router leaves out limited servers that take no more at present, by the same decision as the users' platform (ServerRates, which now takes the limits of a server instead of its record).

Before, the field was refused and eight routers sent 8 requests each 50 ms to such a server as to any other.

--- a/buckthorntack/dispatch/__init__.py
+++ b/buckthorntack/dispatch/__init__.py
@@ -15,6 +15,7 @@
 from buckthorntack.dispatch._prompts import Prompt
 from buckthorntack.dispatch._retry_budgets import RetryBudgets
 from buckthorntack.dispatch._server_limits import ServerLimits
+from buckthorntack.dispatch._server_rates import RateLimits
 from buckthorntack.dispatch._server_rates import ServerRates
 from buckthorntack.dispatch._settings import DispatchSettings
 
@@ -29,6 +30,7 @@
     "Part",
     "Prompt",
     "PrefixCache",
+    "RateLimits",
     "Refuse",
     "RetryBudgets",
     "Serve",
--- a/buckthorntack/dispatch/_choice.py
+++ b/buckthorntack/dispatch/_choice.py
@@ -3,6 +3,7 @@
 from buckthorntack.dispatch import _decisions
 from buckthorntack.dispatch import _estimates
 from buckthorntack.dispatch import _fleet
+from buckthorntack.dispatch import _server_rates
 from buckthorntack.dispatch import _shared_rate
 
 #: Candidates whose costs differ by at most this are tied.
@@ -92,7 +93,7 @@
         wait_ms = NO_SERVER_RETRY_MS
         has_servers = bool(views)
         reason = "none takes more" if has_servers else "no server"
-        limits = [self.rates.limit_of(view) for view in views]
+        limits = [self._named_per_s(view) for view in views]
         if has_servers and None not in limits:
             reason = "all servers limited"
             # One of the callers that wait for a turn gets it at a time.
@@ -162,17 +163,21 @@
 
     def _can_send(self, request, view, now, now_s):
         return self.rates.may_send(
-            view,
-            self._warmup_per_s(request, view, now),
+            view.record.server_id,
+            self._limits_of(request, view, now),
             request.route.priority,
             now_s,
         )
 
-    def _warmup_per_s(self, request, view, now):
-        """Requests per second to a cold server; 0 if they are not limited."""
-        if not self.is_cold(view, now):
-            return 0.0
-        return request.service.warmup_per_s
+    def _limits_of(self, request, view, now):
+        cold_per_s = None
+        if self.is_cold(view, now) and request.service.warmup_per_s > 0:
+            cold_per_s = request.service.warmup_per_s
+        return _server_rates.RateLimits(cold_per_s, self._named_per_s(view))
+
+    def _named_per_s(self, view):
+        record = view.record
+        return self.fleet.limits.per_s(record.server_id, record.born_ms)
 
     def on_request_sent(self, request, view, now):
         """Count a request against the rates that its server takes.
@@ -182,7 +187,9 @@
         :param now: monotonic time.
         """
         self.rates.on_request_sent(
-            view, self._warmup_per_s(request, view, now), now.total_seconds()
+            view.record.server_id,
+            self._limits_of(request, view, now),
+            now.total_seconds(),
         )
 
     def _best_remote(self, request, views, local_best, holders, now_s):
@@ -245,7 +252,7 @@
 
     def _is_available(self, view, now):
         """Whether a server takes requests at any rate."""
-        is_limited = self.rates.limit_of(view) is not None
+        is_limited = self._named_per_s(view) is not None
         return self._is_warm(view, now) and not is_limited
 
     def _is_warm(self, view, now):
--- a/buckthorntack/dispatch/_server_rates.py
+++ b/buckthorntack/dispatch/_server_rates.py
@@ -1,5 +1,7 @@
 """Decision whether a server may get one more request now."""
 
+from typing import NamedTuple
+
 from buckthorntack.dispatch import _shared_rate
 
 #: Fraction of the interval between two requests to a limited server by which
@@ -16,6 +18,15 @@
 PRIORITY_DELAYS = (0.0, 0.25, 0.5)
 
 
+class RateLimits(NamedTuple):
+    """Requests per second that a server takes of all entry VMs together."""
+
+    #: While it is cold; None for no such limit.
+    cold_per_s: float | None = None
+    #: As it names them; None for no limit.
+    named_per_s: float | None = None
+
+
 class ServerRates:
     """Limits on the requests of all entry VMs to each server.
 
@@ -23,12 +34,10 @@
     second; if both hold, each does.
 
     :param node_id: this entry VM.
-    :param limits: ``ServerLimits``.
     :param settings: ``DispatchSettings``.
     """
 
-    def __init__(self, node_id, limits, settings):
-        self.limits = limits
+    def __init__(self, node_id, settings):
         self.settings = settings
         #: Entry VMs of this region, this one included.
         self.members = [node_id]
@@ -37,56 +46,42 @@
             node_id, LIMIT_TOLERANCE
         )
 
-    def may_send(self, view, warmup_per_s, priority, now_s):
+    def may_send(self, server_id, limits, priority, now_s):
         """Whether a server may get a request now.
 
-        :param view: ``ServerView`` of the server.
-        :param warmup_per_s: requests per second that the server takes as it
-            is cold; 0 for no such limit.
-        :param priority: priority of the request's route; 0 is the highest.
+        :param server_id: the server.
+        :param limits: its :class:`RateLimits`.
+        :param priority: priority of the request; 0 is the highest.
         :param now_s: monotonic time.
         """
-        server_id = view.record.server_id
-        cold_rate = self._cold_rate(warmup_per_s)
-        if cold_rate is not None and not self._cold.may_send(
-            server_id, cold_rate, self.members, now_s
+        if limits.cold_per_s is not None and not self._cold.may_send(
+            server_id,
+            self._rate_of_cold_server(limits.cold_per_s),
+            self.members,
+            now_s,
         ):
             return False
-        limit = self.limit_of(view)
-        if limit is None:
+        if limits.named_per_s is None:
             return True
         delay = PRIORITY_DELAYS[min(priority, len(PRIORITY_DELAYS) - 1)]
-        rate = _rate_of_limit(limit)
+        rate = _rate_of_limit(limits.named_per_s)
         return self._limited.may_send(
             server_id, rate, self.members, now_s, delay
         )
 
-    def on_request_sent(self, view, warmup_per_s, now_s):
+    def on_request_sent(self, server_id, limits, now_s):
         """Record that a request was sent to a server.
 
-        :param view: ``ServerView`` of the server.
-        :param warmup_per_s: as of :meth:`may_send`.
+        :param server_id: the server.
+        :param limits: its :class:`RateLimits`.
         :param now_s: monotonic time.
         """
-        server_id = view.record.server_id
-        cold_rate = self._cold_rate(warmup_per_s)
-        if cold_rate is not None:
-            self._cold.on_request_sent(
-                server_id, cold_rate, self.members, now_s
-            )
-        limit = self.limit_of(view)
-        if limit is not None:
-            self._limited.on_request_sent(
-                server_id, _rate_of_limit(limit), self.members, now_s
-            )
-
-    def limit_of(self, view):
-        """Requests per second that a server names; None for no limit.
-
-        :param view: ``ServerView`` of the server.
-        """
-        record = view.record
-        return self.limits.per_s(record.server_id, record.born_ms)
+        if limits.cold_per_s is not None:
+            rate = self._rate_of_cold_server(limits.cold_per_s)
+            self._cold.on_request_sent(server_id, rate, self.members, now_s)
+        if limits.named_per_s is not None:
+            rate = _rate_of_limit(limits.named_per_s)
+            self._limited.on_request_sent(server_id, rate, self.members, now_s)
 
     def remove_server(self, server_id):
         """Delete the state of a server.
@@ -96,11 +91,9 @@
         self._cold.remove_server(server_id)
         self._limited.remove_server(server_id)
 
-    def _cold_rate(self, warmup_per_s):
-        if warmup_per_s <= 0:
-            return None
+    def _rate_of_cold_server(self, per_s):
         return _shared_rate.SharedRate(
-            warmup_per_s * self.settings.cold_rate_share,
+            per_s * self.settings.cold_rate_share,
             self.settings.cold_senders,
         )
 
--- a/buckthorntack/dispatch/tests/_world.py
+++ b/buckthorntack/dispatch/tests/_world.py
@@ -24,9 +24,7 @@
         self.now = 100 * SECOND
         self.registry = discovery.Registry(1, discovery.Timing(), self.now)
         self.fleet = dispatch.Fleet(self.settings)
-        self.rates = dispatch.ServerRates(
-            OWN, self.fleet.limits, self.settings
-        )
+        self.rates = dispatch.ServerRates(OWN, self.settings)
         self.dispatcher = dispatch.Dispatcher(
             region,
             self.fleet,
--- a/buckthorntack/dispatch/tests/test_cold_return.py
+++ b/buckthorntack/dispatch/tests/test_cold_return.py
@@ -20,30 +20,24 @@
     )
 
 
-def _make_gate(name):
-    return dispatch.ServerRates(
-        name, dispatch.ServerLimits(), dispatch.DispatchSettings()
-    )
+COLD = dispatch.RateLimits(cold_per_s=PER_S)
 
 
-def _view_of_server():
-    world = _world.World()
-    world.add_server("s1")
-    return world.registry.servers["s1"]
+def _make_gate(name):
+    return dispatch.ServerRates(name, dispatch.DispatchSettings())
 
 
 @pytest.mark.parametrize("members", [1, 2, 3, 8, 30])
 def test_rate_holds_over_all_entry_vms(members):
     names = [f"10.1.0.{number}:80" for number in range(members)]
-    view = _view_of_server()
     gates = [_make_gate(name) for name in names]
     sent = []
     for step in range(400):
         now_s = step * 0.01
         for gate in gates:
             gate.members = names
-            if gate.may_send(view, PER_S, 0, now_s):
-                gate.on_request_sent(view, PER_S, now_s)
+            if gate.may_send("s1", COLD, 0, now_s):
+                gate.on_request_sent("s1", COLD, now_s)
                 sent.append(now_s)
     assert most_in_a_second(sent) <= PER_S * OVERRUN + SLACK
     assert len(sent) > PER_S * 0.5 * 4
@@ -51,15 +45,14 @@
 
 def test_rate_holds_while_entry_vms_know_different_members():
     names = [f"10.1.0.{number}:80" for number in range(6)]
-    view = _view_of_server()
     gates = [_make_gate(name) for name in names]
     sent = []
     for step in range(400):
         now_s = step * 0.01
         for number, gate in enumerate(gates):
             gate.members = names[: max(2, number + 1)]
-            if gate.may_send(view, PER_S, 0, now_s):
-                gate.on_request_sent(view, PER_S, now_s)
+            if gate.may_send("s1", COLD, 0, now_s):
+                gate.on_request_sent("s1", COLD, now_s)
                 sent.append(now_s)
     assert most_in_a_second(sent) <= PER_S * OVERRUN + SLACK
 
--- a/buckthorntack/dispatch/tests/test_server_rates.py
+++ b/buckthorntack/dispatch/tests/test_server_rates.py
@@ -34,24 +34,19 @@
     )
 
 
-def _view(**fields):
-    world = _world.World()
-    world.add_server("s1", **fields)
-    return world.registry.servers["s1"]
-
-
-def _make_rates(name, per_s):
-    limits = dispatch.ServerLimits()
-    limits.merge([_statement(per_s)], 0.0)
-    return dispatch.ServerRates(name, limits, dispatch.DispatchSettings())
+def _make_senders(names):
+    settings = dispatch.DispatchSettings()
+    return [dispatch.ServerRates(name, settings) for name in names]
 
 
-def _send(senders, members_of, view, priority_of=lambda: 0, warmup_per_s=0.0):
+def _send(names, members_of, limits):
     """Let entry VMs send as often as they may.
 
     :param members_of: function of the entry VM's number and the time.
+    :param limits: ``dispatch.RateLimits`` of the server.
     :returns: times at which requests were sent.
     """
+    senders = _make_senders(names)
     sent = []
     rng = random.Random(3)
     for step in range(int(LENGTH_S / STEP_S)):
@@ -59,8 +54,8 @@
         for number in rng.sample(range(len(senders)), len(senders)):
             rates = senders[number]
             rates.members = members_of(number, now_s)
-            if rates.may_send(view, warmup_per_s, priority_of(), now_s):
-                rates.on_request_sent(view, warmup_per_s, now_s)
+            if rates.may_send("s1", limits, 0, now_s):
+                rates.on_request_sent("s1", limits, now_s)
                 sent.append(now_s)
     return sent
 
@@ -69,8 +64,8 @@
 @pytest.mark.parametrize("per_s", [0.2, 1.1, 2.9, 6.0, 25.0])
 def test_limit_holds_and_is_used(count, per_s):
     names = NAMES[:count]
-    senders = [_make_rates(name, per_s) for name in names]
-    sent = _send(senders, lambda number, now_s: names, _view())
+    limits = dispatch.RateLimits(named_per_s=per_s)
+    sent = _send(names, lambda number, now_s: names, limits)
     assert _most_in_window(sent) <= _allowed(per_s)
     assert len(sent) >= 0.9 * per_s * LENGTH_S
 
@@ -78,8 +73,6 @@
 # Guards against senders that add up while membership views differ.
 @pytest.mark.parametrize("per_s", [0.2, 1.1, 2.9, 6.0])
 def test_limit_holds_while_entry_vms_come_and_go(per_s):
-    senders = [_make_rates(name, per_s) for name in NAMES[:8]]
-
     def members_of(number, now_s):
         known = [0, 1, 2, 3, 4, 5]
         # Each entry VM hears of the others at a time of its own.
@@ -91,7 +84,8 @@
             known.append(7)
         return [NAMES[member] for member in {*known, number}]
 
-    sent = _send(senders, members_of, _view())
+    limits = dispatch.RateLimits(named_per_s=per_s)
+    sent = _send(NAMES[:8], members_of, limits)
     assert _most_in_window(sent) <= _allowed(per_s)
 
 
@@ -99,17 +93,17 @@
 @pytest.mark.parametrize("per_s", [1.1, 6.0])
 def test_limit_holds_for_requests_that_come_by_chance(per_s):
     names = NAMES[:8]
-    senders = [_make_rates(name, per_s) for name in names]
+    senders = _make_senders(names)
+    limits = dispatch.RateLimits(named_per_s=per_s)
     rng = random.Random(9)
-    view = _view()
     sent = []
     for step in range(int(LENGTH_S / STEP_S)):
         now_s = 100.0 + step * STEP_S
         for rates in senders:
             rates.members = names
             comes = rng.random() < 0.04
-            if comes and rates.may_send(view, 0.0, 0, now_s):
-                rates.on_request_sent(view, 0.0, now_s)
+            if comes and rates.may_send("s1", limits, 0, now_s):
+                rates.on_request_sent("s1", limits, now_s)
                 sent.append(now_s)
     assert _most_in_window(sent) <= _allowed(per_s)
     assert len(sent) >= 0.8 * per_s * LENGTH_S
@@ -117,30 +111,26 @@
 
 def test_server_that_takes_none_is_only_probed():
     names = NAMES[:8]
-    senders = [_make_rates(name, 0.0) for name in names]
-    sent = _send(senders, lambda number, now_s: names, _view())
+    limits = dispatch.RateLimits(named_per_s=0.0)
+    sent = _send(names, lambda number, now_s: names, limits)
     assert 3 <= len(sent) <= 8
 
 
 def test_cold_server_with_a_limit_keeps_both():
     names = NAMES[:3]
-    senders = [_make_rates(name, 8.0) for name in names]
-    sent = _send(
-        senders, lambda number, now_s: names, _view(), warmup_per_s=2.0
-    )
+    limits = dispatch.RateLimits(cold_per_s=2.0, named_per_s=8.0)
+    sent = _send(names, lambda number, now_s: names, limits)
     assert len(sent) <= 2.0 * LENGTH_S
-    senders = [_make_rates(name, 1.0) for name in names]
-    sent = _send(
-        senders, lambda number, now_s: names, _view(), warmup_per_s=20.0
-    )
+    limits = dispatch.RateLimits(cold_per_s=20.0, named_per_s=1.0)
+    sent = _send(names, lambda number, now_s: names, limits)
     assert _most_in_window(sent) <= _allowed(1.0)
 
 
 # Guards against less urgent requests that leave nothing to urgent ones.
 def test_urgent_requests_take_the_rate_of_a_limited_server():
     names = NAMES[:3]
-    senders = [_make_rates(name, 2.0) for name in names]
-    view = _view()
+    senders = _make_senders(names)
+    limits = dispatch.RateLimits(named_per_s=2.0)
     sent = {0: 0, 1: 0}
     rng = random.Random(3)
     for step in range(int(LENGTH_S / STEP_S)):
@@ -150,8 +140,8 @@
             # Three in four requests are less urgent.
             priority = rng.choice([0, 1, 1, 1])
             comes = rng.random() < 0.8
-            if comes and rates.may_send(view, 0.0, priority, now_s):
-                rates.on_request_sent(view, 0.0, now_s)
+            if comes and rates.may_send("s1", limits, priority, now_s):
+                rates.on_request_sent("s1", limits, now_s)
                 sent[priority] += 1
     assert sent[0] > 10 * sent[1]
 
--- a/buckthorntack/emulator/_deployment.py
+++ b/buckthorntack/emulator/_deployment.py
@@ -65,7 +65,7 @@
         self.region = region
         self.failure_domain = failure_domain
         self.fleet = dispatch.Fleet(settings)
-        self.rates = dispatch.ServerRates(name, self.fleet.limits, settings)
+        self.rates = dispatch.ServerRates(name, settings)
         self.dispatcher = dispatch.Dispatcher(
             region, self.fleet, self.rates, settings, rng
         )
--- a/buckthorntack/entry/_role.py
+++ b/buckthorntack/entry/_role.py
@@ -30,6 +30,7 @@
 from buckthorntack.entry import _metrics
 from buckthorntack.entry import _prompt_quarantine
 from buckthorntack.entry import _runner
+from buckthorntack.entry import _server_limiter
 from buckthorntack.schema import messages
 
 #: Requests admitted for each slot of a server.  The value is above 1 because
@@ -98,7 +99,8 @@
         self.clock = clock
         self.rng = rng
         self.registry = registry
-        self.make_router = make_router or _create_router
+        self.make_router = make_router or self._create_router
+        self.server_limiter = _server_limiter.ServerLimiter(links.node_id)
         self.components = _components.EntryComponents(
             settings, links, clock, rng
         )
@@ -123,6 +125,12 @@
         )
         return self
 
+    def _create_router(self, region, failure_domain, rng):
+        settings = routing.RouterSettings()
+        return routing.Router(
+            region, failure_domain, settings, rng, self.server_limiter
+        )
+
     async def _start(self):
         settings, components = self.settings, self.components
         idle_timeout = datetime.timedelta(
@@ -337,6 +345,7 @@
             self._update_server(record)
         for summary in self.members.summaries():
             self._update_summary(summary)
+        self._update_entry_vms()
 
     def _on_server_changed(self, change):
         self._update_server(change.record)
@@ -357,7 +366,12 @@
             change.server_id, self.clock.monotonic()
         )
 
+    def _update_entry_vms(self):
+        entries = self.members.entries_of(self.components.region)
+        self.server_limiter.set_entry_vms(record.node_id for record in entries)
+
     def _on_entry_removed(self, change):
+        self._update_entry_vms()
         if change.record.state == "stopped":
             self._roster.remove(change.record.node_id)
 
@@ -367,6 +381,7 @@
                 self._update_server(record)
 
     def _on_entry_changed(self, change):
+        self._update_entry_vms()
         self._roster.record_member(
             change.record.node_id, self.clock.monotonic()
         )
@@ -378,6 +393,7 @@
         self._update_summary(change.summary)
 
     def _update_summary(self, summary):
+        self._update_entry_vms()
         for record in summary.entries:
             self._roster.record_member(record.node_id, self.clock.monotonic())
             self.links.set_address(record.node_id, record.link_address)
@@ -486,11 +502,6 @@
         self._log.write(_events.ENTRY_STOPPED)
 
 
-def _create_router(region, failure_domain, rng):
-    settings = routing.RouterSettings()
-    return routing.Router(region, failure_domain, settings, rng)
-
-
 def _unwrap_result(result):
     if result.is_error():
         raise result.error
--- a/buckthorntack/gateway/_shared_state.py
+++ b/buckthorntack/gateway/_shared_state.py
@@ -50,7 +50,7 @@
             self.fleet, settings.service_address, settings.failure_domain
         )
         self.rates = dispatch.ServerRates(
-            settings.service_address, self.fleet.limits, dispatch_parameters
+            settings.service_address, dispatch_parameters
         )
         self.dispatcher = dispatch.Dispatcher(
             settings.region,
--- a/buckthorntack/routing/_router.py
+++ b/buckthorntack/routing/_router.py
@@ -30,6 +30,8 @@
     :param failure_domain: failure domain of this entry VM.
     :param settings: ``RouterSettings``.
     :param rng: source of randomness.
+    :param limiter: keeps the limits that servers name over all entry VMs;
+        None to keep none.
     """
 
     def __init__(
@@ -38,11 +40,15 @@
         failure_domain: str,
         settings: _types.RouterSettings,
         rng: random.Random,
+        limiter=None,
     ):
         self.region = region
         self.failure_domain = failure_domain
         self.settings = settings
         self.rng = rng
+        self.limiter = limiter
+        #: Servers that name a limit.
+        self._limited = set()
         self._servers = _servers.ServerTable(settings)
         self._sampler = _sampling.Sampler(self._servers, settings, rng)
         self._domains = _regions.DomainTable(settings, rng)
@@ -60,6 +66,11 @@
             return
         if self._servers.update(record, now.total_seconds()):
             self._prefixes.remove_target(record.server_id)
+        server = self._servers.get(record.server_id)
+        if server is not None and server.record.limit_per_s >= 0:
+            self._limited.add(record.server_id)
+        else:
+            self._limited.discard(record.server_id)
 
     def remove_server(self, server_id, now: datetime.timedelta) -> None:
         """Remove a backend server.
@@ -69,6 +80,9 @@
         """
         self._servers.remove(server_id)
         self._prefixes.remove_target(server_id)
+        self._limited.discard(server_id)
+        if self.limiter is not None:
+            self.limiter.remove_server(server_id)
 
     def update_summary(self, summary, now: datetime.timedelta) -> None:
         """Apply the summary of another failure domain.
@@ -143,6 +157,10 @@
         if server is None:
             return
         now_s = now.total_seconds()
+        if self.limiter is not None and server_id in self._limited:
+            self.limiter.on_request_sent(
+                server_id, server.record.limit_per_s, now_s
+            )
         tokens = prompt_tokens * (1.0 - cached_share)
         load = server.load.estimate_requests(now_s)
         slots = server.record.slots
@@ -300,6 +318,7 @@
         """
         now_s = now.total_seconds()
         self._servers.apply_expired_timers(now_s)
+        request = self._exclude_used_up_servers(request, now_s)
         group = _servers.GroupKey(request.service, request.model_version)
         matches = self._find_matches(request)
         local = self._score_local(request, group, matches, now_s)
@@ -313,6 +332,20 @@
             return expression.Error(self._make_refusal(request, group))
         return expression.Ok(self._route_locally(local, best, request))
 
+    def _exclude_used_up_servers(self, request, now_s):
+        """Exclude servers that take no more requests at present."""
+        if self.limiter is None or not self._limited:
+            return request
+        used_up = set()
+        for server_id in self._limited:
+            server = self._servers.get(server_id)
+            if server is not None and not self.limiter.may_send(
+                server_id, server.record.limit_per_s, now_s
+            ):
+                used_up.add(server_id)
+        excluded = frozenset({*request.excluded_servers, *used_up})
+        return request._replace(excluded_servers=excluded)
+
     def _find_best_local_score(self, local, request, group, matches, now_s):
         """Find the best score in this region.
 
--- a/buckthorntack/routing/tests/_records.py
+++ b/buckthorntack/routing/tests/_records.py
@@ -33,6 +33,7 @@
         slots=8,
         lease_ms=2000,
         load=load,
+        limit_per_s=-1.0,
     )
     return record._replace(**fields)
 
--- a/buckthorntack/schema/_generated/backend_documents.py
+++ b/buckthorntack/schema/_generated/backend_documents.py
@@ -155,3 +155,7 @@
     """
     Time since that answer arrived.
     """
+    limit_per_s: NotRequired[float]
+    """
+    Requests per second that it takes of all entry VMs together; absent for no limit.
+    """
--- a/buckthorntack/schema/_generated/membership.py
+++ b/buckthorntack/schema/_generated/membership.py
@@ -36,6 +36,7 @@
     slots: int
     lease_ms: int
     load: ServerLoad
+    limit_per_s: float
 
 
 class EntryRecord(NamedTuple):
--- a/buckthorntack/schema/tests/test_codec.py
+++ b/buckthorntack/schema/tests/test_codec.py
@@ -23,6 +23,7 @@
         slots=4,
         lease_ms=2000,
         load=load,
+        limit_per_s=-1.0,
     )
     assert schema.decode(*schema.encode(record)) == record
 
