--- a/buckthorntack/dispatch/_choice.py
+++ b/buckthorntack/dispatch/_choice.py
@@ -11,8 +11,8 @@
 #: Retry-After if no known server may take the request: a fraction of the time
 #: between two announcements.
 NO_SERVER_RETRY_MS = 400.0
-#: Rate of turns at limited servers that the longest wait for one stands for.
-MIN_TURNS_PER_S = 0.5
+#: Lowest rate of limited servers by which the return of callers is spread.
+MIN_SPREAD_PER_S = 0.5
 #: Bounds of the random factor applied to Retry-After.
 RETRY_JITTER_RANGE = (0.75, 1.25)
 
@@ -96,9 +96,9 @@
         limits = [self._named_per_s(view) for view in views]
         if has_servers and None not in limits:
             reason = "all servers limited"
-            # One of the callers that wait for a turn gets it at a time.
-            turn_ms = 1e3 / max(sum(limits), MIN_TURNS_PER_S)
-            wait_ms += turn_ms * self.rng.random()
+            # Callers that return together would find one slot between them.
+            interval_ms = 1e3 / max(sum(limits), MIN_SPREAD_PER_S)
+            wait_ms += interval_ms * self.rng.random()
         if pause_ends_s and not has_servers:
             reason = "all servers paused"
             wait_ms = (min(pause_ends_s) - now_s) * 1e3
--- a/buckthorntack/dispatch/_server_limits.py
+++ b/buckthorntack/dispatch/_server_limits.py
@@ -73,8 +73,8 @@
         """Merge what other entry VMs know.
 
         The statement that more changes led to holds; of two, the lower limit.
-
-        Those on servers that have gone would go round for ever.
+        Statements on servers that have gone are passed over, as entry VMs
+        would tell them to each other for ever.
 
         :param statements: list of ``ServerLimit``.
         :param now_s: monotonic time.
--- a/buckthorntack/gateway/_control.py
+++ b/buckthorntack/gateway/_control.py
@@ -53,7 +53,7 @@
 #: Longest wait for a leadership transfer before a planned stop.
 LEADERSHIP_TRANSFER_TIMEOUT_S = 1.5
 #: Longest wait for a learner to take this voter's place before a planned stop.
-SEAT_HANDOVER_TIMEOUT = 2000 * _MS
+VOTE_HANDOVER_TIMEOUT = 2000 * _MS
 
 
 def make_planner(settings):
@@ -381,14 +381,14 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(LEADERSHIP_TRANSFER_TIMEOUT_S):
                 await self.replica.transfer_leadership()
-        await self._hand_over_seat()
+        await self._hand_over_vote()
         self.listener.stop_accepting()
 
-    async def _hand_over_seat(self):
+    async def _hand_over_vote(self):
         """Wait until a learner has taken this voter's place, if one can."""
-        deadline = self.clock.monotonic() + SEAT_HANDOVER_TIMEOUT
+        deadline = self.clock.monotonic() + VOTE_HANDOVER_TIMEOUT
         while not has_handed_over(self.replica.status(), self.gathering):
             if self.clock.monotonic() >= deadline:
-                self._log_node_event(_events.SEAT_KEPT)
+                self._log_node_event(_events.VOTE_KEPT)
                 return
             await self.clock.sleep(MEMBER_CHECK_PERIOD)
--- a/buckthorntack/gateway/_events.py
+++ b/buckthorntack/gateway/_events.py
@@ -160,9 +160,9 @@
     " or read.",
     "start the control VMs among its voters again",
 )
-SEAT_KEPT = events.declare(
+VOTE_KEPT = events.declare(
     2230,
-    "seat_kept",
+    "vote_kept",
     logbook.NOTICE,
     "A control VM that stops still leads or has a vote, as no other one took"
     " over in time.",
--- a/buckthorntack/gateway/tests/test_control_group.py
+++ b/buckthorntack/gateway/tests/test_control_group.py
@@ -61,7 +61,7 @@
 # Guards against a vote of a VM that was stopped by plan.
 @pytest.mark.parametrize("stopped", ["leader", "follower"])
 @pytest.mark.parametrize("seed", range(4))
-def test_vm_that_is_stopped_by_plan_hands_over_its_seat(seed, stopped):
+def test_vm_that_is_stopped_by_plan_hands_over_its_vote(seed, stopped):
     vms = _start(seed)
     leader, others = _split_by_leadership(vms)
     address, next_lost = leader, others[0]
