Log the software version of servers and which stream a request resumes

Announcements are read with their version, Resumes is read; both are logged with request_routed and server_changed. No decision uses them yet.

--- a/buckthorntack/discovery/tests/_records.py
+++ b/buckthorntack/discovery/tests/_records.py
@@ -17,6 +17,7 @@
         cold_left_ms=0,
         reclaim_left_ms=-1,
         silent=False,
+        software_version="v1",
     )
     return record._replace(**fields)
 
--- a/buckthorntack/emulator/_deployment.py
+++ b/buckthorntack/emulator/_deployment.py
@@ -169,6 +169,7 @@
                     born_ms=1,
                     sequence=1,
                     silent=False,
+                    software_version="v1",
                 ),
                 datetime.timedelta(),
             )
--- a/buckthorntack/gateway/_dialect.py
+++ b/buckthorntack/gateway/_dialect.py
@@ -18,6 +18,9 @@
     prompt: dispatch.Prompt | None
     #: Id of the last stream event that the client received; None for none.
     last_event_id: int | None
+    #: Id of the client attempt that brought the first event of the stream
+    #: that the request resumes; empty if it is not given.
+    resumed_request_id: bytes = b""
 
 
 class StatedRate(NamedTuple):
--- a/buckthorntack/gateway/_following.py
+++ b/buckthorntack/gateway/_following.py
@@ -210,6 +210,7 @@
                 server=server_id,
                 service=record.service,
                 address=record.address,
+                software_version=record.software_version,
                 state=record.state,
                 silent=record.silent,
                 cold_left_ms=record.cold_left_ms,
--- a/buckthorntack/gateway/_gathering.py
+++ b/buckthorntack/gateway/_gathering.py
@@ -191,6 +191,7 @@
             server=server_id,
             service=record.service,
             address=record.address,
+            software_version=record.software_version,
             state=record.state,
             sequence=record.sequence,
             cold_left_ms=record.cold_left_ms,
--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -902,6 +902,18 @@
             fields["server_age_ms"] = clocks.milliseconds(
                 now - view.last_heard_at
             )
+            fields["software_version"] = view.record.software_version
+        stream = self.stream
+        last_event_id = (
+            self.metadata.last_event_id
+            if stream is None
+            else stream.last_event_id
+        )
+        if last_event_id is not None:
+            fields["last_event_id"] = last_event_id
+            fields["resumes"] = self.metadata.resumed_request_id.decode(
+                "latin-1"
+            )
         self.handler.log.write(
             dispatch.REQUEST_ROUTED,
             request=self._request_id_text(),
--- a/buckthorntack/platform/_dialect.py
+++ b/buckthorntack/platform/_dialect.py
@@ -50,6 +50,7 @@
             timeout_ms=_number(fields.get(_headers.DEADLINE)),
             prompt=_prompt(fields),
             last_event_id=_event(fields.get(_headers.LAST_EVENT_ID)),
+            resumed_request_id=fields.get(_headers.RESUMES, b""),
         )
         return Ok(metadata)
 
--- a/buckthorntack/platform/_headers.py
+++ b/buckthorntack/platform/_headers.py
@@ -26,6 +26,9 @@
 #: Address of a server whose memory holds parts of the prompt.
 FETCH = b"kv-fetch"
 LAST_EVENT_ID = b"last-event-id"
+#: Id of the client attempt that brought the first event of the stream that a
+#: request takes up.
+RESUMES = b"resumes"
 RETRY_AFTER = b"retry-after"
 
 #: Fields that only the system sets; a client's are removed.
--- a/buckthorntack/schema/_generated/discovery.py
+++ b/buckthorntack/schema/_generated/discovery.py
@@ -23,6 +23,7 @@
     cold_left_ms: int
     reclaim_left_ms: int
     silent: bool
+    software_version: str
 
 
 class NodePresence(NamedTuple):
