--- a/buckthorntack/platform/tests/_standins.py
+++ b/buckthorntack/platform/tests/_standins.py
@@ -46,6 +46,7 @@
         self.address = f"{ip_address}:{SERVER_PORT}"
         self.service = service
         self.zone = zone
+        self.software_version = "v1"
         self.sequence = 0
         self.born = 1000
         self.requests = []
@@ -111,7 +112,7 @@
             "service": self.service,
             "address": self.address,
             "zone": self.zone,
-            "version": "v1",
+            "version": self.software_version,
             "capacity": 4,
             "state": "ready",
             "warmup_left_ms": 0,
@@ -454,9 +455,12 @@
         for path in sorted(folder.rglob("*"), reverse=True):
             path.unlink() if path.is_file() else path.rmdir()
 
-    async def add_server(self, server_id, service, zone="a1", **fields):
+    async def add_server(
+        self, server_id, service, zone="a1", version="v1", **fields
+    ):
         """Start a backend server and let it announce itself."""
         server = Server(server_id, self.ip(server_id), service, zone)
+        server.software_version = version
         await self._stack.enter_async_context(server)
         self.servers[server_id] = server
         await self.announce(server, **fields)
