Continue a stream only at the software version that began it

Cause: servers of a service were taken for interchangeable. Nothing knew their software version, and Resumes was not read. Class: two servers taken for the same that are not.

Change: the origin of a stream (service and software version) is recorded before its first event leaves and sent to two control VMs; an entry VM that does not know it asks all control VMs, and refuses if none knows. It travels with a forwarded request and back with its answer. dispatch chooses among the servers of the version only, waits for a busy one and refuses at once if there is none. Prompts are copied within a version only. An announcement without a version is dropped.

--- a/buckthorntack/dispatch/__init__.py
+++ b/buckthorntack/dispatch/__init__.py
@@ -18,6 +18,7 @@
 from buckthorntack.dispatch._server_rates import RateLimits
 from buckthorntack.dispatch._server_rates import ServerRates
 from buckthorntack.dispatch._settings import DispatchSettings
+from buckthorntack.dispatch._shared_rate import rendezvous_score
 
 __all__ = [
     "REQUEST_ROUTED",
@@ -38,4 +39,5 @@
     "ServerRates",
     "UsageExchange",
     "RoutingRequest",
+    "rendezvous_score",
 ]
--- a/buckthorntack/dispatch/_choice.py
+++ b/buckthorntack/dispatch/_choice.py
@@ -47,6 +47,7 @@
         """
         now_s = now.total_seconds()
         allowed = request.route.allowed_regions
+        servers = _select_version(servers, request.software_version)
         local, remote, pause_ends_s = [], [], []
         for view in servers:
             record = view.record
@@ -86,10 +87,10 @@
         if best is not None:
             return self._decide(request, best)
         return self._refuse_without_candidate(
-            [*local, *remote], pause_ends_s, now_s
+            request, [*local, *remote], pause_ends_s, now_s
         )
 
-    def _refuse_without_candidate(self, views, pause_ends_s, now_s):
+    def _refuse_without_candidate(self, request, views, pause_ends_s, now_s):
         wait_ms = NO_SERVER_RETRY_MS
         has_servers = bool(views)
         reason = "none takes more" if has_servers else "no server"
@@ -104,7 +105,12 @@
             wait_ms = (min(pause_ends_s) - now_s) * 1e3
             # The jitter must not end the wait before the pause.
             wait_ms /= RETRY_JITTER_RANGE[0]
-        return _decisions.Refuse(reason, self._retry_after_ms(wait_ms))
+        may_wait = bool(views or pause_ends_s)
+        if request.software_version is not None and not may_wait:
+            reason = "no server of its software version"
+        return _decisions.Refuse(
+            reason, self._retry_after_ms(wait_ms), may_wait
+        )
 
     def set_evacuated(self, evacuated, now):
         """Set the failure domains that get no requests.
@@ -289,7 +295,7 @@
                 - objective_ms * settings.retry_objective_share
             )
             return _decisions.Refuse(
-                "expected too late", self._retry_after_ms(excess_ms)
+                "expected too late", self._retry_after_ms(excess_ms), True
             )
         if candidate.region != self.region:
             return _decisions.Forward(
@@ -350,5 +356,16 @@
         )
 
 
+def _select_version(servers, software_version):
+    """Return the servers of a software version, or all for None."""
+    if software_version is None:
+        return servers
+    return [
+        view
+        for view in servers
+        if view.record.software_version == software_version
+    ]
+
+
 def _cost_of(candidate):
     return candidate.cost_ms
--- a/buckthorntack/dispatch/_decisions.py
+++ b/buckthorntack/dispatch/_decisions.py
@@ -29,6 +29,8 @@
 
     reason: str
     retry_after_ms: float
+    #: Whether a server that may take the request is only busy at present.
+    may_wait: bool = False
 
 
 class RoutingRequest(NamedTuple):
@@ -42,6 +44,8 @@
     remaining_ms: float
     #: Whether the request may go to another region.
     can_forward: bool
+    #: Software version of the servers that may take it; None for any.
+    software_version: str | None = None
 
 
 class Candidate(NamedTuple):
--- a/buckthorntack/dispatch/_estimates.py
+++ b/buckthorntack/dispatch/_estimates.py
@@ -24,6 +24,7 @@
     server_id: str
     address: str
     failure_domain: str
+    software_version: str
     cached_tokens: int
 
 
@@ -70,6 +71,7 @@
                         record.server_id,
                         record.address,
                         record.failure_domain,
+                        record.software_version,
                         cached,
                     )
                 )
@@ -176,6 +178,8 @@
                 break
             if holder.server_id == view.record.server_id:
                 continue
+            if holder.software_version != view.record.software_version:
+                continue
             bits = tokens * engine.token_bytes * 8.0
             fetch_ms = bits / (engine.transfer_mbps * 1e3)
             if holder.failure_domain != view.record.failure_domain:
--- a/buckthorntack/gateway/_control.py
+++ b/buckthorntack/gateway/_control.py
@@ -24,6 +24,7 @@
 from buckthorntack.gateway import _metrics
 from buckthorntack.gateway import _node
 from buckthorntack.gateway import _notices
+from buckthorntack.gateway import _origin_tasks
 from buckthorntack.gateway import _supervision
 from buckthorntack.schema import messages
 
@@ -111,6 +112,7 @@
         self.files = files or storage.SystemFiles()
         self.identity = None
         self.gathering = None
+        self.origin_keeper = None
         self.replica = None
         self.distribution = None
         self.listener = None
@@ -170,6 +172,7 @@
             self.timing,
             self.clock,
         )
+        self.origin_keeper = _origin_tasks.OriginKeeper(self.links, self.clock)
         handlers = self.make_handlers(self)
         self.listener = await self._listen(
             "control", settings.service_address, handlers["control"]
@@ -178,6 +181,7 @@
         for work in (
             self.gathering.run,
             self.gathering.expire,
+            self.origin_keeper.run,
             self._form,
             self._observe,
         ):
@@ -198,7 +202,7 @@
     def _on_message(self, sender, message):
         if isinstance(message, messages.ReplicaEnvelope):
             self._on_replica_envelope(sender, message)
-        elif self.gathering is None:
+        elif self.gathering is None or self.origin_keeper is None:
             return
         elif isinstance(message, messages.PresenceReport):
             self.gathering.on_presence_report(sender, message)
@@ -206,6 +210,10 @@
             self.gathering.on_presence_reply(sender, message)
         elif isinstance(message, messages.RegistryChanges):
             self.gathering.on_registry_changes(sender, message)
+        elif isinstance(message, messages.StreamOrigins):
+            self.origin_keeper.on_origins(message)
+        elif isinstance(message, messages.OriginQuery):
+            self.origin_keeper.on_query(sender, message)
 
     def _on_replica_envelope(self, sender, envelope):
         """Deliver a consensus message unless it is for a replaced disk."""
--- a/buckthorntack/gateway/_entry.py
+++ b/buckthorntack/gateway/_entry.py
@@ -10,6 +10,7 @@
 from buckthorntack.gateway import _following
 from buckthorntack.gateway import _metrics
 from buckthorntack.gateway import _node
+from buckthorntack.gateway import _origin_tasks
 from buckthorntack.gateway import _quarantine_task
 from buckthorntack.gateway import _request_handler
 from buckthorntack.gateway import _shared_state
@@ -62,6 +63,7 @@
         self.front_listener = None
         self.forward_listener = None
         self.quarantine_task = None
+        self.origin_task = None
         #: Relay of usage reports at the last ``relay_changed`` event.
         self._logged_relay = ""
         #: Scope of the last directory answer, by the caller's region and its
@@ -97,11 +99,15 @@
             self.metrics,
             self._other_entry_vms,
         )
+        self.origin_task = _origin_tasks.OriginTask(
+            self.shared_state, self.links
+        )
         request_handler = _request_handler.RequestHandler(
             self.shared_state,
             self.clock,
             self.metrics,
             self.quarantine_task.wake,
+            self.origin_task,
         )
         limits = self.shared_state.limits
         self.forward_listener = await self._listen(
@@ -125,6 +131,7 @@
         for work in (
             self.following.run,
             self.quarantine_task.run,
+            self.origin_task.run,
             self._expire,
             self._tell_use,
             self._tell_region_load,
@@ -145,6 +152,8 @@
             self.following.on_presence_reply(sender, message)
         elif isinstance(message, messages.DirectivesCopy):
             self.following.on_directives_copy(sender, message)
+        elif isinstance(message, messages.OriginReply):
+            self.origin_task.on_reply(sender, message)
         elif isinstance(message, messages.QuarantineUpdate):
             self.quarantine_task.on_update(message)
         elif isinstance(message, messages.QuarantineDigest):
--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -11,10 +11,12 @@
 from buckthorntack import events
 from buckthorntack import http1
 from buckthorntack import quarantine
+from buckthorntack import resumption
 from buckthorntack.directives import RequestKind
 from buckthorntack.dispatch import Outcome
 from buckthorntack.gateway import _event_stream
 from buckthorntack.gateway import _events
+from buckthorntack.gateway import _stream_origin
 
 #: Prefix of the headers between entry VMs, which are removed from requests of
 #: clients and responses of servers.
@@ -95,13 +97,17 @@
     :param metrics: the ``EntryMetrics``.
     :param on_quarantine_changed: called without arguments when the quarantine
         has records for other entry VMs.
+    :param origins: the ``OriginTask``.
     """
 
-    def __init__(self, shared_state, clock, metrics, on_quarantine_changed):
+    def __init__(
+        self, shared_state, clock, metrics, on_quarantine_changed, origins
+    ):
         self.shared_state = shared_state
         self.clock = clock
         self.metrics = metrics
         self.on_quarantine_changed = on_quarantine_changed
+        self.origins = origins
         self.log = events.EventLog("gateway")
 
     async def handle(self, request, reply):
@@ -121,14 +127,15 @@
         await self._handle(request, reply, True)
 
     async def _handle(self, request, reply, is_forwarded):
-        send_count = (
-            _parse_send_count(request.headers, 0) if is_forwarded else 0
-        )
+        send_count, origin = 0, None
+        if is_forwarded:
+            send_count = _parse_send_count(request.headers, 0)
+            origin = _stream_origin.read_headers(request.headers)
         request = request._replace(
             headers=_strip_internal_headers(request.headers)
         )
         proxied_request = _ProxiedRequest(
-            self, request, reply, is_forwarded, send_count
+            self, request, reply, is_forwarded, send_count, origin
         )
         await proxied_request.run()
 
@@ -136,7 +143,9 @@
 class _ProxiedRequest:
     """One request, from its routing to its final response."""
 
-    def __init__(self, handler, request, reply, is_forwarded, send_count):
+    def __init__(
+        self, handler, request, reply, is_forwarded, send_count, origin
+    ):
         self.handler = handler
         self.shared_state = handler.shared_state
         self.dialect = handler.shared_state.dialect
@@ -155,6 +164,14 @@
         self.may_have_run = False
         self.error_response = None
         self.stream = None
+        #: Where the stream began; None before its first event, or if that is
+        #: not known.
+        self.origin = origin
+        #: Where it would begin with an event of the present attempt.
+        self.attempt_origin = None
+        self.has_checked_origin = False
+        #: When the caller got the last event, or the request came.
+        self.progress_s = request.received_s
         self.retry_after_ms = None
         self.destination = ""
         self.reason = ""
@@ -192,7 +209,16 @@
         await self._wait_for_configuration()
         if not self._find_route():
             return
+        if self._is_resumption() and not await self._find_origin():
+            return
         self.service = self._choose_service()
+        if self.service is None:
+            self._send_refusal(
+                "its service has left the route; send the request again"
+                " without Last-Event-Id",
+                None,
+            )
+            return
         self.subjects = quarantine.list_subjects(
             _compute_fingerprint(self.request), self._list_shared_part_ids()
         )
@@ -237,9 +263,37 @@
             self._send_local_response(404, "no route", errors.RunState.NOT_RUN)
         return False
 
+    def _is_resumption(self):
+        """Whether the request asks for the rest of a stream."""
+        return (
+            self.route.kind is RequestKind.STREAM
+            and self.metadata.last_event_id is not None
+        )
+
+    async def _find_origin(self):
+        """Find where the stream began; refuse the request if nobody knows.
+
+        :returns: whether it is known.
+        """
+        if self.origin is None and not self.is_forwarded:
+            self.origin = await self.handler.origins.find(
+                self.metadata.resumed_request_id
+            )
+        if self.origin is None:
+            self._send_refusal(
+                "the software version that began the stream is not known; send"
+                " the request again without Last-Event-Id",
+                DEFAULT_RETRY_AFTER_MS,
+            )
+        return self.origin is not None
+
     def _choose_service(self):
         splits = self.route.splits
         services = self.shared_state.table.configuration.services
+        if self.origin is not None:
+            return _stream_origin.find_service(
+                self.route, services, self.origin
+            )
         if len(splits) == 1:
             return services[splits[0].service]
         weights = [split.weight for split in splits]
@@ -291,6 +345,9 @@
             )
             self._log_decision(decision)
             if isinstance(decision, dispatch.Refuse):
+                if self._waits_for_version(decision):
+                    await self.handler.clock.sleep(_stream_origin.RETRY_DELAY)
+                    continue
                 self._send_final_failure(
                     decision.reason, decision.retry_after_ms
                 )
@@ -310,6 +367,17 @@
                 self._send_final_failure(self.reason, self.retry_after_ms)
                 return
 
+    def _waits_for_version(self, refusal):
+        """Whether a stream waits for a busy server of its software version.
+
+        No other server can continue it, and its caller waits as well.  The
+        entry VM that it was forwarded by may know of a better one.
+        """
+        if self.origin is None or self.is_forwarded or not refusal.may_wait:
+            return False
+        waited_s = self._now_s() - self.progress_s
+        return waited_s < _stream_origin.compute_patience_s(self.route)
+
     def _narrow_route(self):
         """Keep to the regions of the newest configuration.
 
@@ -324,14 +392,34 @@
 
     def _build_routing_request(self):
         prompt = self.metadata.prompt if self.service.engine else None
+        can_continue = not self.reply.started or self.stream is not None
+        origin = self.origin
         return dispatch.RoutingRequest(
             self.route,
             self.service,
             prompt,
-            frozenset(self.excluded_ids),
+            self._list_tried_ids(),
             self._remaining_s() * 1e3,
-            not self.is_forwarded and not self.reply.started,
+            not self.is_forwarded and can_continue,
+            None if origin is None else origin.software_version,
+        )
+
+    def _list_tried_ids(self):
+        """List the servers that shall not get the request again.
+
+        A stream may return to one if there is no other of its version.
+        """
+        tried = frozenset(self.excluded_ids)
+        if self.origin is None or self.is_forwarded:
+            return tried
+        servers = self.shared_state.list_servers(self.service.name)
+        is_any_left = any(
+            view.record.server_id not in tried
+            for view in servers
+            if view.record.state == "ready"
+            and view.record.software_version == self.origin.software_version
         )
+        return tried if is_any_left else frozenset()
 
     def _should_retry(self, result, send_count_before):
         """Record a failed attempt; return whether to make another."""
@@ -350,8 +438,8 @@
             self.retry_after_ms = result.retry_after_ms
         if self.may_have_run and not self.route.is_idempotent:
             return False
-        if self.reply.started and self.stream is None:
-            # Another response cannot continue the body that was sent.
+        if self.reply.started and (self.stream is None or not self.origin):
+            # No other response is known to continue the body that was sent.
             return False
         if (
             isinstance(result, _NotRun)
@@ -407,6 +495,9 @@
                 self.metadata.request_id,
                 self.request.method == b"HEAD",
             )
+            self.attempt_origin = resumption.StreamOrigin(
+                self.service.name, view.record.software_version
+            )
             result = await self._receive_response(
                 connection, decision.expected_ms, in_flight
             )
@@ -502,6 +593,7 @@
             self.request, self._forwarded_timeout_ms(), self._last_event_id()
         )
         headers.append((SEND_COUNT_HEADER, str(self.send_count).encode()))
+        headers.extend(_stream_origin.write_headers(self.origin))
         return self._encode_request(headers)
 
     async def _receive_response(self, connection, expected_ms, in_flight):
@@ -524,6 +616,8 @@
                 raise
             connection.close()
             return _Unknown("silent before its answer")
+        if in_flight is None:
+            self.attempt_origin = _stream_origin.read_headers(head.headers)
         self.framing = head.framing.value
         self.answer_started_s = self._now_s()
         metadata = self.dialect.parse_response(head)
@@ -674,6 +768,8 @@
         headers = _strip_internal_headers(
             http1.strip_hop_by_hop_headers(head.headers)
         )
+        if self.is_forwarded:
+            headers.extend(_stream_origin.write_headers(self.origin))
         self.reply.start(head.status, headers, head.reason, length)
         self._record_first_byte()
 
@@ -696,9 +792,13 @@
                     stream.feed(data) if stream is not None else data
                 )
                 if complete_events:
+                    if not self._has_kept_origin():
+                        connection.close()
+                        return _Unknown("another software version answered")
                     if not self.reply.started:
                         self._start_response(head, None)
                     self.reply.write(complete_events)
+                    self.progress_s = self._now_s()
                     await self.reply.flush()
                 data = await self._read_stream_data(connection)
         except TimeoutError:
@@ -719,6 +819,40 @@
         self._note_answer_end(head)
         return _Completed()
 
+    def _has_kept_origin(self):
+        """Record where a stream begins, or check that it goes on there.
+
+        :returns: False if servers of another software version may have
+            written the events of this attempt.
+        """
+        if self.has_checked_origin:
+            return True
+        self.has_checked_origin = True
+        origin = self.attempt_origin
+        if not self._is_same_incarnation():
+            origin = None
+        if self.origin is not None:
+            return origin == self.origin
+        self.origin = origin
+        if origin is not None and self.route.resumable:
+            if not self.is_forwarded:
+                self.handler.origins.record(self.metadata.request_id, origin)
+            self.service = self.shared_state.table.configuration.services.get(
+                origin.service, self.service
+            )
+        return True
+
+    def _is_same_incarnation(self):
+        """Whether the server has not started again since the request."""
+        if self.incarnation is None:
+            return True
+        view = self.shared_state.registry.servers.get(
+            self.incarnation.server_id
+        )
+        return view is None or (
+            view.record.born_ms == self.incarnation.born_ms
+        )
+
     async def _read_stream_data(self, connection):
         idle_timeout_s = STREAM_IDLE_TIMEOUT_S if self._can_retry() else None
         started_s = self._now_s()
@@ -948,6 +1082,8 @@
 
     def _reset_body_record(self):
         self.answer_started_s = None
+        self.attempt_origin = None
+        self.has_checked_origin = False
         self.incarnation = None
         self.has_continued = False
         self.framing = ""
--- a/buckthorntack/platform/_announcements.py
+++ b/buckthorntack/platform/_announcements.py
@@ -26,7 +26,7 @@
     address: str
     zone: str
     #: Version of its software, not of its weights.
-    version: NotRequired[str]
+    version: str
     capacity: int
     state: Literal["ready", "draining"]
     #: Grows with each announcement of one start of the server.
@@ -78,7 +78,7 @@
         cold_left_ms=int(document.get("warmup_left_ms", 0)),
         reclaim_left_ms=-1 if remaining_ms is None else int(remaining_ms),
         silent=False,
-        software_version=document.get("version", ""),
+        software_version=document["version"],
     )
     return Ok(record)
 
--- a/buckthorntack/platform/tests/test_formats.py
+++ b/buckthorntack/platform/tests/test_formats.py
@@ -192,6 +192,7 @@
             "service": "text",
             "address": "10.0.0.1:80",
             "zone": "a1",
+            "version": "v1",
             "capacity": 4,
             "state": "draining",
             "sequence": 3,
--- a/buckthorntack/platform/tests/test_software_versions.py
+++ b/buckthorntack/platform/tests/test_software_versions.py
@@ -14,6 +14,8 @@
 #: Tries of one client, its first one included.
 MAX_TRIES = 8
 RETRY_PAUSE_S = 0.15
+#: How long a server wants no requests.
+PAUSE_S = 0.8
 SERVERS = (
     ("s1", "text", "a1", "v1"),
     ("s2", "text", "a1", "v2"),
@@ -37,6 +39,7 @@
         self.began_as = ""
         #: Software version that wrote each event, in order.
         self.versions = []
+        #: Status of each try; None without a response.
         self.statuses = []
         self.is_complete = False
 
@@ -60,7 +63,8 @@
         try:
             await self._receive(entry, request_id)
         except (OSError, asyncio.IncompleteReadError):
-            self.statuses.append(None)
+            if len(self.statuses) < self.tries:
+                self.statuses.append(None)
 
     async def _receive(self, entry, request_id):
         lines = [
@@ -263,6 +267,28 @@
     test_requests.run(scenario, *SERVERS[:2])
 
 
+# Guards against a stream that is refused, or goes on at another version, when
+# the only server of its version is busy for a moment.
+def test_stream_waits_for_a_busy_server_of_its_version():
+    async def scenario(world):
+        streams, tasks = await begin(world, "e0", count=1)
+        await world.kill("e0")
+        await asyncio.gather(*tasks)
+        stream = streams[0]
+        state = world.nodes["e1"].shared_state.fleet.state
+        for server in world.servers.values():
+            if server.software_version == stream.versions[0]:
+                now_s = asyncio.get_running_loop().time()
+                state(server.server_id).pause(now_s, PAUSE_S)
+        behave_all(world, write_versions())
+        await stream.attempt("e1")
+        assert stream.statuses == [200, 200]
+        assert stream.is_complete
+        assert not stream.is_joined
+
+    test_requests.run(scenario, *SERVERS[:2])
+
+
 # Guards against an entry VM that guesses the version of a stream that no node
 # knows.
 def test_stream_of_an_unknown_version_is_not_run():
--- /dev/null
+++ b/buckthorntack/resumption/__init__.py
@@ -0,0 +1,25 @@
+"""Where streams began, so that a client can resume one anywhere."""
+
+from buckthorntack.resumption._events import ORIGIN_UNKNOWN
+from buckthorntack.resumption._events import ORIGINS_CUT
+from buckthorntack.resumption._holders import choose_holders
+from buckthorntack.resumption._lookups import OriginLookups
+from buckthorntack.resumption._origins import derive_key
+from buckthorntack.resumption._origins import group_origins
+from buckthorntack.resumption._origins import OriginStore
+from buckthorntack.resumption._origins import split_keys
+from buckthorntack.resumption._origins import StreamOrigin
+from buckthorntack.resumption._origins import ungroup_origins
+
+__all__ = [
+    "ORIGIN_UNKNOWN",
+    "ORIGINS_CUT",
+    "OriginLookups",
+    "OriginStore",
+    "StreamOrigin",
+    "choose_holders",
+    "derive_key",
+    "group_origins",
+    "split_keys",
+    "ungroup_origins",
+]
--- /dev/null
+++ b/buckthorntack/resumption/_events.py
@@ -0,0 +1,21 @@
+"""Log events of resumed streams."""
+
+import logbook
+
+from buckthorntack import events
+
+ORIGIN_UNKNOWN = events.declare(
+    2500,
+    "stream_origin_unknown",
+    logbook.NOTICE,
+    "No node that answered knows which software version began the stream that"
+    " a client resumes; the request is refused.",
+    "check the control VMs if it is logged often",
+)
+ORIGINS_CUT = events.declare(
+    2501,
+    "stream_origins_cut",
+    logbook.WARNING,
+    "More streams began than records are kept; the oldest were dropped early.",
+    "check the rate of streams against docs/CAPACITY.md",
+)
--- /dev/null
+++ b/buckthorntack/schema/_generated/streams.py
@@ -0,0 +1,40 @@
+"""Generated from streams.json: do not edit."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class OriginGroup(NamedTuple):
+    """
+    Streams that servers of one software version began.
+    """
+
+    service: str
+    software_version: str
+    keys: bytes
+
+
+class StreamOrigins(NamedTuple):
+    """
+    Streams that began at an entry VM, for a control VM to keep.
+    """
+
+    groups: list[OriginGroup]
+
+
+class OriginQuery(NamedTuple):
+    """
+    An entry VM asks which software versions began streams.
+    """
+
+    keys: bytes
+
+
+class OriginReply(NamedTuple):
+    """
+    What a control VM knows of the streams of a query.
+    """
+
+    groups: list[OriginGroup]
+    unknown: bytes
--- a/buckthorntack/schema/messages.py
+++ b/buckthorntack/schema/messages.py
@@ -113,6 +113,10 @@
 from buckthorntack.schema._generated.retries import CrashEvidence
 from buckthorntack.schema._generated.retries import FailedAttempts
 from buckthorntack.schema._generated.retries import SuspectClaim
+from buckthorntack.schema._generated.streams import OriginGroup
+from buckthorntack.schema._generated.streams import OriginQuery
+from buckthorntack.schema._generated.streams import OriginReply
+from buckthorntack.schema._generated.streams import StreamOrigins
 
 __all__ = [
     "Acquittal",
@@ -187,6 +191,9 @@
     "MembershipSummaries",
     "MessageStamp",
     "NodePresence",
+    "OriginGroup",
+    "OriginQuery",
+    "OriginReply",
     "PendingChange",
     "Ping",
     "Pong",
@@ -216,6 +223,7 @@
     "ServiceSummary",
     "SnapshotChunk",
     "SnapshotChunkResponse",
+    "StreamOrigins",
     "SuspectClaim",
     "TransferRequest",
     "UsageReport",
