--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -174,6 +174,8 @@
         self.progress_s = request.received_s
         self.retry_after_ms = None
         self.destination = ""
+        #: Entry VM that the request was last forwarded to; empty for none.
+        self.forwarded_to = ""
         self.reason = ""
         self.first_byte_s = 0.0
         self.longest_gap_s = 0.0
@@ -554,6 +556,7 @@
             return _NotSent(f"no entry VM known in {decision.region}")
         record = self.shared_state.rng.choice(entry_vms)
         self.excluded_ids.add(record.node_id)
+        self.forwarded_to = record.node_id
         pool = self.shared_state.forward_pool
         address = self.shared_state.find_forward_address(record)
         connection = None
@@ -1067,6 +1070,7 @@
             _events.ATTEMPT_FAILED,
             request=self._request_id_text(),
             place=self.destination,
+            forwarded_to=self.forwarded_to,
             result=type(result).__name__,
             reason=getattr(result, "reason", ""),
             sends=self.send_count,
@@ -1108,6 +1112,7 @@
             request=self._request_id_text(),
             route=self.route.name if self.route else "",
             place=self.destination,
+            forwarded_to=self.forwarded_to,
             outcome=outcome,
             status=self.reply.status,
             sends=self.send_count,
