Hand requests to a neighbour if no server is reachable here

Cause: an entry VM knew servers of its region and other regions only; each request found out by itself that connects fail, up to four times 0.6 s, and the failures counted against the servers, until requests were refused as expected too late. Class: the state of a link found out by each request, and taken for the state of the server behind it. Evidence: 40 to 66 failed connects in 10 s at each of the five entry VMs, none at the others; 114 of 155 failures there were refused as expected too late, 41 as without a server.

Change: dispatch.Reachability keeps the result of connects to each server, and probes find the end of a cut. Two failed connects in a row take a server out of the choice and no longer count as its failures. An entry VM without a path to any server of a service says so in its presence, and forwards to an entry VM of its region that has one, twice at most, then to another region, whose entry VMs are chosen in the same way. A broken connection counts as a crash only if another server of the region accepts a connection.

--- a/buckthorntack/discovery/tests/_records.py
+++ b/buckthorntack/discovery/tests/_records.py
@@ -35,6 +35,7 @@
         failure_domain="fukuoka-a",
         region="fukuoka",
         silent=False,
+        unreachable_services=[],
     )
     return record._replace(**fields)
 
--- a/buckthorntack/dispatch/__init__.py
+++ b/buckthorntack/dispatch/__init__.py
@@ -13,6 +13,7 @@
 from buckthorntack.dispatch._prompts import Part
 from buckthorntack.dispatch._prompts import PrefixCache
 from buckthorntack.dispatch._prompts import Prompt
+from buckthorntack.dispatch._reachability import Reachability
 from buckthorntack.dispatch._retry_budgets import RetryBudgets
 from buckthorntack.dispatch._server_limits import ServerLimits
 from buckthorntack.dispatch._server_rates import RateLimits
@@ -32,6 +33,7 @@
     "Prompt",
     "PrefixCache",
     "RateLimits",
+    "Reachability",
     "Refuse",
     "RetryBudgets",
     "Serve",
--- a/buckthorntack/dispatch/_choice.py
+++ b/buckthorntack/dispatch/_choice.py
@@ -3,6 +3,7 @@
 from buckthorntack.dispatch import _decisions
 from buckthorntack.dispatch import _estimates
 from buckthorntack.dispatch import _fleet
+from buckthorntack.dispatch import _reachability
 from buckthorntack.dispatch import _server_rates
 from buckthorntack.dispatch import _shared_rate
 
@@ -34,6 +35,7 @@
         self.settings = settings
         self.rng = rng
         self.estimator = _estimates.Estimator(region, fleet, settings)
+        self.reachability = _reachability.Reachability()
         self.evacuated = frozenset()
         self._cold_until = {}
 
@@ -64,7 +66,20 @@
             elif request.can_forward:
                 remote.append(view)
         holders = self.estimator.find_holders(request, servers)
-        local_best = self._best_local(request, local, holders, now, now_s)
+        reachable = [
+            view
+            for view in local
+            if not self.reachability.is_unreachable(view.record.server_id)
+        ]
+        is_cut_off = bool(local) and not reachable
+        if not is_cut_off:
+            local_best = self._best_local(
+                request, reachable, holders, now, now_s
+            )
+        elif request.can_hop:
+            local_best = self._best_of_neighbours(request, local, holders)
+        else:
+            local, local_best = [], None
         remote_best = None
         if not holders:
             views = [*local, *remote]
@@ -85,10 +100,13 @@
             )
         best = remote_best or local_best
         if best is not None:
-            return self._decide(request, best)
-        return self._refuse_without_candidate(
+            return self._decide(request, best, is_cut_off)
+        decision = self._refuse_without_candidate(
             request, [*local, *remote], pause_ends_s, now_s
         )
+        if is_cut_off and not remote:
+            return decision._replace(reason="no server is reachable")
+        return decision
 
     def _refuse_without_candidate(self, request, views, pause_ends_s, now_s):
         wait_ms = NO_SERVER_RETRY_MS
@@ -162,6 +180,17 @@
         ]
         return tied[0] if len(tied) == 1 else self.rng.choice(tied)
 
+    def _best_of_neighbours(self, request, views, holders):
+        """Return the best candidate for another entry VM of this region.
+
+        That one checks whether it may send to the server.
+        """
+        candidates = [
+            self.estimator.estimate_for_neighbour(request, view, holders)
+            for view in views
+        ]
+        return min(candidates, key=_cost_of)
+
     def _is_unhealthy(self, view, now_s):
         if view.record.silent:
             return True
@@ -273,7 +302,7 @@
         ]
         return [candidate for candidate in candidates if candidate is not None]
 
-    def _decide(self, request, candidate):
+    def _decide(self, request, candidate, is_cut_off):
         settings = self.settings
         objective_ms = request.route.objective.total_seconds() * 1e3
         deadline_ms = request.remaining_ms * settings.deadline_share
@@ -297,7 +326,7 @@
             return _decisions.Refuse(
                 "expected too late", self._retry_after_ms(excess_ms), True
             )
-        if candidate.region != self.region:
+        if is_cut_off or candidate.region != self.region:
             return _decisions.Forward(
                 candidate.region,
                 candidate.expected_ms,
--- a/buckthorntack/dispatch/_decisions.py
+++ b/buckthorntack/dispatch/_decisions.py
@@ -14,12 +14,13 @@
 
 
 class Forward(NamedTuple):
-    """Decision to send the request to an entry VM of another region."""
+    """Decision to send the request to another entry VM."""
 
+    #: Region of that entry VM; the local one if no server is reachable here.
     region: str
     expected_ms: float
-    #: Best server there by present estimates; the other region makes its own
-    #: choice.
+    #: Best server there by present estimates; the other entry VM makes its
+    #: own choice.
     server_id: str
     unread_tokens: int
 
@@ -44,6 +45,8 @@
     remaining_ms: float
     #: Whether the request may go to another region.
     can_forward: bool
+    #: Whether another entry VM of the local region reaches its servers.
+    can_hop: bool = False
     #: Software version of the servers that may take it; None for any.
     software_version: str | None = None
 
--- a/buckthorntack/dispatch/_estimates.py
+++ b/buckthorntack/dispatch/_estimates.py
@@ -109,6 +109,24 @@
             server_id, self.region, expected_ms, cost_ms, unread, fetch_from
         )
 
+    def estimate_for_neighbour(self, request, view, holders):
+        """Estimate a local server for another entry VM of the region.
+
+        The failures that were seen here are those of the link.
+
+        :param request: the ``RoutingRequest``.
+        :param view: ``ServerView`` of the server.
+        :param holders: result of :meth:`find_holders`.
+        :returns: ``Candidate``.
+        """
+        candidate = self.estimate_local(request, view, holders)
+        state = self.fleet.state(view.record.server_id)
+        failure_ms = state.failure_share * self.settings.failure_ms
+        return candidate._replace(
+            expected_ms=candidate.expected_ms - failure_ms,
+            cost_ms=candidate.cost_ms - failure_ms,
+        )
+
     def estimate_remote(self, request, view, holders, now_s):
         """Estimate latency and cost at a server of another region.
 
--- a/buckthorntack/dispatch/_fleet.py
+++ b/buckthorntack/dispatch/_fleet.py
@@ -30,6 +30,14 @@
 MAX_PAUSE_S = 600.0
 
 
+#: Outcomes that say nothing of the server: its client left, or the link to it
+#: failed, which ``Reachability`` records.
+_SAYING_NOTHING = (
+    _outcomes.Outcome.ABANDONED,
+    _outcomes.Outcome.UNREACHABLE,
+)
+
+
 class Usage(NamedTuple):
     """Requests at a server, of one entry VM or of several together."""
 
@@ -155,7 +163,7 @@
         """
         weight = self.settings.sample_weight
         failed = outcome in (_outcomes.Outcome.ERROR, _outcomes.Outcome.LOST)
-        if outcome is not _outcomes.Outcome.ABANDONED:
+        if outcome not in _SAYING_NOTHING:
             self.failure_share += (failed - self.failure_share) * weight
             self.failure_share_s = now_s
         if outcome is _outcomes.Outcome.LOST:
--- a/buckthorntack/dispatch/_outcomes.py
+++ b/buckthorntack/dispatch/_outcomes.py
@@ -12,7 +12,9 @@
     FULL = "full"
     #: An answer that reports a failure of the server.
     ERROR = "error"
-    #: Connection failure, broken answer or timeout.
+    #: Broken connection, broken answer or timeout.
     LOST = "lost"
+    #: No connection could be opened, so nothing was sent.
+    UNREACHABLE = "unreachable"
     #: The client disconnected or its deadline passed.
     ABANDONED = "abandoned"
--- a/buckthorntack/gateway/_entry.py
+++ b/buckthorntack/gateway/_entry.py
@@ -12,6 +12,7 @@
 from buckthorntack.gateway import _node
 from buckthorntack.gateway import _origin_tasks
 from buckthorntack.gateway import _quarantine_task
+from buckthorntack.gateway import _reachability_task
 from buckthorntack.gateway import _request_handler
 from buckthorntack.gateway import _shared_state
 from buckthorntack.gateway import _supervision
@@ -64,6 +65,7 @@
         self.forward_listener = None
         self.quarantine_task = None
         self.origin_task = None
+        self.reachability_task = None
         #: Relay of usage reports at the last ``relay_changed`` event.
         self._logged_relay = ""
         #: Scope of the last directory answer, by the caller's region and its
@@ -102,12 +104,18 @@
         self.origin_task = _origin_tasks.OriginTask(
             self.shared_state, self.links
         )
+        self.reachability_task = await enter(
+            _reachability_task.ReachabilityTask(
+                self.shared_state, self._on_unreachable_services
+            )
+        )
         request_handler = _request_handler.RequestHandler(
             self.shared_state,
             self.clock,
             self.metrics,
             self.quarantine_task.wake,
             self.origin_task,
+            self.reachability_task,
         )
         limits = self.shared_state.limits
         self.forward_listener = await self._listen(
@@ -132,6 +140,7 @@
             self.following.run,
             self.quarantine_task.run,
             self.origin_task.run,
+            self.reachability_task.run,
             self._expire,
             self._tell_use,
             self._tell_region_load,
@@ -161,6 +170,9 @@
         elif isinstance(message, messages.QuarantineTable):
             self.quarantine_task.on_table(sender, message)
 
+    def _on_unreachable_services(self, services):
+        self.following.set_unreachable_services(services)
+
     def is_ready(self):
         """Whether the node accepts new requests."""
         return self.following is not None and self.following.state == "ready"
--- a/buckthorntack/gateway/_events.py
+++ b/buckthorntack/gateway/_events.py
@@ -125,6 +125,14 @@
     logbook.NOTICE,
     "The connection to a server broke while it ran a request.",
 )
+CRASH_COUNTED = events.declare(
+    2234,
+    "crash_counted",
+    logbook.NOTICE,
+    "A broken connection counts as a crash of its server, as other servers"
+    " are reachable.",
+    "check the server",
+)
 SERVER_LEAVING = events.declare(
     2225,
     "server_leaving",
@@ -184,3 +192,18 @@
     " requests.",
     "check the control VMs",
 )
+REACHABILITY_CHANGED = events.declare(
+    2232,
+    "reachability_changed",
+    logbook.NOTICE,
+    "Connects to a server fail at this entry VM, or succeed again.",
+    "check the network between the entry VM and the server",
+)
+SERVICES_UNREACHABLE = events.declare(
+    2233,
+    "services_unreachable",
+    logbook.WARNING,
+    "An entry VM reaches no server of the named services of its region, and"
+    " hands their requests to others; logged when the services change.",
+    "check the network of the entry VM",
+)
--- a/buckthorntack/gateway/_following.py
+++ b/buckthorntack/gateway/_following.py
@@ -115,6 +115,15 @@
             self._report_round = 0
             self.report()
 
+    def set_unreachable_services(self, services):
+        """Report to all control VMs which services cannot be reached.
+
+        :param services: their names.
+        """
+        self.local_presence.unreachable_services = services
+        self._report_round = 0
+        self.report()
+
     def report(self):
         """Report to the followed control VM, and periodically to all."""
         now = self.clock.monotonic()
--- a/buckthorntack/gateway/_presence.py
+++ b/buckthorntack/gateway/_presence.py
@@ -17,6 +17,8 @@
         self.role = role
         self.state = state
         self.sequence = 0
+        #: Services of the region none of whose servers can be connected to.
+        self.unreachable_services = []
         self._incarnation = int(clock.wall().timestamp() * 1000)
 
     def to_message(self, settings):
@@ -36,6 +38,7 @@
             failure_domain=settings.failure_domain,
             region=settings.region,
             silent=False,
+            unreachable_services=self.unreachable_services,
         )
 
     def on_presence_reply(self, reply):
--- /dev/null
+++ b/buckthorntack/gateway/_reachability_task.py
@@ -0,0 +1,147 @@
+"""Probes of servers that cannot be reached, and checks of lost links."""
+
+import asyncio
+import contextlib
+import datetime
+
+from buckthorntack import events
+from buckthorntack import http1
+from buckthorntack.gateway import _events
+
+_MS = datetime.timedelta(milliseconds=1)
+#: Period of the search for due probes while connects fail.
+PROBE_CHECK_PERIOD = 100 * _MS
+#: Servers that are connected to at once to tell a lost link from a crash.
+CHECKED_SERVERS = 2
+#: Time for which the result of such a check stands for other requests.
+CHECK_VALIDITY = 250 * _MS
+#: Longest time for which a request waits for such a check before it is
+#: retried; connects within a region take a few milliseconds.
+MAX_CHECK_WAIT = 50 * _MS
+
+
+class ReachabilityTask:
+    """Connects to servers on behalf of all requests of an entry VM.
+
+    :param shared_state: the ``SharedState``.
+    :param on_services_changed: called with the names of the services of the
+        region that cannot be reached, when they change.
+    """
+
+    def __init__(self, shared_state, on_services_changed):
+        self.shared_state = shared_state
+        self.reachability = shared_state.dispatcher.reachability
+        self.clock = shared_state.clock
+        self.on_services_changed = on_services_changed
+        self._services = []
+        self._probes = set()
+        self._check = None
+        self._checked_at = None
+        self._log = events.EventLog("gateway")
+
+    async def __aenter__(self):
+        return self
+
+    async def __aexit__(self, *exc_info):
+        probes = list(self._probes)
+        for task in probes:
+            task.cancel()
+        for task in probes:
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+
+    async def run(self):
+        """Probe servers until cancelled."""
+        while True:
+            if not self.reachability.has_suspects:
+                await self.shared_state.wait_until_unreachable()
+            for server_id in self.reachability.take_due_probes(self._now_s()):
+                self._start(self._probe(server_id))
+            self._update_services()
+            await self.clock.sleep(PROBE_CHECK_PERIOD)
+
+    def _now_s(self):
+        return self.clock.monotonic().total_seconds()
+
+    def _start(self, work):
+        task = asyncio.create_task(work)
+        self._probes.add(task)
+        task.add_done_callback(self._probes.discard)
+        return task
+
+    async def _probe(self, server_id):
+        """Open a connection to a server; return whether that succeeds."""
+        view = self.shared_state.registry.servers.get(server_id)
+        if view is None:
+            self.reachability.remove_server(server_id)
+            return False
+        try:
+            connection = await self.shared_state.open_connection(
+                server_id, view.record.address
+            )
+        except http1.ConnectError:
+            return False
+        self.shared_state.pool.release(server_id, connection)
+        self._update_services()
+        return True
+
+    def _update_services(self):
+        services = self.shared_state.list_unreachable_services()
+        if services == self._services:
+            return
+        self._services = services
+        self._log.write(
+            _events.SERVICES_UNREACHABLE,
+            services=",".join(services),
+            servers=",".join(sorted(self.reachability.list_unreachable())),
+        )
+        self.on_services_changed(services)
+
+    async def call_unless_cut_off(self, server_id, callback):
+        """Call a function once it is known that another server is reachable.
+
+        A crash of one server does not end the links to the others.  Without
+        another server that is announced nothing is known, and the function
+        is called.
+
+        :param server_id: the server whose connection broke.
+        :param callback: function without arguments.
+        """
+        check = self._start_check(server_id)
+        if check is None:
+            callback()
+            return
+
+        def on_done(task):
+            if not task.cancelled() and task.result():
+                callback()
+
+        await asyncio.wait({check}, timeout=MAX_CHECK_WAIT.total_seconds())
+        if check.done():
+            on_done(check)
+        else:
+            check.add_done_callback(on_done)
+
+    def _start_check(self, server_id):
+        """Return a task whose result is whether another server is reached."""
+        now = self.clock.monotonic()
+        if self._check is not None and (
+            not self._check.done() or now - self._checked_at < CHECK_VALIDITY
+        ):
+            return self._check
+        others = self.shared_state.list_region_servers()
+        others = [name for name in others if name != server_id]
+        if not others:
+            return None
+        rng = self.shared_state.rng
+        chosen = rng.sample(others, min(len(others), CHECKED_SERVERS))
+        self._checked_at = now
+        self._check = self._start(self._reach_any(chosen))
+        return self._check
+
+    async def _reach_any(self, server_ids):
+        probes = [self._start(self._probe(name)) for name in server_ids]
+        for probe in asyncio.as_completed(probes):
+            if await probe:
+                return True
+        return False
--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -1,6 +1,7 @@
 """Proxying of requests from clients to servers and other regions."""
 
 import asyncio
+import functools
 from typing import NamedTuple
 
 import xxhash
@@ -36,6 +37,9 @@
 #: Maximum number of failed connects for a request; a failed connect sends
 #: nothing.
 MAX_CONNECT_FAILURES = 3
+#: Maximum number of entry VMs of the own region that a request is forwarded
+#: to, as no server is reachable here; the first may be cut off as well.
+MAX_HOPS = 2
 #: Time without a response after which an idempotent request is retried, as a
 #: multiple of the expected time.
 FIRST_BYTE_TIMEOUT_FACTOR = 3.0
@@ -98,16 +102,24 @@
     :param on_quarantine_changed: called without arguments when the quarantine
         has records for other entry VMs.
     :param origins: the ``OriginTask``.
+    :param reachability: the ``ReachabilityTask``.
     """
 
     def __init__(
-        self, shared_state, clock, metrics, on_quarantine_changed, origins
+        self,
+        shared_state,
+        clock,
+        metrics,
+        on_quarantine_changed,
+        origins,
+        reachability,
     ):
         self.shared_state = shared_state
         self.clock = clock
         self.metrics = metrics
         self.on_quarantine_changed = on_quarantine_changed
         self.origins = origins
+        self.reachability = reachability
         self.log = events.EventLog("gateway")
 
     async def handle(self, request, reply):
@@ -176,6 +188,8 @@
         self.destination = ""
         #: Entry VM that the request was last forwarded to; empty for none.
         self.forwarded_to = ""
+        #: Number of entry VMs of this region that it was forwarded to.
+        self.hops = 0
         self.reason = ""
         self.first_byte_s = 0.0
         self.longest_gap_s = 0.0
@@ -395,6 +409,7 @@
     def _build_routing_request(self):
         prompt = self.metadata.prompt if self.service.engine else None
         can_continue = not self.reply.started or self.stream is not None
+        can_forward = not self.is_forwarded and can_continue
         origin = self.origin
         return dispatch.RoutingRequest(
             self.route,
@@ -402,10 +417,27 @@
             prompt,
             self._list_tried_ids(),
             self._remaining_s() * 1e3,
-            not self.is_forwarded and can_continue,
+            can_forward,
+            can_forward and bool(self._list_neighbours()),
             None if origin is None else origin.software_version,
         )
 
+    def _list_neighbours(self):
+        """List the entry VMs of this region that may get the request."""
+        if self.hops >= MAX_HOPS:
+            return []
+        return self._list_targets(self.shared_state.settings.region)
+
+    def _list_targets(self, region):
+        """List the entry VMs of a region that may get the request."""
+        return [
+            record
+            for record in self.shared_state.list_forward_targets(
+                region, self.service.name
+            )
+            if record.node_id not in self.excluded_ids
+        ]
+
     def _list_tried_ids(self):
         """List the servers that shall not get the request again.
 
@@ -472,6 +504,7 @@
         self.excluded_ids.add(server_id)
         self.destination = server_id
         pool = self.shared_state.pool
+        acquire = self.shared_state.acquire_connection
         fleet = self.shared_state.fleet
         self.shared_state.dispatcher.on_request_sent(
             routing_request, view, now
@@ -485,7 +518,7 @@
         outcome = Outcome.ABANDONED
         connection = None
         try:
-            connection = await pool.acquire(server_id, view.record.address)
+            connection = await acquire(server_id, view.record.address)
             if fleet.state(server_id).is_paused(self._now_s()):
                 # Another request was refused while this one connected.
                 return _NotSent(f"{server_id} is paused")
@@ -505,11 +538,11 @@
             )
             outcome = _classify_outcome(result, self.reply.status)
         except http1.ConnectError as error:
-            outcome = Outcome.LOST
+            outcome = Outcome.UNREACHABLE
             result = _NotSent(error.detail)
         except http1.IncompleteResponseError as error:
             outcome = Outcome.LOST
-            self._record_crash(error)
+            await self._record_crash(error)
             result = _Unknown(error.detail)
         finally:
             now_s = self._now_s()
@@ -543,14 +576,11 @@
         return self.stream.last_event_id if self.stream else None
 
     async def _forward_to_region(self, decision):
-        """Forward the request to an entry VM of another region."""
+        """Forward the request to an entry VM of another or of this region."""
         self.destination = decision.region
-        entry_vms = self.shared_state.list_entry_vms(decision.region)
-        entry_vms = [
-            entry_vm
-            for entry_vm in entry_vms
-            if entry_vm.node_id not in self.excluded_ids
-        ]
+        is_hop = decision.region == self.shared_state.settings.region
+        self.hops += is_hop
+        entry_vms = self._list_targets(decision.region)
         if not entry_vms:
             self._exclude_region(decision.region)
             return _NotSent(f"no entry VM known in {decision.region}")
@@ -562,7 +592,8 @@
         connection = None
         try:
             connection = await pool.acquire(record.node_id, address)
-            self._exclude_region(decision.region)
+            if not is_hop:
+                self._exclude_region(decision.region)
             self.shared_state.fleet.on_request_forwarded(
                 decision, self.metadata.prompt, self._now_s()
             )
@@ -980,22 +1011,41 @@
         if not self.shared_state.quarantine.is_idle:
             self.handler.on_quarantine_changed()
 
-    def _record_crash(self, error):
+    async def _record_crash(self, error):
         """Record a connection that broke while its server ran the request.
 
-        A server that sends bytes which are no response has not crashed.
+        A server that sends bytes which are no response has not crashed, nor
+        has one that was lost together with all others.
         """
         is_crash = not isinstance(error, http1.UnexpectedResponseError)
-        is_new = (is_crash and not self.has_continued) and (
-            self.shared_state.quarantine.on_attempt_lost(
-                self.incarnation,
-                self.subjects,
-                self.attempt_sent_at,
-                self.handler.clock.monotonic(),
-            )
+        self._log_lost_connection(error)
+        if not is_crash or self.has_continued:
+            return
+        count_crash = functools.partial(
+            self._count_crash,
+            self.incarnation,
+            self.attempt_sent_at,
+            self.handler.clock.monotonic(),
+        )
+        await self.handler.reachability.call_unless_cut_off(
+            self.incarnation.server_id, count_crash
+        )
+
+    def _count_crash(self, incarnation, sent_at, lost_at):
+        is_new = self.shared_state.quarantine.on_attempt_lost(
+            incarnation, self.subjects, sent_at, lost_at
         )
         if is_new:
             self.handler.on_quarantine_changed()
+        self.handler.log.write(
+            _events.CRASH_COUNTED,
+            request=self._request_id_text(),
+            server=incarnation.server_id,
+            born_ms=incarnation.born_ms,
+            is_new=is_new,
+        )
+
+    def _log_lost_connection(self, error):
         self.handler.log.write(
             _events.CRASH_NOTED,
             request=self._request_id_text(),
@@ -1005,7 +1055,6 @@
             parts=",".join(self._list_shared_part_ids()),
             answer_begun=self.answer_started_s is not None,
             answer_ms=round(self._answer_duration_s() * 1e3),
-            counted=is_new,
             error=error.detail,
         )
 
--- a/buckthorntack/gateway/_shared_state.py
+++ b/buckthorntack/gateway/_shared_state.py
@@ -76,6 +76,7 @@
         self._log = events.EventLog("gateway")
         self._changed = asyncio.Event()
         self._urgent = asyncio.Event()
+        self._has_suspects = asyncio.Event()
         self._by_service = {}
         self._incarnations = {}
 
@@ -141,6 +142,81 @@
                 await self._urgent.wait()
         self._urgent.clear()
 
+    async def acquire_connection(self, server_id, address):
+        """Return an idle connection to a server, or open a new one.
+
+        :param server_id: the server.
+        :param address: IP address and port.
+        :returns: ``http1.Connection``.
+        :raises ConnectError: the connection attempt failed.
+        """
+        connection = self.pool.take_idle(server_id)
+        if connection is None:
+            connection = await self.open_connection(server_id, address)
+        return connection
+
+    async def open_connection(self, server_id, address):
+        """Open a new connection to a server and record whether it can be.
+
+        :param server_id: the server.
+        :param address: IP address and port.
+        :returns: ``http1.Connection``.
+        :raises ConnectError: the connection attempt failed.
+        """
+        reachability = self.dispatcher.reachability
+        try:
+            connection = await self.pool.open(address)
+        except http1.ConnectError:
+            now_s = self.clock.monotonic().total_seconds()
+            if reachability.on_connect_failed(server_id, now_s):
+                self._log_reachability(server_id, False)
+            self._has_suspects.set()
+            raise
+        if reachability.on_connected(server_id):
+            self._log_reachability(server_id, True)
+        return connection
+
+    def _log_reachability(self, server_id, is_reachable):
+        self._log.write(
+            _events.REACHABILITY_CHANGED,
+            server=server_id,
+            reachable=is_reachable,
+        )
+
+    async def wait_until_unreachable(self):
+        """Wait until a connect to a server fails."""
+        self._has_suspects.clear()
+        await self._has_suspects.wait()
+
+    def list_unreachable_services(self):
+        """List the services of this region whose servers all are unreachable.
+
+        :returns: sorted names.
+        """
+        unreachable = set(self.dispatcher.reachability.list_unreachable())
+        if not unreachable:
+            return []
+        reached, known = set(), set()
+        for view in self.registry.servers.values():
+            record = view.record
+            if record.region == self.settings.region and (
+                record.state == "ready"
+            ):
+                known.add(record.service)
+                if record.server_id not in unreachable:
+                    reached.add(record.service)
+        return sorted(known - reached)
+
+    def list_region_servers(self):
+        """List the ids of the announced servers of this region."""
+        return [
+            server_id
+            for server_id, view in self.registry.servers.items()
+            if view.record.region == self.settings.region
+            and view.record.state == "ready"
+            and not view.record.silent
+        ]
+
     def log_limits(self, told_by):
         """Log the changes of servers' limits.
 
@@ -189,6 +265,7 @@
             if self._incarnations.setdefault(server_id, born_ms) != born_ms:
                 self._incarnations[server_id] = born_ms
                 self.fleet.on_server_restarted(server_id)
+                self.dispatcher.reachability.remove_server(server_id)
                 self.pool.close_idle(server_id)
         self._by_service = {}
         if server_ids:
@@ -198,6 +275,7 @@
         self._incarnations.pop(server_id, None)
         self.fleet.remove_server(server_id)
         self.rates.remove_server(server_id)
+        self.dispatcher.reachability.remove_server(server_id)
         self.pool.close_idle(server_id)
 
     def list_servers(self, service):
@@ -234,6 +312,20 @@
             and not record.silent
         ]
 
+    def list_forward_targets(self, region, service):
+        """List the entry VMs of a region that can serve a service.
+
+        :param region: name of the region, also this one.
+        :param service: name of the service.
+        :returns: list of ``NodePresence``.
+        """
+        return [
+            record
+            for record in self.list_entry_vms(region)
+            if record.node_id != self.settings.service_address
+            and service not in record.unreachable_services
+        ]
+
     def find_forward_address(self, record):
         """Return the address for requests forwarded to an entry VM.
 
--- a/buckthorntack/http1/_pool.py
+++ b/buckthorntack/http1/_pool.py
@@ -60,6 +60,13 @@
         :returns: ``Connection``.
         :raises ConnectError: the connection attempt failed.
         """
+        return self.take_idle(key) or await self.open(address)
+
+    def take_idle(self, key):
+        """Return an idle connection to a server; None if there is none.
+
+        :param key: unique key of the server.
+        """
         now = asyncio.get_running_loop().time()
         idle = self._idle.get(key, ())
         while idle:
@@ -74,7 +81,7 @@
                 connection.idle_before_s = idle_before_s
                 return connection
             self._close(key, connection)
-        return await self._open(address)
+        return None
 
     def release(self, key, connection):
         """Keep a connection if it is reusable, or else close it.
@@ -118,7 +125,13 @@
         """
         return len(self._idle.get(key, ()))
 
-    async def _open(self, address):
+    async def open(self, address):
+        """Open a new connection to a server.
+
+        :param address: IP address and port.
+        :returns: ``Connection``.
+        :raises ConnectError: the connection attempt failed.
+        """
         host, _, port = address.rpartition(":")
         sock = socket.socket(
             socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP
--- a/buckthorntack/platform/tests/test_partitioned_entry_vms.py
+++ b/buckthorntack/platform/tests/test_partitioned_entry_vms.py
@@ -40,7 +40,7 @@
 def cut(world, entry, link):
     """Cut an entry VM off from all servers; return what ends the cut."""
     pool = world.nodes[entry].shared_state.pool
-    open_connection = pool._open
+    open_connection = pool.open
 
     async def fail(address):
         if link is Link.HANGING:
@@ -48,9 +48,9 @@
         raise http1.ConnectError(f"{address}: cut off")
 
     def end():
-        pool._open = open_connection
+        pool.open = open_connection
 
-    pool._open = fail
+    pool.open = fail
     if link is not Link.HALF_LIVING:
         for server_id in world.servers:
             pool.close_idle(server_id)
@@ -84,6 +84,8 @@
     ends = [cut(world, name, link) for name in cut_off]
     settled_s = time.monotonic() + SETTLING_S
     while time.monotonic() < settled_s:
+        for server in world.servers.values():
+            await world.announce(server)
         await asyncio.gather(*(ask_some(world, name, 3) for name in cut_off))
     names = [*cut_off, *others]
     shares = await asyncio.gather(*(ask_some(world, name) for name in names))
--- a/buckthorntack/schema/_generated/discovery.py
+++ b/buckthorntack/schema/_generated/discovery.py
@@ -41,6 +41,7 @@
     failure_domain: str
     region: str
     silent: bool
+    unreachable_services: list[str]
 
 
 class PresenceReport(NamedTuple):
