--- a/buckthorntack/platform/tests/test_requests.py
+++ b/buckthorntack/platform/tests/test_requests.py
@@ -501,7 +501,7 @@
 def test_server_that_is_paused_during_a_connect_gets_nothing():
     async def scenario(world):
         shared_state = world.nodes["e0"].shared_state
-        acquire = shared_state.pool.acquire
+        acquire = shared_state.acquire_connection
 
         async def acquire_and_pause(key, address):
             connection = await acquire(key, address)
@@ -509,7 +509,7 @@
             shared_state.fleet.state(key).pause(now_s, 30.0)
             return connection
 
-        shared_state.pool.acquire = acquire_and_pause
+        shared_state.acquire_connection = acquire_and_pause
         answer = await world.ask(UNSAFE, method="POST")
         assert answer.status == 503
         assert world.servers["s1"].requests == []
