Leave a silent server only if it cannot be reached, or after longer

What callers saw: a sound server that is silent for more than 1.5 s lost its stream to a second run elsewhere, although callers of the route wait 3.2 s; a connection ended at the first unanswered keep-alive probe.

Cause: fixed times for a first byte (1.5 s) and within a stream (1.6 s), by which a cut had to be found as well; TCP_USER_TIMEOUT, which once set also ends keep-alive, at 1.5 s with probes each second. Class: one timeout for two questions, whether the link is cut and whether the server is slow.

Change: after 1 s of silence a new connection shows whether the server can be reached. If not, the request goes on elsewhere at once; else the first byte is awaited for 2 s and data of a stream for 0.7 of the caller's patience, 1.6 to 2.2 s.

--- a/buckthorntack/gateway/_reachability_task.py
+++ b/buckthorntack/gateway/_reachability_task.py
@@ -15,6 +15,8 @@
 CHECKED_SERVERS = 2
 #: Time for which the result of such a check stands for other requests.
 CHECK_VALIDITY = 250 * _MS
+#: Time for which a check of a silent server stands for other requests.
+SILENCE_VALIDITY = 2000 * _MS
 #: Longest time for which a request waits for such a check before it is
 #: retried; connects within a region take a few milliseconds.
 MAX_CHECK_WAIT = 50 * _MS
@@ -35,6 +37,8 @@
         self.on_services_changed = on_services_changed
         self._services = []
         self._probes = set()
+        #: Times of the last checks of silent servers.
+        self._silent_servers = {}
         self._check = None
         self._checked_at = None
         self._log = events.EventLog("gateway")
@@ -85,6 +89,30 @@
         self._update_services()
         return True
 
+    def is_unreachable(self, server_id):
+        """Whether connects to a server fail.
+
+        :param server_id: the server.
+        """
+        return self.reachability.is_unreachable(server_id)
+
+    def check_silent_server(self, server_id):
+        """Connect to a server that a request waits for, unless one did lately.
+
+        :param server_id: the server.
+        """
+        now = self.clock.monotonic()
+        checked_at = self._silent_servers.get(server_id)
+        if checked_at is not None and now - checked_at < SILENCE_VALIDITY:
+            return
+        self._silent_servers = {
+            name: at
+            for name, at in self._silent_servers.items()
+            if now - at < SILENCE_VALIDITY
+        }
+        self._silent_servers[server_id] = now
+        self._start(self._probe(server_id))
+
     def _update_services(self):
         services = self.shared_state.list_unreachable_services()
         if services == self._services:
--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -43,11 +43,18 @@
 #: Time without a response after which an idempotent request is retried, as a
 #: multiple of the expected time.
 FIRST_BYTE_TIMEOUT_FACTOR = 3.0
-#: Minimum time without a response before an idempotent request is retried.
-MIN_FIRST_BYTE_TIMEOUT_S = 1.5
-#: Time without data in a stream after which another server continues it;
-#: callers abandon a stream after two seconds.
-STREAM_IDLE_TIMEOUT_S = 1.6
+#: Minimum time without a response before an idempotent request is retried,
+#: unless its server is found to be unreachable.
+MIN_FIRST_BYTE_TIMEOUT_S = 2.0
+#: Time without data in a stream after which another server continues it, as a
+#: share of the time after which callers abandon it, and its bounds.
+STREAM_IDLE_SHARE = 0.7
+MIN_STREAM_IDLE_TIMEOUT_S = 1.6
+MAX_STREAM_IDLE_TIMEOUT_S = 2.2
+#: Time without data after which it is checked whether the server can be
+#: reached, and period of looking at the result.
+SILENCE_CHECK_S = 1.0
+SILENCE_CHECK_PERIOD_S = 0.2
 #: Time reserved before the deadline of a request for the response to reach the
 #: client.
 DEADLINE_MARGIN_S = 0.02
@@ -639,12 +646,17 @@
             first_byte_timeout_s = max(
                 MIN_FIRST_BYTE_TIMEOUT_S, first_byte_timeout_s
             )
+
+        async def read_start():
+            head = await connection.read_head()
+            if self._is_stream(head):
+                return head, await connection.read()
+            return head, b""
+
         try:
-            async with asyncio.timeout(first_byte_timeout_s):
-                head = await connection.read_head()
-                first_data = b""
-                if self._is_stream(head):
-                    first_data = await connection.read()
+            head, first_data = await self._read_patiently(
+                read_start, first_byte_timeout_s
+            )
         except TimeoutError:
             if self._remaining_s() <= 0:
                 raise
@@ -671,6 +683,34 @@
             return _Failed(head, b"")
         return await self._relay_buffered(connection, head)
 
+    async def _read_patiently(self, read, timeout_s):
+        """Read from a server, or give up if it cannot be reached.
+
+        :param read: coroutine function without arguments; it is called again
+            after a cancelled call.
+        :param timeout_s: longest time in seconds; None to wait without end.
+        :returns: result of the read.
+        :raises TimeoutError: nothing came in time.
+        """
+        if timeout_s is None or self.incarnation is None:
+            async with asyncio.timeout(timeout_s):
+                return await read()
+        ends_s = self._now_s() + timeout_s
+        slice_s = SILENCE_CHECK_S
+        server_id = self.incarnation.server_id
+        reachability = self.handler.reachability
+        while True:
+            left_s = ends_s - self._now_s()
+            try:
+                async with asyncio.timeout(min(slice_s, left_s)):
+                    return await read()
+            except TimeoutError:
+                is_over = left_s <= slice_s or self._remaining_s() <= 0
+                if is_over or reachability.is_unreachable(server_id):
+                    raise
+            reachability.check_silent_server(server_id)
+            slice_s = SILENCE_CHECK_PERIOD_S
+
     def _note_server_state(self, metadata):
         """Note what a response tells of the server that sent it."""
         if metadata.is_other_server:
@@ -888,10 +928,15 @@
         )
 
     async def _read_stream_data(self, connection):
-        idle_timeout_s = STREAM_IDLE_TIMEOUT_S if self._can_retry() else None
+        idle_timeout_s = None
+        if self._can_retry():
+            patience_s = _stream_origin.compute_patience_s(self.route)
+            idle_timeout_s = min(
+                max(patience_s * STREAM_IDLE_SHARE, MIN_STREAM_IDLE_TIMEOUT_S),
+                MAX_STREAM_IDLE_TIMEOUT_S,
+            )
         started_s = self._now_s()
-        async with asyncio.timeout(idle_timeout_s):
-            data = await connection.read()
+        data = await self._read_patiently(connection.read, idle_timeout_s)
         self.longest_gap_s = max(self.longest_gap_s, self._now_s() - started_s)
         return data
 
--- a/buckthorntack/http1/_pool.py
+++ b/buckthorntack/http1/_pool.py
@@ -25,9 +25,10 @@
 DROPPED_IDLE_RATIO = 0.7
 #: Lower bound of the reduced idle timeout.
 MIN_IDLE_TIMEOUT_S = 0.2
-#: Time without acknowledgement of sent bytes after which a server counts as
-#: gone or unreachable (TCP_USER_TIMEOUT).
-USER_TIMEOUT_MS = 1500
+#: Time without acknowledgement of sent bytes after which a connection ends
+#: (TCP_USER_TIMEOUT).  Sound servers may be silent for a second or two; that
+#: a link is cut is found sooner, by new connections.
+USER_TIMEOUT_MS = 3000
 
 
 class ConnectionPool:
--- a/buckthorntack/transport/_sockets.py
+++ b/buckthorntack/transport/_sockets.py
@@ -8,6 +8,12 @@
 _CLOSE_ORDERLY = struct.pack("ii", 0, 0)
 
 
+#: Interval between two keep-alive probes.  With a user timeout set, which
+#: counts from the last byte received, one unanswered probe ends a connection;
+#: a peer that is silent for a shorter time must not lose it.
+KEEPALIVE_INTERVAL_S = 2
+
+
 def bind_listener(address):
     """Bind a listening socket.
 
@@ -50,7 +56,7 @@
     sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, user_timeout_ms)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(tcp, socket.TCP_KEEPIDLE, keepalive_idle_s)
-    sock.setsockopt(tcp, socket.TCP_KEEPINTVL, 1)
+    sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
 
 
 def set_reset_on_close(transport, enabled):
