Reproduce brittle engines that fall over

The emulator's engines can say how many rejections in a second they bear, let fewer requests wait and fall over.

--- a/buckthorntack/emulator/_deployment.py
+++ b/buckthorntack/emulator/_deployment.py
@@ -16,6 +16,9 @@
 #: Ways of one message.
 DOMAIN_MS = 0.3
 REGION_MS = 55.0
+SECOND_MS = 1000.0
+#: Time after which a brittle engine that fell over is back.
+RESTART_MS = 3000.0
 #: Entry VMs tell engines no rank of requests.
 EQUAL_RANK = 5
 #: Share of the time left that a caller waits before it comes back.
@@ -38,7 +41,8 @@
     kind: str
     region: str
     arrived_ms: float
-    #: ``answered``, ``refused`` or ``late`` (its caller has left).
+    #: ``answered``, ``refused``, ``late`` (its caller has left) or ``lost``
+    #: (its engine fell over).
     outcome: str
     first_ms: float
     longest_pause_ms: float
@@ -105,6 +109,9 @@
     :param seed: of everything random.
     :param limits: function that returns the requests per second that an
         engine names in an answer, or None, from its id and the time in ms.
+    :param brittle: function that returns how many rejections in a second an
+        engine bears, or None if it bears any number, from its id and the time
+        in ms.
     """
 
     def __init__(
@@ -116,6 +123,7 @@
         region_period_ms=300.0,
         seed=1,
         limits=None,
+        brittle=None,
     ):
         self.figures = figures or _engine.EngineFigures()
         self.settings = settings or dispatch.DispatchSettings()
@@ -123,6 +131,11 @@
         self.region_period_ms = region_period_ms
         self.rng = random.Random(seed)
         self.limits = limits or (lambda server_id, now_ms: None)
+        self.brittle = brittle or (lambda server_id, now_ms: None)
+        #: Times in ms at which brittle engines fell over, by engine.
+        self.falls = {}
+        self._rejected_ms = {}
+        self._down_until_ms = {}
         #: Times in ms at which requests reach each engine.
         self.arrivals = {}
         self.service = directives.Service(
@@ -287,6 +300,13 @@
         self._at(now_ms + wait_ms, self._arrive, request)
 
     def _reach(self, now_ms, request, entry, flight, tried, sender):
+        if now_ms < self._down_until_ms.get(flight.server_id, 0.0):
+            entry.fleet.on_request_ended(
+                flight, dispatch.Outcome.UNREACHABLE, now_ms / 1e3
+            )
+            tried |= {flight.server_id}
+            self._decide(now_ms, request, entry, tried, sender)
+            return
         engine = self.engines[flight.server_id]
         self.arrivals.setdefault(flight.server_id, []).append(now_ms)
         run = _engine.Run(
@@ -301,6 +321,7 @@
                 flight, dispatch.Outcome.FULL, now_ms / 1e3
             )
             tried |= {flight.server_id}
+            self._reject(now_ms, flight.server_id)
             self._decide(now_ms, request, entry, tried, sender)
             return
         self._flights[run] = (request, entry, flight)
@@ -308,6 +329,36 @@
         if flight.server_id not in self._busy:
             self._wake(now_ms, flight.server_id)
 
+    def _reject(self, now_ms, server_id):
+        """Count a rejection; a brittle engine may fall over."""
+        most = self.brittle(server_id, now_ms)
+        recent = self._rejected_ms.setdefault(server_id, [])
+        recent[:] = [time for time in recent if now_ms - time < SECOND_MS]
+        recent.append(now_ms)
+        if most is not None and len(recent) > most:
+            self._fall(now_ms, server_id)
+
+    def _fall(self, now_ms, server_id):
+        """Lose all requests of an engine, which starts again later."""
+        self.falls.setdefault(server_id, []).append(now_ms)
+        self._rejected_ms[server_id].clear()
+        self._down_until_ms[server_id] = now_ms + RESTART_MS
+        engine = self.engines[server_id]
+        for run in [*engine.running, *engine.waiting]:
+            engine.cancel(run)
+            request, entry, flight = self._flights.pop(run)
+            entry.fleet.on_request_ended(
+                flight, dispatch.Outcome.LOST, now_ms / 1e3
+            )
+            self._end(request, "lost", 0.0, 0.0)
+        record = self.registry.servers[server_id].record
+        self.registry.merge_server(
+            record._replace(born_ms=record.born_ms + 1), now_ms * _MS
+        )
+        for entries in self.entries.values():
+            for entry in entries:
+                entry.fleet.on_server_restarted(server_id)
+
     def _wake(self, now_ms, server_id):
         next_ms = self.engines[server_id].next_ms(now_ms)
         if next_ms is None:
--- a/buckthorntack/emulator/_engine.py
+++ b/buckthorntack/emulator/_engine.py
@@ -83,6 +83,9 @@
         self.waiting = collections.deque()
         self.tokens_read = 0
         self.preempted = 0
+        #: Requests that may wait beyond the free slots; None for as many as
+        #: its queue holds.
+        self.waiting_limit = None
 
     def submit(self, run, now_ms):
         """Take a request.
@@ -91,6 +94,10 @@
         :param now_ms: virtual time.
         :returns: whether there was room for it.
         """
+        present = len(self.running) + len(self.waiting)
+        limit = self.waiting_limit
+        if limit is not None and present >= self.figures.slots + limit:
+            return False
         if len(self.waiting) >= self.figures.queue:
             return False
         run.ready_ms = now_ms + self.figures.setup_ms
