Look for neighbours and log decisions only where it matters

The search for a neighbour ran for each request, and each choice for a stream that waits was logged; both only cost processor time. Streams look for a server of their version each 100 ms instead of 40.

--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -366,15 +366,16 @@
             decision = self.shared_state.dispatcher.choose(
                 routing_request, servers, now
             )
-            self._log_decision(decision)
             if isinstance(decision, dispatch.Refuse):
                 if self._waits_for_version(decision):
                     await self.handler.clock.sleep(_stream_origin.RETRY_DELAY)
                     continue
+                self._log_decision(decision)
                 self._send_final_failure(
                     decision.reason, decision.retry_after_ms
                 )
                 return
+            self._log_decision(decision)
             send_count_before = self.send_count
             self._reset_body_record()
             if isinstance(decision, dispatch.Serve):
@@ -425,15 +426,17 @@
             self._list_tried_ids(),
             self._remaining_s() * 1e3,
             can_forward,
-            can_forward and bool(self._list_neighbours()),
+            can_forward and self._can_hop(),
             None if origin is None else origin.software_version,
         )
 
-    def _list_neighbours(self):
-        """List the entry VMs of this region that may get the request."""
-        if self.hops >= MAX_HOPS:
-            return []
-        return self._list_targets(self.shared_state.settings.region)
+    def _can_hop(self):
+        """Whether another entry VM of this region may get the request."""
+        shared_state = self.shared_state
+        has_suspects = shared_state.dispatcher.reachability.has_suspects
+        if not has_suspects or self.hops >= MAX_HOPS:
+            return False
+        return bool(self._list_targets(shared_state.settings.region))
 
     def _list_targets(self, region):
         """List the entry VMs of a region that may get the request."""
--- a/buckthorntack/gateway/_stream_origin.py
+++ b/buckthorntack/gateway/_stream_origin.py
@@ -18,7 +18,7 @@
 #: Time reserved for a response to reach the caller.
 PATIENCE_MARGIN = datetime.timedelta(milliseconds=200)
 #: Delay between two choices of a server for a stream that waits for one.
-RETRY_DELAY = datetime.timedelta(milliseconds=40)
+RETRY_DELAY = datetime.timedelta(milliseconds=100)
 
 
 def write_headers(origin):
