Keep brittle servers of the own interface standing too

The same class on the second path: announcements of the own interface can say how many rejections a second their server bears, and ServerRates, which keeps its limit there already, keeps its room.

--- a/buckthorntack/dispatch/__init__.py
+++ b/buckthorntack/dispatch/__init__.py
@@ -15,13 +15,16 @@
 from buckthorntack.dispatch._prompts import Prompt
 from buckthorntack.dispatch._reachability import Reachability
 from buckthorntack.dispatch._retry_budgets import RetryBudgets
+from buckthorntack.dispatch._server_limits import REJECTION_HOLD_S
 from buckthorntack.dispatch._server_limits import ServerLimits
 from buckthorntack.dispatch._server_rates import RateLimits
 from buckthorntack.dispatch._server_rates import ServerRates
 from buckthorntack.dispatch._settings import DispatchSettings
 from buckthorntack.dispatch._shared_rate import rendezvous_score
+from buckthorntack.dispatch._shared_room import Room
 
 __all__ = [
+    "REJECTION_HOLD_S",
     "REQUEST_ROUTED",
     "DispatchSettings",
     "Dispatcher",
@@ -40,6 +43,7 @@
     "ServerLimits",
     "ServerRates",
     "UsageExchange",
+    "Room",
     "RoutingRequest",
     "rendezvous_score",
 ]
--- a/buckthorntack/dispatch/_server_rates.py
+++ b/buckthorntack/dispatch/_server_rates.py
@@ -19,8 +19,7 @@
 PRIORITY_DELAYS = (0.0, 0.25, 0.5)
 
 
-#: Time after which requests that other entry VMs sent to a server are known
-#: here: the report period and a margin.
+#: Time until usage reports name a request: the report period and a margin.
 REPORT_LAG_S = 0.1
 
 
@@ -44,9 +43,11 @@
 
     :param node_id: this entry VM.
     :param settings: ``DispatchSettings``.
+    :param report_lag_s: time after which requests that other entry VMs sent to
+        a server are known here.
     """
 
-    def __init__(self, node_id, settings):
+    def __init__(self, node_id, settings, report_lag_s=REPORT_LAG_S):
         self.settings = settings
         #: Entry VMs of this region, this one included.
         self.members = [node_id]
@@ -54,7 +55,7 @@
         self._limited = _shared_rate.SharedRateLimiter(
             node_id, LIMIT_TOLERANCE
         )
-        self._rooms = _shared_room.SharedRoom(node_id, REPORT_LAG_S)
+        self._rooms = _shared_room.SharedRoom(node_id, report_lag_s)
 
     def may_send(self, server_id, limits, priority, now_s):
         """Whether a server may get a request now.
--- a/buckthorntack/entry/tests/test_server_limiter.py
+++ b/buckthorntack/entry/tests/test_server_limiter.py
@@ -100,3 +100,41 @@
     limited = {**announcement, "limit_per_s": 1.5}
     record = _deltas.build_record(limited, "pitchwriter", "fukuoka", 2000)
     assert record.limit_per_s == 1.5
+    assert record.rejections_per_s == _deltas.NO_LIMIT
+    brittle = {**announcement, "rejections_per_s": 0}
+    record = _deltas.build_record(brittle, "pitchwriter", "fukuoka", 2000)
+    assert record.rejections_per_s == 0.0
+
+
+# Guards against entry VMs of the own interface that each fill a server which
+# falls over if it has to reject requests.
+@pytest.mark.parametrize("count", [1, 3, 8])
+@pytest.mark.parametrize("slots", [4, 12])
+def test_requests_to_a_brittle_server_find_room(count, slots):
+    names = [f"e{number}" for number in range(count)]
+    routers = [_make_router(name, names) for name in names]
+    brittle = _server("s1", slots=slots, rejections_per_s=1.0)
+    sent = 0
+    for number in range(slots + 5):
+        for name, router in zip(names, routers, strict=True):
+            now = _records.seconds(100)
+            router.update_server(brittle, now)
+            request = _records.request(allowed_regions=frozenset({"fukuoka"}))
+            if router.choose(request, now).is_ok():
+                router.on_attempt_started("s1", f"{name}-{number}", 100, now)
+                sent += 1
+    assert slots / 3 <= sent <= slots
+
+
+def test_brittle_server_that_rejected_a_request_gets_none_for_a_while():
+    router = _make_router("e0", ["e0"])
+    router.update_server(
+        _server("s1", rejections_per_s=1.0), _records.seconds(99)
+    )
+    request = _records.request(allowed_regions=frozenset({"fukuoka"}))
+    router.on_attempt_started("s1", "a", 100, _records.seconds(100))
+    router.on_attempt_finished(
+        "s1", "a", routing.AttemptOutcome.BUSY, _records.seconds(100)
+    )
+    assert router.choose(request, _records.seconds(100.5)).is_error()
+    assert router.choose(request, _records.seconds(101.5)).is_ok()
--- a/buckthorntack/membership/_deltas.py
+++ b/buckthorntack/membership/_deltas.py
@@ -16,7 +16,8 @@
 from buckthorntack.membership import _servers
 from buckthorntack.schema import messages
 
-#: Value of ``limit_per_s`` in the record of a server that names no limit.
+#: Value of ``limit_per_s`` and ``rejections_per_s`` in the record of a server
+#: that names no limit.
 NO_LIMIT = -1.0
 #: Number of batches that carry the full record after a change.
 _UPDATE_REPEATS = 3
@@ -53,6 +54,7 @@
             int(load.get("lag_ms", 0)),
         ),
         limit_per_s=float(document.get("limit_per_s", NO_LIMIT)),
+        rejections_per_s=float(document.get("rejections_per_s", NO_LIMIT)),
     )
 
 
--- a/buckthorntack/placement/tests/worlds.py
+++ b/buckthorntack/placement/tests/worlds.py
@@ -166,6 +166,7 @@
         lease_ms=2000,
         load=load,
         limit_per_s=-1.0,
+        rejections_per_s=-1.0,
     )
     return result._replace(**fields)
 
--- a/buckthorntack/routing/_router.py
+++ b/buckthorntack/routing/_router.py
@@ -47,7 +47,7 @@
         self.settings = settings
         self.rng = rng
         self.limiter = limiter
-        #: Servers that name a limit.
+        #: Servers that name a limit, or are brittle.
         self._limited = set()
         self._servers = _servers.ServerTable(settings)
         self._sampler = _sampling.Sampler(self._servers, settings, rng)
@@ -67,7 +67,10 @@
         if self._servers.update(record, now.total_seconds()):
             self._prefixes.remove_target(record.server_id)
         server = self._servers.get(record.server_id)
-        if server is not None and server.record.limit_per_s >= 0:
+        if server is not None and (
+            server.record.limit_per_s >= 0
+            or server.record.rejections_per_s >= 0
+        ):
             self._limited.add(record.server_id)
         else:
             self._limited.discard(record.server_id)
@@ -158,9 +161,7 @@
             return
         now_s = now.total_seconds()
         if self.limiter is not None and server_id in self._limited:
-            self.limiter.on_request_sent(
-                server_id, server.record.limit_per_s, now_s
-            )
+            self.limiter.on_request_sent(server, now_s)
         tokens = prompt_tokens * (1.0 - cached_share)
         load = server.load.estimate_requests(now_s)
         slots = server.record.slots
@@ -213,6 +214,9 @@
         self._servers.regroup_server(server, now_s)
         if completed:
             server.ejection.record_success()
+        is_rejection = outcome == _types.AttemptOutcome.BUSY
+        if is_rejection and self.limiter is not None:
+            self.limiter.on_rejection(server_id, now_s)
         if outcome != _types.AttemptOutcome.FAILED:
             return False
         failed = server.ejection.record_failure(now_s)
@@ -339,9 +343,7 @@
         used_up = set()
         for server_id in self._limited:
             server = self._servers.get(server_id)
-            if server is not None and not self.limiter.may_send(
-                server_id, server.record.limit_per_s, now_s
-            ):
+            if server is not None and not self.limiter.may_send(server, now_s):
                 used_up.add(server_id)
         excluded = frozenset({*request.excluded_servers, *used_up})
         return request._replace(excluded_servers=excluded)
--- a/buckthorntack/routing/tests/_records.py
+++ b/buckthorntack/routing/tests/_records.py
@@ -34,6 +34,7 @@
         lease_ms=2000,
         load=load,
         limit_per_s=-1.0,
+        rejections_per_s=-1.0,
     )
     return record._replace(**fields)
 
--- a/buckthorntack/schema/_generated/backend_documents.py
+++ b/buckthorntack/schema/_generated/backend_documents.py
@@ -159,3 +159,7 @@
     """
     Requests per second that it takes of all entry VMs together; absent for no limit.
     """
+    rejections_per_s: NotRequired[float]
+    """
+    Requests per second that it can reject for want of room before it falls over; absent if it is not brittle.
+    """
--- a/buckthorntack/schema/_generated/membership.py
+++ b/buckthorntack/schema/_generated/membership.py
@@ -37,6 +37,7 @@
     lease_ms: int
     load: ServerLoad
     limit_per_s: float
+    rejections_per_s: float
 
 
 class EntryRecord(NamedTuple):
--- a/buckthorntack/schema/tests/test_codec.py
+++ b/buckthorntack/schema/tests/test_codec.py
@@ -24,6 +24,7 @@
         lease_ms=2000,
         load=load,
         limit_per_s=-1.0,
+        rejections_per_s=-1.0,
     )
     assert schema.decode(*schema.encode(record)) == record
 
