--- a/buckthorntack/emulator/_deployment.py
+++ b/buckthorntack/emulator/_deployment.py
@@ -17,6 +17,14 @@
 DOMAIN_MS = 0.3
 REGION_MS = 55.0
 SECOND_MS = 1000.0
+#: Time limit of a connect.
+CONNECT_TIMEOUT_MS = 600.0
+#: Period at which an entry VM looks for due probes.
+PROBE_PERIOD_MS = 100.0
+#: Time until the presence of an entry VM has reached all others.
+PRESENCE_MS = 600.0
+#: Retry-After if no entry VM of the chosen region can be reached.
+NO_TARGET_RETRY_MS = 500.0
 #: Time after which a brittle engine that fell over is back.
 RESTART_MS = 3000.0
 #: Entry VMs tell engines no rank of requests.
@@ -48,6 +56,10 @@
     longest_pause_ms: float
     prompt_tokens: int
     unread_tokens: int
+    #: Refusals before the last try.
+    tries: int = 0
+    #: Entry VM of its first try.
+    entry: str = ""
 
     def is_on_time(self, route):
         """Whether it was answered within the objectives of its route.
@@ -65,6 +77,8 @@
     """One entry VM: its own belief of the load, and its decisions."""
 
     def __init__(self, name, region, failure_domain, settings, rng):
+        #: What the others were told last: that it reaches no engine.
+        self.told_cut_off = False
         self.name = name
         self.region = region
         self.failure_domain = failure_domain
@@ -89,6 +103,8 @@
         self.prompt = prompt
         self.output = output
         self.tries = 0
+        #: Entry VM of its first try.
+        self.entry = ""
         self.way_ms = 0.0
         self.unread_tokens = 0
 
@@ -109,6 +125,8 @@
     :param seed: of everything random.
     :param limits: function that returns the requests per second that an
         engine names in an answer, or None, from its id and the time in ms.
+    :param cut_off: function that returns whether an entry VM reaches none,
+        from its name and the time in ms.
     :param brittle: function that returns how many rejections in a second an
         engine bears, or None if it bears any number, from its id and the time
         in ms.
@@ -124,6 +142,7 @@
         seed=1,
         limits=None,
         brittle=None,
+        cut_off=None,
     ):
         self.figures = figures or _engine.EngineFigures()
         self.settings = settings or dispatch.DispatchSettings()
@@ -132,6 +151,7 @@
         self.rng = random.Random(seed)
         self.limits = limits or (lambda server_id, now_ms: None)
         self.brittle = brittle or (lambda server_id, now_ms: None)
+        self.cut_off = cut_off or (lambda name, now_ms: False)
         #: Times in ms at which brittle engines fell over, by engine.
         self.falls = {}
         self._rejected_ms = {}
@@ -206,6 +226,7 @@
             self._by_name[entry.name] = entry
             share = number / region.entries
             self._at(share * self.use_period_ms, self._tell_use, entry)
+            self._at(PROBE_PERIOD_MS, self._probe, entry)
         self._at(self.region_period_ms, self._tell_region, region.name)
 
     def _at(self, time_ms, action, *arguments):
@@ -231,8 +252,47 @@
         """Prompt tokens that all engines have read."""
         return sum(engine.tokens_read for engine in self.engines.values())
 
+    def _probe(self, now_ms, entry):
+        """Let an entry VM connect to engines that it takes for lost."""
+        reachability = entry.dispatcher.reachability
+        for server_id in reachability.take_due_probes(now_ms / 1e3):
+            self._at(
+                now_ms + self._connect_ms(entry, now_ms),
+                self._connected,
+                entry,
+                server_id,
+            )
+        servers = [
+            name
+            for name, region in self._regions.items()
+            if region == entry.region
+        ]
+        is_lost = all(map(reachability.is_unreachable, servers))
+        if is_lost is not entry.told_cut_off:
+            self._at(now_ms + PRESENCE_MS, self._tell_cut_off, entry, is_lost)
+        self._at(now_ms + PROBE_PERIOD_MS, self._probe, entry)
+
+    def _tell_cut_off(self, now_ms, entry, is_lost):
+        entry.told_cut_off = is_lost
+
+    def _connect_ms(self, entry, now_ms):
+        """Time until a connect succeeds or fails."""
+        if self.cut_off(entry.name, now_ms):
+            return CONNECT_TIMEOUT_MS
+        return DOMAIN_MS
+
+    def _connected(self, now_ms, entry, server_id):
+        """Tell an entry VM how a connect ended; return whether it did well."""
+        reachability = entry.dispatcher.reachability
+        if self.cut_off(entry.name, now_ms):
+            reachability.on_connect_failed(server_id, now_ms / 1e3)
+            return False
+        reachability.on_connected(server_id)
+        return True
+
     def _arrive(self, now_ms, request):
         entry = self.rng.choice(self.entries[request.region])
+        request.entry = request.entry or entry.name
         self._decide(now_ms, request, entry, frozenset())
 
     def _decide(self, now_ms, request, entry, tried, sender=None):
@@ -247,6 +307,7 @@
             tried,
             request.until_ms() - now_ms,
             sender is None,
+            sender is None and bool(self._list_targets(entry, entry.region)),
         )
         views = list(self.registry.servers.values())
         now = now_ms * _MS
@@ -263,13 +324,19 @@
             }
             self._at(now_ms + REGION_MS, self._decide, request, sender, tried)
         elif isinstance(decision, dispatch.Forward):
-            other = self.rng.choice(self.entries[decision.region])
-            request.way_ms = REGION_MS
+            targets = self._list_targets(entry, decision.region)
+            if not targets:
+                self._refused(now_ms, request, NO_TARGET_RETRY_MS)
+                return
+            other = self.rng.choice(targets)
+            is_hop = decision.region == entry.region
+            way_ms = DOMAIN_MS if is_hop else REGION_MS
+            request.way_ms = way_ms
             entry.fleet.on_request_forwarded(
                 decision, request.prompt, now_ms / 1e3
             )
             self._at(
-                now_ms + REGION_MS, self._decide, request, other, tried, entry
+                now_ms + way_ms, self._decide, request, other, tried, entry
             )
         else:
             view = self.registry.servers[decision.server_id]
@@ -281,7 +348,7 @@
             entry.exchange.on_request_sent(flight)
             self._tell_if_urgent(now_ms, entry)
             self._at(
-                now_ms + DOMAIN_MS,
+                now_ms + self._connect_ms(entry, now_ms),
                 self._reach,
                 request,
                 entry,
@@ -290,6 +357,14 @@
                 sender,
             )
 
+    def _list_targets(self, entry, region):
+        """List the entry VMs of a region that can be forwarded to."""
+        return [
+            other
+            for other in self.entries[region]
+            if other is not entry and not other.told_cut_off
+        ]
+
     def _refused(self, now_ms, request, retry_after_ms):
         request.tries += 1
         left_ms = request.until_ms() - now_ms
@@ -300,6 +375,13 @@
         self._at(now_ms + wait_ms, self._arrive, request)
 
     def _reach(self, now_ms, request, entry, flight, tried, sender):
+        if not self._connected(now_ms, entry, flight.server_id):
+            entry.fleet.on_request_ended(
+                flight, dispatch.Outcome.UNREACHABLE, now_ms / 1e3
+            )
+            tried |= {flight.server_id}
+            self._decide(now_ms, request, entry, tried, sender)
+            return
         if now_ms < self._down_until_ms.get(flight.server_id, 0.0):
             entry.fleet.on_request_ended(
                 flight, dispatch.Outcome.UNREACHABLE, now_ms / 1e3
@@ -432,6 +514,8 @@
                 longest_pause_ms,
                 request.prompt.tokens,
                 request.unread_tokens,
+                request.tries,
+                request.entry,
             )
         )
 
