Count a request that a neighbour takes over once

Found by reading: a request forwarded within the region was counted at its likely server here for 0.45 s and by the neighbour's report at once, so that servers with few slots looked fuller than they were. Forwards to other regions are counted as before, as their reports come later.

--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -604,9 +604,10 @@
             connection = await pool.acquire(record.node_id, address)
             if not is_hop:
                 self._exclude_region(decision.region)
-            self.shared_state.fleet.on_request_forwarded(
-                decision, self.metadata.prompt, self._now_s()
-            )
+                # The report of a neighbour counts its request at once.
+                self.shared_state.fleet.on_request_forwarded(
+                    decision, self.metadata.prompt, self._now_s()
+                )
             payload = self._encode_forwarded_request()
             # The region may use all attempts; its response has the real count.
             self.send_count = max(self.send_count + 1, self.route.max_attempts)
