Tell others that a service is reachable again after its server restarted

Found by reading: a restart of the only server of a service clears what was known of its connects, and the task that tells the others then waited for the next failed connect. Neighbours and other regions passed the entry VM over until then. The test failed before (timed out) and passes.

--- a/buckthorntack/gateway/_reachability_task.py
+++ b/buckthorntack/gateway/_reachability_task.py
@@ -57,11 +57,11 @@
     async def run(self):
         """Probe servers until cancelled."""
         while True:
+            self._update_services()
             if not self.reachability.has_suspects:
                 await self.shared_state.wait_until_unreachable()
             for server_id in self.reachability.take_due_probes(self._now_s()):
                 self._start(self._probe(server_id))
-            self._update_services()
             await self.clock.sleep(PROBE_CHECK_PERIOD)
 
     def _now_s(self):
--- a/buckthorntack/platform/tests/test_partitioned_entry_vms.py
+++ b/buckthorntack/platform/tests/test_partitioned_entry_vms.py
@@ -148,6 +148,28 @@
     test_requests.run(scenario, *SERVERS, entries=ENTRIES)
 
 
+# Guards against an entry VM that is passed over for good after the only server
+# of a service has crashed and started again.
+def test_restart_of_the_only_server_ends_what_others_were_told():
+    async def scenario(world):
+        server = world.servers["s1"]
+        server.crash()
+        for _ in range(4):
+            await world.ask(SAFE, entry="e0")
+
+        def is_told():
+            records = world.nodes["e1"].shared_state.list_entry_vms("north")
+            told = {r.node_id: r.unreachable_services for r in records}
+            own_id = world.nodes["e0"].settings.service_address
+            return bool(told.get(own_id))
+
+        await world.until(is_told)
+        await world.restart_server(server)
+        await world.until(lambda: not is_told())
+
+    test_requests.run(scenario, SERVERS[0], entries=("a1", "a1"))
+
+
 # Guards against a lost link that counts as a crash, so that the requests that
 # were under way are refused at all entry VMs.
 def test_lost_link_is_no_crash():
