Count a crash though the client of its request has left

Found by reading: a client that left while its entry VM checked for up to 50 ms whether other servers can be reached took the crash with it. The test failed before (timed out) and passes.

--- a/buckthorntack/gateway/_reachability_task.py
+++ b/buckthorntack/gateway/_reachability_task.py
@@ -144,11 +144,12 @@
             if not task.cancelled() and task.result():
                 callback()
 
-        await asyncio.wait({check}, timeout=MAX_CHECK_WAIT.total_seconds())
         if check.done():
             on_done(check)
-        else:
-            check.add_done_callback(on_done)
+            return
+        # The request may be cancelled while it waits.
+        check.add_done_callback(on_done)
+        await asyncio.wait({check}, timeout=MAX_CHECK_WAIT.total_seconds())
 
     def _start_check(self, server_id):
         """Return a task whose result is whether another server is reached."""
--- a/buckthorntack/platform/tests/test_partitioned_entry_vms.py
+++ b/buckthorntack/platform/tests/test_partitioned_entry_vms.py
@@ -170,6 +170,21 @@
     test_requests.run(scenario, SERVERS[0], entries=("a1", "a1"))
 
 
+# Guards against a crash that is not counted as its client has left meanwhile.
+def test_crash_counts_though_its_client_has_left():
+    async def scenario(world):
+        task = world.nodes["e0"].reachability_task
+        counted = []
+        call = asyncio.create_task(
+            task.call_unless_cut_off("s1", lambda: counted.append("s1"))
+        )
+        await asyncio.sleep(0)
+        call.cancel()
+        await world.until(lambda: counted)
+
+    test_requests.run(scenario, *SERVERS[:2], entries=("a1",))
+
+
 # Guards against a lost link that counts as a crash, so that the requests that
 # were under way are refused at all entry VMs.
 def test_lost_link_is_no_crash():
