Ask again for events that are dropped with their server

Found by reading the change: when the data of a server were dropped, as it had started again since the request was sent, the events in them had been counted as delivered, and the next server went on after them: a piece was missing. The incarnation is now checked with the first data of an attempt, before they count.

--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -880,13 +880,15 @@
                 self._note_answer_data(head)
                 boundary.feed(data)
                 self.body_bytes += len(data)
+                if not self._comes_from_origin():
+                    connection.close()
+                    return _Unknown("another software version answered")
                 complete_events = (
                     stream.feed(data) if stream is not None else data
                 )
                 if complete_events:
-                    if not self._has_kept_origin():
-                        connection.close()
-                        return _Unknown("another software version answered")
+                    if self.origin is None and not self.reply.started:
+                        self._record_origin()
                     if not self.reply.started:
                         self._start_response(head, None)
                     self.reply.write(complete_events)
@@ -911,28 +913,32 @@
         self._note_answer_end(head)
         return _Completed()
 
-    def _has_kept_origin(self):
-        """Record where a stream begins, or check that it goes on there.
+    def _comes_from_origin(self):
+        """Whether the stream may go on with the data of this attempt.
 
-        :returns: False if servers of another software version may have
-            written the events of this attempt.
+        It is checked once, with the first data.
         """
-        if self.has_checked_origin:
+        if self.origin is None or self.has_checked_origin:
             return True
         self.has_checked_origin = True
+        return self._is_same_incarnation() and (
+            self.attempt_origin == self.origin
+        )
+
+    def _record_origin(self):
+        """Record where the stream begins, before its first event leaves."""
+        self.has_checked_origin = True
         origin = self.attempt_origin
-        if not self._is_same_incarnation():
-            origin = None
-        if self.origin is not None:
-            return origin == self.origin
+        if origin is None or not self._is_same_incarnation():
+            return
         self.origin = origin
-        if origin is not None and self.route.resumable:
-            if not self.is_forwarded:
-                self.handler.origins.record(self.metadata.request_id, origin)
-            self.service = self.shared_state.table.configuration.services.get(
-                origin.service, self.service
-            )
-        return True
+        if not self.route.resumable:
+            return
+        if not self.is_forwarded:
+            self.handler.origins.record(self.metadata.request_id, origin)
+        self.service = self.shared_state.table.configuration.services.get(
+            origin.service, self.service
+        )
 
     def _is_same_incarnation(self):
         """Whether the server has not started again since the request."""
--- a/buckthorntack/platform/tests/test_software_versions.py
+++ b/buckthorntack/platform/tests/test_software_versions.py
@@ -267,6 +267,46 @@
     test_requests.run(scenario, *SERVERS[:2])
 
 
+# Guards against events that are skipped after those of a server were dropped,
+# as it started again at another version since the request was sent.
+def test_dropped_events_are_asked_for_again():
+    async def scenario(world):
+        asked_after = []
+
+        async def behave(server, request, reply):
+            last = http1.find_header(request.headers, b"last-event-id")
+            asked_after.append(last)
+            if len(asked_after) == 2:
+                server.born += _standins.INCARNATION_MS
+                server.software_version = "v2"
+                await world.announce(server)
+                views = world.nodes["e0"].registry.servers
+                await world.until(
+                    lambda: (
+                        views[server.server_id].record.born_ms == server.born
+                    )
+                )
+            cut_after = CUT_AFTER if len(asked_after) == 1 else None
+            await write_versions(cut_after=cut_after)(server, request, reply)
+
+        behave_all(world, behave)
+        stream = Stream(world)
+        await stream.attempt("e0")
+        assert stream.versions == ["v1"] * EVENTS
+        assert asked_after == [None, b"3", b"3"]
+
+    route = _standins.route(
+        "talk",
+        "text",
+        type="streaming",
+        resumable=True,
+        itl_target_ms=400,
+        max_attempts=3,
+    )
+    servers = [(f"s{number}", "text") for number in range(3)]
+    test_requests.run(scenario, *servers, routes=[route])
+
+
 # Guards against a stream that is refused, or goes on at another version, when
 # the only server of its version is busy for a moment.
 def test_stream_waits_for_a_busy_server_of_its_version():
