Check what a client gets of a body that is unfinished at its deadline

A body of up to MAX_BUFFERED_BODY_BYTES is not passed on before it ends, so a server that has sent less by the deadline leaves a whole 504, as a test with such a server shows; the old check took it for a success of the body. It is now checked that the 504 has nothing of the body and does not say not run, and that anything else is cut. The stream test fails at once, with status and body, if its stream ends before the kill; it waited for its time limit before.

--- a/buckthorntack/node/tests/test_stream_faults.py
+++ b/buckthorntack/node/tests/test_stream_faults.py
@@ -26,6 +26,7 @@
         self.caller = caller
         self.url = url
         self.content = content
+        self.status = None
         self.body = b""
         self.broken = False
 
@@ -45,6 +46,7 @@
                     "POST", url, json=document, headers=headers
                 ) as answer,
             ):
+                self.status = answer.status_code
                 async for chunk in answer.aiter_raw():
                     self.body += chunk
         except httpx.TransportError:
@@ -67,10 +69,12 @@
     task = asyncio.create_task(reader.run())
     await _harness.wait_until(
         lambda: (
-            len(_harness.parse_event_numbers(reader.body))
+            task.done()
+            or len(_harness.parse_event_numbers(reader.body))
             >= EVENTS_BEFORE_KILL
         )
     )
+    assert not task.done(), (reader.status, reader.body)
     await harness.deployment.kill_node(f"{region}-a-2")
     await task
     assert reader.broken
--- a/buckthorntack/platform/tests/test_endless_servers.py
+++ b/buckthorntack/platform/tests/test_endless_servers.py
@@ -86,6 +86,19 @@
         server.behave = choose
 
 
+def check_cut_at_the_deadline(answer):
+    """Check that nothing of an unfinished body looks like the whole of it.
+
+    Up to the first ``MAX_BUFFERED_BODY_BYTES`` nothing is passed on, so that
+    the client gets 504; later its response is cut.
+    """
+    if answer.status == 504:
+        assert b"aa" not in answer.body
+        assert _headers.NOT_EXECUTED.lower() not in answer.headers
+    else:
+        assert not answer.whole
+
+
 # Guards against bytes without end that held a request up to its deadline and
 # from which nothing was learned of the server.
 @each_answer
@@ -184,7 +197,29 @@
         answer = await world.ask(
             test_requests.SAFE, X_Buckthorntack_Deadline_Ms="500"
         )
-        assert not answer.whole
+        check_cut_at_the_deadline(answer)
+        assert len(world.servers["s1"].requests) == 1
+        await world.until(lambda: world.servers["s1"].left == 1)
+
+    test_requests.run(scenario, SERVER)
+
+
+# Guards against the first bytes of such a body being passed off as the whole
+# of it, or being left out of the answer to the deadline without a trace.
+def test_body_that_was_not_passed_on_by_the_deadline_gets_504():
+    async def send_a_little(server, request, reply):
+        reply.start(200, server.headers(request))
+        reply.write(b"a" * 1000)
+        await reply.flush()
+        await asyncio.Event().wait()
+
+    async def scenario(world):
+        world.servers["s1"].behave = send_a_little
+        answer = await world.ask(
+            test_requests.SAFE, X_Buckthorntack_Deadline_Ms="500"
+        )
+        assert answer.status == 504
+        check_cut_at_the_deadline(answer)
         assert len(world.servers["s1"].requests) == 1
         await world.until(lambda: world.servers["s1"].left == 1)
 
