Let voters that start together take turns in the first election

After a loss of power of all machines entry VMs have no configuration until a control VM leads and a majority has confirmed the copy.

Each voter waited a random 250 to 500 ms, in which all had started, and the next attempt came 450 to 900 ms later. Now the voter with the highest node id asks 100 ms after its start, the next 250 ms later, and so on: two round trips decide before the next turn. A leader that lives is not disturbed, as its followers ignore vote requests.

--- a/buckthorntack/consensus/_elections.py
+++ b/buckthorntack/consensus/_elections.py
@@ -14,11 +14,7 @@
     :param state: the replica's state.
     """
     if state.election_due is None:
-        _state.reset_election_timeout(
-            state, state.timing.first_election_timeout
-        )
-        if _is_only_voter(state):
-            state.election_due = state.now
+        _schedule_first_election(state)
     if state.is_leader or state.now < state.election_due:
         return
     _state.schedule_election_retry(state)
@@ -29,6 +25,26 @@
         _state.become_follower(state, state.term)
 
 
+def _schedule_first_election(state):
+    """Schedule the election after a start, in which a leader may live.
+
+    The voters of a group that start together take turns by node id, so that
+    they do not split the votes.
+    """
+    shortest = state.timing.first_election_timeout
+    if shortest is None:
+        _state.reset_election_timeout(state)
+    else:
+        voters = sorted(state.configuration.all_voters(), reverse=True)
+        turn = len(voters)
+        if state.node_id in voters:
+            turn = voters.index(state.node_id)
+        delay = shortest + turn * state.timing.first_election_interval
+        state.election_due = state.now + delay
+    if _is_only_voter(state):
+        state.election_due = state.now
+
+
 def can_start_election(state):
     """Whether this replica may ask for votes.
 
--- a/buckthorntack/consensus/_timing.py
+++ b/buckthorntack/consensus/_timing.py
@@ -19,10 +19,16 @@
     election_timeout: datetime.timedelta = datetime.timedelta(
         milliseconds=1600
     )
-    #: Shortest time from a start to the first election; None means
-    #: ``election_timeout``.  A short time does not make a restart disruptive,
-    #: as replicas with an active leader ignore vote requests.
+    #: Time from a start to the first election, for the voter whose turn is
+    #: first; None means a random time, as after lost contact.  A short time
+    #: does not make a restart disruptive, as replicas with an active leader
+    #: ignore vote requests.
     first_election_timeout: datetime.timedelta | None = None
+    #: Time between the first elections of two voters that start together; two
+    #: round trips decide an election.
+    first_election_interval: datetime.timedelta = datetime.timedelta(
+        milliseconds=250
+    )
     #: Longest time that a caller waits for a proposal or read.
     request_timeout: datetime.timedelta = datetime.timedelta(seconds=6)
     #: Most unacknowledged messages with entries for one follower.
--- a/buckthorntack/gateway/_control.py
+++ b/buckthorntack/gateway/_control.py
@@ -41,7 +41,7 @@
     tick=100 * _MS,
     heartbeat=250 * _MS,
     election_timeout=900 * _MS,
-    first_election_timeout=250 * _MS,
+    first_election_timeout=100 * _MS,
 )
 #: Period of the check for membership changes of the consensus group.
 MEMBER_CHECK_PERIOD = 100 * _MS
