--- a/buckthorntack/consensus/_state.py
+++ b/buckthorntack/consensus/_state.py
@@ -172,16 +172,13 @@
     state.commands.append(commands.PersistEntries(entries))
 
 
-def reset_election_timeout(state, shortest=None):
+def reset_election_timeout(state):
     """Restart the election timeout with a random length.
 
     :param state: the replica's state.
-    :param shortest: lower bound of the timeout; ``timing.election_timeout``
-        if None.  The upper bound is twice as long.
     """
     factor = 1 + state.rng.random()
-    timeout = shortest or state.timing.election_timeout
-    state.election_due = state.now + factor * timeout
+    state.election_due = state.now + factor * state.timing.election_timeout
 
 
 def schedule_election_retry(state):
