Do not take a second copy of a refusal for the answer to another attempt

Other operators reported faulty servers that write an earlier refusal once more on a kept connection. Two ways led from it to a caller who was told 'not run' for a request that ran: - a refusal without request id was taken for the answer to any later request on the connection; now only to the first one (a server that cannot parse a request names none); - a second attempt at the server that refused the first, as for streams that only servers of one software version may continue, could go over the same connection, where both answers have the same id. It now takes another one. The first test failed before (503 instead of the 200 that followed).

--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -528,7 +528,9 @@
         outcome = Outcome.ABANDONED
         connection = None
         try:
-            connection = await acquire(server_id, view.record.address)
+            connection = await acquire(
+                server_id, view.record.address, self.metadata.request_id
+            )
             if fleet.state(server_id).is_paused(self._now_s()):
                 # Another request was refused while this one connected.
                 return _NotSent(f"{server_id} is paused")
@@ -601,7 +603,9 @@
         address = self.shared_state.find_forward_address(record)
         connection = None
         try:
-            connection = await pool.acquire(record.node_id, address)
+            connection = await pool.acquire(
+                record.node_id, address, self.metadata.request_id
+            )
             if not is_hop:
                 self._exclude_region(decision.region)
                 # The report of a neighbour counts its request at once.
--- a/buckthorntack/gateway/_shared_state.py
+++ b/buckthorntack/gateway/_shared_state.py
@@ -142,15 +142,16 @@
                 await self._urgent.wait()
         self._urgent.clear()
 
-    async def acquire_connection(self, server_id, address):
+    async def acquire_connection(self, server_id, address, request_id):
         """Return an idle connection to a server, or open a new one.
 
         :param server_id: the server.
         :param address: IP address and port.
+        :param request_id: id of the request to be sent.
         :returns: ``http1.Connection``.
         :raises ConnectError: the connection attempt failed.
         """
-        connection = self.pool.take_idle(server_id)
+        connection = self.pool.take_idle(server_id, request_id)
         if connection is None:
             connection = await self.open_connection(server_id, address)
         return connection
--- a/buckthorntack/http1/_client.py
+++ b/buckthorntack/http1/_client.py
@@ -21,6 +21,10 @@
 MAX_SKIPPED_BYTES = 4_194_304
 _KEEP_ALIVE = re.compile(rb"timeout\s*=\s*(\d+)")
 
+#: Request ids that a connection remembers; a request lasts for seconds, in
+#: which a connection carries fewer others.
+MAX_SENT_IDS = 256
+
 
 class Connection(asyncio.Protocol):
     """A connection to a server.
@@ -38,6 +42,7 @@
         #: Idle timeout that the server announced; None if it announced none.
         self.server_idle_timeout_s = None
         self.exchange_count = 0
+        self._sent_ids = collections.deque(maxlen=MAX_SENT_IDS)
         self._loop = asyncio.get_running_loop()
         self._parser = None
         self._request_id = None
@@ -190,14 +195,16 @@
         """Return whether the response has the id of the pending request.
 
         A server that cannot parse a request sends an error response without
-        a request id.
+        a request id.  After the first exchange of a connection such a response
+        may as well be a second copy of an earlier one.
         """
         if not self.id_header:
             return True
         response_id = _messages.find_header(self._headers, self.id_header)
         if response_id == self._request_id:
             return True
-        return response_id is None and self._parser.get_status_code() >= 400
+        is_error = self._parser.get_status_code() >= 400
+        return response_id is None and is_error and self.exchange_count == 1
 
     def on_body(self, body):
         if self._complete:
@@ -251,6 +258,16 @@
         if waiter is not None and not waiter.done():
             waiter.set_result(None)
 
+    def has_sent(self, request_id):
+        """Return whether a request with this id was sent before.
+
+        A second copy of the response to it could not be told from that to
+        another attempt.
+
+        :param request_id: the request id.
+        """
+        return request_id in self._sent_ids
+
     def send(self, payload, request_id, is_head=False):
         """Send a request.
 
@@ -267,6 +284,7 @@
         self._parts.clear()
         self._buffered_bytes = 0
         self.exchange_count += 1
+        self._sent_ids.append(request_id)
         if self.transport.is_closing():
             self._fail(
                 _errors.IncompleteResponseError("the connection was closed")
--- a/buckthorntack/http1/_pool.py
+++ b/buckthorntack/http1/_pool.py
@@ -53,23 +53,37 @@
         for key in list(self._idle):
             self.close_idle(key)
 
-    async def acquire(self, key, address):
+    async def acquire(self, key, address, request_id=None):
         """Return an idle connection to a server, or open a new one.
 
         :param key: unique key of the server.
         :param address: IP address and port.
+        :param request_id: as of :meth:`take_idle`.
         :returns: ``Connection``.
         :raises ConnectError: the connection attempt failed.
         """
-        return self.take_idle(key) or await self.open(address)
+        return self.take_idle(key, request_id) or await self.open(address)
 
-    def take_idle(self, key):
+    def take_idle(self, key, request_id=None):
         """Return an idle connection to a server; None if there is none.
 
         :param key: unique key of the server.
+        :param request_id: id of the request to be sent; a connection that has
+            carried it before is left, as a second copy of the earlier response
+            would be taken for the response to this attempt.
         """
-        now = asyncio.get_running_loop().time()
         idle = self._idle.get(key, ())
+        carried = [one for one in idle if one.has_sent(request_id)]
+        for connection in carried:
+            idle.remove(connection)
+        try:
+            return self._take_usable(key, idle)
+        finally:
+            if carried:
+                idle.extend(carried)
+
+    def _take_usable(self, key, idle):
+        now = asyncio.get_running_loop().time()
         while idle:
             connection = idle.pop()
             idle_before_s = now - connection.idle_since_s
--- a/buckthorntack/http1/tests/test_exchange.py
+++ b/buckthorntack/http1/tests/test_exchange.py
@@ -44,11 +44,19 @@
         self.server.close()
 
     async def serve(self, reader, writer):
+        try:
+            await self._execute(reader, writer)
+        except asyncio.IncompleteReadError:
+            # The client has closed the connection.
+            pass
+        finally:
+            writer.close()
+
+    async def _execute(self, reader, writer):
         script = self.scripts[self.connections]
         self.connections += 1
         for step in script:
             if step is None:
-                writer.close()
                 return
             if step == "reset":
                 transport.set_reset_on_close(writer.transport, True)
@@ -77,8 +85,8 @@
     asyncio.run(bounded())
 
 
-async def send_request(server, pool, request_id=b"7"):
-    connection = await pool.acquire("s", server.address)
+async def send_request(server, pool, request_id=b"7", avoided_id=None):
+    connection = await pool.acquire("s", server.address, avoided_id)
     request = http1.encode_request(b"GET", b"/", [], b"")
     connection.send(request, request_id)
     try:
@@ -197,6 +205,48 @@
     run(scenario, ["await", response])
 
 
+# Guards against a refusal that a faulty server writes once more on a kept
+# connection, and that was taken for the answer to the next request: its
+# client was told that it had not run, while it ran.
+def test_second_copy_of_a_refusal_without_id_is_passed_over():
+    refusal = b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n"
+
+    async def scenario(server, pool):
+        head, _ = await send_request(server, pool, b"6")
+        assert head.status == 503
+        head, body = await send_request(server, pool, b"7")
+        assert (head.status, body) == (200, b"ok")
+        assert server.connections == 1
+
+    run(
+        scenario,
+        ["await", refusal, "await", refusal + COMPLETE_RESPONSE, None],
+    )
+
+
+# Guards against the same for a second attempt of a request at a server that
+# refused the first, whose answers have the same id.
+def test_second_attempt_is_not_sent_where_the_first_was_refused():
+    refusal = (
+        b"HTTP/1.1 503 Full\r\n"
+        + EXPECTED_ID_HEADER
+        + b"Content-Length: 0\r\n\r\n"
+    )
+
+    async def scenario(server, pool):
+        head, _ = await send_request(server, pool, avoided_id=b"7")
+        assert head.status == 503
+        head, body = await send_request(server, pool, avoided_id=b"7")
+        assert (head.status, body) == (200, b"ok")
+        assert server.connections == 2
+
+    run(
+        scenario,
+        ["await", refusal, "await", refusal + COMPLETE_RESPONSE, None],
+        ["await", COMPLETE_RESPONSE, None],
+    )
+
+
 def test_success_that_names_no_request_is_not_taken():
     response = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno"
 
