Limit the reports of load that a relay sends

Rounds of reports, urgent ones too, are now receivers / 600 s apart (63 ms at 38), and a period is at least members / 600 s, so failure domains of up to 45 keep 75 ms. The timeout of an idle relay follows the period. The sum of all uses is worked out once a round and copied for each receiver.

--- a/buckthorntack/dispatch/_exchange.py
+++ b/buckthorntack/dispatch/_exchange.py
@@ -4,7 +4,8 @@
 other entry VMs of the domain report to the relay.  Relays report the sum of
 their domain to each other, and the sum of all others to each entry VM of their
 domain.  The number of messages is therefore linear in the number of entry VMs
-and not quadratic.
+and not quadratic.  The rate of reports that one entry VM sends is
+limited: a relay of many entry VMs waits longer between two rounds.
 
 A sum includes only reports of a smaller scope, so no request is counted twice
 even if entry VMs disagree on the relay.  An entry VM that changes its relay
@@ -15,9 +16,17 @@
 
 from buckthorntack.schema import messages
 
-#: Time without reports from a relay after which another relay is chosen: ten
-#: report periods.
+#: Time without reports from a relay after which another relay is chosen, at
+#: the shortest report period.
 RELAY_TIMEOUT_S = 0.5
+#: Time between two rounds of reports; short compared with the time that an
+#: engine takes for a request.
+REPORT_PERIOD_S = 0.075
+#: Shortest time between two rounds if one is urgent.
+MIN_REPORT_INTERVAL_S = 0.004
+#: Reports that an entry VM sends per second at most.  More of them take most
+#: of a link of 5 Mbit/s and of half a core, which serve callers as well.
+MAX_REPORTS_PER_S = 600.0
 #: Time for which a silent relay is not chosen, unless it reports again.
 SUSPICION_S = 3.0
 #: Period between full reports to the same entry VM; the other reports contain
@@ -83,6 +92,8 @@
         self._last_reported = {}
         self._heard_list_sent_s = -HEARD_LIST_PERIOD_S
         self._sequence = 0
+        #: Number of receivers of the last round of reports.
+        self._receiver_count = 0
         #: Whether to report at once because a large prompt was sent, or the
         #: limit of a server changed.
         self.is_urgent = False
@@ -102,6 +113,27 @@
             domain = self._domains.setdefault(members[node_id], [])
             domain.append(node_id)
 
+    @property
+    def period_s(self):
+        """Time between two rounds of reports that are not urgent."""
+        member_count = len(self._domains[self.failure_domain])
+        return max(REPORT_PERIOD_S, member_count / MAX_REPORTS_PER_S)
+
+    @property
+    def min_interval_s(self):
+        """Shortest time between two rounds of reports."""
+        interval_s = self._receiver_count / MAX_REPORTS_PER_S
+        return max(MIN_REPORT_INTERVAL_S, interval_s)
+
+    @property
+    def _relay_timeout_s(self):
+        """Time without reports after which a relay is given up.
+
+        An idle relay sends only full reports, each in the first round after
+        their period.
+        """
+        return max(RELAY_TIMEOUT_S, FULL_REPORT_PERIOD_S + 2 * self.period_s)
+
     @property
     def relay(self):
         """Id of the relay of this entry VM; "" before the first report."""
@@ -198,8 +230,10 @@
         if includes_heard:
             self._heard_list_sent_s = now_s
         due = []
-        total = self.fleet.total_usage()
-        for node_id, scope in self._receivers(now_s):
+        total = self.fleet.list_total_uses()
+        receivers = self._receivers(now_s)
+        self._receiver_count = len(receivers)
+        for node_id, scope in receivers:
             uses = self._select_uses(node_id, scope, total)
             report = self._build_report(
                 node_id, scope, uses, includes_heard, now_s
@@ -225,7 +259,7 @@
             heard_s = max(
                 self._relay_since_s, self._last_heard_s.get(relay, 0.0)
             )
-            if now_s - heard_s > RELAY_TIMEOUT_S:
+            if now_s - heard_s > self._relay_timeout_s:
                 self._suspected_until_s[relay] = now_s + SUSPICION_S
         for node_id in self._domains[self.failure_domain]:
             until_s = self._suspected_until_s.get(node_id)
@@ -250,10 +284,11 @@
     def _receivers(self, now_s):
         """Return the entry VMs to report to and the scope of each report."""
         is_relay = self._relay == self.own_id
+        timeout_s = self._relay_timeout_s
         reporters = {
             node_id
             for node_id, heard_s in self._reporters.items()
-            if now_s - heard_s <= RELAY_TIMEOUT_S
+            if now_s - heard_s <= timeout_s
         }
         receivers = [(node_id, "region") for node_id in sorted(reporters)]
         if not is_relay:
@@ -262,7 +297,7 @@
             if domain == self.failure_domain:
                 continue
             sender, heard_s = self._remote_relays.get(domain, ("", 0.0))
-            if sender and now_s - heard_s <= RELAY_TIMEOUT_S:
+            if sender and now_s - heard_s <= timeout_s:
                 receivers.append((sender, "domain"))
                 continue
             for node_id in node_ids[:MAX_UNHEARD_RELAYS]:
@@ -291,7 +326,6 @@
             node_id, ({}, [], -FULL_REPORT_PERIOD_S)
         )
         is_whole = now_s - full_report_s >= FULL_REPORT_PERIOD_S
-        uses = {use.server_id: use for use in uses}
         changed = list(uses.values())
         if not is_whole:
             changed = [
@@ -330,8 +364,10 @@
         )
 
     def _select_uses(self, node_id, scope, total):
+        """Return the ``ServerUse`` for a receiver, by server."""
         if scope == "own":
-            return self.fleet.list_local_uses()
+            local = self.fleet.list_local_uses()
+            return {use.server_id: use for use in local}
         if scope == "domain":
             others = {_domain_sender(domain) for domain in self._domains}
             return self.fleet.uses_excluding(total, others)
--- a/buckthorntack/dispatch/_fleet.py
+++ b/buckthorntack/dispatch/_fleet.py
@@ -404,10 +404,10 @@
             if any(state.usage)
         ]
 
-    def total_usage(self):
+    def list_total_uses(self):
         """Sum of the local usage and all reported usage.
 
-        :returns: ``Usage`` by server.
+        :returns: ``ServerUse`` by server, of servers in use.
         """
         total = dict(self._peer_usage)
         for server_id, state in self._states.items():
@@ -415,26 +415,30 @@
                 others = total.get(server_id)
                 usage = state.usage
                 total[server_id] = usage.plus(others) if others else usage
-        return total
+        return {
+            server_id: messages.ServerUse(server_id, *usage)
+            for server_id, usage in total.items()
+            if any(usage)
+        }
 
     def uses_excluding(self, total, senders):
-        """List the total usage without that of some senders.
+        """Return the total usage without that of some senders.
 
-        :param total: result of :meth:`total_usage`.
+        :param total: result of :meth:`list_total_uses`.
         :param senders: names of the senders to subtract.
-        :returns: list of ``ServerUse``.
+        :returns: ``ServerUse`` by server, of servers in use.
         """
         left = dict(total)
         for sender in senders:
             report = self._peers.get(sender)
             for server_id, use in (report.uses if report else {}).items():
                 known = left.get(server_id, Usage())
-                left[server_id] = known.plus(use, -1)
-        return [
-            messages.ServerUse(server_id, *usage)
-            for server_id, usage in left.items()
-            if any(usage)
-        ]
+                usage = _usage_of(known).plus(use, -1)
+                if any(usage):
+                    left[server_id] = messages.ServerUse(server_id, *usage)
+                else:
+                    left.pop(server_id, None)
+        return left
 
     def on_peer_report(self, sender, report, now_s):
         """Process the usage reported by other entry VMs of the region.
@@ -535,6 +539,11 @@
         return usage if use is None else usage.plus(use)
 
 
+def _usage_of(use):
+    """Return a ``Usage`` or ``ServerUse`` as ``Usage``."""
+    return Usage(use.running, use.waiting, use.waiting_tokens, use.held_tokens)
+
+
 def _parts_of(sent):
     pairs = zip(sent.parts, sent.tokens, strict=True)
     return tuple(_prompts.Part(name, tokens) for name, tokens in pairs)
--- /dev/null
+++ b/buckthorntack/dispatch/tests/test_relay_rate.py
@@ -0,0 +1,126 @@
+"""Load: the relay of a failure domain with many entry VMs."""
+
+import msgspec
+import pytest
+
+from buckthorntack import dispatch
+from buckthorntack.dispatch import _exchange
+from buckthorntack.dispatch import _fleet
+
+#: Entry VMs of a failure domain: small, grown, and the size to design for.
+SIZES = (3, 10, 33, 66)
+#: Large prompts of a region that are sent each second.
+URGENT_PER_S = 40.0
+SERVERS = 20
+PLAY_S = 4.0
+STEP_S = 0.001
+#: Share of a link of 5 Mbit/s that reports may take.
+LINK_SHARE = 0.4
+LINK_BYTES_PER_S = 5e6 / 8
+#: What a message takes on the link beside its content.
+OVERHEAD_BYTES = 60
+
+
+class Domain:
+    """One failure domain whose entry VMs report over a perfect network.
+
+    :param size: number of its entry VMs.
+    """
+
+    def __init__(self, size):
+        self.names = [f"10.1.0.{number:03}:8000" for number in range(size)]
+        self.exchanges = {}
+        for name in self.names:
+            fleet = dispatch.Fleet(dispatch.DispatchSettings())
+            exchange = dispatch.UsageExchange(fleet, name, "fukuoka-a")
+            exchange.set_members(dict.fromkeys(self.names, "fukuoka-a"))
+            self.exchanges[name] = exchange
+        self.sent = dict.fromkeys(self.names, 0)
+        self.sent_bytes = dict.fromkeys(self.names, 0)
+        self._last_round_s = dict.fromkeys(self.names, -1.0)
+
+    @property
+    def relay(self):
+        """The entry VM that relays."""
+        return self.names[0]
+
+    def report_if_due(self, name, now_s):
+        """Let an entry VM report once its period or interval is over."""
+        exchange = self.exchanges[name]
+        wait_s = exchange.min_interval_s
+        if not exchange.is_urgent:
+            wait_s = max(wait_s, exchange.period_s)
+        if now_s - self._last_round_s[name] < wait_s:
+            return
+        self._last_round_s[name] = now_s
+        for receiver, report in exchange.take_due_reports(now_s):
+            self.sent[name] += 1
+            self.sent_bytes[name] += OVERHEAD_BYTES
+            self.sent_bytes[name] += len(msgspec.msgpack.encode(report))
+            self.exchanges[receiver].on_report(name, report, now_s)
+
+    def play(self):
+        """Send requests round robin and report."""
+        sent = 0
+        for step in range(round(PLAY_S / STEP_S)):
+            now_s = step * STEP_S
+            if now_s * URGENT_PER_S >= sent:
+                name = self.names[sent % len(self.names)]
+                self._send_large(self.exchanges[name], sent)
+                sent += 1
+            for name in self.names:
+                self.report_if_due(name, now_s)
+
+    def _send_large(self, exchange, number):
+        server_id = f"i-{number % SERVERS:010x}"
+        state = exchange.fleet.state(server_id)
+        usage = _fleet.Usage(0, 1, 17_000, 17_000)
+        state.usage = state.usage.plus(usage)
+        exchange.is_urgent = True
+
+
+# Guards against a relay that each large prompt of its region makes report to
+# all entry VMs at once: 1,150 reports a second with 33 of them, which took
+# two thirds of its processor time and most of its link.
+@pytest.mark.parametrize("size", SIZES)
+def test_reports_of_a_relay_leave_most_of_its_link(size):
+    domain = Domain(size)
+    domain.play()
+    per_s = domain.sent[domain.relay] / PLAY_S
+    assert per_s <= _exchange.MAX_REPORTS_PER_S + size
+    bytes_per_s = domain.sent_bytes[domain.relay] / PLAY_S
+    assert bytes_per_s <= LINK_SHARE * LINK_BYTES_PER_S
+
+
+# Guards against a limit on reports that lets what they say grow old.
+@pytest.mark.parametrize("size", SIZES)
+def test_all_entry_vms_know_the_load_of_all(size):
+    domain = Domain(size)
+    domain.play()
+    longest_s = 2 * domain.exchanges[domain.relay].period_s + 0.1
+    for step in range(round(longest_s / STEP_S)):
+        for name in domain.names:
+            domain.report_if_due(name, PLAY_S + step * STEP_S)
+    expected = sum(
+        domain.exchanges[name].fleet.state(server_id).usage.waiting
+        for name in domain.names
+        for server_id in [f"i-{number:010x}" for number in range(SERVERS)]
+    )
+    for exchange in domain.exchanges.values():
+        known = sum(
+            exchange.fleet.usage(f"i-{number:010x}").waiting
+            for number in range(SERVERS)
+        )
+        assert known == expected
+
+
+# Guards against an idle relay that is given up between two full reports.
+@pytest.mark.parametrize("size", SIZES)
+def test_idle_relay_is_kept(size):
+    domain = Domain(size)
+    for step in range(round(PLAY_S / STEP_S)):
+        for name in domain.names:
+            domain.report_if_due(name, step * STEP_S)
+        if step * STEP_S > 1.0:
+            relays = {one.relay for one in domain.exchanges.values()}
+            assert relays == {domain.relay}
--- a/buckthorntack/emulator/_deployment.py
+++ b/buckthorntack/emulator/_deployment.py
@@ -79,6 +79,9 @@
     def __init__(self, name, region, failure_domain, settings, rng):
         #: What the others were told last: that it reaches no engine.
         self.told_cut_off = False
+        #: Time of the last round of reports, and of an urgent one to come.
+        self.told_use_ms = -SECOND_MS
+        self.urgent_due_ms = None
         self.name = name
         self.region = region
         self.failure_domain = failure_domain
@@ -522,13 +525,21 @@
     def _tell_use(self, now_ms, entry):
         self._send_due(now_ms, entry)
         entry.fleet.expire_reports(now_ms / 1e3)
-        self._at(now_ms + self.use_period_ms, self._tell_use, entry)
+        period_ms = max(self.use_period_ms, entry.exchange.period_s * 1e3)
+        self._at(now_ms + period_ms, self._tell_use, entry)
 
     def _tell_if_urgent(self, now_ms, entry):
-        if entry.exchange.is_urgent:
+        if not entry.exchange.is_urgent:
+            return
+        due_ms = entry.told_use_ms + entry.exchange.min_interval_s * 1e3
+        if now_ms >= due_ms:
             self._send_due(now_ms, entry)
+        elif entry.urgent_due_ms != due_ms:
+            entry.urgent_due_ms = due_ms
+            self._at(due_ms, self._tell_if_urgent, entry)
 
     def _send_due(self, now_ms, entry):
+        entry.told_use_ms = now_ms
         for name, report in entry.exchange.take_due_reports(now_ms / 1e3):
             other = self._by_name[name]
             self._at(
--- a/buckthorntack/gateway/_entry.py
+++ b/buckthorntack/gateway/_entry.py
@@ -19,11 +19,6 @@
 from buckthorntack.schema import messages
 
 _MS = datetime.timedelta(milliseconds=1)
-#: Period of usage reports to other entry VMs of the region; short compared
-#: with the time that an engine takes for a request.
-USAGE_REPORT_PERIOD = 75 * _MS
-#: Minimum delay between usage reports when a large prompt makes one urgent.
-MIN_USAGE_REPORT_DELAY = 4 * _MS
 #: Period of load reports to other regions: a few inter-region round trips, by
 #: which the reports take effect late in any case.
 REGION_LOAD_PERIOD = 300 * _MS
@@ -275,9 +270,11 @@
                 self.links.send(node_id, report)
             if exchange.relay != self._logged_relay:
                 self._log_relay_change(now_s)
-            await self.clock.sleep(MIN_USAGE_REPORT_DELAY)
+            interval_s = exchange.min_interval_s
+            await self.clock.sleep(datetime.timedelta(seconds=interval_s))
+            left_s = max(0.0, exchange.period_s - interval_s)
             await self.shared_state.wait_until_urgent(
-                USAGE_REPORT_PERIOD - MIN_USAGE_REPORT_DELAY
+                datetime.timedelta(seconds=left_s)
             )
 
     def _log_relay_change(self, now_s):
