--- a/buckthorntack/dispatch/_exchange.py
+++ b/buckthorntack/dispatch/_exchange.py
@@ -27,6 +27,8 @@
 #: Reports that an entry VM sends per second at most.  More of them take most
 #: of a link of 5 Mbit/s and of half a core, which serve callers as well.
 MAX_REPORTS_PER_S = 600.0
+#: Reports that it may send at once beyond that rate.
+REPORT_BURST = 60.0
 #: Time for which a silent relay is not chosen, unless it reports again.
 SUSPICION_S = 3.0
 #: Period between full reports to the same entry VM; the other reports contain
@@ -92,8 +94,9 @@
         self._last_reported = {}
         self._heard_list_sent_s = -HEARD_LIST_PERIOD_S
         self._sequence = 0
-        #: Number of receivers of the last round of reports.
-        self._receiver_count = 0
+        #: Reports that may be sent at once; negative after a large round.
+        self._report_tokens = REPORT_BURST
+        self._tokens_at_s = 0.0
         #: Whether to report at once because a large prompt was sent, or the
         #: limit of a server changed.
         self.is_urgent = False
@@ -122,8 +125,9 @@
     @property
     def min_interval_s(self):
         """Shortest time between two rounds of reports."""
-        interval_s = self._receiver_count / MAX_REPORTS_PER_S
-        return max(MIN_REPORT_INTERVAL_S, interval_s)
+        return max(
+            MIN_REPORT_INTERVAL_S, -self._report_tokens / MAX_REPORTS_PER_S
+        )
 
     @property
     def _relay_timeout_s(self):
@@ -232,7 +236,7 @@
         due = []
         total = self.fleet.list_total_uses()
         receivers = self._receivers(now_s)
-        self._receiver_count = len(receivers)
+        self._take_report_tokens(len(receivers), now_s)
         for node_id, scope in receivers:
             uses = self._select_uses(node_id, scope, total)
             report = self._build_report(
@@ -248,6 +252,12 @@
         self.is_urgent = False
         return due
 
+    def _take_report_tokens(self, count, now_s):
+        earned = (now_s - self._tokens_at_s) * MAX_REPORTS_PER_S
+        self._tokens_at_s = now_s
+        tokens = min(REPORT_BURST, self._report_tokens + max(0.0, earned))
+        self._report_tokens = tokens - count
+
     def _empty_report(self):
         return messages.UseReport(
             self._sequence, "own", True, [], [], [], [], False, []
