Authorise callers by the key of an organisation on the users' platform

The configuration holds organisations, with keys, priority, quota and homes, checked as a whole set. A request needs a known key unless its route is anonymous (401; 503 before the first configuration). The server gets the organisation's name and never the key; entry VMs name the organisation to each other. Homes of route and organisation both bind.

Messages between entry VMs have fields with defaults for what follows: organisations, speeds, demands, capacity and protocol version.

--- a/buckthorntack/directives/__init__.py
+++ b/buckthorntack/directives/__init__.py
@@ -9,9 +9,13 @@
 from buckthorntack.directives._machine import DirectivesMachine
 from buckthorntack.directives._machine import encode_command
 from buckthorntack.directives._route_table import HostResidency
+from buckthorntack.directives._route_table import restrict_to_organisation
 from buckthorntack.directives._route_table import RouteTable
 from buckthorntack.directives._types import Configuration
 from buckthorntack.directives._types import EngineProfile
+from buckthorntack.directives._types import Organisation
+from buckthorntack.directives._types import Quota
+from buckthorntack.directives._types import QuotaUnit
 from buckthorntack.directives._types import RequestKind
 from buckthorntack.directives._types import RequestLimits
 from buckthorntack.directives._types import Route
@@ -25,6 +29,9 @@
     "EngineProfile",
     "HostResidency",
     "InvalidConfigurationError",
+    "Organisation",
+    "Quota",
+    "QuotaUnit",
     "RequestKind",
     "RequestLimits",
     "Route",
@@ -33,5 +40,6 @@
     "Split",
     "decode_command",
     "encode_command",
+    "restrict_to_organisation",
     "validate",
 ]
--- a/buckthorntack/directives/_route_table.py
+++ b/buckthorntack/directives/_route_table.py
@@ -27,6 +27,35 @@
         self._by_host = collections.defaultdict(dict)
         for route in configuration.routes:
             self._by_host[route.host.lower()][route.path_prefix] = route
+        self._organisations = {
+            item.name: item for item in configuration.organisations
+        }
+        self._by_key = {
+            key: item
+            for item in configuration.organisations
+            for key in item.api_keys
+        }
+
+    @property
+    def has_organisations(self):
+        """Whether callers must present the key of an organisation."""
+        return bool(self._organisations)
+
+    def find_organisation(self, name):
+        """Return an organisation by its name.
+
+        :param name: the name.
+        :returns: the ``Organisation``, or None.
+        """
+        return self._organisations.get(name)
+
+    def find_key_owner(self, key):
+        """Return the organisation that holds a key.
+
+        :param key: the key that a caller presents.
+        :returns: the ``Organisation``, or None.
+        """
+        return self._by_key.get(key)
 
     def find_route(self, host, path):
         """Return the route with the longest prefix that matches a path.
@@ -89,6 +118,21 @@
         )
 
 
+def restrict_to_organisation(route, organisation):
+    """Return a route within the regions that an organisation allows too.
+
+    :param route: the ``Route``.
+    :param organisation: the ``Organisation``; None for none.
+    :returns: the ``Route``; None if no region may serve both.
+    """
+    if organisation is None or not organisation.allowed_regions:
+        return route
+    regions = organisation.allowed_regions
+    if route.allowed_regions:
+        regions = regions & route.allowed_regions
+    return route._replace(allowed_regions=regions) if regions else None
+
+
 def _strip_port(host):
     name, colon, port = host.rpartition(":")
     return name if colon and port.isdigit() else host
--- a/buckthorntack/directives/_types.py
+++ b/buckthorntack/directives/_types.py
@@ -47,6 +47,8 @@
     has_prompts: bool
     #: Regions that may serve the route; empty for all.
     allowed_regions: frozenset[str]
+    #: Whether callers need no key of an organisation.
+    is_anonymous: bool = False
 
     @property
     def is_idempotent(self):
@@ -82,6 +84,41 @@
     engine: EngineProfile | None
 
 
+class QuotaUnit(enum.StrEnum):
+    """What a quota counts."""
+
+    REQUESTS = "requests"
+    TOKENS = "tokens"
+
+
+class Quota(NamedTuple):
+    """Requests or tokens that an organisation may use, over all entry VMs."""
+
+    unit: QuotaUnit
+    rate_per_s: float
+    #: Amount that may be used at once beyond the rate.
+    burst: float
+    #: Tokens that a request without a token count counts as.
+    default_tokens: float = 0.0
+
+
+class Organisation(NamedTuple):
+    """An organisation whose callers present its keys."""
+
+    name: str
+    api_keys: frozenset[str]
+    #: Scheduling priority; 0 is the highest.  It precedes that of the route.
+    priority: int = 0
+    #: None for no limit.
+    quota: Quota | None = None
+    #: Regions that may serve its requests; empty for all.
+    allowed_regions: frozenset[str] = frozenset()
+
+    def __repr__(self):
+        """Leave the keys out, as they must not be logged."""
+        return f"Organisation({self.name!r}, priority={self.priority})"
+
+
 class RequestLimits(NamedTuple):
     """Limits on the size and duration of client requests."""
 
@@ -98,3 +135,5 @@
     routes: tuple[Route, ...]
     services: dict[str, Service]
     limits: RequestLimits
+    #: Empty if callers present no keys.
+    organisations: tuple[Organisation, ...] = ()
--- a/buckthorntack/directives/_validation.py
+++ b/buckthorntack/directives/_validation.py
@@ -23,6 +23,7 @@
             for route in configuration.routes
             for finding in _validate_route(route, configuration.services)
         ),
+        *_validate_organisations(configuration.organisations),
     ]
     if configuration.version < 0:
         findings.append("the version is below 0")
@@ -64,3 +65,23 @@
     prefix = route.path_prefix
     if not (prefix.startswith("/") and prefix.endswith("/")):
         yield f"the prefix of route {route.name} must be within slashes"
+
+
+def _validate_organisations(organisations):
+    """Yield a finding for each conflict between organisations.
+
+    The findings name organisations and never a key.
+    """
+    names = collections.Counter(item.name for item in organisations)
+    for name, count in names.items():
+        if count > 1:
+            yield f"{count} organisations are named {name}"
+    owners = {}
+    for organisation in organisations:
+        for key in organisation.api_keys:
+            owner = owners.setdefault(key, organisation.name)
+            if owner != organisation.name:
+                yield f"{owner} and {organisation.name} share a key"
+        quota = organisation.quota
+        if quota is not None and min(quota[1:]) < 0:
+            yield f"the quota of {organisation.name} is below 0"
--- a/buckthorntack/gateway/__init__.py
+++ b/buckthorntack/gateway/__init__.py
@@ -9,6 +9,7 @@
 __getattr__, __dir__, __all__ = _lazy_imports.attach(
     __name__,
     {
+        "buckthorntack.gateway._authorisation": ("Caller",),
         "buckthorntack.gateway._control": ("ControlNode",),
         "buckthorntack.gateway._dialect": (
             "Dialect",
--- a/buckthorntack/gateway/_dialect.py
+++ b/buckthorntack/gateway/_dialect.py
@@ -21,6 +21,12 @@
     #: Id of the client attempt that brought the first event of the stream
     #: that the request resumes; empty if it is not given.
     resumed_request_id: bytes = b""
+    #: Key of an organisation that the caller presents; None without one.
+    api_key: str | None = None
+
+    def __repr__(self):
+        """Leave the key out, as it must not be logged."""
+        return f"RequestMetadata({self.request_id!r})"
 
 
 class StatedRate(NamedTuple):
@@ -74,7 +80,13 @@
         """
 
     def build_server_headers(
-        self, request, server_id, timeout_ms, last_event_id, fetch_from
+        self,
+        request,
+        server_id,
+        timeout_ms,
+        last_event_id,
+        fetch_from,
+        caller,
     ):
         """Return the headers of a request to a server.
 
@@ -85,16 +97,21 @@
             to start from the first event.
         :param fetch_from: address of a server to copy cached prompt parts
             from; empty for none.
+        :param caller: the ``Caller``, whose organisation the server is told
+            and whose key it is not; None if callers need no keys.
         :returns: list of name and value pairs.
         """
 
-    def build_forward_headers(self, request, timeout_ms, last_event_id):
+    def build_forward_headers(
+        self, request, timeout_ms, last_event_id, caller
+    ):
         """Return the headers of a request to another entry VM.
 
         :param request: ``http1.Request`` of the client.
         :param timeout_ms: time left for the response.
         :param last_event_id: id of the stream event to continue after; None
             to start from the first event.
+        :param caller: the ``Caller``; None if callers need no keys.
         :returns: list of name and value pairs.
         """
 
--- a/buckthorntack/gateway/_errors.py
+++ b/buckthorntack/gateway/_errors.py
@@ -29,3 +29,21 @@
     status = 400
     kind = "settings"
     remedy = "correct the settings file; see deploy/settings.json"
+
+
+class UnknownKeyError(errors.GatewayError):
+    """A request presents no key of an organisation."""
+
+    number = 2223
+    status = 401
+    kind = "unknown_key"
+    remedy = "send a key of the organisation"
+
+
+class UnknownOrganisationError(errors.GatewayError):
+    """An entry VM has no organisation that another one has authorised."""
+
+    number = 2224
+    status = 503
+    kind = "unknown_organisation"
+    remedy = "send the request again"
--- a/buckthorntack/gateway/_metrics.py
+++ b/buckthorntack/gateway/_metrics.py
@@ -64,7 +64,11 @@
             ["scope"],
             registry=registry,
         )
-
+        self._unknown_keys = prometheus_client.Counter(
+            "gateway_unknown_keys",
+            "Requests that were refused as no organisation has their key.",
+            registry=registry,
+        )
         self._refusals = prometheus_client.Counter(
             "gateway_quarantine_refusals",
             "Requests that were refused as they crash servers.",
@@ -104,6 +108,10 @@
         """
         self._body_ends.labels(framing, place).inc()
 
+    def record_unknown_key(self):
+        """Count a request whose key no organisation has."""
+        self._unknown_keys.inc()
+
     def record_quarantine_refusal(self):
         """Count a request that is refused as it crashes servers."""
         self._refusals.inc()
--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -7,6 +7,7 @@
 import xxhash
 
 from buckthorntack import clock as clocks
+from buckthorntack import directives
 from buckthorntack import dispatch
 from buckthorntack import errors
 from buckthorntack import events
@@ -15,6 +16,7 @@
 from buckthorntack import resumption
 from buckthorntack.directives import RequestKind
 from buckthorntack.dispatch import Outcome
+from buckthorntack.gateway import _authorisation
 from buckthorntack.gateway import _event_stream
 from buckthorntack.gateway import _events
 from buckthorntack.gateway import _stream_origin
@@ -146,15 +148,12 @@
         await self._handle(request, reply, True)
 
     async def _handle(self, request, reply, is_forwarded):
-        send_count, origin = 0, None
-        if is_forwarded:
-            send_count = _parse_send_count(request.headers, 0)
-            origin = _stream_origin.read_headers(request.headers)
+        forwarding_headers = request.headers if is_forwarded else []
         request = request._replace(
             headers=_strip_internal_headers(request.headers)
         )
         proxied_request = _ProxiedRequest(
-            self, request, reply, is_forwarded, send_count, origin
+            self, request, reply, is_forwarded, forwarding_headers
         )
         await proxied_request.run()
 
@@ -163,7 +162,7 @@
     """One request, from its routing to its final response."""
 
     def __init__(
-        self, handler, request, reply, is_forwarded, send_count, origin
+        self, handler, request, reply, is_forwarded, forwarding_headers
     ):
         self.handler = handler
         self.shared_state = handler.shared_state
@@ -171,21 +170,24 @@
         self.request = request
         self.reply = reply
         self.is_forwarded = is_forwarded
+        self.forwarding_headers = forwarding_headers
         self.metadata = None
         self.route = None
+        #: Who sent it; None if callers need no keys.
+        self.caller = None
         self.service = None
         #: What the quarantine counts crashes by.
         self.subjects = ()
         self.deadline_s = 0.0
         self.excluded_ids = set()
-        self.send_count = send_count
+        self.send_count = _parse_send_count(forwarding_headers, 0)
         self.connect_failures = 0
         self.may_have_run = False
         self.error_response = None
         self.stream = None
         #: Where the stream began; None before its first event, or if that is
         #: not known.
-        self.origin = origin
+        self.origin = _stream_origin.read_headers(forwarding_headers)
         #: Where it would begin with an event of the present attempt.
         self.attempt_origin = None
         self.has_checked_origin = False
@@ -230,7 +232,7 @@
             return
         self.metadata = read.ok
         await self._wait_for_configuration()
-        if not self._find_route():
+        if not self._find_route() or not self._authorise():
             return
         if self._is_resumption() and not await self._find_origin():
             return
@@ -286,6 +288,35 @@
             self._send_local_response(404, "no route", errors.RunState.NOT_RUN)
         return False
 
+    def _authorise(self):
+        """Find the caller; refuse the request if its key is not known.
+
+        :returns: whether the request may go on.
+        """
+        table = self.shared_state.table
+        result = _authorisation.find_forwarded_caller(
+            table, self.forwarding_headers
+        )
+        if result is None:
+            result = _authorisation.authorise(
+                table, self.route, self.metadata.api_key
+            )
+        if result.is_error():
+            self._refuse_caller(result.error)
+            return False
+        self.caller = result.ok
+        return self._narrow_route()
+
+    def _refuse_caller(self, error):
+        if self.is_forwarded:
+            # The sender has a newer or older configuration.
+            self._send_refusal(error.detail, DEFAULT_RETRY_AFTER_MS)
+            return
+        self.handler.metrics.record_unknown_key()
+        self._send_local_response(
+            error.status, error.detail, errors.RunState.NOT_RUN
+        )
+
     def _is_resumption(self):
         """Whether the request asks for the rest of a stream."""
         return (
@@ -407,7 +438,16 @@
 
         :returns: False if no region is left and the request has failed.
         """
-        route = self.shared_state.table.narrow_route(self.route)
+        table = self.shared_state.table
+        route = table.narrow_route(self.route)
+        if route is not None and self.caller is not None:
+            # The regions of an organisation that was removed since stay.
+            organisation = self.caller.organisation
+            if organisation is not None:
+                organisation = (
+                    table.find_organisation(organisation.name) or organisation
+                )
+            route = directives.restrict_to_organisation(route, organisation)
         if route is None:
             self._send_final_failure("no region may serve it", None)
             return False
@@ -570,6 +610,7 @@
             self._forwarded_timeout_ms(),
             self._last_event_id(),
             decision.fetch_from,
+            self.caller,
         )
         return self._encode_request(headers)
 
@@ -639,8 +680,12 @@
 
     def _encode_forwarded_request(self):
         headers = self.dialect.build_forward_headers(
-            self.request, self._forwarded_timeout_ms(), self._last_event_id()
+            self.request,
+            self._forwarded_timeout_ms(),
+            self._last_event_id(),
+            self.caller,
         )
+        headers.extend(_authorisation.write_headers(self.caller))
         headers.append((SEND_COUNT_HEADER, str(self.send_count).encode()))
         headers.extend(_stream_origin.write_headers(self.origin))
         return self._encode_request(headers)
--- a/buckthorntack/platform/_configuration.py
+++ b/buckthorntack/platform/_configuration.py
@@ -31,6 +31,7 @@
     #: Whether its requests carry prompts.
     sticky: NotRequired[bool]
     resumable: NotRequired[bool]
+    anonymous: NotRequired[bool]
     allowed_regions: NotRequired[list[str] | None]
 
 
@@ -56,11 +57,25 @@
     idle_timeout_ms: float
 
 
+class _TenantDocument(TypedDict):
+    name: str
+    api_keys: list[str]
+    priority: NotRequired[int]
+    #: What ``rate_per_s`` and ``burst`` count.
+    unit: NotRequired[str]
+    #: Tokens that a request without a count of its own counts as.
+    uncached_tokens: NotRequired[float]
+    rate_per_s: NotRequired[float | None]
+    burst: NotRequired[float | None]
+    allowed_regions: NotRequired[list[str] | None]
+
+
 class _ConfigurationDocument(TypedDict):
     version: int
     routes: list[_RouteDocument]
     services: list[_ServiceDocument]
     limits: _LimitsDocument
+    tenants: NotRequired[list[_TenantDocument] | None]
 
 
 #: Kinds that are not named here are treated as those that run once at most.
@@ -97,6 +112,9 @@
             header_timeout=_ms(limits["header_timeout_ms"]),
             idle_timeout=_ms(limits["idle_timeout_ms"]),
         ),
+        organisations=tuple(
+            _organisation(item) for item in document.get("tenants") or ()
+        ),
     )
 
 
@@ -116,6 +134,32 @@
         resumable=item.get("resumable", False),
         has_prompts=item.get("sticky", False),
         allowed_regions=frozenset(item.get("allowed_regions") or ()),
+        is_anonymous=item.get("anonymous", False),
+    )
+
+
+def _organisation(item):
+    return directives.Organisation(
+        name=item["name"],
+        api_keys=frozenset(item["api_keys"]),
+        priority=item.get("priority", 0),
+        quota=_quota(item),
+        allowed_regions=frozenset(item.get("allowed_regions") or ()),
+    )
+
+
+def _quota(item):
+    rate_per_s = item.get("rate_per_s")
+    if not rate_per_s:
+        return None
+    is_in_tokens = item.get("unit") == "tokens"
+    return directives.Quota(
+        unit=directives.QuotaUnit.TOKENS
+        if is_in_tokens
+        else directives.QuotaUnit.REQUESTS,
+        rate_per_s=rate_per_s,
+        burst=item.get("burst") or 0.0,
+        default_tokens=item.get("uncached_tokens", 0.0),
     )
 
 
--- a/buckthorntack/platform/_dialect.py
+++ b/buckthorntack/platform/_dialect.py
@@ -51,6 +51,7 @@
             prompt=_prompt(fields),
             last_event_id=_event(fields.get(_headers.LAST_EVENT_ID)),
             resumed_request_id=fields.get(_headers.RESUMES, b""),
+            api_key=_api_key(fields.get(_headers.AUTHORIZATION)),
         )
         return Ok(metadata)
 
@@ -72,7 +73,13 @@
         )
 
     def build_server_headers(
-        self, request, server_id, timeout_ms, last_event_id, fetch_from
+        self,
+        request,
+        server_id,
+        timeout_ms,
+        last_event_id,
+        fetch_from,
+        caller,
     ):
         """Return the headers of a request to a server.
 
@@ -83,24 +90,33 @@
             to start from the first event.
         :param fetch_from: address of a server to copy cached prompt parts
             from; empty for none.
+        :param caller: ``gateway.Caller``; None if callers need no keys.
         """
         headers = self.build_forward_headers(
-            request, timeout_ms, last_event_id
+            request, timeout_ms, last_event_id, caller
         )
+        if caller is not None and caller.organisation is not None:
+            name = caller.organisation.name.encode()
+            headers.append((_headers.TENANT, name))
         headers.append((_headers.EXPECT_INSTANCE, server_id.encode()))
         if fetch_from:
             headers.append((_headers.FETCH, fetch_from.encode()))
         return headers
 
-    def build_forward_headers(self, request, timeout_ms, last_event_id):
+    def build_forward_headers(
+        self, request, timeout_ms, last_event_id, caller
+    ):
         """Return the headers of a request to another entry VM.
 
         :param request: ``http1.Request`` of the client.
         :param timeout_ms: time left for the response.
         :param last_event_id: id of the stream event to continue after; None
             to start from the first event.
+        :param caller: ``gateway.Caller``; None if callers need no keys.
         """
         dropped = _headers.SYSTEM_SET
+        if caller is not None:
+            dropped = dropped | {_headers.AUTHORIZATION}
         if last_event_id is not None:
             dropped = dropped | {_headers.LAST_EVENT_ID}
         headers = http1.exclude_headers(
@@ -172,6 +188,15 @@
     return gateway.StatedRate(per_s)
 
 
+def _api_key(value):
+    """The key that a request presents; None without one."""
+    scheme, _, key = (value or b"").strip().partition(b" ")
+    key = key.strip()
+    if scheme.lower() != _headers.KEY_SCHEME or not key:
+        return None
+    return key.decode("latin-1")
+
+
 def _event(value):
     try:
         return int(value) if value else None
--- a/buckthorntack/platform/_headers.py
+++ b/buckthorntack/platform/_headers.py
@@ -33,12 +33,18 @@
 #: request takes up.
 RESUMES = b"resumes"
 RETRY_AFTER = b"retry-after"
+#: Name of the organisation whose key the caller presented.
+TENANT = _PREFIX + b"tenant"
+AUTHORIZATION = b"authorization"
+#: Scheme of the keys in ``AUTHORIZATION``, in lower case.
+KEY_SCHEME = b"token"
 
 #: Fields that only the system sets; a client's are removed.
 SYSTEM_SET = frozenset(
     (
         DEADLINE,
         EXPECT_INSTANCE,
+        TENANT,
         PRIORITY,
         _PREFIX + b"expect-version",
         _PREFIX + b"kv-hold",
--- a/buckthorntack/platform/tests/test_formats.py
+++ b/buckthorntack/platform/tests/test_formats.py
@@ -6,6 +6,7 @@
 from expression import Ok
 import pytest
 
+from buckthorntack import directives
 from buckthorntack import gateway
 from buckthorntack import http1
 from buckthorntack.directives import RequestKind
@@ -256,3 +257,86 @@
     head = http1.ResponseHead(200, b"", headers, 0, http1.BodyFraming.LENGTH)
     dialect = _dialect.PlatformDialect()
     assert dialect.parse_response(head).limit == limit
+
+
+def test_organisations_are_read():
+    document = _standins.configuration(
+        1, [_standins.route("r", "desk", anonymous=True)]
+    )
+    document["tenants"] = [
+        {
+            "name": "huka",
+            "api_keys": ["k1", "k2"],
+            "priority": 1,
+            "unit": "tokens",
+            "uncached_tokens": 200,
+            "rate_per_s": 5000,
+            "burst": 6000,
+            "allowed_regions": ["north"],
+        },
+        {"name": "free", "api_keys": [], "rate_per_s": 0},
+    ]
+    content = json.dumps(document).encode()
+    read = _configuration.parse_configuration(content).ok
+    huka, free = read.organisations
+    assert read.routes[0].is_anonymous
+    assert huka.api_keys == {"k1", "k2"}
+    assert huka.priority == 1
+    assert huka.quota == (directives.QuotaUnit.TOKENS, 5000.0, 6000.0, 200.0)
+    assert huka.allowed_regions == {"north"}
+    assert free.quota is None
+
+
+@pytest.mark.parametrize(
+    ("value", "api_key"),
+    [
+        (b"Token abc", "abc"),
+        (b"token  abc ", "abc"),
+        (b"Bearer abc", None),
+        (b"Token", None),
+        (b"", None),
+    ],
+)
+def test_key_is_read(value, api_key):
+    headers = [
+        (b"Host", b"h"),
+        (b"X-Buckthorntack-Request-Id", b"1"),
+        (b"Authorization", value),
+    ]
+    request = http1.Request(b"POST", b"/a/b", headers, b"", 0.0)
+    metadata = _dialect.PlatformDialect().parse_request(request).ok
+    assert metadata.api_key == api_key
+
+
+def test_server_gets_the_organisation_and_not_the_key():
+    headers = [
+        (b"Authorization", b"Token abc"),
+        (b"X-Buckthorntack-Tenant", b"forged"),
+    ]
+    request = http1.Request(b"POST", b"/a/b", headers, b"", 0.0)
+    organisation = directives.Organisation("huka", frozenset(["abc"]))
+    sent = dict(
+        _dialect.PlatformDialect().build_server_headers(
+            request, "s1", 5.0, None, "", gateway.Caller(organisation)
+        )
+    )
+    assert sent[b"x-buckthorntack-tenant"] == b"huka"
+    assert b"Authorization" not in sent
+    assert b"X-Buckthorntack-Tenant" not in sent
+
+
+def test_anonymous_caller_names_no_organisation_to_the_server():
+    headers = [
+        (b"Authorization", b"Token abc"),
+        (b"X-Buckthorntack-Tenant", b"forged"),
+    ]
+    request = http1.Request(b"POST", b"/a/b", headers, b"", 0.0)
+    sent = dict(
+        _dialect.PlatformDialect().build_server_headers(
+            request, "s1", 5.0, None, "", gateway.Caller(None)
+        )
+    )
+    assert set(sent) == {
+        b"x-buckthorntack-deadline-ms",
+        b"x-buckthorntack-expect-instance",
+    }
--- a/buckthorntack/schema/_generated/discovery.py
+++ b/buckthorntack/schema/_generated/discovery.py
@@ -42,6 +42,8 @@
     region: str
     silent: bool
     unreachable_services: list[str]
+    capacity: float = 0.0
+    protocol_version: int = 0
 
 
 class PresenceReport(NamedTuple):
@@ -147,6 +149,37 @@
     rejections: int
 
 
+class OrganisationUse(NamedTuple):
+    """
+    Tokens or requests that an organisation was admitted, in the unit of its quota.
+    """
+
+    organisation: str
+    admitted: float
+    requested: float
+
+
+class SpeedSample(NamedTuple):
+    """
+    Answer times of one incarnation of a server against the expected ones.
+    """
+
+    server_id: str
+    born_ms: int
+    count: float
+    ratio_sum: float
+
+
+class RouteDemand(NamedTuple):
+    """
+    Requests that callers of a region send on a route.
+    """
+
+    route: str
+    per_s: float
+    prompt_tokens_per_s: float
+
+
 class RegionLoad(NamedTuple):
     """
     Load of the backend servers of a region.
@@ -156,6 +189,9 @@
     servers: list[ServerUse]
     prompts: list[PromptSent]
     limits: list[ServerLimit]
+    organisations: list[OrganisationUse] = []
+    speeds: list[SpeedSample] = []
+    demands: list[RouteDemand] = []
 
 
 class UseReport(NamedTuple):
@@ -172,3 +208,6 @@
     heard: list[str]
     is_urgent: bool
     limits: list[ServerLimit]
+    organisations: list[OrganisationUse] = []
+    speeds: list[SpeedSample] = []
+    demands: list[RouteDemand] = []
