Add sums over all entry VMs to the reports of load

Three kinds of sums (organisations, speeds, demands) travel as what was added since the last report, so that reports grow with requests and not with keys. Nothing adds to them yet. Tested: each sum reaches each entry VM once, with 2 to 20 entry VMs; regions tell theirs.

--- a/buckthorntack/dispatch/__init__.py
+++ b/buckthorntack/dispatch/__init__.py
@@ -27,5 +27,6 @@
         "buckthorntack.dispatch._settings": ("DispatchSettings",),
         "buckthorntack.dispatch._shared_rate": ("rendezvous_score",),
         "buckthorntack.dispatch._shared_room": ("Room",),
+        "buckthorntack.dispatch._shared_sums": ("SharedSums", "SumListener"),
     },
 )
--- a/buckthorntack/dispatch/_exchange.py
+++ b/buckthorntack/dispatch/_exchange.py
@@ -14,6 +14,7 @@
 
 from typing import NamedTuple
 
+from buckthorntack.dispatch import _shared_sums
 from buckthorntack.schema import messages
 
 #: Time without reports from a relay after which another relay is chosen, at
@@ -58,11 +59,13 @@
 
 
 class _PendingUpdates(NamedTuple):
-    """Cache updates to forward to other entry VMs."""
+    """Updates to forward to other entry VMs."""
 
     sender: str
     scope: str
     updates: CacheUpdates
+    #: Lists of updates in the order of ``UsageExchange.sums``.
+    sums: tuple[list, ...]
 
 
 class UsageExchange:
@@ -97,6 +100,12 @@
         #: Reports that may be sent at once; negative after a large round.
         self._report_tokens = REPORT_BURST
         self._tokens_at_s = 0.0
+        #: Sums over all entry VMs.
+        self.organisations = _shared_sums.SharedSums(
+            messages.OrganisationUse, 1
+        )
+        self.speeds = _shared_sums.SharedSums(messages.SpeedSample, 2)
+        self.demands = _shared_sums.SharedSums(messages.RouteDemand, 1)
         #: Whether to report at once because a large prompt was sent, or the
         #: limit of a server changed.
         self.is_urgent = False
@@ -116,6 +125,11 @@
             domain = self._domains.setdefault(members[node_id], [])
             domain.append(node_id)
 
+    @property
+    def sums(self):
+        """The sums over all entry VMs, in the order of a report's fields."""
+        return self.organisations, self.speeds, self.demands
+
     @property
     def period_s(self):
         """Time between two rounds of reports that are not urgent."""
@@ -180,12 +194,32 @@
         if report.is_urgent and report.scope != "region":
             self.is_urgent = True
         reads = {read.server_id: read.tokens for read in report.reads}
-        if report.prompts or reads:
+        sums = (report.organisations, report.speeds, report.demands)
+        for shared, updates in zip(self.sums, sums, strict=True):
+            shared.on_local_updates(updates, now_s)
+        if report.prompts or reads or any(sums):
             updates = CacheUpdates(report.prompts, reads)
             self._pending.append(
-                _PendingUpdates(sender, report.scope, updates)
+                _PendingUpdates(sender, report.scope, updates, sums)
             )
 
+    def on_region_load(self, load, now_s):
+        """Process what another region has added to the sums.
+
+        :param load: ``RegionLoad``.
+        :param now_s: monotonic time.
+        """
+        sums = (load.organisations, load.speeds, load.demands)
+        for shared, updates in zip(self.sums, sums, strict=True):
+            shared.on_region_updates(load.region, updates, now_s)
+
+    def take_region_updates(self):
+        """Return and clear what this region has added to the sums.
+
+        :returns: list of updates for each of ``sums``.
+        """
+        return [shared.take_region_updates() for shared in self.sums]
+
     def on_request_sent(self, flight):
         """Record that a request is sent to a server.
 
@@ -229,7 +263,10 @@
         self._sequence += 1
         self.fleet.expire_forwarded(now_s)
         updates = self.fleet.take_cache_updates()
-        self._pending.append(_PendingUpdates(self.own_id, "own", updates))
+        sums = tuple(shared.take_own_updates() for shared in self.sums)
+        self._pending.append(
+            _PendingUpdates(self.own_id, "own", updates, sums)
+        )
         includes_heard = now_s - self._heard_list_sent_s >= HEARD_LIST_PERIOD_S
         if includes_heard:
             self._heard_list_sent_s = now_s
@@ -350,11 +387,12 @@
         limits = all_limits
         if not is_whole:
             limits = [limit for limit in limits if limit not in last_limits]
-        prompts, reads = self._updates_for(node_id, scope)
+        prompts, reads, sums = self._updates_for(node_id, scope)
         heard = []
         if includes_heard and scope != "own":
             heard = self._list_heard(scope, now_s)
-        if not (is_whole or changed or prompts or reads or heard or limits):
+        has_news = changed or prompts or reads or heard or limits or any(sums)
+        if not (is_whole or has_news):
             return None
         self._last_reported[node_id] = (
             uses,
@@ -371,6 +409,7 @@
             heard,
             self.is_urgent,
             limits,
+            *sums,
         )
 
     def _select_uses(self, node_id, scope, total):
@@ -384,14 +423,15 @@
         return self.fleet.uses_excluding(total, {node_id})
 
     def _updates_for(self, node_id, scope):
+        selected = [
+            pending
+            for pending in self._pending
+            if pending.sender != node_id
+            and (scope != "own" or pending.sender == self.own_id)
+            and (scope != "domain" or pending.scope == "own")
+        ]
         prompts, reads = [], {}
-        for pending in self._pending:
-            if pending.sender == node_id:
-                continue
-            if scope == "own" and pending.sender != self.own_id:
-                continue
-            if scope == "domain" and pending.scope != "own":
-                continue
+        for pending in selected:
             prompts.extend(pending.updates.prompts)
             for server_id, tokens in pending.updates.reads.items():
                 reads[server_id] = reads.get(server_id, 0) + tokens
@@ -399,7 +439,11 @@
             messages.ServerRead(server_id, tokens)
             for server_id, tokens in reads.items()
         ]
-        return prompts, changed
+        sums = [
+            shared.combine(pending.sums[number] for pending in selected)
+            for number, shared in enumerate(self.sums)
+        ]
+        return prompts, changed, sums
 
 
 def _domain_sender(domain):
--- a/buckthorntack/dispatch/tests/test_exchange.py
+++ b/buckthorntack/dispatch/tests/test_exchange.py
@@ -7,6 +7,7 @@
 
 from buckthorntack import dispatch
 from buckthorntack.dispatch import _exchange
+from buckthorntack.schema import messages
 
 PERIOD_S = 0.05
 DOMAINS = ("a", "b")
@@ -215,3 +216,63 @@
             reached.extend(hops)
             due.extend((name, other) for other in hops)
         assert sorted(reached) == mesh.live_names()
+
+
+class _Listener:
+    def __init__(self):
+        self.admitted = 0.0
+        self.by_region = {}
+
+    def on_local_updates(self, updates, now_s):
+        self.admitted += sum(update.admitted for update in updates)
+
+    def on_region_updates(self, region, updates, now_s):
+        self.by_region[region] = sum(update.admitted for update in updates)
+
+
+def _listen(mesh):
+    listeners = {name: _Listener() for name in mesh.exchanges}
+    for name, listener in listeners.items():
+        mesh.exchanges[name].organisations.listener = listener
+    return listeners
+
+
+@pytest.mark.parametrize("count", [2, 3, 7, 20])
+def test_sums_reach_each_other_entry_vm_once(count):
+    mesh = _Mesh(count)
+    mesh.run_round()
+    mesh.run_round()
+    listeners = _listen(mesh)
+    for number, name in enumerate(mesh.live_names()):
+        use = messages.OrganisationUse("depot", 2.0**number, 0.0)
+        mesh.exchanges[name].organisations.add(use)
+        mesh.exchanges[name].organisations.add(use)
+    for _ in range(6):
+        mesh.run_round()
+    total = 2.0 * (2.0**count - 1)
+    for number, listener in enumerate(listeners.values()):
+        assert listener.admitted == total - 2.0 * 2.0**number
+
+
+def test_each_entry_vm_can_tell_the_sum_of_its_region():
+    mesh = _Mesh(5)
+    mesh.run_round()
+    mesh.run_round()
+    for name in mesh.live_names():
+        use = messages.OrganisationUse("depot", 1.0, 3.0)
+        mesh.exchanges[name].organisations.add(use)
+    for _ in range(6):
+        mesh.run_round()
+    for exchange in mesh.exchanges.values():
+        organisations, speeds, demands = exchange.take_region_updates()
+        assert organisations == [messages.OrganisationUse("depot", 5.0, 15.0)]
+        assert exchange.take_region_updates() == [[], [], []]
+
+
+def test_empty_report_of_another_region_is_told():
+    mesh = _Mesh(1)
+    [listener] = _listen(mesh).values()
+    [exchange] = mesh.exchanges.values()
+    load = messages.RegionLoad("south", [], [], [])
+    exchange.on_region_load(load, mesh.now_s)
+    assert listener.by_region == {"south": 0}
--- a/buckthorntack/emulator/_deployment.py
+++ b/buckthorntack/emulator/_deployment.py
@@ -554,6 +554,7 @@
         speaker = self.entries[region][0]
         for entry in self.entries[region][1:]:
             entry.fleet.take_shared_parts()
+            entry.exchange.take_region_updates()
         uses = [
             messages.ServerUse(server_id, *speaker.fleet.usage(server_id))
             for server_id, name in self._regions.items()
@@ -564,6 +565,7 @@
             uses,
             speaker.fleet.take_shared_parts(),
             speaker.fleet.limits.list_statements(),
+            *speaker.exchange.take_region_updates(),
         )
         for name, entries in self.entries.items():
             for entry in entries if name != region else ():
@@ -572,3 +574,4 @@
 
     def _take_region(self, now_ms, entry, load):
         entry.fleet.on_region_load(load, now_ms / 1e3)
+        entry.exchange.on_region_load(load, now_ms / 1e3)
--- a/buckthorntack/gateway/_entry.py
+++ b/buckthorntack/gateway/_entry.py
@@ -298,6 +298,7 @@
                 self._send_region_load()
             else:
                 self.shared_state.fleet.take_shared_parts()
+                self.shared_state.exchange.take_region_updates()
 
     def _is_region_reporter(self):
         """Whether this is the region's live entry VM with the lowest id."""
@@ -336,7 +337,8 @@
             for limit in self.shared_state.fleet.limits.list_statements()
             if limit.server_id in local_ids
         ]
-        load = messages.RegionLoad(region, servers, shared, limits)
+        sums = self.shared_state.exchange.take_region_updates()
+        load = messages.RegionLoad(region, servers, shared, limits, *sums)
         for other in sorted(set(self.settings.regions.values()) - {region}):
             entry_vms = self.shared_state.list_entry_vms(other)
             if entry_vms:
@@ -348,6 +350,7 @@
         The other region sends it only once, to a random entry VM.
         """
         self.shared_state.fleet.on_region_load(load, now_s)
+        self.shared_state.exchange.on_region_load(load, now_s)
         self.shared_state.log_limits(sender)
         for node_id in self.shared_state.exchange.next_hops(sender, now_s):
             self.links.send(node_id, load)
--- a/buckthorntack/schema/_generated/discovery.py
+++ b/buckthorntack/schema/_generated/discovery.py
@@ -172,12 +172,12 @@
 
 class RouteDemand(NamedTuple):
     """
-    Requests that callers of a region send on a route.
+    Requests that callers sent on a route, whether served or not.
     """
 
     route: str
-    per_s: float
-    prompt_tokens_per_s: float
+    requests: float
+    prompt_tokens: float
 
 
 class RegionLoad(NamedTuple):
