Take the record of an attempt and the quarantine's watch out of the request handler

What is known of one attempt is an object of its own, made anew for each, in place of fields that were reset by hand; what the quarantine is told of a request stands beside it.

--- /dev/null
+++ b/buckthorntack/gateway/_attempt.py
@@ -0,0 +1,32 @@
+"""Record of one attempt to get a response for a request."""
+
+
+class Attempt:
+    """What is known of one attempt, at a server or another entry VM."""
+
+    def __init__(self):
+        #: ``quarantine.Incarnation`` of the server; None before it got the
+        #: request, or if it is in another region.
+        self.incarnation = None
+        #: Monotonic time at which the server got the request.
+        self.sent_at = None
+        #: Monotonic time at which the answer began; None if it did not.
+        self.answer_started_s = None
+        #: Whether the quarantine knows that the answer went on.
+        self.has_continued = False
+        #: Where a stream would begin with an event of this attempt.
+        self.origin = None
+        self.has_checked_origin = False
+        #: Framing, size and end of the body.
+        self.framing = ""
+        self.body_bytes = 0
+        self.ended_inside_event = False
+
+    def answer_duration_s(self, now_s):
+        """Time since the answer began; 0 if it did not.
+
+        :param now_s: monotonic time in seconds.
+        """
+        if self.answer_started_s is None:
+            return 0.0
+        return now_s - self.answer_started_s
--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -1,11 +1,8 @@
 """Proxying of requests from clients to servers and other regions."""
 
 import asyncio
-import functools
 from typing import NamedTuple
 
-import xxhash
-
 from buckthorntack import clock as clocks
 from buckthorntack import directives
 from buckthorntack import dispatch
@@ -16,10 +13,12 @@
 from buckthorntack import resumption
 from buckthorntack.directives import RequestKind
 from buckthorntack.dispatch import Outcome
+from buckthorntack.gateway import _attempt
 from buckthorntack.gateway import _authorisation
 from buckthorntack.gateway import _event_stream
 from buckthorntack.gateway import _events
 from buckthorntack.gateway import _stream_origin
+from buckthorntack.gateway import _subject_watch
 
 #: Prefix of the headers between entry VMs, which are removed from requests of
 #: clients and responses of servers.
@@ -176,8 +175,8 @@
         #: Who sent it; None if callers need no keys.
         self.caller = None
         self.service = None
-        #: What the quarantine counts crashes by.
-        self.subjects = ()
+        #: The ``SubjectWatch`` of the request.
+        self.watch = None
         self.deadline_s = 0.0
         self.excluded_ids = set()
         self.send_count = _parse_send_count(forwarding_headers, 0)
@@ -188,9 +187,6 @@
         #: Where the stream began; None before its first event, or if that is
         #: not known.
         self.origin = _stream_origin.read_headers(forwarding_headers)
-        #: Where it would begin with an event of the present attempt.
-        self.attempt_origin = None
-        self.has_checked_origin = False
         #: When the caller got the last event, or the request came.
         self.progress_s = request.received_s
         self.retry_after_ms = None
@@ -202,17 +198,8 @@
         self.reason = ""
         self.first_byte_s = 0.0
         self.longest_gap_s = 0.0
-        #: When the answer of the last attempt began; None if it did not.
-        self.answer_started_s = None
-        self.attempt_sent_at = None
-        #: Server of the last attempt; None if it is in another region.
-        self.incarnation = None
-        #: Whether the quarantine knows that the last answer went on.
-        self.has_continued = False
-        #: Framing, size and end of the body of the last attempt.
-        self.framing = ""
-        self.body_bytes = 0
-        self.ended_inside_event = False
+        #: The last attempt.
+        self.attempt = _attempt.Attempt()
 
     async def run(self):
         """Process the request up to its final response."""
@@ -244,8 +231,8 @@
                 None,
             )
             return
-        self.subjects = quarantine.list_subjects(
-            _compute_fingerprint(self.request), self._list_shared_part_ids()
+        self.watch = _subject_watch.SubjectWatch(
+            self.handler, self.request, self.metadata
         )
         if self._is_quarantined():
             return
@@ -408,7 +395,7 @@
                 return
             self._log_decision(decision)
             send_count_before = self.send_count
-            self._reset_body_record()
+            self.attempt = _attempt.Attempt()
             if isinstance(decision, dispatch.Serve):
                 result = await self._send_to_server(
                     routing_request, decision, now
@@ -574,7 +561,9 @@
             if fleet.state(server_id).is_paused(self._now_s()):
                 # Another request was refused while this one connected.
                 return _NotSent(f"{server_id} is paused")
-            if not self._start_attempt(view.record):
+            if not self.watch.start_attempt(
+                self.attempt, view.record, self.send_count > 0
+            ):
                 return _NotSent("a subject was refused meanwhile")
             self.send_count += 1
             connection.send(
@@ -582,7 +571,7 @@
                 self.metadata.request_id,
                 self.request.method == b"HEAD",
             )
-            self.attempt_origin = resumption.StreamOrigin(
+            self.attempt.origin = resumption.StreamOrigin(
                 self.service.name, view.record.software_version
             )
             result = await self._receive_response(
@@ -594,7 +583,7 @@
             result = _NotSent(error.detail)
         except http1.IncompleteResponseError as error:
             outcome = Outcome.LOST
-            await self._record_crash(error)
+            await self.watch.on_connection_lost(self.attempt, error)
             result = _Unknown(error.detail)
         finally:
             now_s = self._now_s()
@@ -716,9 +705,9 @@
             connection.close()
             return _Unknown("silent before its answer")
         if in_flight is None:
-            self.attempt_origin = _stream_origin.read_headers(head.headers)
-        self.framing = head.framing.value
-        self.answer_started_s = self._now_s()
+            self.attempt.origin = _stream_origin.read_headers(head.headers)
+        self.attempt.framing = head.framing.value
+        self.attempt.answer_started_s = self._now_s()
         metadata = self.dialect.parse_response(head)
         if in_flight is not None:
             now_s = self._now_s()
@@ -745,12 +734,12 @@
         :returns: result of the read.
         :raises TimeoutError: nothing came in time.
         """
-        if timeout_s is None or self.incarnation is None:
+        if timeout_s is None or self.attempt.incarnation is None:
             async with asyncio.timeout(timeout_s):
                 return await read()
         ends_s = self._now_s() + timeout_s
         slice_s = SILENCE_CHECK_S
-        server_id = self.incarnation.server_id
+        server_id = self.attempt.incarnation.server_id
         reachability = self.handler.reachability
         while True:
             left_s = ends_s - self._now_s()
@@ -793,7 +782,7 @@
 
     def _note_limits(self, metadata, now):
         limits = self.shared_state.fleet.limits
-        server_id, born_ms = self.incarnation
+        server_id, born_ms = self.attempt.incarnation
         now_s = now.total_seconds()
         if metadata.limit is None or metadata.brittleness is None:
             # What cannot be read says nothing.
@@ -807,7 +796,7 @@
             server_id,
             born_ms,
             limits.per_s(server_id, born_ms) if limit is None else limit.per_s,
-            self.attempt_sent_at.total_seconds(),
+            self.attempt.sent_at.total_seconds(),
             now_s,
             limits.rejections_per_s(server_id)
             if brittleness is None
@@ -818,7 +807,7 @@
         if is_changed:
             self.shared_state.exchange.on_limit_changed()
             self.shared_state.wake_if_urgent()
-            self.shared_state.log_limits(self.incarnation.server_id)
+            self.shared_state.log_limits(self.attempt.incarnation.server_id)
 
     def _is_stream(self, head):
         return self.route.kind is RequestKind.STREAM and head.status == 200
@@ -871,33 +860,33 @@
         parts = []
         size_bytes = 0
         while data := await connection.read():
-            self._note_answer_data(head)
+            self.watch.on_answer_data(self.attempt, head)
             parts.append(data)
             size_bytes += len(data)
             if size_bytes > MAX_BUFFERED_BODY_BYTES:
                 return await self._relay_unbuffered(connection, head, parts)
         body = b"".join(parts)
-        self.body_bytes = size_bytes
+        self.attempt.body_bytes = size_bytes
         self._record_body_end(is_inside_event=False)
         if head.status >= 500 and self._can_retry():
             return _Failed(head, body)
         self._send_buffered(head, body)
-        self._note_answer_end(head)
+        self.watch.on_answer_end(self.attempt, head)
         return _Completed()
 
     async def _relay_unbuffered(self, connection, head, parts):
         self._start_response(head, head.length)
         for part in parts:
-            self.body_bytes += len(part)
+            self.attempt.body_bytes += len(part)
             self.reply.write(part)
         while data := await connection.read():
-            self._note_answer_data(head)
-            self.body_bytes += len(data)
+            self.watch.on_answer_data(self.attempt, head)
+            self.attempt.body_bytes += len(data)
             self.reply.write(data)
             await self.reply.flush()
         self._record_body_end(is_inside_event=False)
         self.reply.end()
-        self._note_answer_end(head)
+        self.watch.on_answer_end(self.attempt, head)
         return _Completed()
 
     def _send_buffered(self, head, body):
@@ -926,9 +915,9 @@
         boundary = http1.EventBoundary()
         try:
             while data:
-                self._note_answer_data(head)
+                self.watch.on_answer_data(self.attempt, head)
                 boundary.feed(data)
-                self.body_bytes += len(data)
+                self.attempt.body_bytes += len(data)
                 if not self._comes_from_origin():
                     connection.close()
                     return _Unknown("another software version answered")
@@ -959,7 +948,7 @@
         if stream is not None:
             self.reply.write(stream.take_remainder())
         self.reply.end()
-        self._note_answer_end(head)
+        self.watch.on_answer_end(self.attempt, head)
         return _Completed()
 
     def _comes_from_origin(self):
@@ -967,17 +956,17 @@
 
         It is checked once, with the first data.
         """
-        if self.origin is None or self.has_checked_origin:
+        if self.origin is None or self.attempt.has_checked_origin:
             return True
-        self.has_checked_origin = True
+        self.attempt.has_checked_origin = True
         return self._is_same_incarnation() and (
-            self.attempt_origin == self.origin
+            self.attempt.origin == self.origin
         )
 
     def _record_origin(self):
         """Record where the stream begins, before its first event leaves."""
-        self.has_checked_origin = True
-        origin = self.attempt_origin
+        self.attempt.has_checked_origin = True
+        origin = self.attempt.origin
         if origin is None or not self._is_same_incarnation():
             return
         self.origin = origin
@@ -991,13 +980,13 @@
 
     def _is_same_incarnation(self):
         """Whether the server has not started again since the request."""
-        if self.incarnation is None:
+        if self.attempt.incarnation is None:
             return True
         view = self.shared_state.registry.servers.get(
-            self.incarnation.server_id
+            self.attempt.incarnation.server_id
         )
         return view is None or (
-            view.record.born_ms == self.incarnation.born_ms
+            view.record.born_ms == self.attempt.incarnation.born_ms
         )
 
     async def _read_stream_data(self, connection):
@@ -1060,7 +1049,7 @@
 
     def _is_quarantined(self):
         """Send the final failure if the quarantine refuses the request."""
-        verdict = self._check_quarantine(self.handler.clock.monotonic())
+        verdict = self.watch.check(self.send_count > 0)
         if not isinstance(verdict, quarantine.Refused):
             return False
         self.handler.metrics.record_quarantine_refusal()
@@ -1069,126 +1058,6 @@
         )
         return True
 
-    def _check_quarantine(self, now):
-        return self.shared_state.quarantine.check(
-            self.subjects, now, is_retry=self.send_count > 0
-        )
-
-    def _start_attempt(self, server):
-        """Return whether a server may get the request now.
-
-        :param server: its ``AnnouncedServer``.
-        """
-        now = self.handler.clock.monotonic()
-        verdict = self._check_quarantine(now)
-        if isinstance(verdict, quarantine.Refused):
-            return False
-        if isinstance(verdict, quarantine.Trial):
-            self.shared_state.quarantine.start_trial(verdict.key, now)
-            self.handler.on_quarantine_changed()
-        self.attempt_sent_at = now
-        self.incarnation = quarantine.Incarnation(
-            server.server_id, server.born_ms
-        )
-        return True
-
-    def _note_answer_data(self, head):
-        """Tell the quarantine once that an answer goes on."""
-        limit_s = quarantine.CONTINUED_ANSWER.total_seconds()
-        if not self.has_continued and self._answer_duration_s() >= limit_s:
-            self._note_continued(head)
-
-    def _note_answer_end(self, head):
-        """Tell the quarantine of a complete answer.
-
-        One that ends with its connection may have been broken off.
-        """
-        if self.has_continued:
-            return
-        if head.framing is not http1.BodyFraming.CONNECTION_CLOSE:
-            self._note_continued(head)
-        elif self.incarnation is not None:
-            self.shared_state.quarantine.on_unframed_answer_ended(
-                self.incarnation,
-                self.subjects,
-                self.attempt_sent_at,
-                self.handler.clock.monotonic(),
-            )
-            self._send_quarantine_records()
-
-    def _note_continued(self, head):
-        if not 200 <= head.status < 300:
-            return
-        self.has_continued = True
-        self.shared_state.quarantine.on_answer_continued(
-            self.subjects, self.handler.clock.monotonic()
-        )
-        self._send_quarantine_records()
-
-    def _send_quarantine_records(self):
-        if not self.shared_state.quarantine.is_idle:
-            self.handler.on_quarantine_changed()
-
-    async def _record_crash(self, error):
-        """Record a connection that broke while its server ran the request.
-
-        A server that sends bytes which are no response has not crashed, nor
-        has one that was lost together with all others.
-        """
-        is_crash = not isinstance(error, http1.UnexpectedResponseError)
-        self._log_lost_connection(error)
-        if not is_crash or self.has_continued:
-            return
-        count_crash = functools.partial(
-            self._count_crash,
-            self.incarnation,
-            self.attempt_sent_at,
-            self.handler.clock.monotonic(),
-        )
-        await self.handler.reachability.call_unless_cut_off(
-            self.incarnation.server_id, count_crash
-        )
-
-    def _count_crash(self, incarnation, sent_at, lost_at):
-        is_new = self.shared_state.quarantine.on_attempt_lost(
-            incarnation, self.subjects, sent_at, lost_at
-        )
-        if is_new:
-            self.handler.on_quarantine_changed()
-        self.handler.log.write(
-            _events.CRASH_COUNTED,
-            request=self._request_id_text(),
-            server=incarnation.server_id,
-            born_ms=incarnation.born_ms,
-            is_new=is_new,
-        )
-
-    def _log_lost_connection(self, error):
-        self.handler.log.write(
-            _events.CRASH_NOTED,
-            request=self._request_id_text(),
-            fingerprint=self.subjects[0].key,
-            server=self.incarnation.server_id,
-            born_ms=self.incarnation.born_ms,
-            parts=",".join(self._list_shared_part_ids()),
-            answer_begun=self.answer_started_s is not None,
-            answer_ms=round(self._answer_duration_s() * 1e3),
-            error=error.detail,
-        )
-
-    def _list_shared_part_ids(self):
-        """List the ids of the prompt's parts that other prompts may share."""
-        prompt = self.metadata.prompt
-        if prompt is None:
-            return []
-        return [part.part_id for part in prompt.parts[:-1]]
-
-    def _answer_duration_s(self):
-        """Time since the answer of the last attempt began."""
-        if self.answer_started_s is None:
-            return 0.0
-        return self._now_s() - self.answer_started_s
-
     def _request_id_text(self):
         return (
             self.metadata.request_id.decode("latin-1") if self.metadata else ""
@@ -1241,8 +1110,8 @@
             result=type(result).__name__,
             reason=getattr(result, "reason", ""),
             sends=self.send_count,
-            framing=self.framing,
-            body_bytes=self.body_bytes,
+            framing=self.attempt.framing,
+            body_bytes=self.attempt.body_bytes,
         )
 
     def _record_first_byte(self):
@@ -1251,21 +1120,11 @@
             self.route.kind.value, self.first_byte_s
         )
 
-    def _reset_body_record(self):
-        self.answer_started_s = None
-        self.attempt_origin = None
-        self.has_checked_origin = False
-        self.incarnation = None
-        self.has_continued = False
-        self.framing = ""
-        self.body_bytes = 0
-        self.ended_inside_event = False
-
     def _record_body_end(self, is_inside_event):
         """Record the end of a body that its framing marks as complete."""
-        self.ended_inside_event = is_inside_event
+        self.attempt.ended_inside_event = is_inside_event
         place = "inside_event" if is_inside_event else "boundary"
-        self.handler.metrics.record_body_end(self.framing, place)
+        self.handler.metrics.record_body_end(self.attempt.framing, place)
 
     def _log_end(self, outcome):
         now_s = self._now_s()
@@ -1283,9 +1142,9 @@
             outcome=outcome,
             status=self.reply.status,
             sends=self.send_count,
-            framing=self.framing,
-            body_bytes=self.body_bytes,
-            ended_inside_event=self.ended_inside_event,
+            framing=self.attempt.framing,
+            body_bytes=self.attempt.body_bytes,
+            ended_inside_event=self.attempt.ended_inside_event,
             first_ms=round(self.first_byte_s * 1e3),
             longest_pause_ms=round(self.longest_gap_s * 1e3),
             took_ms=round(duration_s * 1e3),
@@ -1342,11 +1201,3 @@
     """Return the send count that another entry VM reports."""
     value = http1.find_header(headers, SEND_COUNT_HEADER)
     return int(value) if value and value.isdigit() else default
-
-
-def _compute_fingerprint(request):
-    digest = xxhash.xxh3_64()
-    digest.update(request.method)
-    digest.update(request.target)
-    digest.update(request.body)
-    return digest.hexdigest()
