Share the quotas of organisations among all entry VMs

Nothing held an organisation of the users' platform to its quota: each entry VM of 75 or more sees a few requests a second, and a part of 1/75 is less than a prompt. OrganisationQuotas keeps a bucket of the whole quota at each entry VM, charged with what the others report, and admits by the ratio of rate to demand when the bucket is down to the tolerance. Regions out of touch keep to their parts.

--- a/buckthorntack/admission/__init__.py
+++ b/buckthorntack/admission/__init__.py
@@ -9,6 +9,8 @@
 from buckthorntack.admission._events import QUEUED
 from buckthorntack.admission._events import SHED
 from buckthorntack.admission._roster import EntryRoster
+from buckthorntack.admission._shared_quota import OrganisationQuotas
+from buckthorntack.admission._shared_quota import QuotaTolerance
 from buckthorntack.admission._types import AdmissionRequest
 from buckthorntack.admission._types import AdmissionSettings
 from buckthorntack.admission._types import Admitted
@@ -26,11 +28,13 @@
     "DeadlineError",
     "EntryRoster",
     "OVER_QUOTA",
+    "OrganisationQuotas",
     "QUEUED",
     "QueueFullError",
     "Queued",
     "QuotaExceededError",
     "QuotaLimits",
+    "QuotaTolerance",
     "Refused",
     "SHED",
     "quota_limits",
