Charge client requests to the quota of their organisation

A request is charged once, at the entry VM that its client reached, before a place is looked for: 429 with Retry-After beyond the quota, and the credit back if it ends as not run or was never sent. A count of tokens that is negative, no decimal number or beyond 10^8 is none, and counts as the default. The tolerance comes from the settings of the node, where a deployment states it.

--- a/buckthorntack/gateway/_errors.py
+++ b/buckthorntack/gateway/_errors.py
@@ -40,6 +40,22 @@
     remedy = "send a key of the organisation"
 
 
+class QuotaUsedUpError(errors.GatewayError):
+    """The quota of an organisation is used up for now."""
+
+    number = 2237
+    status = 429
+    kind = "quota_used_up"
+    remedy = "retry after the stated time"
+
+    def __init__(self, charge, retry_after_ms):
+        super().__init__(
+            "the quota of the organisation is used up", retry_after_ms
+        )
+        #: The ``Charge`` that there is no room for.
+        self.charge = charge
+
+
 class UnknownOrganisationError(errors.GatewayError):
     """An entry VM has no organisation that another one has authorised."""
 
--- a/buckthorntack/gateway/_events.py
+++ b/buckthorntack/gateway/_events.py
@@ -206,6 +206,22 @@
     "Connects to a server fail at this entry VM, or succeed again.",
     "check the network between the entry VM and the server",
 )
+QUOTA_REFUSED = events.declare(
+    2237,
+    "quota_refused",
+    logbook.INFO,
+    "A request was refused as the quota of its organisation is used up; it was"
+    " not run.",
+    "raise the organisation's quota if it is too small",
+)
+QUOTA_SHARE_CHANGED = events.declare(
+    2238,
+    "quota_share_changed",
+    logbook.NOTICE,
+    "An entry VM hears nothing of another region and admits only the part of"
+    " each quota that belongs to its own, or admits the whole again.",
+    "check the links between the regions",
+)
 LINK_CHECK_EXPIRED = events.declare(
     2236,
     "link_check_expired",
--- a/buckthorntack/gateway/_metrics.py
+++ b/buckthorntack/gateway/_metrics.py
@@ -69,6 +69,19 @@
             "Requests that were refused as no organisation has their key.",
             registry=registry,
         )
+        self._quota_requests = prometheus_client.Counter(
+            "gateway_quota_requests",
+            "Requests of organisations with a quota that were admitted,"
+            " refused, or refunded as they did not run.",
+            ["result", "unit"],
+            registry=registry,
+        )
+        self._quota_amount = prometheus_client.Counter(
+            "gateway_quota_amount",
+            "What those requests count as, in tokens or requests.",
+            ["result", "unit"],
+            registry=registry,
+        )
         self._refusals = prometheus_client.Counter(
             "gateway_quarantine_refusals",
             "Requests that were refused as they crash servers.",
@@ -112,6 +125,18 @@
         """Count a request whose key no organisation has."""
         self._unknown_keys.inc()
 
+    def record_quota(self, result, charge):
+        """Count a request that has a quota.
+
+        :param result: ``"admitted"``, ``"refused"`` or ``"refunded"``.
+        :param charge: the ``Charge``; None without a quota.
+        """
+        if charge is None:
+            return
+        unit = charge.quota.unit.value
+        self._quota_requests.labels(result, unit).inc()
+        self._quota_amount.labels(result, unit).inc(charge.amount)
+
     def record_quarantine_refusal(self):
         """Count a request that is refused as it crashes servers."""
         self._refusals.inc()
--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -174,6 +174,10 @@
         self.route = None
         #: Who sent it; None if callers need no keys.
         self.caller = None
+        #: What its organisation was charged here; None for nothing.
+        self.charge = None
+        #: Whether the client was told that it did not run.
+        self.is_refused = False
         self.service = None
         #: The ``SubjectWatch`` of the request.
         self.watch = None
@@ -208,6 +212,7 @@
             await self._proxy()
             outcome = "answered" if self.reply.ended else "cut"
         finally:
+            self._refund_quota()
             self._log_end(outcome)
 
     async def _proxy(self):
@@ -221,6 +226,8 @@
         await self._wait_for_configuration()
         if not self._find_route() or not self._authorise():
             return
+        if not self.is_forwarded and not self._charge_quota():
+            return
         if self._is_resumption() and not await self._find_origin():
             return
         self.service = self._choose_service()
@@ -294,6 +301,40 @@
         self.caller = result.ok
         return self._narrow_route()
 
+    def _charge_quota(self):
+        """Charge the organisation's quota; refuse the request beyond it.
+
+        :returns: whether the request may go on.
+        """
+        result = self.shared_state.quota_charger.charge(
+            self.caller, self.metadata.prompt, self._now_s()
+        )
+        if result.is_ok():
+            self.charge = result.ok
+            self.handler.metrics.record_quota("admitted", self.charge)
+            return True
+        error = result.error
+        self.handler.metrics.record_quota("refused", error.charge)
+        self.handler.log.write(
+            _events.QUOTA_REFUSED,
+            request=self._request_id_text(),
+            organisation=error.charge.organisation,
+            amount=error.charge.amount,
+            retry_after_ms=round(error.retry_after_ms),
+        )
+        self._send_local_response(
+            error.status, error.detail, error.run_state, error.retry_after_ms
+        )
+        return False
+
+    def _refund_quota(self):
+        """Give the charge back unless a server may have run the request."""
+        charge, self.charge = self.charge, None
+        if charge is None or (self.send_count and not self.is_refused):
+            return
+        self.shared_state.quota_charger.refund(charge, self._now_s())
+        self.handler.metrics.record_quota("refunded", charge)
+
     def _refuse_caller(self, error):
         if self.is_forwarded:
             # The sender has a newer or older configuration.
@@ -1040,6 +1081,7 @@
     ):
         """Send a response that this entry VM creates itself."""
         self.reason = reason
+        self.is_refused = run_state is errors.RunState.NOT_RUN
         request_id = self.metadata.request_id if self.metadata else b""
         headers = self.dialect.build_local_headers(request_id, retry_after_ms)
         if self.is_forwarded:
--- a/buckthorntack/gateway/_settings.py
+++ b/buckthorntack/gateway/_settings.py
@@ -3,6 +3,8 @@
 import datetime
 from typing import NamedTuple
 
+from buckthorntack import admission
+
 
 class NodeSettings(NamedTuple):
     """Settings of an entry VM or control VM."""
@@ -46,6 +48,8 @@
     #: IP address to bind if a proxy in front of the node uses another one;
     #: empty to bind the addresses that others use.
     listen_ip: str = ""
+    #: What may be admitted beyond the quotas of organisations.
+    quota_tolerance: admission.QuotaTolerance = admission.QuotaTolerance()
 
     def to_bind_address(self, address):
         """Return the local address to bind for an address that others use.
--- a/buckthorntack/gateway/_shared_state.py
+++ b/buckthorntack/gateway/_shared_state.py
@@ -10,6 +10,7 @@
 from buckthorntack import quarantine
 from buckthorntack.gateway import _addresses
 from buckthorntack.gateway import _events
+from buckthorntack.gateway import _quota_charge
 
 #: Connect timeout for servers, which are in the same region.
 CONNECT_TIMEOUT_S = 0.6
@@ -64,6 +65,13 @@
             settings.repeat_slack,
             dispatch_parameters.retry_budget_share,
         )
+        self.quota_charger = _quota_charge.QuotaCharger(
+            settings,
+            self.find_organisation,
+            self.exchange.organisations,
+            rng,
+            clock.monotonic().total_seconds(),
+        )
         self.quarantine = quarantine.Quarantine(settings.service_address)
         self.pool = http1.ConnectionPool(
             CONNECT_TIMEOUT_S, dialect.request_id_header
@@ -94,6 +102,16 @@
             return -1
         return self.table.configuration.version
 
+    def find_organisation(self, name):
+        """Return an organisation of the active configuration.
+
+        :param name: its name.
+        :returns: the ``directives.Organisation``, or None.
+        """
+        return (
+            None if self.table is None else self.table.find_organisation(name)
+        )
+
     def apply_directives(self, index, configuration, evacuated):
         """Apply directives unless they are outdated.
 
--- a/buckthorntack/platform/_dialect.py
+++ b/buckthorntack/platform/_dialect.py
@@ -12,6 +12,8 @@
 from buckthorntack.platform import _configuration
 from buckthorntack.platform import _headers
 
+#: Larger counts of tokens are no counts.
+MAX_TOKENS = 10**8
 MISDIRECTED = 421
 UNAVAILABLE = 503
 
@@ -212,11 +214,22 @@
     try:
         tokens, _, output = counts.partition(b",")
         parts = tuple(_parts(fields.get(_headers.PROMPT_PREFIX, b"")))
-        return dispatch.Prompt(parts, int(tokens), int(output or 0))
+        return dispatch.Prompt(parts, _count(tokens), _count(output or b"0"))
     except ValueError:
         return None
 
 
+def _count(value):
+    """A count of tokens.
+
+    :raises ValueError: the value is none.
+    """
+    digits = value.strip()
+    if not digits.isdigit() or int(digits) > MAX_TOKENS:
+        raise ValueError("no count of tokens")
+    return int(digits)
+
+
 def _parts(value):
     for item in value.split(b","):
         if item.strip():
--- a/buckthorntack/platform/_settings.py
+++ b/buckthorntack/platform/_settings.py
@@ -5,6 +5,7 @@
 import json5
 import msgspec
 
+from buckthorntack import admission
 from buckthorntack import gateway
 from buckthorntack.schema import documents
 
@@ -55,4 +56,15 @@
         directory_ttl=datetime.timedelta(seconds=document["directory_ttl_s"]),
         stop_grace=datetime.timedelta(seconds=document["grace_s"]),
         listen_ip=document.get("listen_ip", ""),
+        quota_tolerance=_quota_tolerance(document),
     )
+
+
+def _quota_tolerance(document):
+    """What may be admitted beyond quotas; nothing where none is stated."""
+    stated = {
+        name: document[f"quota_{name}"]
+        for name in admission.QuotaTolerance._fields
+        if f"quota_{name}" in document
+    }
+    return admission.QuotaTolerance(**stated)
--- a/buckthorntack/platform/tests/test_formats.py
+++ b/buckthorntack/platform/tests/test_formats.py
@@ -2,10 +2,12 @@
 
 import json
 import pathlib
+import re
 
 from expression import Ok
 import pytest
 
+from buckthorntack import admission
 from buckthorntack import directives
 from buckthorntack import gateway
 from buckthorntack import http1
@@ -40,17 +42,13 @@
 
 def fill(template, values):
     """What the platform makes of the template, as far as it uses it."""
-    is_control = "listen.control_plane" in values
-    kept = []
-    for line in template.splitlines():
-        for mark, shown in (("#", is_control), ("^", not is_control)):
-            begin = f"{{{{{mark}listen.control_plane}}}}"
-            before, found, rest = line.partition(begin)
-            if found:
-                inner, _, after = rest.partition("{{/listen.control_plane}}")
-                line = before + (inner if shown else "") + after
-        kept.append(line)
-    text = "\n".join(kept)
+
+    def fill_section(match):
+        mark, name, inner = match.groups()
+        return inner if (name in values) == (mark == "#") else ""
+
+    section = r"\{\{([#^])([\w.]+)\}\}(.*?)\{\{/\2\}\}"
+    text = re.sub(section, fill_section, template)
     for name, value in values.items():
         text = text.replace(f"{{{{{name}|json}}}}", json.dumps(value))
         text = text.replace(f"{{{{{name}}}}}", str(value))
@@ -76,6 +74,17 @@
     assert settings.stop_grace.total_seconds() == 8
 
 
+# Guards against a template that is no document where quotas are missing.
+def test_tolerance_of_quotas_is_optional(tmp_path):
+    template = TEMPLATE.read_text()
+    settings = load(tmp_path, fill(template, NAMED))
+    assert settings.quota_tolerance == admission.QuotaTolerance()
+    stated = {"window_s": 4, "overrun": 0.1, "slack": 190_000}
+    bounds = {f"bounds.quota_{name}": n for name, n in stated.items()}
+    settings = load(tmp_path, fill(template, NAMED | bounds))
+    assert settings.quota_tolerance == admission.QuotaTolerance(**stated)
+
+
 def test_settings_of_a_control_vm(tmp_path):
     values = {
         name: value
--- a/buckthorntack/schema/_generated/node_documents.py
+++ b/buckthorntack/schema/_generated/node_documents.py
@@ -87,6 +87,18 @@
     """
     Time between SIGTERM and SIGKILL.
     """
+    quota_window_s: NotRequired[float]
+    """
+    Time over which the quotas of organisations are measured; missing where there are none.
+    """
+    quota_overrun: NotRequired[float]
+    """
+    Part of a quota that may be admitted beyond it in that time.
+    """
+    quota_slack: NotRequired[float]
+    """
+    Further amount that may be admitted beyond a quota in that time, in its unit.
+    """
     listen_ip: NotRequired[str]
     """
     IP address to bind in place of ip_address, which others use, where a relay stands between.
