Spread callers and duties over entry VMs by their capacity

Cause: the directory named entry VMs with equal probability and the first by id was the relay, though their means differ threefold on some deployments.

The directory names each with a probability in proportion to it, relays and reporters are the most capable ones, and requests are forwarded by weight. Where settings name no means, or equal ones, all is as before until a VM is slowed.

--- a/buckthorntack/discovery/_directory.py
+++ b/buckthorntack/discovery/_directory.py
@@ -4,6 +4,8 @@
 from typing import NamedTuple
 
 READY = "ready"
+#: Fewest entry VMs that a caller is given, if there are as many.
+MIN_NAMED = 2
 
 
 class AddressScope(enum.StrEnum):
@@ -36,6 +38,9 @@
     All regions follow only if the host is known to have no restriction.
     Entry VMs of another region have a longer round trip.
 
+    Of the chosen set each is named with a probability in proportion to its
+    capacity, as callers choose among those named with equal probability.
+
     :param nodes: ``NodePresence`` of the known entry VMs.
     :param region: the caller's region.
     :param failure_domain: the caller's failure domain.
@@ -59,11 +64,34 @@
         scope, chosen = AddressScope.REGION, in_region
     else:
         scope, chosen = _select_remote(usable, residency)
-    addresses = sorted({node.service_address for node in chosen})
+    named = _sample_by_capacity(chosen, rng)
+    addresses = sorted({node.service_address for node in named})
     rng.shuffle(addresses)
     return DirectoryAnswer(scope, addresses[:max_addresses])
 
 
+def _sample_by_capacity(nodes, rng):
+    """Return a random part of the nodes, weighted by capacity.
+
+    The most capable ones are always part of it.  At least ``MIN_NAMED`` are,
+    so that a caller has another one if the first fails.
+    """
+    largest = max((node.capacity for node in nodes), default=0.0)
+    if largest <= 0:
+        return nodes
+    kept, others = [], []
+    for node in nodes:
+        # One that does not report its capacity counts as a capable one.
+        capacity = node.capacity or largest
+        is_kept = capacity >= largest or rng.random() < capacity / largest
+        (kept if is_kept else others).append(node)
+    missing = min(MIN_NAMED - len(kept), len(others))
+    if missing > 0:
+        others.sort(key=lambda node: -node.capacity)
+        kept += others[:missing]
+    return kept
+
+
 def _select_remote(usable, residency):
     """Return scope and entry VMs for a caller without any in its region."""
     if residency is None:
--- a/buckthorntack/dispatch/_exchange.py
+++ b/buckthorntack/dispatch/_exchange.py
@@ -1,6 +1,6 @@
 """Exchange of server usage among the entry VMs of a region.
 
-Each failure domain has a relay, the first of its entry VMs that responds.  The
+Each failure domain has a relay, the most capable entry VM that responds.  The
 other entry VMs of the domain report to the relay.  Relays report the sum of
 their domain to each other, and the sum of all others to each entry VM of their
 domain.  The number of messages is therefore linear in the number of entry VMs
@@ -82,6 +82,7 @@
         self.failure_domain = failure_domain
         self._domains = {}
         self._domain_of = {}
+        self._capacities = {}
         self._relay = ""
         self._relay_since_s = 0.0
         #: Former relays that still count the last report of this entry VM.
@@ -111,20 +112,33 @@
         self.is_urgent = False
         self.set_members({})
 
-    def set_members(self, members):
+    def set_members(self, members, capacities=None):
         """Set the entry VMs of the region.
 
+        The most capable one of a failure domain is its relay, among equals
+        the first by id.
+
         :param members: failure domain by entry VM id.
+        :param capacities: capacity by entry VM id; None for equal ones.
         """
         members = {**members, self.own_id: self.failure_domain}
-        if members == self._domain_of:
+        capacities = capacities or {}
+        if members == self._domain_of and capacities == self._capacities:
             return
         self._domain_of = members
+        self._capacities = capacities
         self._domains = {}
-        for node_id in sorted(members):
+        for node_id in sorted(members, key=self.seniority):
             domain = self._domains.setdefault(members[node_id], [])
             domain.append(node_id)
 
+    def seniority(self, node_id):
+        """Return the sort key by which entry VMs are chosen for duties.
+
+        :param node_id: the entry VM.
+        """
+        return -self._capacities.get(node_id, 0.0), node_id
+
     @property
     def sums(self):
         """The sums over all entry VMs, in the order of a report's fields."""
--- a/buckthorntack/gateway/_entry.py
+++ b/buckthorntack/gateway/_entry.py
@@ -89,6 +89,7 @@
             self.clock,
             self.rng,
         )
+        self.following.set_capacity(self.shared_state.capacity.reported)
         self.shared_state.update_members()
         self.quarantine_task = _quarantine_task.QuarantineTask(
             self.shared_state,
@@ -271,12 +272,31 @@
             if exchange.relay != self._logged_relay:
                 self._log_relay_change(now_s)
             interval_s = exchange.min_interval_s
-            await self.clock.sleep(datetime.timedelta(seconds=interval_s))
+            interval = datetime.timedelta(seconds=interval_s)
+            slept_at = self.clock.monotonic()
+            await self.clock.sleep(interval)
+            self._observe_lateness(
+                self.clock.monotonic() - slept_at - interval
+            )
             left_s = max(0.0, exchange.period_s - interval_s)
             await self.shared_state.wait_until_urgent(
                 datetime.timedelta(seconds=left_s)
             )
 
+    def _observe_lateness(self, lateness):
+        """Report less capacity while timers of this process are late."""
+        meter = self.shared_state.capacity
+        now_s = self.clock.monotonic().total_seconds()
+        if not meter.observe(lateness.total_seconds(), now_s):
+            return
+        self.following.set_capacity(meter.reported)
+        self.metrics.record_capacity(meter.reported)
+        self._log.write(
+            _events.CAPACITY_CHANGED,
+            capacity=meter.reported,
+            nominal=round(meter.nominal, 3),
+        )
+
     def _log_relay_change(self, now_s):
         former, self._logged_relay = (
             self._logged_relay,
@@ -301,12 +321,13 @@
                 self.shared_state.exchange.take_region_updates()
 
     def _is_region_reporter(self):
-        """Whether this is the region's live entry VM with the lowest id."""
+        """Whether this is the region's most capable live entry VM."""
         if not self.is_ready():
             return False
-        own_address = self.settings.service_address
+        seniority = self.shared_state.exchange.seniority
+        own = seniority(self.settings.service_address)
         return all(
-            node_id > own_address or not self._has_recent_report(node_id)
+            seniority(node_id) > own or not self._has_recent_report(node_id)
             for node_id in self._region_peers()
         )
 
--- a/buckthorntack/gateway/_events.py
+++ b/buckthorntack/gateway/_events.py
@@ -222,3 +222,11 @@
     " hands their requests to others; logged when the services change.",
     "check the network of the entry VM",
 )
+CAPACITY_CHANGED = events.declare(
+    2237,
+    "capacity_changed",
+    logbook.NOTICE,
+    "The capacity that this entry VM reports has changed, by how late its"
+    " timers are; callers and relays choose by it.",
+    "check whether its VM is slowed or overloaded",
+)
--- a/buckthorntack/gateway/_following.py
+++ b/buckthorntack/gateway/_following.py
@@ -115,6 +115,13 @@
             self._report_round = 0
             self.report()
 
+    def set_capacity(self, capacity):
+        """Set the capacity that is sent with the next reports.
+
+        :param capacity: relative to a nominal VM.
+        """
+        self.local_presence.capacity = capacity
+
     def set_unreachable_services(self, services):
         """Report to all control VMs which services cannot be reached.
 
--- a/buckthorntack/gateway/_metrics.py
+++ b/buckthorntack/gateway/_metrics.py
@@ -69,6 +69,11 @@
             "Requests that were refused as no organisation has their key.",
             registry=registry,
         )
+        self._capacity = prometheus_client.Gauge(
+            "gateway_capacity",
+            "Capacity that this entry VM reports, relative to a nominal one.",
+            registry=registry,
+        )
         self._refusals = prometheus_client.Counter(
             "gateway_quarantine_refusals",
             "Requests that were refused as they crash servers.",
@@ -112,6 +117,13 @@
         """Count a request whose key no organisation has."""
         self._unknown_keys.inc()
 
+    def record_capacity(self, capacity):
+        """Record the capacity that this entry VM reports.
+
+        :param capacity: relative to a nominal VM.
+        """
+        self._capacity.set(capacity)
+
     def record_quarantine_refusal(self):
         """Count a request that is refused as it crashes servers."""
         self._refusals.inc()
--- a/buckthorntack/gateway/_presence.py
+++ b/buckthorntack/gateway/_presence.py
@@ -19,6 +19,8 @@
         self.sequence = 0
         #: Services of the region none of whose servers can be connected to.
         self.unreachable_services = []
+        #: Capacity relative to a nominal VM; 0 if not known.
+        self.capacity = 0.0
         self._incarnation = int(clock.wall().timestamp() * 1000)
 
     def to_message(self, settings):
@@ -39,6 +41,7 @@
             region=settings.region,
             silent=False,
             unreachable_services=self.unreachable_services,
+            capacity=self.capacity,
         )
 
     def on_presence_reply(self, reply):
--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -626,7 +626,8 @@
         if not entry_vms:
             self._exclude_region(decision.region)
             return _NotSent(f"no entry VM known in {decision.region}")
-        record = self.shared_state.rng.choice(entry_vms)
+        weights = [record.capacity or 1.0 for record in entry_vms]
+        [record] = self.shared_state.rng.choices(entry_vms, weights)
         self.excluded_ids.add(record.node_id)
         self.forwarded_to = record.node_id
         pool = self.shared_state.forward_pool
--- a/buckthorntack/gateway/_settings.py
+++ b/buckthorntack/gateway/_settings.py
@@ -46,6 +46,10 @@
     #: IP address to bind if a proxy in front of the node uses another one;
     #: empty to bind the addresses that others use.
     listen_ip: str = ""
+    #: Processor in nominal cores that the node may use; 0 if not known.
+    processor_cores: float = 0.0
+    #: Bandwidth of the node's own link; 0 if not known.
+    link_mbps: float = 0.0
 
     def to_bind_address(self, address):
         """Return the local address to bind for an address that others use.
--- a/buckthorntack/gateway/_shared_state.py
+++ b/buckthorntack/gateway/_shared_state.py
@@ -10,6 +10,7 @@
 from buckthorntack import quarantine
 from buckthorntack.gateway import _addresses
 from buckthorntack.gateway import _events
+from buckthorntack.gateway import _own_capacity
 
 #: Connect timeout for servers, which are in the same region.
 CONNECT_TIMEOUT_S = 0.6
@@ -71,6 +72,9 @@
         self.forward_pool = http1.ConnectionPool(
             FORWARD_CONNECT_TIMEOUT_S, dialect.request_id_header
         )
+        self.capacity = _own_capacity.CapacityMeter(
+            settings.processor_cores, settings.link_mbps
+        )
         self.directives_index = -1
         self.started_at = clock.monotonic()
         self._log = events.EventLog("gateway")
@@ -348,4 +352,10 @@
             if record.region == self.settings.region and not record.silent
         }
         self.rates.members = sorted({*members, own_address})
-        self.exchange.set_members(members)
+        capacities = {
+            record.node_id: record.capacity
+            for record in entry_vms
+            if record.node_id in members
+        }
+        capacities[own_address] = self.capacity.reported
+        self.exchange.set_members(members, capacities)
--- a/buckthorntack/platform/_settings.py
+++ b/buckthorntack/platform/_settings.py
@@ -55,4 +55,7 @@
         directory_ttl=datetime.timedelta(seconds=document["directory_ttl_s"]),
         stop_grace=datetime.timedelta(seconds=document["grace_s"]),
         listen_ip=document.get("listen_ip", ""),
+        processor_cores=document.get("processor_share", 0.0)
+        * document.get("processor_speed", 1.0),
+        link_mbps=document.get("link_mbps", 0.0),
     )
--- a/buckthorntack/platform/tests/test_formats.py
+++ b/buckthorntack/platform/tests/test_formats.py
@@ -35,6 +35,9 @@
     "bounds.retry_slack": 56,
     "bounds.ttl_max_s": 5,
     "bounds.grace_s": 8,
+    "limits.cpu_share": 0.5,
+    "limits.cpu_cores": 2,
+    "limits.link_mbps": 5.0,
 }
 
 
@@ -74,6 +77,8 @@
     assert settings.forward_address == "10.0.0.1:7661"
     assert settings.data_folder == ""
     assert settings.stop_grace.total_seconds() == 8
+    assert settings.processor_cores == 1.0
+    assert settings.link_mbps == 5.0
 
 
 def test_settings_of_a_control_vm(tmp_path):
--- a/buckthorntack/schema/_generated/node_documents.py
+++ b/buckthorntack/schema/_generated/node_documents.py
@@ -91,3 +91,15 @@
     """
     IP address to bind in place of ip_address, which others use, where a relay stands between.
     """
+    processor_share: NotRequired[float]
+    """
+    Share of its processor that the node may use; 0 or left out if not known.
+    """
+    processor_speed: NotRequired[float]
+    """
+    Speed of that processor in nominal cores; left out for 1.
+    """
+    link_mbps: NotRequired[float]
+    """
+    Bandwidth of the node's own link; 0 or left out if not known.
+    """
