--- a/buckthorntack/admission/tests/test_quota_properties.py
+++ b/buckthorntack/admission/tests/test_quota_properties.py
@@ -10,6 +10,8 @@
     deadline=None,
     derandomize=True,
     database=None,
+    # Shrinking a failure takes minutes.
+    phases=[hypothesis.Phase.explicit, hypothesis.Phase.generate],
 )
 PAIRS = tuple(
     map(
--- a/buckthorntack/gateway/_metrics.py
+++ b/buckthorntack/gateway/_metrics.py
@@ -82,6 +82,11 @@
             ["result", "unit"],
             registry=registry,
         )
+        self._capacity = prometheus_client.Gauge(
+            "gateway_capacity",
+            "Capacity that this entry VM reports, relative to a nominal one.",
+            registry=registry,
+        )
         self._refusals = prometheus_client.Counter(
             "gateway_quarantine_refusals",
             "Requests that were refused as they crash servers.",
@@ -137,6 +142,13 @@
         self._quota_requests.labels(result, unit).inc()
         self._quota_amount.labels(result, unit).inc(charge.amount)
 
+    def record_capacity(self, capacity):
+        """Record the capacity that this entry VM reports.
+
+        :param capacity: relative to a nominal VM.
+        """
+        self._capacity.set(capacity)
+
     def record_quarantine_refusal(self):
         """Count a request that is refused as it crashes servers."""
         self._refusals.inc()
--- a/buckthorntack/gateway/_settings.py
+++ b/buckthorntack/gateway/_settings.py
@@ -50,6 +50,10 @@
     listen_ip: str = ""
     #: What may be admitted beyond the quotas of organisations.
     quota_tolerance: admission.QuotaTolerance = admission.QuotaTolerance()
+    #: Processor in nominal cores that the node may use; 0 if not known.
+    processor_cores: float = 0.0
+    #: Bandwidth of the node's own link; 0 if not known.
+    link_mbps: float = 0.0
 
     def to_bind_address(self, address):
         """Return the local address to bind for an address that others use.
--- a/buckthorntack/platform/_settings.py
+++ b/buckthorntack/platform/_settings.py
@@ -57,6 +57,9 @@
         stop_grace=datetime.timedelta(seconds=document["grace_s"]),
         listen_ip=document.get("listen_ip", ""),
         quota_tolerance=_quota_tolerance(document),
+        processor_cores=document.get("processor_share", 0.0)
+        * document.get("processor_speed", 1.0),
+        link_mbps=document.get("link_mbps", 0.0),
     )
 
 
