Count the time of a suspension in leases

SystemClock.monotonic reads CLOCK_MONOTONIC, which stands still while a machine is suspended.

Clock gets a second reading, boottime (CLOCK_BOOTTIME; the monotonic one where there is none). Issuers and granters of leases and the admission task, whose deadlines are all its own, read it. Weighed: one reading of BOOTTIME for everything; but asyncio's timers do not count a suspension, and timeouts of others would end early by it.

--- a/buckthorntack/clock.py
+++ b/buckthorntack/clock.py
@@ -5,6 +5,8 @@
 import time
 from typing import Protocol
 
+_BOOTTIME = getattr(time, "CLOCK_BOOTTIME", None)
+
 
 def milliseconds(duration: datetime.timedelta) -> int:
     """Whole milliseconds of a duration, rounded down.
@@ -21,7 +23,16 @@
     """Source of time, passed in wherever time is needed."""
 
     def monotonic(self) -> datetime.timedelta:
-        """Time since an arbitrary start; never goes back."""
+        """Time since an arbitrary start; never goes back.
+
+        It may stand still while the machine is suspended, as timers do.
+        """
+
+    def boottime(self) -> datetime.timedelta:
+        """Time since an arbitrary start that also counts suspension.
+
+        Leases from other machines count it, since their time goes on.
+        """
 
     def wall(self) -> datetime.datetime:
         """Time of day in UTC; may be wrong or jump."""
@@ -40,6 +51,15 @@
         """Time since an arbitrary start; never goes back."""
         return datetime.timedelta(seconds=time.monotonic())
 
+    def boottime(self):
+        """Time since an arbitrary start that also counts suspension.
+
+        Platforms without such a clock get the monotonic one.
+        """
+        if _BOOTTIME is None:
+            return self.monotonic()
+        return datetime.timedelta(seconds=time.clock_gettime(_BOOTTIME))
+
     def wall(self):
         """Time of day in UTC; may be wrong or jump."""
         return datetime.datetime.now(datetime.UTC)
@@ -68,15 +88,20 @@
     def __init__(self, start=EPOCH):
         self.start = start
         self._elapsed = datetime.timedelta()
+        self._suspended = datetime.timedelta()
         self._sleepers = []
 
     def monotonic(self):
-        """Time since the clock was made."""
+        """Time since the clock was made, suspensions left out."""
         return self._elapsed
 
+    def boottime(self):
+        """Time since the clock was made."""
+        return self._elapsed + self._suspended
+
     def wall(self):
         """Time of day in UTC."""
-        return self.start + self._elapsed
+        return self.start + self.boottime()
 
     async def sleep(self, duration):
         """Wait until the clock was advanced far enough.
@@ -101,6 +126,13 @@
             if not woken.done():
                 woken.set_result(None)
 
+    def suspend(self, duration):
+        """Let time pass that neither the monotonic reading nor sleeps count.
+
+        :param duration: how long the machine is suspended.
+        """
+        self._suspended += duration
+
 
 async def completes(future, clock, within):
     """Wait for a future, but not for ever.
--- a/buckthorntack/entry/_admission_task.py
+++ b/buckthorntack/entry/_admission_task.py
@@ -50,13 +50,20 @@
     async def __aexit__(self, *exc_info):
         await self._stack.aclose()
 
+    def now(self):
+        """Time that the controller is told; it counts suspensions.
+
+        Parts of quotas are lent under leases, which go on meanwhile.
+        """
+        return self.clock.boottime()
+
     def deliver(self, sender, message: messages.UsageReport):
         """Merge another entry VM's usage report.
 
         :param sender: node id of the sender.
         :param message: the report.
         """
-        now = self.clock.monotonic()
+        now = self.now()
         self.controller.on_usage_report(message, now)
 
     async def admit(self, request: admission.AdmissionRequest):
@@ -65,7 +72,7 @@
         :param request: the request.
         :raises GatewayError: the request was refused and did not run.
         """
-        now = self.clock.monotonic()
+        now = self.now()
         offered = self.controller.offer(request, now)
         if offered.is_ok() and isinstance(offered.ok, admission.Queued):
             await self._wait(request)
@@ -91,7 +98,7 @@
         :param request_id: id of the request.
         :param tokens: number of tokens generated for it.
         """
-        now = self.clock.monotonic()
+        now = self.now()
         self.controller.on_request_finished(request_id, tokens, now)
         self._execute_commands()
 
@@ -101,12 +108,12 @@
         :param service: name of the service.
         :param slots: maximum number of requests in flight.
         """
-        now = self.clock.monotonic()
+        now = self.now()
         self.controller.set_capacity(service, slots, now)
         self._execute_commands()
 
     def _execute_commands(self):
-        for command in self.controller.tick(self.clock.monotonic()):
+        for command in self.controller.tick(self.now()):
             future = self._pending.get(command.request_id)
             if future is None or future.done():
                 continue
@@ -119,7 +126,7 @@
         while True:
             await self.clock.sleep(TICK)
             self._execute_commands()
-            now = self.clock.monotonic()
+            now = self.now()
             if now - self._last_report_at >= REPORT_PERIOD:
                 self._last_report_at = now
                 self._send_report(now)
--- a/buckthorntack/entry/tests/fakes.py
+++ b/buckthorntack/entry/tests/fakes.py
@@ -73,6 +73,9 @@
         now_s = asyncio.get_running_loop().time()
         return datetime.timedelta(seconds=now_s)
 
+    def boottime(self):
+        return self.monotonic()
+
     def wall(self):
         return clock.ManualClock.EPOCH + self.monotonic()
 
--- a/buckthorntack/placement/_granter.py
+++ b/buckthorntack/placement/_granter.py
@@ -35,7 +35,7 @@
         """Milliseconds since this node first saw the present state of a lease.
 
         :param row: a ``LeaseRow`` from the local state machine.
-        :param now_ms: monotonic time.
+        :param now_ms: boot time.
         """
         seen = self._observations.get(row.failure_domain)
         if seen is None or (seen.fencing, seen.renewal) != (
@@ -50,7 +50,7 @@
         """Record the present state of all leases; call periodically.
 
         :param rows: all ``LeaseRow`` of the local state machine.
-        :param now_ms: monotonic time.
+        :param now_ms: boot time.
         """
         for row in rows:
             self.unchanged_ms(row, now_ms)
@@ -60,7 +60,7 @@
 
         :param row: a ``LeaseRow`` from the local state machine.
         :param holder: the node that requests the lease.
-        :param now_ms: monotonic time.
+        :param now_ms: boot time.
         """
         unchanged_ms = self.unchanged_ms(row, now_ms)
         if row.holder in ("", holder):
@@ -128,7 +128,7 @@
 
     async def _observe(self):
         while True:
-            now_ms = clocks.milliseconds(self.clock.monotonic())
+            now_ms = clocks.milliseconds(self.clock.boottime())
             self._watch.observe(self.machine.rows(), now_ms)
             await self.clock.sleep(_OBSERVE_PERIOD)
 
@@ -138,7 +138,7 @@
 
     async def _answer_request(self, sender, request):
         row = self.machine.row(request.failure_domain)
-        now_ms = clocks.milliseconds(self.clock.monotonic())
+        now_ms = clocks.milliseconds(self.clock.boottime())
         wait_ms = self._watch.wait_ms(row, request.holder, now_ms)
         outcome = _machine.LeaseOutcome(False, row)
         if wait_ms == 0:
--- a/buckthorntack/placement/_lease.py
+++ b/buckthorntack/placement/_lease.py
@@ -29,7 +29,7 @@
     def next_request(self, now_ms):
         """Return the lease request to send now, or ``None``.
 
-        :param now_ms: monotonic time.
+        :param now_ms: boot time.
         """
         if now_ms < self._next_request_at_ms:
             return None
@@ -53,7 +53,7 @@
         """Process the answer to a lease request.
 
         :param grant: a ``LeaseGrant``.
-        :param now_ms: monotonic time.
+        :param now_ms: boot time.
         """
         asked_at_ms = self._requested_at_ms.pop(grant.request_number, None)
         if asked_at_ms is None or grant.failure_domain != self.failure_domain:
@@ -81,7 +81,7 @@
     def is_held(self, now_ms):
         """Whether this node holds the lease and is the issuer.
 
-        :param now_ms: monotonic time.
+        :param now_ms: boot time.
         """
         return self._until_ms is not None and now_ms < self._until_ms
 
@@ -92,7 +92,7 @@
         of the former issuer may still be in transit.
 
         :param checks_fencing: whether the engine checks fencing numbers.
-        :param now_ms: monotonic time.
+        :param now_ms: boot time.
         """
         if not self.is_held(now_ms):
             return False
--- a/buckthorntack/placement/_task.py
+++ b/buckthorntack/placement/_task.py
@@ -86,7 +86,7 @@
             self._log.write(_events.STEP_FAILED, error=repr(error))
 
     def _now_ms(self):
-        return clocks.milliseconds(self.clock.monotonic())
+        return clocks.milliseconds(self.clock.boottime())
 
     def deliver(self, _sender, message):
         """Process the answer to a lease request without blocking.
--- a/buckthorntack/placement/tests/test_task.py
+++ b/buckthorntack/placement/tests/test_task.py
@@ -146,6 +146,31 @@
     assert task.lease.fencing == 1
 
 
+# A suspended issuer took its lease for valid after another one had it.
+def test_suspension_counts_towards_the_lease():
+    harness = Harness(accept)
+
+    async def scenario():
+        transport = httpx.MockTransport(harness.handle)
+        async with (
+            httpx.AsyncClient(transport=transport) as client,
+            harness.control,
+            harness.issuer("e0", client) as task,
+        ):
+            await harness.settle()
+            await harness.pass_time(2)
+            assert task.lease.is_held(task._now_ms())
+            del harness.network.tasks["control"]
+            orders = len(harness.orders)
+            lease = datetime.timedelta(milliseconds=worlds.TIMING.lease_ms)
+            harness.clock.suspend(lease)
+            assert not task._may_issue(True)
+            await harness.pass_time(1)
+            assert len(harness.orders) == orders
+
+    asyncio.run(scenario())
+
+
 def test_request_in_anothers_name_is_ignored():
     harness = Harness(accept)
 
