Let nodes of an earlier build read messages with new fields

NamedTuples travel as arrays, and msgspec refuses arrays that are longer than known, so that a node dropped every message to which a later build had added a field; and a message of the control group that it could not decode raised out of the connection's handler.

schema.decode cuts off unknown fields at the end of messages, at each depth, but only after strict decoding has failed, and decodes what is left strictly. Unknown kinds are logged once for each kind and peer.

Nodes tell their protocol version in NodePresence; control VMs show the versions in use as a metric and log when one appears or is gone; discovery.can_all_follow is for features that all must share. No feature asks yet.

--- a/buckthorntack/discovery/__init__.py
+++ b/buckthorntack/discovery/__init__.py
@@ -22,6 +22,9 @@
 from buckthorntack.discovery._registry import Registry
 from buckthorntack.discovery._registry import ServerView
 from buckthorntack.discovery._timing import Timing
+from buckthorntack.discovery._versions import can_all_follow
+from buckthorntack.discovery._versions import count_protocol_versions
+from buckthorntack.discovery._versions import PROTOCOL_VERSION
 
 __all__ = [
     "AddressScope",
@@ -32,6 +35,7 @@
     "ControlVms",
     "Followers",
     "MemberChangePlanner",
+    "PROTOCOL_VERSION",
     "Promote",
     "Registry",
     "Remove",
@@ -39,5 +43,7 @@
     "ServerView",
     "Timing",
     "address_of",
+    "can_all_follow",
+    "count_protocol_versions",
     "select_entry_vms",
 ]
--- a/buckthorntack/gateway/_control.py
+++ b/buckthorntack/gateway/_control.py
@@ -98,6 +98,10 @@
     return not any(learner in live for learner in status.learners)
 
 
+def _join_versions(counts):
+    return ",".join(str(version) for version in sorted(counts))
+
+
 class ControlNode(_node.Node):
     """Control VM.
 
@@ -120,6 +124,7 @@
         self._leaderless = _notices.LastingCondition(
             LEADERLESS_DELAY, LEADERLESS_INTERVAL
         )
+        self._protocol_versions = {}
 
     def _start_log_fields(self):
         return {
@@ -219,8 +224,16 @@
         """Deliver a consensus message unless it is for a replaced disk."""
         if self.replica is None:
             return
-        if envelope.receiver == self.identity.node_id:
-            self.replica.deliver(sender, schema.unpack(envelope.content))
+        if envelope.receiver != self.identity.node_id:
+            return
+        try:
+            message = schema.unpack(envelope.content)
+        except schema.MalformedMessageError as error:
+            self._log.write(
+                _events.REPLICA_MESSAGE_REFUSED, peer=sender, error=str(error)
+            )
+            return
+        self.replica.deliver(sender, message)
 
     async def publish(self, content):
         """Publish a configuration.
@@ -328,6 +341,7 @@
 
     def _observe_group(self):
         """Record the state of the group; log if it stays without a leader."""
+        self._observe_protocol_versions()
         status = self.replica.status()
         live = self.gathering.list_live_controls()
         self.metrics.record_group(status, live)
@@ -345,6 +359,21 @@
                 live=",".join(sorted(live)),
             )
 
+    def _observe_protocol_versions(self):
+        """Record which versions nodes have; log if one appears or is gone."""
+        counts = discovery.count_protocol_versions(self.registry)
+        former = self._protocol_versions
+        if counts == former:
+            return
+        self._protocol_versions = counts
+        self.metrics.record_protocol_versions(counts, former)
+        if counts.keys() != former.keys():
+            self._log.write(
+                _events.PROTOCOL_VERSIONS_CHANGED,
+                former=_join_versions(former),
+                current=_join_versions(counts),
+            )
+
     @functools.singledispatchmethod
     async def _change_members(self, change):
         raise TypeError(f"{type(change).__name__} is not a membership change")
--- a/buckthorntack/gateway/_events.py
+++ b/buckthorntack/gateway/_events.py
@@ -222,3 +222,19 @@
     " hands their requests to others; logged when the services change.",
     "check the network of the entry VM",
 )
+REPLICA_MESSAGE_REFUSED = events.declare(
+    2240,
+    "replica_message_refused",
+    logbook.WARNING,
+    "A message of the control group could not be decoded and was dropped; it"
+    " may be of a build whose messages this one may not shorten.",
+    "bring this control VM and the sender to builds that may run side by side",
+)
+PROTOCOL_VERSIONS_CHANGED = events.declare(
+    2241,
+    "protocol_versions_changed",
+    logbook.NOTICE,
+    "The versions of messages that the known nodes understand have changed:"
+    " an upgrade begins or ends.",
+    "if no upgrade is under way, look for nodes of another build",
+)
--- a/buckthorntack/gateway/_metrics.py
+++ b/buckthorntack/gateway/_metrics.py
@@ -157,6 +157,13 @@
             "1 if a leader of the control group is known, otherwise 0.",
             registry=registry,
         )
+        self._protocol_versions = prometheus_client.Gauge(
+            "gateway_nodes_by_protocol_version",
+            "Known nodes that have not deregistered, by the newest version of"
+            " messages between nodes that they understand.",
+            ["version"],
+            registry=registry,
+        )
 
     def record_group(self, status, live):
         """Record the members and the leader of the control group.
@@ -172,3 +179,14 @@
             self._members.labels(role, "yes").set(count)
             self._members.labels(role, "no").set(len(node_ids) - count)
         self._has_leader.set(1 if status.leader else 0)
+
+    def record_protocol_versions(self, counts, former):
+        """Record how many nodes have which protocol version.
+
+        :param counts: number of nodes by version.
+        :param former: what was recorded last.
+        """
+        for version in former.keys() - counts.keys():
+            self._protocol_versions.remove(str(version))
+        for version, count in counts.items():
+            self._protocol_versions.labels(str(version)).set(count)
--- a/buckthorntack/gateway/_presence.py
+++ b/buckthorntack/gateway/_presence.py
@@ -1,5 +1,6 @@
 """Presence that a node reports to control VMs."""
 
+from buckthorntack import discovery
 from buckthorntack.schema import messages
 
 
@@ -39,6 +40,7 @@
             region=settings.region,
             silent=False,
             unreachable_services=self.unreachable_services,
+            protocol_version=discovery.PROTOCOL_VERSION,
         )
 
     def on_presence_reply(self, reply):
--- a/buckthorntack/ledger/_machine.py
+++ b/buckthorntack/ledger/_machine.py
@@ -54,7 +54,9 @@
         ]
 
     def _apply_operation(self, operation):
-        message = schema.decode(operation.name.encode(), operation.payload)
+        message = schema.decode_exactly(
+            operation.name.encode(), operation.payload
+        )
         digest = _keys.record_digest(message.organisation, message.key)
         record = self.records.get(digest)
         return self._apply_message(message, operation.holder, digest, record)
--- a/buckthorntack/schema/tests/test_fuzz.py
+++ b/buckthorntack/schema/tests/test_fuzz.py
@@ -1,5 +1,8 @@
 """Fuzz tests of messages and documents."""
 
+import json
+import pathlib
+
 import hypothesis
 from hypothesis import strategies
 import msgspec
@@ -67,6 +70,44 @@
     assert schema.decode(*schema.encode(message))._fields == message._fields
 
 
+RECORDED = {
+    name: bytes.fromhex(payload)
+    for name, payload in json.loads(
+        (pathlib.Path(__file__).parent / "recorded_messages.json").read_text()
+    )["messages"].items()
+}
+
+
+@SETTINGS
+@hypothesis.given(
+    strategies.sampled_from(sorted(RECORDED)),
+    strategies.sampled_from(["add", "remove", "replace"]),
+    strategies.integers(0, 2**16),
+    values,
+)
+def test_changed_field_is_left_out_or_refused(name, change, place, value):
+    fields = msgspec.msgpack.decode(RECORDED[name])
+    nested = [one for one in fields if isinstance(one, list) and one]
+    if nested and place % 2:
+        fields_changed = nested[place // 2 % len(nested)]
+    else:
+        fields_changed = fields
+    if change == "add":
+        fields_changed.append(value)
+    elif change == "remove":
+        fields_changed.pop()
+    else:
+        fields_changed[place % len(fields_changed)] = value
+    frames = name.encode(), msgspec.msgpack.encode(fields)
+    try:
+        message = schema.decode(*frames)
+    except schema.MalformedMessageError:
+        return
+    again = schema.decode_exactly(*schema.encode(message))
+    # A NaN differs from itself, so their encodings are compared.
+    assert schema.encode(again) == schema.encode(message)
+
+
 @pytest.mark.parametrize("kind", [b"\x91", b"\x81\xa0"])
 def test_deep_message_is_refused(kind):
     with pytest.raises(schema.MalformedMessageError):
--- a/buckthorntack/transport/_links.py
+++ b/buckthorntack/transport/_links.py
@@ -17,6 +17,7 @@
 from buckthorntack import schema
 from buckthorntack.schema import messages
 from buckthorntack.transport import _events
+from buckthorntack.transport import _refusals
 from buckthorntack.transport import _shaping
 
 HEARTBEAT_PERIOD_MS = 500
@@ -100,6 +101,7 @@
         self._connected = {}
         self._dealers = {}
         self._log = events.EventLog("transport")
+        self._refusals = _refusals.Refusals(self._log)
 
     async def __aenter__(self):
         self._context = zmq.asyncio.Context()
@@ -250,14 +252,13 @@
             self._receive_available()
 
     def _receive(self, frames):
+        name = b""
         try:
             peer, name, payload = frames
             message = schema.decode(name, payload)
         except (ValueError, schema.MalformedMessageError) as error:
             peer = frames[0].decode(errors="replace")
-            self._log.write(
-                _events.MESSAGE_REFUSED, peer=peer, reason=str(error)
-            )
+            self._refusals.record(peer, name, error)
             return
         size_bytes = len(name) + len(payload)
         self.received_messages += 1
--- a/buckthorntack/transport/_plain_links.py
+++ b/buckthorntack/transport/_plain_links.py
@@ -12,6 +12,7 @@
 from buckthorntack import events
 from buckthorntack import schema
 from buckthorntack.transport import _events
+from buckthorntack.transport import _refusals
 from buckthorntack.transport import _sockets
 
 #: Time limit of a connection attempt.
@@ -132,6 +133,7 @@
         self._closing = False
         self._server = None
         self._log = events.EventLog("transport")
+        self._refusals = _refusals.Refusals(self._log)
 
     async def __aenter__(self):
         sock = _sockets.bind_listener(self.listen_address)
@@ -299,11 +301,10 @@
         if self._closing:
             return
         try:
-            message = schema.unpack(frame)
+            message = schema.decode(*schema.split(frame))
         except schema.MalformedMessageError as error:
-            self._log.write(
-                _events.MESSAGE_REFUSED, peer=sender, reason=str(error)
-            )
+            name, _ = schema.split(frame)
+            self._refusals.record(sender, name, error)
             return
         self.received_messages += 1
         self.handle(sender, message)
