--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 SECONDS ?= 30
 
 .PHONY: help venv test lint format generate check-generated unit demo \
-	binary smoke bench capacity matrix explore soak clean
+	binary smoke bench capacity matrix explore soak production clean
 
 help:  ## List the targets.
 	@grep -E '^[a-z-]+:.*## ' Makefile | sed 's/:.*## /\t/'
@@ -57,6 +57,10 @@
 	$(BIN)/python -m tools.soak --seconds $(SECONDS) \
 		$(if $(SEED),--seed $(SEED))
 
+production: venv  ## Name HEAD in deploy/system.toml, and record its messages.
+	test -z "$$(git status --porcelain)"
+	$(BIN)/python -m tools.record_messages
+
 demo: venv  ## Show a deployment at work (DEPLOYMENT=rendimar for the other).
 	$(BIN)/python -m tools.demo $(DEPLOYMENT)
 
