Tell control VMs and nodes less of each server

At 300 machines and 3,000 servers control VMs were busy with the start: each new server was sent to each follower by itself; each announcement and each change went over all records (address, stamp); a young registry was returned all records by all entry VMs; and servers announced themselves at any control VM, over new connections.

- The registry finds servers by address and changes by stamp.
- Changes wait up to 100 ms and are sent together; those that leave are sent at once.
- A young registry asks two entry VMs of a failure domain for all records, the others for those that are draining or gone.
- An announcement is answered with the control VM of the server's own failure domain (heartbeat_url).
A control VM that hears less than half of the others answers ready servers 503, so that they go on to another.

control_vms.py in gateway/tests flushes as the node's new task does.

--- a/buckthorntack/discovery/__init__.py
+++ b/buckthorntack/discovery/__init__.py
@@ -19,7 +19,10 @@
 from buckthorntack.discovery._member_changes import Promote
 from buckthorntack.discovery._member_changes import Remove
 from buckthorntack.discovery._member_changes import Replace
+from buckthorntack.discovery._registrars import choose_registrar
+from buckthorntack.discovery._registrars import is_cut_off
 from buckthorntack.discovery._registry import Registry
+from buckthorntack.discovery._registry import select_returned
 from buckthorntack.discovery._registry import ServerView
 from buckthorntack.discovery._timing import Timing
 from buckthorntack.discovery._versions import can_all_follow
@@ -44,6 +47,9 @@
     "Timing",
     "address_of",
     "can_all_follow",
+    "choose_registrar",
     "count_protocol_versions",
+    "is_cut_off",
     "select_entry_vms",
+    "select_returned",
 ]
--- a/buckthorntack/discovery/_followers.py
+++ b/buckthorntack/discovery/_followers.py
@@ -50,13 +50,19 @@
         :returns: list of pairs of node id and ``RegistryChanges``.
         """
         sent = []
+        changes_by_stamp = {}
         for node_id, follower in list(self._followers.items()):
             if now - follower.reported_at > self.timing.node_silence_timeout:
                 del self._followers[node_id]
                 continue
             if follower.sent_stamp >= self.registry.stamp:
                 continue
-            changes = self.registry.changes_since(follower.sent_stamp, now)
+            stamp = follower.sent_stamp
+            if stamp not in changes_by_stamp:
+                changes_by_stamp[stamp] = self.registry.changes_since(
+                    stamp, now
+                )
+            changes = changes_by_stamp[stamp]
             self._followers[node_id] = follower._replace(
                 sent_stamp=changes.stamp
             )
--- a/buckthorntack/discovery/_registry.py
+++ b/buckthorntack/discovery/_registry.py
@@ -5,6 +5,7 @@
 """
 
 import datetime
+import itertools
 from typing import NamedTuple
 
 from buckthorntack.schema import messages
@@ -55,8 +56,11 @@
         self.timing = timing
         self.started_at = now
         self.stamp = 0
+        #: Views by server id, those that changed last at the end.
         self.servers = {}
         self.nodes = {}
+        #: Ids of the servers that have announced each address.
+        self._ids_by_address = {}
         #: Incarnations of servers that said in a response that they leave.
         self._leaving = {}
         self._checked_at = now
@@ -248,6 +252,7 @@
             record = view.record
             if silence > self.timing.retention:
                 del self.servers[record.server_id]
+                self._forget_address(record)
                 self._leaving.pop(record.server_id, None)
             elif record.silent or record.state == GONE:
                 continue
@@ -328,11 +333,11 @@
         :param now: monotonic time.
         :returns: ``RegistryChanges``.
         """
-        servers = [
-            _with_remaining_times(view, now)
-            for view in self.servers.values()
-            if view.stamp > stamp
-        ]
+        newest = itertools.takewhile(
+            lambda view: view.stamp > stamp, reversed(self.servers.values())
+        )
+        servers = [_with_remaining_times(view, now) for view in newest]
+        servers.reverse()
         nodes = [
             view.record for view in self.nodes.values() if view.stamp > stamp
         ]
@@ -368,32 +373,59 @@
 
     def _store_server(self, view):
         self.stamp += 1
-        server_id = view.record.server_id
-        self.servers[server_id] = view._replace(stamp=self.stamp)
+        record = view.record
+        known = self.servers.pop(record.server_id, None)
+        if known is not None and known.record.address != record.address:
+            self._forget_address(known.record)
+        self._ids_by_address.setdefault(record.address, set()).add(
+            record.server_id
+        )
+        self.servers[record.server_id] = view._replace(stamp=self.stamp)
+
+    def _forget_address(self, record):
+        server_ids = self._ids_by_address[record.address]
+        server_ids.discard(record.server_id)
+        if not server_ids:
+            del self._ids_by_address[record.address]
+
+    def _others_at_address(self, record):
+        """Views of the other servers that announced the same address."""
+        return [
+            self.servers[server_id]
+            for server_id in self._ids_by_address.get(record.address, ())
+            if server_id != record.server_id
+        ]
 
     def _is_address_taken(self, record):
         """Return whether a newer server has the same address."""
         return any(
-            other.record.address == record.address
-            and other.record.server_id != record.server_id
-            and other.record.born_ms > record.born_ms
-            for other in self.servers.values()
+            other.record.born_ms > record.born_ms
+            for other in self._others_at_address(record)
         )
 
     def _retire_predecessors(self, record):
         """Mark older servers at the address of a record as gone."""
-        for view in list(self.servers.values()):
+        for view in self._others_at_address(record):
             other = view.record
-            if (
-                other.address == record.address
-                and other.server_id != record.server_id
-                and other.state != GONE
-                and other.born_ms <= record.born_ms
-            ):
+            if other.state != GONE and other.born_ms <= record.born_ms:
                 retired = other._replace(state=GONE)
                 self._store_server(view._replace(record=retired))
 
 
+def select_returned(records, reply):
+    """Choose the records of servers that an entry VM returns.
+
+    :param records: ``AnnouncedServer`` that it has.
+    :param reply: ``PresenceReply`` of a control VM.
+    :returns: list of records.
+    """
+    if reply.wants_servers:
+        return list(records)
+    if reply.wants_marks:
+        return [record for record in records if record.state != READY]
+    return []
+
+
 def _is_newer(record, known):
     """Return whether a record supersedes the known one of its server."""
     if record.born_ms != known.born_ms:
--- a/buckthorntack/gateway/_control.py
+++ b/buckthorntack/gateway/_control.py
@@ -186,6 +186,7 @@
         for work in (
             self.gathering.run,
             self.gathering.expire,
+            self.gathering.flush_changes,
             self.origin_keeper.run,
             self._form,
             self._observe,
@@ -215,6 +216,8 @@
             self.gathering.on_presence_reply(sender, message)
         elif isinstance(message, messages.RegistryChanges):
             self.gathering.on_registry_changes(sender, message)
+        elif isinstance(message, messages.PackedChanges):
+            self.gathering.on_packed_changes(sender, message)
         elif isinstance(message, messages.StreamOrigins):
             self.origin_keeper.on_origins(message)
         elif isinstance(message, messages.OriginQuery):
--- a/buckthorntack/gateway/_distribution.py
+++ b/buckthorntack/gateway/_distribution.py
@@ -4,7 +4,7 @@
 import contextlib
 import datetime
 
-from buckthorntack.gateway import _following
+from buckthorntack.gateway import _packing
 from buckthorntack.schema import messages
 
 #: Time to confirm with a majority that the copy for a starting entry VM is the
@@ -135,6 +135,6 @@
     def _compressed_content(self):
         directives = self.machine.directives
         if self._compressed[0] != directives.version:
-            compressed = _following.compress_content(directives.content)
+            compressed = _packing.compress_content(directives.content)
             self._compressed = (directives.version, compressed)
         return self._compressed[1]
--- a/buckthorntack/gateway/_entry.py
+++ b/buckthorntack/gateway/_entry.py
@@ -152,6 +152,8 @@
             self._on_region_load(sender, message, now_s)
         elif isinstance(message, messages.RegistryChanges):
             self.following.on_registry_changes(sender, message)
+        elif isinstance(message, messages.PackedChanges):
+            self.following.on_packed_changes(sender, message)
         elif isinstance(message, messages.PresenceReply):
             self.following.on_presence_reply(sender, message)
         elif isinstance(message, messages.DirectivesCopy):
--- a/buckthorntack/gateway/_events.py
+++ b/buckthorntack/gateway/_events.py
@@ -238,3 +238,10 @@
     " an upgrade begins or ends.",
     "if no upgrade is under way, look for nodes of another build",
 )
+CHANGES_UNREADABLE = events.declare(
+    2242,
+    "changes_unreadable",
+    logbook.WARNING,
+    "Compressed changes of a registry could not be read and were dropped.",
+    "look for a sender of another build",
+)
--- a/buckthorntack/gateway/_following.py
+++ b/buckthorntack/gateway/_following.py
@@ -1,15 +1,16 @@
 """Reports of an entry VM to control VMs, and updates that it gets back."""
 
 import datetime
-import zlib
 
 from expression import Ok
 
 from buckthorntack import discovery
 from buckthorntack import events
+from buckthorntack import schema
 from buckthorntack.gateway import _addresses
 from buckthorntack.gateway import _events
 from buckthorntack.gateway import _notices
+from buckthorntack.gateway import _packing
 from buckthorntack.gateway import _presence
 from buckthorntack.schema import messages
 
@@ -21,8 +22,6 @@
 #: Time without a configuration that exceeds the usual one after a start, and
 #: interval between two reports of it.
 CONFIGURATION_DELAY = datetime.timedelta(seconds=3)
-#: Maximum size of a configuration after decompression.
-MAX_CONTENT_BYTES = 64 * 1024 * 1024
 
 
 class FollowingTask:
@@ -180,12 +179,29 @@
         now = self.clock.monotonic()
         self.control_selector.on_reply(sender, reply.has_majority, now)
         self.local_presence.on_presence_reply(reply)
-        if reply.wants_servers:
+        records = [view.record for view in self.registry.servers.values()]
+        returned = discovery.select_returned(records, reply)
+        if returned:
             changes = self.registry.changes_for_servers(
-                list(self.registry.servers), now
+                [record.server_id for record in returned], now
             )
             self.links.send(sender, changes)
 
+    def on_packed_changes(self, sender, packed):
+        """Apply compressed changes of a control VM's registry.
+
+        :param sender: id of the control VM.
+        :param packed: ``PackedChanges``.
+        """
+        try:
+            changes = _packing.unpack(packed)
+        except schema.MalformedMessageError as error:
+            self._log.write(
+                _events.CHANGES_UNREADABLE, told_by=sender, error=str(error)
+            )
+            return
+        self.on_registry_changes(sender, changes)
+
     def on_registry_changes(self, sender, changes):
         """Apply changes of a control VM's registry.
 
@@ -255,7 +271,7 @@
         if copy.version > self.shared_state.version:
             if not copy.content:
                 return
-            content = decompress_content(copy.content)
+            content = _packing.decompress_content(copy.content)
             configuration = self.shared_state.dialect.parse_configuration(
                 content
             )
@@ -279,26 +295,3 @@
         )
         if self.state == "starting" and self.shared_state.version >= 0:
             self.set_state("ready")
-
-
-def compress_content(content):
-    """Compress a configuration document.
-
-    :param content: bytes of the document.
-    :returns: compressed bytes.
-    """
-    return zlib.compress(content, 6)
-
-
-def decompress_content(data):
-    """Decompress a configuration document.
-
-    :param data: bytes that :func:`compress_content` returned.
-    :returns: bytes of the document.
-    :raises ValueError: the document is larger than the maximum.
-    """
-    decompressor = zlib.decompressobj()
-    content = decompressor.decompress(data, MAX_CONTENT_BYTES)
-    if not decompressor.eof:
-        raise ValueError("the document is too large")
-    return content
--- a/buckthorntack/gateway/_gathering.py
+++ b/buckthorntack/gateway/_gathering.py
@@ -1,11 +1,14 @@
 """Collection and exchange of server and node reports by control VMs."""
 
+import collections
 import datetime
 
 from buckthorntack import discovery
 from buckthorntack import events
+from buckthorntack import schema
 from buckthorntack.gateway import _addresses
 from buckthorntack.gateway import _events
+from buckthorntack.gateway import _packing
 from buckthorntack.gateway import _presence
 from buckthorntack.schema import messages
 
@@ -14,6 +17,13 @@
 EXPIRE_PERIOD = 250 * _MS
 #: Server states that are sent to all entry VMs at once.
 URGENT_STATES = ("draining", "gone")
+#: Node states that are sent to followers at once.
+URGENT_NODE_STATES = ("stopping", "gone")
+#: Period at which changes that are not urgent are sent together.
+FLUSH_PERIOD = 100 * _MS
+#: Entry VMs of one failure domain that return their whole copies to a young
+#: registry. One of them may have started lately itself, and know little.
+COPIES_PER_DOMAIN = 2
 
 
 class GatheringTask:
@@ -56,6 +66,9 @@
         self._merged_stamps = {}
         self._heard_servers = set()
         self._heard_nodes = set()
+        #: Entry VMs that were asked for whole copies, by failure domain.
+        self._asked = collections.Counter()
+        self._asked_nodes = set()
         self._log = events.EventLog("gateway")
 
     def presence(self):
@@ -71,7 +84,22 @@
         self._heard_servers.add(record.server_id)
         if self.registry.merge_server(record, now):
             self._log_server_change(record.server_id, "itself")
-            self._send_changes(now, [record.server_id])
+            self._send_if_urgent(now, [record.server_id])
+
+    def choose_registrar(self, record):
+        """Choose the control VM that a server shall announce itself to next.
+
+        :param record: ``AnnouncedServer``.
+        :returns: ``NodePresence``; None if this one cannot tell, because it
+            is cut off from most others.
+        """
+        nodes = self.registry.nodes_with_role("control")
+        if discovery.is_cut_off(self.node_id, nodes):
+            return None
+        live = [
+            node for node in nodes if node.state == "ready" and not node.silent
+        ]
+        return discovery.choose_registrar(record, live)
 
     def on_leave(self, server_id, born_ms):
         """Handle the notice of a server that it leaves.
@@ -82,19 +110,49 @@
         now = self.clock.monotonic()
         if self.registry.mark_server_gone(server_id, born_ms, now):
             self._log_server_change(server_id, "itself")
-            self._send_changes(now, [server_id])
+            self._send_if_urgent(now, [server_id])
+
+    def flush(self):
+        """Send changes that have waited to be sent together."""
+        self._send_changes(self.clock.monotonic())
 
-    def _send_changes(self, now, urgent=()):
-        """Send due changes to followers and urgent ones to all entry VMs."""
+    async def flush_changes(self):
+        """Send changes periodically until cancelled."""
+        while True:
+            await self.clock.sleep(FLUSH_PERIOD)
+            self.flush()
+
+    def _send_changes(self, now):
+        """Send due changes to followers."""
+        packed = {}
         for node_id, changes in self.followers.take_due_changes(now):
-            self.links.send(node_id, changes)
-        urgent = [
+            if not self._reads_packed(node_id):
+                self.links.send(node_id, changes)
+                continue
+            # Followers that have the same get the same changes.
+            if changes.since_stamp not in packed:
+                packed[changes.since_stamp] = _packing.pack(changes)
+            self.links.send(node_id, packed[changes.since_stamp])
+
+    def _reads_packed(self, node_id):
+        view = self.registry.nodes.get(node_id)
+        if view is None:
+            return False
+        return view.record.protocol_version >= _packing.PACKED_VERSION
+
+    def _list_urgent(self, server_ids):
+        return [
             server_id
-            for server_id in urgent
+            for server_id in server_ids
             if self.registry.servers[server_id].record.state in URGENT_STATES
         ]
+
+    def _send_if_urgent(self, now, server_ids):
+        """Send urgent changes of servers to followers and all entry VMs."""
+        urgent = self._list_urgent(server_ids)
         if not urgent:
             return
+        self._send_changes(now)
         urgent_changes = self.registry.changes_for_servers(urgent, now)
         for record in self.registry.nodes_with_role("entry"):
             if record.node_id not in self.followers:
@@ -109,8 +167,7 @@
         now = self.clock.monotonic()
         node = report.node
         self.links.set_address(node.node_id, node.link_address)
-        previous_view = self.registry.nodes.get(node.node_id)
-        self.registry.merge_node(node, now)
+        changed = self.registry.merge_node(node, now)
         stored_record = self.registry.nodes[node.node_id].record
         accepted = stored_record == node
         if accepted:
@@ -123,32 +180,47 @@
         if report.registry_epoch >= 0:
             self.followers.on_report(report, now)
         self._send_reply(
-            sender,
-            accepted,
-            stored_record.incarnation,
-            previous_view is None,
-            now,
+            sender, report, accepted, stored_record.incarnation, now
         )
         if node.role == "entry":
             self.distribution.on_presence_report(
                 report, report.registry_epoch >= 0, now
             )
-        self._send_changes(now)
+        if changed and node.state in URGENT_NODE_STATES:
+            self._send_changes(now)
 
-    def _send_reply(self, sender, accepted, incarnation, is_new, now):
-        is_registry_young = (
-            now - self.registry.started_at < self.timing.registry_sync_period
-        )
+    def _send_reply(self, sender, report, accepted, incarnation, now):
+        wants_servers, wants_marks = self._choose_wanted(report, now)
         reply = messages.PresenceReply(
             incarnation=incarnation,
             accepted=accepted,
             registry_epoch=self.registry.epoch,
             registry_stamp=self.registry.stamp,
             has_majority=self.replica.leader() != "",
-            wants_servers=is_registry_young and is_new,
+            wants_servers=wants_servers,
+            wants_marks=wants_marks,
         )
         self.links.send(sender, reply)
 
+    def _choose_wanted(self, report, now):
+        """Whether to ask a node for its servers, or those that leave.
+
+        Ready servers announce themselves soon; the marks of others are lost
+        with this registry unless one node that has them returns them.
+        """
+        age = now - self.registry.started_at
+        node = report.node
+        if age >= self.timing.registry_sync_period or node.role != "entry":
+            return False, False
+        if node.node_id in self._asked_nodes:
+            return False, False
+        self._asked_nodes.add(node.node_id)
+        domain = node.failure_domain
+        if report.version < 0 or self._asked[domain] >= COPIES_PER_DOMAIN:
+            return False, True
+        self._asked[domain] += 1
+        return True, False
+
     def on_presence_reply(self, sender, reply):
         """Handle the reply of another control VM to a report.
 
@@ -157,6 +229,21 @@
         """
         self.local_presence.on_presence_reply(reply)
 
+    def on_packed_changes(self, sender, packed):
+        """Merge compressed changes of another registry.
+
+        :param sender: id of a control VM.
+        :param packed: ``PackedChanges``.
+        """
+        try:
+            changes = _packing.unpack(packed)
+        except schema.MalformedMessageError as error:
+            self._log.write(
+                _events.CHANGES_UNREADABLE, told_by=sender, error=str(error)
+            )
+            return
+        self.on_registry_changes(sender, changes)
+
     def on_registry_changes(self, sender, changes):
         """Merge changes of another registry.
 
@@ -165,7 +252,6 @@
         :param changes: ``RegistryChanges``.
         """
         now = self.clock.monotonic()
-        before = self.registry.stamp
         if changes.stamp:
             epoch, stamp = self._merged_stamps.get(sender, (0, 0))
             last_stamp = stamp if changes.registry_epoch == epoch else 0
@@ -181,7 +267,9 @@
             self._log_server_change(server_id, sender)
         for record in changes.nodes:
             self.links.set_address(record.node_id, record.link_address)
-        if self.registry.stamp != before:
+        if self._list_urgent(changed) or any(
+            record.state in URGENT_NODE_STATES for record in changes.nodes
+        ):
             self._send_changes(now)
 
     def _log_server_change(self, server_id, told_by):
--- a/buckthorntack/gateway/tests/control_vms.py
+++ b/buckthorntack/gateway/tests/control_vms.py
@@ -145,6 +145,7 @@
         """Do what the tasks of its process do up to now."""
         if now >= self.next_tick:
             self.next_tick = now + _control.TIMING.tick
+            self.gathering.flush()
             self.replica.tick(now)
             self.network.execute_commands(self.node)
         if now >= self.next_report:
@@ -201,6 +202,8 @@
             self.gathering.on_presence_reply(sender, message)
         elif isinstance(message, messages.RegistryChanges):
             self.gathering.on_registry_changes(sender, message)
+        elif isinstance(message, messages.PackedChanges):
+            self.gathering.on_packed_changes(sender, message)
 
 
 class ControlVms(simulations.Simulation):
--- a/buckthorntack/platform/_control_api.py
+++ b/buckthorntack/platform/_control_api.py
@@ -57,7 +57,24 @@
             self._send_error(reply, read.error)
             return
         self.node.gathering.on_announcement(read.ok)
-        self._send(reply, 200, {})
+        self._send(reply, *self._build_acknowledgement(read.ok))
+
+    def _build_acknowledgement(self, record):
+        """Answer an announcement; name where the next ones go to.
+
+        What only this control VM knows would be lost to others while it is
+        cut off from them, so that ready servers are sent on. Servers that
+        drain are acknowledged, as they may stop before another one is.
+        """
+        registrar = self.node.gathering.choose_registrar(record)
+        if registrar is not None:
+            server_id = urllib.parse.quote(record.server_id, safe="")
+            address = registrar.service_address
+            url = f"http://{address}/instances/{server_id}"
+            return 200, {"heartbeat_url": url}
+        if record.state == "ready":
+            return 503, {"error": "cut off from the other control VMs"}
+        return 200, {}
 
     async def _leave(self, request, reply, name):
         born_ms = _announcements.read_leave(request.body)
--- a/buckthorntack/schema/_generated/discovery.py
+++ b/buckthorntack/schema/_generated/discovery.py
@@ -71,6 +71,7 @@
     registry_stamp: int
     has_majority: bool
     wants_servers: bool
+    wants_marks: bool = False
 
 
 class RegistryChanges(NamedTuple):
@@ -85,6 +86,14 @@
     nodes: list[NodePresence]
 
 
+class PackedChanges(NamedTuple):
+    """
+    Many changes of a registry, compressed; only for nodes with protocol version 1 or later.
+    """
+
+    content: bytes
+
+
 class ServerUse(NamedTuple):
     """
     Requests that one entry VM or one region has at a backend server.
--- a/buckthorntack/schema/messages.py
+++ b/buckthorntack/schema/messages.py
@@ -56,6 +56,7 @@
             "ControlIdentity",
             "NodePresence",
             "OrganisationUse",
+            "PackedChanges",
             "PresenceReply",
             "PresenceReport",
             "PromptSent",
