--- a/buckthorntack/discovery/__init__.py
+++ b/buckthorntack/discovery/__init__.py
@@ -19,9 +19,15 @@
 from buckthorntack.discovery._member_changes import Promote
 from buckthorntack.discovery._member_changes import Remove
 from buckthorntack.discovery._member_changes import Replace
+from buckthorntack.discovery._registrars import choose_registrar
+from buckthorntack.discovery._registrars import is_cut_off
 from buckthorntack.discovery._registry import Registry
+from buckthorntack.discovery._registry import select_returned
 from buckthorntack.discovery._registry import ServerView
 from buckthorntack.discovery._timing import Timing
+from buckthorntack.discovery._versions import can_all_follow
+from buckthorntack.discovery._versions import count_protocol_versions
+from buckthorntack.discovery._versions import PROTOCOL_VERSION
 
 __all__ = [
     "AddressScope",
@@ -32,6 +38,7 @@
     "ControlVms",
     "Followers",
     "MemberChangePlanner",
+    "PROTOCOL_VERSION",
     "Promote",
     "Registry",
     "Remove",
@@ -39,5 +46,10 @@
     "ServerView",
     "Timing",
     "address_of",
+    "can_all_follow",
+    "choose_registrar",
+    "count_protocol_versions",
+    "is_cut_off",
     "select_entry_vms",
+    "select_returned",
 ]
--- a/buckthorntack/gateway/_events.py
+++ b/buckthorntack/gateway/_events.py
@@ -246,3 +246,26 @@
     " timers are; callers and relays choose by it.",
     "check whether its VM is slowed or overloaded",
 )
+REPLICA_MESSAGE_REFUSED = events.declare(
+    2240,
+    "replica_message_refused",
+    logbook.WARNING,
+    "A message of the control group could not be decoded and was dropped; it"
+    " may be of a build whose messages this one may not shorten.",
+    "bring this control VM and the sender to builds that may run side by side",
+)
+PROTOCOL_VERSIONS_CHANGED = events.declare(
+    2241,
+    "protocol_versions_changed",
+    logbook.NOTICE,
+    "The versions of messages that the known nodes understand have changed:"
+    " an upgrade begins or ends.",
+    "if no upgrade is under way, look for nodes of another build",
+)
+CHANGES_UNREADABLE = events.declare(
+    2242,
+    "changes_unreadable",
+    logbook.WARNING,
+    "Compressed changes of a registry could not be read and were dropped.",
+    "look for a sender of another build",
+)
--- a/buckthorntack/gateway/_presence.py
+++ b/buckthorntack/gateway/_presence.py
@@ -1,5 +1,6 @@
 """Presence that a node reports to control VMs."""
 
+from buckthorntack import discovery
 from buckthorntack.schema import messages
 
 
@@ -42,6 +43,7 @@
             silent=False,
             unreachable_services=self.unreachable_services,
             capacity=self.capacity,
+            protocol_version=discovery.PROTOCOL_VERSION,
         )
 
     def on_presence_reply(self, reply):
