--- a/buckthorntack/dispatch/_exchange.py
+++ b/buckthorntack/dispatch/_exchange.py
@@ -3,8 +3,8 @@
 Each failure domain has a relay, the entry VM with most means that responds.
 The other entry VMs of the domain report to the relay.  Relays report the sum
 of their domain to each other, and the sum of all others to each entry VM of
-their domain.  The number of messages is therefore linear in the number of entry VMs
-and not quadratic.  The rate of reports that one entry VM sends is
+their domain.  The number of messages is therefore linear in the number of
+entry VMs and not quadratic.  The rate of reports that one entry VM sends is
 limited: a relay of many entry VMs waits longer between two rounds.
 
 A sum includes only reports of a smaller scope, so no request is counted twice
