Let a starting entry VM use only its own part of quotas

All entry VMs that start anew several times within a window each had a part of the tolerance at once, and each admitted the first request of any size, as they knew of no demand. Until it has heard its region and the others, for 1 s at most, one now admits only its own part: by the regions and the known entry VMs of its region. Estimates of demand and use make up for what was before the start. Regions of the settings without any entry VM count no longer as out of touch for ever: the registry's records tell where there are any, 5 s after the start; regions once seen keep their part.

The set-up of test_quotas.py also marks the start as over, as it emulates entry VMs that have run for long; what it checks is unchanged.

--- a/buckthorntack/admission/_shared_quota.py
+++ b/buckthorntack/admission/_shared_quota.py
@@ -29,8 +29,20 @@
 #: Part of the tolerance by which the bucket is enlarged.  The other part
 #: covers what is admitted before reports arrive.
 ENLARGING_SHARE = 0.5
-#: Part of that which an organisation has when its entry VM starts.
-START_SHARE = 0.25
+#: Part of that in the bucket of an organisation when its entry VM starts.
+START_SHARE = 0.75
+#: Part of the tolerance that entry VMs which start together divide among
+#: themselves until they have heard each other; also the largest request that
+#: any of them admits then beyond its part.
+FIRST_SHARE = 0.2
+#: Time after the start in which each region is taken to have entry VMs.
+SETTLING_S = 5.0
+#: Entry VMs that a region is taken to have before their number is known.
+UNKNOWN_COUNT = 100
+#: Least age for which the demand before the start is made up for.
+MIN_AGE_S = 0.1
+#: Longest time in which a started entry VM waits for the reports of others.
+LONGEST_START_S = 1.0
 #: Window for deployments whose settings name none.
 DEFAULT_WINDOW_S = 8.0
 #: Least wait that a refusal states.
@@ -73,11 +85,20 @@
 class _Account:
     """Bucket of an organisation, and who uses it."""
 
-    __slots__ = ("admitted", "level", "quota", "requested", "updated_s")
+    __slots__ = (
+        "admitted",
+        "level",
+        "own_level",
+        "quota",
+        "requested",
+        "updated_s",
+    )
 
     def __init__(self, quota, level, source_count, now_s):
         self.quota = quota
         self.level = level
+        #: What is left of this entry VM's own part while it starts.
+        self.own_level = 0.0
         self.updated_s = now_s
         #: Decaying sums by source.
         self.admitted = [0.0] * source_count
@@ -108,8 +129,11 @@
         others = sorted(set(regions) - {region})
         self._sources = {name: _LOCAL + 1 + n for n, name in enumerate(others)}
         self._source_count = len(others) + 2
-        #: Time of the last report by source; never for those unheard.
+        #: Time of the last report by region that has entry VMs; never for
+        #: those unheard.
         self._heard_s = dict.fromkeys(others, -math.inf)
+        #: Regions that had entry VMs at any time.
+        self._seen_regions = set()
         self._accounts = collections.OrderedDict()
         #: Whether only the share of this region is used.
         self.is_cut_off = bool(others)
@@ -117,6 +141,11 @@
         #: that time; nothing is known of what was used before the start.
         self._base_share = 0.0
         self._base_s = now_s
+        #: Number of entry VMs of this region; None if not known.
+        self._member_count = None
+        self._started_s = now_s
+        self._is_starting = True
+        self._has_heard_members = False
 
     def __len__(self):
         return len(self._accounts)
@@ -126,6 +155,30 @@
         """Part of each quota that belongs to one region."""
         return 1.0 / (len(self._heard_s) + 1)
 
+    def set_entry_vms(self, member_count, regions, now_s):
+        """Set where there are entry VMs.
+
+        A region of which none was ever seen has no part of the quotas, except
+        soon after the start, when records of it may still come.
+
+        :param member_count: number of entry VMs of this region.
+        :param regions: names of the regions that have entry VMs.
+        :param now_s: monotonic time in seconds.
+        """
+        self._member_count = member_count
+        self._seen_regions.update(self._sources.keys() & set(regions))
+        if now_s - self._started_s < SETTLING_S:
+            return
+        if self._seen_regions == self._heard_s.keys():
+            return
+        for account in self._accounts.values():
+            self._refresh(account, now_s)
+        self._heard_s = {
+            region: self._heard_s.get(region, -math.inf)
+            for region in sorted(self._seen_regions)
+        }
+        self._update_touch(now_s)
+
     def list_silent_regions(self, now_s):
         """List the regions that are out of touch.
 
@@ -154,14 +207,52 @@
         demand_per_s = self._demand_per_s(account)
         account.requested[_OWN] += cost
         rate_per_s = self._rate_per_s(account)
-        if level - cost < kept and not self._is_drawn(
-            rate_per_s + level / CORRECTION_S, demand_per_s
-        ):
+        if self._is_starting:
+            has_room = self._fits_own_part(account, cost)
+        else:
+            has_room = level - cost >= kept or self._is_drawn(
+                rate_per_s + level / CORRECTION_S, demand_per_s
+            )
+        if not has_room:
             return self._estimate_wait_s(level, rate_per_s, demand_per_s)
+        account.own_level -= cost
         account.admitted[_OWN] += cost
         self._take(account, cost)
         return None
 
+    def _fits_own_part(self, account, cost):
+        """Whether a starting entry VM may admit a request.
+
+        Nobody knows yet what the others admit.  The last request may
+        overdraw the part of this one, as a part of many is less than a
+        prompt.
+        """
+        margin = self.tolerance.compute_margin(account.quota)
+        largest = max(account.own_level, margin * FIRST_SHARE)
+        return account.own_level > 0.0 and cost <= largest
+
+    def _update_start(self, now_s):
+        """End the start when the others were heard, or have had the time."""
+        if not self._is_starting:
+            return
+        # In a single region no report tells that there are no others.
+        is_alone = self._member_count == 1 and self._heard_s
+        is_heard = is_alone or self._has_heard_members
+        is_late = now_s - self._started_s > LONGEST_START_S
+        if is_late or (is_heard and not self.is_cut_off):
+            self._is_starting = False
+
+    def _own_share(self):
+        """Part of each quota that belongs to this entry VM."""
+        return self.region_share / (self._member_count or UNKNOWN_COUNT)
+
+    def _first_own_level(self, quota, now_s):
+        margin = self.tolerance.compute_margin(quota)
+        earned = quota.rate_per_s * (now_s - self._started_s)
+        # Chance spreads requests less evenly the fewer one entry VM gets.
+        spread = math.sqrt(self._member_count or UNKNOWN_COUNT)
+        return (margin * FIRST_SHARE * spread + earned) * self._own_share()
+
     def refund(self, name, quota, cost, now_s):
         """Give back what was charged for a request that did not run.
 
@@ -181,6 +272,7 @@
         :param updates: list of ``OrganisationUse``.
         :param now_s: monotonic time in seconds.
         """
+        self._has_heard_members = True
         self._update_touch(now_s)
         for update in updates:
             self._on_update(_LOCAL, update, now_s)
@@ -196,10 +288,11 @@
         if source is None:
             return
         self._update_touch(now_s)
-        silence_s = now_s - self._heard_s[region]
+        silence_s = now_s - self._heard_s.get(region, -math.inf)
         if MISSED_REPORT_S < silence_s <= SILENCE_S and not self.is_cut_off:
             self._charge_missed(source, silence_s - REGION_PERIOD_S, now_s)
         self._heard_s[region] = now_s
+        self._seen_regions.add(region)
         self._update_touch(now_s)
         for update in updates:
             self._on_update(source, update, now_s)
@@ -230,8 +323,11 @@
         again, as the others may have used their parts: it refills.
         """
         is_cut_off = bool(self.list_silent_regions(now_s))
-        if is_cut_off == self.is_cut_off:
-            return
+        if is_cut_off != self.is_cut_off:
+            self._change_over(is_cut_off, now_s)
+        self._update_start(now_s)
+
+    def _change_over(self, is_cut_off, now_s):
         for account in self._accounts.values():
             self._refresh(account, now_s)
             if is_cut_off:
@@ -272,6 +368,7 @@
         if account is None or account.quota.unit is not quota.unit:
             account = _Account(quota, 0.0, self._source_count, now_s)
             account.level = self._first_level(account, now_s)
+            account.own_level = self._first_own_level(quota, now_s)
             self._accounts[name] = account
         account.quota = quota
         self._refresh(account, now_s)
@@ -297,6 +394,8 @@
         if passed_s > 0.0:
             account.updated_s = now_s
             account.level += passed_s * self._rate_per_s(account)
+            own_rate_per_s = account.quota.rate_per_s * self._own_share()
+            account.own_level += passed_s * own_rate_per_s
             factor = math.exp(-passed_s / ESTIMATE_S)
             account.admitted = [amount * factor for amount in account.admitted]
             account.requested = [
@@ -332,18 +431,18 @@
             return rate_per_s
         part_per_s = rate_per_s * self.region_share
         lent_per_s = 0.0
-        for region, source in self._sources.items():
-            if account.updated_s - self._heard_s[region] <= SILENCE_S:
-                used_per_s = account.admitted[source] / ESTIMATE_S
-                lent_per_s += max(0.0, part_per_s - used_per_s)
-        return part_per_s + lent_per_s / len(self._sources)
+        for region, heard_s in self._heard_s.items():
+            if account.updated_s - heard_s <= SILENCE_S:
+                used = account.admitted[self._sources[region]]
+                lent_per_s += max(0.0, part_per_s - used / ESTIMATE_S)
+        return part_per_s + lent_per_s / max(1, len(self._heard_s))
 
     def _demand_per_s(self, account):
         """Demand of all who share this bucket."""
         requested = account.requested
         if self.is_cut_off:
             requested = requested[: _LOCAL + 1]
-        return sum(requested) / ESTIMATE_S
+        return sum(requested) / self._estimate_s(account.updated_s)
 
     def _estimate_unreported(self, account, now_s):
         """Return what others are expected to have admitted since.
@@ -354,13 +453,21 @@
         admitted = account.admitted
         unreported = admitted[_LOCAL] * LOCAL_LAG_S
         if not self.is_cut_off:
-            for region, source in self._sources.items():
-                silence_s = now_s - self._heard_s[region]
-                used = admitted[source]
+            for region, heard_s in self._heard_s.items():
+                silence_s = now_s - heard_s
+                used = admitted[self._sources[region]]
                 if silence_s > MISSED_REPORT_S:
                     used = max(used, admitted[_OWN] + admitted[_LOCAL])
                 unreported += used * (REGION_LAG_S + silence_s)
-        return unreported / ESTIMATE_S
+        return unreported / self._estimate_s(now_s)
+
+    def _estimate_s(self, now_s):
+        """Time over which the decaying sums add up.
+
+        They lack what was before the start.
+        """
+        age_s = max(now_s - self._started_s, MIN_AGE_S)
+        return ESTIMATE_S * (1.0 - math.exp(-age_s / ESTIMATE_S))
 
     def _estimate_wait_s(self, level, rate_per_s, demand_per_s):
         """Time until the bucket refills, behind those refused before."""
--- a/buckthorntack/admission/tests/_entry_vms.py
+++ b/buckthorntack/admission/tests/_entry_vms.py
@@ -40,6 +40,8 @@
             world.rng,
             now_s,
         )
+        regions = list(world.region_of.values())
+        self.quotas.set_entry_vms(regions.count(region), regions, now_s)
         self.exchange.organisations.listener = self.quotas
 
 
--- a/buckthorntack/admission/tests/test_shared_quota.py
+++ b/buckthorntack/admission/tests/test_shared_quota.py
@@ -101,6 +101,47 @@
     assert world.excess("depot") <= 1
 
 
+# Guards against a whole tolerance for each start of all entry VMs.
+@pytest.mark.parametrize("cost", [SHORT, 4_000.0, LONG])
+def test_frequent_restarts_of_all_entry_vms_hold_the_quota(cost):
+    world = make(NINE)
+    run(world, 4, USUAL_PER_S, cost)
+    for _ in range(5):
+        for name in list(world.vms):
+            world.start(name)
+        run(world, 2, FLOOD * USUAL_PER_S, cost)
+    assert world.excess("depot") <= 1
+
+
+# Guards against shares of a region that has no entry VM.
+def test_region_without_entry_vms_has_no_share():
+    world = make({**NINE, "west": 0})
+    run(world, 6, 0.1 * USUAL_PER_S)
+    for vm in world.vms.values():
+        assert vm.quotas.is_cut_off
+        vm.quotas.set_entry_vms(3, list(NINE), world.now_s)
+        assert not vm.quotas.is_cut_off
+    run(world, 12, FLOOD * USUAL_PER_S)
+    assert world.excess("depot") <= 1
+    rate_per_s = world.quotas["depot"].rate_per_s
+    assert world.admitted_per_s("depot", world.now_s - 6) >= 0.8 * rate_per_s
+
+
+# Guards against a region that is forgotten while it is out of touch.
+def test_region_whose_records_are_gone_keeps_its_share():
+    world = make(NINE)
+    run(world, 6, USUAL_PER_S)
+    world.cuts = {
+        frozenset(("north", "south")),
+        frozenset(("centre", "south")),
+    }
+    run(world, 3, USUAL_PER_S)
+    quotas = world.vms["north000"].quotas
+    quotas.set_entry_vms(3, ["north", "centre"], world.now_s)
+    assert quotas.is_cut_off
+    assert quotas.region_share == 1 / 3
+
+
 # Guards against a region that is cut off using the whole quota by itself.
 @pytest.mark.parametrize(
     "cuts",
--- a/buckthorntack/gateway/_shared_state.py
+++ b/buckthorntack/gateway/_shared_state.py
@@ -377,3 +377,19 @@
         }
         means[own_address] = self.capacity.nominal
         self.exchange.set_members(members, means)
+        self._update_quotas(entry_vms)
+
+    def _update_quotas(self, entry_vms):
+        """Tell the quotas where entry VMs are, once a copy of it came.
+
+        Silent ones count: they may run where nobody here hears them.
+        """
+        regions = [
+            record.region for record in entry_vms if record.state != "gone"
+        ]
+        if self.settings.region in regions:
+            self.quota_charger.quotas.set_entry_vms(
+                regions.count(self.settings.region),
+                regions,
+                self.clock.monotonic().total_seconds(),
+            )
--- a/buckthorntack/platform/tests/test_quotas.py
+++ b/buckthorntack/platform/tests/test_quotas.py
@@ -26,8 +26,9 @@
     await world.in_force(2)
     for quotas in _list_quotas(world):
         await world.until(lambda q=quotas: not q.is_cut_off)
-        # As if the buckets had refilled since the start.
+        # As if the buckets had refilled since the start, which is over.
         quotas._base_share = 1.0
+        quotas._is_starting = False
 
 
 def _list_quotas(world):
