Keep the token count of a prompt whose parts cannot be read

A malformed X-Buckthorntack-Prompt-Prefix made a request one without a prompt, so that it was charged the default instead of its tokens; sizes of parts could be negative. The new test fails without the change.

--- a/buckthorntack/platform/_dialect.py
+++ b/buckthorntack/platform/_dialect.py
@@ -211,9 +211,9 @@
     counts = fields.get(_headers.TOKEN_COUNT)
     if counts is None:
         return None
+    parts = _parts(fields.get(_headers.PROMPT_PREFIX, b""))
     try:
         tokens, _, output = counts.partition(b",")
-        parts = tuple(_parts(fields.get(_headers.PROMPT_PREFIX, b"")))
         return dispatch.Prompt(parts, _count(tokens), _count(output or b"0"))
     except ValueError:
         return None
@@ -231,7 +231,13 @@
 
 
 def _parts(value):
-    for item in value.split(b","):
-        if item.strip():
-            part_id, _, tokens = item.strip().rpartition(b":")
-            yield dispatch.Part(part_id.decode("latin-1"), int(tokens))
+    """The parts of a prompt; none if one of them cannot be read."""
+    parts = []
+    for item in filter(None, map(bytes.strip, value.split(b","))):
+        part_id, _, tokens = item.rpartition(b":")
+        try:
+            count = _count(tokens)
+        except ValueError:
+            return ()
+        parts.append(dispatch.Part(part_id.decode("latin-1"), count))
+    return tuple(parts)
--- a/buckthorntack/platform/tests/test_formats.py
+++ b/buckthorntack/platform/tests/test_formats.py
@@ -193,6 +193,21 @@
     assert metadata.prompt is None or metadata.timeout_ms is None
 
 
+# Guards against a malformed prefix that hides the size of a prompt from the
+# quota, and against parts of negative size.
+@pytest.mark.parametrize("prefix", [b"x:y", b"5c:-800,91:410", b"5c", b"5c:"])
+def test_prompt_with_unreadable_parts_keeps_its_counts(prefix):
+    headers = [
+        (b"Host", b"h"),
+        (b"X-Buckthorntack-Request-Id", b"1"),
+        (b"X-Buckthorntack-Token-Count", b"1460,80"),
+        (b"X-Buckthorntack-Prompt-Prefix", prefix),
+    ]
+    request = http1.Request(b"POST", b"/", headers, b"", 0.0)
+    metadata = _dialect.PlatformDialect().parse_request(request).ok
+    assert metadata.prompt == ((), 1460, 80)
+
+
 @pytest.mark.parametrize("missing", [b"Host", b"X-Buckthorntack-Request-Id"])
 def test_request_without_host_or_id_is_refused(missing):
     headers = [(b"Host", b"h"), (b"X-Buckthorntack-Request-Id", b"1")]
