Refuse a forwarded caller without a key where the route needs one

An entry VM whose configuration still has the route open forwards a caller without an organisation; the receiver ran it though its own configuration asks for a key. It now refuses as not run, as it does for an organisation that it doesn't know. Tests of forwarded callers pass the route; the one of an anonymous caller now uses an anonymous route, which was meant.

--- a/buckthorntack/gateway/_authorisation.py
+++ b/buckthorntack/gateway/_authorisation.py
@@ -41,10 +41,11 @@
     return Ok(Caller(organisation))
 
 
-def find_forwarded_caller(table, headers):
+def find_forwarded_caller(table, route, headers):
     """Find the caller of a request that another entry VM has authorised.
 
     :param table: the ``directives.RouteTable``.
+    :param route: the ``directives.Route``.
     :param headers: list of name and value pairs.
     :returns: ``Result`` of a :class:`Caller`, or of an
         ``UnknownOrganisationError``; None if the other entry VM does not name
@@ -55,6 +56,11 @@
         return None
     name = urllib.parse.unquote(value.decode("latin-1"))
     if not name:
+        if table.has_organisations and not route.is_anonymous:
+            # The sender has an older or newer configuration.
+            return Error(
+                _errors.UnknownOrganisationError("the route needs a key here")
+            )
         return Ok(Caller(None))
     organisation = table.find_organisation(name)
     if organisation is None:
--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -289,7 +289,7 @@
         """
         table = self.shared_state.table
         result = _authorisation.find_forwarded_caller(
-            table, self.forwarding_headers
+            table, self.route, self.forwarding_headers
         )
         if result is None:
             result = _authorisation.authorise(
--- a/buckthorntack/gateway/tests/test_authorisation.py
+++ b/buckthorntack/gateway/tests/test_authorisation.py
@@ -53,14 +53,30 @@
 def test_organisation_survives_a_hop(name):
     depot = organisation(name)
     headers = _authorisation.write_headers(_authorisation.Caller(depot))
-    result = _authorisation.find_forwarded_caller(table(depot), headers)
+    result = _authorisation.find_forwarded_caller(
+        table(depot), _documents.route(), headers
+    )
     assert result.ok.organisation is depot
 
 
 def test_anonymous_caller_survives_a_hop():
     headers = _authorisation.write_headers(_authorisation.Caller(None))
+    route = _documents.route(is_anonymous=True)
     result = _authorisation.find_forwarded_caller(
-        table(organisation()), headers
+        table(organisation()), route, headers
+    )
+    assert result.ok == _authorisation.Caller(None)
+
+
+# Guards against a caller without a key on a route that needs one by now.
+def test_anonymous_caller_is_not_run_where_the_route_needs_a_key():
+    headers = _authorisation.write_headers(_authorisation.Caller(None))
+    result = _authorisation.find_forwarded_caller(
+        table(organisation()), _documents.route(), headers
+    )
+    assert isinstance(result.error, _errors.UnknownOrganisationError)
+    result = _authorisation.find_forwarded_caller(
+        table(), _documents.route(), headers
     )
     assert result.ok == _authorisation.Caller(None)
 
@@ -71,14 +87,16 @@
         _authorisation.Caller(organisation("new"))
     )
     result = _authorisation.find_forwarded_caller(
-        table(organisation()), headers
+        table(organisation()), _documents.route(), headers
     )
     assert isinstance(result.error, _errors.UnknownOrganisationError)
     assert result.error.status == 503
 
 
 def test_entry_vm_that_names_none_leaves_it_to_the_key():
-    found = _authorisation.find_forwarded_caller(table(organisation()), [])
+    found = _authorisation.find_forwarded_caller(
+        table(organisation()), _documents.route(), []
+    )
     assert found is None
 
 
