Let a ready entry VM report for its region while a senior one stops

One that stops sends no reports of its region, but the others left them to it as long as they heard of its use. For the other regions its region was then out of touch, and quotas were divided. The new test fails without the change; it also checks the number of entry VMs that quotas are divided by.

--- a/buckthorntack/gateway/_entry.py
+++ b/buckthorntack/gateway/_entry.py
@@ -258,11 +258,12 @@
         ]
 
     def _region_peers(self):
-        """List the ids of the other live entry VMs of this region."""
+        """List the ids of the other ready entry VMs of this region."""
         return [
             record.node_id
             for record in self._other_entry_vms()
             if record.region == self.settings.region
+            and record.state == "ready"
         ]
 
     async def _tell_use(self):
@@ -323,7 +324,7 @@
                 self.shared_state.exchange.take_region_updates()
 
     def _is_region_reporter(self):
-        """Whether this is the region's live entry VM with most means."""
+        """Whether this is the region's ready entry VM with most means."""
         if not self.is_ready():
             return False
         seniority = self.shared_state.exchange.seniority
--- a/buckthorntack/platform/tests/test_quotas.py
+++ b/buckthorntack/platform/tests/test_quotas.py
@@ -2,6 +2,7 @@
 
 from buckthorntack.platform.tests import _standins
 from buckthorntack.platform.tests import test_requests
+from buckthorntack.schema import messages
 
 SAFE = "/safe/x"
 KEY = {"Authorization": "Token k1"}
@@ -87,6 +88,38 @@
     test_requests.run(scenario, ("s1", "desk"))
 
 
+# Guards against a region that counts as out of touch while an entry VM drains.
+def test_another_entry_vm_reports_for_the_region_of_one_that_drains():
+    async def scenario(world):
+        pair = [world.nodes["e0"], world.nodes["e1"]]
+        await world.until(lambda: any(n._is_region_reporter() for n in pair))
+        first, other = sorted(pair, key=lambda n: not n._is_region_reporter())
+        await world.until(lambda: not other._is_region_reporter())
+        first.following.set_state("stopping")
+        name = first.settings.service_address
+        known = other.registry.nodes
+        await world.until(lambda: known[name].record.state == "stopping")
+        # Its reports of use go on to come.
+        now_s = other.clock.monotonic().total_seconds()
+        exchange = other.shared_state.exchange
+        report = messages.UseReport(
+            10**6, "own", False, [], [], [], [], False, []
+        )
+        exchange.on_report(name, report, now_s)
+        assert other._has_recent_report(name)
+        assert other._is_region_reporter()
+        await world.until(
+            lambda: all(
+                quotas._member_count == count
+                for quotas, count in zip(
+                    _list_quotas(world), (2, 2, 1), strict=True
+                )
+            )
+        )
+
+    test_requests.run(scenario)
+
+
 # Guards against credit that is lost with a request that did not run.
 def test_request_that_did_not_run_gives_its_credit_back():
     async def scenario(world):
