Bound what a listener holds for slow clients by a share of the free memory

Each connection was bounded alone (64 KiB written, 256 KiB read ahead, bodies of 4 MiB), so many slow peers could together exceed the memory of the process, and one slow client stopped the reading of its server after 320 KiB. A budget counts what is held by purpose, connection and organisation; what one may hold is a share of what is free. Bodies without room are refused before they are read, with a lingering close, also for 413 (a client could lose the response to a reset). A client whose window is closed is told from a dead one. A refused request with Expect no longer gets 100 Continue.

--- a/buckthorntack/http1/__init__.py
+++ b/buckthorntack/http1/__init__.py
@@ -4,8 +4,15 @@
 from buckthorntack.http1._errors import ConnectError
 from buckthorntack.http1._errors import IncompleteResponseError
 from buckthorntack.http1._errors import UnexpectedResponseError
+from buckthorntack.http1._errors import UnreadResponseError
 from buckthorntack.http1._event_boundary import EventBoundary
 from buckthorntack.http1._event_boundary import MAX_EVENT_BYTES
+from buckthorntack.http1._memory import Account
+from buckthorntack.http1._memory import compute_bounds
+from buckthorntack.http1._memory import MemoryBudget
+from buckthorntack.http1._memory import Purpose
+from buckthorntack.http1._memory import READ_BYTES
+from buckthorntack.http1._memory_watch import MemoryWatch
 from buckthorntack.http1._messages import BodyFraming
 from buckthorntack.http1._messages import count_header_bytes
 from buckthorntack.http1._messages import encode_request
@@ -19,6 +26,7 @@
 from buckthorntack.http1._pool import ConnectionPool
 from buckthorntack.http1._server import Limits
 from buckthorntack.http1._server import Listener
+from buckthorntack.http1._server import ListenerMemory
 from buckthorntack.http1._server import ResponseWriter
 
 __all__ = [
@@ -32,6 +40,14 @@
     "Connection",
     "ConnectionPool",
     "UnexpectedResponseError",
+    "UnreadResponseError",
+    "Account",
+    "MemoryBudget",
+    "MemoryWatch",
+    "Purpose",
+    "READ_BYTES",
+    "compute_bounds",
+    "ListenerMemory",
     "Limits",
     "Listener",
     "ResponseWriter",
--- a/buckthorntack/http1/_client.py
+++ b/buckthorntack/http1/_client.py
@@ -8,11 +8,15 @@
 
 from buckthorntack import transport as transports
 from buckthorntack.http1 import _errors
+from buckthorntack.http1 import _memory
 from buckthorntack.http1 import _messages
 
 #: Buffered response bytes above which reading from the server pauses, as the
 #: caller reads more slowly.
 MAX_BUFFERED_BYTES = 262_144
+#: Time for which a response was left unread, after which its server may have
+#: cut it for that reason.
+UNREAD_S = 0.5
 #: Responses to other requests that are skipped before the connection is
 #: closed.
 MAX_SKIPPED_RESPONSES = 2
@@ -52,6 +56,9 @@
         self._buffered_bytes = 0
         self._paused = False
         self._waiter = None
+        self._watch = None
+        self._sending = None
+        self._buffered = None
         self._reset()
 
     def _reset(self):
@@ -70,6 +77,8 @@
         self._is_out_of_sync = False
         self._ends_at_close = False
         self._has_received = False
+        self._paused_s = 0.0
+        self._unread_s = 0.0
 
     def connection_made(self, transport):
         self.transport = transport
@@ -100,10 +109,29 @@
             else:
                 self._fail(_errors.UnexpectedResponseError(str(error)))
         self._wake()
-        is_full = self._buffered_bytes > MAX_BUFFERED_BYTES
-        if is_full and not self._paused:
+        self._count_buffered()
+        self.pause_if_full()
+        if self._watch is not None:
+            self._watch.on_read()
+
+    def pause_if_full(self):
+        """Pause reading if the caller must read more first."""
+        if self._is_full() and not self._paused:
             self._paused = True
+            self._paused_s = self._loop.time()
             self.transport.pause_reading()
+            if self._watch is not None:
+                self._watch.start()
+
+    def _is_full(self):
+        """Whether the server must wait until the caller has read more."""
+        if self._buffered is not None:
+            return self._buffered.account.is_over and not self._complete
+        return self._buffered_bytes > MAX_BUFFERED_BYTES
+
+    def _count_buffered(self):
+        if self._buffered is not None:
+            self._buffered.set(self._buffered_bytes)
 
     def _check_sizes(self):
         """Check the sizes of what is received besides the body.
@@ -133,9 +161,14 @@
 
     def connection_lost(self, exc):
         self._is_closing = True
+        if self._sending is not None:
+            self._sending.set(0)
         if not self._complete:
             detail = f"connection lost: {exc or 'closed by the server'}"
-            self._fail(_errors.IncompleteResponseError(detail))
+            if self._unread_s >= UNREAD_S:
+                self._fail(_errors.UnreadResponseError(detail))
+            else:
+                self._fail(_errors.IncompleteResponseError(detail))
 
     def on_message_begin(self):
         if self._complete:
@@ -268,6 +301,37 @@
         """
         return request_id in self._sent_ids
 
+    def measure(self):
+        """Count what the server has not taken yet; return its bytes."""
+        size_bytes = 0
+        if not self.transport.is_closing():
+            size_bytes = self.transport.get_write_buffer_size()
+        self._sending.set(size_bytes)
+        return size_bytes
+
+    def hold_for(self, account, watch):
+        """Count what is held of the next exchange.
+
+        :param account: the ``Account`` of the caller's connection.
+        :param watch: the ``MemoryWatch``.
+        """
+        self._watch = watch
+        self._sending = _memory.Holding(account, _memory.Purpose.SENDING)
+        self._buffered = _memory.Holding(account, _memory.Purpose.RELAY)
+        watch.exchanges.add(self)
+
+    def give_back(self):
+        """Hold nothing any more, as the exchange has ended."""
+        if self._buffered is None:
+            return
+        self._parts.clear()
+        self._buffered_bytes = 0
+        self._buffered.set(0)
+        self._sending.set(0)
+        self._watch.exchanges.discard(self)
+        self._watch.remove_server(self)
+        self._watch = self._sending = self._buffered = None
+
     def send(self, payload, request_id, is_head=False):
         """Send a request.
 
@@ -291,6 +355,10 @@
             )
             return
         self.transport.write(payload)
+        if self._watch is not None:
+            self.pause_if_full()
+            if self.measure():
+                self._watch.add_server(self)
 
     async def read_head(self):
         """Wait for the head of the response.
@@ -313,16 +381,31 @@
                 return b""
             if self._failure is not None:
                 raise self._failure
+            self.resume_if_room()
             self._waiter = self._loop.create_future()
             await self._waiter
         parts = self._parts
         data = parts[0] if len(parts) == 1 else b"".join(parts)
         parts.clear()
         self._buffered_bytes = 0
+        self._count_buffered()
+        if self._buffered is None:
+            self._resume()
+        return data
+
+    def resume_if_room(self):
+        """Go on reading if nothing is left of what was read before.
+
+        The caller has taken what it has to before more is read.
+        """
+        if not self._parts and not self._is_full():
+            self._resume()
+
+    def _resume(self):
         if self._paused:
             self._paused = False
+            self._unread_s += self._loop.time() - self._paused_s
             self.transport.resume_reading()
-        return data
 
     def is_reusable(self):
         """Return whether another request may be sent on this connection."""
@@ -335,6 +418,11 @@
             and self.transport.get_write_buffer_size() == 0
         )
 
+    @property
+    def is_paused(self):
+        """Whether reading waits for the caller."""
+        return self._paused
+
     @property
     def is_out_of_sync(self):
         """Whether bytes arrived that belong to no request of this side."""
--- a/buckthorntack/http1/_errors.py
+++ b/buckthorntack/http1/_errors.py
@@ -29,3 +29,11 @@
     number = 1903
     kind = "foreign_answer"
     remedy = "check the server for an HTTP protocol fault"
+
+
+class UnreadResponseError(IncompleteResponseError):
+    """The connection closed after the response had been left unread."""
+
+    number = 1907
+    kind = "answer_unread"
+    remedy = "check for callers that read slowly"
--- a/buckthorntack/http1/_events.py
+++ b/buckthorntack/http1/_events.py
@@ -45,3 +45,11 @@
     "The handler of a request failed; its connection was closed.",
     "report the error",
 )
+MEMORY_SHORT = events.declare(
+    1906,
+    "memory_short",
+    logbook.WARNING,
+    "Little memory is left for what is held for callers and servers; the"
+    " biggest holders wait and large bodies are refused.",
+    "check for callers that read slowly, or give the VM more memory",
+)
--- a/buckthorntack/http1/_pool.py
+++ b/buckthorntack/http1/_pool.py
@@ -37,10 +37,15 @@
     :param connect_timeout_s: time limit of a connection attempt.
     :param id_header: header field with the request id in responses, in lower
         case; empty if responses have no request id.
+    :param receive_buffer_bytes: size of the kernel's receive buffers, which
+        the kernel doubles; None for its default.
     """
 
-    def __init__(self, connect_timeout_s, id_header=b""):
+    def __init__(
+        self, connect_timeout_s, id_header=b"", receive_buffer_bytes=None
+    ):
         self.connect_timeout_s = connect_timeout_s
+        self.receive_buffer_bytes = receive_buffer_bytes
         self.id_header = id_header
         self._idle = collections.defaultdict(list)
         self._idle_timeouts_s = {}
@@ -104,6 +109,7 @@
         :param key: key of the server.
         :param connection: the ``Connection``.
         """
+        connection.give_back()
         if connection.was_dropped():
             self._reduce_idle_timeout(key, connection.idle_before_s)
         idle = self._idle[key]
@@ -154,6 +160,12 @@
         loop = asyncio.get_running_loop()
         try:
             sock.setblocking(False)
+            if self.receive_buffer_bytes is not None:
+                sock.setsockopt(
+                    socket.SOL_SOCKET,
+                    socket.SO_RCVBUF,
+                    self.receive_buffer_bytes,
+                )
             transport.configure_dead_peer_detection(
                 sock, USER_TIMEOUT_MS, _server.KEEPALIVE_IDLE_S
             )
--- a/buckthorntack/http1/_server.py
+++ b/buckthorntack/http1/_server.py
@@ -15,6 +15,7 @@
 from buckthorntack import events
 from buckthorntack import transport as transports
 from buckthorntack.http1 import _events
+from buckthorntack.http1 import _memory
 from buckthorntack.http1 import _messages
 
 BACKLOG_CONNECTIONS = 1024
@@ -26,6 +27,19 @@
 #: gone (RFC 5482).  It is shorter than the timeouts of callers, so that the
 #: requests of a disconnected caller are cancelled before they time out.
 USER_TIMEOUT_MS = 5000
+#: The same for a client that takes nothing for now: the kernel counts the
+#: time in which its window is closed, though it answers all probes.  It is
+#: longer than requests last.
+SLOW_USER_TIMEOUT_MS = 60_000
+#: Status codes of refused bodies, whose clients are sound and still send.
+LINGERING_STATUSES = (413, 503)
+#: Time and bytes for which they are read on, as a close with unread bytes
+#: resets the connection and the client may lose the response (RFC 9112,
+#: section 9.6).
+LINGER_S = 1.0
+MAX_LINGER_BYTES = 1_048_576
+#: Size of a body above which its organisation is looked up before it is read.
+LARGE_BODY_BYTES = 65_536
 #: Idle time before the kernel sends TCP keep-alive probes.
 KEEPALIVE_IDLE_S = 5
 #: Interim response to a request with ``Expect: 100-continue``.
@@ -41,6 +55,19 @@
     idle_timeout_s: float = 15.0
 
 
+class ListenerMemory(NamedTuple):
+    """What a listener needs to bound what it holds for its clients."""
+
+    #: The ``MemoryWatch``.
+    watch: object
+    #: Function of the header fields of a request that returns its
+    #: organisation; empty for none.
+    find_owner: object
+    #: Function of the header fields of a request that returns those of its
+    #: refusal for want of memory.
+    build_refusal_headers: object
+
+
 class ResponseWriter:
     """Writer of the response to one request.
 
@@ -59,6 +86,9 @@
         self.status = 0
         self.started = False
         self.ended = False
+        #: ``Account`` of the connection; None if nothing is bounded.
+        self.account = connection.account
+        self._relayed = connection.create_holding(_memory.Purpose.RELAY)
         self._chunked = False
         self._ends_at_close = False
 
@@ -72,6 +102,7 @@
         """
         self.status = status
         self.started = True
+        self.note_buffered(0)
         fields = list(headers)
         has_body = status >= 200 and status not in (204, 304)
         if length is not None and has_body:
@@ -119,8 +150,35 @@
         transport.close()
 
     async def flush(self):
-        """Wait until the write buffer is below its high-water mark."""
-        await self.connection.writable.wait()
+        """Wait until the connection may hold more."""
+        connection = self.connection
+        if self.account is None or self._ends_at_close:
+            await connection.writable.wait()
+            return
+        while connection.is_behind():
+            connection.has_room.clear()
+            await connection.has_room.wait()
+
+    @property
+    def is_over(self):
+        """Whether the connection holds as much as it may."""
+        return self.account is not None and self.account.is_over
+
+    def note_buffered(self, size_bytes):
+        """Count what the handler keeps of a response that is not started.
+
+        :param size_bytes: its size in bytes.
+        """
+        if self._relayed is not None:
+            self._relayed.set(size_bytes)
+
+    def assign_owner(self, owner):
+        """Count what is held to an organisation from now on.
+
+        :param owner: the organisation; empty for none.
+        """
+        if self.account is not None:
+            self.account.assign(owner)
 
     def end(self):
         """End the body."""
@@ -145,6 +203,7 @@
 
     def _send(self, data):
         self.connection.transport.write(data)
+        self.connection.on_written()
 
 
 def _default_reason(status):
@@ -167,14 +226,83 @@
         self.peer = ""
         self.writable = asyncio.Event()
         self.writable.set()
+        #: Set when the connection may hold more.
+        self.has_room = asyncio.Event()
         self.waiting = collections.deque()
         self.task = None
         self.refused = False
+        self.account = None
+        if listener.memory is not None:
+            budget = listener.memory.watch.budget
+            self.account = _memory.Account(budget)
+        self._requests_held = self.create_holding(_memory.Purpose.REQUEST)
+        self._answer_held = self.create_holding(_memory.Purpose.ANSWER)
+        self._is_slow = False
+        self._linger_bytes = 0
+        self._is_lingering = False
         self._parser = httptools.HttpRequestParser(self)
         self._timer = None
         self._deadline_s = 0.0
         self._reset_request()
 
+    def create_holding(self, purpose):
+        """Return a ``Holding`` of this connection; None without a budget.
+
+        :param purpose: its ``Purpose``.
+        """
+        if self.account is None:
+            return None
+        return _memory.Holding(self.account, purpose)
+
+    def on_written(self):
+        """Count what the client has not taken of what was just written."""
+        if self.account is not None and self.measure():
+            self.listener.memory.watch.add_reader(self)
+
+    def measure(self):
+        """Count what the client has not taken yet; return its bytes."""
+        size_bytes = 0
+        if not self.transport.is_closing():
+            size_bytes = self.transport.get_write_buffer_size()
+        self._answer_held.set(size_bytes)
+        if size_bytes:
+            self._tell_slow_from_dead()
+        elif self._is_slow:
+            self._set_slow(False)
+        return size_bytes
+
+    def _tell_slow_from_dead(self):
+        """Let a client live that has acknowledged all it had room for."""
+        sock = self.transport.get_extra_info("socket")
+        if sock.fileno() >= 0:
+            self._set_slow(not transports.count_unacknowledged(sock))
+
+    def _set_slow(self, is_slow):
+        if is_slow is self._is_slow or self.transport.is_closing():
+            return
+        self._is_slow = is_slow
+        sock = self.transport.get_extra_info("socket")
+        transports.set_user_timeout(
+            sock, SLOW_USER_TIMEOUT_MS if is_slow else USER_TIMEOUT_MS
+        )
+
+    def wake_if_room(self):
+        """Let the response go on if the connection may hold more."""
+        if not self.is_behind():
+            self.has_room.set()
+
+    def is_behind(self):
+        """Whether the client must read before the response goes on.
+
+        What waits in the connection to the server can't get less before.
+        """
+        return self._answer_held.size_bytes > 0 and self.account.is_over
+
+    def _hold_requests(self, delta_bytes):
+        if self._requests_held is not None:
+            held = self._requests_held
+            held.set(max(0, held.size_bytes + delta_bytes))
+
     def _reset_request(self):
         self._target = b""
         self._headers = []
@@ -202,17 +330,34 @@
         self.listener.connections.discard(self)
         self._clear_timer()
         self.writable.set()
+        self.has_room.set()
+        if self.account is not None:
+            self._answer_held.set(0)
         if self.task is not None:
             self.task.cancel("the client has closed its connection")
+        else:
+            self._drop_requests()
+
+    def _drop_requests(self):
+        self._body = []
+        self.waiting.clear()
+        if self._requests_held is not None:
+            self._requests_held.set(0)
 
     def pause_writing(self):
         self.writable.clear()
 
     def resume_writing(self):
         self.writable.set()
+        if self.account is not None:
+            self.measure()
+            self.wake_if_room()
 
     def data_received(self, data):
         if self.refused:
+            self._linger_bytes += len(data)
+            if self._linger_bytes > MAX_LINGER_BYTES:
+                self.transport.pause_reading()
             return
         if self._is_reading_head:
             self._head_bytes += len(data)
@@ -249,16 +394,28 @@
             self._reject(400, fault)
             return
         self._check_head_size()
-        self._check_body_size(self._parse_content_length())
+        length = self._parse_content_length()
+        self._check_body_size(length)
+        if length and not self.refused:
+            self._check_memory(length)
+        if self.refused:
+            return
         expect = _messages.find_header(self._headers, b"expect")
         if expect is not None and expect.lower() == b"100-continue":
             self.transport.write(CONTINUE)
 
     def on_body(self, body):
+        if self.refused:
+            return
         self._framing_bytes = 0
+        self._check_body_size(self._body_bytes + len(body))
+        if not self.refused:
+            self._check_memory(len(body))
+        if self.refused:
+            return
         self._body.append(body)
         self._body_bytes += len(body)
-        self._check_body_size(self._body_bytes)
+        self._hold_requests(len(body))
 
     def on_message_complete(self):
         if self.refused:
@@ -321,11 +478,28 @@
         if size > self.listener.limits().header_bytes:
             self._reject(431, "the header is too large")
 
+    def _check_memory(self, size_bytes):
+        """Refuse the request if what is to come of its body finds no room."""
+        memory = self.listener.memory
+        if memory is None:
+            return
+        owner = self.account.owner
+        if self._body_bytes + size_bytes > LARGE_BODY_BYTES:
+            owner = memory.find_owner(self._headers)
+        if memory.watch.budget.has_room(size_bytes, owner):
+            return
+        memory.watch.record_refusal()
+        self._reject(
+            503,
+            "no memory for the body",
+            memory.build_refusal_headers(self._headers),
+        )
+
     def _check_body_size(self, size_bytes):
         if size_bytes > self.listener.limits().body_bytes:
             self._reject(413, "the body is too large")
 
-    def _reject(self, status, detail):
+    def _reject(self, status, detail, headers=()):
         """Queue an error response after those to earlier requests.
 
         The connection is closed after the error response.
@@ -334,13 +508,16 @@
             return
         self.refused = True
         self._clear_timer()
+        self._hold_requests(-self._body_bytes)
+        self._body = []
+        self._body_bytes = 0
         self.listener.log.write(
             _events.REQUEST_MALFORMED,
             peer=self.peer,
             status=status,
             detail=detail,
         )
-        self.waiting.append((None, (status, detail)))
+        self.waiting.append((None, (status, detail, headers)))
         if self.task is None:
             self._start_next_request()
 
@@ -356,12 +533,34 @@
         if len(self.waiting) <= MAX_PIPELINED_REQUESTS:
             self.transport.resume_reading()
         self.task = self.loop.create_task(self._handle(request, response))
+        if self.account is not None:
+            self.task.add_done_callback(
+                lambda _: self._on_handled(request, response)
+            )
 
-    def _send_error(self, status, detail):
+    def _on_handled(self, request, response):
+        """Give back what the request held, also if it was cancelled."""
+        response.note_buffered(0)
+        if self.transport.is_closing():
+            self._drop_requests()
+        else:
+            self._hold_requests(-len(request.body))
+
+    def _send_error(self, status, detail, headers):
+        """Send an error and close.
+
+        The rest of a body is read on for a moment.
+        """
         body = detail.encode() + b"\n"
         response = ResponseWriter(self, False, "1.1", False)
-        response.send(status, [(b"Content-Type", b"text/plain")], body)
-        self.transport.close()
+        fields = headers or [(b"Content-Type", b"text/plain")]
+        response.send(status, fields, body)
+        if status not in LINGERING_STATUSES:
+            self.transport.close()
+            return
+        self.transport.write_eof()
+        self._is_lingering = True
+        self.loop.call_later(LINGER_S, self.transport.close)
 
     async def _handle(self, request, response):
         try:
@@ -417,7 +616,7 @@
 
     def close_if_idle(self):
         """Close the connection unless a request is being read or handled."""
-        if self.task is None and not self._is_reading:
+        if self.task is None and (self._is_lingering or not self._is_reading):
             self.transport.close()
 
 
@@ -428,12 +627,14 @@
     :param handle: coroutine function of a ``Request`` and a
         ``ResponseWriter``.
     :param limits: function that returns the current ``Limits``.
+    :param memory: ``ListenerMemory``; None to bound each connection alone.
     """
 
-    def __init__(self, sock, handle, limits=Limits):
+    def __init__(self, sock, handle, limits=Limits, memory=None):
         self.sock = sock
         self.handle = handle
         self.limits = limits
+        self.memory = memory
         self.connections = set()
         self.closing = False
         self.log = events.EventLog("http1")
--- a/buckthorntack/transport/__init__.py
+++ b/buckthorntack/transport/__init__.py
@@ -9,8 +9,10 @@
 from buckthorntack.transport._plain_links import PlainLinks
 from buckthorntack.transport._sockets import bind_listener
 from buckthorntack.transport._sockets import configure_dead_peer_detection
+from buckthorntack.transport._sockets import count_unacknowledged
 from buckthorntack.transport._sockets import listener_url
 from buckthorntack.transport._sockets import set_reset_on_close
+from buckthorntack.transport._sockets import set_user_timeout
 
 __all__ = [
     "HttpListener",
@@ -20,6 +22,8 @@
     "StreamingTransport",
     "Unshaped",
     "bind_listener",
+    "count_unacknowledged",
+    "set_user_timeout",
     "listener_url",
     "mounted_app",
     "set_reset_on_close",
--- a/buckthorntack/transport/_sockets.py
+++ b/buckthorntack/transport/_sockets.py
@@ -6,6 +6,8 @@
 #: Values of SO_LINGER, ``struct linger``.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 _CLOSE_ORDERLY = struct.pack("ii", 0, 0)
+#: ``struct tcp_info`` up to its field ``tcpi_unacked``.
+_TCP_INFO_UNACKED = struct.Struct("24xI")
 
 
 #: Interval between two keep-alive probes.  With a user timeout set, which
@@ -59,6 +61,29 @@
     sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
 
 
+def set_user_timeout(sock, user_timeout_ms):
+    """Set how long sent bytes may stay unacknowledged (RFC 5482).
+
+    The kernel counts the time in which a peer keeps its window closed as well.
+
+    :param sock: a TCP socket.
+    :param user_timeout_ms: the longest time.
+    """
+    sock.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_ms
+    )
+
+
+def count_unacknowledged(sock):
+    """Return the number of segments that the peer has not acknowledged.
+
+    :param sock: a TCP socket.
+    """
+    size = _TCP_INFO_UNACKED.size
+    info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, size)
+    return _TCP_INFO_UNACKED.unpack(info)[0]
+
+
 def set_reset_on_close(transport, enabled):
     """Choose whether a close resets a connection (RST) or ends it (FIN).
 
