Bound what an entry VM holds by its memory

The settings name memory_mb, filled from the limits of the VM; without it requests are served as before. What is held counts to the organisation of the request. A server that cuts an answer which was left unread has not crashed.

--- a/buckthorntack/gateway/_entry.py
+++ b/buckthorntack/gateway/_entry.py
@@ -5,9 +5,11 @@
 import datetime
 
 from buckthorntack import discovery
+from buckthorntack import http1
 from buckthorntack import transport
 from buckthorntack.gateway import _events
 from buckthorntack.gateway import _following
+from buckthorntack.gateway import _memory
 from buckthorntack.gateway import _metrics
 from buckthorntack.gateway import _node
 from buckthorntack.gateway import _origin_tasks
@@ -61,6 +63,8 @@
         self.quarantine_task = None
         self.origin_task = None
         self.reachability_task = None
+        #: ``http1.MemoryWatch``; None if the settings bound nothing.
+        self.memory_watch = None
         #: Relay of usage reports at the last ``relay_changed`` event.
         self._logged_relay = ""
         #: Scope of the last directory answer, by the caller's region and its
@@ -114,14 +118,20 @@
             self.reachability_task,
         )
         limits = self.shared_state.limits
+        self._start_memory_watch()
         self.forward_listener = await self._listen(
             "forward",
             settings.forward_address,
             request_handler.handle_forwarded,
             limits,
+            self._listener_memory(_request_handler.RUN_STATE_HEADER),
         )
         self.front_listener = await self._listen(
-            "front", settings.service_address, request_handler.handle, limits
+            "front",
+            settings.service_address,
+            request_handler.handle,
+            limits,
+            self._listener_memory(),
         )
         handlers = self.make_handlers(self)
         addresses = {
@@ -143,6 +153,24 @@
         ):
             await enter(_supervision.supervise(work))
 
+    def _start_memory_watch(self):
+        self.memory_watch = _memory.create_watch(self.settings)
+        self.shared_state.memory_watch = self.memory_watch
+        if self.memory_watch is not None:
+            self._stack.enter_context(self.memory_watch)
+            self.metrics.serve_memory(self.memory_watch)
+
+    def _listener_memory(self, run_state_header=b""):
+        """Return the ``http1.ListenerMemory``; None for no bound."""
+        if self.memory_watch is None:
+            return None
+        refusals = _memory.BodyRefusals(self.shared_state, run_state_header)
+        return http1.ListenerMemory(
+            self.memory_watch,
+            refusals.find_owner,
+            refusals.build_refusal_headers,
+        )
+
     def _on_message(self, sender, message):
         now_s = self.clock.monotonic().total_seconds()
         if isinstance(message, messages.UseReport):
--- a/buckthorntack/gateway/_metrics.py
+++ b/buckthorntack/gateway/_metrics.py
@@ -2,6 +2,8 @@
 
 import prometheus_client
 
+from buckthorntack import http1
+
 #: Upper bounds of the latency histograms, in seconds; objectives lie between
 #: 0.3 and 2 s.
 LATENCY_BUCKETS_S = (
@@ -98,6 +100,38 @@
             registry=registry,
         )
 
+        self._registry = registry
+
+    def serve_memory(self, watch):
+        """Serve what is held for callers and servers.
+
+        :param watch: the ``http1.MemoryWatch``.
+        """
+        budget = watch.budget
+        held = prometheus_client.Gauge(
+            "gateway_held_bytes",
+            "Bytes held for callers and servers, by purpose.",
+            ["purpose"],
+            registry=self._registry,
+        )
+        for purpose in http1.Purpose:
+            held.labels(purpose.value).set_function(
+                lambda purpose=purpose: budget.by_purpose[purpose]
+            )
+        refusals = prometheus_client.Gauge(
+            "gateway_memory_refusals",
+            "Requests refused since the start as their bodies found no"
+            " memory.",
+            registry=self._registry,
+        )
+        refusals.set_function(lambda: budget.refusals)
+        readers = prometheus_client.Gauge(
+            "gateway_slow_readers",
+            "Connections of callers that have not taken all that was written.",
+            registry=self._registry,
+        )
+        readers.set_function(lambda: len(watch.slow_readers))
+
     def record_request(self, kind, status, outcome, duration_s):
         """Count a request that has ended.
 
--- a/buckthorntack/gateway/_node.py
+++ b/buckthorntack/gateway/_node.py
@@ -71,13 +71,16 @@
             event, node=settings.node_name, role=settings.role, **fields
         )
 
-    async def _listen(self, name, address, handle, limits=http1.Limits):
+    async def _listen(
+        self, name, address, handle, limits=http1.Limits, memory=None
+    ):
         """Accept connections at an address until the node stops.
 
         :param name: key of a bound socket in ``listeners``.
         :param address: address to bind if there is no such socket.
         :param handle: handler of requests.
         :param limits: function that returns the ``http1.Limits``.
+        :param memory: ``http1.ListenerMemory``; None for no bound.
         :returns: ``http1.Listener``.
         """
         sock = self.listeners.get(name)
@@ -85,7 +88,7 @@
             sock = transport.bind_listener(
                 self.settings.to_bind_address(address)
             )
-        listener = http1.Listener(sock, handle, limits)
+        listener = http1.Listener(sock, handle, limits, memory)
         return await self._stack.enter_async_context(listener)
 
     async def _serve_metrics(self):
--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -17,6 +17,7 @@
 from buckthorntack.gateway import _authorisation
 from buckthorntack.gateway import _event_stream
 from buckthorntack.gateway import _events
+from buckthorntack.gateway import _memory
 from buckthorntack.gateway import _stream_origin
 from buckthorntack.gateway import _subject_watch
 
@@ -299,6 +300,7 @@
             self._refuse_caller(result.error)
             return False
         self.caller = result.ok
+        self.reply.assign_owner(_memory.get_owner(self.caller))
         return self._narrow_route()
 
     def _charge_quota(self):
@@ -607,6 +609,7 @@
             ):
                 return _NotSent("a subject was refused meanwhile")
             self.send_count += 1
+            self._hold_for_caller(connection)
             connection.send(
                 self._encode_server_request(decision),
                 self.metadata.request_id,
@@ -633,6 +636,13 @@
                 pool.release(server_id, connection)
         return result
 
+    def _hold_for_caller(self, connection):
+        """Count what the connection to a server holds to the caller."""
+        if self.reply.account is not None:
+            connection.hold_for(
+                self.reply.account, self.shared_state.memory_watch
+            )
+
     def _encode_server_request(self, decision):
         headers = self.dialect.build_server_headers(
             self.request,
@@ -687,6 +697,7 @@
             payload = self._encode_forwarded_request()
             # The region may use all attempts; its response has the real count.
             self.send_count = max(self.send_count + 1, self.route.max_attempts)
+            self._hold_for_caller(connection)
             connection.send(
                 payload,
                 self.metadata.request_id,
@@ -905,7 +916,8 @@
             self.watch.on_answer_data(self.attempt, head)
             parts.append(data)
             size_bytes += len(data)
-            if size_bytes > MAX_BUFFERED_BODY_BYTES:
+            self.reply.note_buffered(size_bytes)
+            if size_bytes > MAX_BUFFERED_BODY_BYTES or self.reply.is_over:
                 return await self._relay_unbuffered(connection, head, parts)
         body = b"".join(parts)
         self.attempt.body_bytes = size_bytes
--- a/buckthorntack/gateway/_settings.py
+++ b/buckthorntack/gateway/_settings.py
@@ -54,6 +54,8 @@
     processor_cores: float = 0.0
     #: Bandwidth of the node's own link; 0 if not known.
     link_mbps: float = 0.0
+    #: Memory of the VM; 0 if it bounds nothing.
+    memory_mb: float = 0.0
 
     def to_bind_address(self, address):
         """Return the local address to bind for an address that others use.
--- a/buckthorntack/gateway/_shared_state.py
+++ b/buckthorntack/gateway/_shared_state.py
@@ -10,6 +10,7 @@
 from buckthorntack import quarantine
 from buckthorntack.gateway import _addresses
 from buckthorntack.gateway import _events
+from buckthorntack.gateway import _memory
 from buckthorntack.gateway import _own_capacity
 from buckthorntack.gateway import _quota_charge
 
@@ -74,15 +75,20 @@
             clock.monotonic().total_seconds(),
         )
         self.quarantine = quarantine.Quarantine(settings.service_address)
+        receive_buffer_bytes = _memory.compute_receive_buffer_bytes(settings)
         self.pool = http1.ConnectionPool(
-            CONNECT_TIMEOUT_S, dialect.request_id_header
+            CONNECT_TIMEOUT_S, dialect.request_id_header, receive_buffer_bytes
         )
         self.forward_pool = http1.ConnectionPool(
-            FORWARD_CONNECT_TIMEOUT_S, dialect.request_id_header
+            FORWARD_CONNECT_TIMEOUT_S,
+            dialect.request_id_header,
+            receive_buffer_bytes,
         )
         self.capacity = _own_capacity.CapacityMeter(
             settings.processor_cores, settings.link_mbps
         )
+        #: ``http1.MemoryWatch``; None if what is held is not bounded.
+        self.memory_watch = None
         self.directives_index = -1
         self.started_at = clock.monotonic()
         self._log = events.EventLog("gateway")
--- a/buckthorntack/gateway/_subject_watch.py
+++ b/buckthorntack/gateway/_subject_watch.py
@@ -8,6 +8,9 @@
 from buckthorntack import quarantine
 from buckthorntack.gateway import _events
 
+#: Errors of a connection whose server has not crashed.
+_NO_CRASHES = (http1.UnexpectedResponseError, http1.UnreadResponseError)
+
 
 class SubjectWatch:
     """Subjects of one request by which crashes of servers are counted.
@@ -104,12 +107,13 @@
         """Count a connection that broke while its server ran the request.
 
         A server that sends bytes which are no response has not crashed, nor
-        has one that was lost together with all others.
+        has one that cut a response which was left unread, nor one that was
+        lost together with all others.
 
         :param attempt: the ``Attempt``.
         :param error: the ``http1.IncompleteResponseError``.
         """
-        is_crash = not isinstance(error, http1.UnexpectedResponseError)
+        is_crash = not isinstance(error, _NO_CRASHES)
         self._log_lost_connection(attempt, error)
         if not is_crash or attempt.has_continued:
             return
--- a/buckthorntack/platform/tests/_standins.py
+++ b/buckthorntack/platform/tests/_standins.py
@@ -7,6 +7,7 @@
 import os
 import pathlib
 import random
+import socket
 import tempfile
 
 from buckthorntack import clock
@@ -348,9 +349,11 @@
     of them, as on the platform; addresses differ between test processes.
 
     :param entries: failure domain of each entry VM.
+    :param memory_mb: memory of a VM; 0 for no bound.
     """
 
-    def __init__(self, entries=("a1", "a1", "b1")):
+    def __init__(self, entries=("a1", "a1", "b1"), memory_mb=0.0):
+        self.memory_mb = memory_mb
         pid = os.getpid()
         self.network = f"127.{100 + pid % 100}.{pid // 100 % 250}"
         self.entries = entries
@@ -415,6 +418,7 @@
             repeat_slack=56.0,
             directory_ttl=datetime.timedelta(seconds=5),
             stop_grace=datetime.timedelta(seconds=8),
+            memory_mb=self.memory_mb,
         )
 
     async def _start(self, name, node):
@@ -540,6 +544,26 @@
             fields[name.replace("_", "-")] = value
         return await call(address, method, path, body, fields)
 
+    async def begin_to_ask(self, path="/talk/x", entry="e0"):
+        """Send a request on a connection with small buffers; read nothing."""
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+        sock.setblocking(False)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(sock, (self.ip(entry), FRONT_PORT))
+        reader, writer = await asyncio.open_connection(sock=sock, limit=8192)
+        request_id = f"{random.getrandbits(64):016x}"
+        lines = [
+            f"POST {path} HTTP/1.1",
+            f"Host: {HOST}",
+            f"X-Buckthorntack-Request-Id: {request_id}",
+            "X-Buckthorntack-Deadline-Ms: 30000",
+            "Content-Length: 0",
+            "Connection: close",
+        ]
+        writer.write("\r\n".join([*lines, "", ""]).encode())
+        return reader, writer
+
 
 async def call(address, method, path, body=b"", headers=None):
     """Send one request on a new connection and read the answer."""
@@ -553,12 +577,13 @@
     head = "\r\n".join([*lines, "Connection: close", "", ""]).encode()
     try:
         writer.write(head + body)
-        return await _read_answer(reader)
+        return await read_answer(reader)
     finally:
         writer.close()
 
 
-async def _read_answer(reader):
+async def read_answer(reader):
+    """Read an answer up to the end of its connection."""
     head = (await reader.readuntil(b"\r\n\r\n"))[:-4]
     data = b""
     was_reset = False
--- a/buckthorntack/platform/tests/test_formats.py
+++ b/buckthorntack/platform/tests/test_formats.py
@@ -90,6 +90,14 @@
     assert settings.quota_tolerance == admission.QuotaTolerance(**stated)
 
 
+# Guards against a template that is no document where memory is not limited.
+def test_memory_of_the_vm_is_optional(tmp_path):
+    template = TEMPLATE.read_text()
+    assert load(tmp_path, fill(template, NAMED)).memory_mb == 0
+    limits = {"limits.memory_mb": 200}
+    assert load(tmp_path, fill(template, NAMED | limits)).memory_mb == 200
+
+
 def test_settings_of_a_control_vm(tmp_path):
     values = {
         name: value
--- a/buckthorntack/schema/_generated/node_documents.py
+++ b/buckthorntack/schema/_generated/node_documents.py
@@ -99,6 +99,10 @@
     """
     Further amount that may be admitted beyond a quota in that time, in its unit.
     """
+    memory_mb: NotRequired[float]
+    """
+    Memory of the VM in MB, which bounds what an entry VM holds for callers and servers; missing or 0 for no bound.
+    """
     listen_ip: NotRequired[str]
     """
     IP address to bind in place of ip_address, which others use, where a relay stands between.
