--- a/buckthorntack/platform/_dialect.py
+++ b/buckthorntack/platform/_dialect.py
@@ -234,4 +234,6 @@
     for item in value.split(b","):
         if item.strip():
             part_id, _, tokens = item.strip().rpartition(b":")
+            if int(tokens) < 0:
+                raise ValueError("a negative count of tokens")
             yield dispatch.Part(part_id.decode("latin-1"), int(tokens))
--- a/buckthorntack/platform/tests/test_formats.py
+++ b/buckthorntack/platform/tests/test_formats.py
@@ -184,6 +184,7 @@
     [
         (b"X-Buckthorntack-Token-Count", b"many"),
         (b"X-Buckthorntack-Prompt-Prefix", b"x:y"),
+        (b"X-Buckthorntack-Prompt-Prefix", b"x:-5"),
         (b"X-Buckthorntack-Deadline-Ms", b"soon"),
         (b"Last-Event-Id", b"x"),
     ],
