Decide when a late request goes to a second server

A few slow answers spoil the slowest percent of a service. Hedging learns the ratio of observed to expected time for each service and counts a request as late beyond a high quantile of it. A second server is chosen by the dispatcher among those with room that are neither cold, limited, brittle nor silent, if it would answer before the first one likely does. Nothing is sent while the other servers do not answer or are late as well, nor beyond a share of the service's requests and the retry budget.

--- a/buckthorntack/dispatch/__init__.py
+++ b/buckthorntack/dispatch/__init__.py
@@ -15,6 +15,7 @@
         "buckthorntack.dispatch._events": ("REQUEST_ROUTED",),
         "buckthorntack.dispatch._exchange": ("UsageExchange",),
         "buckthorntack.dispatch._fleet": ("Fleet", "InFlightRequest"),
+        "buckthorntack.dispatch._hedging": ("Hedging", "Withheld"),
         "buckthorntack.dispatch._outcomes": ("Outcome",),
         "buckthorntack.dispatch._prompts": ("Part", "PrefixCache", "Prompt"),
         "buckthorntack.dispatch._reachability": ("Reachability",),
--- a/buckthorntack/dispatch/_fleet.py
+++ b/buckthorntack/dispatch/_fleet.py
@@ -364,6 +364,17 @@
             observed_slowdown - self.typical_slowdown
         ) * weight
 
+    def on_answer_overtaken(self, flight, now_s):
+        """Learn from a request that is given up for the answer of another.
+
+        :param flight: the ``InFlightRequest``.
+        :param now_s: monotonic time.
+        """
+        waited_ms = (now_s - flight.started_s) * 1e3
+        if not flight.has_first_byte and waited_ms > flight.expected_ms:
+            state = self.state(flight.server_id)
+            state.learn_first_byte(flight, self.typical_slowdown, now_s)
+
     def slowdown(self, state):
         """Ratio of observed to expected time of a server.
 
