Send late requests to a second server where operators allow it

A node setting, hedge_share, names the second sends for each request of a service; 0, the default, is off and leaves requests as before. A request that may run more than once is sent again if its answer is later than a high quantile; the first answer, for a stream its first event, is used. The other connection is closed at once and its time counted; a failure of one attempt does not end the other.

The attempt now holds its connection, request in flight and outcome, so that two can run. Out of the request handler go the results (whose names in logs and metrics lose their underscore), the notes on servers and the patience with silent ones.

--- a/buckthorntack/gateway/_attempt.py
+++ b/buckthorntack/gateway/_attempt.py
@@ -1,10 +1,20 @@
 """Record of one attempt to get a response for a request."""
 
+from buckthorntack.dispatch import Outcome
+
 
 class Attempt:
     """What is known of one attempt, at a server or another entry VM."""
 
     def __init__(self):
+        #: Server or region that the request goes to.
+        self.destination = ""
+        #: ``dispatch.InFlightRequest`` and connection of an attempt at a
+        #: server; None before it began.
+        self.in_flight = None
+        self.connection = None
+        #: What the attempt shows about its server.
+        self.outcome = Outcome.ABANDONED
         #: ``quarantine.Incarnation`` of the server; None before it got the
         #: request, or if it is in another region.
         self.incarnation = None
--- a/buckthorntack/gateway/_metrics.py
+++ b/buckthorntack/gateway/_metrics.py
@@ -87,6 +87,24 @@
             "Capacity that this entry VM reports, relative to a nominal one.",
             registry=registry,
         )
+        self._hedges = prometheus_client.Counter(
+            "gateway_hedges",
+            "Second sends of late requests: sent, won by the second server,"
+            " and cancelled, which counts the attempt that lost.",
+            ["result"],
+            registry=registry,
+        )
+        self._withheld_hedges = prometheus_client.Counter(
+            "gateway_withheld_hedges",
+            "Late requests that were not sent a second time.",
+            ["reason"],
+            registry=registry,
+        )
+        self._cancelled_seconds = prometheus_client.Counter(
+            "gateway_hedge_cancelled_seconds",
+            "Time that cancelled attempts of hedged requests had run.",
+            registry=registry,
+        )
         self._refusals = prometheus_client.Counter(
             "gateway_quarantine_refusals",
             "Requests that were refused as they crash servers.",
@@ -149,6 +167,28 @@
         """
         self._capacity.set(capacity)
 
+    def record_hedge(self, result):
+        """Count a step of a second send.
+
+        :param result: ``"sent"`` or ``"won"``.
+        """
+        self._hedges.labels(result).inc()
+
+    def record_withheld_hedge(self, reason):
+        """Count a late request that is not sent a second time.
+
+        :param reason: the reason.
+        """
+        self._withheld_hedges.labels(reason).inc()
+
+    def record_cancelled_hedge(self, duration_s):
+        """Count the attempt of a hedged request that lost.
+
+        :param duration_s: time that it had run.
+        """
+        self._hedges.labels("cancelled").inc()
+        self._cancelled_seconds.inc(duration_s)
+
     def record_quarantine_refusal(self):
         """Count a request that is refused as it crashes servers."""
         self._refusals.inc()
--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -1,7 +1,6 @@
 """Proxying of requests from clients to servers and other regions."""
 
 import asyncio
-from typing import NamedTuple
 
 from buckthorntack import clock as clocks
 from buckthorntack import directives
@@ -17,6 +16,10 @@
 from buckthorntack.gateway import _authorisation
 from buckthorntack.gateway import _event_stream
 from buckthorntack.gateway import _events
+from buckthorntack.gateway import _hedged_attempts
+from buckthorntack.gateway import _patience
+from buckthorntack.gateway import _results
+from buckthorntack.gateway import _server_notes
 from buckthorntack.gateway import _stream_origin
 from buckthorntack.gateway import _subject_watch
 
@@ -52,10 +55,6 @@
 STREAM_IDLE_SHARE = 0.7
 MIN_STREAM_IDLE_TIMEOUT_S = 1.6
 MAX_STREAM_IDLE_TIMEOUT_S = 2.2
-#: Time without data after which it is checked whether the server can be
-#: reached, and period of looking at the result.
-SILENCE_CHECK_S = 1.0
-SILENCE_CHECK_PERIOD_S = 0.2
 #: Time reserved before the deadline of a request for the response to reach the
 #: client.
 DEADLINE_MARGIN_S = 0.02
@@ -71,36 +70,6 @@
 MAX_STARTUP_WAIT_S = 1.2
 
 
-class _Completed(NamedTuple):
-    """The client got its final response."""
-
-
-class _NotSent(NamedTuple):
-    """The request was not sent."""
-
-    reason: str
-
-
-class _NotRun(NamedTuple):
-    """The request was sent but not run."""
-
-    reason: str
-    retry_after_ms: float | None = None
-
-
-class _Unknown(NamedTuple):
-    """The request may have run."""
-
-    reason: str
-
-
-class _Failed(NamedTuple):
-    """A complete response with a server error status."""
-
-    head: http1.ResponseHead
-    body: bytes
-
-
 class RequestHandler:
     """Handles all requests of an entry VM.
 
@@ -194,7 +163,6 @@
         #: When the caller got the last event, or the request came.
         self.progress_s = request.received_s
         self.retry_after_ms = None
-        self.destination = ""
         #: Entry VM that the request was last forwarded to; empty for none.
         self.forwarded_to = ""
         #: Number of entry VMs of this region that it was forwarded to.
@@ -202,6 +170,8 @@
         self.reason = ""
         self.first_byte_s = 0.0
         self.longest_gap_s = 0.0
+        #: What became of a second copy; empty if none was considered.
+        self.hedge = ""
         #: The last attempt.
         self.attempt = _attempt.Attempt()
 
@@ -245,6 +215,7 @@
             return
         if not self.is_forwarded:
             self.shared_state.budgets.record_request(self.service.name)
+            self.shared_state.hedging.record_request(self.service.name)
         self._set_deadline()
         try:
             async with asyncio.timeout_at(self.deadline_s):
@@ -429,12 +400,12 @@
                 if self._waits_for_version(decision):
                     await self.handler.clock.sleep(_stream_origin.RETRY_DELAY)
                     continue
-                self._log_decision(decision)
+                self.log_decision(decision)
                 self._send_final_failure(
                     decision.reason, decision.retry_after_ms
                 )
                 return
-            self._log_decision(decision)
+            self.log_decision(decision)
             send_count_before = self.send_count
             self.attempt = _attempt.Attempt()
             if isinstance(decision, dispatch.Serve):
@@ -443,9 +414,9 @@
                 )
             else:
                 result = await self._forward_to_region(decision)
-            if isinstance(result, _Completed):
+            if isinstance(result, _results.Completed):
                 return
-            self._log_failure(result)
+            self._log_failure(self.attempt, result)
             if not self._should_retry(result, send_count_before):
                 self._send_final_failure(self.reason, self.retry_after_ms)
                 return
@@ -535,40 +506,53 @@
 
     def _should_retry(self, result, send_count_before):
         """Record a failed attempt; return whether to make another."""
-        if isinstance(result, _NotSent):
-            self.reason = result.reason
-            self.connect_failures += 1
+        self._record_result(result)
+        if isinstance(result, _results.NotSent):
             return self.connect_failures <= MAX_CONNECT_FAILURES
-        if isinstance(result, _Failed):
-            self.error_response = result
-            self.may_have_run = True
-        elif isinstance(result, _Unknown):
-            self.reason = result.reason
-            self.may_have_run = True
-        else:
-            self.reason = result.reason
-            self.retry_after_ms = result.retry_after_ms
         if self.may_have_run and not self.route.is_idempotent:
             return False
         if self.reply.started and (self.stream is None or not self.origin):
             # No other response is known to continue the body that was sent.
             return False
         if (
-            isinstance(result, _NotRun)
+            isinstance(result, _results.NotRun)
             and self.send_count == send_count_before
         ):
             # No server got the request, so the next send is not a retry.
             return self.send_count < self.route.max_attempts
-        return self._take_retry_budget()
+        return self.take_retry_budget()
+
+    def _record_result(self, result):
+        """Record what an attempt that failed says of the request."""
+        if isinstance(result, _results.Failed):
+            self.error_response = result
+            self.may_have_run = True
+            return
+        self.reason = result.reason
+        if isinstance(result, _results.NotSent):
+            self.connect_failures += 1
+        elif isinstance(result, _results.Unknown):
+            self.may_have_run = True
+        else:
+            self.retry_after_ms = result.retry_after_ms
+
+    def record_other_result(self, attempt, result):
+        """Record a failed attempt while another one goes on.
 
-    def _take_retry_budget(self):
+        :param attempt: the ``Attempt``.
+        :param result: its result.
+        """
+        self._log_failure(attempt, result)
+        self._record_result(result)
+
+    def take_retry_budget(self):
         """Take a retry from the budget; return whether it is granted."""
         if self.send_count >= self.route.max_attempts:
             return False
         now_s = self._now_s()
         return self.shared_state.budgets.take_retry(self.service.name, now_s)
 
-    def _can_retry(self):
+    def can_retry(self):
         """Whether the request may be retried, regardless of the budget."""
         return (
             self.route.is_idempotent
@@ -577,62 +561,123 @@
 
     async def _send_to_server(self, routing_request, decision, now):
         """Send the request to a server and relay its response."""
+        attempt = self.attempt
+        self.begin_attempt(attempt, routing_request, decision, now)
+        hedge = _hedged_attempts.make(self, routing_request, decision)
+        if hedge is not None:
+            return await hedge.run()
+        try:
+            start = await self.start_answer(attempt, decision)
+            return await self.relay_answer(attempt, start)
+        finally:
+            self.end_attempt(attempt)
+
+    def begin_attempt(self, attempt, routing_request, decision, now):
+        """Count an attempt that is about to be made at a server.
+
+        :param attempt: its ``Attempt``, to be given to :meth:`end_attempt`.
+        :param routing_request: the ``RoutingRequest``.
+        :param decision: the ``Serve``.
+        :param now: monotonic time of the decision.
+        """
         server_id = decision.server_id
-        view = self.shared_state.registry.servers[server_id]
+        shared_state = self.shared_state
+        view = shared_state.registry.servers[server_id]
         self.excluded_ids.add(server_id)
-        self.destination = server_id
-        pool = self.shared_state.pool
-        acquire = self.shared_state.acquire_connection
-        fleet = self.shared_state.fleet
-        self.shared_state.dispatcher.on_request_sent(
-            routing_request, view, now
-        )
-        in_flight = self.shared_state.dispatcher.create_in_flight_request(
+        attempt.destination = server_id
+        shared_state.dispatcher.on_request_sent(routing_request, view, now)
+        attempt.in_flight = shared_state.dispatcher.create_in_flight_request(
             routing_request, decision, now
         )
-        fleet.on_request_sent(in_flight, routing_request.prompt)
-        self.shared_state.exchange.on_request_sent(in_flight)
-        self.shared_state.wake_if_urgent()
-        outcome = Outcome.ABANDONED
-        connection = None
+        shared_state.fleet.on_request_sent(
+            attempt.in_flight, routing_request.prompt
+        )
+        shared_state.hedging.on_request_sent(
+            self.service.name, attempt.in_flight
+        )
+        shared_state.exchange.on_request_sent(attempt.in_flight)
+        shared_state.wake_if_urgent()
+
+    def end_attempt(self, attempt):
+        """Stop counting an attempt and give its connection back.
+
+        :param attempt: the ``Attempt``.
+        """
+        now_s = self._now_s()
+        in_flight = attempt.in_flight
+        shared_state = self.shared_state
+        shared_state.hedging.on_request_ended(
+            self.service.name, in_flight, now_s
+        )
+        shared_state.fleet.on_request_ended(in_flight, attempt.outcome, now_s)
+        if attempt.connection is not None:
+            shared_state.pool.release(in_flight.server_id, attempt.connection)
+
+    async def start_answer(self, attempt, decision):
+        """Send the request to a server and wait for its answer's start.
+
+        :param attempt: the ``Attempt``, which has begun.
+        :param decision: its ``Serve``.
+        :returns: ``Started``, or the result of the attempt that failed.
+        """
+        server_id = decision.server_id
+        view = self.shared_state.registry.servers[server_id]
         try:
-            connection = await acquire(
+            attempt.connection = await self.shared_state.acquire_connection(
                 server_id, view.record.address, self.metadata.request_id
             )
-            if fleet.state(server_id).is_paused(self._now_s()):
+            state = self.shared_state.fleet.state(server_id)
+            if state.is_paused(self._now_s()):
                 # Another request was refused while this one connected.
-                return _NotSent(f"{server_id} is paused")
+                return _results.NotSent(f"{server_id} is paused")
             if not self.watch.start_attempt(
-                self.attempt, view.record, self.send_count > 0
+                attempt, view.record, self.send_count > 0
             ):
-                return _NotSent("a subject was refused meanwhile")
+                return _results.NotSent("a subject was refused meanwhile")
             self.send_count += 1
-            connection.send(
+            attempt.connection.send(
                 self._encode_server_request(decision),
                 self.metadata.request_id,
                 self.request.method == b"HEAD",
             )
-            self.attempt.origin = resumption.StreamOrigin(
+            attempt.origin = resumption.StreamOrigin(
                 self.service.name, view.record.software_version
             )
-            result = await self._receive_response(
-                connection, decision.expected_ms, in_flight
+            start = await self._await_start(
+                attempt, attempt.connection, decision.expected_ms
             )
-            outcome = _classify_outcome(result, self.reply.status)
         except http1.ConnectError as error:
-            outcome = Outcome.UNREACHABLE
-            result = _NotSent(error.detail)
+            attempt.outcome = Outcome.UNREACHABLE
+            return _results.NotSent(error.detail)
         except http1.IncompleteResponseError as error:
-            outcome = Outcome.LOST
-            await self.watch.on_connection_lost(self.attempt, error)
-            result = _Unknown(error.detail)
-        finally:
-            now_s = self._now_s()
-            fleet.on_request_ended(in_flight, outcome, now_s)
-            if connection is not None:
-                pool.release(server_id, connection)
+            return await self._on_connection_lost(attempt, error)
+        if not isinstance(start, _results.Started):
+            attempt.outcome = _results.classify_outcome(
+                start, self.reply.status
+            )
+        return start
+
+    async def relay_answer(self, attempt, start):
+        """Relay a response of a server that has begun.
+
+        :param attempt: the ``Attempt``.
+        :param start: result of :meth:`start_answer`.
+        :returns: the result of the attempt.
+        """
+        if not isinstance(start, _results.Started):
+            return start
+        try:
+            result = await self._relay_rest(attempt.connection, start)
+        except http1.IncompleteResponseError as error:
+            return await self._on_connection_lost(attempt, error)
+        attempt.outcome = _results.classify_outcome(result, self.reply.status)
         return result
 
+    async def _on_connection_lost(self, attempt, error):
+        attempt.outcome = Outcome.LOST
+        await self.watch.on_connection_lost(attempt, error)
+        return _results.Unknown(error.detail)
+
     def _encode_server_request(self, decision):
         headers = self.dialect.build_server_headers(
             self.request,
@@ -660,13 +705,13 @@
 
     async def _forward_to_region(self, decision):
         """Forward the request to an entry VM of another or of this region."""
-        self.destination = decision.region
+        self.attempt.destination = decision.region
         is_hop = decision.region == self.shared_state.settings.region
         self.hops += is_hop
         entry_vms = self._list_targets(decision.region)
         if not entry_vms:
             self._exclude_region(decision.region)
-            return _NotSent(f"no entry VM known in {decision.region}")
+            return _results.NotSent(f"no entry VM known in {decision.region}")
         weights = [record.capacity or 1.0 for record in entry_vms]
         [record] = self.shared_state.rng.choices(entry_vms, weights)
         self.excluded_ids.add(record.node_id)
@@ -692,13 +737,16 @@
                 self.metadata.request_id,
                 self.request.method == b"HEAD",
             )
-            return await self._receive_response(
-                connection, decision.expected_ms, None
+            start = await self._await_start(
+                self.attempt, connection, decision.expected_ms
             )
+            if not isinstance(start, _results.Started):
+                return start
+            return await self._relay_rest(connection, start)
         except http1.ConnectError as error:
-            return _NotSent(error.detail)
+            return _results.NotSent(error.detail)
         except http1.IncompleteResponseError as error:
-            return _Unknown(error.detail)
+            return _results.Unknown(error.detail)
         finally:
             if connection is not None:
                 pool.release(record.node_id, connection)
@@ -721,9 +769,13 @@
         headers.extend(_stream_origin.write_headers(self.origin))
         return self._encode_request(headers)
 
-    async def _receive_response(self, connection, expected_ms, in_flight):
+    async def _await_start(self, attempt, connection, expected_ms):
+        """Wait for the start of a response.
+
+        :returns: ``Started``, or the result of an attempt that failed.
+        """
         first_byte_timeout_s = None
-        if self._can_retry():
+        if self.can_retry():
             first_byte_timeout_s = (
                 FIRST_BYTE_TIMEOUT_FACTOR * expected_ms / 1e3
             )
@@ -738,144 +790,77 @@
             return head, b""
 
         try:
-            head, first_data = await self._read_patiently(
-                read_start, first_byte_timeout_s
+            head, first_data = await _patience.read(
+                self.handler,
+                attempt.incarnation,
+                read_start,
+                first_byte_timeout_s,
+                self.deadline_s,
             )
         except TimeoutError:
             if self._remaining_s() <= 0:
                 raise
             connection.close()
-            return _Unknown("silent before its answer")
-        if in_flight is None:
-            self.attempt.origin = _stream_origin.read_headers(head.headers)
-        self.attempt.framing = head.framing.value
-        self.attempt.answer_started_s = self._now_s()
+            return _results.Unknown("silent before its answer")
+        if attempt.in_flight is None:
+            attempt.origin = _stream_origin.read_headers(head.headers)
+        attempt.framing = head.framing.value
+        attempt.answer_started_s = self._now_s()
         metadata = self.dialect.parse_response(head)
-        if in_flight is not None:
+        if attempt.in_flight is not None:
             now_s = self._now_s()
-            self.shared_state.fleet.on_first_byte(in_flight, now_s)
-            self._note_server_state(metadata)
-        refusal = self._parse_refusal(head, metadata)
+            self.shared_state.fleet.on_first_byte(attempt.in_flight, now_s)
+            _server_notes.note_server_state(
+                self.handler, self._request_id_text(), attempt, metadata
+            )
+        refusal = self._parse_refusal(attempt.destination, head, metadata)
         if refusal is not None:
             await self._discard_body(connection)
             return refusal
+        if attempt.in_flight is not None:
+            self.shared_state.hedging.on_answer(
+                self.service.name, attempt.in_flight, self._now_s()
+            )
+        return _results.Started(head, first_data)
+
+    async def _relay_rest(self, connection, start):
+        """Relay a response that has begun."""
+        head = start.head
         if self._is_stream(head):
-            return await self._relay_stream(connection, head, first_data)
+            return await self._relay_stream(connection, head, start.first_data)
         if self.reply.started:
             # Nothing but a stream can continue a stream that has begun.
             connection.close()
-            return _Failed(head, b"")
+            return _results.Failed(head, b"")
         return await self._relay_buffered(connection, head)
 
-    async def _read_patiently(self, read, timeout_s):
-        """Read from a server, or give up if it cannot be reached.
-
-        :param read: coroutine function without arguments; it is called again
-            after a cancelled call.
-        :param timeout_s: longest time in seconds; None to wait without end.
-        :returns: result of the read.
-        :raises TimeoutError: nothing came in time.
-        """
-        if timeout_s is None or self.attempt.incarnation is None:
-            async with asyncio.timeout(timeout_s):
-                return await read()
-        ends_s = self._now_s() + timeout_s
-        slice_s = SILENCE_CHECK_S
-        server_id = self.attempt.incarnation.server_id
-        reachability = self.handler.reachability
-        while True:
-            left_s = ends_s - self._now_s()
-            try:
-                async with asyncio.timeout(min(slice_s, left_s)):
-                    return await read()
-            except TimeoutError:
-                is_over = left_s <= slice_s or self._remaining_s() <= 0
-                if is_over or reachability.is_unreachable(server_id):
-                    raise
-            reachability.check_silent_server(server_id)
-            slice_s = SILENCE_CHECK_PERIOD_S
-
-    def _note_server_state(self, metadata):
-        """Note what a response tells of the server that sent it."""
-        if metadata.is_other_server:
-            return
-        server_id = self.destination
-        now = self.handler.clock.monotonic()
-        if metadata.pause_s is not None:
-            state = self.shared_state.fleet.state(server_id)
-            state.pause(now.total_seconds(), metadata.pause_s)
-            self.handler.log.write(
-                _events.SERVER_PAUSED,
-                request=self._request_id_text(),
-                server=server_id,
-                pause_s=metadata.pause_s,
-            )
-        self._note_limits(metadata, now)
-        registry = self.shared_state.registry
-        if metadata.is_leaving and registry.mark_server_leaving(
-            server_id, now
-        ):
-            self.shared_state.on_servers_changed([server_id])
-            self.handler.log.write(
-                _events.SERVER_LEAVING,
-                request=self._request_id_text(),
-                server=server_id,
-            )
-
-    def _note_limits(self, metadata, now):
-        limits = self.shared_state.fleet.limits
-        server_id, born_ms = self.attempt.incarnation
-        now_s = now.total_seconds()
-        if metadata.limit is None or metadata.brittleness is None:
-            # What cannot be read says nothing.
-            self.handler.log.write(
-                _events.LIMIT_UNREADABLE,
-                request=self._request_id_text(),
-                server=server_id,
-            )
-        limit, brittleness = metadata.limit, metadata.brittleness
-        is_changed = limits.on_answer(
-            server_id,
-            born_ms,
-            limits.per_s(server_id, born_ms) if limit is None else limit.per_s,
-            self.attempt.sent_at.total_seconds(),
-            now_s,
-            limits.rejections_per_s(server_id)
-            if brittleness is None
-            else brittleness.per_s,
-        )
-        if metadata.not_run:
-            is_changed |= limits.on_rejection(server_id, now_s)
-        if is_changed:
-            self.shared_state.exchange.on_limit_changed()
-            self.shared_state.wake_if_urgent()
-            self.shared_state.log_limits(self.attempt.incarnation.server_id)
-
     def _is_stream(self, head):
         return self.route.kind is RequestKind.STREAM and head.status == 200
 
-    def _parse_refusal(self, head, metadata):
+    def _parse_refusal(self, destination, head, metadata):
         """Return the result of a response that refuses the request.
 
-        :returns: ``_NotRun`` or ``_Unknown``; None for any other response.
+        :returns: ``NotRun`` or ``Unknown``; None for any other response.
         """
         run_state = http1.find_header(head.headers, RUN_STATE_HEADER)
         if run_state is not None:
             retry_after_ms = _retry_after_ms(head)
             self.send_count = _parse_send_count(head.headers, self.send_count)
             if run_state == errors.RunState.NOT_RUN.value.encode():
-                return _NotRun(
-                    f"{self.destination} refused it", retry_after_ms
+                return _results.NotRun(
+                    f"{destination} refused it", retry_after_ms
                 )
-            return _Unknown(f"{self.destination}: {head.status}")
+            return _results.Unknown(f"{destination}: {head.status}")
         if metadata.is_other_server:
             self.shared_state.registry.mark_server_gone(
-                self.destination, None, self.handler.clock.monotonic()
+                destination, None, self.handler.clock.monotonic()
             )
-            self.shared_state.on_servers_changed([self.destination])
-            return _NotRun("another server has its address")
+            self.shared_state.on_servers_changed([destination])
+            return _results.NotRun("another server has its address")
         if metadata.not_run:
-            return _NotRun(f"{self.destination} has no room ({head.status})")
+            return _results.NotRun(
+                f"{destination} has no room ({head.status})"
+            )
         return None
 
     async def _discard_body(self, connection):
@@ -910,11 +895,11 @@
         body = b"".join(parts)
         self.attempt.body_bytes = size_bytes
         self._record_body_end(is_inside_event=False)
-        if head.status >= 500 and self._can_retry():
-            return _Failed(head, body)
+        if head.status >= 500 and self.can_retry():
+            return _results.Failed(head, body)
         self._send_buffered(head, body)
         self.watch.on_answer_end(self.attempt, head)
-        return _Completed()
+        return _results.Completed()
 
     async def _relay_unbuffered(self, connection, head, parts):
         self._start_response(head, head.length)
@@ -929,7 +914,7 @@
         self._record_body_end(is_inside_event=False)
         self.reply.end()
         self.watch.on_answer_end(self.attempt, head)
-        return _Completed()
+        return _results.Completed()
 
     def _send_buffered(self, head, body):
         self._start_response(head, len(body))
@@ -962,7 +947,9 @@
                 self.attempt.body_bytes += len(data)
                 if not self._comes_from_origin():
                     connection.close()
-                    return _Unknown("another software version answered")
+                    return _results.Unknown(
+                        "another software version answered"
+                    )
                 complete_events = (
                     stream.feed(data) if stream is not None else data
                 )
@@ -979,10 +966,10 @@
             connection.close()
             if self._remaining_s() <= 0:
                 raise
-            return _Unknown("silent within its stream")
+            return _results.Unknown("silent within its stream")
         except _event_stream.StreamOrderError as error:
             connection.close()
-            return _Unknown(error.detail)
+            return _results.Unknown(error.detail)
         self._record_body_end(boundary.is_inside_event)
         _check_stream_end(head, boundary)
         if not self.reply.started:
@@ -991,7 +978,7 @@
             self.reply.write(stream.take_remainder())
         self.reply.end()
         self.watch.on_answer_end(self.attempt, head)
-        return _Completed()
+        return _results.Completed()
 
     def _comes_from_origin(self):
         """Whether the stream may go on with the data of this attempt.
@@ -1033,14 +1020,20 @@
 
     async def _read_stream_data(self, connection):
         idle_timeout_s = None
-        if self._can_retry():
+        if self.can_retry():
             patience_s = _stream_origin.compute_patience_s(self.route)
             idle_timeout_s = min(
                 max(patience_s * STREAM_IDLE_SHARE, MIN_STREAM_IDLE_TIMEOUT_S),
                 MAX_STREAM_IDLE_TIMEOUT_S,
             )
         started_s = self._now_s()
-        data = await self._read_patiently(connection.read, idle_timeout_s)
+        data = await _patience.read(
+            self.handler,
+            self.attempt.incarnation,
+            connection.read,
+            idle_timeout_s,
+            self.deadline_s,
+        )
         self.longest_gap_s = max(self.longest_gap_s, self._now_s() - started_s)
         return data
 
@@ -1106,7 +1099,7 @@
             self.metadata.request_id.decode("latin-1") if self.metadata else ""
         )
 
-    def _log_decision(self, decision):
+    def log_decision(self, decision):
         fields = decision._asdict()
         server_id = fields.get("server_id")
         if server_id is not None:
@@ -1143,18 +1136,18 @@
             **fields,
         )
 
-    def _log_failure(self, result):
+    def _log_failure(self, attempt, result):
         self.handler.metrics.record_failed_attempt(type(result).__name__)
         self.handler.log.write(
             _events.ATTEMPT_FAILED,
             request=self._request_id_text(),
-            place=self.destination,
+            place=attempt.destination,
             forwarded_to=self.forwarded_to,
             result=type(result).__name__,
             reason=getattr(result, "reason", ""),
             sends=self.send_count,
-            framing=self.attempt.framing,
-            body_bytes=self.attempt.body_bytes,
+            framing=attempt.framing,
+            body_bytes=attempt.body_bytes,
         )
 
     def _record_first_byte(self):
@@ -1176,11 +1169,12 @@
         self.handler.metrics.record_request(
             kind, self.reply.status, outcome, duration_s
         )
+        fields = {"hedge": self.hedge} if self.hedge else {}
         self.handler.log.write(
             _events.REQUEST_ENDED,
             request=self._request_id_text(),
             route=self.route.name if self.route else "",
-            place=self.destination,
+            place=self.attempt.destination,
             forwarded_to=self.forwarded_to,
             outcome=outcome,
             status=self.reply.status,
@@ -1193,6 +1187,7 @@
             took_ms=round(duration_s * 1e3),
             reason=self.reason,
             forwarded=self.is_forwarded,
+            **fields,
         )
 
 
@@ -1222,16 +1217,6 @@
         )
 
 
-def _classify_outcome(result, status):
-    if isinstance(result, _NotRun):
-        return Outcome.FULL
-    if isinstance(result, _Failed) or status >= 500:
-        return Outcome.ERROR
-    if isinstance(result, _Unknown):
-        return Outcome.LOST
-    return Outcome.OK
-
-
 def _retry_after_ms(head):
     value = http1.find_header(head.headers, b"retry-after")
     try:
--- a/buckthorntack/gateway/_settings.py
+++ b/buckthorntack/gateway/_settings.py
@@ -54,6 +54,9 @@
     processor_cores: float = 0.0
     #: Bandwidth of the node's own link; 0 if not known.
     link_mbps: float = 0.0
+    #: Second sends of late requests, as a share of the requests of a service;
+    #: 0 for none.
+    hedge_share: float = 0.0
 
     def to_bind_address(self, address):
         """Return the local address to bind for an address that others use.
--- a/buckthorntack/gateway/_shared_state.py
+++ b/buckthorntack/gateway/_shared_state.py
@@ -73,6 +73,7 @@
             rng,
             clock.monotonic().total_seconds(),
         )
+        self.hedging = dispatch.Hedging(settings.hedge_share)
         self.quarantine = quarantine.Quarantine(settings.service_address)
         self.pool = http1.ConnectionPool(
             CONNECT_TIMEOUT_S, dialect.request_id_header
@@ -300,6 +301,7 @@
         self._incarnations.pop(server_id, None)
         self.fleet.remove_server(server_id)
         self.rates.remove_server(server_id)
+        self.hedging.remove_server(server_id)
         self.dispatcher.reachability.remove_server(server_id)
         self.pool.close_idle(server_id)
 
--- a/buckthorntack/platform/_settings.py
+++ b/buckthorntack/platform/_settings.py
@@ -60,6 +60,7 @@
         processor_cores=document.get("processor_share", 0.0)
         * document.get("processor_speed", 1.0),
         link_mbps=document.get("link_mbps", 0.0),
+        hedge_share=document.get("hedge_share", 0.0),
     )
 
 
--- a/buckthorntack/platform/tests/_standins.py
+++ b/buckthorntack/platform/tests/_standins.py
@@ -348,12 +348,14 @@
     of them, as on the platform; addresses differ between test processes.
 
     :param entries: failure domain of each entry VM.
+    :param hedge_share: as in ``NodeSettings``.
     """
 
-    def __init__(self, entries=("a1", "a1", "b1")):
+    def __init__(self, entries=("a1", "a1", "b1"), hedge_share=0.0):
         pid = os.getpid()
         self.network = f"127.{100 + pid % 100}.{pid // 100 % 250}"
         self.entries = entries
+        self.hedge_share = hedge_share
         self.nodes = {}
         self.servers = {}
         self.folder = None
@@ -415,6 +417,7 @@
             repeat_slack=56.0,
             directory_ttl=datetime.timedelta(seconds=5),
             stop_grace=datetime.timedelta(seconds=8),
+            hedge_share=self.hedge_share,
         )
 
     async def _start(self, name, node):
--- a/buckthorntack/schema/_generated/node_documents.py
+++ b/buckthorntack/schema/_generated/node_documents.py
@@ -115,3 +115,7 @@
     """
     Bandwidth of the node's own link; 0 or left out if not known.
     """
+    hedge_share: NotRequired[float]
+    """
+    Second sends of late requests that may run more than once, for each request of a service; 0 for none.
+    """
