Keep a server's record with the attempt, as it may go meanwhile

A second attempt starts a moment after its decision; a server that left in between would have ended the request with an error.

--- a/buckthorntack/gateway/_attempt.py
+++ b/buckthorntack/gateway/_attempt.py
@@ -9,8 +9,9 @@
     def __init__(self):
         #: Server or region that the request goes to.
         self.destination = ""
-        #: ``dispatch.InFlightRequest`` and connection of an attempt at a
-        #: server; None before it began.
+        #: ``AnnouncedServer``, ``dispatch.InFlightRequest`` and connection of
+        #: an attempt at a server; None before it began.
+        self.server = None
         self.in_flight = None
         self.connection = None
         #: What the attempt shows about its server.
--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -585,6 +585,7 @@
         view = shared_state.registry.servers[server_id]
         self.excluded_ids.add(server_id)
         attempt.destination = server_id
+        attempt.server = view.record
         shared_state.dispatcher.on_request_sent(routing_request, view, now)
         attempt.in_flight = shared_state.dispatcher.create_in_flight_request(
             routing_request, decision, now
@@ -621,17 +622,16 @@
         :returns: ``Started``, or the result of the attempt that failed.
         """
         server_id = decision.server_id
-        view = self.shared_state.registry.servers[server_id]
         try:
             attempt.connection = await self.shared_state.acquire_connection(
-                server_id, view.record.address, self.metadata.request_id
+                server_id, attempt.server.address, self.metadata.request_id
             )
             state = self.shared_state.fleet.state(server_id)
             if state.is_paused(self._now_s()):
                 # Another request was refused while this one connected.
                 return _results.NotSent(f"{server_id} is paused")
             if not self.watch.start_attempt(
-                attempt, view.record, self.send_count > 0
+                attempt, attempt.server, self.send_count > 0
             ):
                 return _results.NotSent("a subject was refused meanwhile")
             self.send_count += 1
@@ -641,7 +641,7 @@
                 self.request.method == b"HEAD",
             )
             attempt.origin = resumption.StreamOrigin(
-                self.service.name, view.record.software_version
+                self.service.name, attempt.server.software_version
             )
             start = await self._await_start(
                 attempt, attempt.connection, decision.expected_ms
