--- a/buckthorntack/gateway/_settings.py
+++ b/buckthorntack/gateway/_settings.py
@@ -56,6 +56,9 @@
     link_mbps: float = 0.0
     #: Memory of the VM; 0 if it bounds nothing.
     memory_mb: float = 0.0
+    #: Second sends of late requests, as a share of the requests of a service;
+    #: 0 for none.
+    hedge_share: float = 0.0
 
     def to_bind_address(self, address):
         """Return the local address to bind for an address that others use.
--- a/buckthorntack/gateway/_shared_state.py
+++ b/buckthorntack/gateway/_shared_state.py
@@ -74,6 +74,7 @@
             rng,
             clock.monotonic().total_seconds(),
         )
+        self.hedging = dispatch.Hedging(settings.hedge_share)
         self.quarantine = quarantine.Quarantine(settings.service_address)
         receive_buffer_bytes = _memory.compute_receive_buffer_bytes(settings)
         self.pool = http1.ConnectionPool(
@@ -306,6 +307,7 @@
         self._incarnations.pop(server_id, None)
         self.fleet.remove_server(server_id)
         self.rates.remove_server(server_id)
+        self.hedging.remove_server(server_id)
         self.dispatcher.reachability.remove_server(server_id)
         self.pool.close_idle(server_id)
 
--- a/buckthorntack/platform/_settings.py
+++ b/buckthorntack/platform/_settings.py
@@ -61,6 +61,7 @@
         * document.get("processor_speed", 1.0),
         link_mbps=document.get("link_mbps", 0.0),
         memory_mb=document.get("memory_mb", 0.0),
+        hedge_share=document.get("hedge_share", 0.0),
     )
 
 
--- a/buckthorntack/platform/tests/_standins.py
+++ b/buckthorntack/platform/tests/_standins.py
@@ -350,13 +350,17 @@
 
     :param entries: failure domain of each entry VM.
     :param memory_mb: memory of a VM; 0 for no bound.
+    :param hedge_share: as in ``NodeSettings``.
     """
 
-    def __init__(self, entries=("a1", "a1", "b1"), memory_mb=0.0):
+    def __init__(
+        self, entries=("a1", "a1", "b1"), memory_mb=0.0, hedge_share=0.0
+    ):
         self.memory_mb = memory_mb
         pid = os.getpid()
         self.network = f"127.{100 + pid % 100}.{pid // 100 % 250}"
         self.entries = entries
+        self.hedge_share = hedge_share
         self.nodes = {}
         self.servers = {}
         self.folder = None
@@ -419,6 +423,7 @@
             directory_ttl=datetime.timedelta(seconds=5),
             stop_grace=datetime.timedelta(seconds=8),
             memory_mb=self.memory_mb,
+            hedge_share=self.hedge_share,
         )
 
     async def _start(self, name, node):
