Refuse less urgent requests of organisations first when room is short

Entry VMs judged each request for itself, whoever sent it. The limit of the accepted wait now falls by rank of the organisation, then of the route, as the region's room grows short, and an organisation that asks for more than twice its part of the quotas' mean is judged last beyond its share. A part of all requests keeps the limit of the most urgent ones. Callers that return may go beyond the limit for a quarter of the served work, and are told times to return that do not meet. Without organisations nothing changes.

--- a/benchmarks/region_peak.py
+++ b/benchmarks/region_peak.py
@@ -1,9 +1,11 @@
 """Plays one region's peak of a large deployment in virtual time.
 
 31 engines and 60 entry VMs in three regions; one of them has most of the
-requests.  Prints what became of the requests of each kind.  Usage::
+requests.  Prints what became of the requests of each kind, and with
+organisations also of each of them.  Usage::
 
     python -m benchmarks.region_peak [--region north] [--load 1.6] [--seed 1]
+        [--organisations [--unranked]]
 """
 
 import argparse
@@ -11,6 +13,7 @@
 import datetime
 import random
 
+from buckthorntack import directives
 from buckthorntack import emulator
 from buckthorntack.directives.tests import _documents
 
@@ -78,6 +81,48 @@
     ]
 
 
+#: Priority of each organisation, its part of the requests, and the factor of
+#: a flood.
+ORGANISATIONS = {
+    "first-a": (0, 0.3, 1.0),
+    "first-b": (0, 0.1, 1.0),
+    "first-flood": (0, 0.05, 6.0),
+    "second-a": (1, 0.3, 1.0),
+    "second-b": (1, 0.15, 1.0),
+    "third": (2, 0.1, 1.0),
+}
+#: Quota of an organisation, in multiples of its usual tokens.
+QUOTA_TIMES = 1.8
+
+
+def organisation_kinds(played):
+    """Split kinds of requests among the organisations.
+
+    :param played: list of ``emulator.Kind``.
+    """
+    tokens_per_s = sum(
+        sum(kind.per_s.values())
+        * (sum(mean for mean, _ in kind.parts) + kind.own_tokens)
+        for kind in played
+    )
+    split = []
+    for name, (priority, part, times) in ORGANISATIONS.items():
+        rate = tokens_per_s * part * QUOTA_TIMES
+        organisation = directives.Organisation(
+            name,
+            frozenset((name,)),
+            priority,
+            directives.Quota(directives.QuotaUnit.TOKENS, rate, rate),
+        )
+        for kind in played:
+            per_s = {
+                region: rate * part * times
+                for region, rate in kind.per_s.items()
+            }
+            split.append(kind._replace(per_s=per_s, organisation=organisation))
+    return split
+
+
 def outcome(result, route):
     """One word for what became of a request.
 
@@ -99,8 +144,23 @@
     parser.add_argument("--load", type=float, default=1.0)
     parser.add_argument("--seconds", type=float, default=12.0)
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--organisations", action="store_true")
+    parser.add_argument("--unranked", action="store_true")
     options = parser.parse_args()
+    routes = [kind.route for kind in kinds(options.region, options.load)]
     played = kinds(options.region, options.load)
+    configuration = None
+    if options.organisations:
+        played = organisation_kinds(played)
+        if not options.unranked:
+            configuration = _documents.configuration(*routes)._replace(
+                organisations=tuple(
+                    {
+                        kind.organisation.name: kind.organisation
+                        for kind in played
+                    }.values()
+                )
+            )
     deployment = emulator.Deployment(
         [
             emulator.Region(name, engines, ENTRIES)
@@ -113,18 +173,35 @@
     # What was sent last is answered or given up by then.
     longest_ms = max(kind.route.timeout / _MS for kind in played)
     results = deployment.play(
-        traffic.arrivals(until_ms), until_ms + longest_ms
+        traffic.arrivals(until_ms), until_ms + longest_ms, configuration
     )
-    for kind in played:
-        own = [one for one in results if one.kind == kind.route.name]
-        counts = collections.Counter(outcome(one, kind.route) for one in own)
-        shares = "  ".join(
-            f"{name} {count / len(own):.3f}"
-            for name, count in sorted(counts.items())
+    by_route = {route.name: route for route in routes}
+    for route in routes:
+        _print_shares(
+            route.name,
+            [one for one in results if one.kind == route.name],
+            by_route,
+        )
+    for name in ORGANISATIONS if options.organisations else ():
+        _print_shares(
+            name,
+            [one for one in results if one.organisation == name],
+            by_route,
         )
-        print(f"{kind.route.name}: {len(own)} requests  {shares}")
     print(f"prompt tokens read: {deployment.tokens_read()}")
 
 
+def _print_shares(title, results, routes):
+    counts = collections.Counter(
+        outcome(one, routes[one.kind]) for one in results
+    )
+    counts["returned"] = sum(one.tries > 0 for one in results)
+    shares = "  ".join(
+        f"{name} {count / max(1, len(results)):.3f}"
+        for name, count in sorted(counts.items())
+    )
+    print(f"{title}: {len(results)} requests  {shares}")
+
+
 if __name__ == "__main__":
     main()
--- a/buckthorntack/dispatch/_choice.py
+++ b/buckthorntack/dispatch/_choice.py
@@ -3,6 +3,8 @@
 from buckthorntack.dispatch import _decisions
 from buckthorntack.dispatch import _estimates
 from buckthorntack.dispatch import _fleet
+from buckthorntack.dispatch import _ranked_limits
+from buckthorntack.dispatch import _ranks
 from buckthorntack.dispatch import _reachability
 from buckthorntack.dispatch import _server_rates
 from buckthorntack.dispatch import _shared_rate
@@ -37,6 +39,9 @@
         self.rng = rng
         self.estimator = _estimates.Estimator(region, fleet, settings)
         self.reachability = _reachability.Reachability()
+        self.ranked_limits = _ranked_limits.RankedLimits(
+            region, fleet, rates, settings, rng
+        )
         self.evacuated = frozenset()
         self._cold_until = {}
 
@@ -49,6 +54,7 @@
         :returns: ``Serve``, ``Forward`` or ``Refuse``.
         """
         now_s = now.total_seconds()
+        self.ranked_limits.on_request(request, now_s)
         allowed = request.route.allowed_regions
         servers = _select_version(servers, request.software_version)
         local, remote, pause_ends_s = [], [], []
@@ -101,7 +107,7 @@
             )
         best = remote_best or local_best
         if best is not None:
-            return self._decide(request, best, is_cut_off)
+            return self._decide(request, best, is_cut_off, servers, now_s)
         decision = self._refuse_without_candidate(
             request, [*local, *remote], pause_ends_s, now_s
         )
@@ -145,6 +151,13 @@
             self._cold_until[domain] = until
         self.evacuated = frozenset(evacuated)
 
+    def set_configuration(self, configuration):
+        """Set the configuration by which requests are ranked.
+
+        :param configuration: ``directives.Configuration``.
+        """
+        self.ranked_limits.set_configuration(configuration)
+
     def is_cold(self, view, now):
         """Whether a server is cold and its request rate is limited.
 
@@ -327,7 +340,7 @@
         ]
         return [candidate for candidate in candidates if candidate is not None]
 
-    def _decide(self, request, candidate, is_cut_off):
+    def _decide(self, request, candidate, is_cut_off, servers, now_s):
         settings = self.settings
         objective_ms = request.route.objective.total_seconds() * 1e3
         deadline_ms = request.remaining_ms * settings.deadline_share
@@ -343,14 +356,27 @@
             candidate.expected_ms
             + interference_ms * settings.refuse_interference_share
         )
-        if weighted_cost_ms > limit_ms:
+        limit = self.ranked_limits.apply(
+            request, candidate, limit_ms, servers, now_s
+        )
+        limit_ms = min(limit.limit_ms, deadline_ms)
+        if weighted_cost_ms > limit_ms and not (
+            weighted_cost_ms <= deadline_ms
+            and self.ranked_limits.admits_return(
+                request, candidate, limit, weighted_cost_ms
+            )
+        ):
             excess_ms = (
                 weighted_cost_ms
                 - objective_ms * settings.retry_objective_share
             )
-            return _decisions.Refuse(
+            refusal = _decisions.Refuse(
                 "expected too late", self._retry_after_ms(excess_ms), True
             )
+            return self.ranked_limits.promise(
+                request, candidate, limit, refusal, servers, now_s
+            )
+        self.ranked_limits.on_served(request, candidate, limit)
         if is_cut_off or candidate.region != self.region:
             return _decisions.Forward(
                 candidate.region,
@@ -372,17 +398,12 @@
         refused for the queue before it and not for its own size.
         """
         settings = self.settings
-        objectives = settings.refuse_at_objectives
-        objectives -= settings.refuse_priority_step * min(
-            request.route.priority, 3
-        )
-        idle_engine_ms = settings.first_event_ms
-        idle_engine_ms += (
-            candidate.unread_tokens / settings.prefill_tokens_per_ms
-        )
-        idle_engine_ms *= self.fleet.typical_slowdown
+        idle_engine_ms = self.ranked_limits.idle_engine_ms(candidate)
         queue_ms = objective_ms * settings.queue_share
-        return max(objective_ms * objectives, idle_engine_ms + queue_ms)
+        return max(
+            _ranks.accepted_wait_ms(request.route, settings),
+            idle_engine_ms + queue_ms,
+        )
 
     def _retry_after_ms(self, wait_ms):
         """Compute Retry-After with jitter, to avoid synchronized retries."""
--- a/buckthorntack/dispatch/_decisions.py
+++ b/buckthorntack/dispatch/_decisions.py
@@ -32,6 +32,11 @@
     retry_after_ms: float
     #: Whether a server that may take the request is only busy at present.
     may_wait: bool = False
+    #: Place among the ranks of its service, from 0.0, the most urgent, to
+    #: 1.0; None if requests are not ranked.
+    rank_position: float | None = None
+    #: How short the room was, from 0.0 to 1.0.
+    scarcity: float = 0.0
 
 
 class RoutingRequest(NamedTuple):
@@ -49,6 +54,8 @@
     can_hop: bool = False
     #: Software version of the servers that may take it; None for any.
     software_version: str | None = None
+    #: ``directives.Organisation`` of its caller; None for none.
+    organisation: object = None
 
 
 class Candidate(NamedTuple):
--- a/buckthorntack/emulator/_deployment.py
+++ b/buckthorntack/emulator/_deployment.py
@@ -60,6 +60,8 @@
     tries: int = 0
     #: Entry VM of its first try.
     entry: str = ""
+    #: Name of the organisation of its caller; empty for none.
+    organisation: str = ""
 
     def is_on_time(self, route):
         """Whether it was answered within the objectives of its route.
@@ -93,6 +95,9 @@
         self.exchange = dispatch.UsageExchange(
             self.fleet, name, failure_domain
         )
+        self.exchange.organisations.listener = (
+            self.dispatcher.ranked_limits.shares
+        )
 
 
 class _Request:
@@ -236,13 +241,18 @@
         item = (time_ms, next(self._numbers), action, arguments)
         heapq.heappush(self._events, item)
 
-    def play(self, arrivals, until_ms):
+    def play(self, arrivals, until_ms, configuration=None):
         """Play requests.
 
         :param arrivals: as of ``Traffic.arrivals``.
         :param until_ms: virtual time at which to stop.
+        :param configuration: ``directives.Configuration`` that ranks the
+            requests; None for none.
         :returns: list of :class:`Result`.
         """
+        if configuration is not None:
+            for entry in self._by_name.values():
+                entry.dispatcher.set_configuration(configuration)
         for number, arrival in enumerate(arrivals):
             request = _Request(number, *arrival)
             self._at(request.arrived_ms, self._arrive, request)
@@ -311,7 +321,10 @@
             request.until_ms() - now_ms,
             sender is None,
             sender is None and bool(self._list_targets(entry, entry.region)),
+            organisation=request.kind.organisation,
         )
+        if sender is None and not tried:
+            self._report_organisation(entry, request)
         views = list(self.registry.servers.values())
         now = now_ms * _MS
         entry.fleet.expire_forwarded(now_ms / 1e3)
@@ -360,6 +373,16 @@
                 sender,
             )
 
+    def _report_organisation(self, entry, request):
+        """Let an entry VM tell the others what an organisation asks for."""
+        organisation = request.kind.organisation
+        if organisation is None:
+            return
+        tokens = float(request.prompt.tokens + request.output)
+        entry.exchange.organisations.add(
+            messages.OrganisationUse(organisation.name, tokens, tokens)
+        )
+
     def _list_targets(self, entry, region):
         """List the entry VMs of a region that can be forwarded to."""
         return [
@@ -519,6 +542,7 @@
                 request.unread_tokens,
                 request.tries,
                 request.entry,
+                getattr(request.kind.organisation, "name", ""),
             )
         )
 
--- a/buckthorntack/emulator/_traffic.py
+++ b/buckthorntack/emulator/_traffic.py
@@ -27,6 +27,8 @@
     own_spread: float
     output_tokens: float
     output_spread: float
+    #: ``directives.Organisation`` of its callers; None for none.
+    organisation: directives.Organisation | None = None
 
 
 class Traffic:
--- a/buckthorntack/gateway/_metrics.py
+++ b/buckthorntack/gateway/_metrics.py
@@ -69,6 +69,12 @@
             "Requests that were refused as no organisation has their key.",
             registry=registry,
         )
+        self._room_refusals = prometheus_client.Counter(
+            "gateway_room_refusals",
+            "Requests that were refused as no server was to take them.",
+            ["reason", "rank"],
+            registry=registry,
+        )
         self._refusals = prometheus_client.Counter(
             "gateway_quarantine_refusals",
             "Requests that were refused as they crash servers.",
@@ -112,6 +118,18 @@
         """Count a request whose key no organisation has."""
         self._unknown_keys.inc()
 
+    def record_refusal(self, refusal):
+        """Count a request that no server was to take.
+
+        :param refusal: the ``dispatch.Refuse``.
+        """
+        position = refusal.rank_position
+        rank = "none"
+        if position is not None:
+            # Quarters bound the labels, however many ranks there are.
+            rank = f"{round(position * 4) / 4:.2f}"
+        self._room_refusals.labels(refusal.reason, rank).inc()
+
     def record_quarantine_refusal(self):
         """Count a request that is refused as it crashes servers."""
         self._refusals.inc()
--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -389,6 +389,7 @@
                     await self.handler.clock.sleep(_stream_origin.RETRY_DELAY)
                     continue
                 self._log_decision(decision)
+                self.handler.metrics.record_refusal(decision)
                 self._send_final_failure(
                     decision.reason, decision.retry_after_ms
                 )
@@ -455,6 +456,7 @@
             can_forward,
             can_forward and self._can_hop(),
             None if origin is None else origin.software_version,
+            None if self.caller is None else self.caller.organisation,
         )
 
     def _can_hop(self):
--- a/buckthorntack/gateway/_shared_state.py
+++ b/buckthorntack/gateway/_shared_state.py
@@ -59,6 +59,9 @@
             dispatch_parameters,
             rng,
         )
+        self.exchange.organisations.listener = (
+            self.dispatcher.ranked_limits.shares
+        )
         self.budgets = dispatch.RetryBudgets(
             settings.repeat_ratio,
             settings.repeat_slack,
@@ -108,6 +111,7 @@
         self.directives_index = index
         if configuration is not None and configuration.version > self.version:
             self.table = directives.RouteTable(configuration)
+            self.dispatcher.set_configuration(configuration)
         self.dispatcher.set_evacuated(
             frozenset(evacuated), self.clock.monotonic()
         )
