Compare organisations in constant time, without idle ones

A decision added up the sums of all organisations, and one that had been idle for long lowered the mean that others are compared with. The sums now decay together, and those without requests for 6 s are dropped.

--- a/buckthorntack/dispatch/_organisation_shares.py
+++ b/buckthorntack/dispatch/_organisation_shares.py
@@ -10,6 +10,8 @@
 
 #: Time constant of the sums.
 WINDOW_S = 3.0
+#: Time without requests after which an organisation is not active.
+IDLE_S = 2 * WINDOW_S
 #: Age of the last report at which nothing is known of other entry VMs.
 MAX_REPORT_AGE_S = 2.0
 #: Multiple of the others' mean that an organisation may ask for.
@@ -21,8 +23,9 @@
 
 
 class _Sum(NamedTuple):
-    amount: float
-    at_s: float
+    #: Amount as it will have decayed at the epoch of the sums.
+    scaled: float
+    updated_s: float
 
 
 class OrganisationShares:
@@ -31,6 +34,10 @@
     def __init__(self):
         self._rate_per_s = {}
         self._sums = {}
+        self._total = 0.0
+        #: Sums are scaled to their value at this time, so that they decay
+        #: together and a decision takes as long for any number of them.
+        self._epoch_s = 0.0
         self._heard_s = None
 
     def set_organisations(self, organisations):
@@ -45,6 +52,7 @@
         }
         for name in self._sums.keys() - self._rate_per_s.keys():
             del self._sums[name]
+        self._total = sum(known.scaled for known in self._sums.values())
 
     def on_local_updates(self, updates, now_s):
         """Handle what other entry VMs of this region have added.
@@ -74,9 +82,16 @@
         :param now_s: monotonic time in seconds.
         """
         rate_per_s = self._rate_per_s.get(name)
-        if rate_per_s is not None:
-            amount = self._amount(name, now_s) + requested / rate_per_s
-            self._sums[name] = _Sum(amount, now_s)
+        if rate_per_s is None:
+            return
+        if now_s - self._epoch_s > WINDOW_S:
+            self._move_epoch(now_s)
+        growth = math.exp((now_s - self._epoch_s) / WINDOW_S)
+        added = requested / rate_per_s * growth
+        known = self._sums.get(name)
+        scaled = added if known is None else known.scaled + added
+        self._sums[name] = _Sum(scaled, now_s)
+        self._total += added
 
     def fair_share(self, name, now_s):
         """Part of an organisation's requests that lies within its share.
@@ -88,18 +103,22 @@
         heard_s = self._heard_s
         if heard_s is None or now_s - heard_s > MAX_REPORT_AGE_S:
             return 1.0
-        own = self._amount(name, now_s)
-        others = [
-            self._amount(other, now_s) for other in self._sums if other != name
-        ]
-        others = [amount for amount in others if amount > 0]
-        if own <= 0 or len(others) < MIN_ACTIVE - 1:
-            return 1.0
-        allowed = TOLERANCE * sum(others) / len(others)
-        return max(LEAST_SHARE, min(1.0, allowed / own))
-
-    def _amount(self, name, now_s):
         known = self._sums.get(name)
-        if known is None:
-            return 0.0
-        return known.amount * math.exp((known.at_s - now_s) / WINDOW_S)
+        other_count = len(self._sums) - 1
+        if known is None or other_count < MIN_ACTIVE - 1:
+            return 1.0
+        mean = (self._total - known.scaled) / other_count
+        if known.scaled <= TOLERANCE * mean:
+            return 1.0
+        return max(LEAST_SHARE, TOLERANCE * mean / known.scaled)
+
+    def _move_epoch(self, now_s):
+        """Scale the sums to the present, without idle organisations."""
+        decay = math.exp((self._epoch_s - now_s) / WINDOW_S)
+        self._sums = {
+            name: known._replace(scaled=known.scaled * decay)
+            for name, known in self._sums.items()
+            if now_s - known.updated_s <= IDLE_S
+        }
+        self._total = sum(known.scaled for known in self._sums.values())
+        self._epoch_s = now_s
--- a/buckthorntack/dispatch/tests/test_organisation_shares.py
+++ b/buckthorntack/dispatch/tests/test_organisation_shares.py
@@ -52,3 +52,30 @@
     shares = _shares({"a": 1.0})
     shares.set_organisations([])
     assert not shares._sums
+
+
+# Guards against organisations that count as a flood beside many idle ones.
+def test_idle_organisations_do_not_count():
+    shares = _shares({"a": 1.0, "b": 0.1, "c": 10.0})
+    later = [
+        messages.OrganisationUse("a", 0.0, 100.0),
+        messages.OrganisationUse("b", 0.0, 10.0),
+    ]
+    shares.on_local_updates(later, 15.0)
+    assert shares.fair_share("a", 15.0) == 1.0
+    assert len(shares._sums) == 2
+
+
+def test_sums_decay():
+    shares = _shares({"a": 700.0, "b": 10.0, "c": 1000.0})
+    share = shares.fair_share("a", 5.0)
+    for step in range(1, 40):
+        now_s = 5.0 + step * 0.25
+        updates = [
+            messages.OrganisationUse(name, 0.0, rate / 4)
+            for name, rate in (("a", 100.0), ("b", 10.0), ("c", 1000.0))
+        ]
+        shares.on_local_updates(updates, now_s)
+        assert shares.fair_share("a", now_s) >= share
+        share = shares.fair_share("a", now_s)
+    assert share == 1.0
--- a/buckthorntack/emulator/tests/test_ranks_when_room_is_short.py
+++ b/buckthorntack/emulator/tests/test_ranks_when_room_is_short.py
@@ -22,9 +22,7 @@
 SILENT_MS = 2500.0
 
 
-def play(
-    times, configure=_organisations.configure, make=emulator.Deployment
-):
+def play(times, configure=_organisations.configure, make=emulator.Deployment):
     kinds = _organisations.split(
         _kinds.reviews_and_questions(
             {"north": 7.0 * times}, 20, {"north": 150.0 * times}
