--- a/buckthorntack/admission/tests/_entry_vms.py
+++ b/buckthorntack/admission/tests/_entry_vms.py
@@ -42,7 +42,7 @@
         )
         regions = list(world.region_of.values())
         self.quotas.set_entry_vms(regions.count(region), regions, now_s)
-        self.exchange.organisations.listener = self.quotas
+        self.exchange.organisations.add_listener(self.quotas)
 
 
 class World:
--- a/buckthorntack/dispatch/_shared_sums.py
+++ b/buckthorntack/dispatch/_shared_sums.py
@@ -33,16 +33,22 @@
 
     :param message_type: ``NamedTuple`` of the schema.
     :param key_length: number of its fields that form the key.
-    :param listener: the :class:`SumListener`; None for none.
     """
 
-    def __init__(self, message_type, key_length, listener=None):
+    def __init__(self, message_type, key_length):
         self.message_type = message_type
         self.key_length = key_length
-        self.listener = listener
+        self._listeners = []
         self._own = {}
         self._region = {}
 
+    def add_listener(self, listener):
+        """Tell a listener from now on what others have added.
+
+        :param listener: the :class:`SumListener`.
+        """
+        self._listeners.append(listener)
+
     def add(self, update):
         """Add to a sum at this entry VM.
 
@@ -75,8 +81,10 @@
         """
         for update in updates:
             self._accumulate(self._region, update)
-        if updates and self.listener is not None:
-            self.listener.on_local_updates(updates, now_s)
+        if not updates:
+            return
+        for listener in self._listeners:
+            listener.on_local_updates(updates, now_s)
 
     def on_region_updates(self, region, updates, now_s):
         """Process the report of another region, also an empty one.
@@ -85,8 +93,8 @@
         :param updates: list of messages.
         :param now_s: monotonic time in seconds.
         """
-        if self.listener is not None:
-            self.listener.on_region_updates(region, updates, now_s)
+        for listener in self._listeners:
+            listener.on_region_updates(region, updates, now_s)
 
     def combine(self, update_lists):
         """Return the sum of several lists of updates, by key.
--- a/buckthorntack/dispatch/tests/test_exchange.py
+++ b/buckthorntack/dispatch/tests/test_exchange.py
@@ -233,7 +233,7 @@
 def _listen(mesh):
     listeners = {name: _Listener() for name in mesh.exchanges}
     for name, listener in listeners.items():
-        mesh.exchanges[name].organisations.listener = listener
+        mesh.exchanges[name].organisations.add_listener(listener)
     return listeners
 
 
--- a/buckthorntack/gateway/_quota_charge.py
+++ b/buckthorntack/gateway/_quota_charge.py
@@ -63,7 +63,7 @@
             rng,
             now_s,
         )
-        sums.listener = self.quotas
+        sums.add_listener(self.quotas)
         self._log = events.EventLog("gateway")
         self._was_cut_off = self.quotas.is_cut_off
 
