Learn the speed of each server from the answers to all entry VMs

Each entry VM learnt one slowdown for each server alone, mostly from short prompts, which tell little of how fast long ones are read: expected times of long prompts were a third to a half of those seen.

Two factors for each incarnation, short prompts and reading, from samples that all entry VMs exchange; used for local and remote engines. An entry VM that starts is told all estimates once. Event 2245 and a gauge of three values. min_slowdown is .2, as short prompts on fast engines take .41 of the nominal.

--- a/benchmarks/region_peak.py
+++ b/benchmarks/region_peak.py
@@ -4,6 +4,7 @@
 requests.  Prints what became of the requests of each kind.  Usage::
 
     python -m benchmarks.region_peak [--region north] [--load 1.6] [--seed 1]
+        [--uneven]
 """
 
 import argparse
@@ -78,6 +79,16 @@
     ]
 
 
+def uneven_speed(server_id, now_ms):
+    """Speed of an engine of a deployment of two sorts.
+
+    :param server_id: the engine; its name ends in its number.
+    :param now_ms: virtual time.
+    """
+    is_fast = int(server_id.rpartition("-")[2]) % 3 == 0
+    return 1.7 if is_fast else 0.7
+
+
 def outcome(result, route):
     """One word for what became of a request.
 
@@ -99,6 +110,11 @@
     parser.add_argument("--load", type=float, default=1.0)
     parser.add_argument("--seconds", type=float, default=12.0)
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument(
+        "--uneven",
+        action="store_true",
+        help="one engine of three is fast, the others are slow",
+    )
     options = parser.parse_args()
     played = kinds(options.region, options.load)
     deployment = emulator.Deployment(
@@ -107,6 +123,7 @@
             for name, (engines, _) in REGIONS.items()
         ],
         seed=options.seed,
+        speeds=uneven_speed if options.uneven else None,
     )
     until_ms = options.seconds * 1e3
     traffic = emulator.Traffic(played, random.Random(options.seed))
--- a/buckthorntack/dispatch/_choice.py
+++ b/buckthorntack/dispatch/_choice.py
@@ -376,11 +376,10 @@
         objectives -= settings.refuse_priority_step * min(
             request.route.priority, 3
         )
-        idle_engine_ms = settings.first_event_ms
-        idle_engine_ms += (
-            candidate.unread_tokens / settings.prefill_tokens_per_ms
-        )
-        idle_engine_ms *= self.fleet.typical_slowdown
+        speeds = self.fleet.speeds
+        read_ms = candidate.unread_tokens / settings.prefill_tokens_per_ms
+        idle_engine_ms = settings.first_event_ms * speeds.typical_slowdown
+        idle_engine_ms += read_ms * speeds.typical_read_slowdown
         queue_ms = objective_ms * settings.queue_share
         return max(objective_ms * objectives, idle_engine_ms + queue_ms)
 
@@ -393,12 +392,13 @@
             settings.max_retry_after_ms,
         )
 
-    def create_in_flight_request(self, request, serve, now):
+    def create_in_flight_request(self, request, serve, now, born_ms=0):
         """Create the in-flight record of a request about to be sent.
 
         :param request: the ``RoutingRequest``.
         :param serve: the decision, a ``Serve``.
         :param now: monotonic time.
+        :param born_ms: incarnation of the server.
         """
         held = _estimates.held_tokens(request.prompt)
         return _fleet.InFlightRequest(
@@ -407,6 +407,7 @@
             held,
             serve.expected_ms,
             now.total_seconds(),
+            self.estimator.speed_work(request, serve, born_ms),
         )
 
 
--- a/buckthorntack/dispatch/_estimates.py
+++ b/buckthorntack/dispatch/_estimates.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from buckthorntack.dispatch import _decisions
+from buckthorntack.dispatch import _server_speeds
 from buckthorntack.dispatch import _shared_rate
 
 #: Largest affinity penalty: enough to send equal prompts to the same server
@@ -243,17 +244,48 @@
             ) or settings.stream_duration_ms
             tokens = usage.waiting_tokens + unread
             expected_ms = (
-                settings.first_event_ms
-                + tokens / settings.prefill_tokens_per_ms
-                + usage.running * settings.batch_ms
+                self._base_ms(usage)
                 + stream_duration_ms * excess / slots
                 + stream_duration_ms * self._memory_excess(request, usage)
             )
-            expected_ms *= self.fleet.slowdown(state)
+            speeds = self.fleet.speeds
+            server_id = view.record.server_id
+            expected_ms *= speeds.slowdown(server_id)
+            read_ms = tokens / settings.prefill_tokens_per_ms
+            expected_ms += read_ms * speeds.read_slowdown(server_id)
         if state is not None:
             expected_ms += state.failure_share * settings.failure_ms
         return expected_ms
 
+    def _base_ms(self, usage):
+        """Time to the first event of a cached prompt at nominal speed."""
+        settings = self.settings
+        return settings.first_event_ms + usage.running * settings.batch_ms
+
+    def speed_work(self, request, serve, born_ms):
+        """Tell what the answer of a request will say of its engine's speed.
+
+        :param request: the ``RoutingRequest``.
+        :param serve: the decision, a ``Serve``; not yet counted.
+        :param born_ms: incarnation of the server.
+        :returns: ``SpeedWork``, or None if it will say nothing.
+        """
+        engine = request.service.engine
+        if engine is None or serve.fetch_from:
+            return None
+        usage = self.fleet.usage(serve.server_id)
+        is_full = usage.running + usage.waiting >= max(1, engine.slots)
+        if is_full or self.lacks_memory(request, usage):
+            return None
+        settings = self.settings
+        tokens = usage.waiting_tokens + serve.unread_tokens
+        return _server_speeds.SpeedWork(
+            born_ms,
+            self._base_ms(usage),
+            tokens / settings.prefill_tokens_per_ms,
+            serve.unread_tokens / settings.prefill_tokens_per_ms,
+        )
+
     def _stall_ms(self, usage, unread):
         """Estimate the stall of running streams while an engine prefills."""
         settings = self.settings
--- a/buckthorntack/dispatch/_exchange.py
+++ b/buckthorntack/dispatch/_exchange.py
@@ -12,6 +12,7 @@
 sends an empty report to the former one.
 """
 
+import math
 from typing import NamedTuple
 
 from buckthorntack.dispatch import _shared_sums
@@ -104,7 +105,14 @@
         self.organisations = _shared_sums.SharedSums(
             messages.OrganisationUse, 1
         )
-        self.speeds = _shared_sums.SharedSums(messages.SpeedSample, 2)
+        self.speeds = _shared_sums.SharedSums(
+            messages.SpeedSample, 2, fleet.speeds
+        )
+        fleet.speeds.own_id = own_id
+        fleet.speeds.publish = self.speeds.add
+        #: Last sequence number by sender, and senders that have started.
+        self._sequences = {}
+        self._started = set()
         self.demands = _shared_sums.SharedSums(messages.RouteDemand, 1)
         #: Whether to report at once because a large prompt was sent, or the
         #: limit of a server changed.
@@ -175,6 +183,10 @@
         for node_id in (sender, *report.heard):
             self._last_heard_s[node_id] = now_s
         self._suspected_until_s.pop(sender, None)
+        if report.sequence < self._sequences.get(sender, math.inf):
+            self._started.add(sender)
+        self._sequences[sender] = report.sequence
+        self.fleet.speeds.merge_statements(report.known_speeds, now_s)
         self._choose_relay(now_s)
         if report.scope == "own":
             self._reporters[sender] = now_s
@@ -394,6 +406,10 @@
         has_news = changed or prompts or reads or heard or limits or any(sums)
         if not (is_whole or has_news):
             return None
+        known_speeds = []
+        if node_id in self._started:
+            self._started.remove(node_id)
+            known_speeds = self.fleet.speeds.list_statements()
         self._last_reported[node_id] = (
             uses,
             all_limits,
@@ -410,6 +426,7 @@
             self.is_urgent,
             limits,
             *sums,
+            known_speeds=known_speeds,
         )
 
     def _select_uses(self, node_id, scope, total):
--- a/buckthorntack/dispatch/_fleet.py
+++ b/buckthorntack/dispatch/_fleet.py
@@ -8,6 +8,7 @@
 from buckthorntack.dispatch import _outcomes
 from buckthorntack.dispatch import _prompts
 from buckthorntack.dispatch import _server_limits
+from buckthorntack.dispatch import _server_speeds
 from buckthorntack.schema import messages
 
 #: Smallest shared prefix that is announced individually to other entry VMs:
@@ -68,6 +69,8 @@
     :param held_tokens: tokens that the request holds in engine memory.
     :param expected_ms: expected time to the first byte of the answer.
     :param started_s: monotonic time at which the request was sent.
+    :param speed_work: the ``SpeedWork``; None if its answer says nothing of
+        the server's speed.
     """
 
     __slots__ = (
@@ -75,18 +78,26 @@
         "expected_ms",
         "held_tokens",
         "server_id",
+        "speed_work",
         "started_s",
         "unread_tokens",
     )
 
     def __init__(
-        self, server_id, unread_tokens, held_tokens, expected_ms, started_s
+        self,
+        server_id,
+        unread_tokens,
+        held_tokens,
+        expected_ms,
+        started_s,
+        speed_work=None,
     ):
         self.server_id = server_id
         self.unread_tokens = unread_tokens
         self.held_tokens = held_tokens
         self.expected_ms = expected_ms
         self.started_s = started_s
+        self.speed_work = speed_work
         self.has_first_byte = False
 
 
@@ -102,8 +113,6 @@
         self.usage = Usage()
         self.cache = _prompts.PrefixCache(memory_tokens)
         self.ejection = routing.Ejection(settings)
-        #: Learnt ratio of observed to expected time; None before a sample.
-        self.slowdown = None
         self.failure_share = 0.0
         #: Time up to which the failure share stands for recent requests.
         self.failure_share_s = 0.0
@@ -134,26 +143,6 @@
         until_s = self.ejection.until_s
         return until_s is not None and now_s < until_s
 
-    def learn_first_byte(self, flight, typical, now_s):
-        """Update the slowdown from the time to the first byte.
-
-        :param flight: the ``InFlightRequest``.
-        :param typical: slowdown assumed for servers without samples.
-        :param now_s: monotonic time.
-        :returns: slowdown observed for this request.
-        """
-        settings = self.settings
-        known = typical if self.slowdown is None else self.slowdown
-        observed_ms = (now_s - flight.started_s) * 1e3
-        ratio = observed_ms * known / max(1.0, flight.expected_ms)
-        observed_slowdown = min(
-            max(ratio, settings.min_slowdown), settings.max_slowdown
-        )
-        self.slowdown = (
-            known + (observed_slowdown - known) * settings.sample_weight
-        )
-        return observed_slowdown
-
     def learn_outcome(self, flight, outcome, now_s):
         """Update failure share, ejection and duration at the end of a request.
 
@@ -199,8 +188,7 @@
 
     def __init__(self, settings, is_known_server=None):
         self.settings = settings
-        #: Slowdown assumed for servers without samples.
-        self.typical_slowdown = 1.0
+        self.speeds = _server_speeds.ServerSpeeds(settings)
         self.limits = _server_limits.ServerLimits(is_known_server)
         self._states = {}
         self._peers = {}
@@ -235,6 +223,7 @@
         :param server_id: the server.
         """
         self._states.pop(server_id, None)
+        self.speeds.remove_server(server_id)
         self.limits.remove_server(server_id)
         if not any(self._peer_usage.get(server_id, ())):
             self._peer_usage.pop(server_id, None)
@@ -244,6 +233,7 @@
 
         :param server_id: the server.
         """
+        self.speeds.on_server_restarted(server_id)
         state = self._states.get(server_id)
         if state is not None:
             state.cache.clear()
@@ -340,11 +330,13 @@
             _, state, usage = self._forwarded.popleft()
             state.usage = state.usage.plus(usage, -1)
 
-    def on_first_byte(self, flight, now_s):
+    def on_first_byte(self, flight, now_s, is_answered=True):
         """Count a request as running after the first byte of its answer.
 
         :param flight: the ``InFlightRequest``.
         :param now_s: monotonic time.
+        :param is_answered: whether the server did its work; an error says
+            nothing of its speed.
         """
         if flight.has_first_byte:
             return
@@ -356,22 +348,13 @@
             waiting=usage.waiting - 1,
             waiting_tokens=usage.waiting_tokens - flight.unread_tokens,
         )
-        observed_slowdown = state.learn_first_byte(
-            flight, self.typical_slowdown, now_s
-        )
-        weight = self.settings.sample_weight
-        self.typical_slowdown += (
-            observed_slowdown - self.typical_slowdown
-        ) * weight
-
-    def slowdown(self, state):
-        """Ratio of observed to expected time of a server.
-
-        :param state: its :class:`ServerState`; None for a typical server.
-        """
-        if state is None or state.slowdown is None:
-            return self.typical_slowdown
-        return state.slowdown
+        if is_answered and flight.speed_work is not None:
+            self.speeds.on_first_byte(
+                flight.server_id,
+                flight.speed_work,
+                (now_s - flight.started_s) * 1e3,
+                now_s,
+            )
 
     def on_request_ended(self, flight, outcome, now_s):
         """Stop counting a request that has ended and learn from its outcome.
@@ -492,6 +475,7 @@
         for sender, report in list(self._peers.items()):
             if now_s - report.received_s > MAX_REPORT_AGE_S:
                 self.remove_peer_report(sender)
+        self.speeds.expire(now_s)
         for state in self._states.values():
             state.decay_failure_share(now_s)
         for key, announced_s in list(self._announced_s.items()):
--- a/buckthorntack/dispatch/_settings.py
+++ b/buckthorntack/dispatch/_settings.py
@@ -26,7 +26,7 @@
     #: Weight of a new sample in moving averages.
     sample_weight: float = 0.08
     #: Bounds of the learnt ratio of observed to expected time.
-    min_slowdown: float = 0.5
+    min_slowdown: float = 0.2
     max_slowdown: float = 8.0
     #: Round trip time to another region.
     region_round_trip_ms: float = 112.0
--- a/buckthorntack/emulator/_deployment.py
+++ b/buckthorntack/emulator/_deployment.py
@@ -133,6 +133,8 @@
     :param brittle: function that returns how many rejections in a second an
         engine bears, or None if it bears any number, from its id and the time
         in ms.
+    :param speeds: function that returns the multiple of the nominal speed at
+        which an engine works, from its id and the time in ms.
     """
 
     def __init__(
@@ -146,6 +148,7 @@
         limits=None,
         brittle=None,
         cut_off=None,
+        speeds=None,
     ):
         self.figures = figures or _engine.EngineFigures()
         self.settings = settings or dispatch.DispatchSettings()
@@ -155,6 +158,7 @@
         self.limits = limits or (lambda server_id, now_ms: None)
         self.brittle = brittle or (lambda server_id, now_ms: None)
         self.cut_off = cut_off or (lambda name, now_ms: False)
+        self.speeds = speeds or (lambda server_id, now_ms: 1.0)
         #: Times in ms at which brittle engines fell over, by engine.
         self.falls = {}
         self._rejected_ms = {}
@@ -345,7 +349,7 @@
             view = self.registry.servers[decision.server_id]
             entry.dispatcher.on_request_sent(wanted, view, now)
             flight = entry.dispatcher.create_in_flight_request(
-                wanted, decision, now
+                wanted, decision, now, view.record.born_ms
             )
             entry.fleet.on_request_sent(flight, request.prompt)
             entry.exchange.on_request_sent(flight)
@@ -401,6 +405,7 @@
             EQUAL_RANK,
         )
         request.unread_tokens = flight.unread_tokens
+        engine.speed = self.speeds(flight.server_id, now_ms)
         if not engine.submit(run, now_ms):
             entry.fleet.on_request_ended(
                 flight, dispatch.Outcome.FULL, now_ms / 1e3
@@ -455,6 +460,7 @@
 
     def _step(self, now_ms, server_id):
         engine = self.engines[server_id]
+        engine.speed = self.speeds(server_id, now_ms)
         end_ms, told, ended = engine.step(now_ms)
         for run in told:
             request, entry, flight = self._flights[run]
--- a/buckthorntack/emulator/_engine.py
+++ b/buckthorntack/emulator/_engine.py
@@ -82,6 +82,8 @@
         self.running = []
         self.waiting = collections.deque()
         self.tokens_read = 0
+        #: Multiple of the nominal speed.
+        self.speed = 1.0
         self.preempted = 0
         #: Requests that may wait beyond the free slots; None for as many as
         #: its queue holds.
@@ -100,7 +102,7 @@
             return False
         if len(self.waiting) >= self.figures.queue:
             return False
-        run.ready_ms = now_ms + self.figures.setup_ms
+        run.ready_ms = now_ms + self.figures.setup_ms / self.speed
         self.waiting.append(run)
         return True
 
@@ -177,7 +179,7 @@
         held = sum(run.held_tokens for run in self.running)
         took_ms += figures.step_ms
         took_ms += held / 1000.0 * figures.context_ms_per_thousand
-        end_ms = now_ms + took_ms
+        end_ms = now_ms + took_ms / self.speed
         told, ended = [], []
         for run in decoding:
             run.generated_tokens += 1
--- a/buckthorntack/gateway/_entry.py
+++ b/buckthorntack/gateway/_entry.py
@@ -243,6 +243,9 @@
             await self.clock.sleep(EXPIRE_PERIOD)
             now_s = self.clock.monotonic().total_seconds()
             self.shared_state.fleet.expire_reports(now_s)
+            speeds = self.shared_state.fleet.speeds
+            self.metrics.record_slowdowns(*speeds.spread())
+            self.shared_state.log_speeds(now_s)
             self.shared_state.update_members()
 
     def _other_entry_vms(self):
--- a/buckthorntack/gateway/_events.py
+++ b/buckthorntack/gateway/_events.py
@@ -199,6 +199,14 @@
     "What a server says of its limits cannot be read and is passed over.",
     "check the version of the server",
 )
+SERVER_SPEED = events.declare(
+    2245,
+    "server_speed",
+    logbook.INFO,
+    "What is known of a server's speed has changed by a factor; at most once"
+    " in 2 s for each server of the region.",
+    "check why the server is slow",
+)
 REACHABILITY_CHANGED = events.declare(
     2232,
     "reachability_changed",
--- a/buckthorntack/gateway/_metrics.py
+++ b/buckthorntack/gateway/_metrics.py
@@ -74,6 +74,13 @@
             "Requests that were refused as they crash servers.",
             registry=registry,
         )
+        self._slowdowns = prometheus_client.Gauge(
+            "gateway_server_slowdown",
+            "Time to the first byte over that at nominal speed, of cached"
+            " prompts: lowest, median and highest of the known servers.",
+            ["which"],
+            registry=registry,
+        )
         self._blamed = prometheus_client.Gauge(
             "gateway_quarantined_subjects",
             "Requests and prompt parts refused as they crash servers.",
@@ -123,6 +130,17 @@
         """
         self._blamed.set(count)
 
+    def record_slowdowns(self, lowest, median, highest):
+        """Record how much the speeds of servers differ.
+
+        :param lowest: slowdown of the fastest server.
+        :param median: slowdown of a typical one.
+        :param highest: slowdown of the slowest one.
+        """
+        self._slowdowns.labels("lowest").set(lowest)
+        self._slowdowns.labels("median").set(median)
+        self._slowdowns.labels("highest").set(highest)
+
     def record_failed_attempt(self, result):
         """Count a failed attempt.
 
--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -1,6 +1,7 @@
 """Proxying of requests from clients to servers and other regions."""
 
 import asyncio
+import http
 from typing import NamedTuple
 
 from buckthorntack import clock as clocks
@@ -547,7 +548,7 @@
             routing_request, view, now
         )
         in_flight = self.shared_state.dispatcher.create_in_flight_request(
-            routing_request, decision, now
+            routing_request, decision, now, view.record.born_ms
         )
         fleet.on_request_sent(in_flight, routing_request.prompt)
         self.shared_state.exchange.on_request_sent(in_flight)
@@ -711,7 +712,10 @@
         metadata = self.dialect.parse_response(head)
         if in_flight is not None:
             now_s = self._now_s()
-            self.shared_state.fleet.on_first_byte(in_flight, now_s)
+            is_answered = head.status < http.HTTPStatus.BAD_REQUEST
+            self.shared_state.fleet.on_first_byte(
+                in_flight, now_s, is_answered
+            )
             self._note_server_state(metadata)
         refusal = self._parse_refusal(head, metadata)
         if refusal is not None:
--- a/buckthorntack/gateway/_shared_state.py
+++ b/buckthorntack/gateway/_shared_state.py
@@ -235,6 +235,23 @@
                 told_by=told_by,
             )
 
+    def log_speeds(self, now_s):
+        """Log the servers of this region whose speed has changed.
+
+        :param now_s: monotonic time in seconds.
+        """
+        for change in self.fleet.speeds.take_changes(now_s):
+            view = self.registry.servers.get(change.server_id)
+            if view is None or view.record.region != self.settings.region:
+                continue
+            self._log.write(
+                _events.SERVER_SPEED,
+                server=change.server_id,
+                born_ms=change.born_ms,
+                former=round(change.former, 2),
+                slowdown=round(change.slowdown, 2),
+            )
+
     def limits(self):
         """Return the request limits of the active configuration.
 
--- a/buckthorntack/schema/_generated/discovery.py
+++ b/buckthorntack/schema/_generated/discovery.py
@@ -168,6 +168,8 @@
     born_ms: int
     count: float
     ratio_sum: float
+    read_count: float = 0.0
+    read_ratio_sum: float = 0.0
 
 
 class RouteDemand(NamedTuple):
@@ -211,3 +213,4 @@
     organisations: list[OrganisationUse] = []
     speeds: list[SpeedSample] = []
     demands: list[RouteDemand] = []
+    known_speeds: list[SpeedSample] = []
