--- a/benchmarks/region_peak.py
+++ b/benchmarks/region_peak.py
@@ -6,6 +6,7 @@
 
     python -m benchmarks.region_peak [--region north] [--load 1.6] [--seed 1]
         [--organisations [--unranked]]
+        [--uneven]
 """
 
 import argparse
@@ -123,6 +124,16 @@
     return split
 
 
+def uneven_speed(server_id, now_ms):
+    """Speed of an engine of a deployment of two sorts.
+
+    :param server_id: the engine; its name ends in its number.
+    :param now_ms: virtual time.
+    """
+    is_fast = int(server_id.rpartition("-")[2]) % 3 == 0
+    return 1.7 if is_fast else 0.7
+
+
 def outcome(result, route):
     """One word for what became of a request.
 
@@ -146,6 +157,11 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--organisations", action="store_true")
     parser.add_argument("--unranked", action="store_true")
+    parser.add_argument(
+        "--uneven",
+        action="store_true",
+        help="one engine of three is fast, the others are slow",
+    )
     options = parser.parse_args()
     routes = [kind.route for kind in kinds(options.region, options.load)]
     played = kinds(options.region, options.load)
@@ -167,6 +183,7 @@
             for name, (engines, _) in REGIONS.items()
         ],
         seed=options.seed,
+        speeds=uneven_speed if options.uneven else None,
     )
     until_ms = options.seconds * 1e3
     traffic = emulator.Traffic(played, random.Random(options.seed))
--- a/buckthorntack/dispatch/_choice.py
+++ b/buckthorntack/dispatch/_choice.py
@@ -414,12 +414,13 @@
             settings.max_retry_after_ms,
         )
 
-    def create_in_flight_request(self, request, serve, now):
+    def create_in_flight_request(self, request, serve, now, born_ms=0):
         """Create the in-flight record of a request about to be sent.
 
         :param request: the ``RoutingRequest``.
         :param serve: the decision, a ``Serve``.
         :param now: monotonic time.
+        :param born_ms: incarnation of the server.
         """
         held = _estimates.held_tokens(request.prompt)
         return _fleet.InFlightRequest(
@@ -428,6 +429,7 @@
             held,
             serve.expected_ms,
             now.total_seconds(),
+            self.estimator.speed_work(request, serve, born_ms),
         )
 
 
--- a/buckthorntack/dispatch/_ranked_limits.py
+++ b/buckthorntack/dispatch/_ranked_limits.py
@@ -80,9 +80,10 @@
         :param candidate: the ``Candidate``.
         """
         settings = self.settings
-        idle_ms = settings.first_event_ms
-        idle_ms += candidate.unread_tokens / settings.prefill_tokens_per_ms
-        return idle_ms * self.fleet.typical_slowdown
+        speeds = self.fleet.speeds
+        read_ms = candidate.unread_tokens / settings.prefill_tokens_per_ms
+        idle_ms = settings.first_event_ms * speeds.typical_slowdown
+        return idle_ms + read_ms * speeds.typical_read_slowdown
 
     def apply(self, request, candidate, limit_ms, servers, now_s):
         """Lower the limit of a request by its rank if room is short.
@@ -244,7 +245,7 @@
                 request.service,
                 urgent_wait_ms,
                 self.settings,
-                self.fleet.typical_slowdown,
+                self.fleet.speeds.typical_slowdown,
             )
             for region_usages in usages.values()
         ]
--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -1,6 +1,7 @@
 """Proxying of requests from clients to servers and other regions."""
 
 import asyncio
+import http
 
 from buckthorntack import clock as clocks
 from buckthorntack import directives
@@ -592,7 +593,7 @@
         attempt.server = view.record
         shared_state.dispatcher.on_request_sent(routing_request, view, now)
         attempt.in_flight = shared_state.dispatcher.create_in_flight_request(
-            routing_request, decision, now
+            routing_request, decision, now, view.record.born_ms
         )
         shared_state.fleet.on_request_sent(
             attempt.in_flight, routing_request.prompt
@@ -822,7 +823,10 @@
         metadata = self.dialect.parse_response(head)
         if attempt.in_flight is not None:
             now_s = self._now_s()
-            self.shared_state.fleet.on_first_byte(attempt.in_flight, now_s)
+            is_answered = head.status < http.HTTPStatus.BAD_REQUEST
+            self.shared_state.fleet.on_first_byte(
+                attempt.in_flight, now_s, is_answered
+            )
             _server_notes.note_server_state(
                 self.handler, self._request_id_text(), attempt, metadata
             )
