--- a/buckthorntack/dispatch/_exchange.py
+++ b/buckthorntack/dispatch/_exchange.py
@@ -113,7 +113,6 @@
         #: Last sequence number by sender, and senders that have started.
         self._sequences = {}
         self._started = set()
-        self.demands = _shared_sums.SharedSums(messages.RouteDemand, 1)
         #: Whether to report at once because a large prompt was sent, or the
         #: limit of a server changed.
         self.is_urgent = False
@@ -150,7 +149,7 @@
     @property
     def sums(self):
         """The sums over all entry VMs, in the order of a report's fields."""
-        return self.organisations, self.speeds, self.demands
+        return self.organisations, self.speeds
 
     @property
     def period_s(self):
@@ -220,7 +219,7 @@
         if report.is_urgent and report.scope != "region":
             self.is_urgent = True
         reads = {read.server_id: read.tokens for read in report.reads}
-        sums = (report.organisations, report.speeds, report.demands)
+        sums = (report.organisations, report.speeds)
         for shared, updates in zip(self.sums, sums, strict=True):
             shared.on_local_updates(updates, now_s)
         if report.prompts or reads or any(sums):
@@ -235,7 +234,7 @@
         :param load: ``RegionLoad``.
         :param now_s: monotonic time.
         """
-        sums = (load.organisations, load.speeds, load.demands)
+        sums = (load.organisations, load.speeds)
         for shared, updates in zip(self.sums, sums, strict=True):
             shared.on_region_updates(load.region, updates, now_s)
 
--- a/buckthorntack/schema/_generated/discovery.py
+++ b/buckthorntack/schema/_generated/discovery.py
@@ -182,16 +182,6 @@
     read_ratio_sum: float = 0.0
 
 
-class RouteDemand(NamedTuple):
-    """
-    Requests that callers sent on a route, whether served or not.
-    """
-
-    route: str
-    requests: float
-    prompt_tokens: float
-
-
 class RegionLoad(NamedTuple):
     """
     Load of the backend servers of a region.
@@ -203,7 +193,6 @@
     limits: list[ServerLimit]
     organisations: list[OrganisationUse] = []
     speeds: list[SpeedSample] = []
-    demands: list[RouteDemand] = []
 
 
 class UseReport(NamedTuple):
@@ -222,5 +211,4 @@
     limits: list[ServerLimit]
     organisations: list[OrganisationUse] = []
     speeds: list[SpeedSample] = []
-    demands: list[RouteDemand] = []
     known_speeds: list[SpeedSample] = []
--- a/buckthorntack/schema/messages.py
+++ b/buckthorntack/schema/messages.py
@@ -63,7 +63,6 @@
             "RegionLoad",
             "RegistryChanges",
             "ReplicaEnvelope",
-            "RouteDemand",
             "ServerLimit",
             "ServerRead",
             "ServerUse",
