Log unreadable changes of a registry in one place

Entry VMs and control VMs decoded packed changes by the same lines; hedging listed recent answers by two copies of one comprehension; an entry VM copied all server records for each reply, wanted or not. Behaviour is unchanged. Passed: gateway, discovery, hedging, registrars, hedged requests, operators, start imports, linters; the whole suite was not run.

--- a/buckthorntack/discovery/_registry.py
+++ b/buckthorntack/discovery/_registry.py
@@ -415,7 +415,7 @@
 def select_returned(records, reply):
     """Choose the records of servers that an entry VM returns.
 
-    :param records: ``AnnouncedServer`` that it has.
+    :param records: iterable of ``AnnouncedServer`` that it has.
     :param reply: ``PresenceReply`` of a control VM.
     :returns: list of records.
     """
--- a/buckthorntack/dispatch/_hedging.py
+++ b/buckthorntack/dispatch/_hedging.py
@@ -280,19 +280,17 @@
                 and now_s - other.started_s >= late_after_s
             ):
                 late.add(other.server_id)
-        answered = {
-            server_id
-            for server_id, answered_s in state.answered_s.items()
-            if server_id != flight.server_id and answered_s >= flight.started_s
-        }
-        if waiting and not answered:
+
+        def list_answered(since_s):
+            return {
+                server_id
+                for server_id, answered_s in state.answered_s.items()
+                if server_id != flight.server_id and answered_s >= since_s
+            }
+
+        if waiting and not list_answered(flight.started_s):
             return True
-        recent = {
-            server_id
-            for server_id, answered_s in state.answered_s.items()
-            if server_id != flight.server_id
-            and answered_s >= now_s - ANSWER_MEMORY_S
-        }
+        recent = list_answered(now_s - ANSWER_MEMORY_S)
         return len(late) > MAX_LATE_SHARE * len(waiting | recent)
 
 
--- a/buckthorntack/gateway/_following.py
+++ b/buckthorntack/gateway/_following.py
@@ -6,7 +6,6 @@
 
 from buckthorntack import discovery
 from buckthorntack import events
-from buckthorntack import schema
 from buckthorntack.gateway import _addresses
 from buckthorntack.gateway import _events
 from buckthorntack.gateway import _notices
@@ -187,7 +186,7 @@
         now = self.clock.monotonic()
         self.control_selector.on_reply(sender, reply.has_majority, now)
         self.local_presence.on_presence_reply(reply)
-        records = [view.record for view in self.registry.servers.values()]
+        records = (view.record for view in self.registry.servers.values())
         returned = discovery.select_returned(records, reply)
         if returned:
             changes = self.registry.changes_for_servers(
@@ -201,14 +200,9 @@
         :param sender: id of the control VM.
         :param packed: ``PackedChanges``.
         """
-        try:
-            changes = _packing.unpack(packed)
-        except schema.MalformedMessageError as error:
-            self._log.write(
-                _events.CHANGES_UNREADABLE, told_by=sender, error=str(error)
-            )
-            return
-        self.on_registry_changes(sender, changes)
+        changes = _packing.unpack_logged(packed, sender, self._log)
+        if changes is not None:
+            self.on_registry_changes(sender, changes)
 
     def on_registry_changes(self, sender, changes):
         """Apply changes of a control VM's registry.
--- a/buckthorntack/gateway/_gathering.py
+++ b/buckthorntack/gateway/_gathering.py
@@ -5,7 +5,6 @@
 
 from buckthorntack import discovery
 from buckthorntack import events
-from buckthorntack import schema
 from buckthorntack.gateway import _addresses
 from buckthorntack.gateway import _events
 from buckthorntack.gateway import _packing
@@ -235,14 +234,9 @@
         :param sender: id of a control VM.
         :param packed: ``PackedChanges``.
         """
-        try:
-            changes = _packing.unpack(packed)
-        except schema.MalformedMessageError as error:
-            self._log.write(
-                _events.CHANGES_UNREADABLE, told_by=sender, error=str(error)
-            )
-            return
-        self.on_registry_changes(sender, changes)
+        changes = _packing.unpack_logged(packed, sender, self._log)
+        if changes is not None:
+            self.on_registry_changes(sender, changes)
 
     def on_registry_changes(self, sender, changes):
         """Merge changes of another registry.
--- a/buckthorntack/gateway/_packing.py
+++ b/buckthorntack/gateway/_packing.py
@@ -3,6 +3,7 @@
 import zlib
 
 from buckthorntack import schema
+from buckthorntack.gateway import _events
 from buckthorntack.schema import messages
 
 #: Protocol version from which nodes read packed changes.
@@ -42,6 +43,21 @@
     return schema.decode(_CHANGES, payload)
 
 
+def unpack_logged(packed, sender, log):
+    """Decompress changes; log those that are malformed.
+
+    :param packed: ``PackedChanges``.
+    :param sender: id of the node that sent them.
+    :param log: the ``EventLog``.
+    :returns: ``RegistryChanges``; None if they are malformed.
+    """
+    try:
+        return unpack(packed)
+    except schema.MalformedMessageError as error:
+        log.write(_events.CHANGES_UNREADABLE, told_by=sender, error=str(error))
+        return None
+
+
 def compress_content(content):
     """Compress a configuration document.
 
