Report each request that was read whole and is not answered

Whoever ends a connection names an EndReason. A request without a complete response is logged as request_unanswered with its id and the reason, and counted in gateway_unanswered_requests; an idle connection that is closed with unread bytes is logged as bytes_unread and counted in gateway_unread_connections. No logic is changed.

--- a/buckthorntack/gateway/_entry.py
+++ b/buckthorntack/gateway/_entry.py
@@ -133,6 +133,9 @@
             limits,
             self._listener_memory(),
         )
+        self.metrics.serve_unanswered(
+            {"forward": self.forward_listener, "front": self.front_listener}
+        )
         handlers = self.make_handlers(self)
         addresses = {
             "readiness": settings.readiness_address,
--- a/buckthorntack/gateway/_metrics.py
+++ b/buckthorntack/gateway/_metrics.py
@@ -163,6 +163,35 @@
         )
         readers.set_function(lambda: len(watch.slow_readers))
 
+    def serve_unanswered(self, listeners):
+        """Serve how many requests were read whole and not answered.
+
+        :param listeners: ``http1.Listener`` by name.
+        """
+        unanswered = prometheus_client.Gauge(
+            "gateway_unanswered_requests",
+            "Requests since the start that were read whole and whose"
+            " connection ended before the end of their response.",
+            ["listener", "reason"],
+            registry=self._registry,
+        )
+        unread = prometheus_client.Gauge(
+            "gateway_unread_connections",
+            "Idle connections since the start that were closed with unread"
+            " bytes.",
+            ["listener", "reason"],
+            registry=self._registry,
+        )
+        for name, listener in listeners.items():
+            for reason in http1.EndReason:
+                for gauge, counts in (
+                    (unanswered, listener.unanswered),
+                    (unread, listener.unread),
+                ):
+                    gauge.labels(name, reason.value).set_function(
+                        lambda counts=counts, reason=reason: counts[reason]
+                    )
+
     def record_request(self, kind, status, outcome, duration_s):
         """Count a request that has ended.
 
--- a/buckthorntack/gateway/_node.py
+++ b/buckthorntack/gateway/_node.py
@@ -88,7 +88,8 @@
             sock = transport.bind_listener(
                 self.settings.to_bind_address(address)
             )
-        listener = http1.Listener(sock, handle, limits, memory)
+        id_header = self.dialect.request_id_header
+        listener = http1.Listener(sock, handle, limits, memory, id_header)
         return await self._stack.enter_async_context(listener)
 
     async def _serve_metrics(self):
--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -1071,7 +1071,7 @@
     def _on_timeout(self):
         if self.reply.started:
             if not self.reply.ended:
-                self.reply.abort()
+                self.reply.abort(http1.EndReason.DEADLINE)
         elif self.error_response is not None:
             self._send_buffered(*self.error_response)
         elif self.send_count:
--- a/buckthorntack/http1/__init__.py
+++ b/buckthorntack/http1/__init__.py
@@ -24,6 +24,7 @@
 from buckthorntack.http1._messages import ResponseHead
 from buckthorntack.http1._messages import strip_hop_by_hop_headers
 from buckthorntack.http1._pool import ConnectionPool
+from buckthorntack.http1._server import EndReason
 from buckthorntack.http1._server import Limits
 from buckthorntack.http1._server import Listener
 from buckthorntack.http1._server import ListenerMemory
@@ -47,6 +48,7 @@
     "Purpose",
     "READ_BYTES",
     "compute_bounds",
+    "EndReason",
     "ListenerMemory",
     "Limits",
     "Listener",
--- a/buckthorntack/http1/_events.py
+++ b/buckthorntack/http1/_events.py
@@ -53,3 +53,20 @@
     " biggest holders wait and large bodies are refused.",
     "check for callers that read slowly, or give the VM more memory",
 )
+REQUEST_UNANSWERED = events.declare(
+    1907,
+    "request_unanswered",
+    logbook.NOTICE,
+    "A connection ended before the response to a request that was read whole"
+    " was complete; the reason tells which side ended it.",
+    "look for the same request in request_ended and attempt_failed",
+)
+BYTES_UNREAD = events.declare(
+    1908,
+    "bytes_unread",
+    logbook.NOTICE,
+    "An idle connection was closed while bytes of its client had arrived; a"
+    " request in them got no response.",
+    "check whether the process was held up, or clients reuse connections"
+    " for longer than the idle timeout",
+)
--- a/buckthorntack/http1/_server.py
+++ b/buckthorntack/http1/_server.py
@@ -7,6 +7,7 @@
 import asyncio
 import collections
 import contextlib
+import enum
 import http
 from typing import NamedTuple
 
@@ -55,6 +56,27 @@
     idle_timeout_s: float = 15.0
 
 
+class EndReason(enum.Enum):
+    """Why a connection ended before all its requests were answered."""
+
+    CLIENT_CLOSED = "client_closed"
+    CONNECTION_FAILED = "connection_failed"
+    #: The time of the request or of its route is over.
+    DEADLINE = "deadline"
+    #: The response broke off and nothing may continue it.
+    RESPONSE_BROKEN = "response_broken"
+    HANDLER_CANCELLED = "handler_cancelled"
+    HANDLER_FAILED = "handler_failed"
+    #: The handler returned before the end of its response.
+    HANDLER_INCOMPLETE = "handler_incomplete"
+    #: The response to an earlier request announced the end.
+    RESPONSE_SENT = "response_sent"
+    REQUEST_REFUSED = "request_refused"
+    IDLE_TIMEOUT = "idle_timeout"
+    LISTENER_STOPPING = "listener_stopping"
+    LISTENER_CLOSED = "listener_closed"
+
+
 class ListenerMemory(NamedTuple):
     """What a listener needs to bound what it holds for its clients."""
 
@@ -147,7 +169,7 @@
             transport.set_write_buffer_limits(high=0)
             await self.flush()
             transports.set_reset_on_close(transport, False)
-        transport.close()
+        self.connection.close(EndReason.RESPONSE_SENT)
 
     async def flush(self):
         """Wait until the connection may hold more."""
@@ -197,9 +219,12 @@
         self.write(body)
         self.end()
 
-    def abort(self):
-        """Abort the connection; the client sees a truncated response."""
-        self.connection.transport.abort()
+    def abort(self, reason=EndReason.RESPONSE_BROKEN):
+        """Abort the connection; the client sees a truncated response.
+
+        :param reason: the ``EndReason``.
+        """
+        self.connection.abort(reason)
 
     def _send(self, data):
         self.connection.transport.write(data)
@@ -230,6 +255,9 @@
         self.has_room = asyncio.Event()
         self.waiting = collections.deque()
         self.task = None
+        #: Request and response in progress; None while there is none.
+        self._current = None
+        self._end_reason = None
         self.refused = False
         self.account = None
         if listener.memory is not None:
@@ -326,7 +354,77 @@
         self.listener.connections.add(self)
         self._set_timer(self.listener.limits().header_timeout_s)
 
+    def close(self, reason):
+        """Close the connection after what was written has been sent.
+
+        :param reason: the ``EndReason``.
+        """
+        self._note_end(reason)
+        self.transport.close()
+
+    def _close_idle(self, reason):
+        if not self.transport.is_closing():
+            self._report_unread(reason)
+            self.close(reason)
+
+    def abort(self, reason):
+        """Close the connection at once.
+
+        :param reason: the ``EndReason``.
+        """
+        self._note_end(reason)
+        self.transport.abort()
+
+    def _note_end(self, reason):
+        if self._end_reason is None and not self.transport.is_closing():
+            self._end_reason = reason
+
+    def _record_unanswered(self, exc):
+        """Report each request that was read whole and is not answered."""
+        requests = [] if self._current is None else [self._current]
+        requests += [pair for pair in self.waiting if pair[0] is not None]
+        for request, response in requests:
+            if not response.ended:
+                self._report_unanswered(request, response, exc)
+
+    def _report_unanswered(self, request, response, exc):
+        reason = self._end_reason
+        if reason is None:
+            reason = (
+                EndReason.CONNECTION_FAILED
+                if exc is not None
+                else EndReason.CLIENT_CLOSED
+            )
+        listener = self.listener
+        listener.unanswered[reason] += 1
+        request_id = _messages.find_header(request.headers, listener.id_header)
+        age_s = self.loop.time() - request.received_s
+        listener.log.write(
+            _events.REQUEST_UNANSWERED,
+            request=(request_id or b"").decode("latin-1"),
+            peer=self.peer,
+            reason=reason.value,
+            error="" if exc is None else repr(exc),
+            started=response.started,
+            age_ms=round(age_s * 1e3),
+        )
+
+    def _report_unread(self, reason):
+        """Report what a close leaves unread, as it may hold a request."""
+        sock = self.transport.get_extra_info("socket")
+        unread_bytes = transports.count_unread(sock)
+        if not unread_bytes:
+            return
+        self.listener.unread[reason] += 1
+        self.listener.log.write(
+            _events.BYTES_UNREAD,
+            peer=self.peer,
+            reason=reason.value,
+            unread_bytes=unread_bytes,
+        )
+
     def connection_lost(self, exc):
+        self._record_unanswered(exc)
         self.listener.connections.discard(self)
         self._clear_timer()
         self.writable.set()
@@ -522,6 +620,7 @@
             self._start_next_request()
 
     def _start_next_request(self):
+        self._current = None
         if not self.waiting:
             self.task = None
             self._wait_for_request()
@@ -532,6 +631,7 @@
             return
         if len(self.waiting) <= MAX_PIPELINED_REQUESTS:
             self.transport.resume_reading()
+        self._current = (request, response)
         self.task = self.loop.create_task(self._handle(request, response))
         if self.account is not None:
             self.task.add_done_callback(
@@ -556,32 +656,32 @@
         fields = headers or [(b"Content-Type", b"text/plain")]
         response.send(status, fields, body)
         if status not in LINGERING_STATUSES:
-            self.transport.close()
+            self.close(EndReason.REQUEST_REFUSED)
             return
         self.transport.write_eof()
         self._is_lingering = True
-        self.loop.call_later(LINGER_S, self.transport.close)
+        self.loop.call_later(LINGER_S, self.close, EndReason.REQUEST_REFUSED)
 
     async def _handle(self, request, response):
         try:
             await self.listener.handle(request, response)
         except asyncio.CancelledError:
             if not self.transport.is_closing():
-                self.transport.abort()
+                self.abort(EndReason.HANDLER_CANCELLED)
             raise
         except Exception as error:
             self.listener.log.write(
                 _events.HANDLER_FAILED, peer=self.peer, error=repr(error)
             )
             if response.started:
-                response.abort()
+                response.abort(EndReason.HANDLER_FAILED)
             else:
                 response.keep_alive = False
                 response.send(500, [], b"internal error\n")
         if self.transport.is_closing():
             return
         if not response.ended:
-            self.transport.abort()
+            self.abort(EndReason.HANDLER_INCOMPLETE)
         elif not response.keep_alive:
             await response.finish()
         else:
@@ -590,7 +690,7 @@
     def _wait_for_request(self):
         """Start the idle timeout, or close if the listener is closing."""
         if self.listener.closing and not self._is_reading:
-            self.transport.close()
+            self._close_idle(EndReason.LISTENER_STOPPING)
         elif not self._is_reading:
             self._set_timer(self.listener.limits().idle_timeout_s)
 
@@ -612,12 +712,12 @@
         elif self._is_reading:
             self._reject(408, "the request did not arrive in time")
         else:
-            self.transport.close()
+            self._close_idle(EndReason.IDLE_TIMEOUT)
 
     def close_if_idle(self):
         """Close the connection unless a request is being read or handled."""
         if self.task is None and (self._is_lingering or not self._is_reading):
-            self.transport.close()
+            self._close_idle(EndReason.LISTENER_STOPPING)
 
 
 class Listener:
@@ -628,14 +728,25 @@
         ``ResponseWriter``.
     :param limits: function that returns the current ``Limits``.
     :param memory: ``ListenerMemory``; None to bound each connection alone.
+    :param id_header: header field with the id of a request, in lower case;
+        empty if requests have none.
     """
 
-    def __init__(self, sock, handle, limits=Limits, memory=None):
+    def __init__(
+        self, sock, handle, limits=Limits, memory=None, id_header=b""
+    ):
         self.sock = sock
         self.handle = handle
         self.limits = limits
         self.memory = memory
+        self.id_header = id_header
         self.connections = set()
+        #: Number of requests that were read whole and not answered, by
+        #: ``EndReason``.
+        self.unanswered = collections.Counter()
+        #: Number of idle connections that were closed with unread bytes, by
+        #: ``EndReason``.
+        self.unread = collections.Counter()
         self.closing = False
         self.log = events.EventLog("http1")
         self._server = None
@@ -660,7 +771,7 @@
         self._server.close()
         tasks = [c.task for c in self.connections if c.task is not None]
         for connection in list(self.connections):
-            connection.transport.abort()
+            connection.abort(EndReason.LISTENER_CLOSED)
         for task in tasks:
             with contextlib.suppress(asyncio.CancelledError):
                 await task
--- a/buckthorntack/http1/tests/test_listener.py
+++ b/buckthorntack/http1/tests/test_listener.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 
+import logbook
 import pytest
 
 from buckthorntack import http1
@@ -261,3 +262,85 @@
         writer.close()
 
     run(scenario)
+
+
+async def cut(request, reply):
+    reply.start(200, [])
+    reply.abort()
+
+
+async def return_early(request, reply):
+    reply.start(200, [])
+
+
+async def cancel(request, reply):
+    raise asyncio.CancelledError
+
+
+async def fail(request, reply):
+    reply.start(200, [])
+    raise LookupError("fault")
+
+
+# Guards against a request that ends without a response or a trace of it.
+@pytest.mark.parametrize(
+    ("handle", "reason"),
+    [
+        (cut, http1.EndReason.RESPONSE_BROKEN),
+        (return_early, http1.EndReason.HANDLER_INCOMPLETE),
+        (cancel, http1.EndReason.HANDLER_CANCELLED),
+        (fail, http1.EndReason.HANDLER_FAILED),
+    ],
+)
+def test_unanswered_request_is_reported_with_its_reason(handle, reason):
+    async def scenario(harness):
+        harness.listener.handle = handle
+        harness.listener.id_header = b"x-id"
+        reader, writer = await harness.connect()
+        writer.write(b"GET / HTTP/1.1\r\nHost: a\r\nX-Id: 7f\r\n\r\n")
+        with contextlib.suppress(ConnectionError):
+            await reader.read()
+        writer.close()
+        assert dict(harness.listener.unanswered) == {reason: 1}
+
+    with logbook.TestHandler().applicationbound() as written:
+        run(scenario)
+    [line] = [
+        record.extra
+        for record in written.records
+        if record.extra.get("event") == 1907
+    ]
+    assert line["request"] == "7f"
+    assert line["reason"] == reason.value
+
+
+def test_answered_requests_are_not_reported():
+    async def scenario(harness):
+        reader, writer = await harness.connect()
+        for _ in range(2):
+            writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            await read_response(reader)
+        writer.close()
+        while harness.listener.connections:  # noqa: ASYNC110
+            await asyncio.sleep(0.005)
+        assert not harness.listener.unanswered
+        assert not harness.listener.unread
+
+    run(scenario)
+
+
+def test_requests_of_a_client_that_leaves_are_reported():
+    gate = asyncio.Event()
+
+    async def scenario(harness):
+        _, writer = await harness.connect()
+        writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n" * 2)
+        await harness.started.wait()
+        writer.close()
+        while harness.listener.connections:  # noqa: ASYNC110
+            await asyncio.sleep(0.005)
+        assert dict(harness.listener.unanswered) == {
+            http1.EndReason.CLIENT_CLOSED: 2
+        }
+
+    run(scenario, gate=gate)
--- a/buckthorntack/transport/__init__.py
+++ b/buckthorntack/transport/__init__.py
@@ -10,6 +10,7 @@
 from buckthorntack.transport._sockets import bind_listener
 from buckthorntack.transport._sockets import configure_dead_peer_detection
 from buckthorntack.transport._sockets import count_unacknowledged
+from buckthorntack.transport._sockets import count_unread
 from buckthorntack.transport._sockets import listener_url
 from buckthorntack.transport._sockets import set_reset_on_close
 from buckthorntack.transport._sockets import set_user_timeout
@@ -23,6 +24,7 @@
     "Unshaped",
     "bind_listener",
     "count_unacknowledged",
+    "count_unread",
     "set_user_timeout",
     "listener_url",
     "mounted_app",
--- a/buckthorntack/transport/_sockets.py
+++ b/buckthorntack/transport/_sockets.py
@@ -1,13 +1,17 @@
 """Listening sockets, resets, and detection of dead TCP peers."""
 
+import fcntl
 import socket
 import struct
+import termios
 
 #: Values of SO_LINGER, ``struct linger``.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 _CLOSE_ORDERLY = struct.pack("ii", 0, 0)
 #: ``struct tcp_info`` up to its field ``tcpi_unacked``.
 _TCP_INFO_UNACKED = struct.Struct("24xI")
+#: Result of FIONREAD.
+_INT = struct.Struct("i")
 
 
 #: Interval between two keep-alive probes.  With a user timeout set, which
@@ -84,6 +88,15 @@
     return _TCP_INFO_UNACKED.unpack(info)[0]
 
 
+def count_unread(sock):
+    """Return the number of bytes that arrived and were not read.
+
+    :param sock: a TCP socket.
+    """
+    count = fcntl.ioctl(sock.fileno(), termios.FIONREAD, _INT.pack(0))
+    return _INT.unpack(count)[0]
+
+
 def set_reset_on_close(transport, enabled):
     """Choose whether a close resets a connection (RST) or ends it (FIN).
 
