Leave a silent server only if another one would get the request

What callers saw: a server that was silent for longer than 2.2 s within a stream, or 2 s before its answer, and then went on, cost its caller the response: an incomplete 200, or a 502 for a safe request.

Cause: the connection was closed once the time of the silence was over, and only then it was asked for attempts left, the retry budget and a server. With the budget spent, all others busy or only one server of the software version, nothing could go on and the response was cut; a stream could also be sent to the very server that was silent. Class: a working attempt is given up before its replacement is known.

Evidence: the six cases of the two tests failed before (502 == 200; False for a whole answer), with one server and with two and no retry left.

A stream still moves as soon as a server appears (test).

--- a/buckthorntack/dispatch/_retry_budgets.py
+++ b/buckthorntack/dispatch/_retry_budgets.py
@@ -53,6 +53,14 @@
         """
         self._budget(service).record_first_attempt()
 
+    def has_retry(self, service, now_s):
+        """Whether the budget has room for a retry.
+
+        :param service: the service.
+        :param now_s: monotonic time.
+        """
+        return self._budget(service).has_token(now_s)
+
     def take_retry(self, service, now_s):
         """Charge a retry to the budget if it has room.
 
--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -564,6 +564,28 @@
             and self.send_count < self.route.max_attempts
         )
 
+    def _can_leave_server(self):
+        """Whether a server that was not tried would get the request now."""
+        shared_state = self.shared_state
+        now = self.handler.clock.monotonic()
+        if not self.can_retry() or not shared_state.budgets.has_retry(
+            self.service.name, now.total_seconds()
+        ):
+            return False
+        if not isinstance(self.watch.check(True), quarantine.Admitted):
+            return False
+        if shared_state.table.narrow_route(self.route) is None:
+            return False
+        # A stream may return to the silent server only after it has failed.
+        request = self._build_routing_request()._replace(
+            tried_server_ids=frozenset(self.excluded_ids)
+        )
+        servers = shared_state.list_servers(self.service.name)
+        decision = shared_state.dispatcher.choose(request, servers, now)
+        if isinstance(decision, dispatch.Forward):
+            return bool(self._list_targets(decision.region))
+        return isinstance(decision, dispatch.Serve)
+
     async def _send_to_server(self, routing_request, decision, now):
         """Send the request to a server and relay its response."""
         attempt = self.attempt
@@ -810,6 +832,7 @@
                 read_start,
                 first_byte_timeout_s,
                 self.deadline_s,
+                self._can_leave_server,
             )
         except TimeoutError:
             if self._remaining_s() <= 0:
@@ -1051,6 +1074,7 @@
             connection.read,
             idle_timeout_s,
             self.deadline_s,
+            self._can_leave_server,
         )
         self.longest_gap_s = max(self.longest_gap_s, self._now_s() - started_s)
         return data
--- a/buckthorntack/platform/tests/test_silent_servers.py
+++ b/buckthorntack/platform/tests/test_silent_servers.py
@@ -13,14 +13,17 @@
 #: Shorter than the time for which the stand-in route's callers wait for an
 #: event, 3.2 s.
 SILENCE_S = 1.8
+#: Longer than the time after which a silent server is left for another one.
+LONG_SILENCE_S = 2.6
 #: A silence of a sound server at least, which no timeout of TCP may end.
 SOUND_SILENCE_MS = 1500
 
 
-def fall_silent_before(event):
+def fall_silent_before(event, silence_s=SILENCE_S):
     """Behaviour: a stream with one long pause.
 
     :param event: number of the event before which it is.
+    :param silence_s: its length.
     """
 
     async def behave(server, request, reply):
@@ -28,7 +31,7 @@
         headers.append((b"Content-Type", b"text/event-stream"))
         for number in range(EVENTS):
             if number == event:
-                await asyncio.sleep(SILENCE_S)
+                await asyncio.sleep(silence_s)
             if not number:
                 reply.start(200, headers)
             reply.write(b"id: %d\ndata: e%d\n\n" % (number, number))
@@ -52,6 +55,80 @@
     test_requests.run(scenario, ("s1", "text"), ("s2", "text"))
 
 
+async def answer_late(server, request, reply):
+    """Answer after a silence that is longer than the first byte's timeout."""
+    await asyncio.sleep(LONG_SILENCE_S)
+    await _standins.answer_whole(server, request, reply)
+
+
+def spend_retries(world, service):
+    """Leave no retry to the requests of a service."""
+    node = world.nodes["e0"]
+    now_s = node.clock.monotonic().total_seconds()
+    while node.shared_state.budgets.take_retry(service, now_s):
+        pass
+
+
+def count_runs(world):
+    """Number of requests that servers got."""
+    return sum(len(server.requests) for server in world.servers.values())
+
+
+# Guards against a response that is cut as its server is silent, although no
+# other server may continue it.
+@pytest.mark.parametrize("event", [0, 3])
+@pytest.mark.parametrize("servers", [1, 2])
+def test_stream_waits_for_a_silent_server_if_no_other_may_go_on(
+    event, servers
+):
+    async def scenario(world):
+        for server in world.servers.values():
+            server.behave = fall_silent_before(event, LONG_SILENCE_S)
+        if servers > 1:
+            spend_retries(world, "text")
+        answer = await world.ask("/talk/x", method="POST")
+        assert answer.status == 200
+        assert answer.whole
+        assert answer.body == _standins.whole_stream(EVENTS)
+        assert count_runs(world) == 1
+
+    names = [(f"s{number}", "text") for number in range(servers)]
+    test_requests.run(scenario, *names)
+
+
+# Guards against a 502 for a request whose server is only late, although no
+# other server may run it.
+@pytest.mark.parametrize("servers", [1, 2])
+def test_request_waits_for_a_late_server_if_no_other_may_run_it(servers):
+    async def scenario(world):
+        for server in world.servers.values():
+            server.behave = answer_late
+        if servers > 1:
+            spend_retries(world, "desk")
+        answer = await world.ask("/safe/x")
+        assert answer.status == 200
+        assert count_runs(world) == 1
+
+    names = [(f"s{number}", "desk") for number in range(servers)]
+    test_requests.run(scenario, *names)
+
+
+# A second server takes over from a silent one as soon as there is one.
+def test_stream_leaves_a_silent_server_once_another_is_announced():
+    async def scenario(world):
+        world.servers["s0"].behave = fall_silent_before(3, 60.0)
+        asked = asyncio.create_task(world.ask("/talk/x", method="POST"))
+        await world.until(lambda: world.servers["s0"].requests)
+        server = await world.add_server("s1", "text")
+        server.behave = _standins.stream(EVENTS)
+        answer = await asked
+        assert answer.whole
+        assert answer.body == _standins.whole_stream(EVENTS)
+        assert count_runs(world) == 2
+
+    test_requests.run(scenario, ("s0", "text"))
+
+
 # Guards against a connection that ends with one unanswered keep-alive probe: a
 # user timeout that is set counts from the last byte received.
 def test_connection_outlives_a_silence_of_its_server():
--- a/buckthorntack/retries/_budget.py
+++ b/buckthorntack/retries/_budget.py
@@ -32,16 +32,23 @@
         """Add the tokens of the first attempt of a request."""
         self._tokens = min(self._tokens + self.share, self.burst)
 
-    def try_acquire(self, now_s):
-        """Take the token of a retry if there is one.
+    def has_token(self, now_s):
+        """Return whether the token of a retry is left.
 
         :param now_s: current monotonic time, seconds.
-        :returns: whether the retry may be made.
         """
         refill = max(0.0, now_s - self._updated_s) * self.per_second
         self._updated_s = max(now_s, self._updated_s)
         self._tokens = min(self._tokens + refill, self.burst)
-        if self._tokens < 1.0:
+        return self._tokens >= 1.0
+
+    def try_acquire(self, now_s):
+        """Take the token of a retry if there is one.
+
+        :param now_s: current monotonic time, seconds.
+        :returns: whether the retry may be made.
+        """
+        if not self.has_token(now_s):
             return False
         self._tokens -= 1.0
         return True
