Answer a request that arrived before its connection is closed as idle

What callers saw: a request on a kept connection got neither an answer nor a refusal, as the entry VM closed the connection with the request unread in its socket: at the end of the idle time, where the process was held up (a large configuration holds the event loop), and at a planned stop.

Cause: whether a connection is idle was told from what had been read, not from what had arrived; the timer and the stop run in the same turn of the event loop in which the bytes come. Class: a decision by state that is older than the input.

Evidence: test_request_that_arrived_before_the_stop_is_answered failed with '0 == 1' active connections, the one of the idle timeout with an IncompleteReadError.

Change: a connection is closed as idle only if the kernel holds no bytes of its client (FIONREAD); else a request counts as being read, with the time limit for its header, so that a stop waits for its answer as well.

--- a/buckthorntack/http1/_server.py
+++ b/buckthorntack/http1/_server.py
@@ -363,9 +363,30 @@
         self.transport.close()
 
     def _close_idle(self, reason):
-        if not self.transport.is_closing():
-            self._report_unread(reason)
+        """Close the connection unless a request has arrived meanwhile."""
+        if self.transport.is_closing():
+            return
+        if self._is_lingering or not self._count_unread():
             self.close(reason)
+        else:
+            self._start_reading()
+
+    def _count_unread(self):
+        sock = self.transport.get_extra_info("socket")
+        return transports.count_unread(sock)
+
+    def _start_reading(self):
+        self._is_reading = True
+        self._set_timer(self.listener.limits().header_timeout_s)
+
+    def abort_reporting_unread(self, reason):
+        """Close the connection at once; report what is left unread.
+
+        :param reason: the ``EndReason``.
+        """
+        if self._current is None and not self.transport.is_closing():
+            self._report_unread(reason)
+        self.abort(reason)
 
     def abort(self, reason):
         """Close the connection at once.
@@ -411,8 +432,7 @@
 
     def _report_unread(self, reason):
         """Report what a close leaves unread, as it may hold a request."""
-        sock = self.transport.get_extra_info("socket")
-        unread_bytes = transports.count_unread(sock)
+        unread_bytes = self._count_unread()
         if not unread_bytes:
             return
         self.listener.unread[reason] += 1
@@ -462,8 +482,7 @@
         else:
             self._framing_bytes += len(data)
         if not self._is_reading:
-            self._is_reading = True
-            self._set_timer(self.listener.limits().header_timeout_s)
+            self._start_reading()
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -744,8 +763,8 @@
         #: Number of requests that were read whole and not answered, by
         #: ``EndReason``.
         self.unanswered = collections.Counter()
-        #: Number of idle connections that were closed with unread bytes, by
-        #: ``EndReason``.
+        #: Number of connections that were closed with unread bytes while no
+        #: request was in progress, by ``EndReason``.
         self.unread = collections.Counter()
         self.closing = False
         self.log = events.EventLog("http1")
@@ -771,7 +790,7 @@
         self._server.close()
         tasks = [c.task for c in self.connections if c.task is not None]
         for connection in list(self.connections):
-            connection.abort(EndReason.LISTENER_CLOSED)
+            connection.abort_reporting_unread(EndReason.LISTENER_CLOSED)
         for task in tasks:
             with contextlib.suppress(asyncio.CancelledError):
                 await task
--- a/buckthorntack/http1/tests/test_listener.py
+++ b/buckthorntack/http1/tests/test_listener.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import time
 
 import logbook
 import pytest
@@ -344,3 +345,44 @@
         }
 
     run(scenario, gate=gate)
+
+
+SHORT_LIMITS = http1.Limits(header_timeout_s=0.1, idle_timeout_s=0.2)
+
+
+# Guards against a request that is dropped unread, as the process was held up
+# while it arrived until its connection counted as idle.
+def test_request_that_arrived_before_the_idle_timeout_is_answered():
+    async def scenario(harness):
+        reader, writer = await harness.connect()
+        writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        await read_response(reader)
+        loop = asyncio.get_running_loop()
+        # Both the request and the timer are due when the loop goes on.
+        loop.call_later(0.01, time.sleep, 0.3)
+        loop.call_later(
+            0.02, writer.write, b"GET /2 HTTP/1.1\r\nHost: a\r\n\r\n"
+        )
+        head, _ = await read_response(reader)
+        assert b"X-Target: /2\r\n" in head
+        writer.close()
+
+    run(scenario, limits=lambda: SHORT_LIMITS)
+
+
+# Guards against a request that is dropped unread by a planned stop.
+def test_request_that_arrived_before_the_stop_is_answered():
+    async def scenario(harness):
+        reader, writer = await harness.connect()
+        writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        await read_response(reader)
+        writer.write(b"GET /2 HTTP/1.1\r\nHost: a\r\n\r\n")
+        harness.listener.stop_accepting()
+        assert harness.listener.count_active_connections() == 1
+        head, _ = await read_response(reader)
+        assert b"X-Target: /2\r\n" in head
+        assert b"Connection: close\r\n" in head
+        assert await reader.read() == b""
+        writer.close()
+
+    run(scenario)
