Let a raised idle timeout hold for connections that are idle already

What callers saw: beside a configuration that raises the idle timeout, a request on a kept connection met its close: callers go by the new time, and the entry VM by the one that was in force when the connection became idle.

Cause: the end of the idle time was computed once. Class: a limit of the configuration that is copied into a timer and not read anew.

Evidence: test_raised_idle_timeout_holds_for_idle_connections failed with an IncompleteReadError, the connection was closed after the former time.

Change: at the end of the idle time the limit is read again, and the timer is set for what is left. A lowered limit holds for the next idle time, as before, so that callers who do not know of it yet lose nothing.

--- a/buckthorntack/http1/_server.py
+++ b/buckthorntack/http1/_server.py
@@ -271,6 +271,8 @@
         self._parser = httptools.HttpRequestParser(self)
         self._timer = None
         self._deadline_s = 0.0
+        #: When the last response ended; None before the first.
+        self._idle_since_s = None
         self._reset_request()
 
     def create_holding(self, purpose):
@@ -711,6 +713,7 @@
         if self.listener.closing and not self._is_reading:
             self._close_idle(EndReason.LISTENER_STOPPING)
         elif not self._is_reading:
+            self._idle_since_s = self.loop.time()
             self._set_timer(self.listener.limits().idle_timeout_s)
 
     def _set_timer(self, seconds):
@@ -731,7 +734,17 @@
         elif self._is_reading:
             self._reject(408, "the request did not arrive in time")
         else:
-            self._close_idle(EndReason.IDLE_TIMEOUT)
+            self._end_idle_time()
+
+    def _end_idle_time(self):
+        """Close the connection unless it may be idle for longer meanwhile."""
+        if self._idle_since_s is not None:
+            timeout_s = self.listener.limits().idle_timeout_s
+            left_s = self._idle_since_s + timeout_s - self.loop.time()
+            if left_s > 0:
+                self._set_timer(left_s)
+                return
+        self._close_idle(EndReason.IDLE_TIMEOUT)
 
     def close_if_idle(self):
         """Close the connection unless a request is being read or handled."""
--- a/buckthorntack/http1/tests/test_listener.py
+++ b/buckthorntack/http1/tests/test_listener.py
@@ -386,3 +386,32 @@
         writer.close()
 
     run(scenario)
+
+
+class ChangingLimits:
+    """Limits of a configuration that changes."""
+
+    def __init__(self, current):
+        self.current = current
+
+    def __call__(self):
+        return self.current
+
+
+# Guards against a request that meets the close of its connection, as an idle
+# timeout was raised after the connection had become idle.
+def test_raised_idle_timeout_holds_for_idle_connections():
+    limits = ChangingLimits(SHORT_LIMITS)
+
+    async def scenario(harness):
+        reader, writer = await harness.connect()
+        writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        await read_response(reader)
+        limits.current = http1.Limits(idle_timeout_s=15.0)
+        await asyncio.sleep(0.4)
+        writer.write(b"GET /2 HTTP/1.1\r\nHost: a\r\n\r\n")
+        head, _ = await read_response(reader)
+        assert b"X-Target: /2\r\n" in head
+        writer.close()
+
+    run(scenario, limits=limits)
