Keep a connection of a stopping entry VM until a response announces its end

What callers saw: at the start of a planned stop, a request sent right after a response that had announced no close got no answer.

Cause: keep-alive was turned off for responses that had not begun, but a connection whose response had begun before was closed as soon as it ended, in the moment in which its client sends the next request. Class: a close that was not announced.

Evidence: test_connection_stays_open_until_a_response_announces_its_end failed with an IncompleteReadError.

Change: such a connection stays until its next response, which announces the close, or until the listener stops accepting, when idle ones are closed.

--- a/buckthorntack/http1/_server.py
+++ b/buckthorntack/http1/_server.py
@@ -709,10 +709,15 @@
             self._start_next_request()
 
     def _wait_for_request(self):
-        """Start the idle timeout, or close if the listener is closing."""
-        if self.listener.closing and not self._is_reading:
+        """Start the idle timeout, or close if the listener has stopped.
+
+        While it still accepts, the next response announces the close.
+        """
+        if self._is_reading:
+            return
+        if self.listener.is_stopped:
             self._close_idle(EndReason.LISTENER_STOPPING)
-        elif not self._is_reading:
+        else:
             self._idle_since_s = self.loop.time()
             self._set_timer(self.listener.limits().idle_timeout_s)
 
@@ -779,7 +784,10 @@
         #: Number of connections that were closed with unread bytes while no
         #: request was in progress, by ``EndReason``.
         self.unread = collections.Counter()
+        #: Whether responses announce the end of their connections.
         self.closing = False
+        #: Whether new connections are refused and idle ones closed.
+        self.is_stopped = False
         self.log = events.EventLog("http1")
         self._server = None
 
@@ -823,6 +831,7 @@
     def stop_accepting(self):
         """Accept no new connections and close those that are idle."""
         self.closing = True
+        self.is_stopped = True
         self._server.close()
         for connection in list(self.connections):
             connection.close_if_idle()
--- a/buckthorntack/http1/tests/test_listener.py
+++ b/buckthorntack/http1/tests/test_listener.py
@@ -415,3 +415,31 @@
         writer.close()
 
     run(scenario, limits=limits)
+
+
+# Guards against a request that meets the close of its connection right after
+# a response that had not announced a close, as a planned stop began meanwhile.
+def test_connection_stays_open_until_a_response_announces_its_end():
+    gate = asyncio.Event()
+
+    async def handle(request, reply):
+        reply.start(200, [], length=0)
+        await gate.wait()
+        reply.end()
+
+    async def scenario(harness):
+        harness.listener.handle = handle
+        reader, writer = await harness.connect()
+        writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        head, _ = await read_response(reader)
+        assert b"Connection: close" not in head
+        harness.listener.disable_keep_alive()
+        gate.set()
+        await asyncio.sleep(0.05)
+        writer.write(b"GET /2 HTTP/1.1\r\nHost: a\r\n\r\n")
+        head, _ = await read_response(reader)
+        assert b"Connection: close\r\n" in head
+        assert await reader.read() == b""
+        writer.close()
+
+    run(scenario)
