Test that a head that breaks off is no response

A report of another operator: a server stopped within the head of its answer and clients got a 200 with an empty or short body. Cannot happen here: at every byte of heads with a length, without one and after an interim response, by FIN and by reset, on both paths; of safe, unsafe and stream requests, also forwarded, and of a stream that is continued.

--- a/buckthorntack/http1/tests/test_exchange.py
+++ b/buckthorntack/http1/tests/test_exchange.py
@@ -351,3 +351,27 @@
             assert await ended.get() == "reset"
 
     run(scenario)
+
+
+LENGTH_HEAD = (
+    b"HTTP/1.1 200 OK\r\n" + EXPECTED_ID_HEADER + b"Content-Length: 0\r\n\r\n"
+)
+UNFRAMED_HEAD = b"HTTP/1.1 200 OK\r\n" + EXPECTED_ID_HEADER + b"\r\n"
+INTERIM_HEAD = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+# Guards against an answer with an empty body from a head that broke off.
+@pytest.mark.parametrize("end", [None, "reset"])
+@pytest.mark.parametrize(
+    "head", [LENGTH_HEAD, UNFRAMED_HEAD, INTERIM_HEAD + UNFRAMED_HEAD]
+)
+def test_head_that_breaks_off_is_no_response(head, end):
+    sizes = range(1, len(head))
+
+    async def scenario(server, pool):
+        for _ in sizes:
+            with pytest.raises(http1.IncompleteResponseError):
+                await send_request(server, pool)
+        assert pool.idle_count("s") == 0
+
+    run(scenario, *(["await", head[:size], end] for size in sizes))
--- a/buckthorntack/platform/tests/test_broken_streams.py
+++ b/buckthorntack/platform/tests/test_broken_streams.py
@@ -131,3 +131,79 @@
         assert answer.body == whole
 
     run(scenario, ("s1", "text"))
+
+
+def stop_within_head(size, framing):
+    """Behaviour: the head of an answer breaks off.
+
+    :param size: bytes of it that are sent; negative to count from its end.
+    :param framing: header field that tells the length; empty for none.
+    """
+
+    async def behave(server, request, reply):
+        head = b"HTTP/1.1 200 OK\r\n"
+        for name, value in server.headers(request):
+            head += name + b": " + value + b"\r\n"
+        head += framing + b"\r\n"
+        transport = reply.connection.transport
+        transport.write(head[:size])
+        transport.close()
+
+    return behave
+
+
+# Guards against a 200 with an empty or short body, framed as whole, from a
+# server that stopped within the head of its answer.
+@pytest.mark.parametrize("entry", ["e0", "e2"])
+@pytest.mark.parametrize(
+    ("path", "service"),
+    [
+        ("/safe/x", "desk"),
+        ("/unsafe/x", "desk"),
+        (RESUMABLE, "text"),
+        (NOT_RESUMABLE, "text"),
+    ],
+)
+def test_answer_that_stops_within_its_head_is_a_failure(path, service, entry):
+    framings = [b"", b"Content-Length: 0\r\n", b"Content-Length: 10\r\n"]
+
+    async def scenario(world):
+        fleet = world.nodes[entry].shared_state.fleet
+        await world.until(
+            lambda: (
+                entry == "e0"
+                or fleet.remote_usage("north", "s1", 0) is not None
+            )
+        )
+        for size in (9, 15, 40, -3, -1):
+            for framing in framings:
+                for server in world.servers.values():
+                    server.behave = stop_within_head(size, framing)
+                answer = await world.ask(path, entry=entry, method="POST")
+                assert answer.status in (502, 503)
+                assert answer.body
+
+    run(scenario, ("s1", service), ("s2", service))
+
+
+# Guards against a stream whose continuation stops within its head and which
+# then looks complete.
+def test_stream_whose_continuation_stops_within_its_head_looks_broken():
+    async def scenario(world):
+        broken = _standins.raw_stream(
+            INSIDE_EVENT, http1.BodyFraming.CONNECTION_CLOSE
+        )
+
+        async def behave(server, request, reply):
+            if http1.find_header(request.headers, b"last-event-id"):
+                await stop_within_head(-2, b"")(server, request, reply)
+            else:
+                await broken(server, request, reply)
+
+        for server in world.servers.values():
+            server.behave = behave
+        answer = await ask(world, RESUMABLE)
+        assert not answer.whole
+        assert answer.body == _standins.whole_stream(3)
+
+    run(scenario, *BOTH_SERVERS)
--- a/buckthorntack/transport/tests/test_streaming.py
+++ b/buckthorntack/transport/tests/test_streaming.py
@@ -49,3 +49,12 @@
     head = b"HTTP/1.1 200 OK\r\n" + framing + b"\r\n\r\n"
     with pytest.raises(httpx.TransportError):
         asyncio.run(fetch(["await", head + b"4\r\npart", None]))
+
+
+# Guards against an answer with an empty body from a head that broke off.
+@pytest.mark.parametrize("head", [b"Content-Length: 0\r\n\r\n", b"\r\n"])
+def test_head_that_breaks_off_is_an_error(head):
+    head = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n" + head
+    for size in range(1, len(head)):
+        with pytest.raises(httpx.TransportError):
+            asyncio.run(fetch(["await", head[:size], None]))
