Refuse announcements that followers cannot be told of

What callers saw: after one odd announcement among those of the servers, control VMs could not send their changes any more, entry VMs stopped to follow and new servers stayed unknown; a server's address with a port out of range was spread to all nodes.

Cause: an announcement was checked for its types only. A capacity of 10^30, a sequence of 2^64, a born of 10^40 and a warm-up of 1e300 ms fit Python, but no message between nodes; no address was tried before a request was sent to it; an id with a line break went into a header field; nested arrays in an unknown field raised a RecursionError, answered as 500. Class: outside input that is checked for its form, not for its range.

What is beyond is answered 400 with one log line, and the record that was known holds. A time that is over counts as 0. A notice of leaving whose incarnation cannot be read is logged now, it was taken for one without an incarnation before and still is.

--- a/buckthorntack/platform/_announcements.py
+++ b/buckthorntack/platform/_announcements.py
@@ -1,5 +1,8 @@
 """What servers of the platform say of themselves."""
 
+import datetime
+import ipaddress
+from typing import Annotated
 from typing import Literal
 from typing import NotRequired
 from typing import TypedDict
@@ -11,6 +14,27 @@
 from buckthorntack import errors
 from buckthorntack.schema import messages
 
+#: Bytes of an announcement; true ones have a few hundred.
+MAX_ANNOUNCEMENT_BYTES = 65_536
+MAX_NAME_LENGTH = 256
+#: Higher numbers are no counts; messages between nodes cannot hold all.
+MAX_COUNT = (1 << 52) - 1
+#: Requests that a server runs at once.
+MAX_CAPACITY = 1_000_000
+#: Longest warm-up and longest notice of a server that is reclaimed.
+MAX_REMAINING_MS = 86_400_000
+#: Time by which the clocks of a server and of a VM differ at most.
+MAX_CLOCK_LEAD = datetime.timedelta(days=1)
+#: Length of the error that is logged and answered.
+MAX_DETAIL_LENGTH = 500
+_MS = datetime.timedelta(milliseconds=1)
+_MAX_PORT = 65_535
+_PORT_DIGITS = 5
+
+_Name = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_NAME_LENGTH)]
+_Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+_Milliseconds = Annotated[float, msgspec.Meta(le=MAX_REMAINING_MS)]
+
 
 class UnreadableAnnouncementError(errors.GatewayError):
     """An announcement is not of the form that servers use."""
@@ -22,52 +46,57 @@
 
 
 class _Announcement(TypedDict):
-    service: str
-    address: str
-    zone: str
+    service: _Name
+    address: _Name
+    zone: _Name
     #: Version of its software, not of its weights.
-    version: str
-    capacity: int
+    version: _Name
+    capacity: Annotated[int, msgspec.Meta(ge=1, le=MAX_CAPACITY)]
     state: Literal["ready", "draining"]
     #: Grows with each announcement of one start of the server.
-    sequence: int
+    sequence: _Count
     #: Start of the server, in Unix milliseconds.
-    born: NotRequired[int]
-    warmup_left_ms: NotRequired[float]
+    born: NotRequired[_Count]
+    warmup_left_ms: NotRequired[_Milliseconds]
     #: Time until a server that is reclaimed is gone.
-    remaining_ms: NotRequired[float | None]
+    remaining_ms: NotRequired[_Milliseconds | None]
 
 
 class _Leave(TypedDict):
-    born: NotRequired[int]
+    born: NotRequired[_Count]
 
 
 _ANNOUNCEMENT = msgspec.json.Decoder(_Announcement)
 _LEAVE = msgspec.json.Decoder(_Leave)
 
 
-def read_announcement(server_id, content, regions):
+def read_announcement(server_id, content, regions, unix_time):
     """Read the announcement of a server.
 
     :param server_id: its id, from the path.
     :param content: the body.
     :param regions: region of each failure domain.
+    :param unix_time: time of day, as ``timedelta`` since 1970.
     :returns: ``Result`` of an ``AnnouncedServer``.
     """
-    try:
-        document = _ANNOUNCEMENT.decode(content)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return _unreadable(server_id, error)
+    if not _is_server_id(server_id):
+        return _unreadable(server_id, "not the id of a server")
+    decoded = _decode(_ANNOUNCEMENT, content)
+    if decoded.is_error():
+        return _unreadable(server_id, decoded.error)
+    document = decoded.ok
     region = regions.get(document["zone"])
     if region is None:
         return _unreadable(server_id, f"zone {document['zone']}")
-    host, _, port = document["address"].rpartition(":")
-    if not host or not port.isdigit():
+    if not _is_address(document["address"]):
         return _unreadable(server_id, f"address {document['address']}")
+    born_ms = document.get("born", 0)
+    if born_ms * _MS > unix_time + MAX_CLOCK_LEAD:
+        return _unreadable(server_id, f"born in the future, at {born_ms} ms")
     remaining_ms = document.get("remaining_ms")
     record = messages.AnnouncedServer(
         server_id=server_id,
-        born_ms=document.get("born", 0),
+        born_ms=born_ms,
         sequence=document["sequence"],
         state=document["state"],
         service=document["service"],
@@ -75,8 +104,10 @@
         failure_domain=document["zone"],
         region=region,
         slots=document["capacity"],
-        cold_left_ms=int(document.get("warmup_left_ms", 0)),
-        reclaim_left_ms=-1 if remaining_ms is None else int(remaining_ms),
+        cold_left_ms=max(0, int(document.get("warmup_left_ms", 0))),
+        reclaim_left_ms=(
+            -1 if remaining_ms is None else max(0, int(remaining_ms))
+        ),
         silent=False,
         software_version=document["version"],
     )
@@ -84,18 +115,51 @@
 
 
 def read_leave(content):
-    """Incarnation of a server that leaves.
+    """Read which incarnation of a server leaves.
 
     :param content: the body of its last call; it may be empty.
-    :returns: milliseconds; None if it is not told.
+    :returns: ``Result`` of its start in milliseconds; None if it is not told.
     """
     if not content:
-        return None
+        return Ok(None)
+    return _decode(_LEAVE, content).map(lambda document: document.get("born"))
+
+
+def _decode(decoder, content):
+    """Decode a document; return a ``Result``."""
+    if len(content) > MAX_ANNOUNCEMENT_BYTES:
+        return Error(f"{len(content)} bytes")
+    try:
+        return Ok(decoder.decode(content))
+    except (msgspec.MsgspecError, UnicodeError, RecursionError) as error:
+        return Error(error)
+
+
+def _is_server_id(text):
+    """Whether a text may be sent as the id of a server in a header field."""
+    return (
+        0 < len(text) <= MAX_NAME_LENGTH
+        and text.isascii()
+        and text.isprintable()
+    )
+
+
+def _is_address(text):
+    """Whether connections can be opened to an address.
+
+    >>> _is_address("10.0.0.1:80"), _is_address("10.0.0.1:99999")
+    (True, False)
+    """
+    host, _, port = text.rpartition(":")
+    if not (port.isascii() and port.isdigit() and len(port) <= _PORT_DIGITS):
+        return False
     try:
-        return _LEAVE.decode(content).get("born")
-    except (msgspec.MsgspecError, UnicodeDecodeError):
-        return None
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return 0 < int(port) <= _MAX_PORT
 
 
 def _unreadable(server_id, error):
-    return Error(UnreadableAnnouncementError(f"{server_id}: {error}"))
+    text = f"{server_id}: {error}"
+    return Error(UnreadableAnnouncementError(text[:MAX_DETAIL_LENGTH]))
--- a/buckthorntack/platform/_control_api.py
+++ b/buckthorntack/platform/_control_api.py
@@ -1,5 +1,6 @@
 """Calls of servers and operators at a control VM."""
 
+import datetime
 import urllib.parse
 
 import msgspec
@@ -10,6 +11,7 @@
 
 _JSON = [(b"Content-Type", b"application/json")]
 _NO_CONFIGURATION = 404
+_UNIX_EPOCH = datetime.datetime.fromtimestamp(0, datetime.UTC)
 
 
 def make_handlers(node):
@@ -48,7 +50,10 @@
 
     async def _announce(self, request, reply, name):
         read = _announcements.read_announcement(
-            name, request.body, self.node.settings.regions
+            name,
+            request.body,
+            self.node.settings.regions,
+            self.node.clock.wall() - _UNIX_EPOCH,
         )
         if read.is_error():
             self.log.write(
@@ -77,8 +82,13 @@
         return 200, {}
 
     async def _leave(self, request, reply, name):
-        born_ms = _announcements.read_leave(request.body)
-        self.node.gathering.on_leave(name, born_ms)
+        read = _announcements.read_leave(request.body)
+        if read.is_error():
+            # The path names the server; only its incarnation is not known.
+            self.log.write(
+                _events.LEAVE_UNREADABLE, server=name, error=str(read.error)
+            )
+        self.node.gathering.on_leave(name, read.default_value(None))
         self._send(reply, 200, {})
 
     async def _publish(self, request, reply, name):
--- a/buckthorntack/platform/_events.py
+++ b/buckthorntack/platform/_events.py
@@ -19,3 +19,11 @@
     "The process ends, as it cannot start or go on.",
     "see the error",
 )
+LEAVE_UNREADABLE = events.declare(
+    2303,
+    "leave_unreadable",
+    logbook.WARNING,
+    "A backend server left, but which start of it could not be read;"
+    " it counts as gone whichever it is.",
+    "look for a sender of another version",
+)
--- a/buckthorntack/platform/tests/test_formats.py
+++ b/buckthorntack/platform/tests/test_formats.py
@@ -1,5 +1,6 @@
 """Formats of the platform, read and written."""
 
+import datetime
 import json
 import pathlib
 import re
@@ -18,6 +19,8 @@
 from buckthorntack.platform import _settings
 from buckthorntack.platform.tests import _standins
 
+#: Time of day, since 1970.
+NOW = datetime.timedelta(days=20_000)
 TEMPLATE = pathlib.Path("deploy/settings.json")
 NAMED = {
     "node_name": "edge-1",
@@ -240,7 +243,7 @@
             "unknown": [],
         }
     ).encode()
-    read = _announcements.read_announcement("s", content, {"a1": "north"})
+    read = _announcements.read_announcement("s", content, {"a1": "north"}, NOW)
     assert isinstance(read, type(Ok(None)))
     assert read.ok.reclaim_left_ms == 1500
     assert read.ok.region == "north"
@@ -250,8 +253,9 @@
     "content", [b"", b"{}", b'{"born": 5}', b"\xff", b"["]
 )
 def test_last_word_of_a_server_may_say_little(content):
-    born_ms = _announcements.read_leave(content)
-    assert born_ms == (5 if b"born" in content else None)
+    read = _announcements.read_leave(content)
+    assert read.is_error() == (content in (b"\xff", b"["))
+    assert read.default_value(None) == (5 if b"born" in content else None)
 
 
 @pytest.mark.parametrize(
--- a/buckthorntack/platform/tests/test_registrars.py
+++ b/buckthorntack/platform/tests/test_registrars.py
@@ -7,6 +7,7 @@
 import msgspec
 import pytest
 
+from buckthorntack import clock
 from buckthorntack.discovery.tests import test_registrars
 from buckthorntack.platform import _control_api
 
@@ -42,6 +43,7 @@
     node = types.SimpleNamespace(
         gathering=FakeGathering(registrar),
         settings=types.SimpleNamespace(regions={"east-a": "east"}),
+        clock=clock.SystemClock(),
     )
     reply = FakeReply()
     request = types.SimpleNamespace(
