Take an address that cannot be connected to for a failed connect

What callers saw: a request that was sent to a server whose announced port is out of range ended with an internal error, and a probe of it with an exception of its task.

Cause: sock_connect raises OverflowError for such a port, which the pool did not count as a failed connect.

Evidence: two of the seven cases of test_odd_address_fails_as_a_connect failed with 'OverflowError: connect(): port must be 0-65535'.

--- a/buckthorntack/http1/_pool.py
+++ b/buckthorntack/http1/_pool.py
@@ -174,7 +174,7 @@
                 _, connection = await loop.create_connection(
                     lambda: _client.Connection(self.id_header), sock=sock
                 )
-        except (OSError, ValueError) as error:
+        except (OSError, ValueError, OverflowError) as error:
             sock.close()
             self._log.write(
                 _events.CONNECT_FAILED, address=address, error=repr(error)
--- a/buckthorntack/http1/tests/test_exchange.py
+++ b/buckthorntack/http1/tests/test_exchange.py
@@ -375,3 +375,25 @@
         assert pool.idle_count("s") == 0
 
     run(scenario, *(["await", head[:size], end] for size in sizes))
+
+
+# Guards against an internal error for the request that is sent to a server
+# whose announced address cannot be connected to.
+@pytest.mark.parametrize(
+    "address",
+    [
+        "127.0.0.1:99999",
+        "127.0.0.1:-1",
+        "127.0.0.1:²",
+        "127.0.0.1:" + "9" * 5000,
+        "127.0\0.0.1:80",
+        "x" * 300 + ":80",
+        "127.0.0.1",
+    ],
+)
+def test_odd_address_fails_as_a_connect(address):
+    async def scenario(server, pool):
+        with pytest.raises(http1.ConnectError):
+            await pool.open(address)
+
+    run(scenario)
