--- a/buckthorntack/platform/tests/_standins.py
+++ b/buckthorntack/platform/tests/_standins.py
@@ -200,12 +200,14 @@
     return behave
 
 
-def stream(events, cut_after=None, pause_s=0.0):
+def stream(events, cut_after=None, pause_s=0.0, silence=None):
     """Behaviour: a stream of events that goes on after the last one known.
 
     :param events: how many.
     :param cut_after: event in whose middle the connection breaks.
     :param pause_s: pause between two events.
+    :param silence: event before which the server is silent, and for how many
+        seconds.
     """
 
     async def behave(server, request, reply):
@@ -220,6 +222,8 @@
                 await asyncio.sleep(0.05)
                 reply.abort()
                 return
+            if silence is not None and number == silence[0]:
+                await asyncio.sleep(silence[1])
             reply.write(b"id: %d\ndata: e%d\n\n" % (number, number))
             await asyncio.sleep(pause_s)
         reply.end()
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -20,6 +20,11 @@
         action="store_true",
         help="no crashes of servers and stops of entry VMs in series",
     )
+    parser.add_argument(
+        "--planned",
+        action="store_true",
+        help="planned work only, beside which each request is answered",
+    )
     arguments = parser.parse_args()
     seed = arguments.seed
     if seed is None:
@@ -31,7 +36,8 @@
             seed,
             arguments.seconds,
             folder,
-            has_series=not arguments.no_series,
+            has_series=not (arguments.no_series or arguments.planned),
+            is_planned=arguments.planned,
         )
         book = asyncio.run(soak)
     print(f"answers {dict(book.answers)} runs {len(book.runs)}")
--- a/tools/soak/_promises.py
+++ b/tools/soak/_promises.py
@@ -17,6 +17,9 @@
 #: An entry VM that a fault struck so soon before or after a crash may not
 #: have told others of it.
 REPORT_S = 1.0
+#: Time after its last byte from which a request that is closed without an
+#: answer has not crossed the close.
+CROSSING_S = 0.2
 #: Fewest requests whose share of successes is looked at.
 MIN_REQUESTS = 20
 
@@ -44,6 +47,15 @@
     is_served: bool
 
 
+class Unanswered(NamedTuple):
+    """A request that was sent whole and whose answer is not whole."""
+
+    request_id: str
+    entry: str
+    sent_s: float
+    ended_s: float
+
+
 class Book:
     """Records of a soak, and the promises that they break.
 
@@ -65,6 +77,9 @@
         self.crashes = []
         self.arrivals = []
         self.sound_requests = []
+        self.unanswered = []
+        #: Requests whose answers servers broke off.
+        self.broken_off = set()
 
     def break_promise(self, text):
         """Note a broken promise.
@@ -145,6 +160,24 @@
         if others:
             self.break_promise(f"a directory named {others} outside the home")
 
+    def check_answered(self):
+        """Check that each whole request is answered or refused.
+
+        It is for soaks with planned work only.  A request that crosses the
+        close of its connection and is not passed on may go unanswered.
+        """
+        for request in self.unanswered:
+            waited_s = request.ended_s - request.sent_s
+            was_passed_on = bool(self.runs[request.request_id])
+            if request.request_id in self.broken_off:
+                continue
+            if was_passed_on or waited_s > CROSSING_S:
+                self.break_promise(
+                    f"{request.request_id} got no whole answer of"
+                    f" {request.entry} within {waited_s:.2f} s;"
+                    f" passed on: {was_passed_on}"
+                )
+
     def check_crashing_part(self, is_calm):
         """Check what became of requests whose part crashes servers.
 
--- a/tools/soak/_soak.py
+++ b/tools/soak/_soak.py
@@ -19,6 +19,8 @@
 RECOVER_S = 10.0
 PAUSE_S = (0.4, 2.0)
 HOLD_S = (0.5, 3.0)
+#: How long a sound server is silent.
+SILENCE_S = (0.5, 1.5)
 #: Pause between planned stops of a region's entry VMs.
 SERIES_PAUSE_S = (0.3, 1.5)
 
@@ -31,10 +33,20 @@
     :param checks_times: whether promises about times are checked.
     :param has_series: whether a part of prompts crashes server after server,
         and whether all entry VMs of a region stop one after the other.
+    :param is_planned: whether there is planned work only, beside which each
+        request must be answered or refused.
     """
 
-    def __init__(self, seed, folder, checks_times=True, has_series=False):
+    def __init__(
+        self,
+        seed,
+        folder,
+        checks_times=True,
+        has_series=False,
+        is_planned=False,
+    ):
         self.has_series = has_series
+        self.is_planned = is_planned
         self.rng = random.Random(seed)
         self.seed = seed
         self.folder = folder
@@ -62,6 +74,16 @@
         )
         if has_series:
             self.cases += (self.stop_region, self.stop_region)
+        if is_planned:
+            self.cases = (
+                self.stop_entry,
+                self.stop_entry,
+                self.stop_region,
+                self.hang_up,
+                self.silence_server,
+                self.silence_server,
+                self.drain,
+            )
 
     async def __aenter__(self):
         await self._stack.__aenter__()
@@ -86,7 +108,11 @@
         for number in range(8):
             await self._add_server(f"s{number}", f"{public}.{100 + number}")
         operating = _traffic.operate(
-            self.book, self.controls, self._rng(), self.has_series
+            self.book,
+            self.controls,
+            self._rng(),
+            self.has_series,
+            self.is_planned,
         )
         await self._stack.enter_async_context(tasks.running(operating))
         await asyncio.sleep(SETTLE_S)
@@ -172,6 +198,8 @@
         if self._has_text_server() and self._count_streams() == streams_before:
             self.book.break_time("no stream is served after the faults")
         self.book.check_crashing_part(self.is_calm)
+        if self.is_planned:
+            self.book.check_answered()
 
     def _has_text_server(self):
         return self.has_series and any(
@@ -189,7 +217,7 @@
             struck = [n for n in self.nodes.values() if n.role == node.role]
         elif case == self.stop_region:
             struck = [n for n in self.entries if n.zone == node.zone]
-        elif case in (self.drain, self.fail_server):
+        elif case in (self.drain, self.fail_server, self.silence_server):
             struck = []
         begin_s = loop.time()
         ongoing = (begin_s, math.inf)
@@ -236,6 +264,16 @@
             self.book.break_time(f"{node.name} ended with {code}")
         await node.ensure_running()
 
+    async def stop_entry(self, node, hold_s):
+        """A planned stop of an entry VM, and a start."""
+        if node.role == "entry":
+            await self.stop(node, hold_s)
+
+    async def hang_up(self, node, hold_s):
+        """A process is told that its settings may have changed."""
+        if node.process.returncode is None:
+            node.signal(signal.SIGHUP)
+
     async def stop_region(self, node, hold_s):
         """Planned stops of a region's entry VMs, one after the other."""
         running = []
@@ -306,8 +344,22 @@
         await asyncio.sleep(hold_s)
         server.failing = 0.0
 
+    async def silence_server(self, node, hold_s):
+        """A sound server is silent for a moment within each answer."""
+        server = self.rng.choice(self.servers)
+        server.silence_s = self.rng.uniform(*SILENCE_S)
+        await asyncio.sleep(hold_s)
+        server.silence_s = 0.0
+
 
-async def soak(seed, seconds, folder, checks_times=True, has_series=False):
+async def soak(
+    seed,
+    seconds,
+    folder,
+    checks_times=True,
+    has_series=False,
+    is_planned=False,
+):
     """Run one soak.
 
     :param seed: of all choices.
@@ -315,8 +367,11 @@
     :param folder: where logs and disks lie.
     :param checks_times: whether promises about times are checked.
     :param has_series: as of :class:`Soak`.
+    :param is_planned: as of :class:`Soak`.
     :returns: the ``Book``.
     """
-    async with Soak(seed, folder, checks_times, has_series) as running:
+    async with Soak(
+        seed, folder, checks_times, has_series, is_planned
+    ) as running:
         await running.run(seconds)
         return running.book
--- a/tools/soak/_traffic.py
+++ b/tools/soak/_traffic.py
@@ -33,6 +33,9 @@
 #: Share of restarts after which a server has another id.
 NEW_ID_SHARE = 0.75
 POLL_S = 0.1
+#: Idle timeouts and numbers of further routes of configurations.
+IDLE_TIMEOUTS_MS = (100, 1000, 15_000)
+ADDED_ROUTES = (0, 0, 300)
 #: A host whose requests may run in one region only.
 HOME_HOST, HOME_REGION = "home.example", "north"
 
@@ -45,6 +48,8 @@
         self.book = book
         self.rng = rng
         self.failing = 0.0
+        #: How long it is silent within each answer.
+        self.silence_s = 0.0
         self.behave = self._serve
 
     async def _serve(self, server, request, reply):
@@ -61,7 +66,10 @@
             await crash(self, request, reply)
             self.book.crashes.append(seen)
             return
-        if self.rng.random() < self.failing:
+        if self.silence_s:
+            await self._serve_after_silence(request, reply, is_stream)
+        elif self.rng.random() < self.failing:
+            self.book.broken_off.add(request_id)
             await self._break_off(request, reply, is_stream)
         elif is_stream and self.rng.random() < RAW_SHARE:
             whole = _standins.whole_stream(EVENTS)
@@ -72,6 +80,16 @@
             await asyncio.sleep(self.rng.random() * 0.05)
             await _standins.answer_whole(self, request, reply)
 
+    async def _serve_after_silence(self, request, reply, is_stream):
+        if is_stream:
+            silence = (self.rng.randrange(EVENTS), self.silence_s)
+            await _standins.stream(EVENTS, silence=silence)(
+                self, request, reply
+            )
+            return
+        await asyncio.sleep(self.silence_s)
+        await _standins.answer_whole(self, request, reply)
+
     def headers(self, request):
         """Return the headers of its responses."""
         headers = super().headers(request)
@@ -122,6 +140,8 @@
         self.seed = seed
         self._connection = None
         self._entry = None
+        #: When the request in progress was written; None before that.
+        self._written_s = None
 
     async def run(self):
         """Send requests until cancelled."""
@@ -168,6 +188,7 @@
         sent_s = asyncio.get_running_loop().time()
         payload = "\r\n".join([*lines, "", ""]).encode() + body
         status, whole, answer = 0, False, b""
+        self._written_s = None
         try:
             async with asyncio.timeout(PATIENCE_S + 1.0):
                 status, whole, answer = await self._exchange(
@@ -177,6 +198,15 @@
             pass
         except ValueError as error:
             self.book.break_promise(f"{request_id} got no answer: {error}")
+        if not whole and self._written_s is not None:
+            self.book.unanswered.append(
+                _promises.Unanswered(
+                    request_id,
+                    self._entry.name,
+                    self._written_s,
+                    asyncio.get_running_loop().time(),
+                )
+            )
         expected = f"{method} {target} ".encode() + body
         if kind == "talk":
             expected = _standins.whole_stream(EVENTS)
@@ -201,6 +231,7 @@
         self.book.asked[request_id] = self._entry.name
         reader, writer = self._connection
         writer.write(payload)
+        self._written_s = asyncio.get_running_loop().time()
         head = await reader.readuntil(b"\r\n\r\n")
         status = int(head.split(b" ", 2)[1])
         fields = head.lower()
@@ -310,13 +341,24 @@
         await asyncio.sleep(POLL_S)
 
 
-async def operate(book, controls, rng, has_home=False):
+def _change_limits(document, rng):
+    """Change the idle timeout and the size of a configuration."""
+    document["limits"]["idle_timeout_ms"] = rng.choice(IDLE_TIMEOUTS_MS)
+    for number in range(rng.choice(ADDED_ROUTES)):
+        route = _standins.route(
+            f"added{number}", "desk", host=f"{number}.{_standins.HOST}"
+        )
+        document["routes"].append(route)
+
+
+async def operate(book, controls, rng, has_home=False, changes_limits=False):
     """Publish configurations and read them back, over and over.
 
     :param book: the ``Book``.
     :param controls: nodes of control VMs.
     :param rng: source of randomness.
     :param has_home: whether a host has a home region.
+    :param changes_limits: whether idle timeout and size differ.
     """
     version = acknowledged = 0
     while True:
@@ -330,6 +372,8 @@
                 allowed_regions=[HOME_REGION],
             )
             document["routes"].append(route)
+        if changes_limits:
+            _change_limits(document, rng)
         book.sent[version] = document
         body = json.dumps(document).encode()
         for _ in range(40):
--- a/tools/soak/tests/test_soak.py
+++ b/tools/soak/tests/test_soak.py
@@ -17,6 +17,8 @@
 SEEDS = [7, 41, 42, 44, 2117]
 #: Requests with the part still reached servers 5 s after the fifth crash.
 SERIES_SEEDS = [11, 12]
+#: Planned work only; 40002 stops many entry VMs.
+PLANNED_SEEDS = [40002, 40004]
 #: Signals met processes that had just ended.
 SIGNAL_SEED = 176858663
 
@@ -57,6 +59,36 @@
     assert [text for text in book.broken if "directory" in text] == []
 
 
+# Guards against requests without an answer or a refusal beside changes of the
+# configuration, planned stops and servers that are silent for a moment.
+@pytest.mark.parametrize("seed", PLANNED_SEEDS)
+def test_each_request_is_answered_beside_planned_work(seed, tmp_path):
+    soaking = _soak.soak(seed, SECONDS, tmp_path, False, is_planned=True)
+    book = asyncio.run(soaking)
+    assert book.broken == []
+    assert book.answers[200] > 0
+
+
+@pytest.mark.parametrize(
+    ("runs", "waited_s", "breaks_off", "is_broken"),
+    [
+        (1, 0.01, False, True),
+        (0, 0.5, False, True),
+        (0, 0.01, False, False),
+        (1, 0.5, True, False),
+    ],
+)
+def test_unanswered_request_is_found(runs, waited_s, breaks_off, is_broken):
+    book = _promises.Book()
+    for _ in range(runs):
+        book.ran("s1", "r", True, 1.0)
+    if breaks_off:
+        book.broken_off.add("r")
+    book.unanswered.append(_promises.Unanswered("r", "e", 1.0, 1.0 + waited_s))
+    book.check_answered()
+    assert bool(book.broken) is is_broken
+
+
 def test_second_run_is_found():
     book = _promises.Book()
     book.ran("s1", "r", False, 1.0)
