Accept the connections that wait when an entry VM stops accepting

What callers saw: a request on a new connection was reset without an answer at a planned stop, 2 s after its start, though the connection had been established.

Cause: the close of a listening socket resets the connections in its queue. asyncio also drops without a trace what it accepted in the turn of the event loop in which its server is closed, and the stop looked for active connections in that same turn. Class: a decision by state that is older than the input.

Evidence: test_connections_that_wait_at_the_stop_are_answered failed in three of four cases: not accepted yet (two cases), 'ConnectionResetError: Connection reset by peer'; accepted in the turn of the stop, TimeoutError. The fourth, accepted earlier, passed before as well.

Change: what waits is accepted at the stop, the socket is closed one turn later, such a connection counts as one whose request is being read, and the stop looks for active connections after one period.

--- a/buckthorntack/gateway/_entry.py
+++ b/buckthorntack/gateway/_entry.py
@@ -437,11 +437,12 @@
         self.front_listener.stop_accepting()
         self.forward_listener.stop_accepting()
         while self.clock.monotonic() < stop_deadline:
+            # Connections that were just accepted are not counted before.
+            await self.clock.sleep(STOP_POLL_PERIOD)
             if (
                 not self.front_listener.count_active_connections()
                 and not self.forward_listener.count_active_connections()
             ):
                 break
-            await self.clock.sleep(STOP_POLL_PERIOD)
         self.following.set_state("gone")
         await asyncio.sleep(0)
--- a/buckthorntack/http1/_events.py
+++ b/buckthorntack/http1/_events.py
@@ -70,3 +70,11 @@
     "check whether the process was held up, or clients reuse connections"
     " for longer than the idle timeout",
 )
+ACCEPT_FAILED = events.declare(
+    1909,
+    "accept_failed",
+    logbook.WARNING,
+    "A listener that stops could not accept the connections that waited;"
+    " their clients are reset.",
+    "check whether the process has file descriptors left",
+)
--- a/buckthorntack/http1/_server.py
+++ b/buckthorntack/http1/_server.py
@@ -354,7 +354,11 @@
         host, port = transport.get_extra_info("peername")[:2]
         self.peer = f"{host}:{port}"
         self.listener.connections.add(self)
-        self._set_timer(self.listener.limits().header_timeout_s)
+        if self.listener.is_stopped:
+            # Its client has not been told of the stop.
+            self._start_reading()
+        else:
+            self._set_timer(self.listener.limits().header_timeout_s)
 
     def close(self, reason):
         """Close the connection after what was written has been sent.
@@ -790,6 +794,8 @@
         self.is_stopped = False
         self.log = events.EventLog("http1")
         self._server = None
+        #: Tasks that open the connections that waited at the stop.
+        self._last_accepted = set()
 
     @property
     def address(self):
@@ -809,6 +815,8 @@
 
     async def __aexit__(self, *exc_info):
         self._server.close()
+        for task in self._last_accepted:
+            task.cancel()
         tasks = [c.task for c in self.connections if c.task is not None]
         for connection in list(self.connections):
             connection.abort_reporting_unread(EndReason.LISTENER_CLOSED)
@@ -818,7 +826,7 @@
 
     def count_active_connections(self):
         """Return the number of connections with a request in progress."""
-        return sum(
+        return len(self._last_accepted) + sum(
             1
             for connection in self.connections
             if connection.task is not None or connection._is_reading
@@ -829,9 +837,39 @@
         self.closing = True
 
     def stop_accepting(self):
-        """Accept no new connections and close those that are idle."""
+        """Accept no new connections and close those that are idle.
+
+        Connections that wait to be accepted still are, as the close of the
+        socket would reset them.
+        """
         self.closing = True
         self.is_stopped = True
-        self._server.close()
+        self._accept_waiting()
+        # The server refuses what it accepted in this turn if it is closed now.
+        asyncio.get_running_loop().call_soon(self._close_server)
         for connection in list(self.connections):
             connection.close_if_idle()
+
+    def _close_server(self):
+        self._accept_waiting()
+        self._server.close()
+
+    def _accept_waiting(self):
+        loop = asyncio.get_running_loop()
+        while self._server.is_serving():
+            try:
+                sock, _ = self.sock.accept()
+            except BlockingIOError:
+                return
+            except ConnectionAbortedError:
+                continue
+            except OSError as error:
+                self.log.write(_events.ACCEPT_FAILED, error=repr(error))
+                return
+            task = loop.create_task(
+                loop.connect_accepted_socket(
+                    lambda: _ServerConnection(self), sock
+                )
+            )
+            self._last_accepted.add(task)
+            task.add_done_callback(self._last_accepted.discard)
--- a/buckthorntack/http1/tests/test_listener.py
+++ b/buckthorntack/http1/tests/test_listener.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 import time
 
 import logbook
@@ -443,3 +444,36 @@
         writer.close()
 
     run(scenario)
+
+
+# Guards against a request on a new connection that a planned stop resets, as
+# the connection was not accepted yet or only in the same turn.
+@pytest.mark.parametrize("turns", range(4))
+def test_connections_that_wait_at_the_stop_are_answered(turns):
+    gate = asyncio.Event()
+
+    async def scenario(harness):
+        host, _, port = harness.listener.address.rpartition(":")
+        sock = socket.create_connection((host, int(port)))
+        sock.sendall(b"GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
+        for _ in range(turns):
+            await asyncio.sleep(0)
+        harness.listener.stop_accepting()
+        reader, writer = await asyncio.open_connection(sock=sock)
+        while not harness.started.is_set():
+            assert not reader.at_eof()
+            assert reader.exception() is None
+            await asyncio.sleep(0.005)
+        assert harness.listener.count_active_connections() == 1
+        gate.set()
+        head, _ = await read_response(reader)
+        assert b"X-Target: /1\r\n" in head
+        assert b"Connection: close\r\n" in head
+        assert await reader.read() == b""
+        writer.close()
+        while harness.listener.count_active_connections():  # noqa: ASYNC110
+            await asyncio.sleep(0.005)
+        with pytest.raises(ConnectionRefusedError):
+            await asyncio.open_connection(host, int(port))
+
+    run(scenario, gate=gate)
