Stay at a silent server if no other response can continue the stream

What callers saw: a stream whose server was announced as another incarnation before its first event, and which then fell silent for 2.6 s and went on, ended after 2.2 s as an incomplete 200.

Cause: where such a stream began is not known, so that no other response may continue it, but only the retry after the silence asked for that; the server had been left by then. Class: a working attempt is given up before its replacement is known.

Evidence: test_stream_whose_origin_is_not_known_waits_for_a_silent_server failed, the answer was not whole.

Change: one condition decides whether another response can continue the body, for the retry and for leaving a silent server.

--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -516,8 +516,7 @@
             return self.connect_failures <= MAX_CONNECT_FAILURES
         if self.may_have_run and not self.route.is_idempotent:
             return False
-        if self.reply.started and (self.stream is None or not self.origin):
-            # No other response is known to continue the body that was sent.
+        if not self._can_continue():
             return False
         if (
             isinstance(result, _results.NotRun)
@@ -527,6 +526,12 @@
             return self.send_count < self.route.max_attempts
         return self.take_retry_budget()
 
+    def _can_continue(self):
+        """Whether another response can continue the body that was sent."""
+        if not self.reply.started:
+            return True
+        return self.stream is not None and self.origin is not None
+
     def _record_result(self, result):
         """Record what an attempt that failed says of the request."""
         if isinstance(result, _results.Failed):
@@ -566,6 +571,8 @@
 
     def _can_leave_server(self):
         """Whether a server that was not tried would get the request now."""
+        if not self._can_continue():
+            return False
         shared_state = self.shared_state
         now = self.handler.clock.monotonic()
         if not self.can_retry() or not shared_state.budgets.has_retry(
--- a/buckthorntack/platform/tests/test_silent_servers.py
+++ b/buckthorntack/platform/tests/test_silent_servers.py
@@ -96,6 +96,39 @@
     test_requests.run(scenario, *names)
 
 
+# Guards against a stream that is cut as its server is silent, though it is not
+# known where it began: its server was announced as another incarnation.
+def test_stream_whose_origin_is_not_known_waits_for_a_silent_server():
+    gate = asyncio.Event()
+
+    async def behave(server, request, reply):
+        await gate.wait()
+        await fall_silent_before(3, LONG_SILENCE_S)(server, request, reply)
+
+    async def scenario(world):
+        for server in world.servers.values():
+            server.behave = behave
+        asked = asyncio.create_task(world.ask("/talk/x", method="POST"))
+        await world.until(lambda: count_runs(world))
+        [server] = [s for s in world.servers.values() if s.requests]
+        server.born += _standins.INCARNATION_MS
+        await world.announce(server)
+
+        def is_known(node):
+            view = node.registry.servers[server.server_id]
+            return view.record.born_ms == server.born
+
+        await world.until(lambda: all(map(is_known, world.nodes.values())))
+        gate.set()
+        answer = await asked
+        assert answer.status == 200
+        assert answer.whole
+        assert answer.body == _standins.whole_stream(EVENTS)
+        assert count_runs(world) == 1
+
+    test_requests.run(scenario, ("s0", "text"), ("s1", "text"))
+
+
 # Guards against a 502 for a request whose server is only late, although no
 # other server may run it.
 @pytest.mark.parametrize("servers", [1, 2])
