Refuse settings out of range instead of ending their reloads

What callers saw: after a SIGHUP with a settings file that has one value out of range, a planned stop ended the process at once with an error: requests in progress got no answer. Until then no further change of the file was followed.

Cause: only what is of another form was refused. An OverflowError, IndexError or RecursionError ended the task that reloads, unseen until the stop, which raised it before the node could wait for its requests. Class: outside input that is checked for its form, not for its range.

Change: such a file is refused as one that cannot be read, and the task that reloads outlives any error of one reload with a log line.

--- a/buckthorntack/gateway/_run.py
+++ b/buckthorntack/gateway/_run.py
@@ -73,6 +73,9 @@
             node.apply_settings(load_settings(path))
         except _errors.SettingsError as error:
             log.write(_events.SETTINGS_REFUSED, error=str(error))
+        except Exception as error:
+            # An error of this task would keep the node from its stop.
+            log.write(_events.SETTINGS_REFUSED, error=repr(error))
         else:
             log.write(_events.SETTINGS_RELOADED, path=path)
 
--- a/buckthorntack/platform/_settings.py
+++ b/buckthorntack/platform/_settings.py
@@ -11,6 +11,15 @@
 
 #: Name of the environment variable with the path of the settings file.
 PATH_VARIABLE = "BUCKTHORNTACK_NODE_FILE"
+#: Errors of a file that is missing, of another form or out of range.
+_READ_ERRORS = (
+    OSError,
+    ValueError,
+    ArithmeticError,
+    LookupError,
+    RecursionError,
+    msgspec.ValidationError,
+)
 
 
 def load_settings(path):
@@ -24,9 +33,9 @@
         with open(path, encoding="utf-8") as file:
             document = json5.load(file)
         checked = msgspec.convert(document, documents.NodeDocument)
-    except (OSError, ValueError, msgspec.ValidationError) as error:
-        raise gateway.SettingsError(f"{path}: {error}") from None
-    return _settings(checked)
+        return _settings(checked)
+    except _READ_ERRORS as error:
+        raise gateway.SettingsError(f"{path}: {error!r}") from None
 
 
 def _settings(document):
--- a/buckthorntack/platform/tests/test_formats.py
+++ b/buckthorntack/platform/tests/test_formats.py
@@ -2,6 +2,7 @@
 
 import datetime
 import json
+import math
 import pathlib
 import re
 
@@ -124,6 +125,27 @@
         load(tmp_path, text)
 
 
+# Guards against a node that ends, or follows its settings no more, as a field
+# of the file is out of range.
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        ("bounds.grace_s", 1e300),
+        ("bounds.grace_s", math.nan),
+        ("heartbeat_ms", 10**30),
+        ("internal_port_range", []),
+    ],
+)
+def test_settings_out_of_range_are_refused(tmp_path, name, value):
+    with pytest.raises(gateway.SettingsError):
+        load(tmp_path, fill(TEMPLATE.read_text(), NAMED | {name: value}))
+
+
+def test_settings_that_are_deeply_nested_are_refused(tmp_path):
+    with pytest.raises(gateway.SettingsError):
+        load(tmp_path, "[" * 100_000)
+
+
 def test_settings_that_are_missing_are_refused():
     with pytest.raises(gateway.SettingsError):
         _settings.load_settings("/nowhere/settings")
