Answer the calls in progress before a control VM ends

What callers saw: a call of an operator or a server that a control VM had read was cut without an answer at the VM's planned stop; an order may have been accepted by then.

Cause: a control VM handed over its vote and ended, whatever calls were in progress; only entry VMs waited for their requests. Class: a connection is closed although a request has arrived.

Evidence: test_call_that_waits_is_answered_before_the_stop_ends failed with 'IncompleteReadError: 0 bytes read'.

Change: the wait of entry VMs for their listeners is shared by all nodes; it ends with the last call, or before the stop grace period does.

--- a/buckthorntack/gateway/_control.py
+++ b/buckthorntack/gateway/_control.py
@@ -413,7 +413,9 @@
         return await self.replica.wait_until_stopped()
 
     async def stop(self):
-        """Hand over leadership and vote, then stop accepting connections."""
+        """Hand over leadership and vote, then wait for pending calls."""
+        deadline = self.clock.monotonic()
+        deadline += self.settings.stop_grace - _node.STOP_MARGIN
         self._log_node_event(_events.NODE_STOPPING)
         self.gathering.local_presence.state = "stopping"
         self.gathering.report()
@@ -423,6 +425,7 @@
                 await self.replica.transfer_leadership()
         await self._hand_over_vote()
         self.listener.stop_accepting()
+        await self._wait_until_answered([self.listener], deadline)
 
     async def _hand_over_vote(self):
         """Wait until a learner has taken this voter's place, if one can."""
--- a/buckthorntack/gateway/_entry.py
+++ b/buckthorntack/gateway/_entry.py
@@ -32,10 +32,6 @@
 #: Time after the stop signal during which connections are still accepted, as
 #: callers use a directory response that lists this VM for that long.
 STOP_ACCEPT_TIME = 2000 * _MS
-#: Time reserved at the end of the stop grace period.
-STOP_MARGIN = 700 * _MS
-#: Period of the checks for pending requests while stopping.
-STOP_POLL_PERIOD = 50 * _MS
 #: Maximum number of addresses in one directory response.
 MAX_DIRECTORY_ADDRESSES = 64
 #: Scopes of directory answers that keep callers in their region.
@@ -431,18 +427,13 @@
         accept_deadline = started + min(
             STOP_ACCEPT_TIME, self.settings.stop_grace / 2
         )
-        stop_deadline = started + self.settings.stop_grace - STOP_MARGIN
+        stop_deadline = started + self.settings.stop_grace - _node.STOP_MARGIN
         while self.clock.monotonic() < accept_deadline:
-            await self.clock.sleep(STOP_POLL_PERIOD)
+            await self.clock.sleep(_node.STOP_POLL_PERIOD)
         self.front_listener.stop_accepting()
         self.forward_listener.stop_accepting()
-        while self.clock.monotonic() < stop_deadline:
-            # Connections that were just accepted are not counted before.
-            await self.clock.sleep(STOP_POLL_PERIOD)
-            if (
-                not self.front_listener.count_active_connections()
-                and not self.forward_listener.count_active_connections()
-            ):
-                break
+        await self._wait_until_answered(
+            (self.front_listener, self.forward_listener), stop_deadline
+        )
         self.following.set_state("gone")
         await asyncio.sleep(0)
--- a/buckthorntack/gateway/_node.py
+++ b/buckthorntack/gateway/_node.py
@@ -2,6 +2,7 @@
 
 import abc
 import contextlib
+import datetime
 
 import prometheus_client
 
@@ -12,6 +13,12 @@
 from buckthorntack.gateway import _events
 from buckthorntack.gateway import _metrics_endpoint
 
+_MS = datetime.timedelta(milliseconds=1)
+#: Time reserved at the end of the stop grace period.
+STOP_MARGIN = 700 * _MS
+#: Period of the checks for pending requests while stopping.
+STOP_POLL_PERIOD = 50 * _MS
+
 
 class Node(abc.ABC):
     """One node; an asynchronous context manager.
@@ -92,6 +99,20 @@
         listener = http1.Listener(sock, handle, limits, memory, id_header)
         return await self._stack.enter_async_context(listener)
 
+    async def _wait_until_answered(self, listeners, deadline):
+        """Wait until no request is in progress.
+
+        :param listeners: ``http1.Listener`` that accept no more.
+        :param deadline: monotonic time of the end of the wait.
+        """
+        while self.clock.monotonic() < deadline:
+            # Connections that were just accepted are not counted before.
+            await self.clock.sleep(STOP_POLL_PERIOD)
+            if not any(
+                listener.count_active_connections() for listener in listeners
+            ):
+                break
+
     async def _serve_metrics(self):
         settings = self.settings
         address = f"{settings.ip_address}:{settings.metrics_port}"
--- a/buckthorntack/platform/tests/test_operators.py
+++ b/buckthorntack/platform/tests/test_operators.py
@@ -210,3 +210,35 @@
             assert record.state == "draining"
 
     run(scenario)
+
+
+# Guards against a call that a planned stop of a control VM drops, such as an
+# order that was accepted.
+def test_call_that_waits_is_answered_before_the_stop_ends():
+    gate = asyncio.Event()
+    started = asyncio.Event()
+
+    async def scenario(world):
+        node = world.nodes["c2"]
+        handle = node.listener.handle
+
+        async def wait_and_handle(request, reply):
+            started.set()
+            await gate.wait()
+            await handle(request, reply)
+
+        document = _standins.configuration(7)
+        assert (await world.publish(document)).status == 200
+        node.listener.handle = wait_and_handle
+        asked = asyncio.create_task(world.control("c2", "GET", "/config"))
+        await started.wait()
+        stopping = asyncio.create_task(node.stop())
+        await world.until(lambda: node.listener.is_stopped)
+        asyncio.get_running_loop().call_later(0.1, gate.set)
+        await stopping
+        await world.kill("c2")
+        answer = await asked
+        assert answer.status == 200
+        assert json.loads(answer.body) == document
+
+    run(scenario)
