Give a request its time to arrive anew if the process was held up

What callers saw: a request whose body arrived while the process was held up for longer than the time limit of its header was reset, though all of it had been sent: it was refused with 408 right after the first bytes were read, and the close with unread bytes discarded the refusal.

Cause: the time limit also counted the time in which nothing was read. A timer that is overdue runs in the same turn of the event loop as the first read. Class: a decision by state that is older than the input.

Change: a timer that is more than 0.1 s late shows that the process was held up at the end of the time; the time begins anew then. What clients send has no part in that.

--- a/buckthorntack/http1/_server.py
+++ b/buckthorntack/http1/_server.py
@@ -41,6 +41,8 @@
 MAX_LINGER_BYTES = 1_048_576
 #: Size of a body above which its organisation is looked up before it is read.
 LARGE_BODY_BYTES = 65_536
+#: Lateness of a timer from which the process counts as held up.
+HELD_UP_S = 0.1
 #: Idle time before the kernel sends TCP keep-alive probes.
 KEEPALIVE_IDLE_S = 5
 #: Interim response to a request with ``Expect: 100-continue``.
@@ -734,12 +736,16 @@
         self._deadline_s = 0.0
 
     def _on_timer(self):
+        late_s = self.loop.time() - self._timer.when()
         self._timer = None
         if not self._deadline_s or self.transport.is_closing():
             return
         left_s = self._deadline_s - self.loop.time()
         if left_s > 0:
             self._timer = self.loop.call_later(left_s, self._on_timer)
+        elif self._is_reading and late_s > HELD_UP_S:
+            # Its client could not send while nothing was read.
+            self._start_reading()
         elif self._is_reading:
             self._reject(408, "the request did not arrive in time")
         else:
--- a/buckthorntack/http1/tests/test_listener.py
+++ b/buckthorntack/http1/tests/test_listener.py
@@ -477,3 +477,39 @@
             await asyncio.open_connection(host, int(port))
 
     run(scenario, gate=gate)
+
+
+LARGE_BODY = b"x" * 3_000_000
+
+
+# Guards against a request that is refused as late, or reset, as the process
+# was held up.
+def test_body_that_arrived_while_the_process_was_held_up_is_read():
+    limits = http1.Limits(header_timeout_s=0.2)
+
+    def send(address):
+        host, _, port = address.rpartition(":")
+        with socket.create_connection((host, int(port))) as sock:
+            sock.sendall(
+                b"POST /1 HTTP/1.1\r\nHost: a\r\n"
+                b"Connection: close\r\nContent-Length: %d\r\n\r\n"
+                % len(LARGE_BODY)
+            )
+            sock.sendall(LARGE_BODY)
+            response = b""
+            while data := sock.recv(65536):
+                response += data
+            return response
+
+    async def scenario(harness):
+        loop = asyncio.get_running_loop()
+        sending = loop.run_in_executor(None, send, harness.listener.address)
+        listener = harness.listener
+        while not listener.count_active_connections():  # noqa: ASYNC110
+            await asyncio.sleep(0)
+        loop.call_soon(time.sleep, 0.6)
+        response = await sending
+        assert response.startswith(b"HTTP/1.1 200 ")
+        assert response.endswith(LARGE_BODY)
+
+    run(scenario, limits=lambda: limits)
