Let a 408 reach a client that still sends

What callers saw: a client that sent its body too slowly met a broken pipe or a reset instead of the 408, which would have told it that the request had not run and may be sent again.

Cause: the connection was closed right after the 408 was written; what arrived later was answered with a reset, which discards the response (RFC 9112, section 9.6). Refused bodies were read on for a moment for that reason, late ones were not.

Evidence: test_client_that_still_sends_is_told_that_it_is_late failed with 'BrokenPipeError: Broken pipe'.

Change: 408 is one of the statuses after which the client is read on.

--- a/buckthorntack/http1/_server.py
+++ b/buckthorntack/http1/_server.py
@@ -32,8 +32,8 @@
 #: time in which its window is closed, though it answers all probes.  It is
 #: longer than requests last.
 SLOW_USER_TIMEOUT_MS = 60_000
-#: Status codes of refused bodies, whose clients are sound and still send.
-LINGERING_STATUSES = (413, 503)
+#: Status codes of requests whose clients are sound and still send.
+LINGERING_STATUSES = (408, 413, 503)
 #: Time and bytes for which they are read on, as a close with unread bytes
 #: resets the connection and the client may lose the response (RFC 9112,
 #: section 9.6).
--- a/buckthorntack/http1/tests/test_listener.py
+++ b/buckthorntack/http1/tests/test_listener.py
@@ -513,3 +513,30 @@
         assert response.endswith(LARGE_BODY)
 
     run(scenario, limits=lambda: limits)
+
+
+# Guards against a refusal that is lost by a reset, as its client still sends.
+def test_client_that_still_sends_is_told_that_it_is_late():
+    limits = http1.Limits(header_timeout_s=0.1)
+
+    def send(address):
+        host, _, port = address.rpartition(":")
+        with socket.create_connection((host, int(port))) as sock:
+            sock.sendall(b"POST /1 HTTP/1.1\r\nHost: a\r\n")
+            sock.sendall(b"Content-Length: 100000\r\n\r\n")
+            for _ in range(10):
+                sock.sendall(b"x")
+                time.sleep(0.04)
+            response = b""
+            while data := sock.recv(65536):
+                response += data
+            return response
+
+    async def scenario(harness):
+        loop = asyncio.get_running_loop()
+        response = await loop.run_in_executor(
+            None, send, harness.listener.address
+        )
+        assert response.startswith(b"HTTP/1.1 408 ")
+
+    run(scenario, limits=lambda: limits)
