--- a/buckthorntack/http1/_server.py
+++ b/buckthorntack/http1/_server.py
@@ -32,8 +32,8 @@
 #: time in which its window is closed, though it answers all probes.  It is
 #: longer than requests last.
 SLOW_USER_TIMEOUT_MS = 60_000
-#: Status codes of refused bodies, whose clients are sound and still send.
-LINGERING_STATUSES = (413, 503)
+#: Status codes of requests whose clients are sound and still send.
+LINGERING_STATUSES = (408, 413, 503)
 #: Time and bytes for which they are read on, as a close with unread bytes
 #: resets the connection and the client may lose the response (RFC 9112,
 #: section 9.6).
@@ -41,6 +41,8 @@
 MAX_LINGER_BYTES = 1_048_576
 #: Size of a body above which its organisation is looked up before it is read.
 LARGE_BODY_BYTES = 65_536
+#: Lateness of a timer from which the process counts as held up.
+HELD_UP_S = 0.1
 #: Idle time before the kernel sends TCP keep-alive probes.
 KEEPALIVE_IDLE_S = 5
 #: Interim response to a request with ``Expect: 100-continue``.
@@ -354,7 +356,11 @@
         host, port = transport.get_extra_info("peername")[:2]
         self.peer = f"{host}:{port}"
         self.listener.connections.add(self)
-        self._set_timer(self.listener.limits().header_timeout_s)
+        if self.listener.is_stopped:
+            # Its client has not been told of the stop.
+            self._start_reading()
+        else:
+            self._set_timer(self.listener.limits().header_timeout_s)
 
     def close(self, reason):
         """Close the connection after what was written has been sent.
@@ -730,12 +736,16 @@
         self._deadline_s = 0.0
 
     def _on_timer(self):
+        late_s = self.loop.time() - self._timer.when()
         self._timer = None
         if not self._deadline_s or self.transport.is_closing():
             return
         left_s = self._deadline_s - self.loop.time()
         if left_s > 0:
             self._timer = self.loop.call_later(left_s, self._on_timer)
+        elif self._is_reading and late_s > HELD_UP_S:
+            # Its client could not send while nothing was read.
+            self._start_reading()
         elif self._is_reading:
             self._reject(408, "the request did not arrive in time")
         else:
@@ -790,6 +800,8 @@
         self.is_stopped = False
         self.log = events.EventLog("http1")
         self._server = None
+        #: Tasks that open the connections that waited at the stop.
+        self._last_accepted = set()
 
     @property
     def address(self):
@@ -809,6 +821,8 @@
 
     async def __aexit__(self, *exc_info):
         self._server.close()
+        for task in self._last_accepted:
+            task.cancel()
         tasks = [c.task for c in self.connections if c.task is not None]
         for connection in list(self.connections):
             connection.abort_reporting_unread(EndReason.LISTENER_CLOSED)
@@ -818,7 +832,7 @@
 
     def count_active_connections(self):
         """Return the number of connections with a request in progress."""
-        return sum(
+        return len(self._last_accepted) + sum(
             1
             for connection in self.connections
             if connection.task is not None or connection._is_reading
@@ -829,9 +843,39 @@
         self.closing = True
 
     def stop_accepting(self):
-        """Accept no new connections and close those that are idle."""
+        """Accept no new connections and close those that are idle.
+
+        Connections that wait to be accepted still are, as the close of the
+        socket would reset them.
+        """
         self.closing = True
         self.is_stopped = True
-        self._server.close()
+        self._accept_waiting()
+        # The server refuses what it accepted in this turn if it is closed now.
+        asyncio.get_running_loop().call_soon(self._close_server)
         for connection in list(self.connections):
             connection.close_if_idle()
+
+    def _close_server(self):
+        self._accept_waiting()
+        self._server.close()
+
+    def _accept_waiting(self):
+        loop = asyncio.get_running_loop()
+        while self._server.is_serving():
+            try:
+                sock, _ = self.sock.accept()
+            except BlockingIOError:
+                return
+            except ConnectionAbortedError:
+                continue
+            except OSError as error:
+                self.log.write(_events.ACCEPT_FAILED, error=repr(error))
+                return
+            task = loop.create_task(
+                loop.connect_accepted_socket(
+                    lambda: _ServerConnection(self), sock
+                )
+            )
+            self._last_accepted.add(task)
+            task.add_done_callback(self._last_accepted.discard)
--- a/buckthorntack/http1/tests/test_listener.py
+++ b/buckthorntack/http1/tests/test_listener.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 import time
 
 import logbook
@@ -443,3 +444,99 @@
         writer.close()
 
     run(scenario)
+
+
+# Guards against a request on a new connection that a planned stop resets, as
+# the connection was not accepted yet or only in the same turn.
+@pytest.mark.parametrize("turns", range(4))
+def test_connections_that_wait_at_the_stop_are_answered(turns):
+    gate = asyncio.Event()
+
+    async def scenario(harness):
+        host, _, port = harness.listener.address.rpartition(":")
+        sock = socket.create_connection((host, int(port)))
+        sock.sendall(b"GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
+        for _ in range(turns):
+            await asyncio.sleep(0)
+        harness.listener.stop_accepting()
+        reader, writer = await asyncio.open_connection(sock=sock)
+        while not harness.started.is_set():
+            assert not reader.at_eof()
+            assert reader.exception() is None
+            await asyncio.sleep(0.005)
+        assert harness.listener.count_active_connections() == 1
+        gate.set()
+        head, _ = await read_response(reader)
+        assert b"X-Target: /1\r\n" in head
+        assert b"Connection: close\r\n" in head
+        assert await reader.read() == b""
+        writer.close()
+        while harness.listener.count_active_connections():  # noqa: ASYNC110
+            await asyncio.sleep(0.005)
+        with pytest.raises(ConnectionRefusedError):
+            await asyncio.open_connection(host, int(port))
+
+    run(scenario, gate=gate)
+
+
+LARGE_BODY = b"x" * 3_000_000
+
+
+# Guards against a request that is refused as late, or reset, as the process
+# was held up.
+def test_body_that_arrived_while_the_process_was_held_up_is_read():
+    limits = http1.Limits(header_timeout_s=0.2)
+
+    def send(address):
+        host, _, port = address.rpartition(":")
+        with socket.create_connection((host, int(port))) as sock:
+            sock.sendall(
+                b"POST /1 HTTP/1.1\r\nHost: a\r\n"
+                b"Connection: close\r\nContent-Length: %d\r\n\r\n"
+                % len(LARGE_BODY)
+            )
+            sock.sendall(LARGE_BODY)
+            response = b""
+            while data := sock.recv(65536):
+                response += data
+            return response
+
+    async def scenario(harness):
+        loop = asyncio.get_running_loop()
+        sending = loop.run_in_executor(None, send, harness.listener.address)
+        listener = harness.listener
+        while not listener.count_active_connections():  # noqa: ASYNC110
+            await asyncio.sleep(0)
+        loop.call_soon(time.sleep, 0.6)
+        response = await sending
+        assert response.startswith(b"HTTP/1.1 200 ")
+        assert response.endswith(LARGE_BODY)
+
+    run(scenario, limits=lambda: limits)
+
+
+# Guards against a refusal that is lost by a reset, as its client still sends.
+def test_client_that_still_sends_is_told_that_it_is_late():
+    limits = http1.Limits(header_timeout_s=0.1)
+
+    def send(address):
+        host, _, port = address.rpartition(":")
+        with socket.create_connection((host, int(port))) as sock:
+            sock.sendall(b"POST /1 HTTP/1.1\r\nHost: a\r\n")
+            sock.sendall(b"Content-Length: 100000\r\n\r\n")
+            for _ in range(10):
+                sock.sendall(b"x")
+                time.sleep(0.04)
+            response = b""
+            while data := sock.recv(65536):
+                response += data
+            return response
+
+    async def scenario(harness):
+        loop = asyncio.get_running_loop()
+        response = await loop.run_in_executor(
+            None, send, harness.listener.address
+        )
+        assert response.startswith(b"HTTP/1.1 408 ")
+
+    run(scenario, limits=lambda: limits)
