Take no server's answer for that of an entry VM

What callers saw: a server that sent X-Gateway-Run-State and X-Gateway-Sends had its answer thrown away. With "not_run" an unsafe request that it had run was refused with 503, a promise that it never ran, and the number of sends was set to what the server said, so that it could be sent again; with any other value it ended with 502.

Cause: the fields between entry VMs were read from every answer, also from those of servers; only what is passed on to callers was freed of them. Class: a field of the system that is taken from a sender outside it.

Evidence: the six cases of test_server_cannot_answer_as_an_entry_vm failed, with "(503, b'no server\n') == (200, b'answer')" and "(502, b's1: 200\n') == (200, b'answer')".

Change: the run state and the number of sends are read from answers to forwarded requests only, as the origin of a stream is already.

Sound, with a test: answers whose Retry-After, Server-Limit, Server-Brittle, Keep-Alive or Server-Leaving is negative, not finite or has 5,000 digits cost neither their own request nor later ones.

--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -853,7 +853,7 @@
             _server_notes.note_server_state(
                 self.handler, self._request_id_text(), attempt, metadata
             )
-        refusal = self._parse_refusal(attempt.destination, head, metadata)
+        refusal = self._parse_refusal(attempt, head, metadata)
         if refusal is not None:
             await self._discard_body(connection)
             return refusal
@@ -877,12 +877,17 @@
     def _is_stream(self, head):
         return self.route.kind is RequestKind.STREAM and head.status == 200
 
-    def _parse_refusal(self, destination, head, metadata):
+    def _parse_refusal(self, attempt, head, metadata):
         """Return the result of a response that refuses the request.
 
+        Only an entry VM may tell the run state and the number of sends.
+
         :returns: ``NotRun`` or ``Unknown``; None for any other response.
         """
-        run_state = http1.find_header(head.headers, RUN_STATE_HEADER)
+        destination = attempt.destination
+        run_state = None
+        if attempt.in_flight is None:
+            run_state = http1.find_header(head.headers, RUN_STATE_HEADER)
         if run_state is not None:
             retry_after_ms = _retry_after_ms(head)
             self.send_count = _parse_send_count(head.headers, self.send_count)
--- /dev/null
+++ b/buckthorntack/platform/tests/test_odd_answers.py
@@ -0,0 +1,99 @@
+"""Answers of servers with fields that no sound server would send."""
+
+import pytest
+
+from buckthorntack.platform.tests import _standins
+from buckthorntack.platform.tests import test_requests
+
+#: Beyond the digits that are converted to a number.
+MANY_DIGITS = b"9" * 5000
+ODD_NUMBERS = [
+    b"",
+    b"-1",
+    b"0",
+    b"1e-300",
+    b"1e300",
+    b"1e999",
+    b"nan",
+    b"-inf",
+    b"1_0",
+    b"\xb2",
+    MANY_DIGITS,
+    b"0." + MANY_DIGITS,
+]
+ODD_FIELDS = [
+    (name, value)
+    for name in (
+        b"Retry-After",
+        b"Server-Limit",
+        b"Server-Brittle",
+        b"Keep-Alive",
+        b"Server-Leaving",
+    )
+    for value in ODD_NUMBERS
+    # Such a server has said that it takes next to nothing.
+    if (name, value) != (b"Server-Limit", b"1e-300")
+] + [
+    (b"Keep-Alive", b"timeout=" + value)
+    for value in (b"0", b"-1", MANY_DIGITS, b"9" * 400)
+]
+MAX_RETRY_AFTER_S = 3600
+SAFE, UNSAFE = "/safe/x", "/unsafe/x"
+
+
+def describe(value):
+    return ascii(value[:20])
+
+
+# Guards against a request that runs at two servers, as the first one's
+# answer was read as that of an entry VM.
+@pytest.mark.parametrize("status", [200, 503])
+@pytest.mark.parametrize("state", [b"not_run", b"unknown", b"x"])
+def test_server_cannot_answer_as_an_entry_vm(status, state):
+    async def scenario(world):
+        for server in world.servers.values():
+            server.behave = _standins.answer_with(
+                status,
+                (b"X-Gateway-Run-State", state),
+                (b"X-Gateway-Sends", b"0"),
+                (b"Retry-After", b"nan"),
+                (b"X-Gateway-Origin-Service", b"text"),
+                body=b"answer",
+            )
+        answer = await world.ask(UNSAFE, method="POST")
+        assert (answer.status, answer.body) == (status, b"answer")
+        assert not [
+            name for name in answer.headers if name.startswith(b"x-gateway-")
+        ]
+        servers = world.servers.values()
+        assert sum(len(server.requests) for server in servers) == 1
+
+    test_requests.run(scenario, ("s1", "desk"), ("s2", "desk"))
+
+
+# Guards against a number in an answer that ends its request or others.
+@pytest.mark.parametrize("status", [200, 503])
+def test_odd_field_of_an_answer_costs_no_request(status):
+    async def scenario(world):
+        odd = world.servers["s1"]
+        for field in ODD_FIELDS:
+            fields = [field]
+            if status != 200:
+                fields.append((b"X-Buckthorntack-Not-Executed", b"1"))
+            odd.behave = _standins.answer_with(status, *fields)
+            odd.requests.clear()
+            for node in ("e0", "e1"):
+                # As if a pause that it had asked for had passed.
+                state = world.nodes[node].shared_state.fleet.state("s1")
+                state.paused_until_s = 0.0
+            for _ in range(2):
+                answer = await world.ask(SAFE)
+                assert answer.status in (200, 503), field
+                if answer.status == 503:
+                    retry_after_s = float(answer.headers[b"retry-after"])
+                    assert 0 <= retry_after_s < MAX_RETRY_AFTER_S
+        await world.add_server("s2", "desk")
+        for entry in ("e0", "e1", "e2"):
+            assert (await world.ask(SAFE, entry=entry)).status == 200
+
+    test_requests.run(scenario, ("s1", "desk"))
