Answer a forwarded request whose number of sends cannot be read

What callers saw: an internal error (500, which promises nothing) for a request that came to the port of the other entry VMs with a number of sends of 5,000 digits. Callers do not reach that port; it takes another entry VM, or a stranger in the network, to send one.

Cause: int() raises ValueError beyond 4,300 digits, though every character is a digit. The same function read such a number from answers. Retry-After of a refusal by another entry VM was taken even if it was "nan" or "inf", and would have been sent on.

Change: numbers of up to 18 digits are read, delays that are finite and not negative.

--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import http
+import math
 
 from buckthorntack import clock as clocks
 from buckthorntack import directives
@@ -33,6 +34,8 @@
 #: Header with the number of servers that the request was sent to so far, by
 #: all entry VMs.
 SEND_COUNT_HEADER = b"x-gateway-sends"
+#: Digits of that number; a longer one is not read.
+MAX_COUNT_DIGITS = 18
 #: Responses with a body up to this size are buffered, so that the request can
 #: be retried if one breaks off; larger ones are passed on as they arrive.
 MAX_BUFFERED_BODY_BYTES = 262_144
@@ -1267,12 +1270,14 @@
 def _retry_after_ms(head):
     value = http1.find_header(head.headers, b"retry-after")
     try:
-        return float(value) * 1e3 if value else None
+        delay_ms = float(value) * 1e3 if value else math.nan
     except ValueError:
         return None
+    return delay_ms if math.isfinite(delay_ms) and delay_ms >= 0 else None
 
 
 def _parse_send_count(headers, default):
     """Return the send count that another entry VM reports."""
-    value = http1.find_header(headers, SEND_COUNT_HEADER)
-    return int(value) if value and value.isdigit() else default
+    value = http1.find_header(headers, SEND_COUNT_HEADER) or b""
+    is_count = value.isdigit() and len(value) <= MAX_COUNT_DIGITS
+    return int(value) if is_count else default
