--- a/buckthorntack/platform/tests/test_odd_answers.py
+++ b/buckthorntack/platform/tests/test_odd_answers.py
@@ -97,3 +97,69 @@
             assert (await world.ask(SAFE, entry=entry)).status == 200
 
     test_requests.run(scenario, ("s1", "desk"))
+
+
+def answer_raw(status_line, *lines, body=b""):
+    """Behaviour: bytes that need not be a response."""
+
+    async def behave(server, request, reply):
+        fields = [
+            name + b": " + value for name, value in server.headers(request)
+        ]
+        head = b"\r\n".join([status_line, *fields, *lines])
+        transport = reply.connection.transport
+        transport.write(head + b"\r\n\r\n" + body)
+        transport.close()
+
+    return behave
+
+
+# Guards against the head of an answer that ends its request with an internal
+# error, or is taken for a whole answer.
+@pytest.mark.parametrize("method", ["GET", "HEAD"])
+def test_odd_head_of_an_answer_is_no_internal_error(method):
+    ok = b"HTTP/1.1 200 OK"
+    lines = [
+        b"Content-Length: " + value for value in ODD_NUMBERS if value != b"0"
+    ]
+    lines += [
+        b"Content-Length: 4\r\nContent-Length: 5",
+        b"Content-Length: 4\r\nTransfer-Encoding: chunked",
+        b"Transfer-Encoding: x" + MANY_DIGITS,
+        b"Connection: " + b"a," * 5000,
+        b"X: \0\xff",
+        b": x",
+        b"no colon",
+    ]
+    heads = [(ok, line) for line in lines]
+    heads += [
+        (status_line, b"Content-Length: 4")
+        for status_line in (
+            b"HTTP/1.1 99999 OK",
+            b"HTTP/1.1 " + MANY_DIGITS + b" OK",
+            b"HTTP/1.1 0 OK",
+            b"HTTP/1.1 -1 OK",
+            b"HTTP/1.1 101 Switching",
+            b"HTTP/1.1 204 " + b"x" * 5000,
+            b"HTTP/1.1 304 \xff",
+            b"HTTP/9.9 200 OK",
+        )
+    ]
+
+    async def scenario(world):
+        server = world.servers["s1"]
+        for head in heads:
+            server.behave = answer_raw(*head, body=b"body")
+            # As if the pause after failures had passed.
+            world.nodes["e0"].shared_state.fleet.state(
+                "s1"
+            ).ejection.until_s = None
+            answer = await world.ask(UNSAFE, method=method)
+            assert answer.status != 500, head
+            if answer.status == 200 and method == "GET":
+                assert answer.body == b"body", head
+        server.behave = _standins.answer_whole
+        await world.add_server("s2", "desk")
+        assert (await world.ask(SAFE)).status == 200
+
+    test_requests.run(scenario, ("s1", "desk"))
