Answer a call of a control VM whose target has no slash

What callers saw: "GET *" or "GET x" at a control VM was answered 500, which operators and servers take for a fault of the node.

Cause: the path was split at slashes, and one without a slash has no second part, which raised a ValueError.

Change: such a call is answered 404, like any other that there is not. The same test shows that entry VMs and their directory answer these targets without an internal error.

--- a/buckthorntack/platform/_control_api.py
+++ b/buckthorntack/platform/_control_api.py
@@ -40,8 +40,8 @@
         :param reply: ``http1.ResponseWriter``.
         """
         path = request.target.partition(b"?")[0].decode("latin-1")
-        _, collection, *rest = path.split("/")
-        name = urllib.parse.unquote("/".join(rest))
+        collection, _, rest = path.partition("/")[2].partition("/")
+        name = urllib.parse.unquote(rest)
         call = self._CALLS.get((request.method, collection))
         if call is None:
             self._send(reply, 404, {"error": "no such call"})
--- a/buckthorntack/platform/tests/test_odd_requests.py
+++ b/buckthorntack/platform/tests/test_odd_requests.py
@@ -62,6 +62,12 @@
     "/safe/%ff%00%zz",
     "/safe/\xff\xfe",
     "*",
+    "x",
+    "?",
+    "shop.example:80",
+    "//",
+    "/config/",
+    "/instances",
     "http://[::1/safe/x",
     "/" * 9000,
     "/safe/x?" + "a" * 9000,
@@ -150,7 +156,12 @@
         ]
         names = ["%ff", "%00", "\xff", "a1%0d%0aX:%20y", "x" * 5000, "", "/"]
         names += ["%ed%a0%80", "a1/b1"]
-        asked = [(front, "GET", target) for target in ODD_TARGETS]
+        asked = [
+            (address, method, target)
+            for address in (front, directory, control)
+            for method in ("GET", "PUT", "DELETE", "OPTIONS")
+            for target in ODD_TARGETS
+        ]
         asked += [(directory, "GET", f"/resolve?{query}") for query in queries]
         for name in names:
             asked += [
