Find routes that share a host in upper and lower case

What operators and callers saw: a configuration with two routes of the same prefix for shop.example and SHOP.EXAMPLE was acknowledged, and one of the two got no request.

Cause: hosts were compared as they are written; the table of routes, like HTTP, takes them in lower case.

Evidence: test_odd_configuration_is_refused[9] failed, "where False = is_error()".

Change: the comparison is in lower case, so that such a document is refused with 400 like any other whose routes share a host and prefix.

--- a/buckthorntack/directives/_validation.py
+++ b/buckthorntack/directives/_validation.py
@@ -43,7 +43,7 @@
 def _find_duplicates(routes):
     """Yield a finding for each duplicate host and prefix, or name."""
     route_keys = collections.Counter(
-        (route.host, route.path_prefix) for route in routes
+        (route.host.lower(), route.path_prefix) for route in routes
     )
     for (host, prefix), count in route_keys.items():
         if count > 1:
--- a/buckthorntack/platform/tests/test_odd_configurations.py
+++ b/buckthorntack/platform/tests/test_odd_configurations.py
@@ -69,6 +69,13 @@
     set_in("route", "timeout_ms", 1e-300),
     set_in("route", "backends", split(1e308, 1e308)),
     set_in("route", "backends", split(-1, 2)),
+    encode(
+        lambda document: document["routes"].append(
+            _standins.route(
+                "r", "text", path_prefix="/safe/", host=_standins.HOST.upper()
+            )
+        )
+    ),
     set_in("limits", "max_header_bytes", 0),
     set_in("limits", "max_header_bytes", -1),
     set_in("limits", "max_body_bytes", -1),
