--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import http
+import math
 
 from buckthorntack import clock as clocks
 from buckthorntack import directives
@@ -33,6 +34,8 @@
 #: Header with the number of servers that the request was sent to so far, by
 #: all entry VMs.
 SEND_COUNT_HEADER = b"x-gateway-sends"
+#: Digits of that number; a longer one is not read.
+MAX_COUNT_DIGITS = 18
 #: Responses with a body up to this size are buffered, so that the request can
 #: be retried if one breaks off; larger ones are passed on as they arrive.
 MAX_BUFFERED_BODY_BYTES = 262_144
@@ -860,7 +863,7 @@
             _server_notes.note_server_state(
                 self.handler, self._request_id_text(), attempt, metadata
             )
-        refusal = self._parse_refusal(attempt.destination, head, metadata)
+        refusal = self._parse_refusal(attempt, head, metadata)
         if refusal is not None:
             await self._discard_body(connection)
             return refusal
@@ -884,12 +887,17 @@
     def _is_stream(self, head):
         return self.route.kind is RequestKind.STREAM and head.status == 200
 
-    def _parse_refusal(self, destination, head, metadata):
+    def _parse_refusal(self, attempt, head, metadata):
         """Return the result of a response that refuses the request.
 
+        Only an entry VM may tell the run state and the number of sends.
+
         :returns: ``NotRun`` or ``Unknown``; None for any other response.
         """
-        run_state = http1.find_header(head.headers, RUN_STATE_HEADER)
+        destination = attempt.destination
+        run_state = None
+        if attempt.in_flight is None:
+            run_state = http1.find_header(head.headers, RUN_STATE_HEADER)
         if run_state is not None:
             retry_after_ms = _retry_after_ms(head)
             self.send_count = _parse_send_count(head.headers, self.send_count)
@@ -1269,12 +1277,14 @@
 def _retry_after_ms(head):
     value = http1.find_header(head.headers, b"retry-after")
     try:
-        return float(value) * 1e3 if value else None
+        delay_ms = float(value) * 1e3 if value else math.nan
     except ValueError:
         return None
+    return delay_ms if math.isfinite(delay_ms) and delay_ms >= 0 else None
 
 
 def _parse_send_count(headers, default):
     """Return the send count that another entry VM reports."""
-    value = http1.find_header(headers, SEND_COUNT_HEADER)
-    return int(value) if value and value.isdigit() else default
+    value = http1.find_header(headers, SEND_COUNT_HEADER) or b""
+    is_count = value.isdigit() and len(value) <= MAX_COUNT_DIGITS
+    return int(value) if is_count else default
