Keep a link when the handling of a message fails

What callers saw: a node that got one message that it could not handle dropped the link, with all messages that had come with it. The sender repeats it, so that a follower never went on.

Cause: an exception of the handler escaped from data_received, for which asyncio closes the connection; the buffer kept the handled messages too. Class: one bad value that costs the rest.

Evidence: test_message_that_cannot_be_handled_costs_itself_only of the plain links failed with a TimeoutError, asyncio logged 'Fatal error: protocol.data_received() call failed'.

Change: the links pass messages on through a Delivery, which logs what fails (1209: sender, kind, error) and goes on.

--- a/buckthorntack/transport/_events.py
+++ b/buckthorntack/transport/_events.py
@@ -66,3 +66,11 @@
     "Connecting to another node failed; the waiting messages were dropped.",
     "check that node and the network path to it",
 )
+MESSAGE_FAILED = events.declare(
+    1209,
+    "message_failed",
+    logbook.ERROR,
+    "Handling a message of another node failed; the link and its other "
+    "messages are kept.",
+    "report the error; compare the builds of both nodes",
+)
--- a/buckthorntack/transport/_links.py
+++ b/buckthorntack/transport/_links.py
@@ -16,6 +16,7 @@
 from buckthorntack import events
 from buckthorntack import schema
 from buckthorntack.schema import messages
+from buckthorntack.transport import _delivery
 from buckthorntack.transport import _events
 from buckthorntack.transport import _refusals
 from buckthorntack.transport import _shaping
@@ -89,7 +90,6 @@
         self.listen_address = listen_address
         self.keys = keys
         self.addresses = addresses
-        self.handle = handle
         self.clock = clock
         self.shaping = shaping or _shaping.Unshaped()
         self.queue_messages = queue_messages
@@ -102,6 +102,7 @@
         self._dealers = {}
         self._log = events.EventLog("transport")
         self._refusals = _refusals.Refusals(self._log)
+        self._delivery = _delivery.Delivery(handle, self._log)
 
     async def __aenter__(self):
         self._context = zmq.asyncio.Context()
@@ -216,7 +217,7 @@
         """
         if to == self.node_id:
             loop = asyncio.get_running_loop()
-            loop.call_soon(self.handle, to, message)
+            loop.call_soon(self._delivery.deliver, to, message)
             return True
         if to not in self.addresses:
             self.dropped_messages += 1
@@ -268,7 +269,7 @@
 
     def _deliver(self, sender, message):
         if not self._router.closed:
-            self.handle(sender, message)
+            self._delivery.deliver(sender, message)
 
 
 def _try_send(dealer, frames):
--- a/buckthorntack/transport/_plain_links.py
+++ b/buckthorntack/transport/_plain_links.py
@@ -11,6 +11,7 @@
 
 from buckthorntack import events
 from buckthorntack import schema
+from buckthorntack.transport import _delivery
 from buckthorntack.transport import _events
 from buckthorntack.transport import _refusals
 from buckthorntack.transport import _sockets
@@ -121,7 +122,6 @@
     def __init__(self, node_id, listen_address, handle):
         self.node_id = node_id
         self.listen_address = listen_address
-        self.handle = handle
         self.addresses = {}
         self.sent_bytes = 0
         self.sent_messages = 0
@@ -134,6 +134,7 @@
         self._server = None
         self._log = events.EventLog("transport")
         self._refusals = _refusals.Refusals(self._log)
+        self._delivery = _delivery.Delivery(handle, self._log)
 
     async def __aenter__(self):
         sock = _sockets.bind_listener(self.listen_address)
@@ -177,7 +178,7 @@
         """
         loop = asyncio.get_running_loop()
         if to == self.node_id:
-            loop.call_soon(self.handle, to, message)
+            loop.call_soon(self._delivery.deliver, to, message)
             return True
         frame = _encode_frame(schema.pack(message))
         peer = self._peers[to]
@@ -307,7 +308,7 @@
             self._refusals.record(sender, name, error)
             return
         self.received_messages += 1
-        self.handle(sender, message)
+        self._delivery.deliver(sender, message)
 
 
 def _encode_frame(data):
--- a/buckthorntack/transport/tests/test_links.py
+++ b/buckthorntack/transport/tests/test_links.py
@@ -2,6 +2,7 @@
 import datetime
 import resource
 
+import logbook
 import zmq
 
 from buckthorntack import clock
@@ -136,3 +137,39 @@
 
 def _ignore(sender, message):
     pass
+
+
+# A message whose handling failed was not logged as an event of the node.
+def test_message_that_cannot_be_handled_costs_itself_only():
+    keys = _new_keys()
+    received = []
+
+    def handle(sender, message):
+        if message.sent_at_ms % 2:
+            raise OverflowError("date value out of range")
+        received.append(message.sent_at_ms)
+
+    async def scenario():
+        source = clock.SystemClock()
+        receiver = transport.LinkTask(
+            "b", "127.0.0.1:0", keys, {}, handle, source
+        )
+        async with asyncio.timeout(20), receiver:
+            addresses = {"b": receiver.address}
+            sender = transport.LinkTask(
+                "a", "127.0.0.1:0", keys, addresses, None, source
+            )
+            async with sender:
+                await _wait_until(lambda: _send_ping(sender, 0))
+                await _wait_until(lambda: received)
+                for number in range(1, 9):
+                    _send_ping(sender, number)
+                await _wait_until(lambda: len(received) == 5)
+
+    with logbook.TestHandler() as log:
+        asyncio.run(scenario())
+    assert received == [0, 2, 4, 6, 8]
+    lines = [r.extra for r in log.records if r.extra.get("event") == 1209]
+    assert [(line["peer"], line["kind"]) for line in lines] == [
+        ("a", "Ping")
+    ] * 4
--- a/buckthorntack/transport/tests/test_plain_links.py
+++ b/buckthorntack/transport/tests/test_plain_links.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import logbook
 import pytest
 
 from buckthorntack import transport
@@ -163,3 +164,61 @@
             writer.close()
 
     run(scenario)
+
+
+class _Picky(Node):
+    """A node whose handler fails at some messages."""
+
+    def on_message(self, sender, message):
+        if message.sent_at_ms % 2:
+            raise OverflowError("date value out of range")
+        super().on_message(sender, message)
+
+
+def lines_of(log, number):
+    """Particulars of the log lines of an event."""
+    return [
+        record.extra
+        for record in log.records
+        if record.extra.get("event") == number
+    ]
+
+
+# A message whose handling failed ended its link; followers never went on.
+def test_message_that_cannot_be_handled_costs_itself_only(addresses):
+    async def scenario():
+        near, far = Node("near", addresses[0]), _Picky("far", addresses[1])
+        async with near.links, far.links:
+            near.links.set_address("far", addresses[1])
+            for number in range(6):
+                assert near.links.send("far", make_ping(number))
+            await wait_until(lambda: len(far.received) == 3)
+            assert far.received == [("near", n) for n in (0, 2, 4)]
+            assert far.links.received_messages == 6
+            # The same connection carries the later ones.
+            assert far.links.send("near", make_ping(7))
+            await wait_until(lambda: near.received)
+
+    with logbook.TestHandler() as log:
+        run(scenario)
+    lines = lines_of(log, 1209)
+    assert [(line["peer"], line["kind"]) for line in lines] == [
+        ("near", "Ping")
+    ] * 3
+    assert "date value out of range" in lines[0]["error"]
+    # Both ends log the one connection that they had.
+    assert len(lines_of(log, 1206)) == 2
+
+
+# A message to itself that could not be handled was not logged as an event.
+def test_own_message_that_cannot_be_handled_is_logged(addresses):
+    async def scenario():
+        node = _Picky("near", addresses[0])
+        async with node.links:
+            node.links.send("near", make_ping(1))
+            node.links.send("near", make_ping(2))
+            await wait_until(lambda: node.received)
+
+    with logbook.TestHandler() as log:
+        run(scenario)
+    assert [line["kind"] for line in lines_of(log, 1209)] == ["Ping"]
