Take a link address that cannot be connected to for a failed connect

What callers saw: by a test: after an address with a port out of range, nothing told that a node is not reached, its messages stayed queued, and each later one tried again at once.

Cause: create_connection raises OverflowError for such a port, which ended the task before its state was put back.

Evidence: two of the nine cases of test_odd_address_fails_as_a_connect failed with a TimeoutError, as the failure was not counted.

--- a/buckthorntack/transport/_plain_links.py
+++ b/buckthorntack/transport/_plain_links.py
@@ -211,7 +211,7 @@
                 await loop.create_connection(
                     lambda: connection, host, int(port)
                 )
-        except (OSError, ValueError) as error:
+        except (OSError, OverflowError, ValueError) as error:
             self.dropped_messages += len(peer.waiting)
             peer.waiting.clear()
             peer.retry_at_s = loop.time() + peer.retry_delay_s
--- a/buckthorntack/transport/tests/test_plain_links.py
+++ b/buckthorntack/transport/tests/test_plain_links.py
@@ -222,3 +222,34 @@
     with logbook.TestHandler() as log:
         run(scenario)
     assert [line["kind"] for line in lines_of(log, 1209)] == ["Ping"]
+
+
+# A port out of range ended the task of the connect; the messages stayed queued
+# and each later one tried again at once.
+@pytest.mark.parametrize(
+    "address",
+    [
+        "127.0.0.1:99999",
+        "127.0.0.1:-1",
+        "127.0.0.1:",
+        "127.0.0.1:port",
+        "",
+        "127.0.0.1\0:80",
+        "a..b:80",
+        f"127.0.0.1:{'9' * 5000}",
+        "\udc80:80",
+    ],
+)
+def test_odd_address_fails_as_a_connect(addresses, address):
+    async def scenario():
+        node = Node("near", addresses[0])
+        async with node.links:
+            node.links.set_address("far", address)
+            assert node.links.send("far", make_ping(1))
+            await wait_until(lambda: node.links.dropped_messages)
+            # Another attempt waits for the delay.
+            assert not node.links.send("far", make_ping(2))
+
+    with logbook.TestHandler() as log:
+        run(scenario)
+    assert [line["node"] for line in lines_of(log, 1208)] == ["far"]
