Drop a message that cannot be encoded

What callers saw: by a test: a value that has no encoding, such as 2^70 or a lone surrogate, raised out of send, which ended the sender's periodic task each time; what that task had to send to other nodes was not sent either.

Cause: send told failures by its result, but for those of the encoder.

Evidence: test_message_that_cannot_be_encoded_is_dropped failed with 'OverflowError: can't serialize ints' and a UnicodeEncodeError.

Change: such a message is logged (1210: receiver, kind, error) and counted as dropped, on both kinds of links.

--- a/buckthorntack/transport/_events.py
+++ b/buckthorntack/transport/_events.py
@@ -74,3 +74,11 @@
     "messages are kept.",
     "report the error; compare the builds of both nodes",
 )
+MESSAGE_UNSENDABLE = events.declare(
+    1210,
+    "message_unsendable",
+    logbook.ERROR,
+    "A message to another node holds a value that cannot be encoded and was "
+    "dropped.",
+    "report the error",
+)
--- a/buckthorntack/transport/_links.py
+++ b/buckthorntack/transport/_links.py
@@ -225,8 +225,8 @@
         traffic_class = (
             "bulk" if isinstance(message, BULK_MESSAGES) else "control"
         )
-        frames = schema.encode(message)
-        if not any(
+        frames = _delivery.encode(schema.encode, to, message, self._log)
+        if frames is None or not any(
             _try_send(dealer, frames)
             for dealer in self._open_sockets(to, traffic_class)
         ):
--- a/buckthorntack/transport/_plain_links.py
+++ b/buckthorntack/transport/_plain_links.py
@@ -180,7 +180,11 @@
         if to == self.node_id:
             loop.call_soon(self._delivery.deliver, to, message)
             return True
-        frame = _encode_frame(schema.pack(message))
+        packed = _delivery.encode(schema.pack, to, message, self._log)
+        if packed is None:
+            self.dropped_messages += 1
+            return False
+        frame = _encode_frame(packed)
         peer = self._peers[to]
         for connection in reversed(peer.connections):
             if connection.is_writable():
--- a/buckthorntack/transport/tests/test_links.py
+++ b/buckthorntack/transport/tests/test_links.py
@@ -173,3 +173,24 @@
     assert [(line["peer"], line["kind"]) for line in lines] == [
         ("a", "Ping")
     ] * 4
+
+
+# A message that could not be encoded ended the periodic task that sent it.
+def test_message_that_cannot_be_encoded_is_dropped():
+    async def attempt():
+        task = transport.LinkTask(
+            "a",
+            "127.0.0.1:0",
+            _new_keys(),
+            {"b": "127.0.0.1:9"},
+            None,
+            clock.SystemClock(),
+        )
+        async with task:
+            assert not task.send("b", messages.Ping(sent_at_ms=1 << 70))
+            assert task.dropped_messages == 1
+
+    with logbook.TestHandler() as log:
+        asyncio.run(attempt())
+    lines = [r.extra for r in log.records if r.extra.get("event") == 1210]
+    assert [line["kind"] for line in lines] == ["Ping"]
--- a/buckthorntack/transport/tests/test_plain_links.py
+++ b/buckthorntack/transport/tests/test_plain_links.py
@@ -253,3 +253,28 @@
     with logbook.TestHandler() as log:
         run(scenario)
     assert [line["node"] for line in lines_of(log, 1208)] == ["far"]
+
+
+# A message that could not be encoded ended the periodic task that sent it.
+@pytest.mark.parametrize(
+    "message",
+    [
+        make_ping(1 << 70),
+        messages.PackedChanges("\udc80"),
+    ],
+)
+def test_message_that_cannot_be_encoded_is_dropped(addresses, message):
+    async def scenario():
+        near, far = Node("near", addresses[0]), Node("far", addresses[1])
+        async with near.links, far.links:
+            near.links.set_address("far", addresses[1])
+            assert not near.links.send("far", message)
+            assert near.links.dropped_messages == 1
+            assert near.links.send("far", make_ping(1))
+            await wait_until(lambda: far.received)
+
+    with logbook.TestHandler() as log:
+        run(scenario)
+    [line] = lines_of(log, 1210)
+    assert line["peer"] == "far"
+    assert line["kind"] == type(message).__name__
