Set records of other nodes aside that are out of range

What callers saw: machines that read the list of servers stopped following it, or ended again and again: one record of a server whose remaining time was out of range cost an entry VM, or a control VM, all other records of its message, and the message came again. A node whose capacity was no number made each request that was forwarded to its region end with an internal error.

Class: input from outside that is checked for its form, not for its range.

A reply raised a node's own incarnation to 2^64, which no message holds.

Change: discovery tells which records are out of range, with the field and its value; entry VMs and control VMs log each (2246) and merge the others, and the position in the list advances. Starts of servers are not compared with the time of day here, as the clock of an entry VM may be wrong.

--- a/buckthorntack/discovery/__init__.py
+++ b/buckthorntack/discovery/__init__.py
@@ -19,6 +19,10 @@
 from buckthorntack.discovery._member_changes import Promote
 from buckthorntack.discovery._member_changes import Remove
 from buckthorntack.discovery._member_changes import Replace
+from buckthorntack.discovery._ranges import find_node_fault
+from buckthorntack.discovery._ranges import is_incarnation
+from buckthorntack.discovery._ranges import set_aside_unsound
+from buckthorntack.discovery._ranges import UnsoundRecord
 from buckthorntack.discovery._registrars import choose_registrar
 from buckthorntack.discovery._registrars import is_cut_off
 from buckthorntack.discovery._registry import Registry
@@ -45,11 +49,15 @@
     "Replace",
     "ServerView",
     "Timing",
+    "UnsoundRecord",
     "address_of",
     "can_all_follow",
     "choose_registrar",
     "count_protocol_versions",
+    "find_node_fault",
     "is_cut_off",
+    "is_incarnation",
     "select_entry_vms",
     "select_returned",
+    "set_aside_unsound",
 ]
--- a/buckthorntack/gateway/_events.py
+++ b/buckthorntack/gateway/_events.py
@@ -270,6 +270,14 @@
     " an upgrade begins or ends.",
     "if no upgrade is under way, look for nodes of another build",
 )
+RECORD_REFUSED = events.declare(
+    2246,
+    "record_refused",
+    logbook.WARNING,
+    "A node told of a server or node with a value out of range; this record"
+    " was set aside and the others were taken.",
+    "look for a node of an earlier build, or a server that announces it",
+)
 CHANGES_UNREADABLE = events.declare(
     2242,
     "changes_unreadable",
--- a/buckthorntack/gateway/_following.py
+++ b/buckthorntack/gateway/_following.py
@@ -11,6 +11,7 @@
 from buckthorntack.gateway import _notices
 from buckthorntack.gateway import _packing
 from buckthorntack.gateway import _presence
+from buckthorntack.gateway import _records
 from buckthorntack.schema import messages
 
 #: Report period of an entry VM without a configuration.
@@ -185,7 +186,15 @@
         """
         now = self.clock.monotonic()
         self.control_selector.on_reply(sender, reply.has_majority, now)
-        self.local_presence.on_presence_reply(reply)
+        if discovery.is_incarnation(reply.incarnation):
+            self.local_presence.on_presence_reply(reply)
+        else:
+            _records.log_refused(
+                self.local_presence.node_id,
+                f"incarnation {reply.incarnation}",
+                sender,
+                self._log,
+            )
         records = (view.record for view in self.registry.servers.values())
         returned = discovery.select_returned(records, reply)
         if returned:
@@ -211,6 +220,7 @@
         :param changes: ``RegistryChanges``.
         """
         now = self.clock.monotonic()
+        changes = _records.set_aside_unsound(changes, sender, self._log)
         epoch, stamp = self._merged_stamps.get(sender, (0, 0))
         if changes.stamp == 0:
             changed = self.registry.merge_changes(changes, now)
--- a/buckthorntack/gateway/_gathering.py
+++ b/buckthorntack/gateway/_gathering.py
@@ -9,6 +9,7 @@
 from buckthorntack.gateway import _events
 from buckthorntack.gateway import _packing
 from buckthorntack.gateway import _presence
+from buckthorntack.gateway import _records
 from buckthorntack.schema import messages
 
 _MS = datetime.timedelta(milliseconds=1)
@@ -165,6 +166,10 @@
         """
         now = self.clock.monotonic()
         node = report.node
+        fault = discovery.find_node_fault(node)
+        if fault is not None:
+            _records.log_refused(node.node_id, fault, sender, self._log)
+            return
         self.links.set_address(node.node_id, node.link_address)
         changed = self.registry.merge_node(node, now)
         stored_record = self.registry.nodes[node.node_id].record
@@ -226,7 +231,15 @@
         :param sender: id of the control VM.
         :param reply: ``PresenceReply``.
         """
-        self.local_presence.on_presence_reply(reply)
+        if discovery.is_incarnation(reply.incarnation):
+            self.local_presence.on_presence_reply(reply)
+        else:
+            _records.log_refused(
+                self.node_id,
+                f"incarnation {reply.incarnation}",
+                sender,
+                self._log,
+            )
 
     def on_packed_changes(self, sender, packed):
         """Merge compressed changes of another registry.
@@ -246,6 +259,7 @@
         :param changes: ``RegistryChanges``.
         """
         now = self.clock.monotonic()
+        changes = _records.set_aside_unsound(changes, sender, self._log)
         if changes.stamp:
             epoch, stamp = self._merged_stamps.get(sender, (0, 0))
             last_stamp = stamp if changes.registry_epoch == epoch else 0
