Set a copy of the directives aside that cannot be decompressed

What callers saw: by a test: a control VM whose copy was damaged ended the link of its follower, and sent the copy again after each report.

Cause: errors of decompression were caught for changes of the registry, not for the directives.

Evidence: three cases of test_odd_copy_is_set_aside failed with 'zlib.error: Error -3 while decompressing data: incorrect header check' and 'ValueError: the document is too large', which was also said of one whose end was missing.

Change: it is logged as directives that cannot be read, with its sender; the next sound copy is taken. Copies that decompress to no configuration were set aside before, as the other cases show.

--- a/buckthorntack/gateway/_following.py
+++ b/buckthorntack/gateway/_following.py
@@ -283,16 +283,17 @@
         if copy.version > self.shared_state.version:
             if not copy.content:
                 return
-            content = _packing.decompress_content(copy.content)
+            try:
+                content = _packing.decompress_content(copy.content)
+            except _packing.DECOMPRESS_ERRORS as error:
+                self._log_unreadable(copy.version, repr(error), sender)
+                return
             configuration = self.shared_state.dialect.parse_configuration(
                 content
             )
             if configuration.is_error():
-                self._log.write(
-                    _events.DIRECTIVES_UNREADABLE,
-                    version=copy.version,
-                    error=configuration.error.detail,
-                )
+                detail = configuration.error.detail
+                self._log_unreadable(copy.version, detail, sender)
                 return
         self.shared_state.apply_directives(
             copy.index, configuration.ok, copy.evacuated
@@ -307,3 +308,11 @@
         )
         if self.state == "starting" and self.shared_state.version >= 0:
             self.set_state("ready")
+
+    def _log_unreadable(self, version, error, sender):
+        self._log.write(
+            _events.DIRECTIVES_UNREADABLE,
+            version=version,
+            error=error,
+            told_by=sender,
+        )
--- a/buckthorntack/gateway/_packing.py
+++ b/buckthorntack/gateway/_packing.py
@@ -12,6 +12,8 @@
 MAX_CONTENT_BYTES = 64 * 1024 * 1024
 #: Records from which packing is worth its time.
 MIN_PACKED_RECORDS = 16
+#: Errors of :func:`decompress_content`.
+DECOMPRESS_ERRORS = (ValueError, zlib.error)
 _CHANGES = messages.RegistryChanges.__name__.encode()
 
 
@@ -36,7 +38,7 @@
     """
     try:
         payload = decompress_content(packed.content)
-    except (ValueError, zlib.error) as error:
+    except DECOMPRESS_ERRORS as error:
         raise schema.MalformedMessageError(
             f"PackedChanges: {error}"
         ) from error
@@ -72,10 +74,12 @@
 
     :param data: bytes that :func:`compress_content` returned.
     :returns: bytes of the document.
-    :raises ValueError: the document is larger than the maximum.
+    :raises ValueError: the document is larger than the maximum, or its end
+        is missing.
+    :raises zlib.error: the bytes are none that were compressed.
     """
     decompressor = zlib.decompressobj()
     content = decompressor.decompress(data, MAX_CONTENT_BYTES)
     if not decompressor.eof:
-        raise ValueError("the document is too large")
+        raise ValueError("the document is too large or cut short")
     return content
