--- a/buckthorntack/gateway/_following.py
+++ b/buckthorntack/gateway/_following.py
@@ -11,6 +11,7 @@
 from buckthorntack.gateway import _notices
 from buckthorntack.gateway import _packing
 from buckthorntack.gateway import _presence
+from buckthorntack.gateway import _records
 from buckthorntack.schema import messages
 
 #: Report period of an entry VM without a configuration.
@@ -185,7 +186,15 @@
         """
         now = self.clock.monotonic()
         self.control_selector.on_reply(sender, reply.has_majority, now)
-        self.local_presence.on_presence_reply(reply)
+        if discovery.is_incarnation(reply.incarnation):
+            self.local_presence.on_presence_reply(reply)
+        else:
+            _records.log_refused(
+                self.local_presence.node_id,
+                f"incarnation {reply.incarnation}",
+                sender,
+                self._log,
+            )
         records = (view.record for view in self.registry.servers.values())
         returned = discovery.select_returned(records, reply)
         if returned:
@@ -211,6 +220,7 @@
         :param changes: ``RegistryChanges``.
         """
         now = self.clock.monotonic()
+        changes = _records.set_aside_unsound(changes, sender, self._log)
         epoch, stamp = self._merged_stamps.get(sender, (0, 0))
         if changes.stamp == 0:
             changed = self.registry.merge_changes(changes, now)
@@ -273,16 +283,17 @@
         if copy.version > self.shared_state.version:
             if not copy.content:
                 return
-            content = _packing.decompress_content(copy.content)
+            try:
+                content = _packing.decompress_content(copy.content)
+            except _packing.DECOMPRESS_ERRORS as error:
+                self._log_unreadable(copy.version, repr(error), sender)
+                return
             configuration = self.shared_state.dialect.parse_configuration(
                 content
             )
             if configuration.is_error():
-                self._log.write(
-                    _events.DIRECTIVES_UNREADABLE,
-                    version=copy.version,
-                    error=configuration.error.detail,
-                )
+                detail = configuration.error.detail
+                self._log_unreadable(copy.version, detail, sender)
                 return
         self.shared_state.apply_directives(
             copy.index, configuration.ok, copy.evacuated
@@ -297,3 +308,11 @@
         )
         if self.state == "starting" and self.shared_state.version >= 0:
             self.set_state("ready")
+
+    def _log_unreadable(self, version, error, sender):
+        self._log.write(
+            _events.DIRECTIVES_UNREADABLE,
+            version=version,
+            error=error,
+            told_by=sender,
+        )
--- a/buckthorntack/transport/_events.py
+++ b/buckthorntack/transport/_events.py
@@ -66,3 +66,19 @@
     "Connecting to another node failed; the waiting messages were dropped.",
     "check that node and the network path to it",
 )
+MESSAGE_FAILED = events.declare(
+    1209,
+    "message_failed",
+    logbook.ERROR,
+    "Handling a message of another node failed; the link and its other "
+    "messages are kept.",
+    "report the error; compare the builds of both nodes",
+)
+MESSAGE_UNSENDABLE = events.declare(
+    1210,
+    "message_unsendable",
+    logbook.ERROR,
+    "A message to another node holds a value that cannot be encoded and was "
+    "dropped.",
+    "report the error",
+)
--- a/buckthorntack/transport/tests/test_plain_links.py
+++ b/buckthorntack/transport/tests/test_plain_links.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import logbook
 import pytest
 
 from buckthorntack import transport
@@ -163,3 +164,117 @@
             writer.close()
 
     run(scenario)
+
+
+class _Picky(Node):
+    """A node whose handler fails at some messages."""
+
+    def on_message(self, sender, message):
+        if message.sent_at_ms % 2:
+            raise OverflowError("date value out of range")
+        super().on_message(sender, message)
+
+
+def lines_of(log, number):
+    """Particulars of the log lines of an event."""
+    return [
+        record.extra
+        for record in log.records
+        if record.extra.get("event") == number
+    ]
+
+
+# A message whose handling failed ended its link; followers never went on.
+def test_message_that_cannot_be_handled_costs_itself_only(addresses):
+    async def scenario():
+        near, far = Node("near", addresses[0]), _Picky("far", addresses[1])
+        async with near.links, far.links:
+            near.links.set_address("far", addresses[1])
+            for number in range(6):
+                assert near.links.send("far", make_ping(number))
+            await wait_until(lambda: len(far.received) == 3)
+            assert far.received == [("near", n) for n in (0, 2, 4)]
+            assert far.links.received_messages == 6
+            # The same connection carries the later ones.
+            assert far.links.send("near", make_ping(7))
+            await wait_until(lambda: near.received)
+
+    with logbook.TestHandler() as log:
+        run(scenario)
+    lines = lines_of(log, 1209)
+    assert [(line["peer"], line["kind"]) for line in lines] == [
+        ("near", "Ping")
+    ] * 3
+    assert "date value out of range" in lines[0]["error"]
+    # Both ends log the one connection that they had.
+    assert len(lines_of(log, 1206)) == 2
+
+
+# A message to itself that could not be handled was not logged as an event.
+def test_own_message_that_cannot_be_handled_is_logged(addresses):
+    async def scenario():
+        node = _Picky("near", addresses[0])
+        async with node.links:
+            node.links.send("near", make_ping(1))
+            node.links.send("near", make_ping(2))
+            await wait_until(lambda: node.received)
+
+    with logbook.TestHandler() as log:
+        run(scenario)
+    assert [line["kind"] for line in lines_of(log, 1209)] == ["Ping"]
+
+
+# A port out of range ended the task of the connect; the messages stayed queued
+# and each later one tried again at once.
+@pytest.mark.parametrize(
+    "address",
+    [
+        "127.0.0.1:99999",
+        "127.0.0.1:-1",
+        "127.0.0.1:",
+        "127.0.0.1:port",
+        "",
+        "127.0.0.1\0:80",
+        "a..b:80",
+        f"127.0.0.1:{'9' * 5000}",
+        "\udc80:80",
+    ],
+)
+def test_odd_address_fails_as_a_connect(addresses, address):
+    async def scenario():
+        node = Node("near", addresses[0])
+        async with node.links:
+            node.links.set_address("far", address)
+            assert node.links.send("far", make_ping(1))
+            await wait_until(lambda: node.links.dropped_messages)
+            # Another attempt waits for the delay.
+            assert not node.links.send("far", make_ping(2))
+
+    with logbook.TestHandler() as log:
+        run(scenario)
+    assert [line["node"] for line in lines_of(log, 1208)] == ["far"]
+
+
+# A message that could not be encoded ended the periodic task that sent it.
+@pytest.mark.parametrize(
+    "message",
+    [
+        make_ping(1 << 70),
+        messages.PackedChanges("\udc80"),
+    ],
+)
+def test_message_that_cannot_be_encoded_is_dropped(addresses, message):
+    async def scenario():
+        near, far = Node("near", addresses[0]), Node("far", addresses[1])
+        async with near.links, far.links:
+            near.links.set_address("far", addresses[1])
+            assert not near.links.send("far", message)
+            assert near.links.dropped_messages == 1
+            assert near.links.send("far", make_ping(1))
+            await wait_until(lambda: far.received)
+
+    with logbook.TestHandler() as log:
+        run(scenario)
+    [line] = lines_of(log, 1210)
+    assert line["peer"] == "far"
+    assert line["kind"] == type(message).__name__
