Sync the folder after each removal of a log segment

What callers saw: nothing yet; a control VM that refuses its own disk after a loss of power counts as a second lost disk. If another control VM of three loses its disk at the same moment, no majority is left: no leader, and neither the configuration nor an evacuation is read back.

A loss of power before that sync keeps or loses each removal on its own, so the older segment may be back while the newer one is gone; the next start takes that for a lost segment.

The former tests kept all names or none.

Segments are removed oldest first, so with a sync after each the ones left are always the newest without a gap. Compaction removes one segment as a rule, so it costs no sync more.

--- a/buckthorntack/storage/_log.py
+++ b/buckthorntack/storage/_log.py
@@ -148,14 +148,12 @@
         """
         if self._last_index and self._size_bytes > self.segment_bytes // 8:
             self._start_next_segment()
-        removed = False
         while self._segments and self._segments[0].last_index <= index:
             path = self._segment_path(self._segments.pop(0).number)
             with _errors.translate_os_errors(path):
                 self.files.remove(path)
-            removed = True
-        if removed:
-            with _errors.translate_os_errors(self.folder):
+                # A loss of power may undo the removals before a sync in any
+                # order, which would leave a gap.
                 self.files.sync_folder(self.folder)
 
     def _append(self, batch):
--- a/buckthorntack/storage/tests/memory_files.py
+++ b/buckthorntack/storage/tests/memory_files.py
@@ -106,6 +106,25 @@
         found.synced_files = dict(found.current_files)
         return found
 
+    def after_power_loss(self, rng):
+        """Files as the next start finds them.
+
+        Each name that was created, renamed or removed without a sync of its
+        folder is kept or lost on its own.
+
+        :param rng: source of randomness.
+        """
+        found = MemoryFiles()
+        for path in sorted({*self.synced_files, *self.current_files}):
+            former = self.synced_files.get(path)
+            current = self.current_files.get(path)
+            contents = rng.choice([former, current])
+            if contents is not None:
+                left = contents.after_crash(rng.choice(TAILS))
+                found.current_files[path] = left
+        found.synced_files = dict(found.current_files)
+        return found
+
     def copy(self):
         return self.after_crash("all", "now")
 
--- a/buckthorntack/storage/tests/test_faults.py
+++ b/buckthorntack/storage/tests/test_faults.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import itertools
+import random
 from typing import NamedTuple
 
 import pytest
@@ -53,6 +54,14 @@
     ("append", batch(5, 23)),
 )
 
+#: Snapshots that cover several segments, as entries came while one was taken.
+LATE_SNAPSHOTS = (
+    *(("append", batch(1, index, index + 1)) for index in range(1, 17, 2)),
+    ("save", snapshot(14, 1)),
+    ("append", batch(2, 17, 18)),
+)
+POWER_LOSS_SEEDS = 40
+
 
 def state_after(known, name, argument):
     """Durable state after an action has ended."""
@@ -109,9 +118,9 @@
         getattr(store, name)(argument)
 
 
-def count_steps():
+def count_steps(actions=ACTIONS):
     files = memory_files.MemoryFiles()
-    assert run(files)[0] == recover(files.after_crash())
+    assert run(files, actions)[0] == recover(files.after_crash())
     return files.steps
 
 
@@ -129,6 +138,22 @@
         check_store_is_usable(left, found)
 
 
+# Guards against a VM that refuses its own disk after a loss of power, so that
+# the loss of another's disk leaves no majority.
+@pytest.mark.parametrize("actions", [ACTIONS, LATE_SNAPSHOTS], ids=len)
+@pytest.mark.parametrize("seed", range(POWER_LOSS_SEEDS))
+def test_power_loss_at_every_step_keeps_what_was_acknowledged(seed, actions):
+    rng = random.Random(seed)
+    for number in range(count_steps(actions)):
+        faults = memory_files.Faults(crash_after=number)
+        files = memory_files.MemoryFiles(faults)
+        possible = run(files, actions)
+        left = files.after_power_loss(rng)
+        found = recover(left)
+        assert found in possible, number
+        check_store_is_usable(left, found)
+
+
 def check_store_is_usable(files, known):
     last = known.snapshot_index
     if known.entries:
