Write the start of a log segment at once

What callers saw: nothing yet; as with a gap in the log, a control VM that refuses its own disk after a loss of power beside the loss of another's leaves no majority.

Cause: a new segment got its prefix and its first frame in two writes before the first sync. If the first is torn and the second kept, the prefix is half written before a whole frame, which the next start took for damage to synced bytes.

The former tests had one tail for all writes of a file.

With one write the file is short or a whole start, which both are read rightly.

--- a/buckthorntack/storage/_log.py
+++ b/buckthorntack/storage/_log.py
@@ -185,17 +185,18 @@
     def _create_segment(self, number):
         path = self._segment_path(number)
         prefix = _PREFIX.pack(_MAGIC, number)
+        payload = _records.encode(_records.Batch(hard_state=self._hard_state))
+        frame = _frames.encode_frame(payload, number, len(prefix))
         with _errors.translate_os_errors(path):
             self._file = self.files.open_for_append(path)
             self._file.truncate(0)
-            self._file.write(prefix)
-        self._number = number
-        self._size_bytes = len(prefix)
-        self._last_index = 0
-        self._write(_records.Batch(hard_state=self._hard_state))
-        with _errors.translate_os_errors(path):
+            # Of two writes the first might be torn and the second kept.
+            self._file.write(prefix + frame)
             self._file.sync()
             self.files.sync_folder(self.folder)
+        self._number = number
+        self._size_bytes = len(prefix) + len(frame)
+        self._last_index = 0
 
     def _read_segment(self, number, is_last, replay):
         path = self._segment_path(number)
--- a/buckthorntack/storage/tests/memory_files.py
+++ b/buckthorntack/storage/tests/memory_files.py
@@ -27,6 +27,26 @@
     def __init__(self, data=b""):
         self.data = bytearray(data)
         self.synced = bytes(data)
+        #: Pairs of offset and bytes that were written since the last sync.
+        self.unsynced = []
+
+    def append(self, data):
+        self.unsynced.append((len(self.data), bytes(data)))
+        self.data += data
+
+    def sync(self):
+        self.synced = bytes(self.data)
+        self.unsynced = []
+
+    def after_power_loss(self, rng):
+        """Contents of which each unsynced write is kept, lost or torn."""
+        left = bytearray(self.synced)
+        for offset, data in self.unsynced:
+            kept = rng.choice([0, len(data), rng.randrange(len(data) + 1)])
+            if kept:
+                left += bytes(max(0, offset - len(left)))
+                left[offset : offset + kept] = data[:kept]
+        return _Contents(left)
 
     def after_crash(self, tail):
         kept = len(os.path.commonprefix([self.synced, bytes(self.data)]))
@@ -49,13 +69,13 @@
     def write(self, data):
         with self.files.step():
             room = self.files.faults.capacity_bytes - self.files.used_bytes()
-            self.contents.data += data[: max(room, 0)]
+            self.contents.append(data[: max(room, 0)])
             if room < len(data):
                 raise OSError(errno.ENOSPC, "no space")
 
     def sync(self):
         with self.files.step():
-            self.contents.synced = bytes(self.contents.data)
+            self.contents.sync()
 
     def truncate(self, size_bytes):
         with self.files.step():
@@ -110,7 +130,7 @@
         """Files as the next start finds them.
 
         Each name that was created, renamed or removed without a sync of its
-        folder is kept or lost on its own.
+        folder, and each write without a sync, is kept or lost on its own.
 
         :param rng: source of randomness.
         """
@@ -120,7 +140,7 @@
             current = self.current_files.get(path)
             contents = rng.choice([former, current])
             if contents is not None:
-                left = contents.after_crash(rng.choice(TAILS))
+                left = contents.after_power_loss(rng)
                 found.current_files[path] = left
         found.synced_files = dict(found.current_files)
         return found
