--- a/buckthorntack/storage/_log.py
+++ b/buckthorntack/storage/_log.py
@@ -148,14 +148,12 @@
         """
         if self._last_index and self._size_bytes > self.segment_bytes // 8:
             self._start_next_segment()
-        removed = False
         while self._segments and self._segments[0].last_index <= index:
             path = self._segment_path(self._segments.pop(0).number)
             with _errors.translate_os_errors(path):
                 self.files.remove(path)
-            removed = True
-        if removed:
-            with _errors.translate_os_errors(self.folder):
+                # A loss of power may undo the removals before a sync in any
+                # order, which would leave a gap.
                 self.files.sync_folder(self.folder)
 
     def _append(self, batch):
@@ -187,17 +185,18 @@
     def _create_segment(self, number):
         path = self._segment_path(number)
         prefix = _PREFIX.pack(_MAGIC, number)
+        payload = _records.encode(_records.Batch(hard_state=self._hard_state))
+        frame = _frames.encode_frame(payload, number, len(prefix))
         with _errors.translate_os_errors(path):
             self._file = self.files.open_for_append(path)
             self._file.truncate(0)
-            self._file.write(prefix)
-        self._number = number
-        self._size_bytes = len(prefix)
-        self._last_index = 0
-        self._write(_records.Batch(hard_state=self._hard_state))
-        with _errors.translate_os_errors(path):
+            # Of two writes the first might be torn and the second kept.
+            self._file.write(prefix + frame)
             self._file.sync()
             self.files.sync_folder(self.folder)
+        self._number = number
+        self._size_bytes = len(prefix) + len(frame)
+        self._last_index = 0
 
     def _read_segment(self, number, is_last, replay):
         path = self._segment_path(number)
