Send a request to the server for which a silent one was left

What callers saw: while room is short, a request that may be repeated, or a stream, whose server was silent for 2 s could be cut or answered 502 although another server had just been found to take it.

Cause: the choice that allowed the silent server to be left was thrown away and a new one was made for the retry; choices differ at random while room is short (the order of ranks, shares of organisations), so that the second could be a refusal. Class: a working attempt is given up before its replacement is known.

Evidence: both cases of test_silent_server_is_left_for_the_server_that_was_chosen failed with '502 == 200': the choice after the one that let the server be left refuses.

Change: the choice is kept and used by the next attempt, unless it is older than 50 ms or its server is gone or was tried meanwhile, as after the other one of two hedged attempts.

--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -1,7 +1,9 @@
 """Proxying of requests from clients to servers and other regions."""
 
 import asyncio
+import datetime
 import http
+from typing import NamedTuple
 
 from buckthorntack import clock as clocks
 from buckthorntack import directives
@@ -60,6 +62,8 @@
 #: Time reserved before the deadline of a request for the response to reach the
 #: client.
 DEADLINE_MARGIN_S = 0.02
+#: Time for which the choice stands for which a silent server was left.
+REPLACEMENT_VALIDITY = datetime.timedelta(milliseconds=50)
 #: Retry-After of refused requests without an estimate, such as those before
 #: the first configuration.
 DEFAULT_RETRY_AFTER_MS = 500.0
@@ -128,6 +132,16 @@
         await proxied_request.run()
 
 
+class _Choice(NamedTuple):
+    """Where a request goes."""
+
+    #: The ``RoutingRequest``.
+    request: object
+    decision: object
+    #: Monotonic time.
+    at: datetime.timedelta
+
+
 class _ProxiedRequest:
     """One request, from its routing to its final response."""
 
@@ -174,6 +188,8 @@
         self.longest_gap_s = 0.0
         #: What became of a second copy; empty if none was considered.
         self.hedge = ""
+        #: The ``_Choice`` for which a silent server was left; None for none.
+        self.replacement = None
         #: The last attempt.
         self.attempt = _attempt.Attempt()
 
@@ -393,12 +409,7 @@
                 raise TimeoutError
             if self._is_quarantined() or not self._narrow_route():
                 return
-            now = self.handler.clock.monotonic()
-            routing_request = self._build_routing_request()
-            servers = self.shared_state.list_servers(self.service.name)
-            decision = self.shared_state.dispatcher.choose(
-                routing_request, servers, now
-            )
+            routing_request, decision, now = self._choose()
             if isinstance(decision, dispatch.Refuse):
                 if self._waits_for_version(decision):
                     await self.handler.clock.sleep(_stream_origin.RETRY_DELAY)
@@ -425,6 +436,33 @@
                 self._send_final_failure(self.reason, self.retry_after_ms)
                 return
 
+    def _choose(self):
+        """Return the ``_Choice`` of the next attempt."""
+        now = self.handler.clock.monotonic()
+        choice, self.replacement = self.replacement, None
+        if choice is not None and self._is_valid(choice, now):
+            return choice
+        request = self._build_routing_request()
+        return self._make_choice(request, now)
+
+    def _make_choice(self, request, now):
+        shared_state = self.shared_state
+        servers = shared_state.list_servers(self.service.name)
+        decision = shared_state.dispatcher.choose(request, servers, now)
+        return _Choice(request, decision, now)
+
+    def _is_valid(self, choice, now):
+        """Whether nothing is known to have changed since a choice."""
+        if now - choice.at > REPLACEMENT_VALIDITY:
+            return False
+        if isinstance(choice.decision, dispatch.Forward):
+            return True
+        server_id = choice.decision.server_id
+        return (
+            server_id in self.shared_state.registry.servers
+            and server_id not in self.excluded_ids
+        )
+
     def _waits_for_version(self, refusal):
         """Whether a stream waits for a busy server of its software version.
 
@@ -587,11 +625,15 @@
         request = self._build_routing_request()._replace(
             tried_server_ids=frozenset(self.excluded_ids)
         )
-        servers = shared_state.list_servers(self.service.name)
-        decision = shared_state.dispatcher.choose(request, servers, now)
-        if isinstance(decision, dispatch.Forward):
-            return bool(self._list_targets(decision.region))
-        return isinstance(decision, dispatch.Serve)
+        choice = self._make_choice(request, now)
+        if isinstance(choice.decision, dispatch.Refuse) or (
+            isinstance(choice.decision, dispatch.Forward)
+            and not self._list_targets(choice.decision.region)
+        ):
+            return False
+        # Another choice may refuse the request, as some are made at random.
+        self.replacement = choice
+        return True
 
     async def _send_to_server(self, routing_request, decision, now):
         """Send the request to a server and relay its response."""
--- a/buckthorntack/platform/tests/test_silent_servers.py
+++ b/buckthorntack/platform/tests/test_silent_servers.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from buckthorntack import dispatch
 from buckthorntack import http1
 from buckthorntack.platform.tests import _standins
 from buckthorntack.platform.tests import test_requests
@@ -146,6 +147,51 @@
     test_requests.run(scenario, *names)
 
 
+def refuse_after(world, choices):
+    """Let requests that were sent before find no room after some choices."""
+    dispatcher = world.nodes["e0"].shared_state.dispatcher
+    choose = dispatcher.choose
+    repeated = []
+
+    def choose_or_refuse(request, servers, now):
+        if request.tried_server_ids:
+            repeated.append(now)
+            if len(repeated) > choices:
+                return dispatch.Refuse("expected too late", 400.0, True)
+        return choose(request, servers, now)
+
+    dispatcher.choose = choose_or_refuse
+
+
+# Guards against a server that is left for another one, which the request is
+# then refused, as choices differ at random while room is short.
+@pytest.mark.parametrize(
+    ("method", "path", "service"),
+    [("GET", "/safe/x", "desk"), ("POST", "/talk/x", "text")],
+)
+def test_silent_server_is_left_for_the_server_that_was_chosen(
+    method, path, service
+):
+    async def scenario(world):
+        async def behave(server, request, reply):
+            if count_runs(world) == 1:
+                await asyncio.sleep(60.0)
+            elif service == "text":
+                await _standins.stream(EVENTS)(server, request, reply)
+            else:
+                await _standins.answer_whole(server, request, reply)
+
+        for server in world.servers.values():
+            server.behave = behave
+        refuse_after(world, 1)
+        answer = await world.ask(path, method=method)
+        assert answer.status == 200
+        assert answer.whole
+        assert count_runs(world) == 2
+
+    test_requests.run(scenario, ("s0", service), ("s1", service))
+
+
 # A second server takes over from a silent one as soon as there is one.
 def test_stream_leaves_a_silent_server_once_another_is_announced():
     async def scenario(world):
