Count choices of requests that wait for a silent server only if used

What callers saw: refused callers were told to return later, up to no room before their deadline, while other requests waited for silent servers.

Cause: each look for another server, five a second and request, was a choice like any other: a refusal reserved a time for a caller to return, though nobody was told, and moved the usual time left by which returns are known. Class: a question that changes what it asks for.

Evidence: test_choice_that_is_not_used_promises_nothing failed with choose() in the place of choose_replacement(): after ten looks the next free time was 2.1 s away instead of 0.

Change: a choice for a request that may stay where it is counts only if the request is sent.

--- a/buckthorntack/dispatch/_choice.py
+++ b/buckthorntack/dispatch/_choice.py
@@ -115,6 +115,24 @@
             return decision._replace(reason="no server is reachable")
         return decision
 
+    def choose_replacement(self, request, servers, now):
+        """Choose where a request goes that may stay where it is.
+
+        Unless it is sent, it counts for nothing; in particular no time is
+        promised to its caller, who is not told to return.
+
+        :param request: the ``RoutingRequest``.
+        :param servers: ``ServerView`` of all servers of the service.
+        :param now: monotonic time.
+        :returns: ``Serve``, ``Forward`` or ``Refuse``.
+        """
+        returns = self.ranked_limits.returns
+        self.ranked_limits.returns = returns.copy()
+        decision = self.choose(request, servers, now)
+        if isinstance(decision, _decisions.Refuse):
+            self.ranked_limits.returns = returns
+        return decision
+
     def _refuse_without_candidate(self, request, views, pause_ends_s, now_s):
         wait_ms = NO_SERVER_RETRY_MS
         has_servers = bool(views)
--- a/buckthorntack/dispatch/_returns.py
+++ b/buckthorntack/dispatch/_returns.py
@@ -27,6 +27,14 @@
         self._credit_ms = {}
         self._promised_s = 0.0
 
+    def copy(self):
+        """Return a copy that changes by itself."""
+        copied = Returns()
+        copied._usual_ms = dict(self._usual_ms)
+        copied._credit_ms = dict(self._credit_ms)
+        copied._promised_s = self._promised_s
+        return copied
+
     def set_routes(self, names):
         """Set the routes of the configuration.
 
--- a/buckthorntack/dispatch/tests/test_ranks.py
+++ b/buckthorntack/dispatch/tests/test_ranks.py
@@ -118,3 +118,34 @@
     for decision in refusals[5]:
         assert decision.rank_position == 1.0
         assert decision.scarcity > 0
+
+
+# Guards against requests that wait for a silent server and use up the times at
+# which refused callers may return.
+def test_choice_that_is_not_used_promises_nothing():
+    def promise_ms(times_looked):
+        world = _world.World()
+        world.dispatcher.set_configuration(_configure((0, 5), URGENT, SLOW))
+        for number in range(4):
+            server_id = f"10.0.0.{number}:80"
+            world.add_server(server_id, service="text", slots=32)
+            state = world.fleet.state(server_id, 100_000)
+            state.usage = state.usage._replace(
+                running=2, waiting=1, waiting_tokens=200_000
+            )
+        request = world.make_request(
+            _world.prompt(pack_tokens=100, tokens=300),
+            route=SLOW,
+            remaining_ms=8000.0,
+            organisation=_organisation(5),
+        )
+        views = list(world.registry.servers.values())
+        for _ in range(times_looked):
+            decision = world.dispatcher.choose_replacement(
+                request, views, world.now
+            )
+            assert isinstance(decision, dispatch.Refuse)
+        returns = world.dispatcher.ranked_limits.returns
+        return returns.promise_ms(0.0, 100.0, 60_000.0, world.now_s)
+
+    assert promise_ms(10) == promise_ms(0)
--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -443,12 +443,8 @@
         if choice is not None and self._is_valid(choice, now):
             return choice
         request = self._build_routing_request()
-        return self._make_choice(request, now)
-
-    def _make_choice(self, request, now):
-        shared_state = self.shared_state
-        servers = shared_state.list_servers(self.service.name)
-        decision = shared_state.dispatcher.choose(request, servers, now)
+        servers = self.shared_state.list_servers(self.service.name)
+        decision = self.shared_state.dispatcher.choose(request, servers, now)
         return _Choice(request, decision, now)
 
     def _is_valid(self, choice, now):
@@ -625,14 +621,16 @@
         request = self._build_routing_request()._replace(
             tried_server_ids=frozenset(self.excluded_ids)
         )
-        choice = self._make_choice(request, now)
-        if isinstance(choice.decision, dispatch.Refuse) or (
-            isinstance(choice.decision, dispatch.Forward)
-            and not self._list_targets(choice.decision.region)
+        decision = shared_state.dispatcher.choose_replacement(
+            request, shared_state.list_servers(self.service.name), now
+        )
+        if isinstance(decision, dispatch.Refuse) or (
+            isinstance(decision, dispatch.Forward)
+            and not self._list_targets(decision.region)
         ):
             return False
         # Another choice may refuse the request, as some are made at random.
-        self.replacement = choice
+        self.replacement = _Choice(request, decision, now)
         return True
 
     async def _send_to_server(self, routing_request, decision, now):
