Return a stream to its only server before its caller leaves

What callers saw: since silent servers are left only for another one, a stream whose connection went silent for good was cut at its deadline if its server was the only one of its software version, though the server answered on new connections.

Cause: a dead connection and a server that is silent for a moment look the same, and the stream waited for the end of the silence without end.

Change: after 0.85 of the time for which its caller waits for an event, a stream may return to the server that is silent; what came later would be lost with the caller anyway. Shorter silences are waited for as before.

--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -59,6 +59,9 @@
 STREAM_IDLE_SHARE = 0.7
 MIN_STREAM_IDLE_TIMEOUT_S = 1.6
 MAX_STREAM_IDLE_TIMEOUT_S = 2.2
+#: Share of the same time after which a stream returns to its silent server on
+#: a new connection if no other may go on, as its connection may be dead.
+STREAM_RETURN_SHARE = 0.85
 #: Time reserved before the deadline of a request for the response to reach the
 #: client.
 DEADLINE_MARGIN_S = 0.02
@@ -560,6 +563,17 @@
             return self.send_count < self.route.max_attempts
         return self.take_retry_budget()
 
+    def _may_return(self):
+        """Whether a stream may go on at the server that is silent.
+
+        Its caller leaves soon, and would lose what the server sends later.
+        """
+        if self.origin is None:
+            return False
+        waited_s = self._now_s() - self.progress_s
+        patience_s = _stream_origin.compute_patience_s(self.route)
+        return waited_s >= patience_s * STREAM_RETURN_SHARE
+
     def _can_continue(self):
         """Whether another response can continue the body that was sent."""
         if not self.reply.started:
@@ -604,7 +618,7 @@
         )
 
     def _can_leave_server(self):
-        """Whether a server that was not tried would get the request now."""
+        """Whether another attempt would be made at a server now."""
         if not self._can_continue():
             return False
         shared_state = self.shared_state
@@ -617,10 +631,11 @@
             return False
         if shared_state.table.narrow_route(self.route) is None:
             return False
-        # A stream may return to the silent server only after it has failed.
-        request = self._build_routing_request()._replace(
-            tried_server_ids=frozenset(self.excluded_ids)
-        )
+        request = self._build_routing_request()
+        if not self._may_return():
+            request = request._replace(
+                tried_server_ids=frozenset(self.excluded_ids)
+            )
         decision = shared_state.dispatcher.choose_replacement(
             request, shared_state.list_servers(self.service.name), now
         )
--- a/buckthorntack/platform/tests/test_silent_servers.py
+++ b/buckthorntack/platform/tests/test_silent_servers.py
@@ -208,6 +208,26 @@
     test_requests.run(scenario, ("s0", "text"))
 
 
+# Guards against a stream that is cut as its connection went silent for good,
+# though its server, the only one, answers on new ones.
+def test_stream_returns_to_the_only_server_on_a_new_connection():
+    async def behave(server, request, reply):
+        if len(server.requests) > 1:
+            await _standins.stream(EVENTS)(server, request, reply)
+        else:
+            await fall_silent_before(3, 60.0)(server, request, reply)
+
+    async def scenario(world):
+        world.servers["s0"].behave = behave
+        answer = await world.ask("/talk/x", method="POST")
+        assert answer.status == 200
+        assert answer.whole
+        assert answer.body == _standins.whole_stream(EVENTS)
+        assert count_runs(world) == 2
+
+    test_requests.run(scenario, ("s0", "text"))
+
+
 # Guards against a connection that ends with one unanswered keep-alive probe: a
 # user timeout that is set counts from the last byte received.
 def test_connection_outlives_a_silence_of_its_server():
