Wait for clients that were not told before a stop closes connections

What callers saw: a request sent right after a response that had announced no close got no answer, as the response had begun before a planned stop and ended after the listener had stopped accepting.

Cause: such a connection was closed as soon as its response ended. Class: a close that was not announced; mends it for the time before.

Evidence: test_stopped_listener_waits_for_clients_that_were_not_told failed in both cases with '0 == 1' active connections; the same scenario without that check failed with an IncompleteReadError.

Change: a listener that has stopped waits 0.5 s for one more request, whose response announces the close; such a connection counts as active, so that the stop waits for it, within the stop grace period.

--- a/buckthorntack/http1/_server.py
+++ b/buckthorntack/http1/_server.py
@@ -41,6 +41,9 @@
 MAX_LINGER_BYTES = 1_048_576
 #: Size of a body above which its organisation is looked up before it is read.
 LARGE_BODY_BYTES = 65_536
+#: Time for which a listener that has stopped waits for a request of a client
+#: that has not been told of the end of its connection.
+LAST_REQUEST_S = 0.5
 #: Lateness of a timer from which the process counts as held up.
 HELD_UP_S = 0.1
 #: Idle time before the kernel sends TCP keep-alive probes.
@@ -273,6 +276,8 @@
         self._parser = httptools.HttpRequestParser(self)
         self._timer = None
         self._deadline_s = 0.0
+        #: Whether one more request is waited for before the connection ends.
+        self.is_last_request_due = False
         #: When the last response ended; None before the first.
         self._idle_since_s = None
         self._reset_request()
@@ -715,16 +720,20 @@
             self._start_next_request()
 
     def _wait_for_request(self):
-        """Start the idle timeout, or close if the listener has stopped.
+        """Start the idle timeout, which is short if the listener has stopped.
 
-        While it still accepts, the next response announces the close.
+        The client was not told of the stop; the next response announces it.
         """
         if self._is_reading:
             return
+        self._idle_since_s = self.loop.time()
         if self.listener.is_stopped:
-            self._close_idle(EndReason.LISTENER_STOPPING)
+            self.is_last_request_due = True
+            if self._timer is not None:
+                self._timer.cancel()
+                self._timer = None
+            self._set_timer(LAST_REQUEST_S)
         else:
-            self._idle_since_s = self.loop.time()
             self._set_timer(self.listener.limits().idle_timeout_s)
 
     def _set_timer(self, seconds):
@@ -753,6 +762,9 @@
 
     def _end_idle_time(self):
         """Close the connection unless it may be idle for longer meanwhile."""
+        if self.is_last_request_due:
+            self._close_idle(EndReason.LISTENER_STOPPING)
+            return
         if self._idle_since_s is not None:
             timeout_s = self.listener.limits().idle_timeout_s
             left_s = self._idle_since_s + timeout_s - self.loop.time()
@@ -835,7 +847,9 @@
         return len(self._last_accepted) + sum(
             1
             for connection in self.connections
-            if connection.task is not None or connection._is_reading
+            if connection.task is not None
+            or connection._is_reading
+            or connection.is_last_request_due
         )
 
     def disable_keep_alive(self):
--- a/buckthorntack/http1/tests/test_listener.py
+++ b/buckthorntack/http1/tests/test_listener.py
@@ -540,3 +540,37 @@
         assert response.startswith(b"HTTP/1.1 408 ")
 
     run(scenario, limits=lambda: limits)
+
+
+# Guards against a request that meets the close of its connection right after a
+# response that began before a planned stop and ended after it.
+@pytest.mark.parametrize("has_next", [True, False])
+def test_stopped_listener_waits_for_clients_that_were_not_told(has_next):
+    gate = asyncio.Event()
+
+    async def handle(request, reply):
+        reply.start(200, [], length=0)
+        await gate.wait()
+        reply.end()
+
+    async def scenario(harness):
+        harness.listener.handle = handle
+        reader, writer = await harness.connect()
+        writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        head, _ = await read_response(reader)
+        assert b"Connection: close" not in head
+        harness.listener.disable_keep_alive()
+        harness.listener.stop_accepting()
+        gate.set()
+        await asyncio.sleep(0.05)
+        assert harness.listener.count_active_connections() == 1
+        if has_next:
+            writer.write(b"GET /2 HTTP/1.1\r\nHost: a\r\n\r\n")
+            head, _ = await read_response(reader)
+            assert b"Connection: close\r\n" in head
+        assert await reader.read() == b""
+        writer.close()
+        while harness.listener.count_active_connections():  # noqa: ASYNC110
+            await asyncio.sleep(0.005)
+
+    run(scenario)
