--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -1,8 +1,10 @@
 """Proxying of requests from clients to servers and other regions."""
 
 import asyncio
+import datetime
 import http
 import math
+from typing import NamedTuple
 
 from buckthorntack import clock as clocks
 from buckthorntack import directives
@@ -60,9 +62,14 @@
 STREAM_IDLE_SHARE = 0.7
 MIN_STREAM_IDLE_TIMEOUT_S = 1.6
 MAX_STREAM_IDLE_TIMEOUT_S = 2.2
+#: Share of the same time after which a stream returns to its silent server on
+#: a new connection if no other may go on, as its connection may be dead.
+STREAM_RETURN_SHARE = 0.85
 #: Time reserved before the deadline of a request for the response to reach the
 #: client.
 DEADLINE_MARGIN_S = 0.02
+#: Time for which the choice stands for which a silent server was left.
+REPLACEMENT_VALIDITY = datetime.timedelta(milliseconds=50)
 #: Retry-After of refused requests without an estimate, such as those before
 #: the first configuration.
 DEFAULT_RETRY_AFTER_MS = 500.0
@@ -131,6 +138,16 @@
         await proxied_request.run()
 
 
+class _Choice(NamedTuple):
+    """Where a request goes."""
+
+    #: The ``RoutingRequest``.
+    request: object
+    decision: object
+    #: Monotonic time.
+    at: datetime.timedelta
+
+
 class _ProxiedRequest:
     """One request, from its routing to its final response."""
 
@@ -177,6 +194,8 @@
         self.longest_gap_s = 0.0
         #: What became of a second copy; empty if none was considered.
         self.hedge = ""
+        #: The ``_Choice`` for which a silent server was left; None for none.
+        self.replacement = None
         #: The last attempt.
         self.attempt = _attempt.Attempt()
 
@@ -396,12 +415,7 @@
                 raise TimeoutError
             if self._is_quarantined() or not self._narrow_route():
                 return
-            now = self.handler.clock.monotonic()
-            routing_request = self._build_routing_request()
-            servers = self.shared_state.list_servers(self.service.name)
-            decision = self.shared_state.dispatcher.choose(
-                routing_request, servers, now
-            )
+            routing_request, decision, now = self._choose()
             if isinstance(decision, dispatch.Refuse):
                 if self._waits_for_version(decision):
                     await self.handler.clock.sleep(_stream_origin.RETRY_DELAY)
@@ -428,6 +442,29 @@
                 self._send_final_failure(self.reason, self.retry_after_ms)
                 return
 
+    def _choose(self):
+        """Return the ``_Choice`` of the next attempt."""
+        now = self.handler.clock.monotonic()
+        choice, self.replacement = self.replacement, None
+        if choice is not None and self._is_valid(choice, now):
+            return choice
+        request = self._build_routing_request()
+        servers = self.shared_state.list_servers(self.service.name)
+        decision = self.shared_state.dispatcher.choose(request, servers, now)
+        return _Choice(request, decision, now)
+
+    def _is_valid(self, choice, now):
+        """Whether nothing is known to have changed since a choice."""
+        if now - choice.at > REPLACEMENT_VALIDITY:
+            return False
+        if isinstance(choice.decision, dispatch.Forward):
+            return True
+        server_id = choice.decision.server_id
+        return (
+            server_id in self.shared_state.registry.servers
+            and server_id not in self.excluded_ids
+        )
+
     def _waits_for_version(self, refusal):
         """Whether a stream waits for a busy server of its software version.
 
@@ -529,6 +566,17 @@
             return self.send_count < self.route.max_attempts
         return self.take_retry_budget()
 
+    def _may_return(self):
+        """Whether a stream may go on at the server that is silent.
+
+        Its caller leaves soon, and would lose what the server sends later.
+        """
+        if self.origin is None:
+            return False
+        waited_s = self._now_s() - self.progress_s
+        patience_s = _stream_origin.compute_patience_s(self.route)
+        return waited_s >= patience_s * STREAM_RETURN_SHARE
+
     def _can_continue(self):
         """Whether another response can continue the body that was sent."""
         if not self.reply.started:
@@ -573,7 +621,7 @@
         )
 
     def _can_leave_server(self):
-        """Whether a server that was not tried would get the request now."""
+        """Whether another attempt would be made at a server now."""
         if not self._can_continue():
             return False
         shared_state = self.shared_state
@@ -586,15 +634,22 @@
             return False
         if shared_state.table.narrow_route(self.route) is None:
             return False
-        # A stream may return to the silent server only after it has failed.
-        request = self._build_routing_request()._replace(
-            tried_server_ids=frozenset(self.excluded_ids)
+        request = self._build_routing_request()
+        if not self._may_return():
+            request = request._replace(
+                tried_server_ids=frozenset(self.excluded_ids)
+            )
+        decision = shared_state.dispatcher.choose_replacement(
+            request, shared_state.list_servers(self.service.name), now
         )
-        servers = shared_state.list_servers(self.service.name)
-        decision = shared_state.dispatcher.choose(request, servers, now)
-        if isinstance(decision, dispatch.Forward):
-            return bool(self._list_targets(decision.region))
-        return isinstance(decision, dispatch.Serve)
+        if isinstance(decision, dispatch.Refuse) or (
+            isinstance(decision, dispatch.Forward)
+            and not self._list_targets(decision.region)
+        ):
+            return False
+        # Another choice may refuse the request, as some are made at random.
+        self.replacement = _Choice(request, decision, now)
+        return True
 
     async def _send_to_server(self, routing_request, decision, now):
         """Send the request to a server and relay its response."""
