Check with control VMs that a server has not started again unknown

What callers saw: a stream went on with events of another software version. Its next server had started again under its id at another version, and the entry VM that continued the stream had not been told: it was cut off from control VMs, or had lost the changes. So did clients that returned to such an entry VM, and streams that another entry VM handed on to it (in its own region, as no server was reachable, or in another region).

Cause: a server of the origin's version was chosen by the entry VM's own record. Its incarnation was compared only with the same record again.

Why it works: before a stream that has begun is sent to a server, all control VMs are asked for the newest incarnation. It needs a majority of them and no objection; otherwise the request is refused, not run, or the stream ends visibly. The question follows the connect, so that an incarnation that accepted the connection began before it.

What is not covered: a server whose first announcement has not reached a control VM yet.

--- a/buckthorntack/gateway/_control.py
+++ b/buckthorntack/gateway/_control.py
@@ -21,6 +21,7 @@
 from buckthorntack.gateway import _events
 from buckthorntack.gateway import _gathering
 from buckthorntack.gateway import _identity
+from buckthorntack.gateway import _incarnation_tasks
 from buckthorntack.gateway import _metrics
 from buckthorntack.gateway import _node
 from buckthorntack.gateway import _notices
@@ -222,6 +223,14 @@
             self.origin_keeper.on_origins(message)
         elif isinstance(message, messages.OriginQuery):
             self.origin_keeper.on_query(sender, message)
+        elif isinstance(message, messages.IncarnationQuery):
+            _incarnation_tasks.answer_query(
+                self.registry,
+                self.links,
+                sender,
+                message,
+                self.clock.monotonic(),
+            )
 
     def _on_replica_envelope(self, sender, envelope):
         """Deliver a consensus message unless it is for a replaced disk."""
--- a/buckthorntack/gateway/_entry.py
+++ b/buckthorntack/gateway/_entry.py
@@ -9,6 +9,7 @@
 from buckthorntack import transport
 from buckthorntack.gateway import _events
 from buckthorntack.gateway import _following
+from buckthorntack.gateway import _incarnation_tasks
 from buckthorntack.gateway import _memory
 from buckthorntack.gateway import _metrics
 from buckthorntack.gateway import _node
@@ -62,6 +63,7 @@
         self.forward_listener = None
         self.quarantine_task = None
         self.origin_task = None
+        self.incarnation_task = None
         self.reachability_task = None
         #: ``http1.MemoryWatch``; None if the settings bound nothing.
         self.memory_watch = None
@@ -104,6 +106,9 @@
         self.origin_task = _origin_tasks.OriginTask(
             self.shared_state, self.links
         )
+        self.incarnation_task = _incarnation_tasks.IncarnationTask(
+            self.shared_state, self.links
+        )
         self.reachability_task = await enter(
             _reachability_task.ReachabilityTask(
                 self.shared_state, self._on_unreachable_services
@@ -115,6 +120,7 @@
             self.metrics,
             self.quarantine_task.wake,
             self.origin_task,
+            self.incarnation_task,
             self.reachability_task,
         )
         limits = self.shared_state.limits
@@ -192,6 +198,8 @@
             self.following.on_directives_copy(sender, message)
         elif isinstance(message, messages.OriginReply):
             self.origin_task.on_reply(sender, message)
+        elif isinstance(message, messages.IncarnationReply):
+            self.incarnation_task.on_reply(sender, message)
         elif isinstance(message, messages.QuarantineUpdate):
             self.quarantine_task.on_update(message)
         elif isinstance(message, messages.QuarantineDigest):
--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -81,6 +81,7 @@
     :param on_quarantine_changed: called without arguments when the quarantine
         has records for other entry VMs.
     :param origins: the ``OriginTask``.
+    :param incarnations: the ``IncarnationTask``.
     :param reachability: the ``ReachabilityTask``.
     """
 
@@ -91,6 +92,7 @@
         metrics,
         on_quarantine_changed,
         origins,
+        incarnations,
         reachability,
     ):
         self.shared_state = shared_state
@@ -98,6 +100,7 @@
         self.metrics = metrics
         self.on_quarantine_changed = on_quarantine_changed
         self.origins = origins
+        self.incarnations = incarnations
         self.reachability = reachability
         self.log = events.EventLog("gateway")
 
@@ -514,6 +517,8 @@
         self._record_result(result)
         if isinstance(result, _results.NotSent):
             return self.connect_failures <= MAX_CONNECT_FAILURES
+        if isinstance(result, _results.OutOfDate):
+            return False
         if self.may_have_run and not self.route.is_idempotent:
             return False
         if self.reply.started and (self.stream is None or not self.origin):
@@ -538,7 +543,7 @@
             self.connect_failures += 1
         elif isinstance(result, _results.Unknown):
             self.may_have_run = True
-        else:
+        elif isinstance(result, _results.NotRun):
             self.retry_after_ms = result.retry_after_ms
 
     def record_other_result(self, attempt, result):
@@ -653,6 +658,10 @@
             attempt.connection = await self.shared_state.acquire_connection(
                 server_id, attempt.server.address, self.metadata.request_id
             )
+            if self.origin is not None:
+                doubt = await self._doubt_version(attempt.server)
+                if doubt is not None:
+                    return doubt
             state = self.shared_state.fleet.state(server_id)
             if state.is_paused(self._now_s()):
                 # Another request was refused while this one connected.
@@ -685,6 +694,21 @@
             )
         return start
 
+    async def _doubt_version(self, server):
+        """Check the software version of a server that continues a stream.
+
+        :param server: its ``AnnouncedServer``.
+        :returns: the result of the attempt if it is in doubt, else None.
+        """
+        state = await self.handler.incarnations.check(server)
+        if state is resumption.IncarnationState.NEWEST:
+            return None
+        if state is resumption.IncarnationState.REPLACED:
+            return _results.NotSent(f"{server.server_id} has started again")
+        return _results.OutOfDate(
+            "too few control VMs confirm what is known of its server"
+        )
+
     async def relay_answer(self, attempt, start):
         """Relay a response of a server that has begun.
 
--- a/buckthorntack/gateway/_results.py
+++ b/buckthorntack/gateway/_results.py
@@ -16,6 +16,12 @@
     reason: str
 
 
+class OutOfDate(NamedTuple):
+    """The request was not sent, as no record of a server can be relied on."""
+
+    reason: str
+
+
 class NotRun(NamedTuple):
     """The request was sent but not run."""
 
--- /dev/null
+++ b/buckthorntack/platform/tests/test_stale_records.py
@@ -0,0 +1,224 @@
+"""Streams taken up by an entry VM whose records of servers are old."""
+
+import asyncio
+
+import pytest
+
+from buckthorntack.platform.tests import _standins
+from buckthorntack.platform.tests import test_requests
+from buckthorntack.platform.tests import test_software_versions
+from buckthorntack.schema import messages
+
+CUT_AFTER = test_software_versions.CUT_AFTER
+SERVERS = (("s1", "text", "a1", "v1"), ("s2", "text", "a1", "v1"))
+
+
+def control_ids(world):
+    """Ids of the control VMs, by name."""
+    return {
+        name: node.identity.node_id
+        for name, node in world.nodes.items()
+        if node.settings.role == "control"
+    }
+
+
+def cut_off(world, name, peers):
+    """Drop all messages between a node and others.
+
+    :param name: name of the node.
+    :param peers: ids of the others.
+    """
+    links = world.nodes[name].links
+    send, handle = links.send, links.handle
+    links.send = lambda to, message: to not in peers and send(to, message)
+    links.handle = lambda sender, message: (
+        None if sender in peers else handle(sender, message)
+    )
+
+
+def cut_off_from_all(world, name):
+    """Drop all messages between an entry VM and control VMs."""
+    ids = set(control_ids(world).values())
+    cut_off(world, name, ids.union(world.nodes[name].settings.seeds))
+
+
+def lose_changes(world, name):
+    """Drop what an entry VM is told of servers, but nothing else."""
+    links = world.nodes[name].links
+    handle = links.handle
+    links.handle = lambda sender, message: (
+        None
+        if isinstance(
+            message, (messages.RegistryChanges, messages.PackedChanges)
+        )
+        else handle(sender, message)
+    )
+
+
+async def replace(world, server, version, unaware=()):
+    """Let a server start again under its id at another version.
+
+    :param unaware: names of the nodes that are not told.
+    """
+    server.crash()
+    server.software_version = version
+    await server.start_again()
+    control = next(name for name in control_ids(world) if name not in unaware)
+    await world.announce(server, control)
+    await world.until(
+        lambda: all(
+            node.registry.servers[server.server_id].record.born_ms
+            == server.born
+            for name, node in world.nodes.items()
+            if name not in unaware
+        )
+    )
+    for name in unaware:
+        record = world.nodes[name].registry.servers[server.server_id].record
+        assert record.born_ms < server.born
+
+
+async def begin(world, entry, pause_s=0.2):
+    """Begin a stream; return it, its task, its server and the other one."""
+    behave = test_software_versions.write_versions(pause_s=pause_s)
+    test_software_versions.behave_all(world, behave)
+    stream = test_software_versions.Stream(world)
+    task = asyncio.create_task(stream.attempt(entry))
+    await world.until(lambda: stream.versions)
+    first, other = sorted(
+        world.servers.values(), key=lambda server: not server.requests
+    )
+    return stream, task, first, other
+
+
+def go_on_at_once(world):
+    test_software_versions.behave_all(
+        world, test_software_versions.write_versions()
+    )
+
+
+# Guards against a stream that goes on at another version at an entry VM that
+# has no links, as another one hands it on or its client returns there.
+def test_entry_vm_without_control_vms_takes_up_no_foreign_stream():
+    async def scenario(world):
+        stream, task, first, other = await begin(world, "e0")
+        cut_off_from_all(world, "e1")
+        await replace(world, other, "v2", unaware=["e1"])
+        first.crash()
+        await task
+        go_on_at_once(world)
+        sent = len(other.requests)
+        await stream.attempt("e1")
+        assert stream.statuses == [200, 503]
+        assert len(other.requests) == sent
+        assert not stream.is_joined, (stream.versions, stream.statuses)
+
+    test_requests.run(scenario, *SERVERS)
+
+
+# Guards against a stream that an entry VM continues within its response at a
+# server that started again at another version, which it does not know.
+@pytest.mark.parametrize("cut", [cut_off_from_all, lose_changes])
+def test_stream_within_one_answer_ends_if_records_are_old(cut):
+    async def scenario(world):
+        stream, task, first, other = await begin(world, "e1")
+        cut(world, "e1")
+        await replace(world, other, "v2", unaware=["e1"])
+        go_on_at_once(world)
+        first.crash()
+        await task
+        assert stream.statuses == [200]
+        assert not stream.is_joined, stream.versions
+
+    test_requests.run(scenario, *SERVERS)
+
+
+# Guards against a client whose stream goes on at another version, as the entry
+# VM that it returns to learns the origin but has an old record of a server.
+def test_return_to_an_entry_vm_with_old_records():
+    async def scenario(world):
+        stream, task, first, other = await begin(world, "e0")
+        lose_changes(world, "e1")
+        await replace(world, other, "v2", unaware=["e1"])
+        first.crash()
+        await task
+        go_on_at_once(world)
+        await stream.attempt("e1")
+        assert not stream.is_joined, (stream.versions, stream.statuses)
+        assert stream.statuses[1] == 503
+
+    test_requests.run(scenario, *SERVERS)
+
+
+# Guards against streams that go on nowhere while one control VM is down, or
+# stands still and is not known to.
+@pytest.mark.parametrize("is_killed", [True, False])
+def test_stream_goes_on_without_one_control_vm(is_killed):
+    async def scenario(world):
+        stream, task, first, _ = await begin(world, "e0")
+        if is_killed:
+            await world.kill("c2")
+        else:
+            world.nodes["c2"].links.handle = lambda sender, message: None
+        first.crash()
+        go_on_at_once(world)
+        await task
+        assert stream.statuses == [200]
+        assert stream.is_complete
+
+    test_requests.run(scenario, *SERVERS)
+
+
+# Guards against a stream that goes on at a server of another service, under
+# the version of its own, after its route has moved.
+def test_stream_whose_route_has_moved_is_not_run():
+    async def scenario(world):
+        stream, task, _, _ = await begin(world, "e0")
+        await world.add_server("s3", "desk")
+        route = _standins.route(
+            "talk",
+            "desk",
+            type="streaming",
+            resumable=True,
+            itl_target_ms=400,
+        )
+        answer = await world.publish(
+            _standins.configuration(version=2, routes=[route])
+        )
+        assert answer.status == 200
+        await world.in_force(2)
+        await world.kill("e0")
+        await task
+        go_on_at_once(world)
+        await stream.attempt("e1")
+        assert stream.statuses == [200, 503]
+        assert world.servers["s3"].requests == []
+
+    test_requests.run(scenario, *SERVERS)
+
+
+# Guards against a stream that another region continues at a server that
+# started again at another version, which its entry VM does not know.
+def test_stream_is_not_continued_in_a_region_with_old_records():
+    async def scenario(world):
+        await world.until(
+            lambda: (
+                world.nodes["e0"].shared_state.fleet.remote_usage(
+                    "south", "s2", 0
+                )
+                is not None
+            )
+        )
+        stream, task, first, other = await begin(world, "e0")
+        lose_changes(world, "e2")
+        lose_changes(world, "e0")
+        await replace(world, other, "v2", unaware=["e0", "e2"])
+        go_on_at_once(world)
+        first.crash()
+        await task
+        assert not stream.is_joined, stream.versions
+        await stream.play(["e0", "e1"])
+        assert not stream.is_joined, (stream.versions, stream.statuses)
+
+    servers = [(*server[:2], "b1", server[3]) for server in SERVERS]
+    test_requests.run(scenario, *servers)
--- a/buckthorntack/resumption/__init__.py
+++ b/buckthorntack/resumption/__init__.py
@@ -1,8 +1,12 @@
 """Where streams began, so that a client can resume one anywhere."""
 
+from buckthorntack.resumption._events import INCARNATION_UNCONFIRMED
 from buckthorntack.resumption._events import ORIGIN_UNKNOWN
 from buckthorntack.resumption._events import ORIGINS_CUT
 from buckthorntack.resumption._holders import choose_holders
+from buckthorntack.resumption._incarnations import compare_incarnation
+from buckthorntack.resumption._incarnations import IncarnationCheck
+from buckthorntack.resumption._incarnations import IncarnationState
 from buckthorntack.resumption._lookups import OriginLookups
 from buckthorntack.resumption._origins import derive_key
 from buckthorntack.resumption._origins import group_origins
@@ -12,12 +16,16 @@
 from buckthorntack.resumption._origins import ungroup_origins
 
 __all__ = [
+    "INCARNATION_UNCONFIRMED",
     "ORIGIN_UNKNOWN",
     "ORIGINS_CUT",
+    "IncarnationCheck",
+    "IncarnationState",
     "OriginLookups",
     "OriginStore",
     "StreamOrigin",
     "choose_holders",
+    "compare_incarnation",
     "derive_key",
     "group_origins",
     "split_keys",
--- a/buckthorntack/resumption/_events.py
+++ b/buckthorntack/resumption/_events.py
@@ -19,3 +19,12 @@
     "More streams began than records are kept; the oldest were dropped early.",
     "check the rate of streams against docs/CAPACITY.md",
 )
+INCARNATION_UNCONFIRMED = events.declare(
+    2502,
+    "server_incarnation_unconfirmed",
+    logbook.NOTICE,
+    "A stream does not go on at a server, as it has started again (replaced)"
+    " or too few control VMs say that it has not (unknown).",
+    "if it is logged often, check the links between this entry VM and the"
+    " control VMs",
+)
--- a/buckthorntack/resumption/tests/test_resumption.py
+++ b/buckthorntack/resumption/tests/test_resumption.py
@@ -116,3 +116,54 @@
     lookups.begin(KEYS[0], ["c0"])
     lookups.end(KEYS[0])
     assert lookups.on_reply("c0", [(KEYS[0], V1)], [KEYS[1]]) == []
+
+
+def check_of(states, asked=3, known=3):
+    """Result of a check after these states, one of each control VM."""
+    check = resumption.IncarnationCheck([f"c{n}" for n in range(asked)], known)
+    for number, state in enumerate(states):
+        check.on_reply(f"c{number}", resumption.IncarnationState(state))
+    return check
+
+
+@pytest.mark.parametrize(
+    ("states", "expected", "is_complete"),
+    [
+        ([], "unknown", False),
+        (["newest"], "unknown", False),
+        (["newest", "newest"], "newest", False),
+        (["newest", "unknown"], "newest", False),
+        (["unknown", "unknown", "newest"], "newest", True),
+        (["unknown", "unknown", "unknown"], "unknown", True),
+        (["newest", "newest", "replaced"], "replaced", True),
+        (["replaced"], "replaced", True),
+    ],
+)
+def test_incarnation_needs_a_majority_and_no_objection(
+    states, expected, is_complete
+):
+    check = check_of(states)
+    assert check.result.value == expected
+    assert check.is_complete is is_complete
+
+
+def test_incarnation_is_unknown_if_a_minority_can_be_asked():
+    check = check_of(["newest"], asked=1)
+    assert check.is_complete
+    assert check.result is resumption.IncarnationState.UNKNOWN
+    assert check_of([], asked=0, known=0).is_complete
+
+
+def test_reply_counts_once():
+    check = check_of(["newest"])
+    check.on_reply("c0", resumption.IncarnationState.NEWEST)
+    assert check.result is resumption.IncarnationState.UNKNOWN
+
+
+@pytest.mark.parametrize(
+    ("known_born_ms", "expected"),
+    [(None, "unknown"), (4, "unknown"), (5, "newest"), (6, "replaced")],
+)
+def test_incarnations_are_compared(known_born_ms, expected):
+    state = resumption.compare_incarnation(5, known_born_ms)
+    assert state.value == expected
--- a/buckthorntack/schema/_generated/streams.py
+++ b/buckthorntack/schema/_generated/streams.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from typing import Literal
 from typing import NamedTuple
 
 
@@ -38,3 +39,22 @@
 
     groups: list[OriginGroup]
     unknown: bytes
+
+
+class IncarnationQuery(NamedTuple):
+    """
+    An entry VM asks whether its record of a server is of the newest incarnation.
+    """
+
+    number: int
+    server_id: str
+    born_ms: int
+
+
+class IncarnationReply(NamedTuple):
+    """
+    What a control VM knows of the incarnation of a query.
+    """
+
+    number: int
+    state: Literal["newest", "replaced", "unknown"]
--- a/buckthorntack/schema/messages.py
+++ b/buckthorntack/schema/messages.py
@@ -140,6 +140,8 @@
             "SuspectClaim",
         ),
         "buckthorntack.schema._generated.streams": (
+            "IncarnationQuery",
+            "IncarnationReply",
             "OriginGroup",
             "OriginQuery",
             "OriginReply",
