Refuse origins that an entry VM takes from an old record of a server

What callers saw: a stream that began at a server of a new version went on with events of the version before. The entry VM at which it began had not been told that its server had started again, so it took, and told, the former version as the origin. It continued the stream at that version by itself, and so did others that asked control VMs.

Cause: an origin was the software version of the entry VM's record, which nobody compared with what is known elsewhere.

Why it works: an entry VM tells server and incarnation along with the version, also across regions, and a control VM that knows a newer incarnation, or none, drops the origin with a log line. Entry VMs keep no origins themselves: before a stream goes on they ask, also within one response.

tools/record_messages.py makes values for fields that may be null, the first of which is server_id of OriginGroup; no check changed.

--- a/buckthorntack/gateway/_attempt.py
+++ b/buckthorntack/gateway/_attempt.py
@@ -27,6 +27,8 @@
         self.has_continued = False
         #: Where a stream would begin with an event of this attempt.
         self.origin = None
+        #: Pair of server id and incarnation that this origin is of.
+        self.began_at = ()
         self.has_checked_origin = False
         #: Framing, size and end of the body.
         self.framing = ""
--- a/buckthorntack/gateway/_control.py
+++ b/buckthorntack/gateway/_control.py
@@ -178,7 +178,9 @@
             self.timing,
             self.clock,
         )
-        self.origin_keeper = _origin_tasks.OriginKeeper(self.links, self.clock)
+        self.origin_keeper = _origin_tasks.OriginKeeper(
+            self.registry, self.links, self.clock
+        )
         handlers = self.make_handlers(self)
         self.listener = await self._listen(
             "control", settings.service_address, handlers["control"]
--- a/buckthorntack/gateway/_origin_tasks.py
+++ b/buckthorntack/gateway/_origin_tasks.py
@@ -22,7 +22,8 @@
 
     An origin is recorded before the first event leaves, and sent to two
     control VMs at once.  Nothing waits for them: a stream whose origin is
-    lost is not resumed.
+    lost is not resumed.  This entry VM itself asks them too, as they refuse
+    an origin by an old record of the server.
 
     :param shared_state: the ``SharedState``.
     :param links: the ``transport.PlainLinks``.
@@ -33,22 +34,19 @@
         self.registry = shared_state.registry
         self.clock = shared_state.clock
         self.links = links
-        self.store = resumption.OriginStore(self.clock.monotonic())
         self._lookups = resumption.OriginLookups()
         self._futures = {}
         self._unsent = {}
         self._woken = asyncio.Event()
         self._log = events.EventLog("resumption")
 
-    def record(self, request_id, origin):
+    def record(self, request_id, beginning):
         """Record where a stream of this entry VM begins.
 
         :param request_id: id of the client attempt.
-        :param origin: its ``resumption.StreamOrigin``.
+        :param beginning: its ``resumption.Beginning``.
         """
-        key = resumption.derive_key(request_id)
-        _record(self.store, key, origin, self.clock.monotonic(), self._log)
-        self._unsent[key] = origin
+        self._unsent[resumption.derive_key(request_id)] = beginning
         self._woken.set()
 
     async def run(self):
@@ -56,12 +54,17 @@
         while True:
             await self._woken.wait()
             self._woken.clear()
-            unsent, self._unsent = self._unsent, {}
-            groups = resumption.group_origins(unsent.items())
-            for node_id in self._choose_holders():
-                self.links.send(node_id, messages.StreamOrigins(groups))
+            self._send()
             await self.clock.sleep(SEND_INTERVAL)
 
+    def _send(self):
+        unsent, self._unsent = self._unsent, {}
+        if not unsent:
+            return
+        groups = resumption.group_beginnings(unsent.items())
+        for node_id in self._choose_holders():
+            self.links.send(node_id, messages.StreamOrigins(groups))
+
     def _choose_holders(self):
         settings = self.settings
         return resumption.choose_holders(
@@ -78,10 +81,11 @@
             event.
         :returns: ``resumption.StreamOrigin``; None if it is not known.
         """
-        key = resumption.derive_key(request_id)
-        origin = self.store.find(key)
-        if origin is None and request_id:
-            origin = await self._ask(key)
+        origin = None
+        if request_id:
+            # A question must not overtake what it asks for.
+            self._send()
+            origin = await self._ask(resumption.derive_key(request_id))
         if origin is None:
             self._log.write(
                 resumption.ORIGIN_UNKNOWN,
@@ -138,11 +142,13 @@
 class OriginKeeper:
     """Origins of streams that entry VMs began, at a control VM.
 
+    :param registry: the ``discovery.Registry``.
     :param links: the ``transport.PlainLinks``.
     :param clock: source of time.
     """
 
-    def __init__(self, links, clock):
+    def __init__(self, registry, links, clock):
+        self.registry = registry
         self.links = links
         self.clock = clock
         self.store = resumption.OriginStore(clock.monotonic())
@@ -154,8 +160,27 @@
         :param message: ``StreamOrigins``.
         """
         now = self.clock.monotonic()
-        for key, origin in resumption.ungroup_origins(message.groups):
-            _record(self.store, key, origin, now, self._log)
+        groups = [group for group in message.groups if self._believes(group)]
+        for key, origin in resumption.ungroup_origins(groups):
+            self.store.record(key, origin, now)
+        cuts = self.store.take_cuts()
+        if cuts:
+            self._log.write(resumption.ORIGINS_CUT, generations=cuts)
+
+    def _believes(self, group):
+        view = self.registry.servers.get(group.server_id)
+        born_ms = None if view is None else view.record.born_ms
+        if resumption.is_credible(group, born_ms):
+            return True
+        self._log.write(
+            resumption.ORIGIN_REFUSED,
+            server=group.server_id,
+            software_version=group.software_version,
+            born_ms=group.born_ms,
+            known_born_ms=born_ms,
+            streams=len(resumption.split_keys(group.keys)),
+        )
+        return False
 
     def on_query(self, sender, query):
         """Answer where streams began.
@@ -180,10 +205,3 @@
         while True:
             await self.clock.sleep(EXPIRE_PERIOD)
             self.store.expire(self.clock.monotonic())
-
-
-def _record(store, key, origin, now, log):
-    store.record(key, origin, now)
-    cuts = store.take_cuts()
-    if cuts:
-        log.write(resumption.ORIGINS_CUT, generations=cuts)
--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -165,6 +165,10 @@
         #: Where the stream began; None before its first event, or if that is
         #: not known.
         self.origin = _stream_origin.read_headers(forwarding_headers)
+        #: Whether a control VM, which refuses old records, knows it.
+        self.is_origin_kept = self.origin is not None
+        #: Server and incarnation that began it, if that was here.
+        self.began_at = ()
         #: When the caller got the last event, or the request came.
         self.progress_s = request.received_s
         self.retry_after_ms = None
@@ -344,7 +348,16 @@
                 " the request again without Last-Event-Id",
                 DEFAULT_RETRY_AFTER_MS,
             )
-        return self.origin is not None
+        self.is_origin_kept = self.origin is not None
+        return self.is_origin_kept
+
+    async def _confirm_origin(self):
+        """Whether a stream that began here may go on by its origin."""
+        if self.origin is None or self.is_origin_kept:
+            return True
+        kept = await self.handler.origins.find(self.metadata.request_id)
+        self.is_origin_kept = kept == self.origin
+        return self.is_origin_kept
 
     def _choose_service(self):
         splits = self.route.splits
@@ -396,6 +409,12 @@
                 raise TimeoutError
             if self._is_quarantined() or not self._narrow_route():
                 return
+            if not await self._confirm_origin():
+                self._send_final_failure(
+                    "no control VM confirms which software version began it",
+                    None,
+                )
+                return
             now = self.handler.clock.monotonic()
             routing_request = self._build_routing_request()
             servers = self.shared_state.list_servers(self.service.name)
@@ -680,6 +699,7 @@
             attempt.origin = resumption.StreamOrigin(
                 self.service.name, attempt.server.software_version
             )
+            attempt.began_at = tuple(attempt.incarnation)
             start = await self._await_start(
                 attempt, attempt.connection, decision.expected_ms
             )
@@ -865,6 +885,7 @@
             return _results.Unknown("silent before its answer")
         if attempt.in_flight is None:
             attempt.origin = _stream_origin.read_headers(head.headers)
+            attempt.began_at = _stream_origin.read_server(head.headers)
         attempt.framing = head.framing.value
         attempt.answer_started_s = self._now_s()
         metadata = self.dialect.parse_response(head)
@@ -992,6 +1013,7 @@
         )
         if self.is_forwarded:
             headers.extend(_stream_origin.write_headers(self.origin))
+            headers.extend(_stream_origin.write_server(self.began_at))
         self.reply.start(head.status, headers, head.reason, length)
         self._record_first_byte()
 
@@ -1064,10 +1086,14 @@
         if origin is None or not self._is_same_incarnation():
             return
         self.origin = origin
+        self.began_at = self.attempt.began_at
         if not self.route.resumable:
             return
         if not self.is_forwarded:
-            self.handler.origins.record(self.metadata.request_id, origin)
+            self.handler.origins.record(
+                self.metadata.request_id,
+                resumption.Beginning(origin, *self.began_at),
+            )
         self.service = self.shared_state.table.configuration.services.get(
             origin.service, self.service
         )
--- a/buckthorntack/gateway/_stream_origin.py
+++ b/buckthorntack/gateway/_stream_origin.py
@@ -10,6 +10,9 @@
 #: their responses.
 SERVICE_HEADER = b"x-gateway-origin-service"
 VERSION_HEADER = b"x-gateway-origin-version"
+#: The same of the server that began it, and its incarnation, in responses.
+SERVER_HEADER = b"x-gateway-origin-server"
+BORN_HEADER = b"x-gateway-origin-born"
 #: Time without an event after which callers abandon a stream: the longest of
 #: these, the last two as multiples of the objectives of the route.
 MIN_CALLER_PATIENCE = datetime.timedelta(seconds=2)
@@ -50,6 +53,36 @@
     return resumption.StreamOrigin(_unquote(service), _unquote(version))
 
 
+def write_server(began_at):
+    """Return the headers that tell an entry VM which server began a stream.
+
+    :param began_at: pair of server id and incarnation; empty if not known.
+    :returns: list of name and value pairs.
+    """
+    if not began_at:
+        return []
+    server_id, born_ms = began_at
+    return [
+        (SERVER_HEADER, _quote(server_id)),
+        (BORN_HEADER, str(born_ms).encode()),
+    ]
+
+
+def read_server(headers):
+    """Return the server that another entry VM tells; empty if it tells none.
+
+    :param headers: list of name and value pairs.
+
+    >>> read_server(write_server(("s 1", 5)))
+    ('s 1', 5)
+    """
+    server_id = http1.find_header(headers, SERVER_HEADER)
+    born_ms = http1.find_header(headers, BORN_HEADER)
+    if server_id is None or born_ms is None or not born_ms.isdigit():
+        return ()
+    return (_unquote(server_id), int(born_ms))
+
+
 def find_service(route, services, origin):
     """Return the service that continues a stream of a route.
 
--- a/buckthorntack/platform/tests/test_stale_records.py
+++ b/buckthorntack/platform/tests/test_stale_records.py
@@ -10,6 +10,8 @@
 from buckthorntack.schema import messages
 
 CUT_AFTER = test_software_versions.CUT_AFTER
+#: How long a server wants no requests.
+PAUSE_S = 0.5
 SERVERS = (("s1", "text", "a1", "v1"), ("s2", "text", "a1", "v1"))
 
 
@@ -222,3 +224,78 @@
 
     servers = [(*server[:2], "b1", server[3]) for server in SERVERS]
     test_requests.run(scenario, *servers)
+
+
+# Guards against a client whose stream began at an entry VM with an old record
+# of its server, so that others continue it at the version of that record.
+def test_origin_that_an_entry_vm_with_old_records_tells_is_not_used():
+    async def scenario(world):
+        lose_changes(world, "e1")
+        await replace(world, world.servers["s1"], "v2", unaware=["e1"])
+        world.nodes["e1"].shared_state.fleet.state("s2").pause(
+            asyncio.get_running_loop().time(), PAUSE_S
+        )
+        stream, task, first, _ = await begin(world, "e1")
+        assert first.server_id == "s1"
+        assert stream.versions[0] == "v2"
+        await asyncio.sleep(PAUSE_S)
+        go_on_at_once(world)
+        await world.kill("e1")
+        await task
+        await stream.play(["e0"])
+        assert not stream.is_joined, (stream.versions, stream.statuses)
+
+    test_requests.run(scenario, *SERVERS)
+
+
+# Guards against a stream of which an entry VM takes the version by an old
+# record of its server, and which it continues at that version by itself.
+def test_stream_begun_by_an_old_record_does_not_go_on():
+    async def scenario(world):
+        lose_changes(world, "e1")
+        await replace(world, world.servers["s1"], "v2", unaware=["e1"])
+        world.nodes["e1"].shared_state.fleet.state("s2").pause(
+            asyncio.get_running_loop().time(), PAUSE_S
+        )
+        stream, task, first, _ = await begin(world, "e1")
+        assert first.server_id == "s1"
+        await asyncio.sleep(PAUSE_S)
+        go_on_at_once(world)
+        first.crash()
+        await task
+        assert stream.statuses == [200]
+        assert set(stream.versions) == {"v2"}
+
+    test_requests.run(scenario, *SERVERS)
+
+
+# Guards against the same where another region begins the stream by an old
+# record, and tells the version to the entry VM that the client asked.
+def test_origin_by_an_old_record_of_another_region_is_not_used():
+    async def scenario(world):
+        lose_changes(world, "e2")
+        lose_changes(world, "e0")
+        server = world.servers["s1"]
+        await replace(world, server, "v2", unaware=["e0", "e2"])
+        world.nodes["e2"].shared_state.fleet.state("s2").pause(
+            asyncio.get_running_loop().time(), PAUSE_S
+        )
+        await world.until(
+            lambda: (
+                world.nodes["e0"].shared_state.fleet.remote_usage(
+                    "south", "s2", 0
+                )
+                is not None
+            )
+        )
+        stream, task, first, _ = await begin(world, "e0")
+        assert first.server_id == "s1"
+        await asyncio.sleep(PAUSE_S)
+        go_on_at_once(world)
+        await world.kill("e0")
+        await task
+        await stream.play(["e1"])
+        assert not stream.is_joined, (stream.versions, stream.statuses)
+
+    servers = [(*server[:2], "b1", server[3]) for server in SERVERS]
+    test_requests.run(scenario, *servers)
--- a/buckthorntack/resumption/_events.py
+++ b/buckthorntack/resumption/_events.py
@@ -28,3 +28,11 @@
     "if it is logged often, check the links between this entry VM and the"
     " control VMs",
 )
+ORIGIN_REFUSED = events.declare(
+    2503,
+    "stream_origin_refused",
+    logbook.NOTICE,
+    "An entry VM told where streams began by an old record of their server,"
+    " so their software version is not known; their clients begin anew.",
+    "check the links between that entry VM and the control VMs",
+)
--- a/buckthorntack/resumption/_origins.py
+++ b/buckthorntack/resumption/_origins.py
@@ -24,6 +24,16 @@
     software_version: str
 
 
+class Beginning(NamedTuple):
+    """Where a stream began, as an entry VM knows it."""
+
+    origin: StreamOrigin
+    #: Server that sent the first event, and its incarnation; None if an
+    #: entry VM of an earlier build began the stream.
+    server_id: str | None = None
+    born_ms: int = 0
+
+
 class OriginStore:
     """Origins of the streams that began lately, in bounded memory.
 
@@ -113,15 +123,43 @@
     :param pairs: pairs of key and :class:`StreamOrigin`.
     :returns: list of ``OriginGroup``.
     """
+    return group_beginnings((key, Beginning(origin)) for key, origin in pairs)
+
+
+def group_beginnings(pairs):
+    """Encode where streams began.
+
+    :param pairs: pairs of key and :class:`Beginning`.
+    :returns: list of ``OriginGroup``.
+    """
     keys = {}
-    for key, origin in pairs:
-        keys.setdefault(origin, []).append(key)
+    for key, beginning in pairs:
+        keys.setdefault(beginning, []).append(key)
     return [
-        messages.OriginGroup(*origin, b"".join(of_origin))
-        for origin, of_origin in keys.items()
+        messages.OriginGroup(
+            *beginning.origin,
+            b"".join(begun),
+            beginning.server_id,
+            beginning.born_ms,
+        )
+        for beginning, begun in keys.items()
     ]
 
 
+def is_credible(group, born_ms):
+    """Whether the version that an entry VM tells is that of the server.
+
+    An entry VM that was not told of a new start tells the version before.
+
+    :param group: ``OriginGroup``.
+    :param born_ms: newest incarnation of its server that is known here; None
+        for none.
+    """
+    if group.server_id is None:
+        return True
+    return born_ms is not None and born_ms <= group.born_ms
+
+
 def ungroup_origins(groups):
     """Decode origins.
 
--- a/buckthorntack/resumption/tests/test_resumption.py
+++ b/buckthorntack/resumption/tests/test_resumption.py
@@ -118,6 +118,35 @@
     assert lookups.on_reply("c0", [(KEYS[0], V1)], [KEYS[1]]) == []
 
 
+@pytest.mark.parametrize(
+    ("known_born_ms", "expected"),
+    [(None, False), (4, True), (5, True), (6, False)],
+)
+def test_origin_by_an_old_record_is_not_credible(known_born_ms, expected):
+    [group] = resumption.group_beginnings(
+        [(KEYS[0], resumption.Beginning(V1, "s1", 5))]
+    )
+    assert resumption.is_credible(group, known_born_ms) is expected
+
+
+def test_origin_without_its_server_is_credible():
+    [group] = resumption.group_origins([(KEYS[0], V1)])
+    assert resumption.is_credible(group, None)
+
+
+def test_streams_of_two_incarnations_are_grouped_apart():
+    pairs = [
+        (KEYS[0], resumption.Beginning(V1, "s1", 5)),
+        (KEYS[1], resumption.Beginning(V1, "s1", 6)),
+        (KEYS[2], resumption.Beginning(V1, "s1", 5)),
+    ]
+    groups = resumption.group_beginnings(pairs)
+    assert [group.born_ms for group in groups] == [5, 6]
+    assert dict(resumption.ungroup_origins(groups)) == dict.fromkeys(
+        KEYS[:3], V1
+    )
+
+
 def check_of(states, asked=3, known=3):
     """Result of a check after these states, one of each control VM."""
     check = resumption.IncarnationCheck([f"c{n}" for n in range(asked)], known)
--- a/buckthorntack/schema/_generated/streams.py
+++ b/buckthorntack/schema/_generated/streams.py
@@ -14,6 +14,8 @@
     service: str
     software_version: str
     keys: bytes
+    server_id: str | None = None
+    born_ms: int = 0
 
 
 class StreamOrigins(NamedTuple):
--- a/tools/record_messages.py
+++ b/tools/record_messages.py
@@ -8,6 +8,7 @@
 import pathlib
 import re
 import subprocess
+import types
 import typing
 
 from buckthorntack import schema
@@ -74,6 +75,8 @@
         return [_make_value(*typing.get_args(hint))]
     if typing.get_origin(hint) is typing.Literal:
         return typing.get_args(hint)[0]
+    if typing.get_origin(hint) is types.UnionType:
+        return _make_value(typing.get_args(hint)[0])
     return _PLAIN_VALUES[hint]
 
 
