Test entry VMs that stood still, list servers that restart unannounced

Two tests of an entry VM that stood still and reads what it was told of a restarted server later than the server's answer.

--- a/buckthorntack/platform/tests/test_stale_records.py
+++ b/buckthorntack/platform/tests/test_stale_records.py
@@ -12,6 +12,8 @@
 CUT_AFTER = test_software_versions.CUT_AFTER
 #: How long a server wants no requests.
 PAUSE_S = 0.5
+#: How long an entry VM stands still after a stream has broken.
+HELD_S = 0.1
 SERVERS = (("s1", "text", "a1", "v1"), ("s2", "text", "a1", "v1"))
 
 
@@ -57,6 +59,24 @@
     )
 
 
+def stand_still(world, name):
+    """Hold what a node gets from others.
+
+    :returns: function without arguments that lets it go on, in order.
+    """
+    links = world.nodes[name].links
+    handle = links.handle
+    held = []
+    links.handle = lambda *message: held.append(message)
+
+    def go_on():
+        links.handle = handle
+        for message in held:
+            handle(*message)
+
+    return go_on
+
+
 async def replace(world, server, version, unaware=()):
     """Let a server start again under its id at another version.
 
@@ -299,3 +319,42 @@
 
     servers = [(*server[:2], "b1", server[3]) for server in SERVERS]
     test_requests.run(scenario, *servers)
+
+
+# Guards against a stream that goes on at another version at an entry VM that
+# stood still and reads what servers answer before what it is told of them.
+@pytest.mark.parametrize("entry", ["e0", "e1"])
+def test_entry_vm_that_stood_still_takes_up_no_foreign_stream(entry):
+    async def scenario(world):
+        stream, task, first, other = await begin(world, entry)
+        let_go_on = stand_still(world, "e1")
+        await replace(world, other, "v2", unaware=["e1"])
+        go_on_at_once(world)
+        first.crash()
+        again = asyncio.create_task(stream_at_e1(stream, task))
+        await asyncio.sleep(HELD_S)
+        let_go_on()
+        await again
+        assert not stream.is_joined, (stream.versions, stream.statuses)
+
+    async def stream_at_e1(stream, task):
+        await task
+        await stream.attempt("e1")
+
+    test_requests.run(scenario, *SERVERS)
+
+
+# Guards against a server that started again under its id at another version,
+# and has not announced itself, and is taken for the one before.
+def test_server_that_has_not_announced_itself_continues_no_stream():
+    async def scenario(world):
+        stream, task, first, other = await begin(world, "e0")
+        other.crash()
+        other.software_version = "v2"
+        await other.start_again()
+        go_on_at_once(world)
+        first.crash()
+        await task
+        assert not stream.is_joined, (stream.versions, stream.statuses)
+
+    test_requests.run(scenario, *SERVERS)
