Test former addresses and origins out of reach of an entry VM

A server that has got the address of another answers 421 to the id that it is not, and an entry VM that reaches no control VM that keeps an origin refuses, not run.

--- a/buckthorntack/platform/tests/test_stale_records.py
+++ b/buckthorntack/platform/tests/test_stale_records.py
@@ -344,6 +344,54 @@
     test_requests.run(scenario, *SERVERS)
 
 
+# Guards against a stream that goes on at a server of another version that has
+# got the address of a former one, which the entry VM still knows there.
+def test_stream_does_not_go_on_at_a_server_with_a_former_address():
+    async def scenario(world):
+        stream, task, first, other = await begin(world, "e0")
+        lose_changes(world, "e0")
+        lose_changes(world, "e1")
+        await other.__aexit__(None, None, None)
+        host = other.address.rpartition(":")[0]
+        heir = _standins.Server("s9", host, "text")
+        heir.software_version = "v2"
+        heir.born = other.born + _standins.INCARNATION_MS
+        async with heir:
+            await world.announce(heir)
+            heir.behave = test_software_versions.write_versions()
+            first.crash()
+            await task
+            await stream.attempt("e1")
+            assert heir.requests == []
+            assert not stream.is_joined
+            assert stream.statuses == [200, 503]
+
+    test_requests.run(scenario, *SERVERS)
+
+
+# Guards against an entry VM that guesses the version of a stream, as it does
+# not reach the control VMs that know it.
+def test_stream_whose_origin_cannot_be_reached_is_not_run():
+    async def scenario(world):
+        stream, task, _, other = await begin(world, "e0")
+        await asyncio.sleep(HELD_S)
+        holders = {
+            world.nodes[name].identity.node_id
+            for name in control_ids(world)
+            if len(world.nodes[name].origin_keeper.store)
+        }
+        assert len(holders) == 2
+        cut_off(world, "e1", holders)
+        await world.kill("e0")
+        await task
+        go_on_at_once(world)
+        await stream.attempt("e1")
+        assert stream.statuses == [200, 503]
+        assert other.requests == []
+
+    test_requests.run(scenario, *SERVERS)
+
+
 # Guards against a server that started again under its id at another version,
 # and has not announced itself, and is taken for the one before.
 def test_server_that_has_not_announced_itself_continues_no_stream():
