--- a/buckthorntack/gateway/_control.py
+++ b/buckthorntack/gateway/_control.py
@@ -21,6 +21,7 @@
 from buckthorntack.gateway import _events
 from buckthorntack.gateway import _gathering
 from buckthorntack.gateway import _identity
+from buckthorntack.gateway import _incarnation_tasks
 from buckthorntack.gateway import _metrics
 from buckthorntack.gateway import _node
 from buckthorntack.gateway import _notices
@@ -177,7 +178,9 @@
             self.timing,
             self.clock,
         )
-        self.origin_keeper = _origin_tasks.OriginKeeper(self.links, self.clock)
+        self.origin_keeper = _origin_tasks.OriginKeeper(
+            self.registry, self.links, self.clock
+        )
         handlers = self.make_handlers(self)
         self.listener = await self._listen(
             "control", settings.service_address, handlers["control"]
@@ -222,6 +225,14 @@
             self.origin_keeper.on_origins(message)
         elif isinstance(message, messages.OriginQuery):
             self.origin_keeper.on_query(sender, message)
+        elif isinstance(message, messages.IncarnationQuery):
+            _incarnation_tasks.answer_query(
+                self.registry,
+                self.links,
+                sender,
+                message,
+                self.clock.monotonic(),
+            )
 
     def _on_replica_envelope(self, sender, envelope):
         """Deliver a consensus message unless it is for a replaced disk."""
--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -91,6 +91,7 @@
     :param on_quarantine_changed: called without arguments when the quarantine
         has records for other entry VMs.
     :param origins: the ``OriginTask``.
+    :param incarnations: the ``IncarnationTask``.
     :param reachability: the ``ReachabilityTask``.
     """
 
@@ -101,6 +102,7 @@
         metrics,
         on_quarantine_changed,
         origins,
+        incarnations,
         reachability,
     ):
         self.shared_state = shared_state
@@ -108,6 +110,7 @@
         self.metrics = metrics
         self.on_quarantine_changed = on_quarantine_changed
         self.origins = origins
+        self.incarnations = incarnations
         self.reachability = reachability
         self.log = events.EventLog("gateway")
 
@@ -182,6 +185,10 @@
         #: Where the stream began; None before its first event, or if that is
         #: not known.
         self.origin = _stream_origin.read_headers(forwarding_headers)
+        #: Whether a control VM, which refuses old records, knows it.
+        self.is_origin_kept = self.origin is not None
+        #: Server and incarnation that began it, if that was here.
+        self.began_at = ()
         #: When the caller got the last event, or the request came.
         self.progress_s = request.received_s
         self.retry_after_ms = None
@@ -363,7 +370,16 @@
                 " the request again without Last-Event-Id",
                 DEFAULT_RETRY_AFTER_MS,
             )
-        return self.origin is not None
+        self.is_origin_kept = self.origin is not None
+        return self.is_origin_kept
+
+    async def _confirm_origin(self):
+        """Whether a stream that began here may go on by its origin."""
+        if self.origin is None or self.is_origin_kept:
+            return True
+        kept = await self.handler.origins.find(self.metadata.request_id)
+        self.is_origin_kept = kept == self.origin
+        return self.is_origin_kept
 
     def _choose_service(self):
         splits = self.route.splits
@@ -415,6 +431,12 @@
                 raise TimeoutError
             if self._is_quarantined() or not self._narrow_route():
                 return
+            if not await self._confirm_origin():
+                self._send_final_failure(
+                    "no control VM confirms which software version began it",
+                    None,
+                )
+                return
             routing_request, decision, now = self._choose()
             if isinstance(decision, dispatch.Refuse):
                 if self._waits_for_version(decision):
@@ -554,6 +576,8 @@
         self._record_result(result)
         if isinstance(result, _results.NotSent):
             return self.connect_failures <= MAX_CONNECT_FAILURES
+        if isinstance(result, _results.OutOfDate):
+            return False
         if self.may_have_run and not self.route.is_idempotent:
             return False
         if not self._can_continue():
@@ -594,7 +618,7 @@
             self.connect_failures += 1
         elif isinstance(result, _results.Unknown):
             self.may_have_run = True
-        else:
+        elif isinstance(result, _results.NotRun):
             self.retry_after_ms = result.retry_after_ms
 
     def record_other_result(self, attempt, result):
@@ -718,6 +742,10 @@
             attempt.connection = await self.shared_state.acquire_connection(
                 server_id, attempt.server.address, self.metadata.request_id
             )
+            if self.origin is not None:
+                doubt = await self._doubt_version(attempt.server)
+                if doubt is not None:
+                    return doubt
             state = self.shared_state.fleet.state(server_id)
             if state.is_paused(self._now_s()):
                 # Another request was refused while this one connected.
@@ -736,6 +764,7 @@
             attempt.origin = resumption.StreamOrigin(
                 self.service.name, attempt.server.software_version
             )
+            attempt.began_at = tuple(attempt.incarnation)
             start = await self._await_start(
                 attempt, attempt.connection, decision.expected_ms
             )
@@ -750,6 +779,21 @@
             )
         return start
 
+    async def _doubt_version(self, server):
+        """Check the software version of a server that continues a stream.
+
+        :param server: its ``AnnouncedServer``.
+        :returns: the result of the attempt if it is in doubt, else None.
+        """
+        state = await self.handler.incarnations.check(server)
+        if state is resumption.IncarnationState.NEWEST:
+            return None
+        if state is resumption.IncarnationState.REPLACED:
+            return _results.NotSent(f"{server.server_id} has started again")
+        return _results.OutOfDate(
+            "too few control VMs confirm what is known of its server"
+        )
+
     async def relay_answer(self, attempt, start):
         """Relay a response of a server that has begun.
 
@@ -906,6 +950,7 @@
             return _results.Unknown("silent before its answer")
         if attempt.in_flight is None:
             attempt.origin = _stream_origin.read_headers(head.headers)
+            attempt.began_at = _stream_origin.read_server(head.headers)
         attempt.framing = head.framing.value
         attempt.answer_started_s = self._now_s()
         metadata = self.dialect.parse_response(head)
@@ -1038,6 +1083,7 @@
         )
         if self.is_forwarded:
             headers.extend(_stream_origin.write_headers(self.origin))
+            headers.extend(_stream_origin.write_server(self.began_at))
         self.reply.start(head.status, headers, head.reason, length)
         self._record_first_byte()
 
@@ -1110,10 +1156,14 @@
         if origin is None or not self._is_same_incarnation():
             return
         self.origin = origin
+        self.began_at = self.attempt.began_at
         if not self.route.resumable:
             return
         if not self.is_forwarded:
-            self.handler.origins.record(self.metadata.request_id, origin)
+            self.handler.origins.record(
+                self.metadata.request_id,
+                resumption.Beginning(origin, *self.began_at),
+            )
         self.service = self.shared_state.table.configuration.services.get(
             origin.service, self.service
         )
--- a/buckthorntack/resumption/_events.py
+++ b/buckthorntack/resumption/_events.py
@@ -19,3 +19,20 @@
     "More streams began than records are kept; the oldest were dropped early.",
     "check the rate of streams against docs/CAPACITY.md",
 )
+INCARNATION_UNCONFIRMED = events.declare(
+    2502,
+    "server_incarnation_unconfirmed",
+    logbook.NOTICE,
+    "A stream does not go on at a server, as it has started again (replaced)"
+    " or too few control VMs say that it has not (unknown).",
+    "if it is logged often, check the links between this entry VM and the"
+    " control VMs",
+)
+ORIGIN_REFUSED = events.declare(
+    2503,
+    "stream_origin_refused",
+    logbook.NOTICE,
+    "An entry VM told where streams began by an old record of their server,"
+    " so their software version is not known; their clients begin anew.",
+    "check the links between that entry VM and the control VMs",
+)
