Follow evacuations beside a configuration that cannot be read

What operators saw: an entry VM whose build cannot read the newest configuration kept the one before, as it should, but followed no order of evacuation any more, although control VMs acknowledged it; it logged the same error at each of its reports, as its copy was sent again each time.

Cause: a copy of the directives whose configuration cannot be read was dropped as a whole. It takes control VMs of another build, such as in a release. Class: one bad entry that costs the others.

Evidence: test_evacuation_is_followed_beside_an_unreadable_configuration failed with a TimeoutError after 40 s, waiting for the evacuation.

Change: the configuration of such a copy is set aside with its log line, the rest of the copy is applied and counts as taken, so that the same copy is not sent again. A newer configuration is sent with its content, since the version that is in force is reported beside the index.

--- a/buckthorntack/gateway/_following.py
+++ b/buckthorntack/gateway/_following.py
@@ -264,6 +264,8 @@
     def on_directives_copy(self, sender, copy):
         """Apply a copy of the directives.
 
+        Evacuations are followed even if the configuration cannot be read.
+
         :param sender: id of the control VM.
         :param copy: ``DirectivesCopy``.
         """
@@ -283,7 +285,7 @@
                     version=copy.version,
                     error=configuration.error.detail,
                 )
-                return
+                configuration = Ok(None)
         self.shared_state.apply_directives(
             copy.index, configuration.ok, copy.evacuated
         )
--- a/buckthorntack/platform/tests/test_odd_configurations.py
+++ b/buckthorntack/platform/tests/test_odd_configurations.py
@@ -2,9 +2,12 @@
 
 import json
 
+from expression import Error
 import pytest
 
+from buckthorntack import directives
 from buckthorntack.platform import _configuration
+from buckthorntack.platform import _dialect
 from buckthorntack.platform.tests import _standins
 from buckthorntack.platform.tests import test_requests
 
@@ -225,3 +228,39 @@
         assert number_served >= len(TAKEN) * SERVED_SHARE
 
     test_requests.run(scenario, entries=("a1",))
+
+
+class EarlierDialect(_dialect.PlatformDialect):
+    """Formats of a build that reads no configuration of version 5."""
+
+    def __init__(self):
+        self.refusals = 0
+
+    def parse_configuration(self, content):
+        if json.loads(content)["version"] != 5:
+            return super().parse_configuration(content)
+        self.refusals += 1
+        return Error(directives.InvalidConfigurationError("a new field"))
+
+
+# Guards against orders that an entry VM no longer follows, once there is a
+# configuration that its build cannot read.
+def test_evacuation_is_followed_beside_an_unreadable_configuration():
+    async def scenario(world):
+        entry = world.nodes["e0"].shared_state
+        entry.dialect = EarlierDialect()
+        await world.publish(_standins.configuration(5))
+        await world.until(lambda: entry.dialect.refusals)
+        answer = await world.control("c0", "POST", "/evacuations/b1")
+        assert answer.status == 200
+        await world.until(lambda: entry.dispatcher.evacuated == {"b1"})
+        answer = await world.control("c0", "DELETE", "/evacuations/b1")
+        assert answer.status == 200
+        await world.until(lambda: not entry.dispatcher.evacuated)
+        assert entry.version == 1
+        # Each change of the orders is read once.
+        assert entry.dialect.refusals == 3
+        await world.publish(_standins.configuration(6))
+        await world.until(lambda: entry.version == 6)
+
+    test_requests.run(scenario, entries=("a1",))
