Test routes of a negative priority at a server that names a limit

The test of odd fields in answers waits until the entry VM of the other region knows of the new server's load, before it asks there; without its load that VM refuses requests, rightly.

--- a/buckthorntack/platform/tests/test_odd_answers.py
+++ b/buckthorntack/platform/tests/test_odd_answers.py
@@ -93,6 +93,10 @@
                     retry_after_s = float(answer.headers[b"retry-after"])
                     assert 0 <= retry_after_s < MAX_RETRY_AFTER_S
         await world.add_server("s2", "desk")
+        remote = world.nodes["e2"].shared_state.fleet
+        await world.until(
+            lambda: remote.remote_usage("north", "s2", 0.0) is not None
+        )
         for entry in ("e0", "e1", "e2"):
             assert (await world.ask(SAFE, entry=entry)).status == 200
 
--- a/buckthorntack/platform/tests/test_odd_configurations.py
+++ b/buckthorntack/platform/tests/test_odd_configurations.py
@@ -230,6 +230,24 @@
     test_requests.run(scenario, entries=("a1",))
 
 
+# Guards against an odd priority that ends the requests of its route, once
+# their server names a limit.
+@pytest.mark.parametrize("priority", [-5, -(10**18), 10**18])
+def test_odd_priority_is_served_by_a_limited_server(priority):
+    async def scenario(world):
+        server = await world.add_server("s1", "desk")
+        limit = (b"Server-Limit", b"0.01")
+        server.behave = _standins.answer_with(200, limit)
+        content = set_in("route", "priority", priority)
+        await world.publish(json.loads(content))
+        await world.in_force(9)
+        statuses = [(await world.ask("/safe/x")).status for _ in range(5)]
+        # The last ones come when the server has had all that it takes.
+        assert set(statuses) == {200, 503}, statuses
+
+    test_requests.run(scenario, entries=("a1",))
+
+
 class EarlierDialect(_dialect.PlatformDialect):
     """Formats of a build that reads no configuration of version 5."""
 
