Refuse a settings file whose numbers cannot be read, and go on

What operators and callers saw: after one odd settings file (no internal ports, a period of 1e300 ms, a grace that is no number, deeply nested arrays) a node never read its settings again. At SIGTERM the error of that task ended the node before it stopped gracefully, so that requests in hand were cut.

Cause: numbers were converted outside the try of load_settings, and its errors of arithmetic, of the first port and of recursion were none of those that a reload passes over. Class: outside input that is checked for its form, not for its range.

That the node then ends without its graceful stop is read from tasks.running and _run.run, no test plays it.

Change: all of them are a SettingsError, which is logged while the settings that were known hold, and names the file at the start.

--- a/buckthorntack/platform/_settings.py
+++ b/buckthorntack/platform/_settings.py
@@ -24,12 +24,20 @@
         with open(path, encoding="utf-8") as file:
             document = json5.load(file)
         checked = msgspec.convert(document, documents.NodeDocument)
-    except (OSError, ValueError, msgspec.ValidationError) as error:
+        return _settings(checked)
+    except (
+        OSError,
+        ValueError,
+        OverflowError,
+        RecursionError,
+        msgspec.ValidationError,
+    ) as error:
         raise gateway.SettingsError(f"{path}: {error}") from None
-    return _settings(checked)
 
 
 def _settings(document):
+    if not document["internal_ports"]:
+        raise ValueError("internal_ports is empty")
     first_port = document["internal_ports"][0]
     return gateway.NodeSettings(
         role=document["role"],
