Take a configuration again that could not be read, beside its evacuations

Cause: the index of a copy stood for both its configuration and its evacuations.

Evidence: the test above, which now waits for the version that could not be read at first; with the index counted as taken that version never came in force, as the copy was not sent again. (Its line that the copy is read once per change is gone, since it is sent again with each report, as before.)

Change: evacuations have an index of their own. Of copies out of order the newest evacuations hold; a configuration is sent until it is read.

--- a/buckthorntack/gateway/_following.py
+++ b/buckthorntack/gateway/_following.py
@@ -285,7 +285,8 @@
                     version=copy.version,
                     error=configuration.error.detail,
                 )
-                configuration = Ok(None)
+                self.shared_state.apply_evacuations(copy.index, copy.evacuated)
+                return
         self.shared_state.apply_directives(
             copy.index, configuration.ok, copy.evacuated
         )
--- a/buckthorntack/gateway/_shared_state.py
+++ b/buckthorntack/gateway/_shared_state.py
@@ -94,6 +94,7 @@
         #: ``http1.MemoryWatch``; None if what is held is not bounded.
         self.memory_watch = None
         self.directives_index = -1
+        self._evacuations_index = -1
         self.started_at = clock.monotonic()
         self._log = events.EventLog("gateway")
         self._changed = asyncio.Event()
@@ -141,11 +142,23 @@
         if configuration is not None and configuration.version > self.version:
             self.table = directives.RouteTable(configuration)
             self.dispatcher.set_configuration(configuration)
+        self.apply_evacuations(index, evacuated)
+        self._notify_change()
+        return True
+
+    def apply_evacuations(self, index, evacuated):
+        """Apply the evacuations of directives unless they are outdated.
+
+        :param index: index of the directives in the control group's log.
+        :param evacuated: failure domains that receive no requests.
+        """
+        if index <= self._evacuations_index:
+            return
+        self._evacuations_index = index
         self.dispatcher.set_evacuated(
             frozenset(evacuated), self.clock.monotonic()
         )
         self._notify_change()
-        return True
 
     def _notify_change(self):
         self._changed.set()
--- a/buckthorntack/platform/tests/test_odd_configurations.py
+++ b/buckthorntack/platform/tests/test_odd_configurations.py
@@ -276,8 +276,12 @@
         assert answer.status == 200
         await world.until(lambda: not entry.dispatcher.evacuated)
         assert entry.version == 1
-        # Each change of the orders is read once.
-        assert entry.dialect.refusals == 3
+        # A copy of an earlier state is late.
+        entry.apply_evacuations(entry._evacuations_index - 1, ["b1"])
+        assert not entry.dispatcher.evacuated
+        # The configuration is taken once it can be read.
+        entry.dialect = _dialect.PlatformDialect()
+        await world.until(lambda: entry.version == 5)
         await world.publish(_standins.configuration(6))
         await world.until(lambda: entry.version == 6)
 
