--- a/buckthorntack/gateway/_following.py
+++ b/buckthorntack/gateway/_following.py
@@ -274,6 +274,8 @@
     def on_directives_copy(self, sender, copy):
         """Apply a copy of the directives.
 
+        Evacuations are followed even if the configuration cannot be read.
+
         :param sender: id of the control VM.
         :param copy: ``DirectivesCopy``.
         """
@@ -294,6 +296,7 @@
             if configuration.is_error():
                 detail = configuration.error.detail
                 self._log_unreadable(copy.version, detail, sender)
+                self.shared_state.apply_evacuations(copy.index, copy.evacuated)
                 return
         self.shared_state.apply_directives(
             copy.index, configuration.ok, copy.evacuated
--- a/buckthorntack/platform/_settings.py
+++ b/buckthorntack/platform/_settings.py
@@ -39,6 +39,8 @@
 
 
 def _settings(document):
+    if not document["internal_ports"]:
+        raise ValueError("internal_ports is empty")
     first_port = document["internal_ports"][0]
     return gateway.NodeSettings(
         role=document["role"],
