Pass a replica's message over whose values are out of range

What callers saw: by a test: one such message stopped the replicas that got it, and with each the process of its control VM, which met the message again after its start; nothing was accepted or ordered any more.

Cause: messages were checked for their types only. An entry with another index than its place was taken over.

Change: a replica looks at numbers, the places and terms of entries and at configurations before it changes its state; what is out of range is logged (407: group, sender, kind, field) and passed over.

--- a/buckthorntack/consensus/_commands.py
+++ b/buckthorntack/consensus/_commands.py
@@ -49,6 +49,14 @@
     read_id: int
 
 
+class MessageRefused(NamedTuple):
+    """A message was passed over, as a value of it is out of range."""
+
+    sender: str
+    kind: str
+    fault: str
+
+
 class ProposalDropped(NamedTuple):
     """A proposal is in no leader's log and will not be added to one."""
 
--- a/buckthorntack/consensus/_events.py
+++ b/buckthorntack/consensus/_events.py
@@ -50,3 +50,11 @@
     logbook.NOTICE,
     "All first voters recorded this replica's disk; it may vote.",
 )
+MESSAGE_REFUSED = events.declare(
+    407,
+    "replica_message_out_of_range",
+    logbook.ERROR,
+    "A message of another replica has a value out of range and was passed "
+    "over.",
+    "compare the builds of both control VMs, and check the sender's disk",
+)
--- a/buckthorntack/consensus/_replica.py
+++ b/buckthorntack/consensus/_replica.py
@@ -13,6 +13,7 @@
 from buckthorntack.consensus import _enrolment
 from buckthorntack.consensus import _errors
 from buckthorntack.consensus import _members
+from buckthorntack.consensus import _ranges
 from buckthorntack.consensus import _reads
 from buckthorntack.consensus import _replication
 from buckthorntack.consensus import _snapshots
@@ -87,8 +88,15 @@
         :param now: monotonic time.
         """
         self.state.now = now
-        if message.group == self.state.group:
-            self._receive(message, sender)
+        if message.group != self.state.group:
+            return
+        fault = _ranges.find_fault(message)
+        if fault is not None:
+            kind = type(message).__name__
+            refused = commands.MessageRefused(sender, kind, fault)
+            self.state.commands.append(refused)
+            return
+        self._receive(message, sender)
 
     def propose(self, proposal_id, command, now):
         """Append a command to the log, or forward it to the leader.
--- a/buckthorntack/consensus/_task.py
+++ b/buckthorntack/consensus/_task.py
@@ -565,6 +565,16 @@
         error = _errors.ProposalRefusedError(detail)
         self._proposals.resolve(command.proposal_id, Error(error))
 
+    @_execute.register
+    def _(self, command: commands.MessageRefused):
+        self._events.write(
+            _events.MESSAGE_REFUSED,
+            group=self.group,
+            peer=command.sender,
+            kind=command.kind,
+            fault=command.fault,
+        )
+
     @_execute.register
     def _(self, command: commands.RoleChanged):
         self._events.write(
