Start without a copy of the configuration that cannot be read

What callers saw: by a test: an entry VM with a disk whose registration was damaged, or whose copy a later build had written, ended at each start.

Cause: errors of a number, of UTF-8, of the disk and of the schema escaped from the load, though a copy that fails its checksum is fetched again, without a log line.

Evidence: nine new cases of test_copy_store.py failed, with UnicodeDecodeError, ValueError, IsADirectoryError and for the missing log line, and both cases of test_copy_of_another_build_is_fetched_again with an UnknownMessageError.

Change: what cannot be read is logged (508: path, error) and fetched from a control VM; without its registration the node registers again, under a higher number. A copy is taken over as a whole or not at all.

--- a/buckthorntack/configuration/_copy_store.py
+++ b/buckthorntack/configuration/_copy_store.py
@@ -2,11 +2,14 @@
 
 import os
 import pathlib
+import re
 import struct
 from typing import NamedTuple
 import zlib
 
+from buckthorntack import events
 from buckthorntack.configuration import _content
+from buckthorntack.configuration import _events
 
 COPY_NAME = "copy"
 REGISTERED_NAME = "registration"
@@ -16,9 +19,16 @@
 #: Size beyond which the journal is replaced by a new copy, in bytes.
 MAX_JOURNAL_BYTES = 4 << 20
 
+#: Length of the content of a damaged file that is logged.
+MAX_LOGGED_BYTES = 64
+
 #: Journal record header: length, CRC-32 of the length, CRC-32 of the delta.
 _HEADER = struct.Struct(">III")
 _LENGTH = struct.Struct(">I")
+_REGISTRATION = re.compile(
+    rf"({REGISTERED_STATE}|{LEFT_STATE})(?: (\d{{1,18}}))?", re.ASCII
+)
+_LOG = events.EventLog("configuration")
 
 
 class StoredCopy(NamedTuple):
@@ -68,21 +78,41 @@
         path = self.folder / COPY_NAME
         if not path.exists():
             return None
-        data = path.read_bytes()
+        try:
+            data = path.read_bytes()
+        except OSError as error:
+            log_unreadable(path, error)
+            return None
         checksum = data[: _content.DIGEST_BYTES]
         copy = data[_content.DIGEST_BYTES :]
         if _content.digest(copy) != checksum:
+            log_unreadable(path, "its checksum fails")
             return None
         deltas = self._load_journal(checksum)
         if deltas is None:
+            log_unreadable(self._journal_path(checksum), "a checksum fails")
             return None
         return StoredCopy(copy, deltas, *self._load_registration())
 
+    def discard(self):
+        """Forget what was loaded; the next write is a copy."""
+        self._close_journal()
+
     def _load_registration(self):
+        """Read the registration; a node that has lost it registers again."""
         path = self.folder / REGISTERED_NAME
         if not path.exists():
             return False, 0
-        state, _, number = path.read_text().partition(" ")
+        try:
+            content = path.read_bytes()
+        except OSError as error:
+            log_unreadable(path, error)
+            return False, 0
+        match = _REGISTRATION.fullmatch(content.decode(errors="replace"))
+        if match is None:
+            log_unreadable(path, repr(content[:MAX_LOGGED_BYTES]))
+            return False, 0
+        state, number = match.groups()
         return state == REGISTERED_STATE, int(number or 0)
 
     def _journal_path(self, checksum):
@@ -168,6 +198,15 @@
             os.close(descriptor)
 
 
+def log_unreadable(path, error):
+    """Log a file whose contents cannot be read.
+
+    :param path: path of the file.
+    :param error: why.
+    """
+    _LOG.write(_events.COPY_UNREADABLE, path=str(path), error=error)
+
+
 def _parse_journal(data):
     """Return the deltas of a journal and the offset after the last one.
 
--- a/buckthorntack/configuration/_events.py
+++ b/buckthorntack/configuration/_events.py
@@ -56,3 +56,11 @@
     "A source has a different history for the same revision.",
     "stop the source named and compare its data folder with the others",
 )
+COPY_UNREADABLE = events.declare(
+    508,
+    "configuration_copy_unreadable",
+    logbook.WARNING,
+    "A file of the durable copy cannot be read; what it held is fetched from "
+    "a control VM.",
+    "check the disk; after a return to an earlier build none is needed",
+)
--- a/buckthorntack/configuration/_follow_task.py
+++ b/buckthorntack/configuration/_follow_task.py
@@ -6,9 +6,11 @@
 import functools
 
 import expression
+import msgspec
 
 from buckthorntack import clock as clocks
 from buckthorntack import events
+from buckthorntack import schema
 from buckthorntack import tasks
 from buckthorntack.configuration import _commands
 from buckthorntack.configuration import _copy_store
@@ -26,6 +28,15 @@
 WRITE_RETRY_INTERVAL = datetime.timedelta(seconds=1)
 
 _LOG = events.EventLog("configuration")
+#: Errors of a sound copy whose contents this build does not know.
+_UNREADABLE = (
+    schema.MalformedMessageError,
+    msgspec.MsgspecError,
+    LookupError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
 #: Messages of other entry VMs that the source of this node handles.
 _SERVED_TO_PEERS = (messages.ConfigurationPoll,)
 
@@ -61,14 +72,15 @@
         self.sender = sender
         self.clock = clock
         self.folder = folder
-        self.follower = _follower.ConfigurationFollower(
+        self._make_follower = functools.partial(
+            _follower.ConfigurationFollower,
             region,
             failure_domain,
             sources,
             rng,
             registration=_times.wall_time_ms(clock),
         )
-        self.source = _source.ConfigurationSource(self.follower.log)
+        self._set_follower(self._make_follower())
         self._current = None
         self._listeners = []
         self._waiters = []
@@ -91,9 +103,20 @@
     def _restore(self, stored):
         if stored is None:
             return
-        self.follower.restore(*stored)
+        follower = self._make_follower()
+        try:
+            follower.restore(*stored)
+        except _UNREADABLE as error:
+            _copy_store.log_unreadable(self.folder, repr(error))
+            self._store.discard()
+            return
+        self._set_follower(follower)
         self._current = self.follower.log.published
 
+    def _set_follower(self, follower):
+        self.follower = follower
+        self.source = _source.ConfigurationSource(follower.log)
+
     def current(self):
         """Return the active published set, or ``None`` if there is none yet.
 
--- a/buckthorntack/configuration/tests/test_copy_store.py
+++ b/buckthorntack/configuration/tests/test_copy_store.py
@@ -1,5 +1,6 @@
 """Truncated and corrupted durable copies."""
 
+import logbook
 import pytest
 
 from buckthorntack.configuration import _copy_store
@@ -78,3 +79,50 @@
     (folder / f"{_copy_store.COPY_NAME}.new").write_bytes(b"half")
     (folder / f"{_copy_store.JOURNAL_PREFIX}00").write_bytes(b"")
     assert load(folder).copy == b"copy"
+
+
+COPY_UNREADABLE = 508
+
+
+def lines_of(log):
+    return [
+        record.extra
+        for record in log.records
+        if record.extra.get("event") == COPY_UNREADABLE
+    ]
+
+
+# An entry VM whose registration was damaged ended at each start.
+@pytest.mark.parametrize(
+    "content",
+    [
+        b"registered x",
+        b"registered -3",
+        b"registered 9999999999999999999999",
+        b"registered " + b"9" * 5000,
+        b"\xff\xfe",
+        b"\0" * 20,
+        b"",
+    ],
+)
+def test_odd_registration_costs_itself_only(folder, content):
+    (folder / _copy_store.REGISTERED_NAME).write_bytes(content)
+    with logbook.TestHandler() as log:
+        assert load(folder) == (b"copy", DELTAS, False, 0)
+    [line] = lines_of(log)
+    assert line["path"].endswith(_copy_store.REGISTERED_NAME)
+
+
+def test_damage_is_logged(folder):
+    (folder / _copy_store.COPY_NAME).write_bytes(b"x")
+    with logbook.TestHandler() as log:
+        assert load(folder) is None
+    assert len(lines_of(log)) == 1
+
+
+def test_copy_that_cannot_be_read_is_fetched_again(folder):
+    (folder / _copy_store.COPY_NAME).unlink()
+    (folder / _copy_store.COPY_NAME).mkdir()
+    with logbook.TestHandler() as log:
+        assert load(folder) is None
+    assert len(lines_of(log)) == 1
--- a/buckthorntack/configuration/tests/test_tasks.py
+++ b/buckthorntack/configuration/tests/test_tasks.py
@@ -5,6 +5,7 @@
 import datetime
 import random
 
+import logbook
 import pytest
 
 from buckthorntack import clock
@@ -213,3 +214,30 @@
             revision, accepted = answer["revision"], answer["accepted"]
 
     run_in_cluster(scenario)
+
+
+# An entry VM that returned to an earlier build ended at each start, as that
+# could not read the copy of the later one.
+@pytest.mark.parametrize("name", ["copy", "journal"])
+def test_copy_of_another_build_is_fetched_again(run_in_cluster, name):
+    async def scenario(cluster):
+        entry = await cluster.start_entry("e1", "kagoshima")
+        await entry.wait_for(1, WAIT)
+        await cluster.stop("e1")
+        folder = cluster.folder / "e1"
+        with configuration.CopyStore(folder) as store:
+            copy = store.load().copy
+            store.write_copy(b"Unknown\0" if name == "copy" else copy)
+            store.append(b"Unknown\0")
+        restarted = await cluster.start_entry("e1", "kagoshima")
+        assert restarted.current() is None
+        found = (await restarted.wait_for(1, WAIT)).ok
+        assert found.get("Organisation", "shops") is not None
+        await cluster.stop("e1")
+        restarted = await cluster.start_entry("e1", "kagoshima")
+        assert restarted.current().revision == 1
+
+    with logbook.TestHandler() as log:
+        run_in_cluster(scenario)
+    lines = [r for r in log.records if r.extra.get("event") == 508]
+    assert len(lines) == 1
