Name the file if a control VM's identity cannot be read

What callers saw: by a test: a control VM whose identity another build had written, or damaged with a sound checksum, ended with a traceback instead of the log line with the file and its remedy.

Cause: errors of the schema were not told as those of the storage.

Evidence: the six cases of test_odd_identity_is_an_error_that_names_its_file failed with msgspec errors. The process still ends: a new identity would make a voter forget its votes.

--- a/buckthorntack/gateway/_identity.py
+++ b/buckthorntack/gateway/_identity.py
@@ -21,7 +21,11 @@
     folder = settings.data_folder
     if _FILE_NAME in files.list_names(folder):
         payload = storage.read_checked_file(files, folder, _FILE_NAME)
-        return _DECODER.decode(payload)
+        try:
+            return _DECODER.decode(payload)
+        except (msgspec.MsgspecError, RecursionError) as error:
+            path = f"{folder}/{_FILE_NAME}"
+            raise storage.CorruptFileError(f"{path}: {error}") from error
     identity = new_identity(settings, rng)
     storage.write_file_atomically(
         files, folder, _FILE_NAME, msgspec.msgpack.encode(identity)
