Set parts of an entry VM's report aside that are out of range

What callers saw: by a test: one speed or limit of one server that was infinite, huge or no number ended the choice of a server with an exception at each entry VM that was told of it, for all requests; speeds are passed on to those that start.

Cause: numbers of a report were merged unchecked. Averages and rates took them over, and the choice compares all servers. Class: input from outside that is checked for its form, not for its range.

--- a/buckthorntack/dispatch/__init__.py
+++ b/buckthorntack/dispatch/__init__.py
@@ -20,6 +20,7 @@
         "buckthorntack.dispatch._outcomes": ("Outcome",),
         "buckthorntack.dispatch._prompts": ("Part", "PrefixCache", "Prompt"),
         "buckthorntack.dispatch._reachability": ("Reachability",),
+        "buckthorntack.dispatch._report_ranges": ("set_aside_unsound",),
         "buckthorntack.dispatch._retry_budgets": ("RetryBudgets",),
         "buckthorntack.dispatch._returns": ("Returns",),
         "buckthorntack.dispatch._server_limits": (
--- a/buckthorntack/gateway/_entry.py
+++ b/buckthorntack/gateway/_entry.py
@@ -15,6 +15,7 @@
 from buckthorntack.gateway import _origin_tasks
 from buckthorntack.gateway import _quarantine_task
 from buckthorntack.gateway import _reachability_task
+from buckthorntack.gateway import _records
 from buckthorntack.gateway import _request_handler
 from buckthorntack.gateway import _shared_state
 from buckthorntack.gateway import _supervision
@@ -176,6 +177,8 @@
 
     def _on_message(self, sender, message):
         now_s = self.clock.monotonic().total_seconds()
+        if isinstance(message, messages.UseReport | messages.RegionLoad):
+            message = _records.set_aside_statements(message, sender, self._log)
         if isinstance(message, messages.UseReport):
             self.shared_state.exchange.on_report(sender, message, now_s)
             self.shared_state.log_limits(sender)
--- a/buckthorntack/gateway/_records.py
+++ b/buckthorntack/gateway/_records.py
@@ -1,8 +1,12 @@
 """Records of other nodes whose values are out of range."""
 
 from buckthorntack import discovery
+from buckthorntack import dispatch
 from buckthorntack.gateway import _events
 
+#: Length of a value that is logged.
+MAX_LOGGED_LENGTH = 256
+
 
 def set_aside_unsound(changes, sender, log):
     """Take the records that are out of range out of changes, and log them.
@@ -18,6 +22,20 @@
     return sound
 
 
+def set_aside_statements(report, sender, log):
+    """Take the parts that are out of range out of a report, and log them.
+
+    :param report: ``UseReport`` or ``RegionLoad``.
+    :param sender: id of the entry VM that sent it.
+    :param log: the ``EventLog``.
+    :returns: the report without them.
+    """
+    sound, unsound = dispatch.set_aside_unsound(report)
+    for statement in unsound:
+        log_refused(statement.subject, statement.content, sender, log)
+    return sound
+
+
 def log_refused(record_id, fault, sender, log):
     """Log a record that was set aside.
 
@@ -28,7 +46,7 @@
     """
     log.write(
         _events.RECORD_REFUSED,
-        record=repr(record_id),
-        fault=fault,
+        record=repr(record_id[:MAX_LOGGED_LENGTH]),
+        fault=fault[:MAX_LOGGED_LENGTH],
         told_by=sender,
     )
--- a/buckthorntack/gateway/tests/test_odd_records.py
+++ b/buckthorntack/gateway/tests/test_odd_records.py
@@ -199,3 +199,19 @@
     assert lines_of(log) == []
     assert len(entry.registry.servers) == 3
     assert len(entry.registry.nodes) == 2
+
+
+# A speed that was no number failed all requests of the region.
+def test_odd_report_of_an_entry_vm_costs_a_part_of_it():
+    entry = make_entry()
+    odd = messages.SpeedSample("s1", 1, float("nan"), 1.0)
+    use = messages.ServerUse("s2", 1, 1, 5, 5)
+    report = messages.UseReport(
+        1, "own", True, [use], [], [], [], False, [], [], [odd], [odd]
+    )
+    with logbook.TestHandler() as log:
+        entry._on_message("10.1.0.3:80", report)
+    lines = lines_of(log)
+    assert [line["record"] for line in lines] == ["'s1'"] * 2
+    assert entry.shared_state.fleet.usage("s2").running == 1
+    assert not entry.shared_state.fleet.speeds.list_statements()
