Search for losses of disks beside a loss of all other power

The model checker had no such end. Schedule.lose_disk gave one replica an empty disk while the others went on; nothing stopped all replicas at one moment, and each write was durable at once, so a loss of power could lose none but in crash_midway.

It can fail: 60 seeds notice replicas that send and apply before their write, a vote given twice, a vote for any log, and a commit that counts one disk (tests).

--- a/buckthorntack/consensus/tests/simulation.py
+++ b/buckthorntack/consensus/tests/simulation.py
@@ -7,6 +7,7 @@
 from buckthorntack import consensus
 from buckthorntack import storage
 from buckthorntack.consensus import _commands as commands
+from buckthorntack.consensus import _configuration as configurations
 
 STEP = datetime.timedelta(milliseconds=100)
 TIMING = consensus.Timing(
@@ -17,6 +18,11 @@
     promotion_lag_entries=2,
 )
 GROUP = "g"
+DURABLE_COMMANDS = (
+    commands.PersistHardState,
+    commands.PersistEntries,
+    commands.RestoreSnapshot,
+)
 
 
 class ViolationError(AssertionError):
@@ -63,6 +69,8 @@
         self.replica = None
         self.applied = []
         self.applied_index = 0
+        #: Commands that wait for a write to the disk.
+        self.held = []
 
 
 class Simulation:
@@ -72,13 +80,23 @@
     :param seed: seed of the replicas' random numbers.
     :param lost_commands: types of commands that are never written to a disk.
     :param timing: a ``consensus.Timing``.
+    :param holds_writes: whether a write lasts until the next event of its
+        replica, and is lost if the replica ends before.
     """
 
-    def __init__(self, names, seed=0, lost_commands=(), timing=TIMING):
+    def __init__(
+        self,
+        names,
+        seed=0,
+        lost_commands=(),
+        timing=TIMING,
+        holds_writes=False,
+    ):
         self.now = datetime.timedelta()
         self.rng = random.Random(seed)
         self.lost_commands = lost_commands
         self.timing = timing
+        self.holds_writes = holds_writes
         self.first_voters = tuple(names)
         self.nodes = {}
         self.envelopes = []
@@ -120,6 +138,19 @@
     def crash(self, name):
         """Stop a replica; its disk is kept."""
         self.nodes[name].replica = None
+        self.nodes[name].held = []
+
+    def lose_power(self, lost=()):
+        """Stop all replicas at once, with all messages in flight.
+
+        :param lost: nodes whose disks are gone; they do not come back.
+        """
+        self.envelopes.clear()
+        for name in list(self.nodes):
+            self.crash(name)
+        for name in lost:
+            del self.nodes[name]
+            self.lost_disks.add(name)
 
     def running_nodes(self):
         """Nodes whose replica is running."""
@@ -135,6 +166,7 @@
         self.now += steps * STEP
         node = self.nodes[name]
         if node.replica:
+            self.finish_writes(node)
             node.replica.tick(self.now)
             self.execute_commands(node)
 
@@ -150,6 +182,7 @@
         node = self.nodes[envelope.to]
         if not node.replica or (envelope.sender, envelope.to) in self.blocked:
             return
+        self.finish_writes(node)
         node.replica.receive(envelope.sender, envelope.message, self.now)
         self.execute_commands(node)
 
@@ -158,6 +191,7 @@
         node = self.nodes[name]
         if not node.replica:
             return
+        self.finish_writes(node)
         self.sequence += 1
         proposal_id = f"{name}/{self.sequence}"
         command = b"%0*d" % (width, self.sequence)
@@ -171,6 +205,7 @@
         node = self.nodes[name]
         if not node.replica:
             return
+        self.finish_writes(node)
         self.sequence += 1
         self.reads[self.sequence] = max(self.committed, default=0)
         node.replica.read(self.sequence, self.now)
@@ -187,6 +222,7 @@
         node = self.nodes[name]
         if not node.replica:
             return None
+        self.finish_writes(node)
         self.sequence += 1
         step = getattr(node.replica, kind)
         result = step(f"{name}/{self.sequence}", *arguments, self.now)
@@ -197,13 +233,17 @@
         """Start a leadership transfer at a replica."""
         node = self.nodes[name]
         if node.replica:
+            self.finish_writes(node)
             node.replica.transfer_leadership(self.now)
             self.execute_commands(node)
 
     def save_snapshot(self, name):
         """Save a snapshot of a replica's applied commands."""
         node = self.nodes[name]
-        if not node.replica or not node.applied_index:
+        if not node.replica:
+            return
+        self.finish_writes(node)
+        if not node.applied_index:
             return
         if node.replica.state.snapshot_index == node.applied_index:
             return
@@ -220,15 +260,40 @@
         """
         collected = node.replica.collect()
         self.check_log_matching(node)
-        for number, command in enumerate(collected):
-            if number == limit:
-                break
-            self.execute_command(node, command)
         if limit is not None:
+            self._execute_all(node, collected[:limit])
             self.crash(node.name)
-        elif any(isinstance(c, commands.LoadSnapshot) for c in collected):
+            return
+        if self.holds_writes:
+            collected = self.hold_writes(node, collected)
+        self._execute_all(node, collected)
+        if any(isinstance(c, commands.LoadSnapshot) for c in collected):
             self.execute_commands(node)
 
+    def hold_writes(self, node, collected):
+        """Hold commands until a write is durable.
+
+        :param node: the replica's node.
+        :param collected: the commands.
+        :returns: those to execute at once.
+        """
+        if any(isinstance(c, DURABLE_COMMANDS) for c in collected):
+            node.held = collected
+            return []
+        return collected
+
+    def finish_writes(self, node):
+        """Execute the commands of a replica that wait for its disk."""
+        while node.held:
+            held, node.held = node.held, []
+            self._execute_all(node, held)
+            if any(isinstance(c, commands.LoadSnapshot) for c in held):
+                self.execute_commands(node)
+
+    def _execute_all(self, node, collected):
+        for command in collected:
+            self.execute_command(node, command)
+
     def execute_command(self, node, command):
         """Execute one command."""
         if isinstance(command, self.lost_commands):
@@ -348,10 +413,13 @@
         for _ in range(rounds):
             self.now += STEP
             for node in self.running_nodes():
+                self.finish_writes(node)
                 node.replica.tick(self.now)
                 self.execute_commands(node)
             for _ in range(len(self.envelopes)):
                 self.deliver(0)
+        for node in self.running_nodes():
+            self.finish_writes(node)
 
     def check_agreement(self):
         """Check that all members apply the committed entries and new ones.
@@ -467,6 +535,7 @@
     def crash_midway(self):
         node = self.simulation.nodes[self.leader()]
         if node.replica:
+            self.simulation.finish_writes(node)
             node.replica.propose(
                 f"{node.name}/{self.rng.getrandbits(40)}",
                 b"c",
@@ -541,3 +610,70 @@
             voters = node.replica.state.configuration.voters
             if len(voters) > 3:
                 self.simulation.change("remove", leader, self.name())
+
+
+class FinalLosses(Schedule):
+    """A schedule that ends in a loss of disks and of all power.
+
+    As many disks are lost as the group allows, at any event around an
+    acknowledgement; all other replicas end at the same moment.
+
+    :param simulation: the ``Simulation`` to act on.
+    :param seed: seed of the schedule.
+    """
+
+    def __init__(self, simulation, seed):
+        super().__init__(simulation, seed)
+        self.weights["lose_disk"] = 0
+        self.weights["lose_power"] = 1
+
+    def run(self, steps):
+        self.simulation.run_until_stable(60)
+        super().run(steps)
+        self._propose_and_lose()
+
+    def lose_power(self):
+        self.simulation.lose_power()
+
+    def _propose_and_lose(self):
+        simulation = self.simulation
+        simulation.blocked.clear()
+        if self.rng.random() < 0.7:
+            self.isolate()
+        proposer = self.rng.choice([self.name(), self.leader()])
+        acknowledged = max(simulation.committed, default=0)
+        simulation.propose(proposer)
+        for _ in range(self.rng.choice([0, 3, 10, 40, 200])):
+            self.rng.choices([self.deliver, self.tick], [9, 1])[0]()
+            is_applied = max(simulation.committed, default=0) > acknowledged
+            if is_applied and self.rng.random() < 0.3:
+                break
+        simulation.lose_power(self._choose_lost(proposer))
+
+    def _choose_lost(self, proposer):
+        """Choose nodes of which no voter set loses its majority."""
+        sets = self._voter_sets()
+        voters = set().union(*sets)
+        count = (min(len(names) for names in sets) - 1) // 2
+        preferred = [self.leader(), proposer, min(voters)]
+        self.rng.shuffle(preferred)
+        others = sorted(voters)
+        self.rng.shuffle(others)
+        chosen = [name for name in [*preferred, *others] if name in voters]
+        return list(dict.fromkeys(chosen))[:count]
+
+    def _voter_sets(self):
+        """Voter sets that any replica may act on after a restart."""
+        sets = [self.simulation.first_voters]
+        for node in self.simulation.nodes.values():
+            disk = node.disk
+            encoded = [
+                entry.data
+                for entry in disk.entries
+                if entry.kind == configurations.KIND_CONFIGURATION
+            ]
+            if disk.snapshot is not None:
+                encoded.append(disk.snapshot.info.configuration)
+            for members in map(configurations.decode, encoded):
+                sets += [s for s in (members.voters, members.outgoing) if s]
+        return sets
--- a/buckthorntack/consensus/tests/test_scenarios.py
+++ b/buckthorntack/consensus/tests/test_scenarios.py
@@ -19,6 +19,7 @@
 
 SEEDS = 60
 STEPS = 800
+LARGE_NAMES = ("abc", "abcde")
 
 
 @pytest.mark.parametrize("scenario", scenarios.ALL, ids=lambda s: s.__name__)
@@ -153,6 +154,30 @@
 ]
 
 
+def counts_one_disk(self, values):
+    return max(values[name] for name in self.voters if name in values)
+
+
+FAULTS_IN_FINAL_LOSSES = [
+    *FAULTS_IN_SCHEDULES,
+    Fault(
+        "counts_one_disk",
+        configurations.Configuration,
+        "quorum_value",
+        counts_one_disk,
+    ),
+]
+
+
+class SendsBeforeWrites(simulations.Simulation):
+    """Replicas that send and apply before their write is durable."""
+
+    def hold_writes(self, node, collected):
+        kinds = simulations.DURABLE_COMMANDS
+        node.held += [c for c in collected if isinstance(c, kinds)]
+        return [c for c in collected if not isinstance(c, kinds)]
+
+
 def run_scenarios():
     for scenario in scenarios.ALL:
         scenario()
@@ -165,6 +190,33 @@
         simulation.check_agreement()
 
 
+def run_final_losses(seeds, kind=simulations.Simulation):
+    for seed in seeds:
+        names = LARGE_NAMES[seed % len(LARGE_NAMES)]
+        simulation = kind(names, seed, holds_writes=True)
+        simulations.FinalLosses(simulation, seed).run(seed * 7 % 200)
+        simulation.check_agreement()
+
+
+# Guards against what was acknowledged and is lost with the disks that may be
+# lost, while all other replicas lose power at the same moment.
+@pytest.mark.parametrize("block", range(4))
+def test_acknowledged_entries_survive_final_losses(block):
+    run_final_losses(range(block * SEEDS, (block + 1) * SEEDS))
+
+
+def test_write_after_a_response_is_noticed_in_final_losses():
+    with pytest.raises(simulations.ViolationError):
+        run_final_losses(range(SEEDS), SendsBeforeWrites)
+
+
+@pytest.mark.parametrize("fault", FAULTS_IN_FINAL_LOSSES, ids=lambda f: f.name)
+def test_fault_is_noticed_in_final_losses(fault, monkeypatch):
+    monkeypatch.setattr(fault.owner, fault.attribute, fault.replacement)
+    with pytest.raises(simulations.ViolationError):
+        run_final_losses(range(SEEDS))
+
+
 @pytest.mark.parametrize("fault", FAULTS, ids=lambda f: f.name)
 def test_fault_is_noticed_in_a_scenario(fault, monkeypatch):
     monkeypatch.setattr(fault.owner, fault.attribute, fault.replacement)
--- a/tools/explore.py
+++ b/tools/explore.py
@@ -4,9 +4,14 @@
 prints each seed at which a property does not hold.  Usage::
 
     python -m tools.explore [--seconds 60] [--first-seed 0] [--steps 1500]
+        [--final-losses]
+
+With ``--final-losses`` each schedule ends in a loss of disks beside a loss of
+power of all other replicas, at any event around an acknowledgement.
 """
 
 import argparse
+import random
 import sys
 import time
 
@@ -14,6 +19,9 @@
 
 NAMES = (("a", "b", "c"), ("a",), ("a", "b"), ("a", "b", "c", "d", "e"))
 
+#: Groups that allow the loss of a disk.
+LARGE_NAMES = (("a", "b", "c"), ("a", "b", "c", "d", "e"))
+
 
 def run(seed, steps):
     """Run one schedule.
@@ -29,6 +37,21 @@
     return simulation
 
 
+def run_final_losses(seed, steps):
+    """Run one schedule that ends in a loss of disks and power.
+
+    :param seed: seed of the schedule and of the replicas.
+    :param steps: most events before the end.
+    :returns: the simulation at its end.
+    """
+    names = LARGE_NAMES[seed % len(LARGE_NAMES)]
+    simulation = simulations.Simulation(names, seed, holds_writes=True)
+    schedule = simulations.FinalLosses(simulation, seed)
+    schedule.run(random.Random(seed).randrange(steps))
+    simulation.check_agreement()
+    return simulation
+
+
 def main():
     """Search and tell.
 
@@ -38,13 +61,15 @@
     parser.add_argument("--seconds", type=float, default=60)
     parser.add_argument("--first-seed", type=int, default=0)
     parser.add_argument("--steps", type=int, default=1500)
+    parser.add_argument("--final-losses", action="store_true")
     arguments = parser.parse_args()
+    run_schedule = run_final_losses if arguments.final_losses else run
     end = time.monotonic() + arguments.seconds
     seed = arguments.first_seed
     broken = terms = entries = 0
     while time.monotonic() < end:
         try:
-            simulation = run(seed, arguments.steps)
+            simulation = run_schedule(seed, arguments.steps)
             terms += len(simulation.leader_by_term)
             entries += len(simulation.committed)
         except simulations.ViolationError as violation:
