Let a stopping control VM wait until its replacement is committed

What callers saw: in the simulation of control VMs, no leader for good: no configuration or evacuation is accepted or read back, and entry VMs that start get none. It takes a loss of the leader's disk while all others lose power, 0 to some 100 ms after a control VM that was stopped by plan ended.

Cause: has_handed_over looked at the newest members in the VM's own log, committed or not, and let it end as soon as no other live learner was left. In the middle of its own replacement the successor is no learner any more, so the VM ended on the first entry of the replacement. The other disks then hold joint members, which need a majority of the former voters too; of those one has ended and one lost its disk.

Now it waits while it is a voter of the members that it knows to be committed or of later ones.

control_vms.py had the loss of a disk with all power only 0.5 s or more after a change was sent, and all writes durable at once.

--- a/buckthorntack/consensus/_replica.py
+++ b/buckthorntack/consensus/_replica.py
@@ -241,6 +241,23 @@
         state.commands = []
         return collected
 
+    def may_be_voter(self):
+        """Whether this replica is a voter of members that may be in force.
+
+        These are the newest ones known to be committed, and all later ones.
+        """
+        state = self.state
+        known = _state.configuration_at(state, state.commit_index)
+        later = [
+            members
+            for index, members in state.history
+            if index > state.commit_index
+        ]
+        return any(
+            state.node_id in members.all_voters()
+            for members in [known, *later]
+        )
+
     def status(self, now, applied_index, failure):
         """Status of this replica.
 
--- a/buckthorntack/consensus/_task.py
+++ b/buckthorntack/consensus/_task.py
@@ -226,6 +226,10 @@
         """List the voters of the newest configuration known here."""
         return list(self._replica.state.configuration.voters)
 
+    def may_be_voter(self):
+        """Whether this replica is a voter of members that may be in force."""
+        return self._replica.may_be_voter()
+
     def status(self):
         """Status of this replica.
 
--- a/buckthorntack/gateway/_control.py
+++ b/buckthorntack/gateway/_control.py
@@ -81,19 +81,22 @@
     return planner.next_change(status, control_vms, now)
 
 
-def has_handed_over(status, gathering):
+def has_handed_over(status, may_be_voter, gathering):
     """Whether a control VM that stops may end.
 
-    It may not while it leads, or while it is a voter and a live learner can
-    take its place.
+    It may not while it leads, while it is a voter and a live learner can take
+    its place, or before its replacement is committed.
 
     :param status: its ``consensus.ReplicaStatus``.
+    :param may_be_voter: what ``may_be_voter`` of its replica returns.
     :param gathering: its ``GatheringTask``.
     """
     if status.leader == status.node_id:
         return False
-    if status.node_id not in {*status.voters, *status.outgoing}:
+    if not may_be_voter:
         return True
+    if status.node_id not in status.voters:
+        return False
     live = gathering.list_live_controls()
     return not any(learner in live for learner in status.learners)
 
@@ -424,10 +427,15 @@
         await self._hand_over_vote()
         self.listener.stop_accepting()
 
+    def _has_handed_over(self):
+        return has_handed_over(
+            self.replica.status(), self.replica.may_be_voter(), self.gathering
+        )
+
     async def _hand_over_vote(self):
         """Wait until a learner has taken this voter's place, if one can."""
         deadline = self.clock.monotonic() + VOTE_HANDOVER_TIMEOUT
-        while not has_handed_over(self.replica.status(), self.gathering):
+        while not self._has_handed_over():
             if self.clock.monotonic() >= deadline:
                 self._log_node_event(_events.VOTE_KEPT)
                 return
--- a/buckthorntack/gateway/tests/control_vms.py
+++ b/buckthorntack/gateway/tests/control_vms.py
@@ -143,6 +143,7 @@
 
     def step(self, now):
         """Do what the tasks of its process do up to now."""
+        self.network.finish_writes(self.node)
         if now >= self.next_tick:
             self.next_tick = now + _control.TIMING.tick
             self.gathering.flush()
@@ -179,6 +180,10 @@
             self.network.changes.append((now, change))
             self.network.change_members(self.node_id, change)
 
+    def has_ended(self):
+        """Whether it ended by plan and does not come back."""
+        return not self.is_up and self.starts_at is None
+
     def begin_stop(self, now):
         """Do what SIGTERM causes."""
         self.gathering.local_presence.state = "stopping"
@@ -189,11 +194,14 @@
     def _may_end(self, now):
         if now >= self.stops_by:
             return True
-        return _control.has_handed_over(self.status(), self.gathering)
+        return _control.has_handed_over(
+            self.status(), self.replica.may_be_voter(), self.gathering
+        )
 
     def receive(self, sender, message):
         if isinstance(message, messages.ReplicaEnvelope):
             if message.receiver == self.node_id:
+                self.network.finish_writes(self.node)
                 self.replica.receive(sender, message.content, self.network.now)
                 self.network.execute_commands(self.node)
         elif isinstance(message, messages.PresenceReport):
@@ -215,7 +223,7 @@
     """
 
     def __init__(self, count=3, seed=0):
-        super().__init__((), seed, timing=_control.TIMING)
+        super().__init__((), seed, timing=_control.TIMING, holds_writes=True)
         self.clock = clocks.ManualClock()
         self.vms = {}
         self.changes = []
@@ -379,6 +387,15 @@
 
     # Checks.
 
+    def begin_change(self, node_id):
+        """Send a command to a control VM, without waiting.
+
+        :returns: id of its proposal.
+        """
+        before = self.sequence
+        self.propose(node_id)
+        return f"{node_id}/{before + 1}"
+
     def voters(self):
         """Voters that the leader with the highest term knows."""
         return set(self.find_leaders()[0].replica.state.configuration.voters)
@@ -524,6 +541,12 @@
     def _address(self):
         return self.rng.choice(sorted(self.vms.vms))
 
+    def _running_addresses(self):
+        return sorted(a for a, vm in self.vms.vms.items() if vm.is_up)
+
+    def _running_address(self):
+        return self.rng.choice(self._running_addresses())
+
     def _down(self):
         return self.rng.choice([0.2, 1.0, 2.0]) * S
 
@@ -541,14 +564,60 @@
     def _lose_a_disk(self):
         self.vms.lose_disk(self._address(), self._down())
 
-    def _lose_a_disk_and_all_power(self):
-        address = self._address()
+    def _lose_a_disk_and_all_power(self, address=None):
+        address = address or self._address()
         for other in list(self.vms.vms):
             if other == address:
                 self.vms.lose_disk(other, self._down())
-            else:
+            elif not self.vms.vms[other].has_ended():
                 self.vms.kill(other, self._down())
 
+    def run_to_final_loss(self):
+        """Lose a disk and all other power close to an acknowledgement.
+
+        A control VM may be replaced by plan, or all may have lost power,
+        shortly before.
+        """
+        self._wait_until_whole()
+        self.vms.change_configuration()
+        self.rng.choice([self._begin_replacement, self._end_all, str])()
+        address = self._running_address()
+        leaders = [node.name for node in self.vms.find_leaders()]
+        proposer = self.rng.choice([*leaders, self.vms.vms[address].node_id])
+        proposal = self.vms.begin_change(proposer)
+        self._await_moment(proposal)
+        if proposal in self.vms.applied_index_by_proposal:
+            self.vms.acknowledged.append(proposal)
+        running = self._running_addresses()
+        candidates = [*map(discovery.address_of, [*leaders, proposer])]
+        candidates += [running[0], self._running_address()]
+        lost = self.rng.choice([a for a in candidates if a in running])
+        self.log.append((str(self.vms.now), "final", lost, proposer))
+        self._lose_a_disk_and_all_power(lost)
+        self.vms.advance(2 * S)
+
+    def _begin_replacement(self):
+        """Start a planned replacement and let it get to any step."""
+        address = self._address()
+        self.vms.add(self.vms.vms[address].settings.region)
+        self.vms.advance(PROCESS_START + CATCH_UP)
+        self.vms.stop(address)
+        self.vms.advance(self.rng.randrange(0, 60) * STEP)
+
+    def _end_all(self):
+        self._kill_all()
+        self._wait_until_whole()
+        self.vms.advance(self.rng.randrange(0, 20) * STEP)
+
+    def _await_moment(self, proposal):
+        """Wait for 0 to 400 ms, or until the proposal is acknowledged."""
+        is_awaited = self.rng.random() < 0.5
+        for _ in range(self.rng.randrange(17)):
+            known = self.vms.applied_index_by_proposal
+            if is_awaited and proposal in known:
+                return
+            self.vms.advance(STEP)
+
     def _lose_a_disk_behind_a_cut(self):
         """Let one VM miss changes before another loses its disk."""
         behind = self._address()
--- a/buckthorntack/gateway/tests/test_control_group.py
+++ b/buckthorntack/gateway/tests/test_control_group.py
@@ -75,6 +75,21 @@
     vms.check_served()
 
 
+# Guards against a VM that ends while its vote still counts on other disks.
+@pytest.mark.parametrize("seed", range(8))
+def test_vm_that_is_stopped_by_plan_ends_after_its_replacement(seed):
+    vms = _start(seed)
+    leader, others = _split_by_leadership(vms)
+    vms.add(vms.vms[others[0]].settings.region)
+    vms.advance(CATCH_UP + 1 * S)
+    vms.stop(others[0])
+    while not vms.vms[others[0]].has_ended():
+        vms.advance(control_vms.STEP)
+    vms.lose(others[0])
+    _lose_disk_in_power_loss(vms, leader)
+    vms.check_served()
+
+
 # Guards against a voter that is removed because it was away for a while.
 @pytest.mark.parametrize("seed", range(4))
 def test_vm_that_was_cut_off_keeps_its_place_as_a_spare(seed):
@@ -100,3 +115,14 @@
     losses.run(6)
     print(losses.log)
     vms.check_served()
+
+
+# Guards against a change that was acknowledged and is lost with a disk while
+# all other control VMs lose power, also while one is being replaced.
+@pytest.mark.parametrize("seed", range(SEEDS))
+def test_acknowledged_change_survives_a_final_loss(seed):
+    vms = _start(seed)
+    losses = control_vms.Losses(vms, seed)
+    losses.run_to_final_loss()
+    print(losses.log)
+    vms.check_served()
