Leave a silent server for another version's holder only once that is confirmed

What callers saw: once a continued stream needs the word of control VMs, a stream whose server was silent was left for another one and then ended, as no control VM could confirm it; without the check the server would have gone on.

Cause: the choice of the next attempt did not include the question that is asked before it. Class: a working attempt is given up before its replacement is known.

Change: the origin and the server of the next attempt are confirmed before the silent server is left; what it sends meanwhile is read first.

--- a/buckthorntack/gateway/_patience.py
+++ b/buckthorntack/gateway/_patience.py
@@ -23,8 +23,8 @@
     :param timeout_s: time in seconds after which a silent server is left;
         None to wait without end.
     :param deadline_s: monotonic time at which the request ends.
-    :param can_leave: function without arguments that returns whether another
-        server would get the request at once.
+    :param can_leave: coroutine function without arguments that returns
+        whether another server would get the request at once.
     :returns: result of the read.
     :raises TimeoutError: nothing came in time.
     """
@@ -47,11 +47,22 @@
             is_over = now_s() >= ends_s
             if incarnation is not None and not is_over:
                 is_over = reachability.is_unreachable(incarnation.server_id)
-            if now_s() >= deadline_s or (is_over and can_leave()):
+            if now_s() >= deadline_s:
                 raise
+            if is_over and await can_leave():
+                return await _read_at_once(read_data)
         if incarnation is not None:
             reachability.check_silent_server(incarnation.server_id)
         slice_s = SILENCE_CHECK_PERIOD_S
         left_s = ends_s - now_s()
         if left_s > 0:
             slice_s = min(slice_s, left_s)
+
+
+async def _read_at_once(read_data):
+    """Read what came while it was found out whether to leave the server.
+
+    :raises TimeoutError: nothing did.
+    """
+    async with asyncio.timeout(0):
+        return await read_data()
--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -644,8 +644,29 @@
             and self.send_count < self.route.max_attempts
         )
 
-    def _can_leave_server(self):
+    async def _can_leave_server(self):
         """Whether another attempt would be made at a server now."""
+        if not self._find_replacement():
+            return False
+        if self.origin is None:
+            return True
+        # The first choice may be out of date after the wait.
+        return await self._confirm_replacement() and self._find_replacement()
+
+    async def _confirm_replacement(self):
+        """Whether control VMs confirm that a stream may go on elsewhere."""
+        if not await self._confirm_origin():
+            return False
+        decision = self.replacement.decision
+        if isinstance(decision, dispatch.Forward):
+            return True
+        view = self.shared_state.registry.servers.get(decision.server_id)
+        if view is None:
+            return False
+        return await self._doubt_version(view.record) is None
+
+    def _find_replacement(self):
+        """Choose the next attempt as if the present one had failed."""
         if not self._can_continue():
             return False
         shared_state = self.shared_state
--- a/buckthorntack/platform/tests/test_silent_servers.py
+++ b/buckthorntack/platform/tests/test_silent_servers.py
@@ -130,6 +130,23 @@
     test_requests.run(scenario, ("s0", "text"), ("s1", "text"))
 
 
+# Guards against a stream that is cut as its server is silent, although no
+# control VM can confirm that another one may continue it.
+def test_stream_out_of_touch_with_control_vms_waits_for_a_silent_server():
+    async def scenario(world):
+        for server in world.servers.values():
+            server.behave = fall_silent_before(3, LONG_SILENCE_S)
+        for name in ("c0", "c1", "c2"):
+            await world.kill(name)
+        answer = await world.ask("/talk/x", method="POST")
+        assert answer.status == 200
+        assert answer.whole
+        assert answer.body == _standins.whole_stream(EVENTS)
+        assert count_runs(world) == 1
+
+    test_requests.run(scenario, ("s0", "text"), ("s1", "text"))
+
+
 # Guards against a 502 for a request whose server is only late, although no
 # other server may run it.
 @pytest.mark.parametrize("servers", [1, 2])
--- a/buckthorntack/platform/tests/test_stale_records.py
+++ b/buckthorntack/platform/tests/test_stale_records.py
@@ -33,9 +33,9 @@
     :param peers: ids of the others.
     """
     links = world.nodes[name].links
-    send, handle = links.send, links.handle
+    send, handle = links.send, links.delivery.handle
     links.send = lambda to, message: to not in peers and send(to, message)
-    links.handle = lambda sender, message: (
+    links.delivery.handle = lambda sender, message: (
         None if sender in peers else handle(sender, message)
     )
 
@@ -49,8 +49,8 @@
 def lose_changes(world, name):
     """Drop what an entry VM is told of servers, but nothing else."""
     links = world.nodes[name].links
-    handle = links.handle
-    links.handle = lambda sender, message: (
+    handle = links.delivery.handle
+    links.delivery.handle = lambda sender, message: (
         None
         if isinstance(
             message, (messages.RegistryChanges, messages.PackedChanges)
@@ -65,12 +65,12 @@
     :returns: function without arguments that lets it go on, in order.
     """
     links = world.nodes[name].links
-    handle = links.handle
+    handle = links.delivery.handle
     held = []
-    links.handle = lambda *message: held.append(message)
+    links.delivery.handle = lambda *message: held.append(message)
 
     def go_on():
-        links.handle = handle
+        links.delivery.handle = handle
         for message in held:
             handle(*message)
 
@@ -181,7 +181,9 @@
         if is_killed:
             await world.kill("c2")
         else:
-            world.nodes["c2"].links.handle = lambda sender, message: None
+            world.nodes["c2"].links.delivery.handle = lambda sender, message: (
+                None
+            )
         first.crash()
         go_on_at_once(world)
         await task
--- a/buckthorntack/transport/_delivery.py
+++ b/buckthorntack/transport/_delivery.py
@@ -14,7 +14,7 @@
     """
 
     def __init__(self, handle, log):
-        self._handle = handle
+        self.handle = handle
         self._log = log
 
     def deliver(self, sender, message):
@@ -24,7 +24,7 @@
         :param message: the decoded message.
         """
         try:
-            self._handle(sender, message)
+            self.handle(sender, message)
         except Exception as error:
             self._log.write(
                 _events.MESSAGE_FAILED,
--- a/buckthorntack/transport/_links.py
+++ b/buckthorntack/transport/_links.py
@@ -102,7 +102,7 @@
         self._dealers = {}
         self._log = events.EventLog("transport")
         self._refusals = _refusals.Refusals(self._log)
-        self._delivery = _delivery.Delivery(handle, self._log)
+        self.delivery = _delivery.Delivery(handle, self._log)
 
     async def __aenter__(self):
         self._context = zmq.asyncio.Context()
@@ -217,7 +217,7 @@
         """
         if to == self.node_id:
             loop = asyncio.get_running_loop()
-            loop.call_soon(self._delivery.deliver, to, message)
+            loop.call_soon(self.delivery.deliver, to, message)
             return True
         if to not in self.addresses:
             self.dropped_messages += 1
@@ -269,7 +269,7 @@
 
     def _deliver(self, sender, message):
         if not self._router.closed:
-            self._delivery.deliver(sender, message)
+            self.delivery.deliver(sender, message)
 
 
 def _try_send(dealer, frames):
--- a/buckthorntack/transport/_plain_links.py
+++ b/buckthorntack/transport/_plain_links.py
@@ -134,7 +134,7 @@
         self._server = None
         self._log = events.EventLog("transport")
         self._refusals = _refusals.Refusals(self._log)
-        self._delivery = _delivery.Delivery(handle, self._log)
+        self.delivery = _delivery.Delivery(handle, self._log)
 
     async def __aenter__(self):
         sock = _sockets.bind_listener(self.listen_address)
@@ -178,7 +178,7 @@
         """
         loop = asyncio.get_running_loop()
         if to == self.node_id:
-            loop.call_soon(self._delivery.deliver, to, message)
+            loop.call_soon(self.delivery.deliver, to, message)
             return True
         packed = _delivery.encode(schema.pack, to, message, self._log)
         if packed is None:
@@ -312,7 +312,7 @@
             self._refusals.record(sender, name, error)
             return
         self.received_messages += 1
-        self._delivery.deliver(sender, message)
+        self.delivery.deliver(sender, message)
 
 
 def _encode_frame(data):
