--- a/buckthorntack/gateway/tests/test_loops.py
+++ b/buckthorntack/gateway/tests/test_loops.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import logbook
+
 from buckthorntack.gateway import _supervision
 
 
@@ -22,5 +24,8 @@
         async with _supervision.supervise(work), asyncio.timeout(20):
             await again.wait()
 
-    asyncio.run(scenario())
+    with logbook.TestHandler() as log:
+        asyncio.run(scenario())
     assert begun == [0, 1, 2]
+    lines = [r.extra for r in log.records if r.extra.get("event") == 2223]
+    assert [line["error"] for line in lines] == ["LookupError('fault')"] * 2
