--- a/buckthorntack/http1/_server.py
+++ b/buckthorntack/http1/_server.py
@@ -832,15 +832,21 @@
         return self
 
     async def __aexit__(self, *exc_info):
+        tasks = [c.task for c in self.connections if c.task is not None]
+        self.abort()
+        for task in tasks:
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+
+    def abort(self):
+        """Close the socket and all connections at once."""
+        self.closing = True
+        self.is_stopped = True
         self._server.close()
         for task in self._last_accepted:
             task.cancel()
-        tasks = [c.task for c in self.connections if c.task is not None]
         for connection in list(self.connections):
             connection.abort_reporting_unread(EndReason.LISTENER_CLOSED)
-        for task in tasks:
-            with contextlib.suppress(asyncio.CancelledError):
-                await task
 
     def count_active_connections(self):
         """Return the number of connections with a request in progress."""
--- a/buckthorntack/platform/tests/_standins.py
+++ b/buckthorntack/platform/tests/_standins.py
@@ -74,9 +74,7 @@
         """End all its connections and accept no more, without notice."""
         self.crashes += 1
         self.is_down = True
-        self.listener.stop_accepting()
-        for connection in list(self.listener.connections):
-            connection.transport.abort()
+        self.listener.abort()
 
     async def start_again(self):
         """Listen again after a crash, as a new incarnation."""
