--- a/buckthorntack/discovery/__init__.py
+++ b/buckthorntack/discovery/__init__.py
@@ -20,7 +20,13 @@
 from buckthorntack.discovery._member_changes import Remove
 from buckthorntack.discovery._member_changes import Replace
 from buckthorntack.discovery._ranges import find_node_fault
+from buckthorntack.discovery._ranges import is_address
 from buckthorntack.discovery._ranges import is_incarnation
+from buckthorntack.discovery._ranges import is_record_id
+from buckthorntack.discovery._ranges import MAX_COUNT
+from buckthorntack.discovery._ranges import MAX_NAME_LENGTH
+from buckthorntack.discovery._ranges import MAX_REMAINING_MS
+from buckthorntack.discovery._ranges import MAX_SLOTS
 from buckthorntack.discovery._ranges import set_aside_unsound
 from buckthorntack.discovery._ranges import UnsoundRecord
 from buckthorntack.discovery._registrars import choose_registrar
@@ -41,6 +47,10 @@
     "ControlVmSelector",
     "ControlVms",
     "Followers",
+    "MAX_COUNT",
+    "MAX_NAME_LENGTH",
+    "MAX_REMAINING_MS",
+    "MAX_SLOTS",
     "MemberChangePlanner",
     "PROTOCOL_VERSION",
     "Promote",
@@ -55,8 +65,10 @@
     "choose_registrar",
     "count_protocol_versions",
     "find_node_fault",
+    "is_address",
     "is_cut_off",
     "is_incarnation",
+    "is_record_id",
     "select_entry_vms",
     "select_returned",
     "set_aside_unsound",
--- a/buckthorntack/discovery/_ranges.py
+++ b/buckthorntack/discovery/_ranges.py
@@ -66,10 +66,10 @@
     :returns: the field and its value; None if there is none.
     """
     checks = (
-        ("server_id", _is_id(record.server_id)),
+        ("server_id", is_record_id(record.server_id)),
         ("born_ms", 0 <= record.born_ms <= MAX_COUNT),
         ("sequence", 0 <= record.sequence <= MAX_COUNT),
-        ("address", _is_address(record.address)),
+        ("address", is_address(record.address)),
         ("slots", 1 <= record.slots <= MAX_SLOTS),
         ("cold_left_ms", 0 <= record.cold_left_ms <= MAX_REMAINING_MS),
         ("reclaim_left_ms", -1 <= record.reclaim_left_ms <= MAX_REMAINING_MS),
@@ -84,11 +84,11 @@
     :returns: the field and its value; None if there is none.
     """
     checks = (
-        ("node_id", _is_id(record.node_id)),
+        ("node_id", is_record_id(record.node_id)),
         ("incarnation", is_incarnation(record.incarnation)),
         ("sequence", 0 <= record.sequence <= MAX_COUNT),
-        ("link_address", _is_address(record.link_address)),
-        ("service_address", _is_address(record.service_address)),
+        ("link_address", is_address(record.link_address)),
+        ("service_address", is_address(record.service_address)),
         ("capacity", 0 <= record.capacity <= MAX_CAPACITY),
         ("means", 0 <= record.means <= MAX_CAPACITY),
         ("protocol_version", 0 <= record.protocol_version <= MAX_COUNT),
@@ -115,7 +115,13 @@
     return text[:MAX_NAME_LENGTH]
 
 
-def _is_id(text):
+def is_record_id(text):
+    """Return whether a text may be the id of a server or node.
+
+    Ids are sent in header fields.
+
+    :param text: the text.
+    """
     return (
         0 < len(text) <= MAX_NAME_LENGTH
         and text.isascii()
@@ -124,10 +130,12 @@
 
 
 @functools.lru_cache(maxsize=4096)
-def _is_address(text):
-    """Whether connections can be opened to an address.
+def is_address(text):
+    """Return whether connections can be opened to an address.
+
+    :param text: the address.
 
-    >>> _is_address("10.0.0.1:80"), _is_address("10.0.0.1:99999")
+    >>> is_address("10.0.0.1:80"), is_address("10.0.0.1:99999")
     (True, False)
     """
     host, _, port = text.rpartition(":")
--- a/buckthorntack/platform/_announcements.py
+++ b/buckthorntack/platform/_announcements.py
@@ -1,7 +1,6 @@
 """What servers of the platform say of themselves."""
 
 import datetime
-import ipaddress
 from typing import Annotated
 from typing import Literal
 from typing import NotRequired
@@ -11,29 +10,24 @@
 from expression import Ok
 import msgspec
 
+from buckthorntack import discovery
 from buckthorntack import errors
 from buckthorntack.schema import messages
 
 #: Bytes of an announcement; true ones have a few hundred.
 MAX_ANNOUNCEMENT_BYTES = 65_536
-MAX_NAME_LENGTH = 256
-#: Higher numbers are no counts; messages between nodes cannot hold all.
-MAX_COUNT = (1 << 52) - 1
-#: Requests that a server runs at once.
-MAX_CAPACITY = 1_000_000
-#: Longest warm-up and longest notice of a server that is reclaimed.
-MAX_REMAINING_MS = 86_400_000
 #: Time by which the clocks of a server and of a VM differ at most.
 MAX_CLOCK_LEAD = datetime.timedelta(days=1)
 #: Length of the error that is logged and answered.
 MAX_DETAIL_LENGTH = 500
 _MS = datetime.timedelta(milliseconds=1)
-_MAX_PORT = 65_535
-_PORT_DIGITS = 5
 
-_Name = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_NAME_LENGTH)]
-_Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
-_Milliseconds = Annotated[float, msgspec.Meta(le=MAX_REMAINING_MS)]
+_Name = Annotated[
+    str, msgspec.Meta(min_length=1, max_length=discovery.MAX_NAME_LENGTH)
+]
+# The highest count marks those that are gone.
+_Count = Annotated[int, msgspec.Meta(ge=0, lt=discovery.MAX_COUNT)]
+_Milliseconds = Annotated[float, msgspec.Meta(le=discovery.MAX_REMAINING_MS)]
 
 
 class UnreadableAnnouncementError(errors.GatewayError):
@@ -51,7 +45,7 @@
     zone: _Name
     #: Version of its software, not of its weights.
     version: _Name
-    capacity: Annotated[int, msgspec.Meta(ge=1, le=MAX_CAPACITY)]
+    capacity: Annotated[int, msgspec.Meta(ge=1, le=discovery.MAX_SLOTS)]
     state: Literal["ready", "draining"]
     #: Grows with each announcement of one start of the server.
     sequence: _Count
@@ -79,7 +73,7 @@
     :param unix_time: time of day, as ``timedelta`` since 1970.
     :returns: ``Result`` of an ``AnnouncedServer``.
     """
-    if not _is_server_id(server_id):
+    if not discovery.is_record_id(server_id):
         return _unreadable(server_id, "not the id of a server")
     decoded = _decode(_ANNOUNCEMENT, content)
     if decoded.is_error():
@@ -88,7 +82,7 @@
     region = regions.get(document["zone"])
     if region is None:
         return _unreadable(server_id, f"zone {document['zone']}")
-    if not _is_address(document["address"]):
+    if not discovery.is_address(document["address"]):
         return _unreadable(server_id, f"address {document['address']}")
     born_ms = document.get("born", 0)
     if born_ms * _MS > unix_time + MAX_CLOCK_LEAD:
@@ -135,31 +129,6 @@
         return Error(error)
 
 
-def _is_server_id(text):
-    """Whether a text may be sent as the id of a server in a header field."""
-    return (
-        0 < len(text) <= MAX_NAME_LENGTH
-        and text.isascii()
-        and text.isprintable()
-    )
-
-
-def _is_address(text):
-    """Whether connections can be opened to an address.
-
-    >>> _is_address("10.0.0.1:80"), _is_address("10.0.0.1:99999")
-    (True, False)
-    """
-    host, _, port = text.rpartition(":")
-    if not (port.isascii() and port.isdigit() and len(port) <= _PORT_DIGITS):
-        return False
-    try:
-        ipaddress.IPv4Address(host)
-    except ValueError:
-        return False
-    return 0 < int(port) <= _MAX_PORT
-
-
 def _unreadable(server_id, error):
     text = f"{server_id}: {error}"
     return Error(UnreadableAnnouncementError(text[:MAX_DETAIL_LENGTH]))
