Wait for replicas that have applied nothing yet in a test

The replica itself went on in each run.

The test now waits on; what it asserts in the end (each replica has applied both commands, no failure, three refused messages) is unchanged.

--- a/buckthorntack/consensus/tests/test_odd_messages.py
+++ b/buckthorntack/consensus/tests/test_odd_messages.py
@@ -95,7 +95,7 @@
             for task in tasks:
                 await test_task.wait_until(
                     lambda task=task: (
-                        task.state_machine.commands[-1] == b"y"
+                        task.state_machine.commands[-1:] == [b"y"]
                         or task.status().failure
                     )
                 )
