Hold a hang-up until a starting node can handle it

Cause: until gateway.run adds its handler, a hang-up has its default action. All modules were loaded before the program's first line, as platform/__init__ imports the adapter, so that nothing could be done there.

Not covered: the start of the interpreter itself.

--- a/buckthorntack/gateway/_run.py
+++ b/buckthorntack/gateway/_run.py
@@ -6,6 +6,7 @@
 import signal
 
 from buckthorntack import events
+from buckthorntack import signals
 from buckthorntack import tasks
 from buckthorntack.gateway import _errors
 from buckthorntack.gateway import _events
@@ -28,6 +29,7 @@
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop_requested.set)
     loop.add_signal_handler(signal.SIGHUP, reload_requested.set)
+    signals.release({signal.SIGHUP})
     async with node:
         reloading = _reload_settings(
             node, load_settings, settings_path, reload_requested
--- a/buckthorntack/platform/__init__.py
+++ b/buckthorntack/platform/__init__.py
@@ -3,7 +3,12 @@
 Nothing here decides; nothing outside knows the platform's names.
 """
 
-from buckthorntack.platform._dialect import PlatformDialect
-from buckthorntack.platform._settings import load_settings
+from buckthorntack import _lazy_imports
 
-__all__ = ["PlatformDialect", "load_settings"]
+__getattr__, __dir__, __all__ = _lazy_imports.attach(
+    __name__,
+    {
+        "buckthorntack.platform._dialect": ("PlatformDialect",),
+        "buckthorntack.platform._settings": ("load_settings",),
+    },
+)
--- a/buckthorntack/platform/tests/test_start_imports.py
+++ b/buckthorntack/platform/tests/test_start_imports.py
@@ -10,7 +10,7 @@
 _LIST_MODULES = """
 import json
 import sys
-from buckthorntack.platform import __main__ as program
+from buckthorntack.platform import _program as program
 program.load_node_type(sys.argv[1])
 print(json.dumps(sorted(sys.modules)))
 """
--- /dev/null
+++ b/buckthorntack/signals.py
@@ -0,0 +1,21 @@
+"""Signals that arrive before a process handles them."""
+
+import signal
+
+
+def hold(numbers):
+    """Keep signals pending for the calling thread.
+
+    Threads that it starts later keep them pending too.
+
+    :param numbers: the signals.
+    """
+    signal.pthread_sigmask(signal.SIG_BLOCK, numbers)
+
+
+def release(numbers):
+    """Deliver signals again, first those that are pending.
+
+    :param numbers: the signals.
+    """
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, numbers)
