Keep the exit code if a stop signal meets a process that has stopped

Its log: node_stopping at 35.574, node_stopped at 37.677, the second SIGTERM within a second of it. No request was in progress.

Cause: closing the event loop takes its signal handlers away, which restores the default actions; until the interpreter was gone, a signal ended the process and gave it another exit code.

Change: tasks.run blocks these signals before it closes the loop. Threads of the loop have ended by the time the handlers go. The nodes of our own settings use it as well.

--- a/buckthorntack/node/_run.py
+++ b/buckthorntack/node/_run.py
@@ -7,6 +7,7 @@
 from buckthorntack import clock as clocks
 from buckthorntack import errors
 from buckthorntack import logs
+from buckthorntack import tasks
 from buckthorntack.node import _node
 
 
@@ -17,7 +18,7 @@
     :returns: exit code.
     """
     with logs.output(settings["log"]):
-        return asyncio.run(_run(settings))
+        return tasks.run(_run(settings))
 
 
 async def _run(settings):
--- a/buckthorntack/platform/_program.py
+++ b/buckthorntack/platform/_program.py
@@ -1,6 +1,5 @@
 """Node that runs until it is told to stop."""
 
-import asyncio
 import gc
 import importlib
 import os
@@ -11,6 +10,7 @@
 from buckthorntack import events
 from buckthorntack import gateway
 from buckthorntack import logs
+from buckthorntack import tasks
 from buckthorntack.platform import _dialect
 from buckthorntack.platform import _events
 from buckthorntack.platform import _settings
@@ -64,7 +64,7 @@
             # Objects made so far live as long as the process.
             gc.freeze()
             work = gateway.run(node, _settings.load_settings, path)
-            return asyncio.run(work)
+            return tasks.run(work)
         except (errors.GatewayError, OSError) as error:
             log.write(_events.START_FAILED, error=repr(error))
             return 1
--- a/buckthorntack/platform/tests/test_signals.py
+++ b/buckthorntack/platform/tests/test_signals.py
@@ -22,6 +22,12 @@
 sys.meta_path.insert(0, Finder())
 runpy.run_module("buckthorntack.platform", run_name="__main__")
 """
+#: Runs the program of a node; a second stop signal follows its end.
+_STOP_AT_EXIT = """
+import atexit, os, runpy, signal
+atexit.register(os.kill, os.getpid(), signal.SIGTERM)
+runpy.run_module("buckthorntack.platform", run_name="__main__")
+"""
 
 
 @pytest.fixture
@@ -75,3 +81,12 @@
     assert wait_for(process, "settings_reloaded")
     process.send_signal(signal.SIGTERM)
     assert process.wait() == 0
+
+
+# Guards against an exit code of a signal for a node that has stopped as asked,
+# as a second stop signal arrives before its process is gone.
+def test_stop_signal_after_the_stop_changes_nothing(start):
+    process = start(_STOP_AT_EXIT)
+    assert wait_for(process, "node_started")
+    process.send_signal(signal.SIGTERM)
+    assert process.wait() == 0
--- a/buckthorntack/signals.py
+++ b/buckthorntack/signals.py
@@ -1,9 +1,12 @@
-"""Signals that arrive before a process handles them."""
+"""Signals that arrive before a process handles them, or after."""
 
 import signal
 
+#: Signals that a process handles until its event loop is closed.
+HANDLED = frozenset({signal.SIGHUP, signal.SIGINT, signal.SIGTERM})
 
-def hold(numbers):
+
+def hold(numbers=HANDLED):
     """Keep signals pending for the calling thread.
 
     Threads that it starts later keep them pending too.
