Check records of other nodes by one table a kind

The loop over servers and the one over nodes were the same, and all checks of a record were worked out before the first fault was looked for. What is in range is unchanged.

--- a/buckthorntack/discovery/_ranges.py
+++ b/buckthorntack/discovery/_ranges.py
@@ -39,61 +39,21 @@
     :returns: the changes without them, and a list of
         :class:`UnsoundRecord`.
     """
-    unsound = []
-    servers = []
-    for record in changes.servers:
-        fault = find_server_fault(record)
-        if fault is None:
-            servers.append(record)
-        else:
-            unsound.append(UnsoundRecord(_shorten(record.server_id), fault))
-    nodes = []
-    for record in changes.nodes:
-        fault = find_node_fault(record)
-        if fault is None:
-            nodes.append(record)
-        else:
-            unsound.append(UnsoundRecord(_shorten(record.node_id), fault))
+    servers, unsound_servers = _separate(changes.servers, _SERVER_CHECKS)
+    nodes, unsound_nodes = _separate(changes.nodes, _NODE_CHECKS)
+    unsound = unsound_servers + unsound_nodes
     if not unsound:
         return changes, unsound
     return changes._replace(servers=servers, nodes=nodes), unsound
 
 
-def find_server_fault(record):
-    """Find a field of a server's record that is out of range.
-
-    :param record: ``AnnouncedServer``.
-    :returns: the field and its value; None if there is none.
-    """
-    checks = (
-        ("server_id", is_record_id(record.server_id)),
-        ("born_ms", 0 <= record.born_ms <= MAX_COUNT),
-        ("sequence", 0 <= record.sequence <= MAX_COUNT),
-        ("address", is_address(record.address)),
-        ("slots", 1 <= record.slots <= MAX_SLOTS),
-        ("cold_left_ms", 0 <= record.cold_left_ms <= MAX_REMAINING_MS),
-        ("reclaim_left_ms", -1 <= record.reclaim_left_ms <= MAX_REMAINING_MS),
-    )
-    return _first_fault(record, checks)
-
-
 def find_node_fault(record):
     """Find a field of a node's record that is out of range.
 
     :param record: ``NodePresence``.
     :returns: the field and its value; None if there is none.
     """
-    checks = (
-        ("node_id", is_record_id(record.node_id)),
-        ("incarnation", is_incarnation(record.incarnation)),
-        ("sequence", 0 <= record.sequence <= MAX_COUNT),
-        ("link_address", is_address(record.link_address)),
-        ("service_address", is_address(record.service_address)),
-        ("capacity", 0 <= record.capacity <= MAX_CAPACITY),
-        ("means", 0 <= record.means <= MAX_CAPACITY),
-        ("protocol_version", 0 <= record.protocol_version <= MAX_COUNT),
-    )
-    return _first_fault(record, checks)
+    return _find_fault(record, _NODE_CHECKS)
 
 
 def is_incarnation(number):
@@ -104,10 +64,23 @@
     return 0 <= number <= MAX_COUNT
 
 
-def _first_fault(record, checks):
-    for field, is_sound in checks:
-        if not is_sound:
-            return _shorten(f"{field} {getattr(record, field)!r}")
+def _separate(records, checks):
+    """Separate records, whose first field is their id."""
+    sound, unsound = [], []
+    for record in records:
+        fault = _find_fault(record, checks)
+        if fault is None:
+            sound.append(record)
+        else:
+            unsound.append(UnsoundRecord(_shorten(record[0]), fault))
+    return sound, unsound
+
+
+def _find_fault(record, checks):
+    for field, is_sound in checks.items():
+        value = getattr(record, field)
+        if not is_sound(value):
+            return _shorten(f"{field} {value!r}")
     return None
 
 
@@ -146,3 +119,30 @@
     except ValueError:
         return False
     return 0 < int(port) <= _MAX_PORT
+
+
+def _range(lowest, highest):
+    """Return the check of a number."""
+    return lambda number: lowest <= number <= highest
+
+
+_is_count = _range(0, MAX_COUNT)
+_SERVER_CHECKS = {
+    "server_id": is_record_id,
+    "born_ms": _is_count,
+    "sequence": _is_count,
+    "address": is_address,
+    "slots": _range(1, MAX_SLOTS),
+    "cold_left_ms": _range(0, MAX_REMAINING_MS),
+    "reclaim_left_ms": _range(-1, MAX_REMAINING_MS),
+}
+_NODE_CHECKS = {
+    "node_id": is_record_id,
+    "incarnation": is_incarnation,
+    "sequence": _is_count,
+    "link_address": is_address,
+    "service_address": is_address,
+    "capacity": _range(0, MAX_CAPACITY),
+    "means": _range(0, MAX_CAPACITY),
+    "protocol_version": _is_count,
+}
