--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,8 @@
 DEPLOYMENT ?= hoardline
 EXPLORE_SECONDS ?= 600
 SECONDS ?= 30
+# Processes of the tests; those of one file share a process, in order.
+TEST_JOBS ?= 3
 
 .PHONY: help venv test lint format generate check-generated unit demo \
 	binary smoke bench capacity matrix explore soak production clean
@@ -40,7 +42,7 @@
 	$(BIN)/python -m tools.fault_matrix --check
 
 unit: venv  ## Unit tests, doctests and the fault matrix.
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n $(TEST_JOBS) --dist loadfile
 
 matrix: venv  ## Run the tests and write the fault matrix.
 	mkdir -p build
