Forget what reports of a peak took of the link

After seconds in which rounds took more than their part although they were as rare as allowed, all later rounds stayed as rare until everything that had been sent was paid for. Servers that had become free were seen late.

--- a/buckthorntack/dispatch/_exchange.py
+++ b/buckthorntack/dispatch/_exchange.py
@@ -180,7 +180,7 @@
         return max(
             MIN_REPORT_INTERVAL_S,
             -self._report_tokens / MAX_REPORTS_PER_S,
-            min(self._debt_s, MAX_REPORT_PERIOD_S),
+            self._debt_s,
         )
 
     @property
@@ -346,8 +346,9 @@
             return
         paid_s = now_s - self._debt_at_s
         self._debt_at_s = now_s
-        self._debt_s = max(0.0, self._debt_s - paid_s)
-        self._debt_s += sent_bytes / self._bytes_per_s
+        left_s = max(0.0, self._debt_s - paid_s)
+        debt_s = left_s + sent_bytes / self._bytes_per_s
+        self._debt_s = min(debt_s, MAX_REPORT_PERIOD_S)
 
     def _take_report_tokens(self, count, now_s):
         earned = (now_s - self._tokens_at_s) * MAX_REPORTS_PER_S
--- a/buckthorntack/dispatch/tests/test_relay_rate.py
+++ b/buckthorntack/dispatch/tests/test_relay_rate.py
@@ -121,6 +121,18 @@
     assert bytes_per_s <= LINK_SHARE * LINK_BYTES_PER_S
 
 
+# Guards against reports that stay rare after a peak, as all that was sent is
+# paid for first.
+def test_rounds_are_frequent_again_after_a_peak():
+    exchange = Domain(10).exchanges["10.1.0.000:8000"]
+    for step in range(100):
+        exchange.record_sent(LINK_BYTES_PER_S, step * 0.2)
+    longest_s = exchange.min_interval_s
+    assert longest_s == _exchange.MAX_REPORT_PERIOD_S
+    exchange.record_sent(0, 100 * 0.2 + longest_s)
+    assert exchange.min_interval_s == _exchange.MIN_REPORT_INTERVAL_S
+
+
 # Guards against a relay that is given up as its link is narrow.
 @pytest.mark.parametrize("size", [10, 15, 33])
 def test_busy_relay_is_kept(size):
