Stop the links' authenticator before its descriptor is reused

A process of one node opens its links once. Nodes of the users' platform use PlainLinks, without ZeroMQ.

Readers of the event loop, traced: the former links closed; the authenticator of the new ones added a reader for its descriptor 165, which the loop still held; 1 to 4 ms later pyzmq's _clear_wrapper_io of the former removed it. Then 165 was readable and in no epoll set.

Cause: pyzmq's authenticator for asyncio closes its socket in stop() and removes the reader by number some iterations of the loop later. A context that is opened at once gets the same numbers.

Change: an authenticator of our own, on the base class of pyzmq's, whose reader is removed before its socket is closed.

A pause between kill and start in the test would have hidden it.

--- a/buckthorntack/transport/_links.py
+++ b/buckthorntack/transport/_links.py
@@ -11,11 +11,11 @@
 
 import zmq
 import zmq.asyncio
-import zmq.auth.asyncio
 
 from buckthorntack import events
 from buckthorntack import schema
 from buckthorntack.schema import messages
+from buckthorntack.transport import _authenticator
 from buckthorntack.transport import _delivery
 from buckthorntack.transport import _events
 from buckthorntack.transport import _refusals
@@ -108,9 +108,7 @@
         self._context = zmq.asyncio.Context()
         self._context.max_sockets = MAX_SOCKETS
         self._sync_context = zmq.Context.shadow(self._context)
-        self._authenticator = zmq.auth.asyncio.AsyncioAuthenticator(
-            self._context
-        )
+        self._authenticator = _authenticator.LinkAuthenticator(self._context)
         self._authenticator.start()
         self._authenticator.configure_curve_callback(
             ZAP_DOMAIN, _CredentialsProvider(self.keys, self._log)
--- a/buckthorntack/transport/tests/test_links.py
+++ b/buckthorntack/transport/tests/test_links.py
@@ -1,4 +1,5 @@
 import asyncio
+import contextlib
 import datetime
 import resource
 
@@ -194,3 +195,36 @@
         asyncio.run(attempt())
     lines = [r.extra for r in log.records if r.extra.get("event") == 1210]
     assert [line["kind"] for line in lines] == ["Ping"]
+
+
+# Links that were opened right after others had closed received nothing.
+def test_links_opened_right_after_others_closed_receive():
+    keys = _new_keys()
+    received = []
+
+    def handle(sender, message):
+        received.append(message.sent_at_ms)
+
+    def create_links(node_id, address, addresses):
+        return transport.LinkTask(
+            node_id, address, keys, addresses, handle, clock.SystemClock()
+        )
+
+    async def exchange(sender, number):
+        await _wait_until(
+            lambda: _send_ping(sender, number) and number in received
+        )
+
+    async def scenario():
+        async with asyncio.timeout(10), contextlib.AsyncExitStack() as stack:
+            async with create_links("b", "127.0.0.1:0", {}) as former:
+                address = former.address
+                sender = await stack.enter_async_context(
+                    create_links("a", "127.0.0.1:0", {"b": address})
+                )
+                await exchange(sender, 0)
+            async with create_links("b", address, {}):
+                await exchange(sender, 1)
+
+    asyncio.run(scenario())
+    assert set(received) == {0, 1}
