--- a/buckthorntack/gateway/_entry.py
+++ b/buckthorntack/gateway/_entry.py
@@ -136,6 +136,7 @@
             limits,
             self._listener_memory(),
         )
+        self.metrics.serve_links(self.links)
         self.metrics.serve_unanswered(
             {"forward": self.forward_listener, "front": self.front_listener}
         )
--- a/buckthorntack/gateway/_metrics.py
+++ b/buckthorntack/gateway/_metrics.py
@@ -163,6 +163,24 @@
         )
         readers.set_function(lambda: len(watch.slow_readers))
 
+    def serve_links(self, links):
+        """Serve what was sent to other nodes.
+
+        :param links: ``transport.PlainLinks``.
+        """
+        sent_bytes = prometheus_client.Gauge(
+            "gateway_link_sent_bytes",
+            "Bytes sent to other nodes since the start.",
+            registry=self._registry,
+        )
+        sent_bytes.set_function(lambda: links.sent_bytes)
+        sent_messages = prometheus_client.Gauge(
+            "gateway_link_sent_messages",
+            "Messages sent to other nodes since the start.",
+            registry=self._registry,
+        )
+        sent_messages.set_function(lambda: links.sent_messages)
+
     def serve_unanswered(self, listeners):
         """Serve how many requests were read whole and not answered.
 
