--- a/buckthorntack/gateway/_following.py
+++ b/buckthorntack/gateway/_following.py
@@ -186,15 +186,9 @@
         """
         now = self.clock.monotonic()
         self.control_selector.on_reply(sender, reply.has_majority, now)
-        if discovery.is_incarnation(reply.incarnation):
-            self.local_presence.on_presence_reply(reply)
-        else:
-            _records.log_refused(
-                self.local_presence.node_id,
-                f"incarnation {reply.incarnation}",
-                sender,
-                self._log,
-            )
+        _records.take_presence_reply(
+            self.local_presence, reply, sender, self._log
+        )
         records = (view.record for view in self.registry.servers.values())
         returned = discovery.select_returned(records, reply)
         if returned:
--- a/buckthorntack/gateway/_gathering.py
+++ b/buckthorntack/gateway/_gathering.py
@@ -231,15 +231,9 @@
         :param sender: id of the control VM.
         :param reply: ``PresenceReply``.
         """
-        if discovery.is_incarnation(reply.incarnation):
-            self.local_presence.on_presence_reply(reply)
-        else:
-            _records.log_refused(
-                self.node_id,
-                f"incarnation {reply.incarnation}",
-                sender,
-                self._log,
-            )
+        _records.take_presence_reply(
+            self.local_presence, reply, sender, self._log
+        )
 
     def on_packed_changes(self, sender, packed):
         """Merge compressed changes of another registry.
--- a/buckthorntack/gateway/_records.py
+++ b/buckthorntack/gateway/_records.py
@@ -36,6 +36,21 @@
     return sound
 
 
+def take_presence_reply(local_presence, reply, sender, log):
+    """Tell this node's presence of a reply, unless that is out of range.
+
+    :param local_presence: the ``LocalPresence``.
+    :param reply: ``PresenceReply``.
+    :param sender: id of the control VM that sent it.
+    :param log: the ``EventLog``.
+    """
+    if discovery.is_incarnation(reply.incarnation):
+        local_presence.on_presence_reply(reply)
+        return
+    fault = f"incarnation {reply.incarnation}"
+    log_refused(local_presence.node_id, fault, sender, log)
+
+
 def log_refused(record_id, fault, sender, log):
     """Log a record that was set aside.
 
