--- a/buckthorntack/discovery/_ranges.py
+++ b/buckthorntack/discovery/_ranges.py
@@ -72,7 +72,7 @@
         if fault is None:
             sound.append(record)
         else:
-            unsound.append(UnsoundRecord(_shorten(record[0]), fault))
+            unsound.append(UnsoundRecord(record[0], fault))
     return sound, unsound
 
 
@@ -80,14 +80,10 @@
     for field, is_sound in checks.items():
         value = getattr(record, field)
         if not is_sound(value):
-            return _shorten(f"{field} {value!r}")
+            return f"{field} {value!r}"
     return None
 
 
-def _shorten(text):
-    return text[:MAX_NAME_LENGTH]
-
-
 def is_record_id(text):
     """Return whether a text may be the id of a server or node.
 
