--- a/buckthorntack/gateway/_metrics.py
+++ b/buckthorntack/gateway/_metrics.py
@@ -149,37 +149,37 @@
             held.labels(purpose.value).set_function(
                 lambda purpose=purpose: budget.by_purpose[purpose]
             )
-        refusals = prometheus_client.Gauge(
+        self._serve_number(
             "gateway_memory_refusals",
             "Requests refused since the start as their bodies found no"
             " memory.",
-            registry=self._registry,
+            lambda: budget.refusals,
         )
-        refusals.set_function(lambda: budget.refusals)
-        readers = prometheus_client.Gauge(
+        self._serve_number(
             "gateway_slow_readers",
             "Connections of callers that have not taken all that was written.",
-            registry=self._registry,
+            lambda: len(watch.slow_readers),
         )
-        readers.set_function(lambda: len(watch.slow_readers))
+
+    def _serve_number(self, name, text, read):
+        gauge = prometheus_client.Gauge(name, text, registry=self._registry)
+        gauge.set_function(read)
 
     def serve_links(self, links):
         """Serve what was sent to other nodes.
 
         :param links: ``transport.PlainLinks``.
         """
-        sent_bytes = prometheus_client.Gauge(
+        self._serve_number(
             "gateway_link_sent_bytes",
             "Bytes sent to other nodes since the start.",
-            registry=self._registry,
+            lambda: links.sent_bytes,
         )
-        sent_bytes.set_function(lambda: links.sent_bytes)
-        sent_messages = prometheus_client.Gauge(
+        self._serve_number(
             "gateway_link_sent_messages",
             "Messages sent to other nodes since the start.",
-            registry=self._registry,
+            lambda: links.sent_messages,
         )
-        sent_messages.set_function(lambda: links.sent_messages)
 
     def serve_unanswered(self, listeners):
         """Serve how many requests were read whole and not answered.
