--- a/buckthorntack/http1/tests/test_listener.py
+++ b/buckthorntack/http1/tests/test_listener.py
@@ -418,9 +418,11 @@
     run(scenario, limits=limits)
 
 
-# Guards against a request that meets the close of its connection right after
-# a response that had not announced a close, as a planned stop began meanwhile.
-def test_connection_stays_open_until_a_response_announces_its_end():
+async def begin_response(harness):
+    """Begin a response that announces no close.
+
+    :returns: reader, writer, and the event that lets the response end.
+    """
     gate = asyncio.Event()
 
     async def handle(request, reply):
@@ -428,12 +430,19 @@
         await gate.wait()
         reply.end()
 
+    harness.listener.handle = handle
+    reader, writer = await harness.connect()
+    writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+    head, _ = await read_response(reader)
+    assert b"Connection: close" not in head
+    return reader, writer, gate
+
+
+# Guards against a request that meets the close of its connection right after
+# a response that had not announced a close, as a planned stop began meanwhile.
+def test_connection_stays_open_until_a_response_announces_its_end():
     async def scenario(harness):
-        harness.listener.handle = handle
-        reader, writer = await harness.connect()
-        writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
-        head, _ = await read_response(reader)
-        assert b"Connection: close" not in head
+        reader, writer, gate = await begin_response(harness)
         harness.listener.disable_keep_alive()
         gate.set()
         await asyncio.sleep(0.05)
@@ -546,19 +555,8 @@
 # response that began before a planned stop and ended after it.
 @pytest.mark.parametrize("has_next", [True, False])
 def test_stopped_listener_waits_for_clients_that_were_not_told(has_next):
-    gate = asyncio.Event()
-
-    async def handle(request, reply):
-        reply.start(200, [], length=0)
-        await gate.wait()
-        reply.end()
-
     async def scenario(harness):
-        harness.listener.handle = handle
-        reader, writer = await harness.connect()
-        writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
-        head, _ = await read_response(reader)
-        assert b"Connection: close" not in head
+        reader, writer, gate = await begin_response(harness)
         harness.listener.disable_keep_alive()
         harness.listener.stop_accepting()
         gate.set()
--- a/buckthorntack/platform/tests/test_stale_records.py
+++ b/buckthorntack/platform/tests/test_stale_records.py
@@ -100,6 +100,25 @@
         assert record.born_ms < server.born
 
 
+async def replace_unknown(world, unaware):
+    """Start s1 again at another version, unknown to entry VMs.
+
+    :param unaware: their names; the first one leaves s2 alone for a while.
+    """
+    for name in unaware:
+        lose_changes(world, name)
+    await replace(world, world.servers["s1"], "v2", unaware=unaware)
+    world.nodes[unaware[0]].shared_state.fleet.state("s2").pause(
+        asyncio.get_running_loop().time(), PAUSE_S
+    )
+
+
+async def wait_for_load_of_south(world):
+    """Wait until an entry VM of the north was told the load of the south."""
+    fleet = world.nodes["e0"].shared_state.fleet
+    await world.until(lambda: fleet.remote_usage("south", "s2", 0) is not None)
+
+
 async def begin(world, entry, pause_s=0.2):
     """Begin a stream; return it, its task, its server and the other one."""
     behave = test_software_versions.write_versions(pause_s=pause_s)
@@ -225,14 +244,7 @@
 # started again at another version, which its entry VM does not know.
 def test_stream_is_not_continued_in_a_region_with_old_records():
     async def scenario(world):
-        await world.until(
-            lambda: (
-                world.nodes["e0"].shared_state.fleet.remote_usage(
-                    "south", "s2", 0
-                )
-                is not None
-            )
-        )
+        await wait_for_load_of_south(world)
         stream, task, first, other = await begin(world, "e0")
         lose_changes(world, "e2")
         lose_changes(world, "e0")
@@ -252,11 +264,7 @@
 # of its server, so that others continue it at the version of that record.
 def test_origin_that_an_entry_vm_with_old_records_tells_is_not_used():
     async def scenario(world):
-        lose_changes(world, "e1")
-        await replace(world, world.servers["s1"], "v2", unaware=["e1"])
-        world.nodes["e1"].shared_state.fleet.state("s2").pause(
-            asyncio.get_running_loop().time(), PAUSE_S
-        )
+        await replace_unknown(world, ["e1"])
         stream, task, first, _ = await begin(world, "e1")
         assert first.server_id == "s1"
         assert stream.versions[0] == "v2"
@@ -274,11 +282,7 @@
 # record of its server, and which it continues at that version by itself.
 def test_stream_begun_by_an_old_record_does_not_go_on():
     async def scenario(world):
-        lose_changes(world, "e1")
-        await replace(world, world.servers["s1"], "v2", unaware=["e1"])
-        world.nodes["e1"].shared_state.fleet.state("s2").pause(
-            asyncio.get_running_loop().time(), PAUSE_S
-        )
+        await replace_unknown(world, ["e1"])
         stream, task, first, _ = await begin(world, "e1")
         assert first.server_id == "s1"
         await asyncio.sleep(PAUSE_S)
@@ -295,21 +299,8 @@
 # record, and tells the version to the entry VM that the client asked.
 def test_origin_by_an_old_record_of_another_region_is_not_used():
     async def scenario(world):
-        lose_changes(world, "e2")
-        lose_changes(world, "e0")
-        server = world.servers["s1"]
-        await replace(world, server, "v2", unaware=["e0", "e2"])
-        world.nodes["e2"].shared_state.fleet.state("s2").pause(
-            asyncio.get_running_loop().time(), PAUSE_S
-        )
-        await world.until(
-            lambda: (
-                world.nodes["e0"].shared_state.fleet.remote_usage(
-                    "south", "s2", 0
-                )
-                is not None
-            )
-        )
+        await replace_unknown(world, ["e2", "e0"])
+        await wait_for_load_of_south(world)
         stream, task, first, _ = await begin(world, "e0")
         assert first.server_id == "s1"
         await asyncio.sleep(PAUSE_S)
