--- a/review/standins.py
+++ b/review/standins.py
@@ -407,16 +407,17 @@
         for machine in [*self.entries, *self.controls]:
             await machine.end()
 
-    async def wait_until_served(self, timeout_s):
+    async def wait_until_served(self, timeout_s, headers=()):
         """Wait until each entry VM has served a request.
 
         :param timeout_s: longest wait.
+        :param headers: further pairs of name and value of the requests.
         :returns: whether all have.
         """
         until_s = self.record.now_s() + timeout_s
         for entry in self.entries:
             while True:
-                answer = await self.request(entry)
+                answer = await self.request(entry, headers=headers)
                 if answer is not None and answer.status == 200:
                     break
                 if self.record.now_s() > until_s:
@@ -424,22 +425,29 @@
                 await asyncio.sleep(0.1)
         return True
 
-    async def request(self, entry):
+    async def request(self, entry, body=b"", headers=()):
         """Send a safe request of a client.
 
         :param entry: the :class:`Machine`.
+        :param body: its body; it is a POST if there is one.
+        :param headers: further pairs of name and value.
         :returns: :class:`Answer` or None.
         """
         self._number += 1
         request_id = f"{self._number:016x}"
-        headers = [
+        fields = [
             ("Host", HOST),
             ("X-Buckthorntack-Request-Id", request_id),
             ("X-Buckthorntack-Deadline-Ms", "4000"),
+            *headers,
         ]
         path = f"/look/{self._number}"
-        self.record.write(f"request {request_id} is sent to {entry.name}")
-        answer = await call(entry.address, "GET", path, b"", headers, 4.0)
+        self.record.write(
+            f"request {request_id} with {len(body)} bytes is sent to"
+            f" {entry.name}"
+        )
+        method = "POST" if body else "GET"
+        answer = await call(entry.address, method, path, body, fields, 4.0)
         status = "no answer" if answer is None else answer.status
         self.record.write(f"request {request_id} gets {status}")
         return answer
@@ -490,10 +498,11 @@
     return True
 
 
-def configuration(version):
+def configuration(version, **fields):
     """Return a configuration with one route.
 
     :param version: its version.
+    :param fields: further fields of it.
     """
     route = {
         "name": "r-look",
@@ -528,6 +537,7 @@
             "header_timeout_ms": 3000,
             "idle_timeout_ms": 15000,
         },
+        **fields,
     }
     return json.dumps(document).encode()
 
