--- a/review/standins.py
+++ b/review/standins.py
@@ -251,6 +251,10 @@
         self.sequence = 0
         #: Pairs of time and id of the requests that it ran.
         self.runs = []
+        #: Coroutine function of worker, writer, head and body of a request
+        #: that it runs, in place of the usual answer; None for that.
+        self.behave = None
+        self.starts = 1
         self._server = None
         self._beating = None
         self._connections = set()
@@ -293,10 +297,17 @@
                 return True
         return False
 
-    async def start_again(self):
-        """Start under the same id, as a new incarnation."""
+    async def start_again(self, has_new_id=False):
+        """Start as a new incarnation.
+
+        :param has_new_id: whether it has another id than before.
+        """
         self.born_ms = int(time.time() * 1e3)
         self.sequence = 0
+        self.starts += 1
+        if has_new_id:
+            stem = self.server_id.partition("~")[0]
+            self.server_id = f"{stem}~{self.starts}"
         await self.start()
         self.platform.record.write(f"{self.server_id} starts again")
 
@@ -368,6 +379,9 @@
             self.platform.record.write(
                 f"{self.server_id} in {self.zone} runs {request_id}"
             )
+            if self.behave is not None:
+                await self.behave(self, writer, headers, body)
+                return
             content = f"{method} {target} ".encode() + body
             fields.append(("X-Buckthorntack-Request-Id", request_id))
             fields.append(
@@ -461,13 +475,16 @@
                 await asyncio.sleep(0.1)
         return True
 
-    async def request(self, entry, body=b"", headers=(), prefix="/look/"):
-        """Send a safe request of a client.
+    async def request(
+        self, entry, body=b"", headers=(), prefix="/look/", path=""
+    ):
+        """Send a request of a client.
 
         :param entry: the :class:`Machine`.
         :param body: its body; it is a POST if there is one.
         :param headers: further pairs of name and value.
         :param prefix: prefix of its route.
+        :param path: its path; empty for one of its own on the route.
         :returns: :class:`Answer` or None.
         """
         self._number += 1
@@ -478,7 +495,7 @@
             ("X-Buckthorntack-Deadline-Ms", "4000"),
             *headers,
         ]
-        path = f"{prefix}{self._number}"
+        path = path or f"{prefix}{self._number}"
         self.record.write(
             f"request {request_id} with {len(body)} bytes is sent to"
             f" {entry.name}"
