Tell requests that come late in a stop from those that it found

What on-call could not tell: request_unanswered has the age of a request, not the time since the stop signal; a complete response that a slow client had not taken left no trace when the end of the stop dropped it.

Change: request_unanswered has stopping_ms; response_undelivered (1910) and gateway_undelivered_responses tell of dropped responses. No logic is changed.

Tests failed before with a KeyError and an AttributeError.

--- a/buckthorntack/gateway/_metrics.py
+++ b/buckthorntack/gateway/_metrics.py
@@ -200,11 +200,19 @@
             ["listener", "reason"],
             registry=self._registry,
         )
+        undelivered = prometheus_client.Gauge(
+            "gateway_undelivered_responses",
+            "Complete responses since the start that their clients had not"
+            " taken before the connection was closed.",
+            ["listener", "reason"],
+            registry=self._registry,
+        )
         for name, listener in listeners.items():
             for reason in http1.EndReason:
                 for gauge, counts in (
                     (unanswered, listener.unanswered),
                     (unread, listener.unread),
+                    (undelivered, listener.undelivered),
                 ):
                     gauge.labels(name, reason.value).set_function(
                         lambda counts=counts, reason=reason: counts[reason]
--- a/buckthorntack/http1/_events.py
+++ b/buckthorntack/http1/_events.py
@@ -78,3 +78,11 @@
     " their clients are reset.",
     "check whether the process has file descriptors left",
 )
+RESPONSE_UNDELIVERED = events.declare(
+    1910,
+    "response_undelivered",
+    logbook.NOTICE,
+    "A connection was closed before its client had taken all of a complete"
+    " response; the size is what was left.",
+    "check for clients that read slowly beside a stop",
+)
--- a/buckthorntack/http1/_server.py
+++ b/buckthorntack/http1/_server.py
@@ -262,6 +262,8 @@
         self.task = None
         #: Request and response in progress; None while there is none.
         self._current = None
+        #: The last request whose response is complete; None before the first.
+        self._answered = None
         self._end_reason = None
         self.refused = False
         self.account = None
@@ -399,6 +401,7 @@
         """
         if self._current is None and not self.transport.is_closing():
             self._report_unread(reason)
+        self._report_undelivered(reason)
         self.abort(reason)
 
     def abort(self, reason):
@@ -431,16 +434,16 @@
             )
         listener = self.listener
         listener.unanswered[reason] += 1
-        request_id = _messages.find_header(request.headers, listener.id_header)
         age_s = self.loop.time() - request.received_s
         listener.log.write(
             _events.REQUEST_UNANSWERED,
-            request=(request_id or b"").decode("latin-1"),
+            request=self._find_request_id(request),
             peer=self.peer,
             reason=reason.value,
             error="" if exc is None else repr(exc),
             started=response.started,
             age_ms=round(age_s * 1e3),
+            **listener.build_stop_fields(),
         )
 
     def _report_unread(self, reason):
@@ -456,6 +459,30 @@
             unread_bytes=unread_bytes,
         )
 
+    def _report_undelivered(self, reason):
+        """Report a complete response that the client has not taken yet."""
+        left_bytes = self.transport.get_write_buffer_size()
+        is_in_progress = (
+            self._current is not None and not self._current[1].ended
+        )
+        if is_in_progress or self._answered is None or not left_bytes:
+            return
+        listener = self.listener
+        listener.undelivered[reason] += 1
+        listener.log.write(
+            _events.RESPONSE_UNDELIVERED,
+            request=self._find_request_id(self._answered),
+            peer=self.peer,
+            reason=reason.value,
+            left_bytes=left_bytes,
+            **listener.build_stop_fields(),
+        )
+
+    def _find_request_id(self, request):
+        name = self.listener.id_header
+        value = _messages.find_header(request.headers, name)
+        return (value or b"").decode("latin-1")
+
     def connection_lost(self, exc):
         self._record_unanswered(exc)
         self.listener.connections.discard(self)
@@ -710,6 +737,8 @@
             else:
                 response.keep_alive = False
                 response.send(500, [], b"internal error\n")
+        if response.ended:
+            self._answered = request
         if self.transport.is_closing():
             return
         if not response.ended:
@@ -806,8 +835,13 @@
         #: Number of connections that were closed with unread bytes while no
         #: request was in progress, by ``EndReason``.
         self.unread = collections.Counter()
+        #: Number of complete responses that were not taken before their
+        #: connection was closed, by ``EndReason``.
+        self.undelivered = collections.Counter()
         #: Whether responses announce the end of their connections.
         self.closing = False
+        #: When that began, of the event loop's time; None before.
+        self._closing_since_s = None
         #: Whether new connections are refused and idle ones closed.
         self.is_stopped = False
         self.log = events.EventLog("http1")
@@ -840,7 +874,7 @@
 
     def abort(self):
         """Close the socket and all connections at once."""
-        self.closing = True
+        self.disable_keep_alive()
         self.is_stopped = True
         self._server.close()
         for task in self._last_accepted:
@@ -860,15 +894,24 @@
 
     def disable_keep_alive(self):
         """Close each connection after its next response."""
+        if not self.closing:
+            self._closing_since_s = asyncio.get_running_loop().time()
         self.closing = True
 
+    def build_stop_fields(self):
+        """Return how long the listener has been stopping, as log fields."""
+        if self._closing_since_s is None:
+            return {}
+        now_s = asyncio.get_running_loop().time()
+        return {"stopping_ms": round((now_s - self._closing_since_s) * 1e3)}
+
     def stop_accepting(self):
         """Accept no new connections and close those that are idle.
 
         Connections that wait to be accepted still are, as the close of the
         socket would reset them.
         """
-        self.closing = True
+        self.disable_keep_alive()
         self.is_stopped = True
         self._accept_waiting()
         # The server refuses what it accepted in this turn if it is closed now.
--- a/buckthorntack/http1/tests/test_listener.py
+++ b/buckthorntack/http1/tests/test_listener.py
@@ -572,3 +572,62 @@
             await asyncio.sleep(0.005)
 
     run(scenario)
+
+
+def find_events(written, number):
+    """Return the fields of the log events with a number."""
+    return [
+        record.extra
+        for record in written.records
+        if record.extra.get("event") == number
+    ]
+
+
+# Guards against requests that a stop cuts late in its grace period, and that
+# look in the log like those that it found in progress.
+def test_unanswered_request_is_reported_with_the_time_since_the_stop():
+    async def scenario(harness):
+        _, writer = await harness.connect()
+        writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        await harness.started.wait()
+        harness.listener.disable_keep_alive()
+        await asyncio.sleep(0.05)
+        harness.listener.abort()
+        writer.close()
+        while harness.listener.connections:  # noqa: ASYNC110
+            await asyncio.sleep(0.005)
+
+    with logbook.TestHandler().applicationbound() as written:
+        run(scenario, gate=asyncio.Event())
+    [line] = find_events(written, 1907)
+    assert line["reason"] == "listener_closed"
+    assert line["stopping_ms"] >= 50
+
+
+# Guards against a complete response that a stop drops without a trace, as its
+# client reads slowly.
+@pytest.mark.parametrize("is_kept", [True, False])
+def test_response_that_is_not_taken_is_reported(is_kept):
+    async def handle(request, reply):
+        reply.keep_alive = is_kept
+        reply.send(200, [], b"a" * 16 * 1024 * 1024)
+
+    async def scenario(harness):
+        harness.listener.handle = handle
+        harness.listener.id_header = b"x-id"
+        _, writer = await harness.connect()
+        writer.transport.pause_reading()
+        writer.write(b"GET / HTTP/1.1\r\nHost: a\r\nX-Id: 7f\r\n\r\n")
+        await asyncio.sleep(0.2)
+        harness.listener.abort()
+        writer.close()
+        assert dict(harness.listener.undelivered) == {
+            http1.EndReason.LISTENER_CLOSED: 1
+        }
+        assert not harness.listener.unanswered
+
+    with logbook.TestHandler().applicationbound() as written:
+        run(scenario)
+    [line] = find_events(written, 1910)
+    assert line["request"] == "7f"
+    assert line["left_bytes"] > 0
