Refuse during a planned stop what it leaves no time for

What callers saw: a request sent on a kept connection 3 to 6 s into the grace period of an entry VM's planned stop got a status, a part of its response, and a closed connection at 7.3 s, though a server was at work on it. Requests in progress without a response were cut as well, without any answer.

Cause: what a request needs was not held against what is left of the grace period. Ruled out: the 20 ms before the deadline (the requests were cut 2.2 to 4.3 s after they were sent, of 8 s), servers (at work on each of them).

Change: a stop has a window. A request, a forwarded one and a retry are begun only if the deadline or the timeout of the route lies before its end; while clients can not know of the stop, also if the longest recent duration of its route, and half as much again, does and it may be repeated. All else is refused with 503, Retry-After and Connection: close, forwarded requests as not run. Requests in progress without a response get 504, or 503 if no server had them, 300 ms before connections close.

--- a/buckthorntack/gateway/_entry.py
+++ b/buckthorntack/gateway/_entry.py
@@ -6,6 +6,7 @@
 
 from buckthorntack import discovery
 from buckthorntack import http1
+from buckthorntack import shutdown
 from buckthorntack import transport
 from buckthorntack.gateway import _events
 from buckthorntack.gateway import _following
@@ -31,9 +32,6 @@
 #: Time without a report, several report periods, after which the next entry VM
 #: by id sends the load reports of the region.
 REGION_REPORTER_TIMEOUT_S = 1.0
-#: Time after the stop signal during which connections are still accepted, as
-#: callers use a directory response that lists this VM for that long.
-STOP_ACCEPT_TIME = 2000 * _MS
 #: Maximum number of addresses in one directory response.
 MAX_DIRECTORY_ADDRESSES = 64
 #: Scopes of directory answers that keep callers in their region.
@@ -58,6 +56,7 @@
         self.following = None
         self.front_listener = None
         self.forward_listener = None
+        self.request_handler = None
         self.quarantine_task = None
         self.origin_task = None
         self.incarnation_task = None
@@ -111,7 +110,7 @@
                 self.shared_state, self._on_unreachable_services
             )
         )
-        request_handler = _request_handler.RequestHandler(
+        self.request_handler = _request_handler.RequestHandler(
             self.shared_state,
             self.clock,
             self.metrics,
@@ -125,14 +124,14 @@
         self.forward_listener = await self._listen(
             "forward",
             settings.forward_address,
-            request_handler.handle_forwarded,
+            self.request_handler.handle_forwarded,
             limits,
             self._listener_memory(_request_handler.RUN_STATE_HEADER),
         )
         self.front_listener = await self._listen(
             "front",
             settings.service_address,
-            request_handler.handle,
+            self.request_handler.handle,
             limits,
             self._listener_memory(),
         )
@@ -437,17 +436,16 @@
         self.following.set_state("stopping")
         self._log_node_event(_events.NODE_STOPPING)
         self.front_listener.disable_keep_alive()
-        started = self.clock.monotonic()
-        accept_deadline = started + min(
-            STOP_ACCEPT_TIME, self.settings.stop_grace / 2
+        window = shutdown.plan_stop(
+            self.clock.monotonic(), self.settings.stop_grace
         )
-        stop_deadline = started + self.settings.stop_grace - _node.STOP_MARGIN
-        while self.clock.monotonic() < accept_deadline:
+        self.request_handler.begin_stop(window)
+        while self.clock.monotonic() < window.accepts_until:
             await self.clock.sleep(_node.STOP_POLL_PERIOD)
         self.front_listener.stop_accepting()
         self.forward_listener.stop_accepting()
         await self._wait_until_answered(
-            (self.front_listener, self.forward_listener), stop_deadline
+            (self.front_listener, self.forward_listener), window.closes_at
         )
         self.following.set_state("gone")
         await asyncio.sleep(0)
--- a/buckthorntack/gateway/_metrics.py
+++ b/buckthorntack/gateway/_metrics.py
@@ -113,6 +113,11 @@
             ["reason", "rank"],
             registry=registry,
         )
+        self._stop_refusals = prometheus_client.Counter(
+            "gateway_stop_refusals",
+            "Requests that a planned stop left no time for.",
+            registry=registry,
+        )
         self._refusals = prometheus_client.Counter(
             "gateway_quarantine_refusals",
             "Requests that were refused as they crash servers.",
@@ -303,6 +308,10 @@
             rank = f"{round(position * 4) / 4:.2f}"
         self._room_refusals.labels(refusal.reason, rank).inc()
 
+    def record_stop_refusal(self):
+        """Count a request that a planned stop left no time for."""
+        self._stop_refusals.inc()
+
     def record_quarantine_refusal(self):
         """Count a request that is refused as it crashes servers."""
         self._refusals.inc()
--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -14,6 +14,7 @@
 from buckthorntack import http1
 from buckthorntack import quarantine
 from buckthorntack import resumption
+from buckthorntack import shutdown
 from buckthorntack.directives import RequestKind
 from buckthorntack.dispatch import Outcome
 from buckthorntack.gateway import _attempt
@@ -73,6 +74,11 @@
 #: Retry-After of refused requests without an estimate, such as those before
 #: the first configuration.
 DEFAULT_RETRY_AFTER_MS = 500.0
+#: Retry-After of requests that a planned stop leaves no time for; other entry
+#: VMs serve them at once.
+STOP_RETRY_AFTER_MS = 50.0
+#: Reason of their refusals.
+STOP_REASON = "the entry VM stops"
 #: Time after the start of an entry VM during which requests wait for the first
 #: configuration and for servers, which announce themselves every 1.2 s.
 STARTUP_PERIOD_S = 4.0
@@ -113,6 +119,19 @@
         self.incarnations = incarnations
         self.reachability = reachability
         self.log = events.EventLog("gateway")
+        #: The ``shutdown.StopWindow``; None while no stop is planned.
+        self.stop_window = None
+        self.durations = shutdown.RecentDurations()
+        self._in_progress = set()
+
+    def begin_stop(self, window):
+        """Respond to all requests before a planned stop ends.
+
+        :param window: the ``shutdown.StopWindow``.
+        """
+        self.stop_window = window
+        for proxied_request in self._in_progress:
+            proxied_request.update_deadline()
 
     async def handle(self, request, reply):
         """Handle a request of a client.
@@ -138,7 +157,11 @@
         proxied_request = _ProxiedRequest(
             self, request, reply, is_forwarded, forwarding_headers
         )
-        await proxied_request.run()
+        self._in_progress.add(proxied_request)
+        try:
+            await proxied_request.run()
+        finally:
+            self._in_progress.discard(proxied_request)
 
 
 class _Choice(NamedTuple):
@@ -175,7 +198,13 @@
         self.service = None
         #: The ``SubjectWatch`` of the request.
         self.watch = None
+        #: When its own time or that of its route is over; 0 until its route
+        #: is known.
+        self._full_deadline_s = 0.0
+        #: The same, or the end of a planned stop.
         self.deadline_s = 0.0
+        #: ``asyncio.Timeout`` of its attempts.
+        self._timeout = None
         self.excluded_ids = set()
         self.send_count = _parse_send_count(forwarding_headers, 0)
         self.connect_failures = 0
@@ -212,6 +241,7 @@
         try:
             await self._proxy()
             outcome = "answered" if self.reply.ended else "cut"
+            self._record_duration()
         finally:
             self._refund_quota()
             self._log_end(outcome)
@@ -249,11 +279,21 @@
             self.shared_state.hedging.record_request(self.service.name)
         self._set_deadline()
         try:
-            async with asyncio.timeout_at(self.deadline_s):
+            async with asyncio.timeout_at(self.deadline_s) as self._timeout:
                 await self._retry_until_completed()
         except TimeoutError:
             self._on_timeout()
 
+    def _record_duration(self):
+        """Record how long a request took that a server responded to."""
+        if not (self.reply.ended and self.send_count):
+            return
+        if self.reply.status >= http.HTTPStatus.BAD_REQUEST:
+            return
+        now = self.handler.clock.monotonic()
+        received_at = datetime.timedelta(seconds=self.request.received_s)
+        self.handler.durations.record(self.route.name, now - received_at, now)
+
     async def _wait_for_configuration(self):
         timeout_s = (self.metadata.timeout_ms or 0.0) / 1e3
         wait_until_s = self._now_s() + self._startup_wait_s(timeout_s)
@@ -398,9 +438,38 @@
         timeout_s = self.route.timeout.total_seconds()
         if self.metadata.timeout_ms is not None:
             timeout_s = min(timeout_s, self.metadata.timeout_ms / 1e3)
-        self.deadline_s = (
+        self._full_deadline_s = (
             self.request.received_s + timeout_s - DEADLINE_MARGIN_S
         )
+        self.update_deadline()
+
+    def update_deadline(self):
+        """Move the deadline to what its time and a planned stop leave.
+
+        A response that has begun may go on until its connection is closed.
+        """
+        self.deadline_s = self._full_deadline_s
+        window = self.handler.stop_window
+        if window is not None and not self.reply.started:
+            answers_until_s = window.answers_until.total_seconds()
+            self.deadline_s = min(self.deadline_s, answers_until_s)
+        if self._timeout is not None and not self._timeout.expired():
+            self._timeout.reschedule(self.deadline_s)
+
+    def _may_begin_attempt(self):
+        """Whether a planned stop leaves time for another attempt."""
+        window = self.handler.stop_window
+        if window is None or self.reply.started:
+            return True
+        now = self.handler.clock.monotonic()
+        work = shutdown.Work(
+            datetime.timedelta(seconds=self._full_deadline_s),
+            self.handler.durations.longest(self.route.name, now),
+            self.route.is_idempotent,
+            is_forwarded=self.is_forwarded,
+            is_retry=self.send_count > 0,
+        )
+        return shutdown.may_begin(window, now, work)
 
     def _now_s(self):
         return self.handler.clock.monotonic().total_seconds()
@@ -431,6 +500,10 @@
                 raise TimeoutError
             if self._is_quarantined() or not self._narrow_route():
                 return
+            if not self._may_begin_attempt():
+                self.handler.metrics.record_stop_refusal()
+                self._send_final_failure(STOP_REASON, STOP_RETRY_AFTER_MS)
+                return
             if not await self._confirm_origin():
                 self._send_final_failure(
                     "no control VM confirms which software version began it",
@@ -1106,6 +1179,8 @@
             headers.extend(_stream_origin.write_headers(self.origin))
             headers.extend(_stream_origin.write_server(self.began_at))
         self.reply.start(head.status, headers, head.reason, length)
+        if self.handler.stop_window is not None:
+            self.update_deadline()
         self._record_first_byte()
 
     async def _relay_stream(self, connection, head, data):
@@ -1241,11 +1316,21 @@
             self._send_buffered(*self.error_response)
         elif self.send_count:
             self._send_local_response(
-                504, "out of time", errors.RunState.UNKNOWN
+                504, self._explain_timeout(), errors.RunState.UNKNOWN
             )
+        elif self._is_ended_by_stop():
+            self.handler.metrics.record_stop_refusal()
+            self._send_refusal(STOP_REASON, STOP_RETRY_AFTER_MS)
         else:
             self._send_refusal("out of time", None)
 
+    def _is_ended_by_stop(self):
+        """Whether a planned stop leaves less time than the request has."""
+        return self.deadline_s < self._full_deadline_s
+
+    def _explain_timeout(self):
+        return STOP_REASON if self._is_ended_by_stop() else "out of time"
+
     def _send_refusal(self, reason, retry_after_ms):
         if retry_after_ms is None:
             retry_after_ms = DEFAULT_RETRY_AFTER_MS
--- a/buckthorntack/platform/tests/_standins.py
+++ b/buckthorntack/platform/tests/_standins.py
@@ -353,11 +353,17 @@
     :param entries: failure domain of each entry VM.
     :param memory_mb: memory of a VM; 0 for no bound.
     :param hedge_share: as in ``NodeSettings``.
+    :param stop_grace_s: grace period of a planned stop.
     """
 
     def __init__(
-        self, entries=("a1", "a1", "b1"), memory_mb=0.0, hedge_share=0.0
+        self,
+        entries=("a1", "a1", "b1"),
+        memory_mb=0.0,
+        hedge_share=0.0,
+        stop_grace_s=8.0,
     ):
+        self.stop_grace_s = stop_grace_s
         self.memory_mb = memory_mb
         pid = os.getpid()
         self.network = f"127.{100 + pid % 100}.{pid // 100 % 250}"
@@ -423,7 +429,7 @@
             repeat_ratio=0.2,
             repeat_slack=56.0,
             directory_ttl=datetime.timedelta(seconds=5),
-            stop_grace=datetime.timedelta(seconds=8),
+            stop_grace=datetime.timedelta(seconds=self.stop_grace_s),
             memory_mb=self.memory_mb,
             hedge_share=self.hedge_share,
         )
