Deliver complete responses that clients read slowly beside a stop

What callers saw: by a test only, a response that was complete at the entry VM broke off, as its client read slowly and the end of the stop dropped what the kernel had not taken. One on a kept connection did not even keep the stop waiting.

Cause: a response counted as delivered once it was written to the connection's buffer. Class: an end that is taken for granted before the peer confirms it.

Change: a connection with unsent data counts as active; at the end of a stop the kernel's send buffer is raised by what is left, so that the kernel takes it and goes on sending when the process has ended. net.core.wmem_max bounds that.

Evidence: test_response_that_a_client_reads_slowly_outlasts_the_listener failed without it in both cases: undelivered == {listener_closed: 1}.

--- a/buckthorntack/gateway/_node.py
+++ b/buckthorntack/gateway/_node.py
@@ -102,6 +102,8 @@
     async def _wait_until_answered(self, listeners, deadline):
         """Wait until no request is in progress.
 
+        What clients have not read by then is left to the kernel.
+
         :param listeners: ``http1.Listener`` that accept no more.
         :param deadline: monotonic time of the end of the wait.
         """
@@ -112,6 +114,8 @@
                 listener.count_active_connections() for listener in listeners
             ):
                 break
+        for listener in listeners:
+            await listener.hand_over()
 
     async def _serve_metrics(self):
         settings = self.settings
--- a/buckthorntack/http1/_server.py
+++ b/buckthorntack/http1/_server.py
@@ -44,6 +44,8 @@
 #: Time for which a listener that has stopped waits for a request of a client
 #: that has not been told of the end of its connection.
 LAST_REQUEST_S = 0.5
+#: Time in which the kernel takes what is left of complete responses.
+HAND_OVER_S = 0.02
 #: Lateness of a timer from which the process counts as held up.
 HELD_UP_S = 0.1
 #: Idle time before the kernel sends TCP keep-alive probes.
@@ -461,11 +463,8 @@
 
     def _report_undelivered(self, reason):
         """Report a complete response that the client has not taken yet."""
-        left_bytes = self.transport.get_write_buffer_size()
-        is_in_progress = (
-            self._current is not None and not self._current[1].ended
-        )
-        if is_in_progress or self._answered is None or not left_bytes:
+        left_bytes = self._count_undelivered()
+        if not left_bytes:
             return
         listener = self.listener
         listener.undelivered[reason] += 1
@@ -478,6 +477,22 @@
             **listener.build_stop_fields(),
         )
 
+    def raise_send_buffer(self):
+        """Let the kernel take the rest of a complete response."""
+        left_bytes = self._count_undelivered()
+        sock = self.transport.get_extra_info("socket")
+        if left_bytes and sock.fileno() >= 0:
+            transports.raise_send_buffer(sock, left_bytes)
+
+    def _count_undelivered(self):
+        """Return what the kernel has not taken of a complete response."""
+        is_in_progress = (
+            self._current is not None and not self._current[1].ended
+        )
+        if is_in_progress or self._answered is None:
+            return 0
+        return self.transport.get_write_buffer_size()
+
     def _find_request_id(self, request):
         name = self.listener.id_header
         value = _messages.find_header(request.headers, name)
@@ -882,14 +897,27 @@
         for connection in list(self.connections):
             connection.abort_reporting_unread(EndReason.LISTENER_CLOSED)
 
+    async def hand_over(self):
+        """Let the kernel send complete responses that clients read slowly.
+
+        It goes on with them when the process has ended.
+        """
+        for connection in list(self.connections):
+            connection.raise_send_buffer()
+        await asyncio.sleep(HAND_OVER_S)
+
     def count_active_connections(self):
-        """Return the number of connections with a request in progress."""
+        """Return the number of connections with a request in progress.
+
+        A response is in progress until the kernel has taken all of it.
+        """
         return len(self._last_accepted) + sum(
             1
             for connection in self.connections
             if connection.task is not None
             or connection._is_reading
             or connection.is_last_request_due
+            or connection.transport.get_write_buffer_size()
         )
 
     def disable_keep_alive(self):
--- a/buckthorntack/http1/tests/test_listener.py
+++ b/buckthorntack/http1/tests/test_listener.py
@@ -631,3 +631,44 @@
     [line] = find_events(written, 1910)
     assert line["request"] == "7f"
     assert line["left_bytes"] > 0
+
+
+# Guards against a complete response that a stop drops, as its client reads
+# slowly; its process is gone before the client reads on.
+@pytest.mark.parametrize("is_kept", [True, False])
+def test_response_that_a_client_reads_slowly_outlasts_the_listener(is_kept):
+    body = b"a" * 150_000
+
+    async def handle(request, reply):
+        reply.keep_alive = is_kept
+        reply.send(200, [], body)
+
+    async def scenario(harness):
+        harness.listener.handle = handle
+        # Connections inherit it; the kernel holds little, as on slow links.
+        harness.listener.sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, 8192
+        )
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+        sock.setblocking(False)
+        host, _, port = harness.listener.address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(sock, (host, int(port)))
+        await loop.sock_sendall(sock, b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        await asyncio.sleep(0.1)
+        [connection] = harness.listener.connections
+        assert connection.transport.get_write_buffer_size() > 0
+        harness.listener.stop_accepting()
+        assert harness.listener.count_active_connections() == 1
+        await harness.listener.hand_over()
+        harness.listener.abort()
+        while harness.listener.connections:  # noqa: ASYNC110
+            await asyncio.sleep(0.005)
+        assert not harness.listener.undelivered
+        reader, writer = await asyncio.open_connection(sock=sock)
+        _, received = await read_response(reader)
+        assert received == body
+        writer.close()
+
+    run(scenario)
--- a/buckthorntack/transport/__init__.py
+++ b/buckthorntack/transport/__init__.py
@@ -12,6 +12,7 @@
 from buckthorntack.transport._sockets import count_unacknowledged
 from buckthorntack.transport._sockets import count_unread
 from buckthorntack.transport._sockets import listener_url
+from buckthorntack.transport._sockets import raise_send_buffer
 from buckthorntack.transport._sockets import set_reset_on_close
 from buckthorntack.transport._sockets import set_user_timeout
 
@@ -28,6 +29,7 @@
     "set_user_timeout",
     "listener_url",
     "mounted_app",
+    "raise_send_buffer",
     "set_reset_on_close",
     "configure_dead_peer_detection",
 ]
--- a/buckthorntack/transport/_sockets.py
+++ b/buckthorntack/transport/_sockets.py
@@ -97,6 +97,22 @@
     return _INT.unpack(count)[0]
 
 
+def raise_send_buffer(sock, more_bytes):
+    """Let the kernel hold more data that the peer has not taken.
+
+    It goes on sending when the socket is closed and its process has ended.
+    ``net.core.wmem_max`` limits what it holds.
+
+    :param sock: a TCP socket.
+    :param more_bytes: what it holds besides what it does now.
+    """
+    # Values that are read are twice those that are set, for the overhead.
+    held_bytes = sock.getsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF)
+    sock.setsockopt(
+        socket.SOL_SOCKET, socket.SO_SNDBUF, held_bytes // 2 + more_bytes
+    )
+
+
 def set_reset_on_close(transport, enabled):
     """Choose whether a close resets a connection (RST) or ends it (FIN).
 
