Answer pipelined requests before a planned stop closes connections

What callers saw: by a test, a pipelined request that was read whole got no response: a response that began during a stop announced the close of its connection, and the requests behind it were dropped.

Cause: the close was announced by the next response, not by the last. Class: an end that is announced while read input still waits.

Change: a response announces the close only if no request waits behind it.

Evidence: test_pipelined_requests_are_answered_before_a_stop_closes failed with 'Connection: close' on the first of three responses.

--- a/buckthorntack/http1/_server.py
+++ b/buckthorntack/http1/_server.py
@@ -144,7 +144,7 @@
             self._ends_at_close = True
             # Only a reset tells the client that the body is incomplete.
             transports.set_reset_on_close(self.connection.transport, True)
-        if self.connection.listener.closing:
+        if self.connection.listener.closing and not self.connection.waiting:
             self.keep_alive = False
         if not self.keep_alive:
             fields.append((b"Connection", b"close"))
--- a/buckthorntack/http1/tests/test_listener.py
+++ b/buckthorntack/http1/tests/test_listener.py
@@ -672,3 +672,30 @@
         writer.close()
 
     run(scenario)
+
+
+# Guards against a pipelined request that was read whole and gets no response,
+# as a stop lets the response before it announce the close.
+def test_pipelined_requests_are_answered_before_a_stop_closes():
+    gate = asyncio.Event()
+
+    async def scenario(harness):
+        reader, writer = await harness.connect()
+        for number in range(3):
+            writer.write(b"GET /%d HTTP/1.1\r\nHost: a\r\n\r\n" % number)
+        await harness.started.wait()
+        [connection] = harness.listener.connections
+        while len(connection.waiting) < 2:  # noqa: ASYNC110
+            await asyncio.sleep(0.005)
+        harness.listener.disable_keep_alive()
+        harness.listener.stop_accepting()
+        gate.set()
+        for number in range(3):
+            head, _ = await read_response(reader)
+            assert b"X-Target: /%d\r\n" % number in head
+            assert (b"Connection: close\r\n" in head) is (number == 2)
+        assert await reader.read() == b""
+        writer.close()
+        assert not harness.listener.unanswered
+
+    run(scenario, gate=gate)
