--- a/buckthorntack/platform/tests/test_silent_servers.py
+++ b/buckthorntack/platform/tests/test_silent_servers.py
@@ -127,6 +127,30 @@
     test_requests.run(scenario, ("s0", "text"), ("s1", "text"))
 
 
+# Guards against a stream that is cut beside a silence of its server, as the
+# server that it is left for has no room.
+def test_stream_outlives_a_replacement_that_has_no_room():
+    refuse = _standins.answer_with(
+        503, (b"X-Buckthorntack-Not-Executed", b"1")
+    )
+
+    async def behave(server, request, reply):
+        if http1.find_header(request.headers, b"last-event-id"):
+            await refuse(server, request, reply)
+        else:
+            await fall_silent_before(3, LONG_SILENCE_S)(server, request, reply)
+
+    async def scenario(world):
+        for server in world.servers.values():
+            server.behave = behave
+        answer = await world.ask("/talk/x", method="POST")
+        assert answer.status == 200
+        assert answer.whole
+        assert answer.body == _standins.whole_stream(EVENTS)
+
+    test_requests.run(scenario, ("s0", "text"), ("s1", "text"))
+
+
 # Guards against a stream that is cut as its server is silent, though it is not
 # known where it began: its server was announced as another incarnation.
 def test_stream_whose_origin_is_not_known_waits_for_a_silent_server():
