Stay with a silent server until another one continues the stream

What callers saw: a resumable stream whose sound server was silent for 2 s or more broke off, as the server that it was left for had no room and no attempt or retry was left; beside a change of the configuration (LOST) and beside SIGHUP.

Cause: the connection to the silent server was closed before the next server had accepted.

Change: the connection stays open while the next attempt is made, and is closed as soon as that one's response has begun. If it does not begin, the stream goes on where it was. The route is narrowed to the newest configuration, also for the organisation, before the replacement is chosen.

--- a/buckthorntack/gateway/_attempt.py
+++ b/buckthorntack/gateway/_attempt.py
@@ -30,6 +30,8 @@
         #: Pair of server id and incarnation that this origin is of.
         self.began_at = ()
         self.has_checked_origin = False
+        #: Whether it counts no longer.
+        self.has_ended = False
         #: Framing, size and end of the body.
         self.framing = ""
         self.body_bytes = 0
--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -236,6 +236,9 @@
         self.replacement = None
         #: The last attempt.
         self.attempt = _attempt.Attempt()
+        #: Attempt at a silent server, and its connection, that another one
+        #: shall replace; None for none.
+        self._silent = None
 
     async def run(self):
         """Process the request up to its final response."""
@@ -579,22 +582,30 @@
 
         :returns: False if no region is left and the request has failed.
         """
-        table = self.shared_state.table
-        route = table.narrow_route(self.route)
-        if route is not None and self.caller is not None:
-            # The regions of an organisation that was removed since stay.
-            organisation = self.caller.organisation
-            if organisation is not None:
-                organisation = (
-                    table.find_organisation(organisation.name) or organisation
-                )
-            route = directives.restrict_to_organisation(route, organisation)
+        route = self._find_narrowed_route()
         if route is None:
             self._send_final_failure("no region may serve it", None)
             return False
         self.route = route
         return True
 
+    def _find_narrowed_route(self):
+        """Return the route with the regions of the newest configuration.
+
+        :returns: the route; None if no region is left.
+        """
+        table = self.shared_state.table
+        route = table.narrow_route(self.route)
+        if route is None or self.caller is None:
+            return route
+        # The regions of an organisation that was removed since stay.
+        organisation = self.caller.organisation
+        if organisation is not None:
+            organisation = (
+                table.find_organisation(organisation.name) or organisation
+            )
+        return directives.restrict_to_organisation(route, organisation)
+
     def _build_routing_request(self):
         prompt = self.metadata.prompt if self.service.engine else None
         can_continue = not self.reply.started or self.stream is not None
@@ -783,8 +794,10 @@
             return False
         if not isinstance(self.watch.check(True), quarantine.Admitted):
             return False
-        if shared_state.table.narrow_route(self.route) is None:
+        route = self._find_narrowed_route()
+        if route is None:
             return False
+        self.route = route
         request = self._build_routing_request()
         if not self._may_return():
             request = request._replace(
@@ -845,8 +858,11 @@
     def end_attempt(self, attempt):
         """Stop counting an attempt and give its connection back.
 
-        :param attempt: the ``Attempt``.
+        :param attempt: the ``Attempt``; it may have ended already.
         """
+        if attempt.has_ended:
+            return
+        attempt.has_ended = True
         now_s = self._now_s()
         in_flight = attempt.in_flight
         shared_state = self.shared_state
@@ -1078,6 +1094,8 @@
         if attempt.in_flight is None:
             attempt.origin = _stream_origin.read_headers(head.headers)
             attempt.began_at = _stream_origin.read_server(head.headers)
+        if self._silent is not None and self._is_stream(head):
+            self._end_silent_attempt()
         attempt.framing = head.framing.value
         attempt.answer_started_s = self._now_s()
         metadata = self.dialect.parse_response(head)
@@ -1247,12 +1265,12 @@
                     self.reply.write(complete_events)
                     self.progress_s = self._now_s()
                     await self.reply.flush()
-                data = await self._read_stream_data(connection)
+                data, result = await self._read_or_replace(connection)
+                if result is not None:
+                    return result
         except TimeoutError:
             connection.close()
-            if self._remaining_s() <= 0:
-                raise
-            return _results.Unknown("silent within its stream")
+            raise
         except _event_stream.StreamOrderError as error:
             connection.close()
             return _results.Unknown(error.detail)
@@ -1266,6 +1284,64 @@
         self.watch.on_answer_end(self.attempt, head)
         return _results.Completed()
 
+    async def _read_or_replace(self, connection):
+        """Read stream data, or continue the stream elsewhere.
+
+        :param connection: the connection to the server.
+        :returns: the data, and the result of the attempt that has replaced
+            this one; None if none has.
+        :raises TimeoutError: the time of the request is over.
+        """
+        while True:
+            try:
+                return await self._read_stream_data(connection), None
+            except TimeoutError:
+                if self._remaining_s() <= 0:
+                    raise
+            result = await self._replace_silent_attempt(connection)
+            if result is not None:
+                return b"", result
+
+    async def _replace_silent_attempt(self, connection):
+        """Continue a stream elsewhere whose server is silent.
+
+        Its connection stays open until another response begins, as the server
+        may go on.
+
+        :param connection: the connection to the silent server.
+        :returns: the result of the attempt that replaces it; None if none
+            does.
+        """
+        silent = self.attempt
+        routing_request, decision, now = self._choose()
+        self.log_decision(decision)
+        if isinstance(decision, dispatch.Refuse):
+            return None
+        if not self.take_retry_budget():
+            return None
+        self._silent = (silent, connection)
+        self.attempt = _attempt.Attempt()
+        if isinstance(decision, dispatch.Serve):
+            result = await self._send_to_server(routing_request, decision, now)
+        else:
+            result = await self._forward_to_region(decision)
+        if self._silent is None:
+            return result
+        self._silent = None
+        self.record_other_result(self.attempt, result)
+        self.attempt = silent
+        return None
+
+    def _end_silent_attempt(self):
+        """Leave a silent server, as another one goes on."""
+        (silent, connection), self._silent = self._silent, None
+        connection.close()
+        result = _results.Unknown("silent within its stream")
+        silent.outcome = _results.classify_outcome(result, self.reply.status)
+        self.record_other_result(silent, result)
+        if silent.in_flight is not None:
+            self.end_attempt(silent)
+
     def _comes_from_origin(self):
         """Whether the stream may go on with the data of this attempt.
 
--- a/buckthorntack/platform/tests/test_silent_servers.py
+++ b/buckthorntack/platform/tests/test_silent_servers.py
@@ -128,8 +128,9 @@
 
 
 # Guards against a stream that is cut beside a silence of its server, as the
-# server that it is left for has no room.
-def test_stream_outlives_a_replacement_that_has_no_room():
+# server that it is left for has no room, in this or in another region.
+@pytest.mark.parametrize("zone", ["a1", "b1"])
+def test_stream_outlives_a_replacement_that_has_no_room(zone):
     refuse = _standins.answer_with(
         503, (b"X-Buckthorntack-Not-Executed", b"1")
     )
@@ -147,8 +148,9 @@
         assert answer.status == 200
         assert answer.whole
         assert answer.body == _standins.whole_stream(EVENTS)
+        assert count_runs(world) == 2
 
-    test_requests.run(scenario, ("s0", "text"), ("s1", "text"))
+    test_requests.run(scenario, ("s0", "text"), ("s1", "text", zone))
 
 
 # Guards against a stream that is cut as its server is silent, though it is not
