Let the log take a write again that a full disk refused

What callers saw: the store refused each write for good after one that had no room, so its replica had to end.

Cause: a write without room was treated as a disk of unknown contents.

Change: the log is restored to its size before the write, and synced, so that a loss of power cannot mix the bytes of two writes. A segment that could not be started is started by the next write, and the former one is kept until then, as its hard state is in no other file. A file that is written whole leaves no partial copy behind. A sync without room still ends the store, as the bytes of that file may be lost.

Evidence: test_disk_with_room_again_takes_the_refused_write failed with DiskFullError at the second try, test_sync_without_room_ends_the_store with "no space" in place of DiskFailedError. Put in by hand, each of these was noticed: no truncation, no sync after it, the former segment released before the next one is durable, a second try after a failed sync.

--- a/buckthorntack/storage/_errors.py
+++ b/buckthorntack/storage/_errors.py
@@ -44,11 +44,11 @@
 
 
 class DiskFullError(StorageError):
-    """The disk has no space left."""
+    """The disk has no space left; what was refused is not written."""
 
     number = 354
     kind = "disk_full"
-    remedy = "free space on the disk of the data folder and restart"
+    remedy = "free space on the disk of the data folder"
 
 
 class DiskFailedError(StorageError):
@@ -66,10 +66,12 @@
 
 
 @contextlib.contextmanager
-def translate_os_errors(path):
+def translate_os_errors(path, full_is_failure=False):
     """Raise each ``OSError`` of the block as a ``StorageError``.
 
     :param path: file or folder that the block uses.
+    :param full_is_failure: whether the contents of the file are unknown
+        after a lack of space too, as after a failed sync.
     :raises DiskFullError: no space or quota was left.
     :raises DiskFailedError: any other failure.
     """
@@ -77,5 +79,6 @@
         yield
     except OSError as error:
         full = error.errno in _DISK_FULL_ERRNOS
-        kind = DiskFullError if full else DiskFailedError
+        is_refused = full and not full_is_failure
+        kind = DiskFullError if is_refused else DiskFailedError
         raise kind(f"{path}: {error.strerror or error}") from error
--- a/buckthorntack/storage/_events.py
+++ b/buckthorntack/storage/_events.py
@@ -23,3 +23,11 @@
     logbook.INFO,
     "The durable state of a replica was read at its start.",
 )
+SEGMENT_DELAYED = events.declare(
+    303,
+    "log_segment_delayed",
+    logbook.WARNING,
+    "The disk has no space for the next segment of the log; the next write "
+    "starts it.",
+    "free space on the disk of the data folder",
+)
--- a/buckthorntack/storage/_log.py
+++ b/buckthorntack/storage/_log.py
@@ -1,5 +1,6 @@
 """Segmented write-ahead log with one sync for each batch."""
 
+import contextlib
 import os
 import re
 import struct
@@ -123,16 +124,20 @@
     def append(self, batch):
         """Write a batch durably.
 
-        After a failure the contents of the disk are unknown, so every later
-        call fails too.
+        After a write without room the log is as before it, and the call can
+        be repeated.  After any other failure the contents of the disk are
+        unknown, so every later call fails too.
 
         :param batch: a ``Batch``.
+        :raises DiskFullError: nothing of the batch was written.
         :raises StorageError: the batch may not be durable.
         """
         if self._failed is not None:
             raise self._failed
         try:
             self._append(batch)
+        except _errors.DiskFullError:
+            raise
         except _errors.StorageError as error:
             self._failed = error
             raise
@@ -147,7 +152,7 @@
         :raises StorageError: the folder can't be changed.
         """
         if self._last_index and self._size_bytes > self.segment_bytes // 8:
-            self._start_next_segment()
+            self._try_next_segment()
         while self._segments and self._segments[0].last_index <= index:
             path = self._segment_path(self._segments.pop(0).number)
             with _errors.translate_os_errors(path):
@@ -157,43 +162,79 @@
                 self.files.sync_folder(self.folder)
 
     def _append(self, batch):
-        if self._size_bytes >= self.segment_bytes:
+        if self._file is None or self._size_bytes >= self.segment_bytes:
             self._start_next_segment()
+        self._write(batch)
+        self._sync()
         if batch.hard_state is not None:
             self._hard_state = batch.hard_state
-        self._write(batch)
-        with _errors.translate_os_errors(self._segment_path(self._number)):
-            self._file.sync()
 
     def _write(self, batch):
         payload = _records.encode(batch)
         data = _frames.encode_frame(payload, self._number, self._size_bytes)
-        with _errors.translate_os_errors(self._segment_path(self._number)):
-            self._file.write(data)
+        try:
+            with _errors.translate_os_errors(self._segment_path(self._number)):
+                self._file.write(data)
+        except _errors.DiskFullError:
+            self._remove_partial_write()
+            raise
         self._size_bytes += len(data)
         self._update_last_index(batch)
 
+    def _remove_partial_write(self):
+        """Restore the segment to its size before a write without room.
+
+        It is synced, as a loss of power could otherwise mix the bytes of this
+        write with those of the next one.
+        """
+        path = self._segment_path(self._number)
+        with _errors.translate_os_errors(path, full_is_failure=True):
+            self._file.truncate(self._size_bytes)
+            self._file.sync()
+
+    def _sync(self):
+        path = self._segment_path(self._number)
+        with _errors.translate_os_errors(path, full_is_failure=True):
+            self._file.sync()
+
     def _update_last_index(self, batch):
         indexes = [entry.index for entry in batch.entries]
         self._last_index = max(self._last_index, *indexes, 0)
 
+    def _try_next_segment(self):
+        """Start the next segment; without room, the next append does it."""
+        try:
+            self._start_next_segment()
+        except _errors.DiskFullError as error:
+            self._events.write(_events.SEGMENT_DELAYED, error=error)
+        except _errors.StorageError as error:
+            self._failed = error
+            raise
+
     def _start_next_segment(self):
         self.close()
-        self._segments.append(_Segment(self._number, self._last_index))
+        last = _Segment(self._number, self._last_index)
         self._create_segment(self._number + 1)
+        # The last one may be removed only when its hard state is kept.
+        self._segments.append(last)
 
     def _create_segment(self, number):
         path = self._segment_path(number)
         prefix = _PREFIX.pack(_MAGIC, number)
         payload = _records.encode(_records.Batch(hard_state=self._hard_state))
         frame = _frames.encode_frame(payload, number, len(prefix))
-        with _errors.translate_os_errors(path):
-            self._file = self.files.open_for_append(path)
-            self._file.truncate(0)
-            # Of two writes the first might be torn and the second kept.
-            self._file.write(prefix + frame)
-            self._file.sync()
-            self.files.sync_folder(self.folder)
+        with contextlib.ExitStack() as resources:
+            with _errors.translate_os_errors(path):
+                file = self.files.open_for_append(path)
+                resources.callback(file.close)
+                file.truncate(0)
+                # Of two writes the first might be torn and the second kept.
+                file.write(prefix + frame)
+            with _errors.translate_os_errors(path, full_is_failure=True):
+                file.sync()
+                self.files.sync_folder(self.folder)
+            resources.pop_all()
+        self._file = file
         self._number = number
         self._size_bytes = len(prefix) + len(frame)
         self._last_index = 0
--- a/buckthorntack/storage/_snapshots.py
+++ b/buckthorntack/storage/_snapshots.py
@@ -1,5 +1,6 @@
 """Snapshot files, written atomically."""
 
+import contextlib
 import os
 import re
 
@@ -22,20 +23,39 @@
     :param folder: path of the folder.
     :param name: name of the file.
     :param payload: contents of the file.
+    :raises DiskFullError: the file is as before, and the call can be
+        repeated.
     :raises StorageError: the file may not be durable.
     """
     path = os.path.join(folder, name)
     partial = path + _PARTIAL
-    with _errors.translate_os_errors(path):
-        file = files.open_for_append(partial)
-        try:
+    try:
+        _write_synced(files, partial, _frames.encode_frame(payload, 0, 0))
+        with _errors.translate_os_errors(path):
+            files.rename(partial, path)
+    except _errors.DiskFullError:
+        _release_partial(files, folder, partial)
+        raise
+    with _errors.translate_os_errors(path, full_is_failure=True):
+        files.sync_folder(folder)
+
+
+def _write_synced(files, path, data):
+    with contextlib.ExitStack() as resources:
+        with _errors.translate_os_errors(path):
+            file = files.open_for_append(path)
+            resources.callback(file.close)
             file.truncate(0)
-            file.write(_frames.encode_frame(payload, 0, 0))
+            file.write(data)
+        with _errors.translate_os_errors(path, full_is_failure=True):
             file.sync()
-        finally:
-            file.close()
-        files.rename(partial, path)
-        files.sync_folder(folder)
+
+
+def _release_partial(files, folder, partial):
+    """Remove a file that was not completed, as it takes space."""
+    with _errors.translate_os_errors(partial, full_is_failure=True):
+        if os.path.basename(partial) in files.list_names(folder):
+            files.remove(partial)
 
 
 def read_checked_file(files, folder, name):
--- a/buckthorntack/storage/tests/memory_files.py
+++ b/buckthorntack/storage/tests/memory_files.py
@@ -10,13 +10,18 @@
     """Simulated crash of the process."""
 
 
+#: Capacity of a disk that never fills.
+NO_LIMIT_BYTES = 1 << 40
+
+
 class Faults(NamedTuple):
     """Faults by step number; a step is one file operation."""
 
     crash_before: int = -1
     crash_after: int = -1
     fail_at: int = -1
-    capacity_bytes: int = 1 << 40
+    full_at: int = -1
+    capacity_bytes: int = NO_LIMIT_BYTES
 
 
 #: What remains after a crash of bytes that were written but not synced.
@@ -106,10 +111,15 @@
             raise CrashError
         if number == self.faults.fail_at:
             raise OSError(errno.EIO, "bad disk")
+        if number == self.faults.full_at:
+            raise OSError(errno.ENOSPC, "no space")
         yield
         if number == self.faults.crash_after:
             raise CrashError
 
+    def limit(self, capacity_bytes):
+        self.faults = self.faults._replace(capacity_bytes=capacity_bytes)
+
     def used_bytes(self):
         return sum(len(c.data) for c in self.current_files.values())
 
--- a/buckthorntack/storage/tests/test_faults.py
+++ b/buckthorntack/storage/tests/test_faults.py
@@ -211,6 +211,82 @@
     assert full > 20
 
 
+def run_with_room_later(files, capacity_bytes, vote=None):
+    """Run the actions; a disk without room has room at the second try.
+
+    :param vote: vote of a batch that is written in place of a refused one;
+        None to write the same batch again.
+    :returns: the acknowledged state, the state that would follow the
+        interrupted action, and how often there was no room.
+    """
+    known = following = EMPTY
+    refusals = 0
+    ending = (memory_files.CrashError, storage.DiskFailedError)
+    with contextlib.suppress(*ending), new_store(files) as store:
+        store.recover("id")
+        for name, argument in ACTIONS:
+            following = state_after(known, name, argument)
+            files.limit(capacity_bytes)
+            try:
+                apply_action(store, name, argument)
+            except storage.DiskFullError:
+                refusals += 1
+                files.limit(memory_files.NO_LIMIT_BYTES)
+                if vote and name == "append":
+                    argument = argument._replace(hard_state=vote)
+                following = state_after(known, name, argument)
+                apply_action(store, name, argument)
+            known = following
+    return known, following, refusals
+
+
+# Guards against a store that refuses all writes for good after a disk was
+# full for a moment.
+def test_disk_with_room_again_takes_the_refused_write():
+    refusals = 0
+    for capacity_bytes in range(0, 1500, 7):
+        files = memory_files.MemoryFiles()
+        known, following, refused = run_with_room_later(files, capacity_bytes)
+        assert known == following, capacity_bytes
+        refusals += refused
+        for tail in memory_files.TAILS:
+            left = files.after_crash(tail)
+            assert recover(left) == known, capacity_bytes
+            check_store_is_usable(left, known)
+    assert refusals > 100
+
+
+# Guards against a corrupt folder after a loss of power around the write that
+# repeats one that had no room.
+@pytest.mark.parametrize("vote", [None, storage.HardState(9, "later")])
+@pytest.mark.parametrize("seed", range(4))
+def test_power_loss_around_a_refused_write_keeps_the_acknowledged(seed, vote):
+    rng = random.Random(seed)
+    for capacity_bytes in range(0, 1500, 31):
+        sound = memory_files.MemoryFiles()
+        run_with_room_later(sound, capacity_bytes, vote)
+        for number in range(sound.steps):
+            faults = memory_files.Faults(crash_after=number)
+            files = memory_files.MemoryFiles(faults)
+            *possible, _ = run_with_room_later(files, capacity_bytes, vote)
+            left = files.after_power_loss(rng)
+            found = recover(left)
+            assert found in possible, (capacity_bytes, number)
+            check_store_is_usable(left, found)
+
+
+# Guards against a second try on a file whose last sync failed, which may
+# have lost its bytes.
+def test_sync_without_room_ends_the_store():
+    files = memory_files.MemoryFiles()
+    with new_store(files) as store:
+        store.recover("id")
+        files.faults = memory_files.Faults(full_at=files.steps + 1)
+        for _ in range(2):
+            with pytest.raises(storage.DiskFailedError, match="remedy"):
+                store.append(batch(1, 1))
+
+
 def test_every_flipped_byte_is_noticed():
     files = memory_files.MemoryFiles()
     run(files)
