Wait for room on a full disk instead of ending the control VM

Cause: any error of the storage stops the replica, and the end of the replica ends the process.

Change: a replica whose write has no room tries it again each 200 ms (disk_full_retry) and does nothing else until it is durable. Calls are refused with replica_disk_full, messages and ticks are passed over, so that they do not pile up. To the group it is a replica that is cut off, or whose disk hangs: nothing is sent or told before the write, so no vote and no acknowledgement is given that is not on disk, and a leader is succeeded. Failed syncs and other errors still end the process.

Weighed and left: a leader that hands over at once instead of being succeeded after an election timeout, and reads that a replica without room could still pass to the leader; both need decisions that go on while a write is pending.

--- a/buckthorntack/consensus/_errors.py
+++ b/buckthorntack/consensus/_errors.py
@@ -106,3 +106,11 @@
     number = 461
     kind = "no_transfer_target"
     remedy = "restart other voters, or stop without a leadership transfer"
+
+
+class ReplicaDiskFullError(ConsensusError):
+    """The disk of the replica has no room; nothing was begun."""
+
+    number = 462
+    kind = "replica_disk_full"
+    remedy = "use another replica, and free space on the disk of this one"
--- a/buckthorntack/consensus/_events.py
+++ b/buckthorntack/consensus/_events.py
@@ -58,3 +58,24 @@
     "over.",
     "compare the builds of both control VMs, and check the sender's disk",
 )
+DISK_FULL = events.declare(
+    408,
+    "replica_disk_full",
+    logbook.ERROR,
+    "A replica has no room for a write; until it has, it takes no part in its "
+    "group and refuses calls.",
+    "free space on the disk of the data folder; no restart is needed",
+)
+DISK_HAS_ROOM = events.declare(
+    409,
+    "replica_disk_has_room",
+    logbook.NOTICE,
+    "The disk of a replica has room again; the replica takes part again.",
+)
+SNAPSHOT_DELAYED = events.declare(
+    410,
+    "snapshot_delayed",
+    logbook.WARNING,
+    "The disk has no room for a snapshot; the log is kept until a later one.",
+    "free space on the disk of the data folder",
+)
--- a/buckthorntack/consensus/_task.py
+++ b/buckthorntack/consensus/_task.py
@@ -1,6 +1,7 @@
 """Asynchronous task that runs one replica with its storage and callers."""
 
 import asyncio
+import datetime
 import functools
 
 from expression import Error
@@ -31,7 +32,8 @@
 
     Inputs that arrive while the disk is busy are processed together, with one
     sync.  After a disk failure the replica stops before it sends a message or
-    answers a caller.
+    answers a caller.  While the disk is full the replica waits for room: it
+    refuses calls and passes over messages, as if it were cut off.
 
     :param group: id of the group.
     :param node_id: node id of this replica.
@@ -89,6 +91,9 @@
         self._read_id = 0
         self._applied_index = 0
         self._bytes_since_snapshot = 0
+        self._snapshot_bytes = 0
+        self._snapshot_retry_at = datetime.timedelta()
+        self._lacks_room = False
         self._replaced_disks = set()
 
     async def __aenter__(self):
@@ -146,6 +151,8 @@
         """
         if self._has_ended():
             return Error(self._stopped_error())
+        if self._lacks_room:
+            return Error(self._disk_full_error())
         self._read_id += 1
         future = asyncio.get_running_loop().create_future()
         now = self.clock.monotonic()
@@ -208,6 +215,8 @@
         """
         if self._has_ended():
             return Error(self._stopped_error())
+        if self._lacks_room:
+            return Error(self._disk_full_error())
         if not self.is_leader():
             return Ok(self._replica.state.leader)
         future = asyncio.get_running_loop().create_future()
@@ -216,7 +225,8 @@
 
     def is_leader(self):
         """Whether this replica believes that it is the leader."""
-        return self._replica.state.is_leader and not self._has_ended()
+        can_act = not self._has_ended() and not self._lacks_room
+        return self._replica.state.is_leader and can_act
 
     def leader(self):
         """Node id of the leader known here; empty if none is known."""
@@ -281,7 +291,8 @@
         return xxhash.xxh3_64_hexdigest(mixed)
 
     def _enqueue(self, item):
-        if not self._has_ended():
+        # Without room, inputs could pile up for as long as the disk is full.
+        if not self._has_ended() and not self._lacks_room:
             self._inputs.append(item)
             self._wake.set()
 
@@ -292,9 +303,15 @@
         detail = f"{self.node_id} in {self.group}"
         return _errors.ReplicaStoppedError(detail)
 
+    def _disk_full_error(self):
+        detail = f"{self.node_id} in {self.group}"
+        return _errors.ReplicaDiskFullError(detail)
+
     async def _submit(self, kind, *arguments):
         if self._has_ended():
             return Error(self._stopped_error())
+        if self._lacks_room:
+            return Error(self._disk_full_error())
         if len(self._proposals) >= self.timing.waiting_proposals:
             detail = (
                 f"the limit of waiting proposals at {self.node_id} is reached"
@@ -340,36 +357,83 @@
         ]
         if any(isinstance(s, commands.RestoreSnapshot) for s in durable):
             await self._await_snapshot_write()
-        if durable:
-            await asyncio.to_thread(self._persist, durable)
+        if not await self._persist(durable):
+            return
         for command in collected:
             self._execute(command)
         self._check_transfer()
         await self._load_snapshots(collected)
         await self._advance_snapshots()
 
-    def _persist(self, steps):
+    async def _persist(self, steps):
         """Write commands to storage, with one sync unless one is a snapshot.
 
         :param steps: commands of the types in ``_DURABLE_COMMANDS``.
+        :returns: whether all are durable; if not, the replica is stopping.
         """
-        hard_state = None
-        entries = []
+        for write in self._join_steps(steps):
+            if not await self._write_when_room(write):
+                return False
+        return True
+
+    def _join_steps(self, steps):
+        """List the writes of commands: batches and received snapshots."""
+        writes = []
+        batch = storage.Batch()
         for step in steps:
             if isinstance(step, commands.PersistHardState):
-                hard_state = step.hard_state
+                batch = batch._replace(hard_state=step.hard_state)
             elif isinstance(step, commands.PersistEntries):
-                entries += step.entries
+                batch = batch._replace(entries=batch.entries + step.entries)
             else:
-                self._append(hard_state, entries)
-                hard_state, entries = None, []
-                self._store.install_snapshot(step.snapshot)
-        self._append(hard_state, entries)
+                writes += [batch, step.snapshot]
+                batch = storage.Batch()
+        writes.append(batch)
+        return [write for write in writes if write != storage.Batch()]
 
-    def _append(self, hard_state, entries):
-        if hard_state is not None or entries:
-            batch = storage.Batch(hard_state=hard_state, entries=entries)
-            self._store.append(batch)
+    async def _write_when_room(self, write):
+        """Write once the disk has room; nothing is told before.
+
+        :param write: a ``storage.Batch`` or ``storage.Snapshot``.
+        :returns: whether it is durable; if not, the replica is stopping.
+        """
+        while True:
+            try:
+                await asyncio.to_thread(self._write, write)
+            except storage.DiskFullError as error:
+                self._note_disk_full(error)
+            else:
+                self._note_room()
+                return True
+            if self._stopping:
+                return False
+            await self.clock.sleep(self.timing.disk_full_retry)
+
+    def _write(self, write):
+        if isinstance(write, storage.Snapshot):
+            self._store.install_snapshot(write)
+        else:
+            self._store.append(write)
+
+    def _note_disk_full(self, error):
+        if self._lacks_room:
+            return
+        self._lacks_room = True
+        self._events.write(
+            _events.DISK_FULL,
+            group=self.group,
+            node_id=self.node_id,
+            error=error,
+        )
+        self._finish_transfers(Error(self._disk_full_error()))
+
+    def _note_room(self):
+        if not self._lacks_room:
+            return
+        self._lacks_room = False
+        self._events.write(
+            _events.DISK_HAS_ROOM, group=self.group, node_id=self.node_id
+        )
 
     async def _load_snapshots(self, collected):
         receivers = [
@@ -405,11 +469,14 @@
         entries = self._applied_index - self._replica.state.snapshot_index
         many = entries >= self.timing.snapshot_entries
         large = self._bytes_since_snapshot >= self.timing.snapshot_bytes
+        if self.clock.monotonic() < self._snapshot_retry_at:
+            return False
         return self._snapshot_write is None and entries and (many or large)
 
     def _start_snapshot(self):
         info = self._replica.snapshot_info(self._applied_index)
         snapshot = storage.Snapshot(info, self.state_machine.snapshot())
+        self._snapshot_bytes = self._bytes_since_snapshot
         self._bytes_since_snapshot = 0
         self._snapshot_write = asyncio.create_task(
             self._write_snapshot(snapshot)
@@ -417,13 +484,31 @@
         self._snapshot_write.add_done_callback(lambda _: self._wake.set())
 
     async def _write_snapshot(self, snapshot):
-        await asyncio.to_thread(self._store.write_snapshot, snapshot)
+        """Write a snapshot.
+
+        :returns: its ``SnapshotInfo``; None if the disk has no room for it.
+        """
+        try:
+            await asyncio.to_thread(self._store.write_snapshot, snapshot)
+        except storage.DiskFullError as error:
+            self._events.write(
+                _events.SNAPSHOT_DELAYED,
+                group=self.group,
+                node_id=self.node_id,
+                error=error,
+            )
+            return None
         return snapshot.info
 
     async def _finish_snapshot(self):
         """Wait for the snapshot write and remove the log that it covers."""
         info = await self._snapshot_write
         self._snapshot_write = None
+        if info is None:
+            retry = self.timing.snapshot_retry
+            self._snapshot_retry_at = self.clock.monotonic() + retry
+            self._bytes_since_snapshot += self._snapshot_bytes
+            return
         await asyncio.to_thread(self._store.compact, info)
         self._replica.on_snapshot_saved(info.index)
 
--- a/buckthorntack/consensus/_timing.py
+++ b/buckthorntack/consensus/_timing.py
@@ -48,6 +48,10 @@
     snapshot_entries: int = 1000
     #: Bytes of applied entries after which a snapshot is taken.
     snapshot_bytes: int = 4 * 1024 * 1024
+    #: Time between two tries of a write for which the disk has no room.
+    disk_full_retry: datetime.timedelta = datetime.timedelta(milliseconds=200)
+    #: Time from a snapshot for which the disk has no room to the next one.
+    snapshot_retry: datetime.timedelta = datetime.timedelta(seconds=5)
     #: Entries kept in memory before a snapshot, so that followers that are
     #: slightly behind need no snapshot.
     kept_entries: int = 200
--- a/buckthorntack/consensus/tests/test_task.py
+++ b/buckthorntack/consensus/tests/test_task.py
@@ -22,6 +22,8 @@
     request_timeout=datetime.timedelta(seconds=2),
     chunk_interval=datetime.timedelta(milliseconds=5),
     chunk_bytes=64,
+    disk_full_retry=datetime.timedelta(milliseconds=10),
+    snapshot_retry=datetime.timedelta(milliseconds=50),
     snapshot_entries=20,
     kept_entries=3,
 )
@@ -98,7 +100,7 @@
             clock.SystemClock(),
             random.Random(next(SEEDS)),
             FAST,
-            self.files,
+            self.files_of(name),
         )
         stack = contextlib.AsyncExitStack()
         await stack.enter_async_context(task)
@@ -106,6 +108,11 @@
         self.network.tasks[name] = task
         return task
 
+    def files_of(self, name):
+        if isinstance(self.files, dict):
+            return self.files[name]
+        return self.files
+
     async def stop(self, name):
         del self.network.tasks[name]
         await self.stacks.pop(name).aclose()
@@ -258,6 +265,150 @@
     run(scenario())
 
 
+def fill(files):
+    files.limit(files.used_bytes())
+
+
+def free(files):
+    files.limit(memory_files.NO_LIMIT_BYTES)
+
+
+# Guards against a process that ends because its disk was full for a moment.
+def test_full_disk_refuses_until_it_has_room(tmp_path):
+    files = memory_files.MemoryFiles()
+
+    async def scenario():
+        async with Cluster(tmp_path, ["a"], files) as cluster:
+            await cluster.propose(b"x")
+            task = cluster.network.tasks["a"]
+            fill(files)
+            waiting = asyncio.create_task(task.propose(b"y"))
+            await wait_until(lambda: not task.is_leader())
+            for call in (
+                task.propose(b"z"),
+                task.read_barrier(),
+                task.transfer_leadership(),
+            ):
+                refused = (await call).error
+                assert refused.kind == "replica_disk_full"
+                assert refused.run_state is errors.RunState.NOT_RUN
+            assert task.state_machine.commands == [b"x"]
+            assert not task.status().failure
+            free(files)
+            assert (await waiting).ok == 2
+            assert await cluster.propose(b"z") == 3
+            assert (await task.read_barrier()).is_ok()
+
+    run(scenario())
+
+
+def test_replica_with_a_full_disk_stops(tmp_path):
+    files = memory_files.MemoryFiles()
+
+    async def scenario():
+        async with Cluster(tmp_path, ["a"], files) as cluster:
+            await cluster.propose(b"x")
+            task = cluster.network.tasks["a"]
+            fill(files)
+            waiting = asyncio.create_task(task.propose(b"y"))
+            await wait_until(lambda: not task.is_leader())
+        assert (await waiting).error.run_state is errors.RunState.UNKNOWN
+        assert await task.wait_until_stopped() is None
+
+    run(scenario())
+
+
+# Guards against a replica that ends because it has no room for a snapshot of
+# its own.
+def test_snapshot_without_room_is_taken_later(tmp_path):
+    files = memory_files.MemoryFiles()
+
+    async def scenario():
+        async with Cluster(tmp_path, ["a"], files) as cluster:
+            task = cluster.network.tasks["a"]
+            for number in range(18):
+                await cluster.propose(b"%d" % number * 1000)
+            files.limit(files.used_bytes() + 8000)
+            for number in range(4):
+                await cluster.propose(b"%d" % number)
+            await wait_until(lambda: task.status().commit_index > 20)
+            assert not task.status().snapshot_index
+            free(files)
+            await wait_until(lambda: task.status().snapshot_index)
+            assert not task.status().failure
+            assert not [n for n in files.current_files if "partial" in n]
+
+    run(scenario())
+
+
+async def change_while_full(cluster, filled, number, count):
+    """Commit changes while one disk is full, then free it."""
+    files = cluster.files[filled]
+    fill(files)
+    changes = [b"%d %d" % (number, change) for change in range(count)]
+    for change in changes:
+        await cluster.propose(change)
+    free(files)
+    return changes
+
+
+def check_is_whole(cluster, acknowledged):
+    """Whether all replicas have applied all changes, in one order."""
+    logs = [t.state_machine.commands for t in cluster.network.tasks.values()]
+    return all(log == logs[0] for log in logs) and acknowledged <= {*logs[0]}
+
+
+# Guards against a group that takes no more changes after its disks were full
+# one after the other.
+@pytest.mark.parametrize("count", [3, 45], ids=["entries", "snapshots"])
+@pytest.mark.parametrize(
+    "order", ["".join(names) for names in itertools.permutations("abc")]
+)
+def test_disks_that_fill_in_turn_end_no_replica(tmp_path, order, count):
+    files = {name: memory_files.MemoryFiles() for name in "abc"}
+
+    async def scenario():
+        async with Cluster(tmp_path, order, files) as cluster:
+            acknowledged = {b"x"}
+            await cluster.propose(b"x")
+            for number, name in enumerate(order):
+                acknowledged |= {
+                    *await change_while_full(cluster, name, number, count)
+                }
+            await wait_until(lambda: check_is_whole(cluster, acknowledged))
+            for task in cluster.network.tasks.values():
+                assert not task.status().failure
+                assert (await task.read_barrier()).is_ok()
+
+    run(scenario())
+
+
+# Guards against a group that takes no more changes after the disk of each
+# leader was full, or of a replica that started meanwhile.
+@pytest.mark.parametrize("restarted", [False, True], ids=["up", "restarted"])
+def test_disk_of_each_leader_fills(tmp_path, restarted):
+    files = {name: memory_files.MemoryFiles() for name in "abc"}
+
+    async def scenario():
+        async with Cluster(tmp_path, "abc", files) as cluster:
+            acknowledged = {b"x"}
+            await cluster.propose(b"x")
+            for number in range(6):
+                name = (await cluster.leader()).node_id
+                fill(files[name])
+                if restarted:
+                    await cluster.stop(name)
+                    await cluster.start(name, "abc")
+                acknowledged |= {
+                    *await change_while_full(cluster, name, number, 3)
+                }
+            await wait_until(lambda: check_is_whole(cluster, acknowledged))
+            for task in cluster.network.tasks.values():
+                assert not task.status().failure
+
+    run(scenario())
+
+
 class HangingFiles(memory_files.MemoryFiles):
     """Files whose operations block until the event ``free`` is set."""
 
