Keep a change once that a full disk of an entry VM refused before

What a full disk refused stayed in the buffer; the truncation after it wrote the buffer first, and failed as well.

If that fails, a copy is due in its place.

Evidence, before: "assert 99 == 171" (own size and that of the file after a delta was refused three times); all four cases failed.

buckthorntack/configuration: all passed.

--- a/buckthorntack/configuration/_copy_store.py
+++ b/buckthorntack/configuration/_copy_store.py
@@ -129,7 +129,8 @@
 
     def _open_journal(self, path, end_offset):
         self._close_journal()
-        self._journal = open(path, "ab")  # noqa: SIM115
+        # A buffer would keep what a full disk refused and write it later.
+        self._journal = open(path, "ab", buffering=0)  # noqa: SIM115
         self._journal.truncate(end_offset)
         self._journal.seek(0, os.SEEK_END)
         os.fsync(self._journal.fileno())
@@ -171,14 +172,27 @@
             len(delta), zlib.crc32(length), zlib.crc32(delta)
         )
         try:
-            self._journal.write(header + delta)
-            self._journal.flush()
-            os.fsync(self._journal.fileno())
+            self._write_record(header + delta)
         except OSError:
-            self._journal.truncate(self.journal_bytes)
+            self._remove_partial_record()
             raise
         self.journal_bytes += len(header) + len(delta)
 
+    def _write_record(self, record):
+        view = memoryview(record)
+        while view:
+            view = view[self._journal.write(view) :]
+        os.fsync(self._journal.fileno())
+
+    def _remove_partial_record(self):
+        """Restore the journal; if that fails, a copy is due."""
+        try:
+            self._journal.truncate(self.journal_bytes)
+            os.fsync(self._journal.fileno())
+        except OSError:
+            self._close_journal()
+            raise
+
     def write_registration(self, registered, registration):
         """Record whether this entry VM is registered.
 
--- a/buckthorntack/configuration/tests/test_copy_store.py
+++ b/buckthorntack/configuration/tests/test_copy_store.py
@@ -1,5 +1,9 @@
 """Truncated and corrupted durable copies."""
 
+import errno
+import io
+import os
+
 import logbook
 import pytest
 
@@ -26,6 +30,66 @@
     return tmp_path
 
 
+class _FileOnDisk(io.FileIO):
+    """File on a disk that may be full."""
+
+    def __init__(self, disk, path, mode):
+        super().__init__(path, mode)
+        self.disk = disk
+
+    def write(self, data):
+        size_bytes = os.fstat(self.fileno()).st_size
+        room_bytes = self.disk.largest_file_bytes - size_bytes
+        if room_bytes <= 0:
+            raise OSError(errno.ENOSPC, "no space")
+        return super().write(bytes(data)[:room_bytes])
+
+
+class Disk:
+    """Stands in for ``open`` of the store, with a limit to each file."""
+
+    def __init__(self):
+        self.largest_file_bytes = 1 << 40
+
+    def open(self, path, mode, buffering=-1):
+        file = _FileOnDisk(self, path, mode.replace("b", ""))
+        return file if buffering == 0 else io.BufferedWriter(file)
+
+
+@pytest.fixture
+def disk(monkeypatch):
+    disk = Disk()
+    monkeypatch.setattr(_copy_store, "open", disk.open, raising=False)
+    return disk
+
+
+def write_until_done(disk, write, room_bytes):
+    """Write to a full disk three times, then to one that has room again."""
+    disk.largest_file_bytes = room_bytes
+    for _ in range(3):
+        with pytest.raises(OSError, match="no space"):
+            write()
+    disk.largest_file_bytes = 1 << 40
+    write()
+
+
+# Guards against a journal that holds a delta once for each time that it was
+# refused by a full disk, which no start can apply.
+@pytest.mark.parametrize("room_bytes", [0, 1, 15, 20])
+def test_delta_refused_by_a_full_disk_is_kept_once(folder, disk, room_bytes):
+    size_bytes = journal_of(folder).stat().st_size
+    with CopyStore(folder) as store:
+        store.load()
+        write_until_done(
+            disk,
+            lambda: store.append(b"fourth delta"),
+            size_bytes + room_bytes,
+        )
+        store.append(b"fifth")
+        assert store.journal_bytes == journal_of(folder).stat().st_size
+    assert load(folder).deltas == [*DELTAS, b"fourth delta", b"fifth"]
+
+
 def load(folder):
     with CopyStore(folder) as store:
         return store.load()
