Write the copy again that a full disk of an entry VM refused

What callers would see: an entry VM whose disk was full while it wrote a copy of its configuration goes back, at its next start, to the configuration before that copy, though it had told the control VMs that later ones are durable.

The next try took it for that of a copy that exists, and wrote only the change.

Evidence, before: "assert False, where False = should_write_copy()".

--- a/buckthorntack/configuration/_copy_store.py
+++ b/buckthorntack/configuration/_copy_store.py
@@ -147,8 +147,13 @@
         :param copy: an encoded ``ConfigurationCopy``.
         """
         checksum = _content.digest(copy)
-        self._open_journal(self._journal_path(checksum), 0)
-        self._write_atomically(COPY_NAME, checksum + copy)
+        try:
+            self._open_journal(self._journal_path(checksum), 0)
+            self._write_atomically(COPY_NAME, checksum + copy)
+        except OSError:
+            # No start reads the journal of a copy that was not written.
+            self._close_journal()
+            raise
         for path in self.folder.glob(f"{JOURNAL_PREFIX}*"):
             if path != self._journal_path(checksum):
                 path.unlink()
--- a/buckthorntack/configuration/tests/test_copy_store.py
+++ b/buckthorntack/configuration/tests/test_copy_store.py
@@ -90,6 +90,22 @@
     assert load(folder).deltas == [*DELTAS, b"fourth delta", b"fifth"]
 
 
+# Guards against deltas in the journal of a copy that a full disk refused: the
+# next start would go back to an older configuration.
+def test_copy_refused_by_a_full_disk_is_still_due(folder, disk):
+    with CopyStore(folder) as store:
+        store.load()
+        disk.largest_file_bytes = 5
+        with pytest.raises(OSError, match="no space"):
+            store.write_copy(b"a newer copy")
+        assert store.should_write_copy()
+        disk.largest_file_bytes = 1 << 40
+        assert load(folder) == (b"copy", DELTAS, True, 7)
+        store.write_copy(b"a newer copy")
+        store.append(b"later")
+    assert load(folder) == (b"a newer copy", [b"later"], True, 7)
+
+
 def load(folder):
     with CopyStore(folder) as store:
         return store.load()
