Join the parts of bodies in tiny chunks

Cause: a connection to a server keeps one object for each chunk of a body until its caller reads. What counts against its bound is the length of the chunks, but an object with two bytes takes 35 and its place in the queue, so that 20 times as much is held while a caller reads slowly.

Evidence: test_body_of_tiny_chunks_holds_little_more_than_counts failed with "assert 6205041 < (2 * 280868)".

Parts are joined once there are more than 64 after a read, so that what is held is what is counted. Bodies in larger chunks are passed on uncopied as before.

--- a/buckthorntack/http1/_client.py
+++ b/buckthorntack/http1/_client.py
@@ -23,6 +23,9 @@
 #: Bytes of responses to other requests that are skipped before the connection
 #: is closed.
 MAX_SKIPPED_BYTES = 4_194_304
+#: Parts of a body above which they are joined: an object with a few bytes takes
+#: many times as much memory.
+MAX_PARTS = 64
 _KEEP_ALIVE = re.compile(rb"timeout\s*=\s*(\d+)")
 
 #: Request ids that a connection remembers; a request lasts for seconds, in
@@ -108,12 +111,19 @@
                 self._is_out_of_sync = True
             else:
                 self._fail(_errors.UnexpectedResponseError(str(error)))
+        if len(self._parts) > MAX_PARTS:
+            self._join_parts()
         self._wake()
         self._count_buffered()
         self.pause_if_full()
         if self._watch is not None:
             self._watch.on_read()
 
+    def _join_parts(self):
+        joined = b"".join(self._parts)
+        self._parts.clear()
+        self._parts.append(joined)
+
     def pause_if_full(self):
         """Pause reading if the caller must read more first."""
         if self._is_full() and not self._paused:
--- a/buckthorntack/http1/tests/test_endless_responses.py
+++ b/buckthorntack/http1/tests/test_endless_responses.py
@@ -1,6 +1,7 @@
 """Servers that send bytes without end that are no response."""
 
 import asyncio
+import tracemalloc
 
 import logbook
 import pytest
@@ -144,6 +145,29 @@
     asyncio.run(scenario())
 
 
+# Guards against a body in tiny chunks, each of which was kept as an object that
+# is many times as large.
+@each_read_size
+def test_body_of_tiny_chunks_holds_little_more_than_counts(read_size_bytes):
+    async def scenario():
+        connection, fake = open_connection()
+        reads = endless.pieces(
+            endless.CHUNKED_HEAD, b"2\r\nab\r\n", read_size_bytes
+        )
+        tracemalloc.start()
+        try:
+            endless.feed_until_closed(connection, fake, reads)
+            held_bytes, _ = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        assert fake.is_paused
+        part = await connection.read()
+        assert part == b"ab" * (len(part) // 2)
+        assert held_bytes < 2 * len(part)
+
+    asyncio.run(scenario())
+
+
 @each_read_size
 def test_bytes_without_end_after_a_response_close_the_connection(
     read_size_bytes,
