Let reads of bodies in tiny chunks get smaller

One server that answered 16 requests with chunks of two bytes without end let all other requests of the same entry VM wait for 1.9 s (3.7 ms without it).

Cause: a connection to a server takes up to 256 KB in one read, which is 37449 chunks of two bytes. Parsing them takes 12 ms in which nothing else runs, once for each such connection and turn of the event loop.

Evidence: test_reads_of_tiny_chunks_get_smaller failed with "assert 37449 <= (2 * 1024)".

A read takes 64 KB at most, as with a memory bound, and less on a connection whose reads had more than 1024 parts, so that its next one has about as many.

--- a/buckthorntack/http1/_client.py
+++ b/buckthorntack/http1/_client.py
@@ -23,9 +23,12 @@
 #: Bytes of responses to other requests that are skipped before the connection
 #: is closed.
 MAX_SKIPPED_BYTES = 4_194_304
-#: Parts of a body above which they are joined: an object with a few bytes takes
-#: many times as much memory.
+#: Parts of a body above which they are joined, as an object with a few bytes
+#: takes many times as much memory.
 MAX_PARTS = 64
+#: Parts of bodies that one read may have: they are parsed while all other
+#: connections wait.
+MAX_READ_PARTS = 1024
 _KEEP_ALIVE = re.compile(rb"timeout\s*=\s*(\d+)")
 
 #: Request ids that a connection remembers; a request lasts for seconds, in
@@ -59,6 +62,8 @@
         self._buffered_bytes = 0
         self._paused = False
         self._waiter = None
+        #: Parts of bodies in the present read.
+        self._read_parts = 0
         self._watch = None
         self._sending = None
         self._buffered = None
@@ -85,6 +90,8 @@
 
     def connection_made(self, transport):
         self.transport = transport
+        # Bounds what the event loop is held up by one read.
+        transport.max_size = _memory.READ_BYTES
 
     def data_received(self, data):
         self._has_received = True
@@ -111,6 +118,7 @@
                 self._is_out_of_sync = True
             else:
                 self._fail(_errors.UnexpectedResponseError(str(error)))
+        self._adapt_read_size(len(data))
         if len(self._parts) > MAX_PARTS:
             self._join_parts()
         self._wake()
@@ -119,6 +127,12 @@
         if self._watch is not None:
             self._watch.on_read()
 
+    def _adapt_read_size(self, size_bytes):
+        """Let further reads be small if one of them has too many parts."""
+        parts, self._read_parts = self._read_parts, 0
+        if parts > MAX_READ_PARTS:
+            self.transport.max_size = size_bytes * MAX_READ_PARTS // parts
+
     def _join_parts(self):
         joined = b"".join(self._parts)
         self._parts.clear()
@@ -250,6 +264,7 @@
         return response_id is None and is_error and self.exchange_count == 1
 
     def on_body(self, body):
+        self._read_parts += 1
         if self._complete:
             return
         self._framing_bytes = 0
--- a/buckthorntack/http1/tests/endless.py
+++ b/buckthorntack/http1/tests/endless.py
@@ -64,6 +64,8 @@
         self.is_closed = False
         self.is_paused = False
         self.sent = b""
+        #: Size of the largest read, as asyncio's transports have it.
+        self.max_size = 262_144
 
     def write(self, data):
         """Record sent bytes."""
--- a/buckthorntack/http1/tests/test_endless_responses.py
+++ b/buckthorntack/http1/tests/test_endless_responses.py
@@ -7,6 +7,7 @@
 import pytest
 
 from buckthorntack import http1
+from buckthorntack.http1 import _client
 from buckthorntack.http1.tests import endless
 
 TEST_TIMEOUT_S = 20
@@ -15,6 +16,9 @@
 MAX_TAKEN_BYTES = 4_194_304 + 2 * 65_536 + 262_144
 #: The same where nothing is skipped.
 MAX_TAKEN_HEAD_BYTES = 2 * 65_536 + 65_536
+SKIPPED_HEADS = [
+    endless.OTHER_HEAD + b"Transfer-Encoding: chunked\r\n\r\n",
+]
 REQUEST = http1.encode_request(b"GET", b"/", [], b"")
 
 each_response = pytest.mark.parametrize(
@@ -145,8 +149,8 @@
     asyncio.run(scenario())
 
 
-# Guards against a body in tiny chunks, each of which was kept as an object that
-# is many times as large.
+# Guards against a body in tiny chunks, each of which was kept as an object
+# many times as large.
 @each_read_size
 def test_body_of_tiny_chunks_holds_little_more_than_counts(read_size_bytes):
     async def scenario():
@@ -168,6 +172,37 @@
     asyncio.run(scenario())
 
 
+# Guards against a body in tiny chunks that keeps all other requests waiting,
+# as one read of it takes a hundred times as long to parse.
+@pytest.mark.parametrize(
+    "head", [endless.CHUNKED_HEAD, *SKIPPED_HEADS], ids=["own", "skipped"]
+)
+def test_reads_of_tiny_chunks_get_smaller(head):
+    async def scenario():
+        connection, fake = open_connection()
+        connection.data_received(head)
+        chunk = b"2\r\nab\r\n"
+        for _ in range(3):
+            connection.data_received(chunk * (fake.max_size // len(chunk)))
+        chunks = fake.max_size // len(chunk)
+        assert 0 < chunks <= 2 * _client.MAX_READ_PARTS
+
+    asyncio.run(scenario())
+
+
+def test_reads_of_large_chunks_stay_large():
+    async def scenario():
+        connection, fake = open_connection()
+        connection.data_received(endless.CHUNKED_HEAD)
+        chunk = b"400\r\n" + b"a" * 1024 + b"\r\n"
+        for _ in range(3):
+            connection.data_received(chunk * (http1.READ_BYTES // len(chunk)))
+            await connection.read()
+        assert fake.max_size == http1.READ_BYTES
+
+    asyncio.run(scenario())
+
+
 @each_read_size
 def test_bytes_without_end_after_a_response_close_the_connection(
     read_size_bytes,
