Search each byte of an event stream for the end of events once

Cause: a resumable stream keeps the event that is not complete, and searched and copied all of it again with each part that arrived. Beside that, the search in data with a CR went through all line ends with a regular expression, at 190 ns a line end.

The last pair of line ends is now found from the end, and only in the new part and the three bytes before it, in which a pair may have begun. Which pair is the last one is checked against a plain definition with Hypothesis.

--- a/buckthorntack/gateway/_event_stream.py
+++ b/buckthorntack/gateway/_event_stream.py
@@ -3,10 +3,8 @@
 import re
 
 from buckthorntack import errors
+from buckthorntack import http1
 
-_EVENT_END = b"\n\n"
-#: The end of an event with any line ends; a CR may begin a CRLF.
-_ANY_EVENT_END = re.compile(rb"(?:\r\n|\r(?!\n)|\n)(?:\r\n|\r|\n)")
 _EVENT_ID = re.compile(rb"^id:[ ]?(\d{1,18})$", re.MULTILINE)
 
 
@@ -35,7 +33,7 @@
 
     def __init__(self, last_event_id):
         self.last_event_id = last_event_id
-        self._partial_event = b""
+        self._partial_event = bytearray()
 
     def feed(self, data):
         """Process bytes of the stream.
@@ -44,12 +42,15 @@
         :returns: the events that are now complete.
         :raises StreamOrderError: an event is missing or repeated.
         """
+        # What arrived before holds no end, but may hold the start of one.
+        known_bytes = len(self._partial_event) - http1.MAX_EVENT_END_BYTES + 1
+        start = max(0, known_bytes)
         self._partial_event += data
-        boundary = _find_last_boundary(self._partial_event)
-        if not boundary:
+        end = http1.find_last_event_end(self._partial_event[start:])
+        if not end:
             return b""
-        complete = self._partial_event[:boundary]
-        self._partial_event = self._partial_event[len(complete) :]
+        complete = bytes(self._partial_event[: start + end])
+        del self._partial_event[: start + end]
         for match in _EVENT_ID.finditer(_normalize_line_ends(complete)):
             self._check_event_order(int(match.group(1)))
         return complete
@@ -66,23 +67,13 @@
 
     def take_remainder(self):
         """Remove and return the bytes after the last complete event."""
-        remainder, self._partial_event = self._partial_event, b""
+        remainder = bytes(self._partial_event)
+        self._partial_event.clear()
         return remainder
 
     def discard_partial_event(self):
         """Discard a partial event, as another server continues the stream."""
-        self._partial_event = b""
-
-
-def _find_last_boundary(data):
-    """Return the number of bytes up to the end of the last complete event."""
-    if b"\r" not in data:
-        start = data.rfind(_EVENT_END)
-        return start + len(_EVENT_END) if start >= 0 else 0
-    boundary = 0
-    for match in _ANY_EVENT_END.finditer(data):
-        boundary = match.end()
-    return boundary
+        self._partial_event.clear()
 
 
 def _normalize_line_ends(data):
--- a/buckthorntack/gateway/tests/test_event_stream.py
+++ b/buckthorntack/gateway/tests/test_event_stream.py
@@ -1,9 +1,14 @@
 """Tests of event streams that another server continues."""
 
+import itertools
+import re
+import time
+
 from hypothesis import given
 from hypothesis import strategies as st
 import pytest
 
+from buckthorntack import http1
 from buckthorntack.gateway import _event_stream
 
 WHOLE = b"".join(b"id: %d\ndata: x%d\n\n" % (n, n) for n in range(8))
@@ -62,3 +67,34 @@
         assert (stream.last_event_id or 0) >= known - 1
     assert out + stream.take_remainder() == whole
     assert stream.last_event_id == 7
+
+
+LINES = re.compile(rb"[^\r\n]+|\r\n|\r|\n")
+
+
+@given(st.lists(st.sampled_from([b"a", b"\r", b"\n"]), max_size=12))
+def test_last_event_ends_with_the_last_empty_line(parts):
+    data = b"".join(parts)
+    ends = [0]
+    for one, other in itertools.pairwise(LINES.finditer(data)):
+        if not (one[0] + other[0]).strip(b"\r\n"):
+            ends.append(other.end())
+    assert http1.find_last_event_end(data) == ends[-1]
+
+
+def measure_s(parts):
+    """Processor time that a stream in these parts takes."""
+    stream = _event_stream.EventStream(None)
+    started_s = time.process_time()
+    for part in parts:
+        stream.feed(part)
+    return time.process_time() - started_s
+
+
+# Guards against an event that arrives in many parts, all of which were
+# searched again with each of them, while all other requests waited.
+def test_time_for_a_long_event_grows_with_its_size_only():
+    count = http1.MAX_EVENT_BYTES // 128
+    short_s = measure_s([b"data: %b\r\r" % (b"a" * 50)] * count)
+    long_s = measure_s([b"data: %b\r" % (b"a" * 57)] * count)
+    assert long_s < 20 * short_s
--- a/buckthorntack/http1/__init__.py
+++ b/buckthorntack/http1/__init__.py
@@ -6,7 +6,9 @@
 from buckthorntack.http1._errors import UnexpectedResponseError
 from buckthorntack.http1._errors import UnreadResponseError
 from buckthorntack.http1._event_boundary import EventBoundary
+from buckthorntack.http1._event_boundary import find_last_event_end
 from buckthorntack.http1._event_boundary import MAX_EVENT_BYTES
+from buckthorntack.http1._event_boundary import MAX_EVENT_END_BYTES
 from buckthorntack.http1._memory import Account
 from buckthorntack.http1._memory import compute_bounds
 from buckthorntack.http1._memory import MemoryBudget
@@ -34,6 +36,8 @@
     "BodyFraming",
     "EventBoundary",
     "MAX_EVENT_BYTES",
+    "MAX_EVENT_END_BYTES",
+    "find_last_event_end",
     "MAX_FRAMING_BYTES",
     "IncompleteResponseError",
     "ResponseHead",
--- a/buckthorntack/http1/_event_boundary.py
+++ b/buckthorntack/http1/_event_boundary.py
@@ -7,9 +7,9 @@
 #: Largest event, with the comments before it, that is taken.
 MAX_EVENT_BYTES = 1_048_576
 #: Longest pair of line ends, CRLF CRLF.
-_MAX_EVENT_END_BYTES = 4
-#: The end of an event with any line ends.
-_EVENT_END = re.compile(rb"(?:\r\n|\r(?!\n)|\n)(?:\r\n|\r|\n)")
+MAX_EVENT_END_BYTES = 4
+#: What the end of an event ends with; after a CR there may be an LF.
+_EVENT_ENDS = (b"\n\n", b"\n\r", b"\r\r")
 #: The start of a line that is neither empty nor a comment.
 _FIELD = re.compile(rb"[\r\n][^:\r\n]")
 
@@ -44,7 +44,7 @@
         # The first line begins without a line end before it.
         received = (self._tail or b"\n") + data
         self._open_bytes += len(data)
-        end = _find_last_event_end(received)
+        end = find_last_event_end(received)
         if end and (self._has_field or _FIELD.search(received, 0, end)):
             self._open_bytes = len(received) - end
             self._has_field = False
@@ -52,7 +52,7 @@
             self._has_field = (
                 _FIELD.search(received, max(0, end - 1)) is not None
             )
-        self._tail = (self._tail + data)[-_MAX_EVENT_END_BYTES:]
+        self._tail = (self._tail + data)[-MAX_EVENT_END_BYTES:]
         if self._open_bytes > MAX_EVENT_BYTES:
             raise _errors.UnexpectedResponseError(
                 "an event of the stream is too large"
@@ -72,11 +72,18 @@
         return not lines.endswith(b"\n\n")
 
 
-def _find_last_event_end(data):
-    """Return the number of bytes up to the end of the last event."""
+def find_last_event_end(data):
+    """Return the number of bytes up to the end of the last event.
+
+    :param data: the bytes.
+
+    >>> find_last_event_end(b"data: a\\r\\n\\r\\ndata: b")
+    11
+    """
     if b"\r" not in data:
         return data.rfind(b"\n\n") + 2 if b"\n\n" in data else 0
-    end = 0
-    for match in _EVENT_END.finditer(data):
-        end = match.end()
-    return end
+    end = max(data.rfind(line_ends) + 2 for line_ends in _EVENT_ENDS)
+    if end < 2:
+        return 0
+    is_crlf = data[end - 1 : end + 1] == b"\r\n"
+    return end + is_crlf
