Count the unfinished event of a resumable stream as held

Cause: a resumable stream keeps an event until it is complete, up to 1 MB, which did not count against the memory of the VM. A server that begins events and does not end them made an entry VM hold 1 MB for each of its requests, though the budget was empty.

Evidence: test_events_that_do_not_end_count_as_held failed with "assert 0 >= 3200000", four streams of 800 kB each.

The event counts as the first part of a response does that is not passed on yet, so that reading pauses while the caller's connection holds too much. Up to the size of one read it does not, so that sound streams wait for nobody else's memory. On a VM so small that the rest would never find room the attempt fails at once (test_event_that_a_small_vm_cannot_hold_fails_at_once; it got 504 at its deadline without the check).

--- a/buckthorntack/gateway/_event_stream.py
+++ b/buckthorntack/gateway/_event_stream.py
@@ -55,6 +55,11 @@
             self._check_event_order(int(match.group(1)))
         return complete
 
+    @property
+    def held_bytes(self):
+        """Bytes of the event that is not complete."""
+        return len(self._partial_event)
+
     def _check_event_order(self, event_id):
         expected = event_id
         if self.last_event_id is not None:
--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -1138,6 +1138,9 @@
                         self._start_response(head, None)
                     self.reply.write(complete_events)
                     self.progress_s = self._now_s()
+                if stream is not None:
+                    self._count_partial_event(stream)
+                if complete_events:
                     await self.reply.flush()
                 data = await self._read_stream_data(connection)
         except TimeoutError:
@@ -1158,6 +1161,22 @@
         self.watch.on_answer_end(self.attempt, head)
         return _results.Completed()
 
+    def _count_partial_event(self, stream):
+        """Count an event that is not complete as held.
+
+        What one read may bring is in transit: a stream that holds no more of
+        an event does not wait for others to give back memory.
+
+        :raises UnexpectedResponseError: its rest would never find room.
+        """
+        size_bytes = stream.held_bytes
+        is_in_transit = size_bytes <= http1.READ_BYTES
+        self.reply.note_buffered(0 if is_in_transit else size_bytes)
+        if not is_in_transit and size_bytes > self.reply.max_buffered_bytes:
+            raise http1.UnexpectedResponseError(
+                "an event of the stream is too large for this VM"
+            )
+
     def _comes_from_origin(self):
         """Whether the stream may go on with the data of this attempt.
 
--- a/buckthorntack/http1/_server.py
+++ b/buckthorntack/http1/_server.py
@@ -9,6 +9,7 @@
 import contextlib
 import enum
 import http
+import math
 from typing import NamedTuple
 
 import httptools
@@ -191,6 +192,14 @@
         """Whether the connection holds as much as it may."""
         return self.account is not None and self.account.is_over
 
+    @property
+    def max_buffered_bytes(self):
+        """Size of what a handler keeps above which it can't read more."""
+        if self.account is None:
+            return math.inf
+        bounds = self.account.budget.bounds
+        return bounds.connection_bytes - _memory.READ_BYTES
+
     def note_buffered(self, size_bytes):
         """Count what the handler keeps of a response that is not started.
 
