Do not keep the start of a body that was passed on

Cause: the first 256 KB of a response are kept so that its request can be repeated. Once more has arrived they are passed on and do not count any more, but the list of them lasted as long as the body.

Evidence: test_start_of_a_large_body_is_not_kept failed with "assert 292768 < 262144".

The list is emptied when its parts have been written.

--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -1083,6 +1083,8 @@
         for part in parts:
             self.attempt.body_bytes += len(part)
             self.reply.write(part)
+        # The caller's list lasts as long as the body.
+        parts.clear()
         while data := await connection.read():
             self.watch.on_answer_data(self.attempt, head)
             self.attempt.body_bytes += len(data)
--- a/buckthorntack/platform/tests/test_endless_servers.py
+++ b/buckthorntack/platform/tests/test_endless_servers.py
@@ -1,16 +1,21 @@
 """Servers that send bytes without end that are no answer."""
 
 import asyncio
+import gc
 
 import logbook
 import pytest
 
+from buckthorntack.gateway import _request_handler
 from buckthorntack.platform import _headers
 from buckthorntack.platform.tests import _standins
 from buckthorntack.platform.tests import test_requests
 
 #: More than the limits on what cannot be a part of an answer.
 ENOUGH_BYTES = 16 * 1024 * 1024
+#: More of a body than is kept to repeat its request.
+PASSED_ON_BYTES = 2 * _request_handler.MAX_BUFFERED_BODY_BYTES
+MIN_PART_BYTES = 1000
 SERVER = ("s1", "desk")
 SERVERS = (SERVER, ("s2", "desk"))
 ENGINE = ("s1", "text")
@@ -204,6 +209,35 @@
     test_requests.run(scenario, SERVER)
 
 
+def count_listed_bytes():
+    """Bytes of large parts of data that are kept in lists."""
+    lists = [each for each in gc.get_objects() if type(each) is list]
+    return sum(
+        len(part)
+        for each in lists
+        for part in each
+        if type(part) is bytes and len(part) >= MIN_PART_BYTES
+    )
+
+
+# Guards against the start of a body that was kept for as long as the body
+# lasted, though it had been passed on.
+def test_start_of_a_large_body_is_not_kept():
+    async def scenario(world):
+        sent = (b"200 OK", (b"", b""), b"a" * 1000)
+        world.servers["s1"].behave = send_without_end(
+            *sent, enough_bytes=2 * PASSED_ON_BYTES
+        )
+        reader, writer = await world.begin_to_ask("/safe/x")
+        taken_bytes = 0
+        while taken_bytes < PASSED_ON_BYTES:
+            taken_bytes += len(await reader.read(65_536))
+        assert count_listed_bytes() < _request_handler.MAX_BUFFERED_BODY_BYTES
+        writer.close()
+
+    test_requests.run(scenario, SERVER)
+
+
 # Guards against the first bytes of such a body being passed off as the whole
 # of it, or being left out of the answer to the deadline without a trace.
 def test_body_that_was_not_passed_on_by_the_deadline_gets_504():
