Keep bodies of requests in one piece while they arrive

What callers saw: nothing yet; the same fault as that of responses in tiny chunks, in the other direction.

Cause: each chunk of a body was kept as an object until the body was complete. With chunks of two bytes that is 20 times what counts against the bound on bodies and against the memory of the VM: a body of 4 MB, which is allowed, would hold more than 80 MB.

Evidence: test_body_of_tiny_chunks_holds_little_more_than_counts failed with "assert 4301548 < (2 * 700056)", for a body of 200 kB.

A body is now gathered in a bytearray, which holds what counts.

--- a/buckthorntack/http1/_server.py
+++ b/buckthorntack/http1/_server.py
@@ -354,7 +354,7 @@
     def _reset_request(self):
         self._target = b""
         self._headers = []
-        self._body = []
+        self._body = bytearray()
         self._body_bytes = 0
         self._head_bytes = 0
         #: Bytes received since the head or the last byte of the body.
@@ -506,7 +506,7 @@
             self._drop_requests()
 
     def _drop_requests(self):
-        self._body = []
+        self._body = bytearray()
         self.waiting.clear()
         if self._requests_held is not None:
             self._requests_held.set(0)
@@ -579,7 +579,7 @@
             self._check_memory(len(body))
         if self.refused:
             return
-        self._body.append(body)
+        self._body += body
         self._body_bytes += len(body)
         self._hold_requests(len(body))
 
@@ -590,7 +590,7 @@
             self._parser.get_method(),
             self._target,
             self._headers,
-            b"".join(self._body),
+            bytes(self._body),
             self.loop.time(),
         )
         response = ResponseWriter(
@@ -675,7 +675,7 @@
         self.refused = True
         self._clear_timer()
         self._hold_requests(-self._body_bytes)
-        self._body = []
+        self._body = bytearray()
         self._body_bytes = 0
         self.listener.log.write(
             _events.REQUEST_MALFORMED,
--- a/buckthorntack/http1/tests/test_endless_requests.py
+++ b/buckthorntack/http1/tests/test_endless_requests.py
@@ -1,6 +1,7 @@
 """Callers that send bytes without end that are no request."""
 
 import asyncio
+import tracemalloc
 
 import pytest
 
@@ -65,6 +66,38 @@
     assert response.split(b" ")[1] in (b"400", b"431")
 
 
+# Guards against a body in tiny chunks, each of which was kept as an object
+# many times as large.
+def test_body_of_tiny_chunks_holds_little_more_than_counts():
+    async def scenario():
+        sock = transport.bind_listener("127.0.0.1:0")
+        listener = http1.Listener(sock, handle, lambda: LIMITS)
+        chunks = 100_000
+        size_bytes = 2 * chunks
+        async with asyncio.timeout(TEST_TIMEOUT_S), listener:
+            host, _, port = listener.address.rpartition(":")
+            _, writer = await asyncio.open_connection(host, int(port))
+            payload = endless.REQUEST_HEAD + b"2\r\nab\r\n" * chunks
+            tracemalloc.start()
+            try:
+                writer.write(payload)
+                while count_bytes(listener) < size_bytes:  # noqa: ASYNC110
+                    await asyncio.sleep(0.01)
+                held_bytes, _ = tracemalloc.get_traced_memory()
+            finally:
+                tracemalloc.stop()
+            writer.close()
+        # What is in transit counts as well.
+        assert held_bytes < 2 * len(payload)
+
+    asyncio.run(scenario())
+
+
+def count_bytes(listener):
+    """Bytes of bodies that a listener has read."""
+    return sum(each._body_bytes for each in listener.connections)
+
+
 # Guards against trailers that count as headers of the request.
 def test_trailers_are_no_headers():
     request = endless.REQUEST_HEAD + b"0\r\nX-Late: 1\r\n\r\n"
