Test valid parts of answers that do not end

Events, forwarded events, tiny chunks and the body of a second attempt without end stop at the deadline: the server is left, nothing stays held and another request is served meanwhile. Bytes without end after an answer harm neither it nor the next one. All of them held before; they were not covered.

--- a/buckthorntack/platform/tests/test_endless_servers.py
+++ b/buckthorntack/platform/tests/test_endless_servers.py
@@ -260,6 +260,93 @@
     test_requests.run(scenario, SERVER)
 
 
+#: Route, failure domain of its server and what that sends without end, as
+#: valid parts of an answer.
+VALID_PARTS = {
+    "events": ("/draft/x", "a1", EVENT_STREAM, b"data: a\n\n"),
+    "forwarded-events": ("/talk/x", "b1", EVENT_STREAM, b"data: a\r\r"),
+    "tiny-chunks": ("/safe/x", "a1", (*CHUNKED, b"", b""), b"2\r\nab\r\n"),
+}
+
+
+# Failure: a server that sends what is valid without end; other requests are
+# served meanwhile, and nothing is left of it afterwards.
+@pytest.mark.parametrize("valid", VALID_PARTS.values(), ids=VALID_PARTS)
+def test_valid_parts_without_end_end_at_the_deadline(valid):
+    path, zone, lines, repeated = valid
+    service = "desk" if path.startswith("/safe") else "text"
+
+    async def scenario(world):
+        await wait_until_known(world, "s1", zone)
+        world.servers["s1"].behave = send_without_end(
+            b"200 OK", lines, repeated, enough_bytes=2**40
+        )
+        asking = asyncio.create_task(
+            world.ask(path, method="POST", X_Buckthorntack_Deadline_Ms="400")
+        )
+        await world.until(lambda: world.servers["s1"].requests)
+        assert (await world.ask("/other/x")).status == 200
+        answer = await asking
+        assert answer.status == 504 or not answer.whole
+        assert len(world.servers["s1"].requests) == 1
+        await world.until(lambda: world.servers["s1"].left == 1)
+        budget = world.nodes["e0"].memory_watch.budget
+        await world.until(lambda: not budget.held_bytes)
+        assert budget.peak_bytes <= budget.bounds.total_bytes
+
+    routes = [
+        _standins.route("safe", "desk"),
+        _standins.route("talk", "text", type="streaming", resumable=True),
+        _standins.route("draft", "text", type="streaming"),
+        _standins.route("other", "desk" if service == "text" else "text"),
+    ]
+    others = ("s2", "desk" if service == "text" else "text")
+    test_requests.run(
+        scenario,
+        ("s1", service, zone),
+        others,
+        routes=routes,
+        memory_mb=64.0,
+    )
+
+
+async def wait_until_known(world, server_id, zone):
+    """Wait until requests can be forwarded to a server of another region."""
+    region = _standins.REGIONS[zone]
+    node = world.nodes["e0"]
+    if region != node.settings.region:
+        fleet = node.shared_state.fleet
+        await world.until(
+            lambda: fleet.remote_usage(region, server_id, 0) is not None
+        )
+
+
+# Failure: a server that sends bytes without end after a whole answer, at once
+# or on the idle connection.
+@pytest.mark.parametrize("pause_s", [0.0, 0.1])
+def test_bytes_without_end_after_an_answer_harm_no_request(pause_s):
+    async def behave(server, request, reply):
+        await _standins.answer_whole(server, request, reply)
+        await asyncio.sleep(pause_s)
+        write = reply.connection.transport.write
+        while not reply.connection.transport.is_closing():
+            write(b"a" * 65_536)
+            await reply.flush()
+            await asyncio.sleep(0)
+
+    async def scenario(world):
+        server = world.servers["s1"]
+        server.behave = behave
+        for _ in range(3):
+            answer = await world.ask(test_requests.SAFE)
+            assert answer.status == 200
+            assert answer.body == b"GET /safe/x?y=1 "
+            await world.until(lambda: not server.listener.connections)
+        assert len(server.requests) == 3
+
+    test_requests.run(scenario, SERVER)
+
+
 # Guards against the same between entry VMs, whose answers pass through.
 def test_forwarded_request_gets_the_outcome_of_its_server():
     async def scenario(world):
--- a/buckthorntack/platform/tests/test_hedged_requests.py
+++ b/buckthorntack/platform/tests/test_hedged_requests.py
@@ -156,6 +156,29 @@
     run(scenario)
 
 
+async def send_without_end(server, request, reply):
+    """Behaviour: a body without end."""
+    reply.start(200, server.headers(request))
+    while True:
+        reply.write(b"a" * 65_536)
+        await reply.flush()
+        await asyncio.sleep(0)
+
+
+# Pattern: the first server hangs, the second one sends a body without end.
+def test_body_without_end_of_the_second_server_ends_both():
+    async def scenario(world):
+        await learn(world, "/safe/x")
+        set_first(world, _standins.hang, send_without_end)
+        answer = await world.ask("/safe/x", X_Buckthorntack_Deadline_Ms="800")
+        assert answer.status == 504 or not answer.whole
+        assert hedges(world, "won") == 1
+        await world.until(lambda: left(world) == 2)
+        await world.until(lambda: not waits(world))
+
+    run(scenario)
+
+
 # Pattern: the first server hangs before the first event of a stream.
 def test_resumable_stream_is_hedged_before_its_first_event():
     async def scenario(world):
