Let reads of requests in tiny chunks get smaller as well

What callers saw: nothing yet; the same fault as that of responses in tiny chunks, in the other direction: a caller that sends such bodies, of up to 4 MB each, lets all others wait for 12 ms with each read of 256 KB.

Evidence: test_reads_of_tiny_chunks_get_smaller of requests failed with "assert 37449 <= (2 * 1024)".

Both sides now use one ReadSize.

--- a/buckthorntack/http1/_client.py
+++ b/buckthorntack/http1/_client.py
@@ -10,6 +10,7 @@
 from buckthorntack.http1 import _errors
 from buckthorntack.http1 import _memory
 from buckthorntack.http1 import _messages
+from buckthorntack.http1 import _read_size
 
 #: Buffered response bytes above which reading from the server pauses, as the
 #: caller reads more slowly.
@@ -26,9 +27,6 @@
 #: Parts of a body above which they are joined, as an object with a few bytes
 #: takes many times as much memory.
 MAX_PARTS = 64
-#: Parts of bodies that one read may have: they are parsed while all other
-#: connections wait.
-MAX_READ_PARTS = 1024
 _KEEP_ALIVE = re.compile(rb"timeout\s*=\s*(\d+)")
 
 #: Request ids that a connection remembers; a request lasts for seconds, in
@@ -62,8 +60,7 @@
         self._buffered_bytes = 0
         self._paused = False
         self._waiter = None
-        #: Parts of bodies in the present read.
-        self._read_parts = 0
+        self._read_size = None
         self._watch = None
         self._sending = None
         self._buffered = None
@@ -90,8 +87,7 @@
 
     def connection_made(self, transport):
         self.transport = transport
-        # Bounds what the event loop is held up by one read.
-        transport.max_size = _memory.READ_BYTES
+        self._read_size = _read_size.ReadSize(transport)
 
     def data_received(self, data):
         self._has_received = True
@@ -118,7 +114,7 @@
                 self._is_out_of_sync = True
             else:
                 self._fail(_errors.UnexpectedResponseError(str(error)))
-        self._adapt_read_size(len(data))
+        self._read_size.end_read(len(data))
         if len(self._parts) > MAX_PARTS:
             self._join_parts()
         self._wake()
@@ -127,12 +123,6 @@
         if self._watch is not None:
             self._watch.on_read()
 
-    def _adapt_read_size(self, size_bytes):
-        """Let further reads be small if one of them has too many parts."""
-        parts, self._read_parts = self._read_parts, 0
-        if parts > MAX_READ_PARTS:
-            self.transport.max_size = size_bytes * MAX_READ_PARTS // parts
-
     def _join_parts(self):
         joined = b"".join(self._parts)
         self._parts.clear()
@@ -264,7 +254,7 @@
         return response_id is None and is_error and self.exchange_count == 1
 
     def on_body(self, body):
-        self._read_parts += 1
+        self._read_size.count_part()
         if self._complete:
             return
         self._framing_bytes = 0
--- a/buckthorntack/http1/_server.py
+++ b/buckthorntack/http1/_server.py
@@ -19,6 +19,7 @@
 from buckthorntack.http1 import _events
 from buckthorntack.http1 import _memory
 from buckthorntack.http1 import _messages
+from buckthorntack.http1 import _read_size
 
 BACKLOG_CONNECTIONS = 1024
 #: Pipelined requests queued for each connection before reading pauses.
@@ -285,6 +286,7 @@
         self._linger_bytes = 0
         self._is_lingering = False
         self._parser = httptools.HttpRequestParser(self)
+        self._read_size = None
         self._timer = None
         self._deadline_s = 0.0
         #: Whether one more request is waited for before the connection ends.
@@ -364,6 +366,7 @@
 
     def connection_made(self, transport):
         self.transport = transport
+        self._read_size = _read_size.ReadSize(transport)
         transport.set_write_buffer_limits(high=HIGH_WATER_BYTES)
         sock = transport.get_extra_info("socket")
         transports.configure_dead_peer_detection(
@@ -538,6 +541,7 @@
             self._reject(400, "upgrades are not supported")
         except httptools.HttpParserError as error:
             self._reject(400, f"not HTTP/1.1: {error}")
+        self._read_size.end_read(len(data))
         if self._is_reading_head:
             self._check_head_size()
         elif self._framing_bytes > self.listener.limits().header_bytes:
@@ -571,6 +575,7 @@
             self.transport.write(CONTINUE)
 
     def on_body(self, body):
+        self._read_size.count_part()
         if self.refused:
             return
         self._framing_bytes = 0
--- a/buckthorntack/http1/tests/test_endless_requests.py
+++ b/buckthorntack/http1/tests/test_endless_requests.py
@@ -7,6 +7,7 @@
 
 from buckthorntack import http1
 from buckthorntack import transport
+from buckthorntack.http1 import _read_size
 from buckthorntack.http1.tests import endless
 
 TEST_TIMEOUT_S = 20
@@ -93,6 +94,27 @@
     asyncio.run(scenario())
 
 
+# Guards against such a body that keeps all other requests waiting, as one read
+# of it takes a hundred times as long to parse.
+def test_reads_of_tiny_chunks_get_smaller():
+    async def scenario():
+        sock = transport.bind_listener("127.0.0.1:0")
+        listener = http1.Listener(sock, handle, lambda: LIMITS)
+        chunk = b"2\r\nab\r\n"
+        async with asyncio.timeout(TEST_TIMEOUT_S), listener:
+            host, _, port = listener.address.rpartition(":")
+            _, writer = await asyncio.open_connection(host, int(port))
+            writer.write(endless.REQUEST_HEAD + chunk * 100_000)
+            while count_bytes(listener) < 200_000:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+            [connection] = listener.connections
+            chunks = connection.transport.max_size // len(chunk)
+            assert chunks <= 2 * _read_size.MAX_READ_PARTS
+            writer.close()
+
+    asyncio.run(scenario())
+
+
 def count_bytes(listener):
     """Bytes of bodies that a listener has read."""
     return sum(each._body_bytes for each in listener.connections)
--- a/buckthorntack/http1/tests/test_endless_responses.py
+++ b/buckthorntack/http1/tests/test_endless_responses.py
@@ -7,7 +7,7 @@
 import pytest
 
 from buckthorntack import http1
-from buckthorntack.http1 import _client
+from buckthorntack.http1 import _read_size
 from buckthorntack.http1.tests import endless
 
 TEST_TIMEOUT_S = 20
@@ -185,7 +185,7 @@
         for _ in range(3):
             connection.data_received(chunk * (fake.max_size // len(chunk)))
         chunks = fake.max_size // len(chunk)
-        assert 0 < chunks <= 2 * _client.MAX_READ_PARTS
+        assert 0 < chunks <= 2 * _read_size.MAX_READ_PARTS
 
     asyncio.run(scenario())
 
