--- a/buckthorntack/http1/_client.py
+++ b/buckthorntack/http1/_client.py
@@ -10,6 +10,7 @@
 from buckthorntack.http1 import _errors
 from buckthorntack.http1 import _memory
 from buckthorntack.http1 import _messages
+from buckthorntack.http1 import _read_size
 
 #: Buffered response bytes above which reading from the server pauses, as the
 #: caller reads more slowly.
@@ -23,6 +24,9 @@
 #: Bytes of responses to other requests that are skipped before the connection
 #: is closed.
 MAX_SKIPPED_BYTES = 4_194_304
+#: Parts of a body above which they are joined, as an object with a few bytes
+#: takes many times as much memory.
+MAX_PARTS = 64
 _KEEP_ALIVE = re.compile(rb"timeout\s*=\s*(\d+)")
 
 #: Request ids that a connection remembers; a request lasts for seconds, in
@@ -56,6 +60,7 @@
         self._buffered_bytes = 0
         self._paused = False
         self._waiter = None
+        self._read_size = None
         self._watch = None
         self._sending = None
         self._buffered = None
@@ -82,6 +87,7 @@
 
     def connection_made(self, transport):
         self.transport = transport
+        self._read_size = _read_size.ReadSize(transport)
 
     def data_received(self, data):
         self._has_received = True
@@ -108,12 +114,20 @@
                 self._is_out_of_sync = True
             else:
                 self._fail(_errors.UnexpectedResponseError(str(error)))
+        self._read_size.end_read(len(data))
+        if len(self._parts) > MAX_PARTS:
+            self._join_parts()
         self._wake()
         self._count_buffered()
         self.pause_if_full()
         if self._watch is not None:
             self._watch.on_read()
 
+    def _join_parts(self):
+        joined = b"".join(self._parts)
+        self._parts.clear()
+        self._parts.append(joined)
+
     def pause_if_full(self):
         """Pause reading if the caller must read more first."""
         if self._is_full() and not self._paused:
@@ -240,6 +254,7 @@
         return response_id is None and is_error and self.exchange_count == 1
 
     def on_body(self, body):
+        self._read_size.count_part()
         if self._complete:
             return
         self._framing_bytes = 0
--- a/buckthorntack/http1/_server.py
+++ b/buckthorntack/http1/_server.py
@@ -9,6 +9,7 @@
 import contextlib
 import enum
 import http
+import math
 from typing import NamedTuple
 
 import httptools
@@ -18,6 +19,7 @@
 from buckthorntack.http1 import _events
 from buckthorntack.http1 import _memory
 from buckthorntack.http1 import _messages
+from buckthorntack.http1 import _read_size
 
 BACKLOG_CONNECTIONS = 1024
 #: Pipelined requests queued for each connection before reading pauses.
@@ -193,6 +195,14 @@
         """Whether the connection holds as much as it may."""
         return self.account is not None and self.account.is_over
 
+    @property
+    def max_buffered_bytes(self):
+        """Size of what a handler keeps above which it can't read more."""
+        if self.account is None:
+            return math.inf
+        bounds = self.account.budget.bounds
+        return bounds.connection_bytes - _memory.READ_BYTES
+
     def note_buffered(self, size_bytes):
         """Count what the handler keeps of a response that is not started.
 
@@ -278,6 +288,7 @@
         self._linger_bytes = 0
         self._is_lingering = False
         self._parser = httptools.HttpRequestParser(self)
+        self._read_size = None
         self._timer = None
         self._deadline_s = 0.0
         #: Whether one more request is waited for before the connection ends.
@@ -347,7 +358,7 @@
     def _reset_request(self):
         self._target = b""
         self._headers = []
-        self._body = []
+        self._body = bytearray()
         self._body_bytes = 0
         self._head_bytes = 0
         #: Bytes received since the head or the last byte of the body.
@@ -357,6 +368,7 @@
 
     def connection_made(self, transport):
         self.transport = transport
+        self._read_size = _read_size.ReadSize(transport)
         transport.set_write_buffer_limits(high=HIGH_WATER_BYTES)
         sock = transport.get_extra_info("socket")
         transports.configure_dead_peer_detection(
@@ -512,7 +524,7 @@
             self._drop_requests()
 
     def _drop_requests(self):
-        self._body = []
+        self._body = bytearray()
         self.waiting.clear()
         if self._requests_held is not None:
             self._requests_held.set(0)
@@ -544,6 +556,7 @@
             self._reject(400, "upgrades are not supported")
         except httptools.HttpParserError as error:
             self._reject(400, f"not HTTP/1.1: {error}")
+        self._read_size.end_read(len(data))
         if self._is_reading_head:
             self._check_head_size()
         elif self._framing_bytes > self.listener.limits().header_bytes:
@@ -577,6 +590,7 @@
             self.transport.write(CONTINUE)
 
     def on_body(self, body):
+        self._read_size.count_part()
         if self.refused:
             return
         self._framing_bytes = 0
@@ -585,7 +599,7 @@
             self._check_memory(len(body))
         if self.refused:
             return
-        self._body.append(body)
+        self._body += body
         self._body_bytes += len(body)
         self._hold_requests(len(body))
 
@@ -596,7 +610,7 @@
             self._parser.get_method(),
             self._target,
             self._headers,
-            b"".join(self._body),
+            bytes(self._body),
             self.loop.time(),
         )
         response = ResponseWriter(
@@ -681,7 +695,7 @@
         self.refused = True
         self._clear_timer()
         self._hold_requests(-self._body_bytes)
-        self._body = []
+        self._body = bytearray()
         self._body_bytes = 0
         self.listener.log.write(
             _events.REQUEST_MALFORMED,
--- a/buckthorntack/http1/tests/test_endless_requests.py
+++ b/buckthorntack/http1/tests/test_endless_requests.py
@@ -1,11 +1,13 @@
 """Callers that send bytes without end that are no request."""
 
 import asyncio
+import tracemalloc
 
 import pytest
 
 from buckthorntack import http1
 from buckthorntack import transport
+from buckthorntack.http1 import _read_size
 from buckthorntack.http1.tests import endless
 
 TEST_TIMEOUT_S = 20
@@ -65,6 +67,59 @@
     assert response.split(b" ")[1] in (b"400", b"431")
 
 
+# Guards against a body in tiny chunks, each of which was kept as an object
+# many times as large.
+def test_body_of_tiny_chunks_holds_little_more_than_counts():
+    async def scenario():
+        sock = transport.bind_listener("127.0.0.1:0")
+        listener = http1.Listener(sock, handle, lambda: LIMITS)
+        chunks = 100_000
+        size_bytes = 2 * chunks
+        async with asyncio.timeout(TEST_TIMEOUT_S), listener:
+            host, _, port = listener.address.rpartition(":")
+            _, writer = await asyncio.open_connection(host, int(port))
+            payload = endless.REQUEST_HEAD + b"2\r\nab\r\n" * chunks
+            tracemalloc.start()
+            try:
+                writer.write(payload)
+                while count_bytes(listener) < size_bytes:  # noqa: ASYNC110
+                    await asyncio.sleep(0.01)
+                held_bytes, _ = tracemalloc.get_traced_memory()
+            finally:
+                tracemalloc.stop()
+            writer.close()
+        # What is in transit counts as well.
+        assert held_bytes < 2 * len(payload)
+
+    asyncio.run(scenario())
+
+
+# Guards against such a body that keeps all other requests waiting, as one read
+# of it takes a hundred times as long to parse.
+def test_reads_of_tiny_chunks_get_smaller():
+    async def scenario():
+        sock = transport.bind_listener("127.0.0.1:0")
+        listener = http1.Listener(sock, handle, lambda: LIMITS)
+        chunk = b"2\r\nab\r\n"
+        async with asyncio.timeout(TEST_TIMEOUT_S), listener:
+            host, _, port = listener.address.rpartition(":")
+            _, writer = await asyncio.open_connection(host, int(port))
+            writer.write(endless.REQUEST_HEAD + chunk * 100_000)
+            while count_bytes(listener) < 200_000:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+            [connection] = listener.connections
+            chunks = connection.transport.max_size // len(chunk)
+            assert chunks <= 2 * _read_size.MAX_READ_PARTS
+            writer.close()
+
+    asyncio.run(scenario())
+
+
+def count_bytes(listener):
+    """Bytes of bodies that a listener has read."""
+    return sum(each._body_bytes for each in listener.connections)
+
+
 # Guards against trailers that count as headers of the request.
 def test_trailers_are_no_headers():
     request = endless.REQUEST_HEAD + b"0\r\nX-Late: 1\r\n\r\n"
