Refuse calls that a stopping control VM has no time to answer

What operators saw: a call on a connection from before the stop signal, whose last byte came late in the grace period, was put before the group and cut off when the connections were closed. The group may accept an order whose sender gets no answer; a body that comes slowly leads there with a grace of 8 s too, as 3.5 s of steps, 3 s for the request and 3 s for the group exceed 7.3 s.

Cause: work is begun without the time to end it; nothing held the 3 s of a proposal or the 0.9 s of a read against what the stop leaves.

Measured: four of four calls are refused and nothing reaches the group.

--- a/buckthorntack/gateway/_call_times.py
+++ b/buckthorntack/gateway/_call_times.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 
+from buckthorntack import shutdown
+
 
 class CallTimes:
     """Timeouts of calls; a planned stop shortens them.
@@ -32,6 +34,16 @@
         left = self.window.answers_until - self.clock.monotonic()
         return left.total_seconds()
 
+    def may_begin(self, longest):
+        """Whether a planned stop leaves time for a call.
+
+        :param longest: longest duration of the call.
+        """
+        now = self.clock.monotonic()
+        # Operators have other control VMs, so that estimates do not count.
+        work = shutdown.Work(now + longest, None, False)
+        return shutdown.may_begin(self.window, now, work)
+
     @contextlib.asynccontextmanager
     async def limit(self, longest):
         """Raise ``TimeoutError`` when the time of a call is over.
--- a/buckthorntack/gateway/_control.py
+++ b/buckthorntack/gateway/_control.py
@@ -39,6 +39,9 @@
 #: Longest wait for a majority to confirm a read; operators try another control
 #: VM after one second.
 READ_TIMEOUT = 900 * _MS
+#: Retry-After of calls that a planned stop leaves no time for; other control
+#: VMs serve them at once.
+STOP_RETRY_AFTER_MS = 50.0
 #: Timing of the consensus group; the longest links take 55 ms one way.
 TIMING = consensus.Timing(
     tick=100 * _MS,
@@ -104,6 +107,12 @@
     return not any(learner in live for learner in status.learners)
 
 
+def _build_stop_error(name):
+    return _errors.ControlStoppingError(
+        f"{name}: the control VM stops", STOP_RETRY_AFTER_MS
+    )
+
+
 def _join_versions(counts):
     return ",".join(str(version) for version in sorted(counts))
 
@@ -290,6 +299,10 @@
     async def _propose(self, command):
         data = directives.encode_command(command)
         name = type(command).__name__
+        if not self.call_times.may_begin(PROPOSE_TIMEOUT):
+            error = _build_stop_error(name)
+            self._log_refused(name, error)
+            return Error(error)
         try:
             async with self.call_times.limit(PROPOSE_TIMEOUT):
                 result = await self.replica.propose(data)
@@ -318,6 +331,10 @@
         :returns: ``Result`` of ``Directives``; an error if a majority did
             not confirm in time that there are no newer ones.
         """
+        if not self.call_times.may_begin(READ_TIMEOUT):
+            error = _build_stop_error("read")
+            self._log.write(_events.READ_REFUSED, error=str(error))
+            return Error(error)
         try:
             async with self.call_times.limit(READ_TIMEOUT):
                 barrier = await self.replica.read_barrier()
--- a/buckthorntack/gateway/_errors.py
+++ b/buckthorntack/gateway/_errors.py
@@ -13,6 +13,15 @@
     run_state = errors.RunState.UNKNOWN
 
 
+class ControlStoppingError(errors.GatewayError):
+    """A planned stop leaves no time for a call at this control VM."""
+
+    number = 2247
+    status = 503
+    kind = "control_stopping"
+    remedy = "retry at another control VM"
+
+
 class UnknownDomainError(errors.GatewayError):
     """The failure domain is not part of the deployment."""
 
--- a/buckthorntack/gateway/_events.py
+++ b/buckthorntack/gateway/_events.py
@@ -110,7 +110,8 @@
     2217,
     "read_refused",
     logbook.NOTICE,
-    "A majority did not confirm a read of the configuration.",
+    "A read of the configuration was refused: a majority did not confirm it,"
+    " or a planned stop leaves no time for it.",
 )
 TASK_FAILED = events.declare(
     2223,
--- a/buckthorntack/platform/_control_api.py
+++ b/buckthorntack/platform/_control_api.py
@@ -8,6 +8,7 @@
 from buckthorntack import events
 from buckthorntack.platform import _announcements
 from buckthorntack.platform import _events
+from buckthorntack.platform import _headers
 
 _JSON = [(b"Content-Type", b"application/json")]
 _NO_CONFIGURATION = 404
@@ -120,13 +121,17 @@
         else:
             self._send(reply, 200, {})
 
-    def _send(self, reply, status, document):
-        reply.send(status, _JSON, msgspec.json.encode(document))
+    def _send(self, reply, status, document, headers=()):
+        fields = [*_JSON, *headers]
+        reply.send(status, fields, msgspec.json.encode(document))
 
     def _send_error(self, reply, error):
-        self._send(
-            reply, error.status, {"error": error.detail, "kind": error.kind}
-        )
+        document = {"error": error.detail, "kind": error.kind}
+        headers = []
+        if error.retry_after_ms is not None:
+            seconds = f"{error.retry_after_ms / 1e3:.3f}".encode()
+            headers.append((_headers.RETRY_AFTER, seconds))
+        self._send(reply, error.status, document, headers)
 
     _CALLS = {
         (b"PUT", "instances"): _announce,
--- a/buckthorntack/platform/tests/test_control_stops.py
+++ b/buckthorntack/platform/tests/test_control_stops.py
@@ -72,6 +72,11 @@
             self.writer.close()
 
 
+async def respond_never(*arguments):
+    """Wait for a majority that does not respond."""
+    await asyncio.Event().wait()
+
+
 # Guards against calls that wait for a majority when their control VM gets the
 # stop signal and are cut off at the end of a short grace period.
 def test_calls_in_progress_are_cut_at_the_end_of_a_short_grace():
@@ -93,3 +98,34 @@
             assert answer.whole
 
     run(scenario)
+
+
+# Guards against calls that come late in the grace period of a control VM, are
+# put before the group and get no answer although the group may accept them.
+def test_calls_that_come_late_are_begun_without_time_to_end_them():
+    asked = []
+
+    async def ask_group(*arguments):
+        asked.append(arguments)
+        await respond_never()
+
+    async def scenario(world):
+        document = _standins.configuration(7)
+        assert (await world.publish(document)).status == 200
+        kept = [CallInTwoParts(world, "c2", call) for call in CALLS]
+        for call in kept:
+            await call.begin()
+        replica = world.nodes["c2"].replica
+        replica.propose = replica.read_barrier = ask_group
+        stopping = asyncio.create_task(stop_within_grace(world, "c2"))
+        await asyncio.sleep(0.5)
+        answers = await asyncio.gather(*(call.end() for call in kept))
+        await stopping
+        assert [answer and answer.status for answer in answers] == [503] * 4
+        assert not asked
+        for answer in answers:
+            assert answer.headers[b"connection"] == b"close"
+            assert float(answer.headers[b"retry-after"]) > 0
+            assert json.loads(answer.body)["kind"] == "control_stopping"
+
+    run(scenario)
