Respond at the other listeners before a planned stop ends

What callers saw: requests at the readiness, directory and metrics listeners of a node that stops were cut off as soon as its main listener had no requests left; their responses never announced the end of the connection.

Cause: only the main listeners were stopped; the others ended with the process, whatever they were reading.

Evidence: the test failed with "assert None not in [None, None, None]" on an entry VM and "[None]" on a control VM: no head of a response.

Change: the wait at the end of a stop also stops the other listeners, once the main ones have responded or 0.3 s before its end, and waits for their requests. They go on until then, as readiness and metrics matter during a stop. A client that sends half a head there keeps a stop for its header timeout at the longest, and never beyond the grace period.

Measured: all four requests are answered with Connection: close.

--- a/buckthorntack/gateway/_node.py
+++ b/buckthorntack/gateway/_node.py
@@ -18,6 +18,9 @@
 STOP_MARGIN = 700 * _MS
 #: Period of the checks for pending requests while stopping.
 STOP_POLL_PERIOD = 50 * _MS
+#: Time before the end of a stop in which calls besides those of routes and
+#: control VMs are responded to, but no more are accepted.
+LAST_CALLS_TIME = 300 * _MS
 
 
 class Node(abc.ABC):
@@ -49,6 +52,7 @@
         self.metrics_registry = prometheus_client.CollectorRegistry()
         self._log = events.EventLog("gateway")
         self._stack = contextlib.AsyncExitStack()
+        self._all_listeners = []
 
     async def __aenter__(self):
         await self._stack.__aenter__()
@@ -97,20 +101,31 @@
             )
         id_header = self.dialect.request_id_header
         listener = http1.Listener(sock, handle, limits, memory, id_header)
+        self._all_listeners.append(listener)
         return await self._stack.enter_async_context(listener)
 
     async def _wait_until_answered(self, listeners, deadline):
-        """Wait until no request is in progress.
+        """Wait until no request is in progress, at the other listeners too.
+
+        Those accept requests until ``listeners`` have responded to all.
 
         :param listeners: ``http1.Listener`` that accept no more.
         :param deadline: monotonic time of the end of the wait.
         """
+        others = [one for one in self._all_listeners if one not in listeners]
+        for listener in others:
+            listener.disable_keep_alive()
+        open_listeners = others
         while self.clock.monotonic() < deadline:
             # Connections that were just accepted are not counted before.
             await self.clock.sleep(STOP_POLL_PERIOD)
-            if not any(
-                listener.count_active_connections() for listener in listeners
-            ):
+            is_answered = not _count_active_connections(listeners)
+            is_ending = self.clock.monotonic() >= deadline - LAST_CALLS_TIME
+            if open_listeners and (is_answered or is_ending):
+                for listener in open_listeners:
+                    listener.stop_accepting()
+                open_listeners = []
+            elif is_answered and not _count_active_connections(others):
                 break
 
     async def _serve_metrics(self):
@@ -118,3 +133,7 @@
         address = f"{settings.ip_address}:{settings.metrics_port}"
         handle = _metrics_endpoint.make_metrics_handler(self.metrics_registry)
         await self._listen("metrics", address, handle)
+
+
+def _count_active_connections(listeners):
+    return sum(listener.count_active_connections() for listener in listeners)
