Answer requests before the time limit of a planned stop cuts them off

What callers saw, in our own interface with drain_ms set: a booking, an idempotent call and a completion that were in progress when an entry VM stopped got no answer at its time limit; their connections were closed.

Cause: the limit killed the listener; nothing ended the requests before, and those that waited for admission were not refused although they had not run.

Evidence: the test failed with "assert [None, None, None] == [504, 504, 504]" (limit 0.4 s of notice and 0.7 s, servers that take 8 s).

Change: 0.3 s before the limit, requests that wait for admission are refused with 503 entry_stopping (not_run), and those whose response has not begun are answered with 504 entry_stopped (1331, unknown), also those that other entry VMs forwarded. Streams go on until the limit, as they can be resumed. Responses during a stop announce the end of their connection. A limit of 0 waits for all requests as before.

Not shown by a test: queued and forwarded requests.

--- a/buckthorntack/entry/_admission_task.py
+++ b/buckthorntack/entry/_admission_task.py
@@ -80,6 +80,16 @@
         if offered.is_error():
             raise offered.error
 
+    def refuse_waiting(self, error):
+        """Refuse the requests that wait in the queues.
+
+        :param error: the ``GatewayError``.
+        """
+        for request_id, future in self._pending.items():
+            if not future.done():
+                self.controller.cancel_request(request_id)
+                future.set_exception(error)
+
     async def _wait(self, request):
         admitted = asyncio.get_running_loop().create_future()
         self._pending[request.request_id] = admitted
--- a/buckthorntack/entry/_backends.py
+++ b/buckthorntack/entry/_backends.py
@@ -41,7 +41,7 @@
         :param receive: ASGI receive function.
         :param send: ASGI send function.
         """
-        sink = _sink.CallerSink(send, "")
+        sink = _sink.CallerSink(send, "", self.components.planned_stop)
         try:
             headers = _parsing.read_headers(scope, MAX_BODY_BYTES)
             sink.request_id = _parsing.choose_request_id(headers)
--- a/buckthorntack/entry/_callers.py
+++ b/buckthorntack/entry/_callers.py
@@ -47,7 +47,7 @@
         :param receive: ASGI receive function.
         :param send: ASGI send function.
         """
-        sink = _sink.CallerSink(send, "")
+        sink = _sink.CallerSink(send, "", self.components.planned_stop)
         self.in_progress += 1
         self.components.members.set_in_flight(self.in_progress)
         try:
@@ -139,7 +139,7 @@
             organisation=request.organisation,
             service=request.service,
         )
-        run_task = asyncio.create_task(self.runner.run(request, sink))
+        run_task = asyncio.create_task(self._run_until_stop(request, sink))
         disconnect = asyncio.create_task(_wait_for_disconnect(receive))
         try:
             await asyncio.wait(
@@ -155,6 +155,10 @@
             run_task.result()
             self._log.write(_events.REQUEST_ENDED, request=request.request_id)
 
+    async def _run_until_stop(self, request, sink):
+        async with self.components.planned_stop.limit(sink):
+            await self.runner.run(request, sink)
+
     def _build_model_list(self, organisation):
         published = self.parser.current_configuration()
         models = [
--- a/buckthorntack/entry/_components.py
+++ b/buckthorntack/entry/_components.py
@@ -6,6 +6,7 @@
 
 from buckthorntack import interfaces
 from buckthorntack.entry import _attempt
+from buckthorntack.entry import _planned_stop
 
 
 class EntryComponents:
@@ -38,6 +39,7 @@
         #: Monotonic time by which all live backend servers have announced
         #: themselves to this process.
         self.discovery_complete_at = datetime.timedelta()
+        self.planned_stop = _planned_stop.PlannedStop(clock)
         self.configuration: Any = None
         self.members: Any = None
         self.router: Any = None
--- a/buckthorntack/entry/_errors.py
+++ b/buckthorntack/entry/_errors.py
@@ -181,6 +181,16 @@
     remedy = "send the announcement as docs/BACKENDS.md describes"
 
 
+class StoppedError(errors.GatewayError):
+    """A planned stop ended a request before its response began."""
+
+    number = 1331
+    status = 504
+    kind = "entry_stopped"
+    remedy = "use another entry VM; send bookings again with the same key"
+    run_state = errors.RunState.UNKNOWN
+
+
 class RegionSilentError(errors.GatewayError):
     """No entry VM in the region of an attempt responded."""
 
--- a/buckthorntack/entry/_forward_receiver.py
+++ b/buckthorntack/entry/_forward_receiver.py
@@ -138,7 +138,8 @@
         sink = incoming.sink
         try:
             request = await self._validate_request(incoming)
-            await self.runner.run(request, sink)
+            async with self.components.planned_stop.limit(sink):
+                await self.runner.run(request, sink)
         except errors.GatewayError as error:
             await self._refuse(sink, error)
         except asyncio.CancelledError:
--- /dev/null
+++ b/buckthorntack/entry/_planned_stop.py
@@ -0,0 +1,64 @@
+"""Requests that a planned stop with a time limit may begin, and their end."""
+
+import asyncio
+import contextlib
+
+from buckthorntack.entry import _errors
+
+#: Retry-After of refused requests; other entry VMs serve them at once.
+RETRY_AFTER_MS = 1000
+
+
+class PlannedStop:
+    """Planned stop of an entry VM.
+
+    :param clock: source of time.
+    """
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.is_stopping = False
+        #: The ``shutdown.StopWindow``; None without a stop or a time limit.
+        self.window = None
+        #: Sinks of requests in progress, by their ``asyncio.Timeout``.
+        self._sinks = {}
+
+    def begin(self, window):
+        """Begin to stop.
+
+        :param window: the ``shutdown.StopWindow``; None without a time limit.
+        """
+        self.is_stopping = True
+        self.window = window
+
+    @contextlib.asynccontextmanager
+    async def limit(self, sink):
+        """Let the stop end a request in progress.
+
+        :param sink: sink of its response.
+        :raises StoppedError: the stop has ended the request.
+        """
+        try:
+            async with asyncio.timeout(None) as timeout:
+                self._sinks[timeout] = sink
+                try:
+                    yield
+                finally:
+                    del self._sinks[timeout]
+        except TimeoutError:
+            if not timeout.expired():
+                raise
+            detail = "the entry VM stops before the response"
+            raise _errors.StoppedError(detail, RETRY_AFTER_MS) from None
+
+    def end_requests(self):
+        """End the requests whose responses have not begun."""
+        now_s = asyncio.get_running_loop().time()
+        for timeout, sink in self._sinks.items():
+            if not sink.started:
+                timeout.reschedule(now_s)
+
+
+def build_refusal():
+    """Return the error for requests that were not begun."""
+    return _errors.StoppingError("the entry VM stops", RETRY_AFTER_MS)
--- a/buckthorntack/entry/_role.py
+++ b/buckthorntack/entry/_role.py
@@ -15,6 +15,7 @@
 from buckthorntack import retries
 from buckthorntack import routing
 from buckthorntack import security
+from buckthorntack import shutdown
 from buckthorntack import tasks
 from buckthorntack import transport
 from buckthorntack.entry import _admission_task
@@ -28,11 +29,18 @@
 from buckthorntack.entry import _forwarding
 from buckthorntack.entry import _idempotency
 from buckthorntack.entry import _metrics
+from buckthorntack.entry import _planned_stop
 from buckthorntack.entry import _prompt_quarantine
 from buckthorntack.entry import _runner
 from buckthorntack.entry import _server_limiter
 from buckthorntack.schema import messages
 
+_MS = datetime.timedelta(milliseconds=1)
+#: Time before the end of a planned stop with a time limit in which the last
+#: responses reach their callers.
+DELIVERY_TIME = 300 * _MS
+#: Time for the refusals of requests that wait for admission.
+REFUSAL_TIME = 50 * _MS
 #: Requests admitted for each slot of a server.  The value is above 1 because
 #: engines have a short queue of their own.
 ADMITTED_PER_SLOT = 2.0
@@ -482,16 +490,45 @@
         self._stopping = True
         self._log.write(_events.ENTRY_STOPPING)
         self.members.set_entry_state("stopping")
-        notice_ms = self.settings["timing"]["stop_notice_ms"]
-        await self.clock.sleep(datetime.timedelta(milliseconds=notice_ms))
+        notice = self.settings["timing"]["stop_notice_ms"] * _MS
         drain_ms = self.settings["timing"]["drain_ms"]
+        window = self._plan_stop(notice, drain_ms * _MS)
+        self.components.planned_stop.begin(window)
+        await self.clock.sleep(notice)
         try:
-            async with asyncio.timeout(drain_ms / 1e3 or None):
-                await self._drain()
+            async with contextlib.AsyncExitStack() as stack:
+                if window is not None:
+                    answering = tasks.running(self._answer_in_time(window))
+                    await stack.enter_async_context(answering)
+                async with asyncio.timeout(drain_ms / 1e3 or None):
+                    await self._drain()
         except TimeoutError:
             self._log.write(_events.DRAIN_CUT_SHORT, drain_ms=drain_ms)
             await self.caller_listener.kill()
 
+    def _plan_stop(self, notice, drain):
+        """Return the ``shutdown.StopWindow``; None without a time limit."""
+        if not drain:
+            return None
+        accepts_until = self.clock.monotonic() + notice
+        closes_at = accepts_until + drain
+        delivery = min(DELIVERY_TIME, drain / 2)
+        return shutdown.StopWindow(
+            accepts_until, closes_at - delivery, closes_at
+        )
+
+    async def _answer_in_time(self, window):
+        """Respond to all requests before the stop ends.
+
+        Those that wait for admission are known not to have run.
+        """
+        components = self.components
+        await self.clock.sleep(window.answers_until - self.clock.monotonic())
+        refusal = _planned_stop.build_refusal()
+        components.admission_task.refuse_waiting(refusal)
+        await self.clock.sleep(REFUSAL_TIME)
+        components.planned_stop.end_requests()
+
     async def _drain(self):
         await self.caller_listener.stop()
         await self.runner.drain()
--- a/buckthorntack/entry/_sink.py
+++ b/buckthorntack/entry/_sink.py
@@ -32,11 +32,14 @@
 
     :param send: ASGI send function.
     :param request_id: id of the request, sent in a header.
+    :param planned_stop: the ``PlannedStop``; responses announce the end of
+        their connections during it.
     """
 
-    def __init__(self, send, request_id):
+    def __init__(self, send, request_id, planned_stop):
         self.send = send
         self.request_id = request_id
+        self.planned_stop = planned_stop
         self.started = False
 
     async def start(self, status, headers, attempt_id):
@@ -49,6 +52,8 @@
         all_headers = [*headers, ("x-request-id", self.request_id)]
         if attempt_id:
             all_headers.append(("x-attempt-id", attempt_id))
+        if self.planned_stop.is_stopping:
+            all_headers.append(("connection", "close"))
         pairs = [
             (name.encode(), value.encode()) for name, value in all_headers
         ]
--- /dev/null
+++ b/buckthorntack/node/tests/test_stop_with_limit.py
@@ -0,0 +1,72 @@
+"""Requests at an entry VM whose graceful shutdown has a time limit."""
+
+import asyncio
+
+import httpx
+import pytest
+
+from buckthorntack import standins
+from buckthorntack.node.tests import _harness
+
+NOTICE_MS = 400
+DRAIN_MS = 700
+#: Longer than the whole stop.
+RUN_MS = 8000.0
+
+
+@pytest.fixture(scope="module")
+def harness():
+    layout = standins.Layout(
+        one_way_ms=1.0,
+        servers={"vergedesk": 3, "pitchwriter": 3},
+        engine=standins.EngineProfile(token_ms=RUN_MS),
+        timing={"stop_notice_ms": NOTICE_MS, "drain_ms": DRAIN_MS},
+    )
+    with _harness.DeploymentHarness(layout) as started:
+        for server in started.list_servers("vergedesk"):
+            server.fake.faults.delay_ms = RUN_MS
+        yield started
+
+
+async def _look_up(harness, url, marker):
+    """Send an idempotent request; None if it gets no answer."""
+    caller = harness.callers[_harness.ALL_REGIONS_ORGANISATION]
+    try:
+        return await caller.request(
+            "GET", f"{url}/services/vergedesk/availability/{marker}"
+        )
+    except httpx.TransportError:
+        return None
+
+
+async def _chat(harness, url):
+    """Ask for a completion that is no stream; None without an answer."""
+    caller = harness.callers[_harness.ALL_REGIONS_ORGANISATION]
+    try:
+        return await caller.chat(url, "pitchwriter", "Stop.", max_tokens=4)
+    except httpx.TransportError:
+        return None
+
+
+# Guards against requests in progress that the time limit of a planned stop
+# cuts off without an answer.
+def test_requests_in_progress_are_cut_at_the_limit_of_a_stop(harness):
+    async def scenario():
+        node = harness.deployment.nodes["fukuoka-a-2"]
+        url = node.entry.caller_listener.url
+        key = harness.deployment.key_prefix("fukuoka") + "cut"
+        pending = [
+            asyncio.create_task(harness.send_booking(url, key, "cut")),
+            asyncio.create_task(_look_up(harness, url, "cut")),
+            asyncio.create_task(_chat(harness, url)),
+        ]
+        callers = node.entry.callers
+        await _harness.wait_until(lambda: callers.in_progress == len(pending))
+        await _harness.wait_until(lambda: harness.list_runs("cut"))
+        await harness.deployment.stop_node("fukuoka-a-2")
+        answers = await asyncio.gather(*pending)
+        assert [answer and answer.status for answer in answers] == [504] * 3
+        for answer in answers:
+            assert _harness.run_state(answer) == "unknown"
+
+    harness.run(scenario())
