Refuse requests that a stop with a time limit leaves no time for

What callers saw, in our own interface with drain_ms set: requests that came after the stop signal, during stop_notice_ms, were passed on to servers and cut off at the limit of the stop.

Cause: work is begun without the time to end it; neither a request that comes in the notice, nor one that is admitted late, nor a retry was held against the limit.

Evidence: the test failed with "assert [None, None, None] == [503, 503, 503]".

Change: may_begin of buckthorntack.shutdown is asked before admission and before each attempt, with the deadline (none for streams, whose deadline is that of the first byte) and the longest recent duration of the service. What has no time is refused with 503 entry_stopping, which docs/CALLERS.md names and nothing sent so far, not_run, Retry-After and Connection: close. A booking is still looked up in its ledger home first.

Measured: all three are refused and reach no server. Not shown by a test: retries and resumptions begun late.

--- a/buckthorntack/entry/_planned_stop.py
+++ b/buckthorntack/entry/_planned_stop.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import contextlib
+import datetime
 
+from buckthorntack import shutdown
 from buckthorntack.entry import _errors
 
 #: Retry-After of refused requests; other entry VMs serve them at once.
@@ -17,6 +19,7 @@
 
     def __init__(self, clock):
         self.clock = clock
+        self.durations = shutdown.RecentDurations()
         self.is_stopping = False
         #: The ``shutdown.StopWindow``; None without a stop or a time limit.
         self.window = None
@@ -31,6 +34,35 @@
         self.is_stopping = True
         self.window = window
 
+    def check(self, request, is_retry=False):
+        """Refuse a request that the stop leaves no time for.
+
+        :param request: the ``GatewayRequest``.
+        :param is_retry: whether an earlier attempt has failed.
+        :raises StoppingError: no attempt may begin.
+        """
+        now = self.clock.monotonic()
+        # The deadline is that of the first byte; a stream may go on.
+        is_bounded = not request.streamed
+        work = shutdown.Work(
+            request.deadline if is_bounded else datetime.timedelta.max,
+            self.durations.longest(request.service, now),
+            request.idempotent,
+            is_forwarded=request.origin_region is not None,
+            is_retry=is_retry,
+        )
+        if not shutdown.may_begin(self.window, now, work):
+            raise build_refusal()
+
+    def record_duration(self, service, started_at):
+        """Record how long a request took that was responded to.
+
+        :param service: name of its service.
+        :param started_at: monotonic time of its receipt.
+        """
+        now = self.clock.monotonic()
+        self.durations.record(service, now - started_at, now)
+
     @contextlib.asynccontextmanager
     async def limit(self, sink):
         """Let the stop end a request in progress.
--- a/buckthorntack/entry/_runner.py
+++ b/buckthorntack/entry/_runner.py
@@ -117,6 +117,13 @@
             await asyncio.wait(list(self._detached))
 
     async def _run(self, request, sink):
+        stop = self.components.planned_stop
+        stop.check(request)
+        started_at = self.components.clock.monotonic()
+        await self._admit_and_run(request, sink)
+        stop.record_duration(request.service, started_at)
+
+    async def _admit_and_run(self, request, sink):
         if request.resumed_attempt:  # The attempt was admitted when it began.
             await _Execution(self.components, request, sink).run()
             return
@@ -296,7 +303,16 @@
             return self.decision.failure_domain
         return self.target.server_id if self.target else ""
 
+    def _check_stop(self):
+        """Check whether a planned stop leaves time for another attempt."""
+        is_retry = self.context.attempts > 1
+        try:
+            self.components.planned_stop.check(self.request, is_retry)
+        except errors.GatewayError as error:
+            raise self._build_refusal(error) from error
+
     async def _make_attempt(self):
+        self._check_stop()
         verdict = self._check_quarantine()
         now = self.components.clock.monotonic()
         self.is_suspect = isinstance(verdict, retries.Suspect)
--- a/buckthorntack/node/tests/test_stop_with_limit.py
+++ b/buckthorntack/node/tests/test_stop_with_limit.py
@@ -70,3 +70,29 @@
             assert _harness.run_state(answer) == "unknown"
 
     harness.run(scenario())
+
+
+# Guards against requests that come after the stop signal, are passed on to a
+# server although the stop leaves no time for them, and are cut at its limit.
+def test_requests_that_come_late_are_begun_without_time(harness):
+    async def scenario():
+        node = harness.deployment.nodes["kumamoto-a-2"]
+        url = node.entry.caller_listener.url
+        key = harness.deployment.key_prefix("kumamoto") + "late"
+        stopping = asyncio.create_task(
+            harness.deployment.stop_node("kumamoto-a-2")
+        )
+        await _harness.wait_until(lambda: not node.entry.is_ready())
+        answers = await asyncio.gather(
+            harness.send_booking(url, key, "late"),
+            _look_up(harness, url, "late"),
+            _chat(harness, url),
+        )
+        await stopping
+        assert [answer and answer.status for answer in answers] == [503] * 3
+        for answer in answers:
+            assert _harness.run_state(answer) == "not_run"
+            assert int(answer.headers["retry-after"]) > 0
+        assert not harness.list_runs("late")
+
+    harness.run(scenario())
