Leave streams that a stop cuts off to be resumed

What callers saw, in our own interface with drain_ms set: a stream that the limit of a planned stop cut off could not be resumed at another entry VM; the resumption got 502 answer_lost.

Cause: the end of the connection counted as a caller that has left, so that the attempt was cancelled at its server.

Evidence: the test failed with "AssertionError: ... part of an answer was delivered" (502 answer_lost to the resumption).

Change: attempts are not cancelled at their servers by the limit of a stop.

Measured: the stream goes on at another entry VM, each event once.

--- a/buckthorntack/entry/_planned_stop.py
+++ b/buckthorntack/entry/_planned_stop.py
@@ -21,6 +21,8 @@
         self.clock = clock
         self.durations = shutdown.RecentDurations()
         self.is_stopping = False
+        #: Whether requests are cut off now; others may resume their streams.
+        self.is_over = False
         #: The ``shutdown.StopWindow``; None without a stop or a time limit.
         self.window = None
         #: Sinks of requests in progress, by their ``asyncio.Timeout``.
--- a/buckthorntack/entry/_role.py
+++ b/buckthorntack/entry/_role.py
@@ -504,6 +504,7 @@
                     await self._drain()
         except TimeoutError:
             self._log.write(_events.DRAIN_CUT_SHORT, drain_ms=drain_ms)
+            self.components.planned_stop.is_over = True
             await self.caller_listener.kill()
 
     def _plan_stop(self, notice, drain):
--- a/buckthorntack/entry/_runner.py
+++ b/buckthorntack/entry/_runner.py
@@ -487,7 +487,8 @@
         try:
             result = await work
         except asyncio.CancelledError:
-            components.attempt_client.cancel(target)
+            if not components.planned_stop.is_over:
+                components.attempt_client.cancel(target)
             raise
         finally:
             finished = isinstance(result, _attempt.Completed)
--- a/buckthorntack/node/tests/test_stop_with_limit.py
+++ b/buckthorntack/node/tests/test_stop_with_limit.py
@@ -1,6 +1,7 @@
 """Requests at an entry VM whose graceful shutdown has a time limit."""
 
 import asyncio
+import re
 
 import httpx
 import pytest
@@ -12,6 +13,9 @@
 DRAIN_MS = 700
 #: Longer than the whole stop.
 RUN_MS = 8000.0
+TOKEN_MS = 150.0
+#: Tokens of a stream that outlasts the stop.
+STREAM_TOKENS = 12
 
 
 @pytest.fixture(scope="module")
@@ -19,7 +23,7 @@
     layout = standins.Layout(
         one_way_ms=1.0,
         servers={"vergedesk": 3, "pitchwriter": 3},
-        engine=standins.EngineProfile(token_ms=RUN_MS),
+        engine=standins.EngineProfile(token_ms=TOKEN_MS),
         timing={"stop_notice_ms": NOTICE_MS, "drain_ms": DRAIN_MS},
     )
     with _harness.DeploymentHarness(layout) as started:
@@ -43,7 +47,7 @@
     """Ask for a completion that is no stream; None without an answer."""
     caller = harness.callers[_harness.ALL_REGIONS_ORGANISATION]
     try:
-        return await caller.chat(url, "pitchwriter", "Stop.", max_tokens=4)
+        return await caller.chat(url, "pitchwriter", "Stop.", max_tokens=64)
     except httpx.TransportError:
         return None
 
@@ -96,3 +100,53 @@
         assert not harness.list_runs("late")
 
     harness.run(scenario())
+
+
+async def _read_stream(harness, url, body):
+    """Read a stream into a ``bytearray`` until its connection is lost."""
+    caller = harness.callers[_harness.ALL_REGIONS_ORGANISATION]
+    document = {
+        "model": "pitchwriter",
+        "stream": True,
+        "max_tokens": STREAM_TOKENS,
+        "messages": [{"role": "user", "content": "Resume."}],
+    }
+    async with httpx.AsyncClient(timeout=30, trust_env=False) as client:
+        request = client.stream(
+            "POST",
+            f"{url}/v1/chat/completions",
+            headers={"authorization": f"Bearer {caller.token}"},
+            json=document,
+        )
+        with pytest.raises(httpx.TransportError):
+            async with request as response:
+                async for part in response.aiter_raw():
+                    body += part
+
+
+# Guards against a stream that the time limit of a planned stop cuts off and
+# that cannot be resumed, as its attempt is cancelled at its server.
+def test_stream_that_a_stop_cuts_off_is_cancelled_at_its_server(harness):
+    async def scenario():
+        node = harness.deployment.nodes["kagoshima-a-2"]
+        url = node.entry.caller_listener.url
+        body = bytearray()
+        reading = asyncio.create_task(_read_stream(harness, url, body))
+        await _harness.wait_until(lambda: b"id: " in body)
+        await harness.deployment.stop_node("kagoshima-a-2")
+        await reading
+        event_ids = re.findall(rb"^id: (\S+)$", bytes(body), re.MULTILINE)
+        caller = harness.callers[_harness.ALL_REGIONS_ORGANISATION]
+        answer = await caller.chat(
+            harness.caller_url("kagoshima"),
+            "pitchwriter",
+            "Resume.",
+            stream=True,
+            headers={"last-event-id": event_ids[-1].decode()},
+        )
+        assert answer.whole, answer.body
+        numbers = _harness.parse_event_numbers(bytes(body))
+        numbers += _harness.parse_event_numbers(answer.body)
+        assert numbers == list(range(STREAM_TOKENS + 1))
+
+    harness.run(scenario())
