Keep the time limit of a stop also with forwarded streams

What callers saw, in our own interface with drain_ms set: an entry VM whose stop has a limit of 0.9 s waited 7.5 s for the streams that other entry VMs forward (trial); a supervisor kills it meanwhile.

Cause: the limit ended the callers' connections only; the receiver of forwarded requests waited for all of them at its own end.

Evidence: the test failed with "assert False" where a forwarded stream should still run at its server after the stop.

Change: at the limit, forwarded requests are ended too, without a message, as an error would end the stream; their attempts go on at their servers and their origins resume them through another entry VM.

--- a/buckthorntack/entry/_forward_receiver.py
+++ b/buckthorntack/entry/_forward_receiver.py
@@ -70,6 +70,15 @@
         while running := [i.task for i in self._incoming.values() if i.task]:
             await asyncio.wait(running)
 
+    def abort(self):
+        """End the requests in progress; their origins resume them.
+
+        Origins are told nothing, as an error would end a stream.
+        """
+        for incoming in self._incoming.values():
+            if incoming.task is not None:
+                incoming.task.cancel()
+
     def __len__(self):
         return len(self._incoming)
 
--- a/buckthorntack/entry/_role.py
+++ b/buckthorntack/entry/_role.py
@@ -505,6 +505,7 @@
         except TimeoutError:
             self._log.write(_events.DRAIN_CUT_SHORT, drain_ms=drain_ms)
             self.components.planned_stop.is_over = True
+            self.forward_receiver.abort()
             await self.caller_listener.kill()
 
     def _plan_stop(self, notice, drain):
--- a/buckthorntack/node/tests/test_stop_with_limit.py
+++ b/buckthorntack/node/tests/test_stop_with_limit.py
@@ -1,6 +1,7 @@
 """Requests at an entry VM whose graceful shutdown has a time limit."""
 
 import asyncio
+import contextlib
 import re
 
 import httpx
@@ -150,3 +151,41 @@
         assert numbers == list(range(STREAM_TOKENS + 1))
 
     harness.run(scenario())
+
+
+async def _ask_from_afar(harness):
+    """Ask for a stream whose only servers are in kumamoto."""
+    caller = harness.callers[_harness.ALL_REGIONS_ORGANISATION]
+    with contextlib.suppress(httpx.TransportError):
+        await caller.chat(
+            harness.caller_url("fukuoka"),
+            "pitchwriter",
+            "Far.",
+            stream=True,
+            max_tokens=100,
+        )
+
+
+# Guards against forwarded streams that a planned stop waits for beyond its
+# time limit, until the process is killed.
+def test_forwarded_streams_hold_up_a_stop_beyond_its_limit(harness):
+    async def scenario():
+        for server in harness.list_servers("pitchwriter"):
+            if server.region != "kumamoto":
+                await harness.deployment.kill_server(server)
+        (node,) = harness.deployment.entries("kumamoto")
+        asked = asyncio.create_task(_ask_from_afar(harness))
+        await _harness.wait_until(lambda: len(node.entry.forward_receiver))
+        servers = [
+            server
+            for server in harness.list_servers("pitchwriter")
+            if server.region == "kumamoto"
+        ]
+        await _harness.wait_until(
+            lambda: any(s.fake.load_report()["running"] for s in servers)
+        )
+        await harness.deployment.stop_node(node.links.node_id)
+        assert any(s.fake.load_report()["running"] for s in servers)
+        asked.cancel()
+
+    harness.run(scenario())
