--- a/buckthorntack/gateway/_control.py
+++ b/buckthorntack/gateway/_control.py
@@ -13,9 +13,11 @@
 from buckthorntack import directives
 from buckthorntack import discovery
 from buckthorntack import schema
+from buckthorntack import shutdown
 from buckthorntack import storage
 from buckthorntack import transport
 from buckthorntack.gateway import _addresses
+from buckthorntack.gateway import _call_times
 from buckthorntack.gateway import _distribution
 from buckthorntack.gateway import _errors
 from buckthorntack.gateway import _events
@@ -33,10 +35,13 @@
 GROUP_NAME = "directives"
 _MS = datetime.timedelta(milliseconds=1)
 #: Longest wait for a majority to commit a directive.
-PROPOSE_TIMEOUT_S = 3.0
+PROPOSE_TIMEOUT = 3000 * _MS
 #: Longest wait for a majority to confirm a read; operators try another control
 #: VM after one second.
-READ_TIMEOUT_S = 0.9
+READ_TIMEOUT = 900 * _MS
+#: Retry-After of calls that a planned stop leaves no time for; other control
+#: VMs serve them at once.
+STOP_RETRY_AFTER_MS = 50.0
 #: Timing of the consensus group; the longest links take 55 ms one way.
 TIMING = consensus.Timing(
     tick=100 * _MS,
@@ -53,7 +58,7 @@
 #: Interval between two reports that the group has no leader.
 LEADERLESS_INTERVAL = 10_000 * _MS
 #: Longest wait for a leadership transfer before a planned stop.
-LEADERSHIP_TRANSFER_TIMEOUT_S = 1.5
+LEADERSHIP_TRANSFER_TIMEOUT = 1500 * _MS
 #: Longest wait for a learner to take this voter's place before a planned stop.
 VOTE_HANDOVER_TIMEOUT = 2000 * _MS
 
@@ -102,6 +107,12 @@
     return not any(learner in live for learner in status.learners)
 
 
+def _build_stop_error(name):
+    return _errors.ControlStoppingError(
+        f"{name}: the control VM stops", STOP_RETRY_AFTER_MS
+    )
+
+
 def _join_versions(counts):
     return ",".join(str(version) for version in sorted(counts))
 
@@ -124,6 +135,7 @@
         self.replica = None
         self.distribution = None
         self.listener = None
+        self.call_times = _call_times.CallTimes(self.clock)
         self.metrics = _metrics.ControlMetrics(self.metrics_registry)
         self._leaderless = _notices.LastingCondition(
             LEADERLESS_DELAY, LEADERLESS_INTERVAL
@@ -287,8 +299,12 @@
     async def _propose(self, command):
         data = directives.encode_command(command)
         name = type(command).__name__
+        if not self.call_times.may_begin(PROPOSE_TIMEOUT):
+            error = _build_stop_error(name)
+            self._log_refused(name, error)
+            return Error(error)
         try:
-            async with asyncio.timeout(PROPOSE_TIMEOUT_S):
+            async with self.call_times.limit(PROPOSE_TIMEOUT):
                 result = await self.replica.propose(data)
         except TimeoutError:
             result = Error(_errors.NoMajorityError(f"{name}: no response"))
@@ -315,8 +331,12 @@
         :returns: ``Result`` of ``Directives``; an error if a majority did
             not confirm in time that there are no newer ones.
         """
+        if not self.call_times.may_begin(READ_TIMEOUT):
+            error = _build_stop_error("read")
+            self._log.write(_events.READ_REFUSED, error=str(error))
+            return Error(error)
         try:
-            async with asyncio.timeout(READ_TIMEOUT_S):
+            async with self.call_times.limit(READ_TIMEOUT):
                 barrier = await self.replica.read_barrier()
         except TimeoutError:
             barrier = Error(_errors.NoMajorityError("no response"))
@@ -428,27 +448,33 @@
 
     async def stop(self):
         """Hand over leadership and vote, then wait for pending calls."""
-        deadline = self.clock.monotonic()
-        deadline += self.settings.stop_grace - _node.STOP_MARGIN
+        window = shutdown.plan_stop(
+            self.clock.monotonic(), self.settings.stop_grace
+        )
         self._log_node_event(_events.NODE_STOPPING)
+        self.call_times.begin_stop(window)
         self.gathering.local_presence.state = "stopping"
         self.gathering.report()
         self.listener.disable_keep_alive()
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(LEADERSHIP_TRANSFER_TIMEOUT_S):
+            async with self.call_times.limit(LEADERSHIP_TRANSFER_TIMEOUT):
                 await self.replica.transfer_leadership()
-        await self._hand_over_vote()
+        await self._hand_over_vote(window.answers_until)
         self.listener.stop_accepting()
-        await self._wait_until_answered([self.listener], deadline)
+        await self._wait_until_answered([self.listener], window.closes_at)
 
     def _has_handed_over(self):
         return has_handed_over(
             self.replica.status(), self.replica.may_be_voter(), self.gathering
         )
 
-    async def _hand_over_vote(self):
-        """Wait until a learner has taken this voter's place, if one can."""
+    async def _hand_over_vote(self, ends_by):
+        """Wait until a learner has taken this voter's place, if one can.
+
+        :param ends_by: monotonic time of the end of the wait.
+        """
         deadline = self.clock.monotonic() + VOTE_HANDOVER_TIMEOUT
+        deadline = min(deadline, ends_by)
         while not self._has_handed_over():
             if self.clock.monotonic() >= deadline:
                 self._log_node_event(_events.VOTE_KEPT)
