--- a/buckthorntack/gateway/_node.py
+++ b/buckthorntack/gateway/_node.py
@@ -14,8 +14,6 @@
 from buckthorntack.gateway import _metrics_endpoint
 
 _MS = datetime.timedelta(milliseconds=1)
-#: Time reserved at the end of the stop grace period.
-STOP_MARGIN = 700 * _MS
 #: Period of the checks for pending requests while stopping.
 STOP_POLL_PERIOD = 50 * _MS
 #: Time before the end of a stop in which calls besides those of routes and
