Give a reserved retry back as soon as a silent server goes on

A stream kept the retry that it had reserved until its end, and others had less until then, if its server spoke at the moment at which it was left. By reading; the tests of silent servers pass.

--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -1091,6 +1091,7 @@
                 raise
             connection.close()
             return _results.Unknown("silent before its answer")
+        self._return_retry()
         if attempt.in_flight is None:
             attempt.origin = _stream_origin.read_headers(head.headers)
             attempt.began_at = _stream_origin.read_server(head.headers)
@@ -1422,6 +1423,7 @@
             self.deadline_s,
             self._can_leave_server,
         )
+        self._return_retry()
         self.longest_gap_s = max(self.longest_gap_s, self._now_s() - started_s)
         return data
 
