Let lookups of a resumption end before a planned stop does

What callers saw: by tests, a late resumption was cut while control VMs were asked where its stream began (0.5 s, of which 0.3 s are left at the end of a stop); and a kept failure of a server was cut if the deadline had passed without its timer.

Cause: the lookup came before the deadline was set; and the deadline was moved on a timeout whose block had ended. Class: time that is spent outside its bound.

Change: all waits of an authorised request lie within its deadline, and a request that a stop leaves no time for is refused before them.

Evidence: test_late_resumption_is_refused_before_its_origin_is_asked_for failed, as the lookup had been made.

--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -265,6 +265,19 @@
             return
         if not self.is_forwarded and not self._charge_quota():
             return
+        self._set_deadline()
+        try:
+            async with asyncio.timeout_at(self.deadline_s) as self._timeout:
+                await self._serve()
+        except TimeoutError:
+            self._timeout = None
+            self._on_timeout()
+
+    async def _serve(self):
+        """Find the service of an authorised request and send it there."""
+        if not self._may_begin_attempt():
+            self._refuse_for_stop()
+            return
         if self._is_resumption() and not await self._find_origin():
             return
         self.service = self._choose_service()
@@ -283,12 +296,12 @@
         if not self.is_forwarded:
             self.shared_state.budgets.record_request(self.service.name)
             self.shared_state.hedging.record_request(self.service.name)
-        self._set_deadline()
-        try:
-            async with asyncio.timeout_at(self.deadline_s) as self._timeout:
-                await self._retry_until_completed()
-        except TimeoutError:
-            self._on_timeout()
+        await self._retry_until_completed()
+
+    def _refuse_for_stop(self):
+        """Send the final failure of a request that has no time left."""
+        self.handler.metrics.record_stop_refusal()
+        self._send_final_failure(STOP_REASON, STOP_RETRY_AFTER_MS)
 
     def _record_duration(self):
         """Record how long a request took that a server responded to."""
@@ -507,8 +520,7 @@
             if self._is_quarantined() or not self._narrow_route():
                 return
             if not self._may_begin_attempt():
-                self.handler.metrics.record_stop_refusal()
-                self._send_final_failure(STOP_REASON, STOP_RETRY_AFTER_MS)
+                self._refuse_for_stop()
                 return
             if not await self._confirm_origin():
                 self._send_final_failure(
--- a/buckthorntack/platform/tests/test_planned_stops.py
+++ b/buckthorntack/platform/tests/test_planned_stops.py
@@ -51,7 +51,7 @@
     async def __aexit__(self, *exc_info):
         self.writer.close()
 
-    def send(self, kind, deadline_ms=LONG_MS):
+    def send(self, kind, deadline_ms=LONG_MS, fields=()):
         """Send a request."""
         request_id = f"{random.getrandbits(64):016x}"
         method = "GET" if kind == "safe" else "POST"
@@ -61,6 +61,7 @@
             f"X-Buckthorntack-Request-Id: {request_id}",
             f"X-Buckthorntack-Deadline-Ms: {deadline_ms}",
             "Content-Length: 0",
+            *fields,
         ]
         self.writer.write("\r\n".join([*lines, "", ""]).encode())
 
@@ -260,3 +261,21 @@
             await stopping
 
     run(scenario, ("s1", "desk"), ("s2", "desk"))
+
+
+# Guards against a late resumption that is cut while it is asked where its
+# stream began.
+def test_late_resumption_is_refused_before_its_origin_is_asked_for():
+    async def scenario(world):
+        async with KeptConnection(front(world)) as connection:
+            gate = await begin_streams(world.servers["s2"], [connection])
+            stopping = await begin_stop(world)
+            await end_streams(gate, [connection])
+            fields = ("Last-Event-Id: 2", "Resumes: 0123456789abcdef")
+            connection.send("talk", fields=fields)
+            answer = await connection.read()
+            assert answer.status == 503
+            assert answer.body == b"the entry VM stops\n"
+            await stopping
+
+    run(scenario)
