Bound the overlap also at a second silent server

What callers would see: a server that has replaced a silent one and falls silent as well goes on beside its own replacement until that one's first event.

Cause: the timer that bounds the overlap was kept after it had fired, or after the replacement had begun, so that the next one was not armed.

Evidence, found by reading the change once more: test_second_silent_server_is_left_soon_after_another_has_the_stream failed with '1.004 < 0.4' and passes now, with all tests of silent servers.

Change: leaving a silent server clears the timer.

--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -1397,6 +1397,8 @@
 
     def _end_silent_attempt(self):
         """Leave a silent server, as another one goes on."""
+        # The next server may fall silent as well, and be replaced.
+        self._stop_overlap_timer()
         if self._silent is None:
             return
         (silent, connection), self._silent = self._silent, None
--- a/buckthorntack/platform/tests/test_silent_servers.py
+++ b/buckthorntack/platform/tests/test_silent_servers.py
@@ -161,7 +161,7 @@
     return http1.find_header(request.headers, b"last-event-id") is not None
 
 
-def talk_route(max_attempts):
+def talk_route(max_attempts, timeout_ms=5000):
     """Route of resumable streams."""
     return _standins.route(
         "talk",
@@ -170,6 +170,7 @@
         resumable=True,
         itl_target_ms=400,
         max_attempts=max_attempts,
+        timeout_ms=timeout_ms,
     )
 
 
@@ -202,6 +203,49 @@
     test_requests.run(scenario, ("s0", "text"), ("s1", "text", zone))
 
 
+# Guards against the same overlap at a server that had replaced another one and
+# falls silent as well.
+def test_second_silent_server_is_left_soon_after_another_has_the_stream():
+    times_s = {}
+
+    async def behave(server, request, reply):
+        loop = asyncio.get_running_loop()
+        run = count_runs(world_of[0])
+        times_s[f"begun {run}"] = loop.time()
+        try:
+            if run == 1:
+                await fall_silent_before(1, 60.0)(server, request, reply)
+            elif run == 2:
+                silence = (2, 60.0)
+                await _standins.stream(EVENTS, silence=silence)(
+                    server, request, reply
+                )
+            else:
+                await asyncio.sleep(1.0)
+                await _standins.stream(EVENTS)(server, request, reply)
+        finally:
+            times_s[f"left {run}"] = loop.time()
+
+    world_of = []
+
+    async def scenario(world):
+        world_of.append(world)
+        for server in world.servers.values():
+            server.behave = behave
+        answer = await world.ask(
+            "/talk/x", method="POST", X_Buckthorntack_Deadline_Ms="9000"
+        )
+        assert answer.whole
+        assert answer.body == _standins.whole_stream(EVENTS)
+        await world.until(lambda: "left 2" in times_s)
+        assert times_s["left 1"] - times_s["begun 2"] < MAX_OVERLAP_S
+        assert times_s["left 2"] - times_s["begun 3"] < MAX_OVERLAP_S
+
+    names = [(f"s{number}", "text") for number in range(3)]
+    routes = [talk_route(max_attempts=4, timeout_ms=9000)]
+    test_requests.run(scenario, *names, routes=routes)
+
+
 # Guards against a stream that cannot return to its only server on a new
 # connection, as its former run still holds the place there.
 def test_stream_returns_to_a_server_with_one_place():
