Share the time in which last responses are delivered

Three modules had the same 300 ms; buckthorntack/shutdown names it now. Whether a silent server's replacement was tried is told by a bool instead of a count of 0 or 1. Behaviour is the same; the tests of stops and of silent servers pass.

--- a/buckthorntack/entry/_role.py
+++ b/buckthorntack/entry/_role.py
@@ -36,9 +36,6 @@
 from buckthorntack.schema import messages
 
 _MS = datetime.timedelta(milliseconds=1)
-#: Time before the end of a planned stop with a time limit in which the last
-#: responses reach their callers.
-DELIVERY_TIME = 300 * _MS
 #: Time for the refusals of requests that wait for admission.
 REFUSAL_TIME = 50 * _MS
 #: Requests admitted for each slot of a server.  The value is above 1 because
@@ -514,7 +511,7 @@
             return None
         accepts_until = self.clock.monotonic() + notice
         closes_at = accepts_until + drain
-        delivery = min(DELIVERY_TIME, drain / 2)
+        delivery = min(shutdown.DELIVERY_TIME, drain / 2)
         return shutdown.StopWindow(
             accepts_until, closes_at - delivery, closes_at
         )
--- a/buckthorntack/gateway/_node.py
+++ b/buckthorntack/gateway/_node.py
@@ -9,6 +9,7 @@
 from buckthorntack import discovery
 from buckthorntack import events
 from buckthorntack import http1
+from buckthorntack import shutdown
 from buckthorntack import transport
 from buckthorntack.gateway import _events
 from buckthorntack.gateway import _metrics_endpoint
@@ -16,9 +17,6 @@
 _MS = datetime.timedelta(milliseconds=1)
 #: Period of the checks for pending requests while stopping.
 STOP_POLL_PERIOD = 50 * _MS
-#: Time before the end of a stop in which calls besides those of routes and
-#: control VMs are responded to, but no more are accepted.
-LAST_CALLS_TIME = 300 * _MS
 
 
 class Node(abc.ABC):
@@ -120,7 +118,8 @@
             # Connections that were just accepted are not counted before.
             await self.clock.sleep(STOP_POLL_PERIOD)
             is_answered = not _count_active_connections(listeners)
-            is_ending = self.clock.monotonic() >= deadline - LAST_CALLS_TIME
+            left = deadline - self.clock.monotonic()
+            is_ending = left <= shutdown.DELIVERY_TIME
             if open_listeners and (is_answered or is_ending):
                 for listener in open_listeners:
                     listener.stop_accepting()
--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -1323,10 +1323,10 @@
                 if self._remaining_s() <= 0:
                     raise
             while True:
-                attempts, result = await self._replace_silent(connection)
+                is_tried, result = await self._replace_silent(connection)
                 if result is not None:
                     return b"", result
-                if not attempts or not await self._can_replace_again():
+                if not is_tried or not await self._can_replace_again():
                     break
 
     async def _can_replace_again(self):
@@ -1343,16 +1343,16 @@
         to, as the server may go on.
 
         :param connection: the connection to the silent server.
-        :returns: number of attempts made, and the result of the one that has
-            replaced the silent one; None if none has.
+        :returns: whether another attempt was made, and its result if that has
+            replaced the silent one, else None.
         """
         silent, sends = self.attempt, self.send_count
         routing_request, decision, now = self._choose()
         self.log_decision(decision)
         if isinstance(decision, dispatch.Refuse):
-            return 0, None
+            return False, None
         if not self.take_retry_budget():
-            return 0, None
+            return False, None
         self._silent = (silent, connection)
         if self._is_same_server(decision, silent):
             # Its place is taken as long as the former run holds it.
@@ -1370,14 +1370,14 @@
         if isinstance(result, _results.Completed):
             self._end_silent_attempt()
         if self._silent is None:
-            return 1, result
+            return True, result
         self._silent = None
         if self.send_count == sends:
             # No server got it, so the retry is still to be made.
             self._reserved_retry = self.service.name
         self.record_other_result(self.attempt, result)
         self.attempt = silent
-        return 1, None
+        return True, None
 
     def _is_same_server(self, decision, attempt):
         is_served_here = isinstance(decision, dispatch.Serve)
