Log each order of an operator, and what control VMs apply

Beside requests in an evacuated failure domain, logs could not tell an order that is carried out late from one that was lost: a control VM logs an order only once its outcome is known, so that an order whose caller has left leaves no trace, and no control VM logs what it applies.

--- a/buckthorntack/directives/_machine.py
+++ b/buckthorntack/directives/_machine.py
@@ -40,10 +40,17 @@
     Only committed commands change the state.
 
     :param on_change: called with the new ``Directives`` after each change.
+    :param on_apply: called with the log index, the command and the
+        :class:`Outcome` of each command.
     """
 
-    def __init__(self, on_change=lambda directives: None):
+    def __init__(
+        self,
+        on_change=lambda directives: None,
+        on_apply=lambda index, command, outcome: None,
+    ):
         self.on_change = on_change
+        self.on_apply = on_apply
         self.directives = messages.Directives(0, -1, b"", [])
 
     def apply(self, index, command):
@@ -54,12 +61,15 @@
         :returns: :class:`Outcome`.
         """
         current = self.directives
-        updated = self._next_directives(decode_command(command), current)
+        decoded = decode_command(command)
+        updated = self._next_directives(decoded, current)
         has_changed = updated != current
         if has_changed:
             self.directives = updated._replace(index=index)
             self.on_change(self.directives)
-        return Outcome(self.directives.version, has_changed)
+        outcome = Outcome(self.directives.version, has_changed)
+        self.on_apply(index, decoded, outcome)
+        return outcome
 
     @functools.singledispatchmethod
     def _next_directives(self, command, current):
--- a/buckthorntack/gateway/_control.py
+++ b/buckthorntack/gateway/_control.py
@@ -113,6 +113,26 @@
     )
 
 
+@functools.singledispatch
+def _describe_order(command):
+    """Return the log fields that name the order of a command."""
+    raise TypeError(f"{type(command).__name__} is not a directive")
+
+
+@_describe_order.register
+def _(command: messages.PublishVersion):
+    return {"order": "PublishVersion", "version": command.version}
+
+
+@_describe_order.register
+def _(command: messages.EvacuateDomain):
+    return {
+        "order": "EvacuateDomain",
+        "failure_domain": command.failure_domain,
+        "evacuated": command.evacuated,
+    }
+
+
 def _join_versions(counts):
     return ",".join(str(version) for version in sorted(counts))
 
@@ -166,7 +186,7 @@
             self.links, self.clock
         )
         self.machine = directives.DirectivesMachine(
-            self.distribution.on_directives_changed
+            self.distribution.on_directives_changed, self._log_applied
         )
         self.distribution.machine = self.machine
         replica = consensus.ReplicaTask(
@@ -264,10 +284,11 @@
             return
         self.replica.deliver(sender, message)
 
-    async def publish(self, content):
+    async def publish(self, content, peer=""):
         """Publish a configuration.
 
         :param content: the serialized configuration.
+        :param peer: address of the operator.
         :returns: ``Result`` of the active version.
         """
         parsed = self.dialect.parse_configuration(content)
@@ -278,14 +299,15 @@
         if version <= self.machine.directives.version:
             return Ok(self.machine.directives.version)
         command = messages.PublishVersion(version, content)
-        ordered = await self._propose(command)
+        ordered = await self._propose(command, peer)
         return ordered.map(lambda outcome: outcome.version)
 
-    async def evacuate(self, failure_domain, evacuated):
+    async def evacuate(self, failure_domain, evacuated, peer=""):
         """Start or end the evacuation of a failure domain.
 
         :param failure_domain: name of the failure domain.
         :param evacuated: whether the domain receives no requests.
+        :param peer: address of the operator.
         :returns: ``Result`` of the active version.
         """
         if failure_domain not in self.settings.regions:
@@ -293,10 +315,19 @@
             self._log_refused("evacuate", error)
             return Error(error)
         command = messages.EvacuateDomain(failure_domain, evacuated)
-        ordered = await self._propose(command)
+        ordered = await self._propose(command, peer)
         return ordered.map(lambda outcome: outcome.version)
 
-    async def _propose(self, command):
+    async def _propose(self, command, peer):
+        fields = {**_describe_order(command), "peer": peer}
+        self._log.write(_events.DIRECTIVE_ORDERED, **fields)
+        try:
+            return await self._commit(command)
+        except asyncio.CancelledError:
+            self._log.write(_events.DIRECTIVE_ABANDONED, **fields)
+            raise
+
+    async def _commit(self, command):
         data = directives.encode_command(command)
         name = type(command).__name__
         if not self.call_times.may_begin(PROPOSE_TIMEOUT):
@@ -320,6 +351,14 @@
         )
         return result
 
+    def _log_applied(self, index, command, outcome):
+        self._log.write(
+            _events.DIRECTIVE_APPLIED,
+            index=index,
+            changed=outcome.changed,
+            **_describe_order(command),
+        )
+
     def _log_refused(self, order, error):
         self._log.write(
             _events.DIRECTIVE_REFUSED, order=order, error=str(error)
--- a/buckthorntack/gateway/_events.py
+++ b/buckthorntack/gateway/_events.py
@@ -286,3 +286,21 @@
     "Compressed changes of a registry could not be read and were dropped.",
     "look for a sender of another build",
 )
+DIRECTIVE_ORDERED = events.declare(
+    2248,
+    "directive_ordered",
+    logbook.NOTICE,
+    "An order of an operator arrived at this control VM.",
+)
+DIRECTIVE_APPLIED = events.declare(
+    2249,
+    "directive_applied",
+    logbook.NOTICE,
+    "A committed order was applied at this control VM.",
+)
+DIRECTIVE_ABANDONED = events.declare(
+    2250,
+    "directive_abandoned",
+    logbook.NOTICE,
+    "The caller of an order left before its outcome was known.",
+)
--- a/buckthorntack/http1/_server.py
+++ b/buckthorntack/http1/_server.py
@@ -167,6 +167,11 @@
             data = b"%x\r\n%b\r\n" % (len(data), data)
         self._send(data)
 
+    @property
+    def peer(self):
+        """IP address and port of the client."""
+        return self.connection.peer
+
     async def finish(self):
         """Close the connection after a complete response.
 
--- a/buckthorntack/platform/_control_api.py
+++ b/buckthorntack/platform/_control_api.py
@@ -93,7 +93,7 @@
         self._send(reply, 200, {})
 
     async def _publish(self, request, reply, name):
-        result = await self.node.publish(request.body)
+        result = await self.node.publish(request.body, reply.peer)
         if result.is_error():
             self._send_error(reply, result.error)
         else:
@@ -115,7 +115,7 @@
         await self._order_evacuation(reply, name, False)
 
     async def _order_evacuation(self, reply, name, evacuated):
-        result = await self.node.evacuate(name, evacuated)
+        result = await self.node.evacuate(name, evacuated, reply.peer)
         if result.is_error():
             self._send_error(reply, result.error)
         else:
