Handle no request whose client has already left

Cause: the end of a connection is noticed one turn of the event loop after its last request was read, and the handler runs until its first wait before that, which is long enough to propose an order or to end a server's record.

A listener now asks the kernel whether the peer has closed the connection before it starts a handler (POLLRDHUP, which holds also behind unread bytes). It holds for all listeners: a client that closes its side of the connection was always taken as gone, only later.

--- a/buckthorntack/http1/_server.py
+++ b/buckthorntack/http1/_server.py
@@ -172,6 +172,10 @@
         """IP address and port of the client."""
         return self.connection.peer
 
+    def is_client_waiting(self):
+        """Whether the client still waits for the response."""
+        return not self.connection.has_client_left()
+
     async def finish(self):
         """Close the connection after a complete response.
 
@@ -409,6 +413,16 @@
         sock = self.transport.get_extra_info("socket")
         return transports.count_unread(sock)
 
+    def has_client_left(self):
+        """Whether the client has closed the connection.
+
+        The event loop may not have noticed it yet.
+        """
+        if self.transport.is_closing():
+            return True
+        sock = self.transport.get_extra_info("socket")
+        return transports.has_peer_closed(sock)
+
     def _start_reading(self):
         self._is_reading = True
         self._set_timer(self.listener.limits().header_timeout_s)
@@ -725,6 +739,10 @@
         if len(self.waiting) <= MAX_PIPELINED_REQUESTS:
             self.transport.resume_reading()
         self._current = (request, response)
+        if self.has_client_left():
+            self.task = None
+            self.close(EndReason.CLIENT_CLOSED)
+            return
         self.task = self.loop.create_task(self._handle(request, response))
         if self.account is not None:
             self.task.add_done_callback(
--- a/buckthorntack/http1/tests/test_listener.py
+++ b/buckthorntack/http1/tests/test_listener.py
@@ -10,6 +10,7 @@
 
 from buckthorntack import http1
 from buckthorntack import transport
+from buckthorntack.http1 import _server
 
 TEST_TIMEOUT_S = 20
 
@@ -195,6 +196,24 @@
     run(scenario, gate=gate)
 
 
+# Guards against work for clients that left while the process stood still.
+def test_request_of_a_client_that_has_left_is_not_handled():
+    async def scenario(harness):
+        host, _, port = harness.listener.address.rpartition(":")
+        # The event loop does not run until the client has left.
+        with socket.create_connection((host, int(port))) as client:
+            client.sendall(b"GET /left HTTP/1.1\r\nHost: a\r\n\r\n")
+        reader, writer = await harness.connect()
+        writer.write(b"GET /next HTTP/1.1\r\nHost: a\r\n\r\n")
+        await read_response(reader)
+        writer.close()
+        assert [r.target for r in harness.requests] == [b"/next"]
+        unanswered = harness.listener.unanswered
+        assert unanswered[_server.EndReason.CLIENT_CLOSED] == 1
+
+    run(scenario)
+
+
 def test_expectation_is_met():
     async def scenario(harness):
         reader, writer = await harness.connect()
--- a/buckthorntack/transport/__init__.py
+++ b/buckthorntack/transport/__init__.py
@@ -11,6 +11,7 @@
 from buckthorntack.transport._sockets import configure_dead_peer_detection
 from buckthorntack.transport._sockets import count_unacknowledged
 from buckthorntack.transport._sockets import count_unread
+from buckthorntack.transport._sockets import has_peer_closed
 from buckthorntack.transport._sockets import listener_url
 from buckthorntack.transport._sockets import raise_send_buffer
 from buckthorntack.transport._sockets import set_reset_on_close
@@ -29,6 +30,7 @@
     "set_user_timeout",
     "listener_url",
     "mounted_app",
+    "has_peer_closed",
     "raise_send_buffer",
     "set_reset_on_close",
     "configure_dead_peer_detection",
--- a/buckthorntack/transport/_sockets.py
+++ b/buckthorntack/transport/_sockets.py
@@ -1,6 +1,7 @@
 """Listening sockets, resets, and detection of dead TCP peers."""
 
 import fcntl
+import select
 import socket
 import struct
 import termios
@@ -97,6 +98,16 @@
     return _INT.unpack(count)[0]
 
 
+def has_peer_closed(sock):
+    """Whether the peer has ended the connection, also behind unread bytes.
+
+    :param sock: a TCP socket.
+    """
+    poller = select.poll()
+    poller.register(sock, select.POLLRDHUP)
+    return bool(poller.poll(0))
+
+
 def raise_send_buffer(sock, more_bytes):
     """Let the kernel hold more data that the peer has not taken.
 
