Drop an evacuation order that newer ones have overtaken

Once an order has been read, it can still wait in a queue behind a disk, on a link or in the socket of a leader that stands still. Its operator gives it up after a second, gives it elsewhere, and newer ones after it; then the first is committed and undoes them. Nothing in the order told that it was overtaken.

The command now names the last order for its failure domain that its control VM had applied. The state machine applies it only if that is still the last one; orders that change nothing count too. An order that was overtaken while its operator waits, by that of another one, is proposed again on the new state. This is right because an operator who still waits after that state was read has given no newer order; it needs no clock and no further round trip.

--- a/buckthorntack/directives/tests/test_directives.py
+++ b/buckthorntack/directives/tests/test_directives.py
@@ -7,6 +7,7 @@
 import pytest
 
 from buckthorntack import directives
+from buckthorntack import schema
 from buckthorntack.directives.tests import _documents
 from buckthorntack.schema import messages
 
@@ -120,6 +121,42 @@
     assert [directives.index for directives in seen] == [1, 2, 4]
 
 
+# Guards against orders that are applied after newer ones, also after one that
+# changed nothing, and after a snapshot.
+def test_order_that_newer_ones_overtook_has_no_effect():
+    machine = directives.DirectivesMachine()
+    apply(machine, 4, messages.OrderEvacuation("a", True, 0))
+    apply(machine, 5, messages.OrderEvacuation("b", True, 0))
+    based_on = machine.last_order_index("a")
+    apply(machine, 6, messages.OrderEvacuation("a", True, based_on))
+    restored = directives.DirectivesMachine()
+    restored.restore(machine.snapshot())
+    for state in (machine, restored):
+        late = messages.OrderEvacuation("a", False, based_on)
+        outcome = apply(state, 7, late)
+        assert outcome.overtaken and not outcome.changed
+        assert state.directives.evacuated == ["a", "b"]
+        based_on_newest = state.last_order_index("a")
+        again = messages.OrderEvacuation("a", False, based_on_newest)
+        outcome = apply(state, 8, again)
+        assert outcome.changed and not outcome.overtaken
+        assert state.directives.evacuated == ["b"]
+
+
+# Guards against states that differ: a control VM may have restored a snapshot
+# of a build that tracks no orders.
+def test_orders_of_older_builds_are_tracked_once_all_can():
+    machine = directives.DirectivesMachine()
+    apply(machine, 1, messages.EvacuateDomain("a", True))
+    assert machine.last_order_index("a") == 0
+    name, _ = schema.split(machine.snapshot())
+    assert bytes(name) == b"Directives"
+    apply(machine, 2, messages.OrderEvacuation("b", True, 0))
+    apply(machine, 3, messages.EvacuateDomain("a", False))
+    assert machine.last_order_index("a") == 3
+    assert apply(machine, 4, messages.OrderEvacuation("a", True, 0)).overtaken
+
+
 @given(st.lists(st.tuples(st.integers(0, 5), st.binary(max_size=2))))
 def test_highest_version_is_in_force_whatever_the_order(commands):
     machine = directives.DirectivesMachine()
--- a/buckthorntack/discovery/_versions.py
+++ b/buckthorntack/discovery/_versions.py
@@ -9,7 +9,7 @@
 
 #: Newest version of messages between nodes that this build understands. It
 #: grows with each feature that nodes may only use once all understand it.
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
 
 
 def can_all_follow(registry, version, role=None):
--- a/buckthorntack/gateway/__init__.py
+++ b/buckthorntack/gateway/__init__.py
@@ -20,6 +20,7 @@
         ),
         "buckthorntack.gateway._entry": ("EntryNode",),
         "buckthorntack.gateway._errors": ("SettingsError",),
+        "buckthorntack.gateway._operators": ("Operator",),
         "buckthorntack.gateway._run": ("run",),
         "buckthorntack.gateway._settings": ("NodeSettings",),
     },
--- a/buckthorntack/gateway/_control.py
+++ b/buckthorntack/gateway/_control.py
@@ -42,6 +42,8 @@
 #: Retry-After of calls that a planned stop leaves no time for; other control
 #: VMs serve them at once.
 STOP_RETRY_AFTER_MS = 50.0
+#: Version of the messages between nodes that has ``OrderEvacuation``.
+ORDERED_EVACUATIONS_VERSION = 2
 #: Timing of the consensus group; the longest links take 55 ms one way.
 TIMING = consensus.Timing(
     tick=100 * _MS,
@@ -124,13 +126,10 @@
     return {"order": "PublishVersion", "version": command.version}
 
 
-@_describe_order.register
-def _(command: messages.EvacuateDomain):
-    return {
-        "order": "EvacuateDomain",
-        "failure_domain": command.failure_domain,
-        "evacuated": command.evacuated,
-    }
+@_describe_order.register(messages.EvacuateDomain)
+@_describe_order.register(messages.OrderEvacuation)
+def _(command):
+    return {"order": type(command).__name__, **command._asdict()}
 
 
 def _join_versions(counts):
@@ -284,11 +283,11 @@
             return
         self.replica.deliver(sender, message)
 
-    async def publish(self, content, peer=""):
+    async def publish(self, content, operator):
         """Publish a configuration.
 
         :param content: the serialized configuration.
-        :param peer: address of the operator.
+        :param operator: the ``Operator`` who gave the order.
         :returns: ``Result`` of the active version.
         """
         parsed = self.dialect.parse_configuration(content)
@@ -299,63 +298,102 @@
         if version <= self.machine.directives.version:
             return Ok(self.machine.directives.version)
         command = messages.PublishVersion(version, content)
-        ordered = await self._propose(command, peer)
+        ordered = await self._propose(lambda: command, operator)
         return ordered.map(lambda outcome: outcome.version)
 
-    async def evacuate(self, failure_domain, evacuated, peer=""):
+    async def evacuate(self, failure_domain, evacuated, operator):
         """Start or end the evacuation of a failure domain.
 
         :param failure_domain: name of the failure domain.
         :param evacuated: whether the domain receives no requests.
-        :param peer: address of the operator.
+        :param operator: the ``Operator`` who gave the order.
         :returns: ``Result`` of the active version.
         """
         if failure_domain not in self.settings.regions:
             error = _errors.UnknownDomainError(failure_domain)
             self._log_refused("evacuate", error)
             return Error(error)
-        command = messages.EvacuateDomain(failure_domain, evacuated)
-        ordered = await self._propose(command, peer)
+        ordered = await self._propose(
+            lambda: self._make_evacuation(failure_domain, evacuated), operator
+        )
         return ordered.map(lambda outcome: outcome.version)
 
-    async def _propose(self, command, peer):
-        fields = {**_describe_order(command), "peer": peer}
+    def _make_evacuation(self, failure_domain, evacuated):
+        """Return the command of an order that follows those applied here."""
+        if not self._may_order_evacuations():
+            return messages.EvacuateDomain(failure_domain, evacuated)
+        last_index = self.machine.last_order_index(failure_domain)
+        return messages.OrderEvacuation(failure_domain, evacuated, last_index)
+
+    def _may_order_evacuations(self):
+        """Whether all control VMs can apply an ``OrderEvacuation``."""
+        return (
+            self.machine.has_ordered_evacuations
+            or discovery.can_all_follow(
+                self.registry, ORDERED_EVACUATIONS_VERSION, "control"
+            )
+        )
+
+    async def _propose(self, make_command, operator):
+        """Commit the command of an order while its operator waits.
+
+        :param make_command: function that returns the command, based on what
+            was applied here.
+        :param operator: the ``Operator`` who gave the order.
+        :returns: ``Result`` of the ``Outcome``.
+        """
+        fields = {**_describe_order(make_command()), "peer": operator.peer}
         self._log.write(_events.DIRECTIVE_ORDERED, **fields)
         try:
-            return await self._commit(command)
+            result = await self._commit(make_command, operator)
         except asyncio.CancelledError:
             self._log.write(_events.DIRECTIVE_ABANDONED, **fields)
             raise
+        if result.is_error():
+            self._log_refused(fields["order"], result.error)
+            return result
+        accepted = {
+            "version": result.ok.version,
+            "changed": result.ok.changed,
+            "index": result.ok.index,
+        }
+        self._log.write(_events.DIRECTIVE_ACCEPTED, **(fields | accepted))
+        return result
 
-    async def _commit(self, command):
-        data = directives.encode_command(command)
-        name = type(command).__name__
+    async def _commit(self, make_command, operator):
         if not self.call_times.may_begin(PROPOSE_TIMEOUT):
-            error = _build_stop_error(name)
-            self._log_refused(name, error)
-            return Error(error)
+            return Error(_build_stop_error("order"))
         try:
             async with self.call_times.limit(PROPOSE_TIMEOUT):
-                result = await self.replica.propose(data)
+                return await self._propose_in_order(make_command, operator)
         except TimeoutError:
-            result = Error(_errors.NoMajorityError(f"{name}: no response"))
-        if result.is_error():
-            self._log_refused(name, result.error)
-            return Error(_errors.NoMajorityError(str(result.error)))
-        self._log.write(
-            _events.DIRECTIVE_ACCEPTED,
-            order=name,
-            version=result.ok.version,
-            changed=result.ok.changed,
-            index=self.machine.directives.index,
-        )
-        return result
+            return Error(_errors.NoMajorityError("no response"))
+
+    async def _propose_in_order(self, make_command, operator):
+        """Propose a command until no other order overtakes it.
+
+        An operator gives newer orders only after this one is acknowledged or
+        given up.  One who still waits after the state was read that the
+        command is based on has given none that is part of that state.
+        """
+        while True:
+            command = make_command()
+            if not operator.is_waiting():
+                return Error(_errors.OperatorLeftError(operator.peer))
+            result = await self.replica.propose(
+                directives.encode_command(command)
+            )
+            if result.is_error():
+                return Error(_errors.NoMajorityError(str(result.error)))
+            if not result.ok.overtaken:
+                return result
 
     def _log_applied(self, index, command, outcome):
         self._log.write(
             _events.DIRECTIVE_APPLIED,
             index=index,
             changed=outcome.changed,
+            overtaken=outcome.overtaken,
             **_describe_order(command),
         )
 
--- a/buckthorntack/gateway/_errors.py
+++ b/buckthorntack/gateway/_errors.py
@@ -22,6 +22,15 @@
     remedy = "retry at another control VM"
 
 
+class OperatorLeftError(errors.GatewayError):
+    """Who gave an order has left, and may have given it elsewhere as well."""
+
+    number = 2251
+    status = 503
+    kind = "operator_left"
+    remedy = "give the order again if it is still needed"
+
+
 class UnknownDomainError(errors.GatewayError):
     """The failure domain is not part of the deployment."""
 
--- a/buckthorntack/platform/_control_api.py
+++ b/buckthorntack/platform/_control_api.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from buckthorntack import events
+from buckthorntack import gateway
 from buckthorntack.platform import _announcements
 from buckthorntack.platform import _events
 from buckthorntack.platform import _headers
@@ -15,6 +16,10 @@
 _UNIX_EPOCH = datetime.datetime.fromtimestamp(0, datetime.UTC)
 
 
+def _operator_of(reply):
+    return gateway.Operator(reply.peer, reply.is_client_waiting)
+
+
 def make_handlers(node):
     """Handlers of a control VM, by name.
 
@@ -93,7 +98,7 @@
         self._send(reply, 200, {})
 
     async def _publish(self, request, reply, name):
-        result = await self.node.publish(request.body, reply.peer)
+        result = await self.node.publish(request.body, _operator_of(reply))
         if result.is_error():
             self._send_error(reply, result.error)
         else:
@@ -115,7 +120,8 @@
         await self._order_evacuation(reply, name, False)
 
     async def _order_evacuation(self, reply, name, evacuated):
-        result = await self.node.evacuate(name, evacuated, reply.peer)
+        operator = _operator_of(reply)
+        result = await self.node.evacuate(name, evacuated, operator)
         if result.is_error():
             self._send_error(reply, result.error)
         else:
--- a/buckthorntack/schema/_generated/directives.py
+++ b/buckthorntack/schema/_generated/directives.py
@@ -23,6 +23,25 @@
     evacuated: bool
 
 
+class OrderEvacuation(NamedTuple):
+    """
+    Command: as EvacuateDomain, unless a newer order for the failure domain was applied.
+    """
+
+    failure_domain: str
+    evacuated: bool
+    based_on: int
+
+
+class EvacuationOrder(NamedTuple):
+    """
+    The last order for a failure domain.
+    """
+
+    failure_domain: str
+    index: int
+
+
 class Directives(NamedTuple):
     """
     All that operators have ordered; also the snapshot of the group.
@@ -44,3 +63,12 @@
     content: bytes
     evacuated: list[str]
     confirmed: bool
+
+
+class DirectivesSnapshot(NamedTuple):
+    """
+    Snapshot of the group from the first OrderEvacuation on.
+    """
+
+    directives: Directives
+    orders: list[EvacuationOrder]
--- a/buckthorntack/schema/messages.py
+++ b/buckthorntack/schema/messages.py
@@ -48,7 +48,10 @@
         "buckthorntack.schema._generated.directives": (
             "Directives",
             "DirectivesCopy",
+            "DirectivesSnapshot",
             "EvacuateDomain",
+            "EvacuationOrder",
+            "OrderEvacuation",
             "PublishVersion",
         ),
         "buckthorntack.schema._generated.discovery": (
