--- a/buckthorntack/gateway/_control.py
+++ b/buckthorntack/gateway/_control.py
@@ -352,12 +352,13 @@
         if result.is_error():
             self._log_refused(fields["order"], result.error)
             return result
-        accepted = {
-            "version": result.ok.version,
-            "changed": result.ok.changed,
-            "index": result.ok.index,
-        }
-        self._log.write(_events.DIRECTIVE_ACCEPTED, **(fields | accepted))
+        self._log.write(
+            _events.DIRECTIVE_ACCEPTED,
+            **fields,
+            active_version=result.ok.version,
+            changed=result.ok.changed,
+            index=result.ok.index,
+        )
         return result
 
     async def _commit(self, make_command, operator):
