Drop an order that a control VM has not read in time

Requests reach a failure domain after its evacuation was acknowledged (EVAC) also if the operator who gave an order up has not closed its connection, or the close has not arrived: a control VM that stood still then takes the order as one that is waited for.

Operators turn to another control VM after a second without a response. An evacuation, its end and a server's notice of leaving get 503 now, not run, if they are older; their age is the time since the last byte has arrived by the kernel's count (tcpi_last_data_recv), which goes on while the process stands still. One who still waits sends it again. A configuration has a version, so that its age does not matter; its body may take longer than a second.

Evidence: test_order_that_was_not_read_in_time_changes_nothing sends an order while the event loop does not run and leaves the connection open; without the check both cases get 200 and undo the newer order.

--- a/buckthorntack/gateway/_control.py
+++ b/buckthorntack/gateway/_control.py
@@ -297,8 +297,10 @@
         version = parsed.ok.version
         if version <= self.machine.directives.version:
             return Ok(self.machine.directives.version)
-        command = messages.PublishVersion(version, content)
-        ordered = await self._propose(lambda: command, operator)
+        # The version tells a late order from a newer one.
+        command = Ok(messages.PublishVersion(version, content))
+        fields = {"order": "PublishVersion", "version": version}
+        ordered = await self._propose(lambda: command, fields, operator)
         return ordered.map(lambda outcome: outcome.version)
 
     async def evacuate(self, failure_domain, evacuated, operator):
@@ -313,17 +315,35 @@
             error = _errors.UnknownDomainError(failure_domain)
             self._log_refused("evacuate", error)
             return Error(error)
-        ordered = await self._propose(
-            lambda: self._make_evacuation(failure_domain, evacuated), operator
-        )
+        fields = {
+            "order": "OrderEvacuation",
+            "failure_domain": failure_domain,
+            "evacuated": evacuated,
+        }
+
+        def make_command():
+            return self._make_evacuation(failure_domain, evacuated, operator)
+
+        ordered = await self._propose(make_command, fields, operator)
         return ordered.map(lambda outcome: outcome.version)
 
-    def _make_evacuation(self, failure_domain, evacuated):
-        """Return the command of an order that follows those applied here."""
-        if not self._may_order_evacuations():
-            return messages.EvacuateDomain(failure_domain, evacuated)
+    def _make_evacuation(self, failure_domain, evacuated, operator):
+        """Return the command of an order that follows those applied here.
+
+        An operator gives newer orders only after this one is acknowledged or
+        given up.  One who still waits after the last order that was applied
+        here was looked up has given none that was applied before it.
+
+        :returns: ``Result`` of the command; an error if the operator left.
+        """
         last_index = self.machine.last_order_index(failure_domain)
-        return messages.OrderEvacuation(failure_domain, evacuated, last_index)
+        if not operator.is_waiting():
+            return Error(_errors.OperatorLeftError(operator.peer))
+        if not self._may_order_evacuations():
+            return Ok(messages.EvacuateDomain(failure_domain, evacuated))
+        return Ok(
+            messages.OrderEvacuation(failure_domain, evacuated, last_index)
+        )
 
     def _may_order_evacuations(self):
         """Whether all control VMs can apply an ``OrderEvacuation``."""
@@ -334,18 +354,23 @@
             )
         )
 
-    async def _propose(self, make_command, operator):
-        """Commit the command of an order while its operator waits.
+    async def _propose(self, make_command, fields, operator):
+        """Commit the command of an order.
 
-        :param make_command: function that returns the command, based on what
-            was applied here.
+        :param make_command: function that returns the ``Result`` of the
+            command, based on what was applied here.
+        :param fields: log fields that name the order.
         :param operator: the ``Operator`` who gave the order.
         :returns: ``Result`` of the ``Outcome``.
         """
-        fields = {**_describe_order(make_command()), "peer": operator.peer}
-        self._log.write(_events.DIRECTIVE_ORDERED, **fields)
+        fields = {**fields, "peer": operator.peer}
+        self._log.write(
+            _events.DIRECTIVE_ORDERED,
+            **fields,
+            age_ms=operator.measure_age_ms(),
+        )
         try:
-            result = await self._commit(make_command, operator)
+            result = await self._commit(make_command)
         except asyncio.CancelledError:
             self._log.write(_events.DIRECTIVE_ABANDONED, **fields)
             raise
@@ -361,28 +386,23 @@
         )
         return result
 
-    async def _commit(self, make_command, operator):
+    async def _commit(self, make_command):
         if not self.call_times.may_begin(PROPOSE_TIMEOUT):
             return Error(_build_stop_error("order"))
         try:
             async with self.call_times.limit(PROPOSE_TIMEOUT):
-                return await self._propose_in_order(make_command, operator)
+                return await self._propose_in_order(make_command)
         except TimeoutError:
             return Error(_errors.NoMajorityError("no response"))
 
-    async def _propose_in_order(self, make_command, operator):
-        """Propose a command until no other order overtakes it.
-
-        An operator gives newer orders only after this one is acknowledged or
-        given up.  One who still waits after the state was read that the
-        command is based on has given none that is part of that state.
-        """
+    async def _propose_in_order(self, make_command):
+        """Propose a command until no other order overtakes it."""
         while True:
             command = make_command()
-            if not operator.is_waiting():
-                return Error(_errors.OperatorLeftError(operator.peer))
+            if command.is_error():
+                return command
             result = await self.replica.propose(
-                directives.encode_command(command)
+                directives.encode_command(command.ok)
             )
             if result.is_error():
                 return Error(_errors.NoMajorityError(str(result.error)))
--- a/buckthorntack/http1/_server.py
+++ b/buckthorntack/http1/_server.py
@@ -172,9 +172,16 @@
         """IP address and port of the client."""
         return self.connection.peer
 
-    def is_client_waiting(self):
-        """Whether the client still waits for the response."""
-        return not self.connection.has_client_left()
+    def has_client_left(self):
+        """Whether the client has closed the connection."""
+        return self.connection.has_client_left()
+
+    def measure_age_ms(self):
+        """Return the time since the last byte of the client has arrived.
+
+        It counts the time in which the process did not read.
+        """
+        return self.connection.measure_silence_ms()
 
     async def finish(self):
         """Close the connection after a complete response.
@@ -423,6 +430,13 @@
         sock = self.transport.get_extra_info("socket")
         return transports.has_peer_closed(sock)
 
+    def measure_silence_ms(self):
+        """Return the time since the last data of the client has arrived."""
+        if self.transport.is_closing():
+            return 0
+        sock = self.transport.get_extra_info("socket")
+        return transports.measure_silence_ms(sock)
+
     def _start_reading(self):
         self._is_reading = True
         self._set_timer(self.listener.limits().header_timeout_s)
--- a/buckthorntack/platform/_control_api.py
+++ b/buckthorntack/platform/_control_api.py
@@ -17,7 +17,9 @@
 
 
 def _operator_of(reply):
-    return gateway.Operator(reply.peer, reply.is_client_waiting)
+    return gateway.Operator(
+        reply.peer, reply.has_client_left, reply.measure_age_ms
+    )
 
 
 def make_handlers(node):
@@ -94,6 +96,9 @@
             self.log.write(
                 _events.LEAVE_UNREADABLE, server=name, error=str(read.error)
             )
+        if not _operator_of(reply).is_waiting():
+            self._send(reply, 503, {"error": "the call is out of date"})
+            return
         self.node.gathering.on_leave(name, read.default_value(None))
         self._send(reply, 200, {})
 
--- a/buckthorntack/platform/tests/test_late_orders.py
+++ b/buckthorntack/platform/tests/test_late_orders.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import socket
+import time
 
 import pytest
 
+from buckthorntack.gateway import _operators
 from buckthorntack.http1 import _server
 from buckthorntack.platform.tests import _standins
 from buckthorntack.schema import messages
@@ -13,14 +15,16 @@
 PATH = f"/evacuations/{DOMAIN}"
 #: An order, and the one that the same operator gave before and gives again.
 CASES = [("DELETE", "POST"), ("POST", "DELETE")]
+#: Age from which an order counts as given up, in the test of it.
+PATIENCE_MS = 100
 
 
 def run(scenario):
     _standins.run(scenario, entries=("a1",))
 
 
-def leave_order_unread(world, name, method, path):
-    """Send a call and close its connection before it is read.
+def send_unread(world, name, method, path):
+    """Send a call on a new connection and return the connection.
 
     The event loop of the control VM does not run meanwhile, as if its process
     stood still.
@@ -28,8 +32,14 @@
     call = f"{method} {path} HTTP/1.1\r\nHost: control\r\n"
     call += "Content-Length: 0\r\n\r\n"
     address = (world.ip(name), _standins.CONTROL_PORT)
-    with socket.create_connection(address) as caller:
-        caller.sendall(call.encode())
+    caller = socket.create_connection(address)
+    caller.sendall(call.encode())
+    return caller
+
+
+def leave_order_unread(world, name, method, path):
+    """Send a call and close its connection before it is read."""
+    send_unread(world, name, method, path).close()
 
 
 async def order(world, name, method, path=PATH):
@@ -86,6 +96,30 @@
     run(scenario)
 
 
+# Guards against an evacuation that is undone by an order which a control VM
+# reads after it stood still, though its caller turned to another one and only
+# has not closed the connection.
+@pytest.mark.parametrize("late, newer", CASES)
+def test_order_that_was_not_read_in_time_changes_nothing(
+    late, newer, monkeypatch
+):
+    async def scenario(world):
+        await world.begin()
+        await order(world, "c1", late)
+        await order(world, "c1", newer)
+        monkeypatch.setattr(_operators, "ORDER_PATIENCE_MS", PATIENCE_MS)
+        caller = send_unread(world, "c0", late, PATH)
+        # The event loop of the control VM does not run meanwhile.
+        time.sleep(2 * PATIENCE_MS / 1e3)  # noqa: ASYNC251
+        reader, writer = await asyncio.open_connection(sock=caller)
+        head = await reader.readuntil(b"\r\n\r\n")
+        writer.close()
+        assert head.startswith(b"HTTP/1.1 503 ")
+        await check_state_after(world, newer)
+
+    run(scenario)
+
+
 class HeldProposals:
     """Holds back the proposals that a control VM forwards to the leader.
 
--- a/buckthorntack/transport/__init__.py
+++ b/buckthorntack/transport/__init__.py
@@ -13,6 +13,7 @@
 from buckthorntack.transport._sockets import count_unread
 from buckthorntack.transport._sockets import has_peer_closed
 from buckthorntack.transport._sockets import listener_url
+from buckthorntack.transport._sockets import measure_silence_ms
 from buckthorntack.transport._sockets import raise_send_buffer
 from buckthorntack.transport._sockets import set_reset_on_close
 from buckthorntack.transport._sockets import set_user_timeout
@@ -31,6 +32,7 @@
     "listener_url",
     "mounted_app",
     "has_peer_closed",
+    "measure_silence_ms",
     "raise_send_buffer",
     "set_reset_on_close",
     "configure_dead_peer_detection",
--- a/buckthorntack/transport/_sockets.py
+++ b/buckthorntack/transport/_sockets.py
@@ -11,6 +11,8 @@
 _CLOSE_ORDERLY = struct.pack("ii", 0, 0)
 #: ``struct tcp_info`` up to its field ``tcpi_unacked``.
 _TCP_INFO_UNACKED = struct.Struct("24xI")
+#: The same up to ``tcpi_last_data_recv``.
+_TCP_INFO_LAST_DATA_RECV = struct.Struct("52xI")
 #: Result of FIONREAD.
 _INT = struct.Struct("i")
 
@@ -84,9 +86,22 @@
 
     :param sock: a TCP socket.
     """
-    size = _TCP_INFO_UNACKED.size
-    info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, size)
-    return _TCP_INFO_UNACKED.unpack(info)[0]
+    return _read_tcp_info(sock, _TCP_INFO_UNACKED)
+
+
+def measure_silence_ms(sock):
+    """Return the time since the last data of the peer arrived.
+
+    The kernel counts it, also while the process stands still.
+
+    :param sock: a TCP socket.
+    """
+    return _read_tcp_info(sock, _TCP_INFO_LAST_DATA_RECV)
+
+
+def _read_tcp_info(sock, field):
+    info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, field.size)
+    return field.unpack(info)[0]
 
 
 def count_unread(sock):
