Answer calls of departed clients where the handler does not wait

Orders of operators do not need the listener's check, as they ask themselves.

Only the listeners of requests (callers and other regions) drop what departed clients asked. A notice of leaving that names its incarnation is taken whenever it comes, as it can end no other. Requests that were pipelined behind one that is dropped are reported as unanswered again.

--- a/buckthorntack/gateway/_entry.py
+++ b/buckthorntack/gateway/_entry.py
@@ -127,6 +127,7 @@
             self.request_handler.handle_forwarded,
             limits,
             self._listener_memory(_request_handler.RUN_STATE_HEADER),
+            is_client_checked=True,
         )
         self.front_listener = await self._listen(
             "front",
@@ -134,6 +135,7 @@
             self.request_handler.handle,
             limits,
             self._listener_memory(),
+            is_client_checked=True,
         )
         self.metrics.serve_links(self.links)
         self.metrics.serve_unanswered(
--- a/buckthorntack/gateway/_node.py
+++ b/buckthorntack/gateway/_node.py
@@ -79,7 +79,13 @@
         )
 
     async def _listen(
-        self, name, address, handle, limits=http1.Limits, memory=None
+        self,
+        name,
+        address,
+        handle,
+        limits=http1.Limits,
+        memory=None,
+        is_client_checked=False,
     ):
         """Accept connections at an address until the node stops.
 
@@ -88,6 +94,7 @@
         :param handle: handler of requests.
         :param limits: function that returns the ``http1.Limits``.
         :param memory: ``http1.ListenerMemory``; None for no bound.
+        :param is_client_checked: as of ``http1.Listener``.
         :returns: ``http1.Listener``.
         """
         sock = self.listeners.get(name)
@@ -96,7 +103,9 @@
                 self.settings.to_bind_address(address)
             )
         id_header = self.dialect.request_id_header
-        listener = http1.Listener(sock, handle, limits, memory, id_header)
+        listener = http1.Listener(
+            sock, handle, limits, memory, id_header, is_client_checked
+        )
         self._all_listeners.append(listener)
         return await self._stack.enter_async_context(listener)
 
--- a/buckthorntack/http1/_server.py
+++ b/buckthorntack/http1/_server.py
@@ -746,6 +746,10 @@
             self.task = None
             self._wait_for_request()
             return
+        if self.listener.is_client_checked and self.has_client_left():
+            self.task = None
+            self.close(EndReason.CLIENT_CLOSED)
+            return
         request, response = self.waiting.popleft()
         if request is None:
             self._send_error(*response)
@@ -753,10 +757,6 @@
         if len(self.waiting) <= MAX_PIPELINED_REQUESTS:
             self.transport.resume_reading()
         self._current = (request, response)
-        if self.has_client_left():
-            self.task = None
-            self.close(EndReason.CLIENT_CLOSED)
-            return
         self.task = self.loop.create_task(self._handle(request, response))
         if self.account is not None:
             self.task.add_done_callback(
@@ -884,16 +884,26 @@
     :param memory: ``ListenerMemory``; None to bound each connection alone.
     :param id_header: header field with the id of a request, in lower case;
         empty if requests have none.
+    :param is_client_checked: whether requests are dropped whose client has
+        closed its side of the connection before they are handled.  Otherwise
+        a handler that does not wait still answers them.
     """
 
     def __init__(
-        self, sock, handle, limits=Limits, memory=None, id_header=b""
+        self,
+        sock,
+        handle,
+        limits=Limits,
+        memory=None,
+        id_header=b"",
+        is_client_checked=False,
     ):
         self.sock = sock
         self.handle = handle
         self.limits = limits
         self.memory = memory
         self.id_header = id_header
+        self.is_client_checked = is_client_checked
         self.connections = set()
         #: Number of requests that were read whole and not answered, by
         #: ``EndReason``.
--- a/buckthorntack/http1/tests/test_listener.py
+++ b/buckthorntack/http1/tests/test_listener.py
@@ -18,13 +18,16 @@
 class ListenerHarness:
     """A listener, and the requests that its handler received."""
 
-    def __init__(self, limits=http1.Limits, gate=None):
+    def __init__(self, limits=http1.Limits, gate=None, **options):
         self.requests = []
         self.cancelled = 0
         self.gate = gate
         self.started = asyncio.Event()
         self.listener = http1.Listener(
-            transport.bind_listener("127.0.0.1:0"), self.handle, limits
+            transport.bind_listener("127.0.0.1:0"),
+            self.handle,
+            limits,
+            **options,
         )
 
     async def handle(self, request, reply):
@@ -197,19 +200,33 @@
 
 
 # Guards against work for clients that left while the process stood still.
-def test_request_of_a_client_that_has_left_is_not_handled():
+@pytest.mark.parametrize("count", [1, 3])
+def test_request_of_a_client_that_has_left_is_not_handled(count):
     async def scenario(harness):
         host, _, port = harness.listener.address.rpartition(":")
         # The event loop does not run until the client has left.
         with socket.create_connection((host, int(port))) as client:
-            client.sendall(b"GET /left HTTP/1.1\r\nHost: a\r\n\r\n")
+            client.sendall(b"GET /left HTTP/1.1\r\nHost: a\r\n\r\n" * count)
         reader, writer = await harness.connect()
         writer.write(b"GET /next HTTP/1.1\r\nHost: a\r\n\r\n")
         await read_response(reader)
         writer.close()
         assert [r.target for r in harness.requests] == [b"/next"]
         unanswered = harness.listener.unanswered
-        assert unanswered[_server.EndReason.CLIENT_CLOSED] == 1
+        assert unanswered[_server.EndReason.CLIENT_CLOSED] == count
+
+    run(scenario, is_client_checked=True)
+
+
+# Guards against notices that are lost, as their sender does not wait.
+def test_handler_that_does_not_wait_answers_a_client_that_closed_its_side():
+    async def scenario(harness):
+        reader, writer = await harness.connect()
+        writer.write(b"GET /half HTTP/1.1\r\nHost: a\r\n\r\n")
+        writer.write_eof()
+        head, _ = await read_response(reader)
+        assert head.startswith(b"HTTP/1.1 200 ")
+        writer.close()
 
     run(scenario)
 
--- a/buckthorntack/platform/_control_api.py
+++ b/buckthorntack/platform/_control_api.py
@@ -96,10 +96,12 @@
             self.log.write(
                 _events.LEAVE_UNREADABLE, server=name, error=str(read.error)
             )
-        if not _operator_of(reply).is_waiting():
+        born_ms = read.default_value(None)
+        # Without its incarnation, a late notice would end the next one.
+        if born_ms is None and not _operator_of(reply).is_waiting():
             self._send(reply, 503, {"error": "the call is out of date"})
             return
-        self.node.gathering.on_leave(name, read.default_value(None))
+        self.node.gathering.on_leave(name, born_ms)
         self._send(reply, 200, {})
 
     async def _publish(self, request, reply, name):
