Order evacuations once all members of the group can apply it

A control VM that has just started knows no control VM but itself, and took that for all of them: an evacuation that reaches it before the first reports of the others would commit a command at which replicas of older builds stop. Found by review; a registry with the own record alone answered yes.

The voters and learners of the group are asked of now, and one that is not known holds the version back.

--- a/buckthorntack/discovery/__init__.py
+++ b/buckthorntack/discovery/__init__.py
@@ -36,6 +36,7 @@
 from buckthorntack.discovery._registry import ServerView
 from buckthorntack.discovery._timing import Timing
 from buckthorntack.discovery._versions import can_all_follow
+from buckthorntack.discovery._versions import can_members_follow
 from buckthorntack.discovery._versions import count_protocol_versions
 from buckthorntack.discovery._versions import PROTOCOL_VERSION
 
@@ -62,6 +63,7 @@
     "UnsoundRecord",
     "address_of",
     "can_all_follow",
+    "can_members_follow",
     "choose_registrar",
     "count_protocol_versions",
     "find_node_fault",
--- a/buckthorntack/discovery/_versions.py
+++ b/buckthorntack/discovery/_versions.py
@@ -30,6 +30,22 @@
     return bool(known) and min(known) >= version
 
 
+def can_members_follow(registry, version, node_ids):
+    """Whether all members of a group understand a version.
+
+    One that is not known may be of an older build.
+
+    :param registry: the ``Registry``.
+    :param version: the version.
+    :param node_ids: ids of the members.
+    """
+    views = [registry.nodes.get(node_id) for node_id in node_ids]
+    return bool(views) and all(
+        view is not None and view.record.protocol_version >= version
+        for view in views
+    )
+
+
 def count_protocol_versions(registry):
     """Number of known members by the newest version that they understand.
 
--- a/buckthorntack/discovery/tests/test_versions.py
+++ b/buckthorntack/discovery/tests/test_versions.py
@@ -61,3 +61,16 @@
     registry = registry_of(presence("a", 2), presence("b", 1, role="control"))
     assert discovery.can_all_follow(registry, 2, role="entry")
     assert not discovery.can_all_follow(registry, 2, role="control")
+
+
+# Guards against a command that stops the replicas of older builds: a control
+# VM that has just started knows no member but itself.
+def test_members_that_are_not_known_hold_a_version_back():
+    registry = registry_of(presence("a", 2, role="control"))
+    assert discovery.can_members_follow(registry, 2, ["a"])
+    assert not discovery.can_members_follow(registry, 2, ["a", "b"])
+    registry.merge_node(presence("b", 1, role="control"), START)
+    assert not discovery.can_members_follow(registry, 2, ["a", "b"])
+    registry.merge_node(presence("b", 2, "control", sequence=2), START)
+    assert discovery.can_members_follow(registry, 2, ["a", "b"])
+    assert not discovery.can_members_follow(registry, 2, [])
--- a/buckthorntack/gateway/_control.py
+++ b/buckthorntack/gateway/_control.py
@@ -347,11 +347,13 @@
 
     def _may_order_evacuations(self):
         """Whether all control VMs can apply an ``OrderEvacuation``."""
-        return (
-            self.machine.has_ordered_evacuations
-            or discovery.can_all_follow(
-                self.registry, ORDERED_EVACUATIONS_VERSION, "control"
-            )
+        if self.machine.has_ordered_evacuations:
+            return True
+        status = self.replica.status()
+        return discovery.can_members_follow(
+            self.registry,
+            ORDERED_EVACUATIONS_VERSION,
+            [*status.voters, *status.outgoing, *status.learners],
         )
 
     async def _propose(self, make_command, fields, operator):
