Read the newest directives before an evacuation is proposed

Requests reach a failure domain after its evacuation was acknowledged (EVAC) if the close of the operator's connection arrives a moment after the late order, as behind a relay that held both back: 1 ms was enough in a trial.

A read from a majority precedes the order, and the operator is asked of after it. The close arrives during that round trip, and the command is based on all orders that were acknowledged before this one arrived, also at a control VM that lags. test_order_whose_close_comes_behind_it_changes_nothing closes the connection when the read begins; before, it ended by its time limit, as there was no read. An order without a majority is refused after the read's time.

--- a/buckthorntack/gateway/_control.py
+++ b/buckthorntack/gateway/_control.py
@@ -298,9 +298,11 @@
         if version <= self.machine.directives.version:
             return Ok(self.machine.directives.version)
         # The version tells a late order from a newer one.
-        command = Ok(messages.PublishVersion(version, content))
+        command = messages.PublishVersion(version, content)
         fields = {"order": "PublishVersion", "version": version}
-        ordered = await self._propose(lambda: command, fields, operator)
+        ordered = await self._carry_out(
+            lambda: self._propose(command), fields, operator
+        )
         return ordered.map(lambda outcome: outcome.version)
 
     async def evacuate(self, failure_domain, evacuated, operator):
@@ -320,30 +322,38 @@
             "failure_domain": failure_domain,
             "evacuated": evacuated,
         }
-
-        def make_command():
-            return self._make_evacuation(failure_domain, evacuated, operator)
-
-        ordered = await self._propose(make_command, fields, operator)
+        ordered = await self._carry_out(
+            lambda: self._order_evacuation(
+                failure_domain, evacuated, operator
+            ),
+            fields,
+            operator,
+        )
         return ordered.map(lambda outcome: outcome.version)
 
-    def _make_evacuation(self, failure_domain, evacuated, operator):
-        """Return the command of an order that follows those applied here.
+    async def _order_evacuation(self, failure_domain, evacuated, operator):
+        """Commit an order that follows all that were acknowledged before.
 
         An operator gives newer orders only after this one is acknowledged or
         given up.  One who still waits after the last order that was applied
-        here was looked up has given none that was applied before it.
+        here was looked up has given none that was applied before it.  The
+        read in front of it takes a round trip, in which the close arrives of
+        an operator who has left.
 
-        :returns: ``Result`` of the command; an error if the operator left.
+        :returns: ``Result`` of the ``Outcome``.
         """
-        last_index = self.machine.last_order_index(failure_domain)
-        if not operator.is_waiting():
-            return Error(_errors.OperatorLeftError(operator.peer))
-        if not self._may_order_evacuations():
-            return Ok(messages.EvacuateDomain(failure_domain, evacuated))
-        return Ok(
-            messages.OrderEvacuation(failure_domain, evacuated, last_index)
-        )
+        read = await self.replica.read_barrier()
+        while read.is_ok():
+            last_index = self.machine.last_order_index(failure_domain)
+            if not operator.is_waiting():
+                return Error(_errors.OperatorLeftError(operator.peer))
+            command = messages.EvacuateDomain(failure_domain, evacuated)
+            if self._may_order_evacuations():
+                command = messages.OrderEvacuation(*command, last_index)
+            result = await self._propose(command)
+            if result.is_error() or not result.ok.overtaken:
+                return result
+        return Error(_errors.NoMajorityError(str(read.error)))
 
     def _may_order_evacuations(self):
         """Whether all control VMs can apply an ``OrderEvacuation``."""
@@ -356,14 +366,14 @@
             [*status.voters, *status.outgoing, *status.learners],
         )
 
-    async def _propose(self, make_command, fields, operator):
-        """Commit the command of an order.
+    async def _carry_out(self, work, fields, operator):
+        """Carry out an order within its time.
 
-        :param make_command: function that returns the ``Result`` of the
-            command, based on what was applied here.
+        :param work: coroutine function that returns the ``Result`` of the
+            ``Outcome``.
         :param fields: log fields that name the order.
         :param operator: the ``Operator`` who gave the order.
-        :returns: ``Result`` of the ``Outcome``.
+        :returns: what ``work`` returns, or an error.
         """
         fields = {**fields, "peer": operator.peer}
         self._log.write(
@@ -372,7 +382,7 @@
             age_ms=operator.measure_age_ms(),
         )
         try:
-            result = await self._commit(make_command)
+            result = await self._work_in_time(work)
         except asyncio.CancelledError:
             self._log.write(_events.DIRECTIVE_ABANDONED, **fields)
             raise
@@ -388,28 +398,20 @@
         )
         return result
 
-    async def _commit(self, make_command):
+    async def _work_in_time(self, work):
         if not self.call_times.may_begin(PROPOSE_TIMEOUT):
             return Error(_build_stop_error("order"))
         try:
             async with self.call_times.limit(PROPOSE_TIMEOUT):
-                return await self._propose_in_order(make_command)
+                return await work()
         except TimeoutError:
             return Error(_errors.NoMajorityError("no response"))
 
-    async def _propose_in_order(self, make_command):
-        """Propose a command until no other order overtakes it."""
-        while True:
-            command = make_command()
-            if command.is_error():
-                return command
-            result = await self.replica.propose(
-                directives.encode_command(command.ok)
-            )
-            if result.is_error():
-                return Error(_errors.NoMajorityError(str(result.error)))
-            if not result.ok.overtaken:
-                return result
+    async def _propose(self, command):
+        result = await self.replica.propose(directives.encode_command(command))
+        if result.is_error():
+            return Error(_errors.NoMajorityError(str(result.error)))
+        return result
 
     def _log_applied(self, index, command, outcome):
         self._log.write(
