Send overdue changes while newer ones go on

Control VMs send an entry VM that follows another one what it lacks once that is overdue, 1.2 s after a change. The time was that of the last change, so that nothing was overdue while changes came sooner one after the other. It is now that of each change.

--- a/buckthorntack/gateway/_distribution.py
+++ b/buckthorntack/gateway/_distribution.py
@@ -1,6 +1,7 @@
 """Distribution of the directives from a control VM to entry VMs."""
 
 import asyncio
+import collections
 import contextlib
 import datetime
 
@@ -33,7 +34,10 @@
         self.machine = None
         self._reported_versions = {}
         self._followers = set()
-        self._changed_at = None
+        #: Index and time of each change that is not overdue yet.
+        self._recent_changes = collections.deque()
+        #: Index of the newest change that entry VMs should have by now.
+        self._overdue_index = -1
         self._is_send_scheduled = False
         self._compressed = (-1, b"")
         self._confirmation_task = None
@@ -44,7 +48,9 @@
 
         :param directives: the new ``Directives``.
         """
-        self._changed_at = self.clock.monotonic()
+        now = self.clock.monotonic()
+        self._find_overdue(now)
+        self._recent_changes.append((directives.index, now))
         if not self._is_send_scheduled:
             self._is_send_scheduled = True
             asyncio.get_running_loop().call_soon(self._send_to_followers)
@@ -83,12 +89,16 @@
         directives = self.machine.directives
         if report.directives_index >= directives.index:
             return
-        if follows or self._is_overdue(now):
+        is_overdue = report.directives_index < self._find_overdue(now)
+        if follows or is_overdue:
             self._send(node_id, True)
 
-    def _is_overdue(self, now):
-        changed_at = self._changed_at
-        return changed_at is not None and now - changed_at > OVERDUE_AFTER
+    def _find_overdue(self, now):
+        """Return the index of the newest change that all should have."""
+        recent = self._recent_changes
+        while recent and now - recent[0][1] > OVERDUE_AFTER:
+            self._overdue_index = recent.popleft()[0]
+        return self._overdue_index
 
     def _start_confirmation(self):
         """Start to confirm that the local directives are the newest."""
