Follow only control VMs that have what is committed

Entry VMs follow the nearest control VM that knows a leader. One whose disk is full or hangs, or that stood still, does not act and so forgets no leader; one that catches up hears it all the while. Their entry VMs got changes once the disk had room or the catch-up had ended, or through one of the reports, each fourth, that go to all.

A replica now tells whether it is in step: in the last 0.9 s it had all that its leader had committed. A heartbeat each 0.25 s carries the commit index, and a leader counts while its timers run, so that no message or round trip is added. An entry VM leaves one that is not within two reports, by reckoning after 2.6 s at most; if none is in step, the nearest is followed as before.

Evidence: the three tests of test_lagging_control_vms.py failed before.

--- a/buckthorntack/consensus/_replica.py
+++ b/buckthorntack/consensus/_replica.py
@@ -74,6 +74,7 @@
         _elections.step_down_without_quorum(state)
         if not state.is_leader:
             return
+        state.in_step_at = now
         _snapshots.tick(state)
         _members.advance_transfer(state)
         if now >= state.heartbeat_due:
@@ -266,6 +267,13 @@
             for members in [known, *later]
         )
 
+    def is_in_step(self, now):
+        """Whether this replica lately had all that its leader had committed.
+
+        :param now: monotonic time.
+        """
+        return _state.is_in_step(self.state, now)
+
     def status(self, now, applied_index, failure):
         """Status of this replica.
 
--- a/buckthorntack/consensus/_replication.py
+++ b/buckthorntack/consensus/_replication.py
@@ -104,6 +104,8 @@
     _state.persist_entries(state)
     match_index = request.previous_index + len(request.entries)
     commit(state, min(request.commit_index, match_index))
+    if state.commit_index >= request.commit_index:
+        state.in_step_at = state.now
     response = messages.AppendResponse(
         group=state.group,
         term=state.term,
--- a/buckthorntack/consensus/_state.py
+++ b/buckthorntack/consensus/_state.py
@@ -68,6 +68,8 @@
         self.role = Role.FOLLOWER
         self.leader = ""
         self.heard_at = None
+        #: When this replica last had all that its leader had committed.
+        self.in_step_at = None
         self.election_due = None
         self.votes = set()
         self.incoming = None
@@ -281,3 +283,17 @@
     if not state.leader or state.heard_at is None:
         return False
     return state.now - state.heard_at < state.timing.election_timeout
+
+
+def is_in_step(state, now):
+    """Whether this replica lately had all that its leader had committed.
+
+    It is not while its disk is full or hangs, right after it stood still, or
+    while it catches up; the leader may be known all the while.
+
+    :param state: the replica's state.
+    :param now: monotonic time, as the replica may have acted long ago.
+    """
+    if not state.leader or state.in_step_at is None:
+        return False
+    return now - state.in_step_at < state.timing.election_timeout
--- a/buckthorntack/consensus/_task.py
+++ b/buckthorntack/consensus/_task.py
@@ -232,6 +232,13 @@
         """Node id of the leader known here; empty if none is known."""
         return self._replica.state.leader
 
+    def is_in_step(self):
+        """Whether this replica lately had all that its leader had committed.
+
+        A leader counts while it acts.
+        """
+        return self._replica.is_in_step(self.clock.monotonic())
+
     def voters(self):
         """List the voters of the newest configuration known here."""
         return list(self._replica.state.configuration.voters)
--- a/buckthorntack/discovery/_control_selector.py
+++ b/buckthorntack/discovery/_control_selector.py
@@ -15,8 +15,8 @@
 class ControlVmSelector:
     """Chooses among the control VMs that an entry VM knows.
 
-    It prefers a control VM in contact with a majority, then the nearest one,
-    then the one that is followed already.
+    It prefers a control VM that has what the majority has committed, then the
+    nearest one, then the one that is followed already.
 
     :param region: region of the entry VM.
     :param failure_domain: failure domain of the entry VM.
@@ -91,8 +91,8 @@
         """Record a reply to a report.
 
         :param node_id: id of the control VM.
-        :param has_majority: whether it is in contact with a majority of the
-            control group.
+        :param has_majority: whether it lately had all that a majority of the
+            control group has committed.
         :param now: monotonic time.
         """
         self.add(node_id)
--- a/buckthorntack/gateway/_gathering.py
+++ b/buckthorntack/gateway/_gathering.py
@@ -200,7 +200,7 @@
             accepted=accepted,
             registry_epoch=self.registry.epoch,
             registry_stamp=self.registry.stamp,
-            has_majority=self.replica.leader() != "",
+            has_majority=self.replica.is_in_step(),
             wants_servers=wants_servers,
             wants_marks=wants_marks,
         )
--- a/buckthorntack/gateway/tests/control_vms.py
+++ b/buckthorntack/gateway/tests/control_vms.py
@@ -73,8 +73,8 @@
     def __init__(self, vm):
         self.vm = vm
 
-    def leader(self):
-        return self.vm.node.replica.state.leader
+    def is_in_step(self):
+        return self.vm.node.replica.is_in_step(self.vm.network.now)
 
 
 class ControlVm:
--- a/buckthorntack/gateway/tests/fleets.py
+++ b/buckthorntack/gateway/tests/fleets.py
@@ -51,8 +51,8 @@
 
 
 class _Replica:
-    def leader(self):
-        return "10.1.0.1:80"
+    def is_in_step(self):
+        return True
 
 
 class _EntryVm:
--- a/buckthorntack/platform/tests/test_lagging_control_vms.py
+++ b/buckthorntack/platform/tests/test_lagging_control_vms.py
@@ -103,6 +103,8 @@
     async def scenario(world):
         await wait_until_followed(world)
         replica = world.nodes[NEAREST].replica
+        await replica.transfer_leadership()
+        await world.until(lambda: not replica.is_leader())
         deliver = replica.deliver
 
         def deliver_heartbeats(sender, message):
