Add a failing test of forwarding to older configurations

Callers see a request go back to the service that its route had before, though their entry VM already served the new one (CONFIG). The entry VM forwards it to another region, whose entry VM has an older configuration and handles it by that.

--- /dev/null
+++ b/buckthorntack/platform/tests/test_lagging_entry_vms.py
@@ -0,0 +1,85 @@
+"""Entry VMs with an older configuration than those that forward to them."""
+
+from buckthorntack.platform.tests import _standins
+
+#: Entry VM of the caller, and the one in the home region.
+SENDER, RECEIVER = "e0", "e1"
+#: Home region of the route.
+HOME = _standins.REGIONS["b1"]
+#: Names of two services, and of the server of each.
+FORMER, CURRENT = "former", "current"
+
+
+def run(scenario):
+    _standins.run(scenario, entries=("a1", "b1"))
+
+
+def configuration(version, service):
+    """A configuration whose one route has a home in the receiver's region."""
+    route = _standins.route("home", service, allowed_regions=[HOME])
+    document = _standins.configuration(version, [route])
+    desk = next(s for s in document["services"] if s["name"] == "desk")
+    for name in (FORMER, CURRENT):
+        document["services"].append({**desk, "name": name})
+    return document
+
+
+class HeldCopies:
+    """Holds back the directives that control VMs send an entry VM.
+
+    :param node: the ``EntryNode``.
+    """
+
+    def __init__(self, node):
+        self.following = node.following
+        self._take = node.following.on_directives_copy
+        self._held = []
+        node.following.on_directives_copy = self._hold
+
+    def _hold(self, sender, copy):
+        self._held.append((sender, copy))
+
+    def release(self):
+        """Let the entry VM take what was held back, and hold no more."""
+        self.following.on_directives_copy = self._take
+        for sender, copy in self._held:
+            self._take(sender, copy)
+
+
+async def move_route(world):
+    """Move the route to another service, which the receiver is not told.
+
+    :returns: the :class:`HeldCopies` of the receiver.
+    """
+    await world.add_server(FORMER, FORMER, "b1")
+    await world.add_server(CURRENT, CURRENT, "b1")
+    await world.publish(configuration(1, FORMER))
+    await world.in_force(1)
+    held = HeldCopies(world.nodes[RECEIVER])
+    await world.publish(configuration(2, CURRENT))
+    sender = world.nodes[SENDER].shared_state
+    await world.until(lambda: sender.version == 2)
+    await world.until(
+        lambda: all(
+            sender.fleet.remote_usage(HOME, name, 0) is not None
+            for name in (FORMER, CURRENT)
+        )
+    )
+    return held
+
+
+# Guards against a request that goes to the service which its route had before,
+# as the entry VM that it is forwarded to has an older configuration.
+def test_older_configuration_handles_no_forwarded_request():
+    async def scenario(world):
+        held = await move_route(world)
+        answer = await world.ask("/home/x", SENDER)
+        assert answer.status == 503, answer.body
+        assert not world.servers[FORMER].requests
+        held.release()
+        answer = await world.ask("/home/x", SENDER)
+        assert answer.status == 200, answer.body
+        assert len(world.servers[CURRENT].requests) == 1
+        assert not world.servers[FORMER].requests
+
+    run(scenario)
