Refuse forwarded requests that need a newer configuration

A forwarded request now carries the version of the sender's configuration. A receiver with an older one waits for it, 0.3 s at most, and then refuses the request, which has not run; the sender goes on with another region or refuses. This holds whatever delays the receiver's copy. A receiver with a newer one handles the request by that, as before. Requests of older builds have no such header and are handled as before.

--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -37,7 +37,9 @@
 #: Header with the number of servers that the request was sent to so far, by
 #: all entry VMs.
 SEND_COUNT_HEADER = b"x-gateway-sends"
-#: Digits of that number; a longer one is not read.
+#: Header with the version of the sender's configuration.
+VERSION_HEADER = b"x-gateway-configuration"
+#: Digits of such a number; a longer one is not read.
 MAX_COUNT_DIGITS = 18
 #: Responses with a body up to this size are buffered, so that the request can
 #: be retried if one breaks off; larger ones are passed on as they arrive.
@@ -89,6 +91,9 @@
 STARTUP_WAIT_SHARE = 0.25
 #: Longest wait of a request during startup.
 MAX_STARTUP_WAIT_S = 1.2
+#: Longest wait of a forwarded request for the configuration of its sender; a
+#: few one-way delays between regions.
+MAX_VERSION_WAIT_S = 0.3
 
 
 class RequestHandler:
@@ -212,7 +217,9 @@
         #: Service whose budget was charged for a retry that is not made yet;
         #: empty for none.
         self._reserved_retry = ""
-        self.send_count = _parse_send_count(forwarding_headers, 0)
+        self.send_count = _parse_count(
+            forwarding_headers, SEND_COUNT_HEADER, 0
+        )
         self.connect_failures = 0
         self.may_have_run = False
         self.error_response = None
@@ -266,6 +273,8 @@
             return
         self.metadata = read.ok
         await self._wait_for_configuration()
+        if not await self._has_configuration_of_sender():
+            return
         if not self._find_route() or not self._authorise():
             return
         if not self.is_forwarded and not self._charge_quota():
@@ -326,6 +335,26 @@
                 wait_until_s - self._now_s()
             )
 
+    async def _has_configuration_of_sender(self):
+        """Wait for the configuration that the request was forwarded by.
+
+        An older one may have another service or other regions for its route,
+        while callers have seen the newer one in force.
+
+        :returns: whether it is here; if not, the request is refused.
+        """
+        version = _parse_count(self.forwarding_headers, VERSION_HEADER, -1)
+        wait_until_s = self._now_s() + MAX_VERSION_WAIT_S
+        while self.shared_state.version < version:
+            remaining_s = wait_until_s - self._now_s()
+            if remaining_s <= 0:
+                self._send_refusal(
+                    "older configuration here", DEFAULT_RETRY_AFTER_MS
+                )
+                return False
+            await self.shared_state.wait_for_change(remaining_s)
+        return True
+
     def _startup_wait_s(self, remaining_s):
         """Longest wait for state that an entry VM lacks after its start."""
         started_s = self.shared_state.started_at.total_seconds()
@@ -1072,6 +1101,8 @@
         )
         headers.extend(_authorisation.write_headers(self.caller))
         headers.append((SEND_COUNT_HEADER, str(self.send_count).encode()))
+        version = self.shared_state.version
+        headers.append((VERSION_HEADER, str(version).encode()))
         headers.extend(_stream_origin.write_headers(self.origin))
         return self._encode_request(headers)
 
@@ -1164,7 +1195,9 @@
             run_state = http1.find_header(head.headers, RUN_STATE_HEADER)
         if run_state is not None:
             retry_after_ms = _retry_after_ms(head)
-            self.send_count = _parse_send_count(head.headers, self.send_count)
+            self.send_count = _parse_count(
+                head.headers, SEND_COUNT_HEADER, self.send_count
+            )
             if run_state == errors.RunState.NOT_RUN.value.encode():
                 return _results.NotRun(
                     f"{destination} refused it", retry_after_ms
@@ -1687,8 +1720,8 @@
     return delay_ms if math.isfinite(delay_ms) and delay_ms >= 0 else None
 
 
-def _parse_send_count(headers, default):
-    """Return the send count that another entry VM reports."""
-    value = http1.find_header(headers, SEND_COUNT_HEADER) or b""
+def _parse_count(headers, name, default):
+    """Return a number that another entry VM reports."""
+    value = http1.find_header(headers, name) or b""
     is_count = value.isdigit() and len(value) <= MAX_COUNT_DIGITS
     return int(value) if is_count else default
--- a/buckthorntack/platform/tests/test_lagging_entry_vms.py
+++ b/buckthorntack/platform/tests/test_lagging_entry_vms.py
@@ -1,5 +1,8 @@
 """Entry VMs with an older configuration than those that forward to them."""
 
+import asyncio
+
+from buckthorntack.gateway import _request_handler
 from buckthorntack.platform.tests import _standins
 
 #: Entry VM of the caller, and the one in the home region.
@@ -83,3 +86,21 @@
         assert not world.servers[FORMER].requests
 
     run(scenario)
+
+
+# Guards against refusals while a change is on its way to all entry VMs.
+def test_forwarded_request_waits_for_its_configuration(monkeypatch):
+    monkeypatch.setattr(
+        _request_handler, "MAX_VERSION_WAIT_S", _standins.PATIENCE_S
+    )
+
+    async def scenario(world):
+        held = await move_route(world)
+        asked = asyncio.create_task(world.ask("/home/x", SENDER))
+        receiver = world.nodes[RECEIVER].request_handler
+        await world.until(lambda: receiver._in_progress)
+        held.release()
+        assert (await asked).status == 200
+        assert len(world.servers[CURRENT].requests) == 1
+
+    run(scenario)
