Refuse forwarded requests that need an older configuration

A receiver now refuses requests that were forwarded by another version than its own; the request has not run, and the caller may come back after 0.1 s.

This holds whatever delays the sender's copy. It costs what is forwarded while a change is on its way between regions, or while a sender lags; kept tables of former versions would save that, and need room for each.

Not measured: the share of requests that is refused beside changes.

--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -94,6 +94,8 @@
 #: Longest wait of a forwarded request for the configuration of its sender; a
 #: few one-way delays between regions.
 MAX_VERSION_WAIT_S = 0.3
+#: Retry-After of a forwarded request whose sender waits for the configuration.
+VERSION_RETRY_AFTER_MS = 100.0
 
 
 class RequestHandler:
@@ -338,22 +340,34 @@
     async def _has_configuration_of_sender(self):
         """Wait for the configuration that the request was forwarded by.
 
-        An older one may have another service or other regions for its route,
-        while callers have seen the newer one in force.
+        Another one may have another service or other regions for its route.
+        By an older one it would go where callers have seen the newer one in
+        force; by a newer one they would see it through a sender that then
+        goes on with its own.
 
         :returns: whether it is here; if not, the request is refused.
         """
-        version = _parse_count(self.forwarding_headers, VERSION_HEADER, -1)
+        version = _parse_count(self.forwarding_headers, VERSION_HEADER, None)
+        if version is None:
+            return True
+        await self._wait_for_version(version)
+        if self.shared_state.version < version:
+            self._send_refusal(
+                "older configuration here", DEFAULT_RETRY_AFTER_MS
+            )
+        elif self.shared_state.version > version:
+            self._send_refusal(
+                "newer configuration here", VERSION_RETRY_AFTER_MS
+            )
+        return self.shared_state.version == version
+
+    async def _wait_for_version(self, version):
         wait_until_s = self._now_s() + MAX_VERSION_WAIT_S
         while self.shared_state.version < version:
             remaining_s = wait_until_s - self._now_s()
             if remaining_s <= 0:
-                self._send_refusal(
-                    "older configuration here", DEFAULT_RETRY_AFTER_MS
-                )
-                return False
+                return
             await self.shared_state.wait_for_change(remaining_s)
-        return True
 
     def _startup_wait_s(self, remaining_s):
         """Longest wait for state that an entry VM lacks after its start."""
