Compare routes of forwarded requests, not versions

A forwarded request was refused if sender and receiver had different versions of the configuration, also where its route is the same in both: each change refused what was on its way between regions, and a side that lags refused all of it. The sender now names a fingerprint of its route's kind, services and regions as well; the version only says for which one to wait.

test_forwarded_request_needs_only_the_same_route failed before (503).

--- a/buckthorntack/directives/__init__.py
+++ b/buckthorntack/directives/__init__.py
@@ -8,6 +8,7 @@
 from buckthorntack.directives._machine import decode_command
 from buckthorntack.directives._machine import DirectivesMachine
 from buckthorntack.directives._machine import encode_command
+from buckthorntack.directives._route_table import fingerprint_route
 from buckthorntack.directives._route_table import HostResidency
 from buckthorntack.directives._route_table import restrict_to_organisation
 from buckthorntack.directives._route_table import RouteTable
@@ -40,6 +41,7 @@
     "Split",
     "decode_command",
     "encode_command",
+    "fingerprint_route",
     "restrict_to_organisation",
     "validate",
 ]
--- a/buckthorntack/directives/_route_table.py
+++ b/buckthorntack/directives/_route_table.py
@@ -3,6 +3,8 @@
 import collections
 from typing import NamedTuple
 
+import xxhash
+
 
 class HostResidency(NamedTuple):
     """Regions that may serve the routes of one host."""
@@ -118,6 +120,22 @@
         )
 
 
+def fingerprint_route(route):
+    """Return a short text that tells where a route's requests may run.
+
+    It is the same in all builds.  Limits and objectives are not part of it.
+
+    :param route: the ``Route``; None for none.
+    :returns: the text; empty for none.
+    """
+    if route is None:
+        return ""
+    splits = [f"{split.service} {split.weight!r}" for split in route.splits]
+    regions = sorted(route.allowed_regions)
+    parts = [route.kind.value, *splits, "", *regions]
+    return xxhash.xxh3_64_hexdigest("\n".join(parts).encode())
+
+
 def restrict_to_organisation(route, organisation):
     """Return a route within the regions that an organisation allows too.
 
--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -39,6 +39,8 @@
 SEND_COUNT_HEADER = b"x-gateway-sends"
 #: Header with the version of the sender's configuration.
 VERSION_HEADER = b"x-gateway-configuration"
+#: Header with the fingerprint of the route by that configuration.
+ROUTE_HEADER = b"x-gateway-route"
 #: Digits of such a number; a longer one is not read.
 MAX_COUNT_DIGITS = 18
 #: Responses with a body up to this size are buffered, so that the request can
@@ -275,7 +277,7 @@
             return
         self.metadata = read.ok
         await self._wait_for_configuration()
-        if not await self._has_configuration_of_sender():
+        if not await self._has_route_of_sender():
             return
         if not self._find_route() or not self._authorise():
             return
@@ -337,29 +339,41 @@
                 wait_until_s - self._now_s()
             )
 
-    async def _has_configuration_of_sender(self):
-        """Wait for the configuration that the request was forwarded by.
+    async def _has_route_of_sender(self):
+        """Wait for the route that the request was forwarded by.
 
-        Another one may have another service or other regions for its route.
-        By an older one it would go where callers have seen the newer one in
+        Another configuration may have other services or regions for it.  By
+        an older one it would go where callers have seen the newer one in
         force; by a newer one they would see it through a sender that then
         goes on with its own.
 
         :returns: whether it is here; if not, the request is refused.
         """
-        version = _parse_count(self.forwarding_headers, VERSION_HEADER, None)
+        headers = self.forwarding_headers
+        version = _parse_count(headers, VERSION_HEADER, None)
         if version is None:
             return True
+        expected = http1.find_header(headers, ROUTE_HEADER)
+        if self._fingerprint_route() == expected:
+            return True
         await self._wait_for_version(version)
+        if self._fingerprint_route() == expected:
+            return True
         if self.shared_state.version < version:
             self._send_refusal(
                 "older configuration here", DEFAULT_RETRY_AFTER_MS
             )
-        elif self.shared_state.version > version:
-            self._send_refusal(
-                "newer configuration here", VERSION_RETRY_AFTER_MS
-            )
-        return self.shared_state.version == version
+        else:
+            self._send_refusal("another route here", VERSION_RETRY_AFTER_MS)
+        return False
+
+    def _fingerprint_route(self):
+        """Return the fingerprint of the route by the active configuration."""
+        table = self.shared_state.table
+        if table is None:
+            return b""
+        route = table.find_route(self.metadata.host, self.metadata.path)
+        return directives.fingerprint_route(route).encode()
 
     async def _wait_for_version(self, version):
         wait_until_s = self._now_s() + MAX_VERSION_WAIT_S
@@ -1117,6 +1131,7 @@
         headers.append((SEND_COUNT_HEADER, str(self.send_count).encode()))
         version = self.shared_state.version
         headers.append((VERSION_HEADER, str(version).encode()))
+        headers.append((ROUTE_HEADER, self._fingerprint_route()))
         headers.extend(_stream_origin.write_headers(self.origin))
         return self._encode_request(headers)
 
--- a/buckthorntack/platform/tests/test_lagging_entry_vms.py
+++ b/buckthorntack/platform/tests/test_lagging_entry_vms.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from buckthorntack.gateway import _request_handler
 from buckthorntack.platform.tests import _standins
 
@@ -49,10 +51,11 @@
             self._take(sender, copy)
 
 
-async def move_route(world, lagging):
+async def move_route(world, lagging, service=CURRENT):
     """Move the route to another service, which one entry VM is not told.
 
     :param lagging: name of that entry VM.
+    :param service: the other service.
     :returns: its :class:`HeldCopies`.
     """
     await world.add_server(FORMER, FORMER, "b1")
@@ -60,7 +63,7 @@
     await world.publish(configuration(1, FORMER))
     await world.in_force(1)
     held = HeldCopies(world.nodes[lagging])
-    await world.publish(configuration(2, CURRENT))
+    await world.publish(configuration(2, service))
     [current] = {SENDER, RECEIVER} - {lagging}
     await world.until(lambda: world.nodes[current].shared_state.version == 2)
     sender = world.nodes[SENDER].shared_state
@@ -99,6 +102,19 @@
     run(lambda world: check_is_refused(world, SENDER))
 
 
+# Guards against refusals of requests whose route does not change.
+@pytest.mark.parametrize("lagging", [SENDER, RECEIVER])
+def test_forwarded_request_needs_only_the_same_route(lagging):
+    async def scenario(world):
+        held = await move_route(world, lagging, FORMER)
+        answer = await world.ask("/home/x", SENDER)
+        assert answer.status == 200, answer.body
+        assert len(world.servers[FORMER].requests) == 1
+        held.release()
+
+    run(scenario)
+
+
 # Guards against refusals while a change is on its way to all entry VMs.
 def test_forwarded_request_waits_for_its_configuration(monkeypatch):
     monkeypatch.setattr(
--- a/buckthorntack/platform/tests/test_late_orders.py
+++ b/buckthorntack/platform/tests/test_late_orders.py
@@ -120,8 +120,8 @@
     run(scenario)
 
 
-# Guards against an evacuation that is undone by an order of a caller that left,
-# as the close of its connection arrives a moment after the order.
+# Guards against an evacuation that is undone by an order whose caller left, as
+# the close of its connection arrives a moment after it.
 @pytest.mark.parametrize("late, newer", CASES)
 def test_order_whose_close_comes_behind_it_changes_nothing(late, newer):
     async def scenario(world):
