Let refusals of reads reach the replica that asked

A caller at a follower whose read no leader could confirm waited for its whole timeout instead of being told at once, and the log named the refusal as a message out of range, at level error. A replica refuses a read of another one by an index of -1; the check of ranges, added later, passes over each number below 0, so no refusal arrived.

Ranges are now looked up by message and field, and the index of a refused read is a named constant that the sender, the receiver and the range share. That makes a value that is meant to be negative a part of the ranges. The other fields of the messages between replicas were gone through: none is sent below 0, and read ids alone have no range.

The check of odd messages listed an index of -1 as one to be refused. That was wrong, as replicas send it. It is replaced by -2, the lowest and a too large index; a fault that drops the range again is noticed in schedules.

--- a/buckthorntack/consensus/_ranges.py
+++ b/buckthorntack/consensus/_ranges.py
@@ -1,5 +1,8 @@
 """Ranges of the values in messages between replicas."""
 
+import math
+from typing import NamedTuple
+
 import msgspec
 
 from buckthorntack.consensus import _configuration as configurations
@@ -7,8 +10,26 @@
 
 #: Higher than any term, index, round or size.
 MAX_NUMBER = 1 << 52
+#: Index in the response to a read that its receiver can't confirm.
+NO_READ_INDEX = -1
+
+
+class _Range(NamedTuple):
+    """Lowest and highest value of a field."""
+
+    lowest: float
+    highest: float
+
+
+_NUMBER = _Range(0, MAX_NUMBER)
 #: Ids that are drawn at random have no range.
-_IDS = frozenset({"read_id"})
+_RANDOM_ID = _Range(-math.inf, math.inf)
+#: Ranges of integers other than numbers from 0, by message and field.
+_RANGES = {
+    (messages.ReadRequest, "read_id"): _RANDOM_ID,
+    (messages.ReadResponse, "read_id"): _RANDOM_ID,
+    (messages.ReadResponse, "index"): _Range(NO_READ_INDEX, MAX_NUMBER),
+}
 
 
 def find_fault(message):
@@ -28,9 +49,12 @@
 
 
 def _find_number(message):
+    kind = type(message)
     for field, value in zip(message._fields, message, strict=True):
-        is_number = type(value) is int and field not in _IDS
-        if is_number and not 0 <= value <= MAX_NUMBER:
+        if type(value) is not int:
+            continue
+        lowest, highest = _RANGES.get((kind, field), _NUMBER)
+        if not lowest <= value <= highest:
             return f"{field} {value}"
     return None
 
--- a/buckthorntack/consensus/_reads.py
+++ b/buckthorntack/consensus/_reads.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from buckthorntack.consensus import _commands as commands
+from buckthorntack.consensus import _ranges
 from buckthorntack.consensus import _replication
 from buckthorntack.consensus import _state
 from buckthorntack.schema import messages
@@ -53,9 +54,9 @@
 
     :param state: the replica's state.
     :param sender: the leader.
-    :param response: its response; a negative index refuses the read.
+    :param response: its response.
     """
-    if response.index < 0:
+    if response.index == _ranges.NO_READ_INDEX:
         state.commands.append(commands.ReadRefused(response.read_id))
         return
     ready = commands.ReadReady(response.read_id, response.index)
--- a/buckthorntack/consensus/_state.py
+++ b/buckthorntack/consensus/_state.py
@@ -8,6 +8,7 @@
 from buckthorntack.consensus import _configuration as configurations
 from buckthorntack.consensus import _entry_log
 from buckthorntack.consensus import _proposals
+from buckthorntack.consensus import _ranges
 from buckthorntack.schema import messages
 
 
@@ -265,7 +266,9 @@
     if read.origin == state.node_id:
         state.commands.append(commands.ReadRefused(read.read_id))
         return
-    message = messages.ReadResponse(state.group, read.read_id, -1)
+    message = messages.ReadResponse(
+        state.group, read.read_id, _ranges.NO_READ_INDEX
+    )
     send(state, read.origin, message)
 
 
--- a/buckthorntack/consensus/_task.py
+++ b/buckthorntack/consensus/_task.py
@@ -644,7 +644,7 @@
 
     @_execute.register
     def _(self, command: commands.ReadRefused):
-        detail = f"the leader of {self.group} is unknown to {self.node_id}"
+        detail = f"no leader of {self.group} confirms reads of {self.node_id}"
         error = _errors.NotLeaderError(detail)
         self._reads.resolve(command.read_id, Error(error))
 
--- a/buckthorntack/consensus/tests/scenarios.py
+++ b/buckthorntack/consensus/tests/scenarios.py
@@ -132,6 +132,19 @@
     simulation.check_agreement()
 
 
+def read_by_way_of_a_former_leader_is_refused():
+    """A replica that believes in a former leader learns that it is none."""
+    simulation = start_group("abc")
+    make_leader(simulation, "a")
+    simulation.tick("a", 40)
+    simulation.envelopes.clear()
+    simulation.check(not simulation.find_leaders(), "a leads unheard")
+    simulation.read("b")
+    exchange(simulation, "ab", 2)
+    refused = simulation.refused_reads == set(simulation.reads)
+    simulation.check(refused, "b was not told that its read is refused")
+
+
 def members_change_one_at_a_time():
     """Two disjoint majorities never both commit entries.
 
@@ -611,6 +624,7 @@
     earlier_term_is_not_committed_by_count,
     learners_do_not_count,
     isolated_leader_reads_nothing,
+    read_by_way_of_a_former_leader_is_refused,
     members_change_one_at_a_time,
     late_snapshot_drops_no_acknowledged_entry,
     lost_disk_does_not_vote,
--- a/buckthorntack/consensus/tests/simulation.py
+++ b/buckthorntack/consensus/tests/simulation.py
@@ -107,6 +107,7 @@
         self.entry_by_index_and_term = {}
         self.reads = {}
         self.answers = {}
+        self.refused_reads = set()
         self.dropped = set()
         self.applied_index_by_proposal = {}
         self.lost_disks = set()
@@ -349,6 +350,13 @@
         self.check(command.index >= needed, "stale read")
         self.answers[command.read_id] = command.index
 
+    def _on_ReadRefused(self, node, command):  # noqa: N802
+        self.refused_reads.add(command.read_id)
+
+    def _on_MessageRefused(self, node, command):  # noqa: N802
+        what = f"{command.kind} of {command.sender}: {command.fault}"
+        self.check(False, f"{node.name} refused a proper message: {what}")
+
     def _on_ProposalDropped(self, node, command):  # noqa: N802
         self.dropped.add(command.proposal_id)
         self.check(
--- a/buckthorntack/consensus/tests/test_odd_messages.py
+++ b/buckthorntack/consensus/tests/test_odd_messages.py
@@ -7,7 +7,6 @@
 from buckthorntack.consensus.tests import test_task
 from buckthorntack.schema import messages
 
-MESSAGE_REFUSED = 407
 TOO_LARGE = (1 << 64) - 1
 
 
@@ -72,7 +71,15 @@
     "index of a snapshot": lambda term, index: make_chunk(
         term, index, index=TOO_LARGE
     ),
-    "index of a read": lambda term, index: messages.ReadResponse("g", 1, -1),
+    "index of a read below -1": lambda term, index: messages.ReadResponse(
+        "g", 1, -2
+    ),
+    "lowest index of a read": lambda term, index: messages.ReadResponse(
+        "g", 1, -TOO_LARGE
+    ),
+    "large index of a read": lambda term, index: messages.ReadResponse(
+        "g", 1, TOO_LARGE
+    ),
 }
 
 
@@ -107,7 +114,7 @@
     lines = [
         record.extra
         for record in log.records
-        if record.extra.get("event") == MESSAGE_REFUSED
+        if record.extra.get("event") == test_task.MESSAGE_REFUSED
     ]
     assert len(lines) == 3
     assert {line["kind"] for line in lines} == {
--- a/buckthorntack/consensus/tests/test_scenarios.py
+++ b/buckthorntack/consensus/tests/test_scenarios.py
@@ -10,6 +10,7 @@
 from buckthorntack.consensus import _elections
 from buckthorntack.consensus import _members
 from buckthorntack.consensus import _proposals
+from buckthorntack.consensus import _ranges
 from buckthorntack.consensus import _reads
 from buckthorntack.consensus import _replication
 from buckthorntack.consensus import _snapshots
@@ -151,6 +152,7 @@
 FAULTS_IN_SCHEDULES = [
     Fault("votes_anew", _elections, "should_grant_vote", votes_anew),
     Fault("votes_for_any_log", _elections, "_is_up_to_date", lambda *_: True),
+    Fault("passes_over_refused_reads", _ranges, "_RANGES", {}),
 ]
 
 
--- a/buckthorntack/consensus/tests/test_task.py
+++ b/buckthorntack/consensus/tests/test_task.py
@@ -7,13 +7,16 @@
 import random
 import threading
 
+import logbook
 import pytest
 
 from buckthorntack import clock
 from buckthorntack import consensus
 from buckthorntack import errors
+from buckthorntack.schema import messages
 from buckthorntack.storage.tests import memory_files
 
+MESSAGE_REFUSED = 407
 SEEDS = itertools.count(1)
 FAST = consensus.Timing(
     tick=datetime.timedelta(milliseconds=5),
@@ -52,6 +55,8 @@
     def __init__(self):
         self.tasks = {}
         self.cut = set()
+        #: Types of the messages that are lost.
+        self.lost = ()
 
     def sender(self, node):
         return _Sender(self, node)
@@ -66,6 +71,8 @@
         task = self.network.tasks.get(to)
         if task is None or {self.node, to} & self.network.cut:
             return
+        if isinstance(message, self.network.lost):
+            return
         loop = asyncio.get_running_loop()
         loop.call_soon(task.deliver, self.node, message)
 
@@ -209,6 +216,27 @@
     run(scenario())
 
 
+# Guards against refusals that are passed over as messages out of range, so
+# that a caller at a follower waits for its whole timeout.
+def test_read_through_a_leader_that_steps_down_is_refused(tmp_path):
+    async def scenario():
+        async with Cluster(tmp_path, ["a", "b", "c"]) as cluster:
+            await cluster.propose(b"x")
+            leader = await cluster.leader()
+            tasks = cluster.network.tasks.values()
+            follower = next(task for task in tasks if task is not leader)
+            await wait_until(lambda: follower.leader() == leader.node_id)
+            cluster.network.lost = messages.AppendResponse
+            return (await follower.read_barrier()).error
+
+    with logbook.TestHandler() as log:
+        refusal = run(scenario())
+    assert refusal.kind == "no_leader"
+    assert refusal.run_state is errors.RunState.NOT_RUN
+    events = {record.extra.get("event") for record in log.records}
+    assert MESSAGE_REFUSED not in events
+
+
 def test_lost_disk_returns_under_a_new_id(tmp_path):
     async def scenario():
         async with Cluster(tmp_path, ["a", "b", "c"]) as cluster:
