Soak orders that an operator gives up and gives elsewhere

After each fault, the next orders go to the control VM that was struck. Each round ends with a calm, in which what was acknowledged must be in force.

Bounds: 5 s for an evacuation and 4 s for a configuration after the acknowledgement while control VMs are calm for 5 s before; 10 s more beside their faults, while most of them run.

--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -6,6 +6,7 @@
 import sys
 import tempfile
 
+from tools.soak import _orders
 from tools.soak import _soak
 
 
@@ -25,6 +26,16 @@
         action="store_true",
         help="planned work only, beside which each request is answered",
     )
+    parser.add_argument(
+        "--orders",
+        action="store_true",
+        help="evacuations and configurations beside faults of control VMs",
+    )
+    parser.add_argument(
+        "--kept-calls",
+        action="store_true",
+        help="orders that are given up, on connections that stay open",
+    )
     arguments = parser.parse_args()
     seed = arguments.seed
     if seed is None:
@@ -32,13 +43,18 @@
     print(f"seed {seed}")
     with tempfile.TemporaryDirectory() as scratch:
         folder = arguments.folder or scratch
-        soak = _soak.soak(
-            seed,
-            arguments.seconds,
-            folder,
-            has_series=not (arguments.no_series or arguments.planned),
-            is_planned=arguments.planned,
-        )
+        if arguments.orders:
+            soak = _orders.soak(
+                seed, arguments.seconds, folder, arguments.kept_calls
+            )
+        else:
+            soak = _soak.soak(
+                seed,
+                arguments.seconds,
+                folder,
+                has_series=not (arguments.no_series or arguments.planned),
+                is_planned=arguments.planned,
+            )
         book = asyncio.run(soak)
     print(f"answers {dict(book.answers)} runs {len(book.runs)}")
     print(f"crashes {len(book.crashes)}, requests {len(book.arrivals)}")
--- a/tools/soak/_promises.py
+++ b/tools/soak/_promises.py
@@ -9,6 +9,13 @@
 DRAIN_S = 3.0
 #: Faults stretch it by so much: a control VM is replaced, a link opened anew.
 OUTER_S = 8.0
+#: Time after the acknowledgement of an evacuation from which no request
+#: reaches its failure domain, and of a configuration from which requests are
+#: handled by it.
+EVACUATE_S = 5.0
+APPLY_S = 4.0
+#: Both are stretched by so much at most, beside faults of control VMs.
+MAX_SKEW_S = 10.0
 #: Time within which entry VMs in touch know what the others know.
 CONTACT_S = 5.0
 #: Crashes after which requests with the part that caused them are refused.
@@ -76,6 +83,25 @@
         return -DEADLINE_TOLERANCE_S <= late_s < GIVE_UP_S
 
 
+class Order(NamedTuple):
+    """An order of an operator, and what it asks for.
+
+    ``acknowledged_s`` is infinite until it is acknowledged.
+    """
+
+    is_wanted: bool
+    sent_s: float
+    acknowledged_s: float = math.inf
+
+
+class RoutedRequest(NamedTuple):
+    """A request on a route that configurations add and drop."""
+
+    sent_s: float
+    ended_s: float
+    has_route: bool
+
+
 class Book:
     """Records of a soak, and the promises that they break.
 
@@ -102,6 +128,13 @@
         self.unanswered = []
         #: Requests whose answers servers broke off.
         self.broken_off = set()
+        #: Failure domains of servers, by their ids.
+        self.zones = {}
+        #: Orders that begin or end an evacuation, and that add or drop a
+        #: route, each in the order in which they were given.
+        self.evacuations = []
+        self.route_changes = []
+        self.routed_requests = []
         #: When servers ended their work on requests; infinite before that.
         self.worked_until_s = {}
 
@@ -278,3 +311,71 @@
                 f"{share:.2f} of the sound requests with the same first part"
                 f" were served, {usual:.2f} of the others"
             )
+
+    def check_evacuations(self, domain, is_settled):
+        """Check that an evacuated failure domain gets no requests.
+
+        :param domain: the failure domain of the orders.
+        :param is_settled: function of the time of an acknowledgement, the
+            bound after it and a later time that tells whether the order must
+            be in force by then.
+        """
+        arrivals = [
+            (run.at_s, run.server_id, request_id)
+            for request_id, runs in self.runs.items()
+            for run in runs
+            if self.zones[run.server_id] == domain
+        ]
+        for order, until_s in _find_spans(self.evacuations):
+            late = sorted(
+                arrival
+                for arrival in arrivals
+                if order.is_wanted
+                and arrival[0] < until_s
+                and is_settled(order.acknowledged_s, EVACUATE_S, arrival[0])
+            )
+            if late:
+                at_s, server_id, request_id = late[0]
+                self.break_time(
+                    f"{len(late)} requests reached {domain}, evacuated at"
+                    f" {order.acknowledged_s:.2f}, first {request_id} at"
+                    f" {server_id} at {at_s:.2f}, last at {late[-1][0]:.2f}"
+                )
+
+    def check_routes(self, is_settled):
+        """Check that a route is known while configurations have it only.
+
+        :param is_settled: as of :meth:`check_evacuations`.
+        """
+        for order, until_s in _find_spans(self.route_changes):
+            late = [
+                request
+                for request in self.routed_requests
+                if request.has_route != order.is_wanted
+                and request.ended_s < until_s
+                and is_settled(order.acknowledged_s, APPLY_S, request.sent_s)
+            ]
+            if late:
+                self.break_time(
+                    f"{len(late)} requests were handled by an older"
+                    f" configuration than the one acknowledged at"
+                    f" {order.acknowledged_s:.2f}, first at"
+                    f" {late[0].sent_s:.2f}"
+                )
+
+
+def _find_spans(orders):
+    """Return acknowledged orders and when another one was sent that differs.
+
+    :param orders: ``Order`` of one subject, as they were given.
+    """
+    spans = []
+    for number, order in enumerate(orders):
+        others = [
+            other.sent_s
+            for other in orders[number + 1 :]
+            if other.is_wanted != order.is_wanted
+        ]
+        if order.acknowledged_s < math.inf:
+            spans.append((order, min(others, default=math.inf)))
+    return spans
--- a/tools/soak/_soak.py
+++ b/tools/soak/_soak.py
@@ -109,38 +109,35 @@
             await self._stack.enter_async_context(node)
         for number in range(8):
             await self._add_server(f"s{number}", f"{public}.{100 + number}")
-        operating = _traffic.operate(
-            self.book,
-            self.controls,
-            self._rng(),
-            self.has_series,
-            self.is_planned,
-        )
-        await self._stack.enter_async_context(tasks.running(operating))
+        await self._start_operator()
         await asyncio.sleep(SETTLE_S)
         for number in range(CALLERS):
             seed = self.rng.getrandbits(32) + number
-            callers = [
-                _traffic.Caller(
-                    self.book,
-                    self.entries,
-                    seed,
-                    self.has_series,
-                    self.is_planned,
-                )
-            ]
-            if self.is_planned:
-                callers += self._long_callers(seed)
-            for caller in callers:
+            for caller in self._callers(seed):
                 running = tasks.running(caller.run())
                 await self._stack.enter_async_context(running)
         if self.has_series:
             await self._start_series()
         return self
 
-    def _long_callers(self, seed):
+    async def _start_operator(self):
+        operating = _traffic.operate(
+            self.book,
+            self.controls,
+            self._rng(),
+            self.has_series,
+            self.is_planned,
+        )
+        await self._stack.enter_async_context(tasks.running(operating))
+
+    def _callers(self, seed):
+        caller = _traffic.Caller(
+            self.book, self.entries, seed, self.has_series, self.is_planned
+        )
+        if not self.is_planned:
+            return [caller]
         # Names of requests hold the seed, so that no two may be the same.
-        return [
+        return [caller] + [
             _traffic.LongCaller(self.book, self.entries, f"{seed}-{number}")
             for number in range(LONG_CALLERS)
         ]
@@ -171,6 +168,7 @@
         server = _traffic.SoakServer(
             self.book, self._rng(), name, ip_address, service, zone
         )
+        self.book.zones[name] = zone
         self.servers.append(server)
         await self._stack.enter_async_context(server)
         announcing = _traffic.announce(server, self.controls, self._rng())
--- a/tools/soak/_traffic.py
+++ b/tools/soak/_traffic.py
@@ -57,6 +57,8 @@
 #: Idle timeouts and numbers of further routes of configurations.
 IDLE_TIMEOUTS_MS = (100, 1000, 15_000)
 ADDED_ROUTES = (0, 0, 300)
+#: Route that some configurations have.
+ADDED_ROUTE = "added"
 #: A host whose requests may run in one region only.
 HOME_HOST, HOME_REGION = "home.example", "north"
 
@@ -330,6 +332,25 @@
         return (FIRST_PART, CRASHING_PART)
 
 
+class RouteCaller(Caller):
+    """Sends requests also on a route that configurations add and drop."""
+
+    def _kind(self):
+        self.kind = self.rng.choice(["safe", "unsafe", "talk", ADDED_ROUTE])
+        return self.kind
+
+    async def _exchange(self, request_id, payload):
+        loop = asyncio.get_running_loop()
+        sent_s = loop.time()
+        status, whole, body = await super()._exchange(request_id, payload)
+        if self.kind == ADDED_ROUTE and status in (200, 404):
+            request = _promises.RoutedRequest(
+                sent_s, loop.time(), status == 200
+            )
+            self.book.routed_requests.append(request)
+        return status, whole, body
+
+
 class LongCaller(Caller):
     """Sends requests with long answers in pieces, and may read slowly."""
 
--- a/tools/soak/tests/test_soak.py
+++ b/tools/soak/tests/test_soak.py
@@ -4,9 +4,11 @@
 import concurrent.futures
 import math
 import multiprocessing
+import types
 
 import pytest
 
+from tools.soak import _orders
 from tools.soak import _promises
 from tools.soak import _soak
 
@@ -27,6 +29,9 @@
 PLANNED_SEEDS = [40002, 40004, 53003, 53007]
 #: Soaks that run at once; each in a process, whose id makes its addresses.
 PLANNED_JOBS = 2
+#: One round of orders without other faults than its last pause.
+ORDERS_SEED = 112
+ROUND_S = 1.0
 #: Signals met processes that had just ended.
 SIGNAL_SEED = 176858663
 
@@ -96,6 +101,15 @@
     assert answered > 0
 
 
+# Guards against an evacuation that is undone by an order which a control VM
+# reads after it stood still, though its operator gave it up and newer ones.
+def test_acknowledged_orders_hold_while_control_vms_stand_still(tmp_path):
+    book = asyncio.run(_orders.soak(ORDERS_SEED, ROUND_S, tmp_path))
+    assert book.broken == []
+    assert book.evacuations[-1].is_wanted
+    assert book.answers[200] > 0
+
+
 @pytest.mark.parametrize(
     ("runs", "waited_s", "breaks_off", "is_broken"),
     [
@@ -265,3 +279,83 @@
     assert book.broken == []
     book.named(["a", "c"], ["a", "b"])
     assert "outside the home" in book.broken[0]
+
+
+def _order(is_wanted, sent_s, acknowledged_s):
+    return _promises.Order(is_wanted, sent_s, acknowledged_s)
+
+
+def _is_settled(acknowledged_s, bound_s, at_s):
+    return at_s > acknowledged_s + bound_s
+
+
+@pytest.mark.parametrize(
+    ("at_s", "zone", "is_broken"),
+    [
+        (15.1, "a1", True),
+        (14.9, "a1", False),
+        (15.1, "b1", False),
+        (39.9, "a1", True),
+        (40.1, "a1", False),
+        (80.0, "a1", False),
+    ],
+)
+def test_request_in_an_evacuated_domain_is_found(at_s, zone, is_broken):
+    book = _promises.Book()
+    book.zones["s1"] = zone
+    book.evacuations += [
+        _order(True, 9.0, 10.0),
+        _order(False, 40.0, 41.0),
+        _order(True, 70.0, math.inf),
+    ]
+    book.ran("s1", "r", True, at_s)
+    book.check_evacuations("a1", _is_settled)
+    assert bool(book.broken) is is_broken
+
+
+@pytest.mark.parametrize(
+    ("sent_s", "has_route", "is_broken"),
+    [
+        (14.1, False, True),
+        (14.1, True, False),
+        (13.9, False, False),
+        (39.9, False, False),
+        (44.9, True, False),
+        (45.1, True, True),
+        (45.1, False, False),
+    ],
+)
+def test_request_by_an_older_configuration_is_found(
+    sent_s, has_route, is_broken
+):
+    book = _promises.Book()
+    book.route_changes += [_order(True, 9.0, 10.0), _order(False, 40.0, 41.0)]
+    request = _promises.RoutedRequest(sent_s, sent_s + 0.5, has_route)
+    book.routed_requests.append(request)
+    book.check_routes(_is_settled)
+    assert bool(book.broken) is is_broken
+
+
+# An order with a bound of 5 s, acknowledged at 10 s.
+@pytest.mark.parametrize(
+    ("faults", "at_s", "is_settled"),
+    [
+        ([], 14.9, False),
+        ([], 15.1, True),
+        ([("c1", 8.0, 12.0)], 21.9, False),
+        ([("c1", 8.0, 12.0)], 22.1, True),
+        ([("c1", 8.0, 60.0)], 24.9, False),
+        ([("c1", 8.0, 60.0)], 25.1, True),
+        ([("c1", 8.0, 24.0), ("c2", 20.0, 24.0)], 33.9, False),
+        ([("c1", 8.0, 24.0), ("c2", 20.0, 24.0)], 34.1, True),
+        ([("c1", 8.0, 20.0), ("c2", 20.1, 60.0)], 25.1, True),
+    ],
+)
+def test_orders_settle_beside_faults(faults, at_s, is_settled, tmp_path):
+    soak = _orders.OrdersSoak(1, tmp_path)
+    for name in ("c1", "c2", "c3"):
+        node = types.SimpleNamespace(name=name, role="control")
+        soak.nodes[name] = node
+    for name, since_s, until_s in faults:
+        soak.faults[name].append((since_s, until_s))
+    assert soak.is_settled(10.0, 5.0, at_s) is is_settled
