Begin no call whose caller has left while it waited

While the disk of a replica hung, orders waited among its inputs. A caller that left, or was told that the outcome is unknown, could send a newer order to another control VM, have it committed, and then find its older order carried out on top once the disk went on: the follower forwarded the older one to the leader late. Calls to change members, to hand over the leadership and to read were begun late as well. The same happened after a pause of the process, as the inputs were handled before the ticker told that the time of their calls had passed.

The inputs are now sifted when they are taken: a call that has its result, or whose caller has left, is not begun, and event 411 tells how many. Calls whose time has passed expire before that. A withdrawn proposal is in no log and none will have it; its caller was told "unknown", which holds, and NOT_RUN is given for nothing that may run, as before.

A proposal that was forwarded already, and is late in the network or at the leader, is not covered.

--- a/buckthorntack/consensus/_events.py
+++ b/buckthorntack/consensus/_events.py
@@ -79,3 +79,12 @@
     "The disk has no room for a snapshot; the log is kept until a later one.",
     "free space on the disk of the data folder",
 )
+CALLS_WITHDRAWN = events.declare(
+    411,
+    "replica_calls_withdrawn",
+    logbook.NOTICE,
+    "Calls waited at a replica until their callers had left or were told that "
+    "the outcome is unknown, and were not begun; field calls has their "
+    "number.",
+    "check whether the disk of the data folder is slow or the VM stood still",
+)
--- a/buckthorntack/consensus/_pending_calls.py
+++ b/buckthorntack/consensus/_pending_calls.py
@@ -30,6 +30,14 @@
         """
         self._calls[key] = _PendingCall(now + self.timeout, future)
 
+    def is_waiting(self, key):
+        """Whether a call has no result and its caller has not left.
+
+        :param key: id of the proposal or read.
+        """
+        call = self._calls.get(key)
+        return call is not None and not call.future.done()
+
     def resolve(self, key, result):
         """Set the result of a call, if it still waits.
 
--- a/buckthorntack/consensus/_task.py
+++ b/buckthorntack/consensus/_task.py
@@ -31,9 +31,10 @@
     """One replica of a group; an asynchronous context manager.
 
     Inputs that arrive while the disk is busy are processed together, with one
-    sync.  After a disk failure the replica stops before it sends a message or
-    answers a caller.  While the disk is full the replica waits for room: it
-    refuses calls and passes over messages, as if it were cut off.
+    sync; calls whose callers have left by then are not begun.  After a disk
+    failure the replica stops before it sends a message or answers a caller.
+    While the disk is full the replica waits for room: it refuses calls and
+    passes over messages, as if it were cut off.
 
     :param group: id of the group.
     :param node_id: node id of this replica.
@@ -347,9 +348,9 @@
             self._fail_pending_calls()
 
     async def _process_inputs(self):
-        batch = self._inputs
-        self._inputs = []
-        for item in batch:
+        # Calls expire here too, as after a pause the ticker may run later.
+        self._expire(self.clock.monotonic())
+        for item in self._take_inputs():
             self._handle_input(item)
         collected = self._replica.collect()
         durable = [
@@ -365,6 +366,29 @@
         await self._load_snapshots(collected)
         await self._advance_snapshots()
 
+    def _take_inputs(self):
+        """Take the inputs, without those whose call no longer waits."""
+        taken = self._inputs
+        self._inputs = []
+        wanted = [item for item in taken if self._is_wanted(item)]
+        if len(wanted) < len(taken):
+            self._events.write(
+                _events.CALLS_WITHDRAWN,
+                group=self.group,
+                node_id=self.node_id,
+                calls=len(taken) - len(wanted),
+            )
+        return wanted
+
+    def _is_wanted(self, item):
+        if isinstance(item, (inputs.Tick, inputs.Delivered)):
+            return True
+        if isinstance(item, inputs.Read):
+            return self._reads.is_waiting(item.read_id)
+        if isinstance(item, inputs.Transfer):
+            return not item.future.done()
+        return self._proposals.is_waiting(item.proposal_id)
+
     async def _persist(self, steps):
         """Write commands to storage, with one sync unless one is a snapshot.
 
--- a/buckthorntack/consensus/tests/test_task.py
+++ b/buckthorntack/consensus/tests/test_task.py
@@ -444,8 +444,11 @@
         super().__init__()
         self.free = threading.Event()
         self.free.set()
+        #: Whether an operation has met the event while it was not set.
+        self.hangs = False
 
     def step(self):
+        self.hangs = self.hangs or not self.free.is_set()
         self.free.wait()
         return super().step()
 
