Answer requests at a stop also after a pause of the process

Callers of an entry VM that stopped with drain_ms lost their connections without an answer, instead of getting 504 and "unknown", if the process stood still while it should have responded: the limit of the stop and the time to respond had then both passed, the limit was handled first, and its handler closed all connections.

A stop whose limit has passed now ends the requests without a response and waits until these have begun, by at most 300 ms more (the time for delivery that a stop without a pause keeps), before it closes the connections. Streams in progress are cut as before, and a stop without requests that wait ends at its limit.

Evidence: the new test, in which the event loop stands still from 0.78 s for 0.5 s, failed before with [None, None] and passes now.

--- a/buckthorntack/entry/_callers.py
+++ b/buckthorntack/entry/_callers.py
@@ -34,6 +34,7 @@
         self.limits = limits
         self.parser = _parsing.RequestParser(components)
         self.in_progress = 0
+        self._sinks = set()
         self._log = events.EventLog("entry")
 
     def asgi(self):
@@ -49,6 +50,7 @@
         """
         sink = _sink.CallerSink(send, "", self.components.planned_stop)
         self.in_progress += 1
+        self._sinks.add(sink)
         self.components.members.set_in_flight(self.in_progress)
         try:
             await self._respond(scope, receive, sink)
@@ -64,8 +66,13 @@
             error = _errors.InternalError(f"request {sink.request_id}")
             await self._refuse(sink, error)
         finally:
+            self._sinks.discard(sink)
             self.in_progress -= 1
 
+    def has_unanswered(self):
+        """Whether the response to a request in progress has not begun."""
+        return not all(sink.started for sink in self._sinks)
+
     async def _refuse(self, sink, error):
         self.components.metrics.record_refusal(error)
         self._log.write(
--- a/buckthorntack/entry/_planned_stop.py
+++ b/buckthorntack/entry/_planned_stop.py
@@ -89,7 +89,8 @@
         """End the requests whose responses have not begun."""
         now_s = asyncio.get_running_loop().time()
         for timeout, sink in self._sinks.items():
-            if not sink.started:
+            is_ending = timeout.when() is not None
+            if not sink.started and not is_ending:
                 timeout.reschedule(now_s)
 
 
--- a/buckthorntack/entry/_role.py
+++ b/buckthorntack/entry/_role.py
@@ -38,6 +38,10 @@
 _MS = datetime.timedelta(milliseconds=1)
 #: Time for the refusals of requests that wait for admission.
 REFUSAL_TIME = 50 * _MS
+#: Longest time by which a stop is prolonged for responses that are late, and
+#: the interval of checks for them.
+LATE_ANSWER_TIME = shutdown.DELIVERY_TIME
+LATE_ANSWER_POLL = 5 * _MS
 #: Requests admitted for each slot of a server.  The value is above 1 because
 #: engines have a short queue of their own.
 ADMITTED_PER_SLOT = 2.0
@@ -501,6 +505,7 @@
                     await self._drain()
         except TimeoutError:
             self._log.write(_events.DRAIN_CUT_SHORT, drain_ms=drain_ms)
+            await self._answer_late()
             self.components.planned_stop.is_over = True
             self.forward_receiver.abort()
             await self.caller_listener.kill()
@@ -517,12 +522,26 @@
         )
 
     async def _answer_in_time(self, window):
-        """Respond to all requests before the stop ends.
+        """Respond to all requests before the stop ends."""
+        await self.clock.sleep(window.answers_until - self.clock.monotonic())
+        await self._end_requests()
+
+    async def _answer_late(self):
+        """Respond to requests that wait, as the process stood still."""
+        give_up_at = self.clock.monotonic() + LATE_ANSWER_TIME
+        if self.callers.has_unanswered():
+            await self._end_requests()
+        while self.callers.has_unanswered():
+            if self.clock.monotonic() >= give_up_at:
+                return
+            await self.clock.sleep(LATE_ANSWER_POLL)
+
+    async def _end_requests(self):
+        """End all requests whose responses have not begun.
 
         Those that wait for admission are known not to have run.
         """
         components = self.components
-        await self.clock.sleep(window.answers_until - self.clock.monotonic())
         refusal = _planned_stop.build_refusal()
         components.admission_task.refuse_waiting(refusal)
         await self.clock.sleep(REFUSAL_TIME)
--- a/buckthorntack/node/tests/test_stop_with_limit.py
+++ b/buckthorntack/node/tests/test_stop_with_limit.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import re
+import time
 
 import httpx
 import pytest
@@ -12,6 +13,10 @@
 
 NOTICE_MS = 400
 DRAIN_MS = 700
+#: Time from the stop signal to a pause, and its length.  It begins before
+#: requests in progress are ended and lasts beyond the limit of the stop.
+PAUSE_AT_S = 0.78
+PAUSE_S = 0.5
 #: Longer than the whole stop.
 RUN_MS = 8000.0
 TOKEN_MS = 150.0
@@ -189,3 +194,28 @@
         asked.cancel()
 
     harness.run(scenario())
+
+
+# Guards against requests in progress that are cut off without an answer, as
+# the process stood still at the time at which it had to answer them.
+def test_requests_are_cut_without_an_answer_after_a_pause(harness):
+    async def scenario():
+        node = harness.deployment.nodes["fukuoka-a-1"]
+        url = node.entry.caller_listener.url
+        key = harness.deployment.key_prefix("fukuoka") + "pause"
+        pending = [
+            asyncio.create_task(harness.send_booking(url, key, "pause")),
+            asyncio.create_task(_look_up(harness, url, "pause")),
+        ]
+        callers = node.entry.callers
+        await _harness.wait_until(lambda: callers.in_progress == len(pending))
+        await _harness.wait_until(lambda: harness.list_runs("pause"))
+        loop = asyncio.get_running_loop()
+        loop.call_later(PAUSE_AT_S, time.sleep, PAUSE_S)
+        await harness.deployment.stop_node("fukuoka-a-1")
+        answers = await asyncio.gather(*pending)
+        assert [answer and answer.status for answer in answers] == [504] * 2
+        for answer in answers:
+            assert _harness.run_state(answer) == "unknown"
+
+    harness.run(scenario())
