Parse reads in slices, and check limits after each

Clients that sent header lines without end, or small requests without end behind a slow one, took up to 95 and 172 MB of a process with 80 MB (60 and 200 clients). Each read of 64 KiB was parsed whole before its size was checked, and became thousands of objects; pipelined requests of one read all waited.

A read is now parsed in slices of 4,096 bytes. After a refusal nothing more is parsed, and what is far behind the request in progress stays bytes. While it does, the header timeout does not run, as the client can't send then.

Both new tests of the listener fail on the code before: 7,999 lines parsed (bound 2,560), 999 requests waiting (bound 160).

--- a/buckthorntack/http1/_server.py
+++ b/buckthorntack/http1/_server.py
@@ -24,6 +24,9 @@
 BACKLOG_CONNECTIONS = 1024
 #: Pipelined requests queued for each connection before reading pauses.
 MAX_PIPELINED_REQUESTS = 8
+#: Bytes that are parsed before limits are checked again, as parsed requests
+#: take many times the memory of their bytes.
+SLICE_BYTES = 4096
 #: Size of the write buffer above which a handler waits for its client.
 HIGH_WATER_BYTES = 64 * 1024
 #: Time without acknowledgement of sent bytes after which a client counts as
@@ -280,6 +283,9 @@
         #: Set when the connection may hold more.
         self.has_room = asyncio.Event()
         self.waiting = collections.deque()
+        #: Bytes received that are not parsed yet.
+        self._unparsed = bytearray()
+        self._is_parsing = False
         self.task = None
         #: Request and response in progress; None while there is none.
         self._current = None
@@ -531,6 +537,7 @@
 
     def connection_lost(self, exc):
         self._record_unanswered(exc)
+        self._unparsed.clear()
         self.listener.connections.discard(self)
         self._clear_timer()
         self.writable.set()
@@ -559,10 +566,51 @@
 
     def data_received(self, data):
         if self.refused:
-            self._linger_bytes += len(data)
-            if self._linger_bytes > MAX_LINGER_BYTES:
+            self._drop(len(data))
+            return
+        self._unparsed += data
+        self._parse()
+        self._read_size.end_read(len(data))
+
+    def _drop(self, size_bytes):
+        """Count bytes that follow a request that is refused."""
+        self._linger_bytes += size_bytes
+        if self._linger_bytes > MAX_LINGER_BYTES:
+            self.transport.pause_reading()
+
+    def _parse(self):
+        """Parse what was received; keep what would be too far ahead."""
+        self._is_parsing = True
+        try:
+            self._parse_slices()
+        finally:
+            self._is_parsing = False
+        if self.refused:
+            self._drop(len(self._unparsed))
+            self._unparsed.clear()
+
+    def _parse_slices(self):
+        while self._unparsed and not self.refused:
+            if len(self.waiting) > MAX_PIPELINED_REQUESTS:
+                # Its client can't send while nothing is read.
+                self._clear_timer()
                 self.transport.pause_reading()
+                return
+            piece = bytes(self._unparsed[:SLICE_BYTES])
+            del self._unparsed[:SLICE_BYTES]
+            self._feed(piece)
+
+    def _parse_on(self):
+        """Parse what had to wait."""
+        if self._is_parsing or not self._unparsed:
             return
+        if self._is_reading:
+            self._start_reading()
+        self.transport.resume_reading()
+        self._parse()
+
+    def _feed(self, data):
+        """Parse some bytes, then check what they belong to."""
         if self._is_reading_head:
             self._head_bytes += len(data)
         else:
@@ -575,7 +623,6 @@
             self._reject(400, "upgrades are not supported")
         except httptools.HttpParserError as error:
             self._reject(400, f"not HTTP/1.1: {error}")
-        self._read_size.end_read(len(data))
         if self._is_reading_head:
             self._check_head_size()
         elif self._framing_bytes > self.listener.limits().header_bytes:
@@ -643,8 +690,6 @@
         self.waiting.append((request, response))
         if self.task is None:
             self._start_next_request()
-        elif len(self.waiting) > MAX_PIPELINED_REQUESTS:
-            self.transport.pause_reading()
 
     def _find_framing_error(self):
         """Return the fault of the message framing; empty if there is none.
@@ -730,14 +775,14 @@
         self._current = None
         if not self.waiting:
             self.task = None
-            self._wait_for_request()
+            self._parse_on()
+            if self.task is None and not self.refused:
+                self._wait_for_request()
             return
         request, response = self.waiting.popleft()
         if request is None:
             self._send_error(*response)
             return
-        if len(self.waiting) <= MAX_PIPELINED_REQUESTS:
-            self.transport.resume_reading()
         self._current = (request, response)
         if self.has_client_left():
             self.task = None
@@ -748,6 +793,7 @@
             self.task.add_done_callback(
                 lambda _: self._on_handled(request, response)
             )
+        self._parse_on()
 
     def _on_handled(self, request, response):
         """Give back what the request held, also if it was cancelled."""
--- a/buckthorntack/http1/tests/test_endless_requests.py
+++ b/buckthorntack/http1/tests/test_endless_requests.py
@@ -8,6 +8,7 @@
 from buckthorntack import http1
 from buckthorntack import transport
 from buckthorntack.http1 import _read_size
+from buckthorntack.http1 import _server
 from buckthorntack.http1.tests import endless
 
 TEST_TIMEOUT_S = 20
@@ -134,3 +135,52 @@
     request = b"GET /%b HTTP/1.1\r\nHost: a\r\n\r\n" % (b"a" * 20_000)
     _, response = asyncio.run(exchange([request]))
     assert response.startswith(b"HTTP/1.1 431")
+
+
+# Guards against a read of short lines that becomes many times as large in
+# memory before its size is checked.
+def test_lines_over_the_limit_are_not_all_parsed(monkeypatch):
+    parsed = []
+    monkeypatch.setattr(
+        _server._ServerConnection,
+        "on_header",
+        lambda connection, name, value: parsed.append(name),
+    )
+    lines = b"GET / HTTP/1.1\r\n" + b"X-A: b\r\n" * 8000
+    asyncio.run(exchange([lines]))
+    limit_bytes = LIMITS.header_bytes + _server.SLICE_BYTES
+    assert 0 < len(parsed) <= limit_bytes // len(b"X-A: b\r\n")
+
+
+# Guards against a read of small requests that all wait as objects.
+def test_requests_far_ahead_are_parsed_later():
+    async def scenario():
+        gate = asyncio.Event()
+
+        async def answer_later(request, reply):
+            await gate.wait()
+            reply.send(200, [], b"")
+
+        sock = transport.bind_listener("127.0.0.1:0")
+        listener = http1.Listener(sock, answer_later, lambda: LIMITS)
+        request = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+        count = 1000
+        async with asyncio.timeout(TEST_TIMEOUT_S), listener:
+            host, _, port = listener.address.rpartition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(request * count)
+            while not listener.connections:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+            [connection] = listener.connections
+            while connection.transport.is_reading():  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+            most = _server.MAX_PIPELINED_REQUESTS
+            most += _server.SLICE_BYTES // len(request) + 1
+            assert len(connection.waiting) <= most
+            gate.set()
+            for _ in range(count):
+                head = await reader.readuntil(b"\r\n\r\n")
+                assert head.startswith(b"HTTP/1.1 200")
+            writer.close()
+
+    asyncio.run(scenario())
