Count heads of requests in the budget of memory

Clients that sent legal heads of short lines behind a slow request took up to 407 MB of an entry VM with 80 MB in its settings, heads without their end 97 MB (200 clients). Header fields are objects many times the size of their bytes, and they counted for nothing, in a head that is open, waits or is handled.

What a head takes in memory now counts as held until its answer is complete: its bytes and 144 for each field (139 measured with tracemalloc for a name of 5 bytes and a value of 3). One that finds no room in half of what is free is refused with 503 before it is handled, so nothing of it has run; as with bodies, those who hold much are refused first. Behind a request in progress, parsed requests beyond 64 KiB of memory wait as bytes instead.

--- a/buckthorntack/gateway/_metrics.py
+++ b/buckthorntack/gateway/_metrics.py
@@ -156,8 +156,7 @@
             )
         self._serve_number(
             "gateway_memory_refusals",
-            "Requests refused since the start as their bodies found no"
-            " memory.",
+            "Requests refused since the start as they found no memory.",
             lambda: budget.refusals,
         )
         self._serve_number(
--- a/buckthorntack/http1/_memory.py
+++ b/buckthorntack/http1/_memory.py
@@ -19,7 +19,10 @@
 ANSWER_FREE_SHARE = 0.25
 #: Size that one more read may have, for which there must be room as well.
 READ_BYTES = 65_536
-#: Part of the free budget up to which the body of a request may have.
+#: What a header field takes in memory besides the bytes of its name and
+#: value: a tuple, two objects and its place in a list.
+FIELD_BYTES = 144
+#: Part of the free budget up to which head or body of a request may have.
 BODY_FREE_SHARE = 0.5
 #: Multiple of the free budget up to which one organisation may hold: with 1,
 #: an organisation that is alone gets half of the budget.
@@ -33,7 +36,8 @@
 class Purpose(enum.Enum):
     """What bytes are held for."""
 
-    #: Bodies of requests, until their answers are complete.
+    #: Requests, also those that are not read whole, until their answers are
+    #: complete.
     REQUEST = "request"
     #: Bytes of requests that a server has not taken yet.
     SENDING = "sending"
@@ -75,7 +79,7 @@
         self.peak_bytes = 0
         self.by_purpose = dict.fromkeys(Purpose, 0)
         self.by_owner = collections.Counter()
-        #: Requests whose bodies were refused.
+        #: Requests that were refused as they found no room.
         self.refusals = 0
         self._reported_s = None
 
@@ -90,9 +94,10 @@
         return self.free_bytes < SHORT_SHARE * self.bounds.total_bytes
 
     def has_room(self, size_bytes, owner=""):
-        """Return whether a body of a request finds room.
+        """Return whether a head or a body of a request finds room.
 
-        :param size_bytes: size of the body, without what is held of it.
+        :param size_bytes: size of the head, or of the body without what is
+            held of it.
         :param owner: organisation of the request; empty if it has none.
         """
         if size_bytes > BODY_FREE_SHARE * self.free_bytes:
--- a/buckthorntack/http1/_memory_watch.py
+++ b/buckthorntack/http1/_memory_watch.py
@@ -66,7 +66,7 @@
                 connection.pause_if_full()
 
     def record_refusal(self):
-        """Count a request whose body finds no room."""
+        """Count a request that finds no room."""
         self.budget.refusals += 1
         self._report()
 
--- a/buckthorntack/http1/_server.py
+++ b/buckthorntack/http1/_server.py
@@ -24,6 +24,8 @@
 BACKLOG_CONNECTIONS = 1024
 #: Pipelined requests queued for each connection before reading pauses.
 MAX_PIPELINED_REQUESTS = 8
+#: What they may take in memory before reading pauses.
+MAX_AHEAD_BYTES = 65_536
 #: Bytes that are parsed before limits are checked again, as parsed requests
 #: take many times the memory of their bytes.
 SLICE_BYTES = 4096
@@ -122,6 +124,8 @@
         self.ended = False
         #: ``Account`` of the connection; None if nothing is bounded.
         self.account = connection.account
+        #: What the request takes in memory.
+        self.request_bytes = 0
         self._relayed = connection.create_holding(_memory.Purpose.RELAY)
         self._chunked = False
         self._ends_at_close = False
@@ -286,6 +290,9 @@
         #: Bytes received that are not parsed yet.
         self._unparsed = bytearray()
         self._is_parsing = False
+        #: What requests take that are read whole, and those of them that wait.
+        self._whole_bytes = 0
+        self._ahead_bytes = 0
         self.task = None
         #: Request and response in progress; None while there is none.
         self._current = None
@@ -365,10 +372,15 @@
         """
         return self._answer_held.size_bytes > 0 and self.account.is_over
 
-    def _hold_requests(self, delta_bytes):
+    def _hold_requests(self):
+        """Count what is held of requests."""
         if self._requests_held is not None:
-            held = self._requests_held
-            held.set(max(0, held.size_bytes + delta_bytes))
+            self._requests_held.set(
+                self._whole_bytes
+                + self._head_memory_bytes
+                + self._body_bytes
+                + len(self._unparsed)
+            )
 
     def _reset_request(self):
         self._target = b""
@@ -376,6 +388,8 @@
         self._body = bytearray()
         self._body_bytes = 0
         self._head_bytes = 0
+        #: What the head takes in memory.
+        self._head_memory_bytes = 0
         #: Bytes received since the head or the last byte of the body.
         self._framing_bytes = 0
         self._is_reading_head = True
@@ -550,10 +564,10 @@
             self._drop_requests()
 
     def _drop_requests(self):
-        self._body = bytearray()
+        self._reset_request()
         self.waiting.clear()
-        if self._requests_held is not None:
-            self._requests_held.set(0)
+        self._whole_bytes = 0
+        self._hold_requests()
 
     def pause_writing(self):
         self.writable.clear()
@@ -588,10 +602,11 @@
         if self.refused:
             self._drop(len(self._unparsed))
             self._unparsed.clear()
+        self._hold_requests()
 
     def _parse_slices(self):
         while self._unparsed and not self.refused:
-            if len(self.waiting) > MAX_PIPELINED_REQUESTS:
+            if self._is_far_ahead():
                 # Its client can't send while nothing is read.
                 self._clear_timer()
                 self.transport.pause_reading()
@@ -600,6 +615,12 @@
             del self._unparsed[:SLICE_BYTES]
             self._feed(piece)
 
+    def _is_far_ahead(self):
+        """Whether requests wait that are many or large."""
+        return self._ahead_bytes > MAX_AHEAD_BYTES or (
+            len(self.waiting) > MAX_PIPELINED_REQUESTS
+        )
+
     def _parse_on(self):
         """Parse what had to wait."""
         if self._is_parsing or not self._unparsed:
@@ -625,6 +646,7 @@
             self._reject(400, f"not HTTP/1.1: {error}")
         if self._is_reading_head:
             self._check_head_size()
+            self._check_head_memory()
         elif self._framing_bytes > self.listener.limits().header_bytes:
             self._reject(431, "a chunk line or the trailers are too large")
 
@@ -635,8 +657,10 @@
         self._target += url
 
     def on_header(self, name, value):
-        if self._is_reading_head:
+        if self._is_reading_head and not self.refused:
             self._headers.append((name, value))
+            self._head_memory_bytes += _memory.FIELD_BYTES
+            self._head_memory_bytes += len(name) + len(value)
 
     def on_headers_complete(self):
         self._is_reading_head = False
@@ -645,6 +669,7 @@
             self._reject(400, fault)
             return
         self._check_head_size()
+        self._check_head_memory()
         length = self._parse_content_length()
         self._check_body_size(length)
         if length and not self.refused:
@@ -667,7 +692,7 @@
             return
         self._body += body
         self._body_bytes += len(body)
-        self._hold_requests(len(body))
+        self._hold_requests()
 
     def on_message_complete(self):
         if self.refused:
@@ -685,6 +710,9 @@
             self._parser.get_http_version(),
             request.method == b"HEAD",
         )
+        response.request_bytes = self._head_memory_bytes + len(request.body)
+        self._whole_bytes += response.request_bytes
+        self._ahead_bytes += response.request_bytes
         self._reset_request()
         self._clear_timer()
         self.waiting.append((request, response))
@@ -728,6 +756,15 @@
         if size > self.listener.limits().header_bytes:
             self._reject(431, "the header is too large")
 
+    def _check_head_memory(self):
+        """Refuse the request if its head finds no room."""
+        memory = self.listener.memory
+        if memory is None or self.refused:
+            return
+        self._hold_requests()
+        if not memory.watch.budget.has_room(self._head_memory_bytes):
+            self._refuse_for_memory("no memory for the header")
+
     def _check_memory(self, size_bytes):
         """Refuse the request if what is to come of its body finds no room."""
         memory = self.listener.memory
@@ -736,14 +773,14 @@
         owner = self.account.owner
         if self._body_bytes + size_bytes > LARGE_BODY_BYTES:
             owner = memory.find_owner(self._headers)
-        if memory.watch.budget.has_room(size_bytes, owner):
-            return
+        if not memory.watch.budget.has_room(size_bytes, owner):
+            self._refuse_for_memory("no memory for the body")
+
+    def _refuse_for_memory(self, detail):
+        memory = self.listener.memory
         memory.watch.record_refusal()
-        self._reject(
-            503,
-            "no memory for the body",
-            memory.build_refusal_headers(self._headers),
-        )
+        headers = memory.build_refusal_headers(self._headers)
+        self._reject(503, detail, headers)
 
     def _check_body_size(self, size_bytes):
         if size_bytes > self.listener.limits().body_bytes:
@@ -758,9 +795,11 @@
             return
         self.refused = True
         self._clear_timer()
-        self._hold_requests(-self._body_bytes)
+        self._headers = []
+        self._head_memory_bytes = 0
         self._body = bytearray()
         self._body_bytes = 0
+        self._hold_requests()
         self.listener.log.write(
             _events.REQUEST_MALFORMED,
             peer=self.peer,
@@ -783,6 +822,7 @@
         if request is None:
             self._send_error(*response)
             return
+        self._ahead_bytes -= response.request_bytes
         self._current = (request, response)
         if self.has_client_left():
             self.task = None
@@ -790,18 +830,17 @@
             return
         self.task = self.loop.create_task(self._handle(request, response))
         if self.account is not None:
-            self.task.add_done_callback(
-                lambda _: self._on_handled(request, response)
-            )
+            self.task.add_done_callback(lambda _: self._on_handled(response))
         self._parse_on()
 
-    def _on_handled(self, request, response):
+    def _on_handled(self, response):
         """Give back what the request held, also if it was cancelled."""
         response.note_buffered(0)
         if self.transport.is_closing():
             self._drop_requests()
         else:
-            self._hold_requests(-len(request.body))
+            self._whole_bytes -= response.request_bytes
+            self._hold_requests()
 
     def _send_error(self, status, detail, headers):
         """Send an error and close.
