Let the group form before its control VM is started again

Run alone, the cases of a control VM failed in their setup (7 of 7): the first one ended a control VM before its group had formed. They wait for the first configuration now; crowds and bounds are the same.

--- a/tools/soak/tests/test_hostile_clients.py
+++ b/tools/soak/tests/test_hostile_clients.py
@@ -108,11 +108,13 @@
     async def start_anew(self, listener):
         """Start the process of a listener again, so that nothing is left."""
         node = self.find_node(listener)
+        document = _standins.configuration(5)
+        body = json.dumps(document).encode()
+        # A control VM must not end before its group has formed.
+        await until(lambda: self._configure(body))
         await node.kill()
         await node.start()
         await node.wait_started()
-        document = _standins.configuration(5)
-        body = json.dumps(document).encode()
         await until(lambda: self._configure(body))
         await until(lambda: self.is_answered(listener))
         return node
