Bound what all listeners of a VM hold, not those of requests only

Bodies that stop short of their end took up to 282 MB of a control VM and 286 MB of an entry VM at its directory, open heads 96 MB of a control VM, each with 80 MB in its settings (60 and 200 clients). Only the listeners of callers and of forwarded requests of an entry VM had a budget.

All listeners of a VM share its budget now, also those of control VMs. Their refusals are as before: 503 with Retry-After, of a request that was not handled.

--- a/buckthorntack/gateway/_entry.py
+++ b/buckthorntack/gateway/_entry.py
@@ -61,8 +61,6 @@
         self.origin_task = None
         self.incarnation_task = None
         self.reachability_task = None
-        #: ``http1.MemoryWatch``; None if the settings bound nothing.
-        self.memory_watch = None
         #: Relay of usage reports at the last ``relay_changed`` event.
         self._logged_relay = ""
         #: Scope of the last directory answer, by the caller's region and its
@@ -120,7 +118,9 @@
             self.reachability_task,
         )
         limits = self.shared_state.limits
-        self._start_memory_watch()
+        self.shared_state.memory_watch = self.memory_watch
+        if self.memory_watch is not None:
+            self.metrics.serve_memory(self.memory_watch)
         self.forward_listener = await self._listen(
             "forward",
             settings.forward_address,
@@ -159,13 +159,6 @@
         ):
             await enter(_supervision.supervise(work))
 
-    def _start_memory_watch(self):
-        self.memory_watch = _memory.create_watch(self.settings)
-        self.shared_state.memory_watch = self.memory_watch
-        if self.memory_watch is not None:
-            self._stack.enter_context(self.memory_watch)
-            self.metrics.serve_memory(self.memory_watch)
-
     def _listener_memory(self, run_state_header=b""):
         """Return the ``http1.ListenerMemory``; None for no bound."""
         if self.memory_watch is None:
--- a/buckthorntack/gateway/_memory.py
+++ b/buckthorntack/gateway/_memory.py
@@ -1,4 +1,4 @@
-"""What an entry VM tells its listeners of requests that find no memory."""
+"""What nodes tell their listeners of requests that find no memory."""
 
 from buckthorntack import errors
 from buckthorntack import http1
@@ -30,6 +30,25 @@
     return http1.READ_BYTES // 2 if settings.memory_mb else None
 
 
+def build_listener_memory(watch, dialect):
+    """Return what a listener needs whose callers have no organisations.
+
+    :param watch: the ``http1.MemoryWatch``; None for no bound.
+    :param dialect: the ``Dialect``.
+    :returns: ``http1.ListenerMemory``; None for no bound.
+    """
+    if watch is None:
+        return None
+
+    def build_refusal_headers(headers):
+        request_id = http1.find_header(headers, dialect.request_id_header)
+        return dialect.build_local_headers(request_id or b"", RETRY_AFTER_MS)
+
+    return http1.ListenerMemory(
+        watch, lambda headers: "", build_refusal_headers
+    )
+
+
 class BodyRefusals:
     """Who sent a request whose body is not read yet, and its refusal.
 
--- a/buckthorntack/gateway/_node.py
+++ b/buckthorntack/gateway/_node.py
@@ -12,6 +12,7 @@
 from buckthorntack import shutdown
 from buckthorntack import transport
 from buckthorntack.gateway import _events
+from buckthorntack.gateway import _memory
 from buckthorntack.gateway import _metrics_endpoint
 
 _MS = datetime.timedelta(milliseconds=1)
@@ -46,6 +47,8 @@
             rng.getrandbits(40) + 1, self.timing, clock.monotonic()
         )
         self.metrics_registry = prometheus_client.CollectorRegistry()
+        #: ``http1.MemoryWatch``; None if the settings bound nothing.
+        self.memory_watch = None
         self._log = events.EventLog("gateway")
         self._stack = contextlib.AsyncExitStack()
         self._all_listeners = []
@@ -53,6 +56,7 @@
     async def __aenter__(self):
         await self._stack.__aenter__()
         try:
+            self._start_memory_watch()
             await self._start()
         except BaseException:
             await self._stack.aclose()
@@ -78,6 +82,11 @@
             event, node=settings.node_name, role=settings.role, **fields
         )
 
+    def _start_memory_watch(self):
+        self.memory_watch = _memory.create_watch(self.settings)
+        if self.memory_watch is not None:
+            self._stack.enter_context(self.memory_watch)
+
     async def _listen(
         self, name, address, handle, limits=http1.Limits, memory=None
     ):
@@ -87,7 +96,8 @@
         :param address: address to bind if there is no such socket.
         :param handle: handler of requests.
         :param limits: function that returns the ``http1.Limits``.
-        :param memory: ``http1.ListenerMemory``; None for no bound.
+        :param memory: ``http1.ListenerMemory``; None if its callers have no
+            organisations.
         :returns: ``http1.Listener``.
         """
         sock = self.listeners.get(name)
@@ -95,6 +105,10 @@
             sock = transport.bind_listener(
                 self.settings.to_bind_address(address)
             )
+        if memory is None:
+            memory = _memory.build_listener_memory(
+                self.memory_watch, self.dialect
+            )
         id_header = self.dialect.request_id_header
         listener = http1.Listener(sock, handle, limits, memory, id_header)
         self._all_listeners.append(listener)
