Limit connections of clients below the descriptors of a process

Beside 200 clients that begin a request and wait, with 128 descriptors for the process, no ordinary request was answered within 30 s, at an entry VM and at a control VM (two runs each): the clients took all descriptors, so that none was left for new clients, servers and links.

Clients of all listeners of a node may take two thirds of its descriptors (2,733 of 4,100). Beyond, a new connection takes the place of the one that was used longest ago and has no request in progress. An idle one is closed, a request that is not whole gets 503, as nothing of it has run; if all have requests in progress, the new one is reset.

--- a/buckthorntack/gateway/_node.py
+++ b/buckthorntack/gateway/_node.py
@@ -52,6 +52,7 @@
         self._log = events.EventLog("gateway")
         self._stack = contextlib.AsyncExitStack()
         self._all_listeners = []
+        self._connection_limit = http1.ConnectionLimit()
 
     async def __aenter__(self):
         await self._stack.__aenter__()
@@ -110,7 +111,9 @@
                 self.memory_watch, self.dialect
             )
         id_header = self.dialect.request_id_header
-        listener = http1.Listener(sock, handle, limits, memory, id_header)
+        listener = http1.Listener(
+            sock, handle, limits, memory, id_header, self._connection_limit
+        )
         self._all_listeners.append(listener)
         return await self._stack.enter_async_context(listener)
 
--- a/buckthorntack/http1/__init__.py
+++ b/buckthorntack/http1/__init__.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 server for callers and HTTP/1.1 client for backend servers."""
 
 from buckthorntack.http1._client import Connection
+from buckthorntack.http1._connection_limit import ConnectionLimit
 from buckthorntack.http1._errors import ConnectError
 from buckthorntack.http1._errors import IncompleteResponseError
 from buckthorntack.http1._errors import UnexpectedResponseError
@@ -43,6 +44,7 @@
     "ResponseHead",
     "ConnectError",
     "Connection",
+    "ConnectionLimit",
     "ConnectionPool",
     "UnexpectedResponseError",
     "UnreadResponseError",
--- a/buckthorntack/http1/_server.py
+++ b/buckthorntack/http1/_server.py
@@ -16,12 +16,16 @@
 
 from buckthorntack import events
 from buckthorntack import transport as transports
+from buckthorntack.http1 import _connection_limit
 from buckthorntack.http1 import _events
 from buckthorntack.http1 import _memory
 from buckthorntack.http1 import _messages
 from buckthorntack.http1 import _read_size
 
 BACKLOG_CONNECTIONS = 1024
+#: Connections accepted in a turn of the event loop, as those that give way to
+#: them keep their descriptors for some turns.
+ACCEPTS_AT_ONCE = 4
 #: Pipelined requests queued for each connection before reading pauses.
 MAX_PIPELINED_REQUESTS = 8
 #: What they may take in memory before reading pauses.
@@ -86,6 +90,8 @@
     #: The response to an earlier request announced the end.
     RESPONSE_SENT = "response_sent"
     REQUEST_REFUSED = "request_refused"
+    #: Newer connections need its descriptor.
+    CONNECTION_LIMIT = "connection_limit"
     IDLE_TIMEOUT = "idle_timeout"
     LISTENER_STOPPING = "listener_stopping"
     LISTENER_CLOSED = "listener_closed"
@@ -411,7 +417,9 @@
         host, port = transport.get_extra_info("peername")[:2]
         self.peer = f"{host}:{port}"
         self.listener.connections.add(self)
-        if self.listener.is_stopped:
+        if not self.listener.connection_limit.add(self):
+            self.abort(EndReason.CONNECTION_LIMIT)
+        elif self.listener.is_stopped:
             # Its client has not been told of the stop.
             self._start_reading()
         else:
@@ -434,6 +442,23 @@
         else:
             self._start_reading()
 
+    def give_way(self):
+        """Close the connection unless a request is in progress.
+
+        :returns: whether it closes.
+        """
+        transport = self.transport
+        if self.task is not None or transport.is_closing():
+            return False
+        if transport.get_write_buffer_size():
+            return False
+        if self._is_reading:
+            self._refuse("too many connections")
+        elif not self._is_lingering and self._count_unread():
+            return False
+        self.close(EndReason.CONNECTION_LIMIT)
+        return True
+
     def _count_unread(self):
         sock = self.transport.get_extra_info("socket")
         return transports.count_unread(sock)
@@ -558,6 +583,7 @@
         self._record_unanswered(exc)
         self._unparsed.clear()
         self.listener.connections.discard(self)
+        self.listener.connection_limit.discard(self)
         self._clear_timer()
         self.writable.set()
         self.has_room.set()
@@ -789,9 +815,15 @@
             self._refuse_for_memory("no memory for the body")
 
     def _refuse_for_memory(self, detail):
+        self.listener.memory.watch.record_refusal()
+        self._refuse(detail)
+
+    def _refuse(self, detail):
+        """Refuse a request that is not handled, and may be sent again."""
         memory = self.listener.memory
-        memory.watch.record_refusal()
-        headers = memory.build_refusal_headers(self._headers)
+        headers = ()
+        if memory is not None:
+            headers = memory.build_refusal_headers(self._headers)
         self._reject(503, detail, headers)
 
     def _check_body_size(self, size_bytes):
@@ -905,6 +937,7 @@
         if self._is_reading:
             return
         self._idle_since_s = self.loop.time()
+        self.listener.connection_limit.renew(self)
         if self.listener.is_stopped:
             self.is_last_request_due = True
             if self._timer is not None:
@@ -967,10 +1000,18 @@
     :param memory: ``ListenerMemory``; None to bound each connection alone.
     :param id_header: header field with the id of a request, in lower case;
         empty if requests have none.
+    :param connection_limit: the ``ConnectionLimit`` that listeners of the
+        process share; None for one of its own.
     """
 
     def __init__(
-        self, sock, handle, limits=Limits, memory=None, id_header=b""
+        self,
+        sock,
+        handle,
+        limits=Limits,
+        memory=None,
+        id_header=b"",
+        connection_limit=None,
     ):
         self.sock = sock
         self.handle = handle
@@ -978,6 +1019,9 @@
         self.memory = memory
         self.id_header = id_header
         self.connections = set()
+        self.connection_limit = (
+            connection_limit or _connection_limit.ConnectionLimit()
+        )
         #: Number of requests that were read whole and not answered, by
         #: ``EndReason``.
         self.unanswered = collections.Counter()
@@ -1009,8 +1053,9 @@
         self._server = await loop.create_server(
             lambda: _ServerConnection(self),
             sock=self.sock,
-            backlog=BACKLOG_CONNECTIONS,
+            backlog=ACCEPTS_AT_ONCE,
         )
+        self.sock.listen(BACKLOG_CONNECTIONS)
         self.log.write(_events.LISTENING, address=self.address)
         return self
 
