Look up the organisation of a large body once

Since bodies are checked by slices, the organisation of one above 64 KiB was looked up for each slice of 4,096 bytes, which reads its header fields again. It is looked up once for a request now. The new test expects one lookup for a body of 500,000 bytes.

--- a/buckthorntack/http1/_server.py
+++ b/buckthorntack/http1/_server.py
@@ -398,6 +398,8 @@
         self._headers = []
         self._body = bytearray()
         self._body_bytes = 0
+        #: Organisation of a large body; None until it was looked up.
+        self._owner = None
         self._head_bytes = 0
         #: What the head takes in memory.
         self._head_memory_bytes = 0
@@ -810,7 +812,9 @@
             return
         owner = self.account.owner
         if self._body_bytes + size_bytes > LARGE_BODY_BYTES:
-            owner = memory.find_owner(self._headers)
+            if self._owner is None:
+                self._owner = memory.find_owner(self._headers)
+            owner = self._owner
         if not memory.watch.budget.has_room(size_bytes, owner):
             self._refuse_for_memory("no memory for the body")
 
--- a/buckthorntack/http1/tests/test_slow_peers.py
+++ b/buckthorntack/http1/tests/test_slow_peers.py
@@ -240,6 +240,25 @@
     run(scenario, memory_mb=16)
 
 
+# Guards against a lookup for each slice of a body.
+def test_organisation_of_a_large_body_is_looked_up_once():
+    async def scenario(relay):
+        lookups = []
+
+        def find_owner(headers):
+            lookups.append(headers)
+            return "shop"
+
+        relay.front.memory = relay.front.memory._replace(find_owner=find_owner)
+        reader, writer = await relay.ask(b"small", b"a" * 500_000)
+        head, _ = await read_answer(reader)
+        assert head.startswith(b"HTTP/1.1 200")
+        assert len(lookups) == 1
+        writer.close()
+
+    run(scenario)
+
+
 # Guards against large heads that wait as objects behind a slow request.
 def test_large_heads_behind_a_request_stay_bytes():
     async def scenario(relay):
