Read heads of lines without the optional space up to the limit

A head of 16,200 bytes in lines of four bytes got 431, though the limit is 16,384: each field was counted with the space after its colon, which is optional. The new test failed before (431).

--- a/buckthorntack/http1/_server.py
+++ b/buckthorntack/http1/_server.py
@@ -807,6 +807,8 @@
         if not self._is_reading_head:
             size = len(self._target)
             size += _messages.count_header_bytes(self._headers)
+            # The space after each colon is optional.
+            size -= len(self._headers)
         if size > self.listener.limits().header_bytes:
             self._reject(431, "the header is too large")
 
--- a/buckthorntack/http1/tests/test_listener.py
+++ b/buckthorntack/http1/tests/test_listener.py
@@ -159,6 +159,21 @@
     run(scenario, limits=lambda: limits)
 
 
+# Guards against a refusal of a legal head whose lines have no optional space.
+def test_head_of_short_lines_below_the_limit_is_read():
+    async def scenario(harness):
+        limit = http1.Limits().header_bytes
+        head = b"GET / HTTP/1.1\r\nHost: a\r\n"
+        head += b"a:\r\n" * ((limit - len(head) - 2) // 4)
+        reader, writer = await harness.connect()
+        writer.write(head + b"\r\n")
+        response, _ = await read_response(reader)
+        assert response.startswith(b"HTTP/1.1 200 ")
+        writer.close()
+
+    run(scenario)
+
+
 def test_request_that_stops_arriving_is_refused():
     limits = http1.Limits(header_timeout_s=0.1)
 
