Close the connections of the crowd of the descriptor test

The crowd of 200 clients of test_crowd_leaves_descriptors_to_others left its connections open when it was cancelled; they were collected after their event loop had been closed, in whichever test ran then. Each client aborts its connection now.

--- a/tools/soak/tests/test_hostile_clients.py
+++ b/tools/soak/tests/test_hostile_clients.py
@@ -385,10 +385,12 @@
         with contextlib.suppress(OSError, TimeoutError):
             async with asyncio.timeout(SEND_S):
                 reader, writer = await asyncio.open_connection(host, int(port))
-            writer.write(b"GET /safe/")
-            with contextlib.suppress(OSError):
-                await reader.read()
-            writer.transport.abort()
+            try:
+                writer.write(b"GET /safe/")
+                with contextlib.suppress(OSError):
+                    await reader.read()
+            finally:
+                writer.transport.abort()
         await asyncio.sleep(LOOK_S)
 
 
