--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -1635,6 +1635,8 @@
                 now - view.last_heard_at
             )
             fields["software_version"] = view.record.software_version
+            fields["born_ms"] = view.record.born_ms
+            fields["is_cold"] = self.shared_state.dispatcher.is_cold(view, now)
         stream = self.stream
         last_event_id = (
             self.metadata.last_event_id
