Count servers that may have started again as cold

Cause: the record of a server describes the start that announced it, and entry VMs took it for the state of whatever listened at its address. They saw the end of that start (broken and refused connections) and then a new connection that opened, and sent as to a warm server until the announcement of the new start came by way of the control VMs. Class: state of one incarnation that is kept over evidence that it may have ended.

Change: after such a failure a server counts as cold until its health path tells for how long it is, or a start that came meanwhile must have warmed up. Entry VMs of a region tell each other both. Requests that waited for a connection are checked again before they are sent. Connections that rest and are closed early let the server be asked, without a change of its rate.

--- a/buckthorntack/directives/_types.py
+++ b/buckthorntack/directives/_types.py
@@ -82,6 +82,8 @@
     warmup_per_s: float
     #: Profile of the model engines; None if the service has none.
     engine: EngineProfile | None
+    #: Time for which a server is cold after its start.
+    warmup: datetime.timedelta = datetime.timedelta()
 
 
 class QuotaUnit(enum.StrEnum):
--- a/buckthorntack/dispatch/__init__.py
+++ b/buckthorntack/dispatch/__init__.py
@@ -21,6 +21,11 @@
         "buckthorntack.dispatch._prompts": ("Part", "PrefixCache", "Prompt"),
         "buckthorntack.dispatch._reachability": ("Reachability",),
         "buckthorntack.dispatch._report_ranges": ("set_aside_unsound",),
+        "buckthorntack.dispatch._restarts": (
+            "INQUIRY_DELAY_RANGE_S",
+            "RestartCheck",
+            "RestartWatch",
+        ),
         "buckthorntack.dispatch._retry_budgets": ("RetryBudgets",),
         "buckthorntack.dispatch._returns": ("Returns",),
         "buckthorntack.dispatch._server_limits": (
--- a/buckthorntack/dispatch/_choice.py
+++ b/buckthorntack/dispatch/_choice.py
@@ -183,7 +183,13 @@
         :param now: monotonic time.
         """
         until = self._cold_until.get(view.record.failure_domain)
-        return view.is_cold(now) or (until is not None and now < until)
+        return (
+            view.is_cold(now)
+            or (until is not None and now < until)
+            or self.fleet.restarts.is_cold(
+                view.record.server_id, now.total_seconds()
+            )
+        )
 
     def _is_excluded(self, record, request):
         return (
@@ -281,6 +287,38 @@
             now.total_seconds(),
         )
 
+    def may_still_send(self, request, view, was_cold, now):
+        """Whether a server that was chosen may get the request now.
+
+        One that counts as cold only since it was chosen gets the request if
+        its rate allows one more, which is counted.
+
+        :param request: the ``RoutingRequest``.
+        :param view: ``ServerView`` of the server.
+        :param was_cold: whether it counted as cold when it was chosen.
+        :param now: monotonic time.
+        """
+        cold_per_s = request.service.warmup_per_s
+        if was_cold or cold_per_s <= 0 or not self.is_cold(view, now):
+            return True
+        limits = _server_rates.RateLimits(cold_per_s=cold_per_s)
+        server_id, now_s = view.record.server_id, now.total_seconds()
+        priority = request.route.priority
+        if not self.rates.may_send(server_id, limits, priority, now_s):
+            return False
+        self.rates.on_request_sent(server_id, limits, now_s)
+        return True
+
+    def on_server_asked(self, record, service, now_s):
+        """Count a health check against the rate of a server that may be cold.
+
+        :param record: its ``AnnouncedServer``.
+        :param service: its ``directives.Service``.
+        :param now_s: monotonic time.
+        """
+        limits = _server_rates.RateLimits(cold_per_s=service.warmup_per_s)
+        self.rates.on_request_sent(record.server_id, limits, now_s)
+
     def _best_remote(self, request, views, local_best, holders, now_s):
         """Return a candidate in another region that is worth the round trip.
 
--- a/buckthorntack/dispatch/_exchange.py
+++ b/buckthorntack/dispatch/_exchange.py
@@ -77,6 +77,20 @@
     sums: tuple[list, ...]
 
 
+class _Reported(NamedTuple):
+    """What an entry VM was told last."""
+
+    uses: dict[str, messages.ServerUse]
+    limits: list[messages.ServerLimit]
+    #: Version and kind of what is known of each server's start.
+    restarts: dict[str, tuple[int, bool]]
+    #: Monotonic time of the last full report.
+    full_report_s: float
+
+
+_NOTHING_REPORTED = _Reported({}, [], {}, -FULL_REPORT_PERIOD_S)
+
+
 class UsageExchange:
     """Sender and receiver of usage reports at one entry VM.
 
@@ -104,7 +118,8 @@
         #: Last reporting relay and its report time, by other failure domain.
         self._remote_relays = {}
         self._pending = []
-        #: Last reported usage and time of the last full report, by receiver.
+        self._restart_news = []
+        #: :class:`_Reported` by receiver.
         self._last_reported = {}
         self._heard_list_sent_s = -HEARD_LIST_PERIOD_S
         self._sequence = 0
@@ -238,6 +253,10 @@
             return
         if self.fleet.limits.merge(report.limits, now_s):
             self.is_urgent = True
+        news = self.fleet.restarts.merge(report.restarts, now_s)
+        if news:
+            self._restart_news.extend(news)
+            self.is_urgent = True
         if report.is_urgent and report.scope != "region":
             self.is_urgent = True
         reads = {read.server_id: read.tokens for read in report.reads}
@@ -275,6 +294,18 @@
         if flight.unread_tokens >= URGENT_PROMPT_TOKENS:
             self.is_urgent = True
 
+    def take_restart_news(self):
+        """Return and clear the servers of whose starts others told news.
+
+        :returns: list of server ids.
+        """
+        news, self._restart_news = self._restart_news, []
+        return news
+
+    def on_restart_news(self):
+        """Record that a server may have started again, or told of it."""
+        self.is_urgent = True
+
     def on_limit_changed(self):
         """Record that an answer of a server changed its limit.
 
@@ -319,12 +350,13 @@
             self._heard_list_sent_s = now_s
         due = []
         total = self.fleet.list_total_uses()
+        restarts = self.fleet.restarts.list_statements(now_s)
         receivers = self._receivers(now_s)
         self._take_report_tokens(len(receivers), now_s)
         for node_id, scope in receivers:
             uses = self._select_uses(node_id, scope, total)
             report = self._build_report(
-                node_id, scope, uses, includes_heard, now_s
+                node_id, scope, uses, restarts, includes_heard, now_s
             )
             if report is not None:
                 due.append((node_id, report))
@@ -424,46 +456,60 @@
                 heard.add(node_id)
         return sorted(heard)
 
-    def _build_report(self, node_id, scope, uses, includes_heard, now_s):
+    def _build_report(
+        self, node_id, scope, uses, all_restarts, includes_heard, now_s
+    ):
         """Build a report for an entry VM; None if there are no changes.
 
         The report contains the servers whose usage has changed, and all
         servers once per ``FULL_REPORT_PERIOD_S``.
         """
-        last, last_limits, full_report_s = self._last_reported.get(
-            node_id, ({}, [], -FULL_REPORT_PERIOD_S)
-        )
+        last = self._last_reported.get(node_id, _NOTHING_REPORTED)
+        full_report_s = last.full_report_s
         # Where rounds are far apart, the next one could be too late.
         lead_s = self.period_s - self._shortest_period_s
         is_whole = now_s - full_report_s >= FULL_REPORT_PERIOD_S - lead_s
         changed = list(uses.values())
         if not is_whole:
             changed = [
-                use for use in changed if last.get(use.server_id) != use
+                use for use in changed if last.uses.get(use.server_id) != use
             ]
             changed.extend(
                 messages.ServerUse(server_id, 0, 0, 0, 0)
-                for server_id in last
+                for server_id in last.uses
                 if server_id not in uses
             )
         all_limits = self.fleet.limits.list_statements()
         limits = all_limits
         if not is_whole:
-            limits = [limit for limit in limits if limit not in last_limits]
+            limits = [limit for limit in limits if limit not in last.limits]
+        known_restarts = {
+            restart.server_id: (restart.version, restart.is_suspected)
+            for restart in all_restarts
+        }
+        restarts = all_restarts
+        if not is_whole:
+            restarts = [
+                restart
+                for restart in restarts
+                if last.restarts.get(restart.server_id)
+                != known_restarts[restart.server_id]
+            ]
         prompts, reads, sums = self._updates_for(node_id, scope)
         heard = []
         if includes_heard and scope != "own":
             heard = self._list_heard(scope, now_s)
-        has_news = changed or prompts or reads or heard or limits or any(sums)
-        if not (is_whole or has_news):
+        parts = (changed, prompts, reads, heard, limits, restarts, *sums)
+        if not (is_whole or any(parts)):
             return None
         known_speeds = []
         if node_id in self._started:
             self._started.remove(node_id)
             known_speeds = self.fleet.speeds.list_statements()
-        self._last_reported[node_id] = (
+        self._last_reported[node_id] = _Reported(
             uses,
             all_limits,
+            known_restarts,
             now_s if is_whole else full_report_s,
         )
         return messages.UseReport(
@@ -478,6 +524,7 @@
             limits,
             *sums,
             known_speeds=known_speeds,
+            restarts=restarts,
         )
 
     def _select_uses(self, node_id, scope, total):
--- a/buckthorntack/dispatch/_fleet.py
+++ b/buckthorntack/dispatch/_fleet.py
@@ -7,6 +7,7 @@
 from buckthorntack.dispatch import _exchange
 from buckthorntack.dispatch import _outcomes
 from buckthorntack.dispatch import _prompts
+from buckthorntack.dispatch import _restarts
 from buckthorntack.dispatch import _server_limits
 from buckthorntack.dispatch import _server_speeds
 from buckthorntack.schema import messages
@@ -190,6 +191,7 @@
         self.settings = settings
         self.speeds = _server_speeds.ServerSpeeds(settings)
         self.limits = _server_limits.ServerLimits(is_known_server)
+        self.restarts = _restarts.RestartWatch(is_known_server)
         self._states = {}
         self._peers = {}
         #: Sum of the usage of other entry VMs of the region, by server.
@@ -225,6 +227,7 @@
         self._states.pop(server_id, None)
         self.speeds.remove_server(server_id)
         self.limits.remove_server(server_id)
+        self.restarts.remove_server(server_id)
         if not any(self._peer_usage.get(server_id, ())):
             self._peer_usage.pop(server_id, None)
 
@@ -490,6 +493,7 @@
             if now_s - report.received_s > MAX_REPORT_AGE_S:
                 self.remove_peer_report(sender)
         self.speeds.expire(now_s)
+        self.restarts.expire(now_s)
         for state in self._states.values():
             state.decay_failure_share(now_s)
         for key, announced_s in list(self._announced_s.items()):
--- a/buckthorntack/dispatch/_report_ranges.py
+++ b/buckthorntack/dispatch/_report_ranges.py
@@ -15,6 +15,8 @@
 MAX_WEIGHT = 1e9
 #: Highest logarithm of a slowdown.
 MAX_LEVEL = 64.0
+#: Longest warm-up, as of records of servers.
+MAX_COLD_MS = 86_400_000
 
 
 class UnsoundStatement(NamedTuple):
@@ -94,6 +96,13 @@
     )
 
 
+def _is_sound_restart(part):
+    return (
+        0 <= part.version <= MAX_COUNT
+        and 0 <= part.cold_left_ms <= MAX_COLD_MS
+    )
+
+
 #: Checks of the parts of a report, by field.
 _CHECKS = {
     "uses": _is_sound_use,
@@ -104,4 +113,5 @@
     "organisations": _is_sound_organisation,
     "speeds": _is_sound_speed,
     "known_speeds": _is_sound_speed,
+    "restarts": _is_sound_restart,
 }
--- a/buckthorntack/dispatch/_server_rates.py
+++ b/buckthorntack/dispatch/_server_rates.py
@@ -100,6 +100,15 @@
             rate = _rate_of_limit(limits.named_per_s)
             self._limited.on_request_sent(server_id, rate, self.members, now_s)
 
+    def sends_to_cold(self, server_id):
+        """Whether this entry VM sends to a server while it is cold.
+
+        :param server_id: the server.
+        """
+        return self._cold.is_sender(
+            server_id, self.settings.cold_senders, self.members
+        )
+
     def remove_server(self, server_id):
         """Delete the state of a server.
 
--- a/buckthorntack/dispatch/_shared_rate.py
+++ b/buckthorntack/dispatch/_shared_rate.py
@@ -96,6 +96,15 @@
         slot_s = self._used_s[server_id] + interval_s
         return now_s >= slot_s + delay * interval_s
 
+    def is_sender(self, server_id, senders, members):
+        """Whether this entry VM has a part of a server's rate.
+
+        :param server_id: the server.
+        :param senders: number of entry VMs that have one.
+        :param members: entry VMs of its region, this one included.
+        """
+        return self._rank(server_id, senders, members) is not None
+
     def on_request_sent(self, server_id, rate, members, now_s):
         """Record that a request was sent to a server.
 
--- a/buckthorntack/gateway/_attempt.py
+++ b/buckthorntack/gateway/_attempt.py
@@ -14,6 +14,10 @@
         self.server = None
         self.in_flight = None
         self.connection = None
+        #: The ``dispatch.RoutingRequest`` by which the server was chosen, and
+        #: whether it counted as cold then.
+        self.routing_request = None
+        self.was_cold = False
         #: What the attempt shows about its server.
         self.outcome = Outcome.ABANDONED
         #: ``quarantine.Incarnation`` of the server; None before it got the
--- a/buckthorntack/gateway/_dialect.py
+++ b/buckthorntack/gateway/_dialect.py
@@ -102,6 +102,23 @@
         :returns: list of name and value pairs.
         """
 
+    def build_health_headers(self, address, timeout_ms):
+        """Return the headers of a request to the health path of a server.
+
+        :param address: IP address and port of the server.
+        :param timeout_ms: time left for the response.
+        :returns: list of name and value pairs.
+        """
+
+    def parse_health(self, head, server_id):
+        """Parse the head of the response of a server's health path.
+
+        :param head: ``http1.ResponseHead``.
+        :param server_id: id of the server that was asked.
+        :returns: time in seconds for which the server is cold; None if it
+            does not say or is another one.
+        """
+
     def build_forward_headers(
         self, request, timeout_ms, last_event_id, caller
     ):
--- a/buckthorntack/gateway/_entry.py
+++ b/buckthorntack/gateway/_entry.py
@@ -178,6 +178,7 @@
             message = _records.set_aside_statements(message, sender, self._log)
         if isinstance(message, messages.UseReport):
             self.shared_state.exchange.on_report(sender, message, now_s)
+            self._on_restart_news(sender)
             self.shared_state.log_limits(sender)
             self.shared_state.wake_if_urgent()
         elif isinstance(message, messages.RegionLoad):
@@ -201,6 +202,20 @@
         elif isinstance(message, messages.QuarantineTable):
             self.quarantine_task.on_table(sender, message)
 
+    def _on_restart_news(self, sender):
+        """Ask servers that others suspect to have started again."""
+        server_ids = self.shared_state.exchange.take_restart_news()
+        if not server_ids:
+            return
+        now_s = self.clock.monotonic().total_seconds()
+        restarts = self.shared_state.fleet.restarts
+        for server_id in server_ids:
+            if restarts.is_suspected(server_id, now_s):
+                self.shared_state.log_suspected_restart(
+                    server_id, _shared_state.ConnectionFailure.TOLD, sender
+                )
+        self.reachability_task.wake()
+
     def _on_unreachable_services(self, services):
         self.following.set_unreachable_services(services)
 
--- a/buckthorntack/gateway/_events.py
+++ b/buckthorntack/gateway/_events.py
@@ -286,6 +286,26 @@
     "Compressed changes of a registry could not be read and were dropped.",
     "look for a sender of another build",
 )
+RESTART_SUSPECTED = events.declare(
+    2251,
+    "restart_suspected",
+    logbook.INFO,
+    "A connection to a server broke or was refused here, or another entry VM"
+    " told so: it may have started again, and counts as cold until it tells.",
+)
+RESTART_CHECKED = events.declare(
+    2252,
+    "restart_checked",
+    logbook.INFO,
+    "A server that may have started again said for how long it is cold.",
+)
+RESTART_UNANSWERED = events.declare(
+    2253,
+    "restart_unanswered",
+    logbook.INFO,
+    "A server that may have started again did not answer on its health path.",
+    "check the health path of its service",
+)
 DIRECTIVE_ORDERED = events.declare(
     2248,
     "directive_ordered",
--- a/buckthorntack/gateway/_reachability_task.py
+++ b/buckthorntack/gateway/_reachability_task.py
@@ -1,12 +1,18 @@
-"""Probes of servers that cannot be reached, and checks of lost links."""
+"""Probes of servers that cannot be reached, and checks of lost links.
+
+Servers that may have started again are asked for how long they are cold.
+"""
 
 import asyncio
 import contextlib
 import datetime
+import functools
 
+from buckthorntack import dispatch
 from buckthorntack import events
 from buckthorntack import http1
 from buckthorntack.gateway import _events
+from buckthorntack.gateway import _shared_state
 
 _MS = datetime.timedelta(milliseconds=1)
 #: Period of the search for due probes while connects fail.
@@ -21,6 +27,12 @@
 #: milliseconds.  The quarantine gathers the records of a crash for twice as
 #: long before it draws conclusions from them.
 MAX_CHECK_TIME = 50 * _MS
+#: Longest wait for the answer of a server to the question how long it is
+#: cold; it may wait behind requests.
+ANSWER_TIMEOUT = 1000 * _MS
+#: Body bytes of such an answer that are read, so that its connection can be
+#: reused.
+MAX_ANSWER_BYTES = 65_536
 
 
 class ReachabilityTask:
@@ -34,6 +46,7 @@
     def __init__(self, shared_state, on_services_changed):
         self.shared_state = shared_state
         self.reachability = shared_state.dispatcher.reachability
+        self.restarts = shared_state.fleet.restarts
         self.clock = shared_state.clock
         self.on_services_changed = on_services_changed
         self._services = []
@@ -43,6 +56,8 @@
         self._check = None
         self._checked_at = None
         self._log = events.EventLog("gateway")
+        shared_state.on_restart_suspected = self._on_restart_suspected
+        shared_state.pool.on_early_close = self._on_early_close
 
     async def __aenter__(self):
         return self
@@ -59,8 +74,11 @@
         """Probe servers until cancelled."""
         while True:
             self._update_services()
-            if not self.reachability.has_suspects:
+            if not self.reachability.has_suspects and not (
+                self.restarts.has_suspects(self._now_s())
+            ):
                 await self.shared_state.wait_until_unreachable()
+            self.start_due_checks()
             for server_id in self.reachability.take_due_probes(self._now_s()):
                 self._start(self._probe(server_id))
             await self.clock.sleep(PROBE_CHECK_PERIOD)
@@ -90,6 +108,142 @@
         self._update_services()
         return True
 
+    def on_connection_lost(self, server_id, opened_s):
+        """Suspect that a server has started again, as a connection broke.
+
+        :param server_id: the server.
+        :param opened_s: monotonic time at which it was begun to open.
+        """
+        self.shared_state.on_server_failure(
+            server_id, opened_s, _shared_state.ConnectionFailure.BROKEN
+        )
+
+    def _on_restart_suspected(self, server_id, failure):
+        """Tell other entry VMs, unless only a link of this one may be lost."""
+        tell = functools.partial(self.shared_state.tell_restart, server_id)
+        if failure is _shared_state.ConnectionFailure.REFUSED:
+            tell()
+        else:
+            self._start(self.call_unless_cut_off(server_id, tell))
+        self.start_due_checks()
+
+    def wake(self):
+        """Check what other entry VMs have told of servers."""
+        self.shared_state.wake_on_suspects()
+        self.start_due_checks()
+
+    def start_due_checks(self):
+        """Ask the servers that may have started again, as far as due."""
+        sends_to_cold = self.shared_state.rates.sends_to_cold
+        for check in self.restarts.take_due_checks(
+            sends_to_cold, self._now_s()
+        ):
+            self._start(self._check_restart(check))
+
+    async def _check_restart(self, check):
+        """Ask a server that may have started again."""
+
+        def is_due():
+            return self.restarts.is_suspected(check.server_id, self._now_s())
+
+        cold_left_s = await self._connect_and_ask(check.server_id, is_due)
+        self.shared_state.on_restart_answer(check, cold_left_s)
+        self._update_services()
+
+    def _on_early_close(self, server_id):
+        """Inquire at a server that closed an idle connection."""
+        service = self.shared_state.find_service_of(server_id)
+        if service is None or service.warmup_per_s <= 0:
+            return
+        if self.restarts.may_inquire(server_id, self._now_s()):
+            self._start(self._inquire(server_id))
+
+    async def _inquire(self, server_id):
+        if not self.shared_state.rates.sends_to_cold(server_id):
+            delay_s = self.shared_state.rng.uniform(
+                *dispatch.INQUIRY_DELAY_RANGE_S
+            )
+            await self.clock.sleep(datetime.timedelta(seconds=delay_s))
+
+        def is_due():
+            now = self.clock.monotonic()
+            view = self.shared_state.registry.servers[server_id]
+            return not self.shared_state.dispatcher.is_cold(view, now)
+
+        cold_left_s = await self._connect_and_ask(server_id, is_due)
+        if cold_left_s is not None:
+            self.shared_state.on_inquiry_answer(server_id, cold_left_s)
+
+    async def _connect_and_ask(self, server_id, is_due):
+        """Return for how long a server says that it is cold.
+
+        :param server_id: the server.
+        :param is_due: function without arguments that returns whether it is
+            still to be asked.
+        :returns: time in seconds; None if it was not asked or did not say.
+        """
+        view = self.shared_state.registry.servers.get(server_id)
+        service = self.shared_state.find_service_of(server_id)
+        if service is None or view.record.state != "ready" or not is_due():
+            return None
+        try:
+            connection = await self.shared_state.open_connection(
+                server_id, view.record.address
+            )
+        except http1.ConnectError:
+            return None
+        try:
+            if (
+                not service.health_path
+                or server_id not in self.shared_state.registry.servers
+                or not is_due()
+            ):
+                return None
+            return await self._ask(connection, service, view.record)
+        finally:
+            self.shared_state.pool.release(server_id, connection)
+
+    async def _ask(self, connection, service, record):
+        """Return how long a server says that it is cold; None if it does not.
+
+        A connection that breaks here says nothing of its start: health paths
+        may be faulty.
+        """
+        dialect = self.shared_state.dialect
+        now_s = self._now_s()
+        self.shared_state.dispatcher.on_server_asked(record, service, now_s)
+        headers = dialect.build_health_headers(
+            record.address, ANSWER_TIMEOUT // _MS
+        )
+        path = service.health_path.encode()
+        payload = http1.encode_request(b"GET", path, headers, b"")
+        size_bytes = 0
+        try:
+            async with asyncio.timeout(ANSWER_TIMEOUT.total_seconds()):
+                connection.send(payload, None)
+                head = await connection.read_head()
+                while data := await connection.read():
+                    size_bytes += len(data)
+                    if size_bytes > MAX_ANSWER_BYTES:
+                        connection.close()
+                        break
+        except (TimeoutError, http1.IncompleteResponseError) as error:
+            self._log.write(
+                _events.RESTART_UNANSWERED,
+                server=record.server_id,
+                error=repr(error),
+            )
+            connection.close()
+            return None
+        cold_left_s = dialect.parse_health(head, record.server_id)
+        if cold_left_s is None:
+            self._log.write(
+                _events.RESTART_UNANSWERED,
+                server=record.server_id,
+                error=f"status {head.status} without a warm-up",
+            )
+        return cold_left_s
+
     def is_unreachable(self, server_id):
         """Whether connects to a server fail.
 
--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -915,6 +915,8 @@
         self.excluded_ids.add(server_id)
         attempt.destination = server_id
         attempt.server = view.record
+        attempt.routing_request = routing_request
+        attempt.was_cold = shared_state.dispatcher.is_cold(view, now)
         shared_state.dispatcher.on_request_sent(routing_request, view, now)
         attempt.in_flight = shared_state.dispatcher.create_in_flight_request(
             routing_request, decision, now, view.record.born_ms
@@ -966,6 +968,8 @@
             if state.is_paused(self._now_s()):
                 # Another request was refused while this one connected.
                 return _results.NotSent(f"{server_id} is paused")
+            if not self._may_still_send(attempt):
+                return _results.NotSent(f"{server_id} counts as cold")
             if not self.watch.start_attempt(
                 attempt, attempt.server, self.send_count > 0
             ):
@@ -996,6 +1000,20 @@
             )
         return start
 
+    def _may_still_send(self, attempt):
+        """Whether the server may get the request after the wait for it.
+
+        It may have started again meanwhile.
+        """
+        shared_state = self.shared_state
+        view = shared_state.registry.servers.get(attempt.destination)
+        return view is None or shared_state.dispatcher.may_still_send(
+            attempt.routing_request,
+            view,
+            attempt.was_cold,
+            self.handler.clock.monotonic(),
+        )
+
     async def _doubt_version(self, server):
         """Check the software version of a server that continues a stream.
 
@@ -1036,6 +1054,10 @@
 
     async def _on_connection_lost(self, attempt, error):
         attempt.outcome = Outcome.LOST
+        if not isinstance(error, _subject_watch.NO_CRASHES):
+            self.handler.reachability.on_connection_lost(
+                attempt.destination, attempt.connection.opened_s
+            )
         await self.watch.on_connection_lost(attempt, error)
         return _results.Unknown(error.detail)
 
--- a/buckthorntack/gateway/_shared_state.py
+++ b/buckthorntack/gateway/_shared_state.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import enum
 
 from buckthorntack import directives
 from buckthorntack import dispatch
@@ -20,6 +21,16 @@
 FORWARD_CONNECT_TIMEOUT_S = 0.8
 
 
+class ConnectionFailure(enum.StrEnum):
+    """How a connection to a server failed."""
+
+    BROKEN = "broken"
+    REFUSED = "refused"
+    NOT_OPENED = "not_opened"
+    #: Seen by another entry VM.
+    TOLD = "told"
+
+
 class SharedState:
     """Configuration, servers, load and connections; a context manager.
 
@@ -105,6 +116,9 @@
         self._has_suspects = asyncio.Event()
         self._by_service = {}
         self._incarnations = {}
+        #: Called with a server's id and the ``ConnectionFailure`` once it is
+        #: suspected to have started again.
+        self.on_restart_suspected = lambda server_id, failure: None
 
     def __enter__(self):
         return self
@@ -214,18 +228,134 @@
         :raises ConnectError: the connection attempt failed.
         """
         reachability = self.dispatcher.reachability
+        opened_s = self.clock.monotonic().total_seconds()
         try:
             connection = await self.pool.open(address)
-        except http1.ConnectError:
+        except http1.ConnectError as error:
             now_s = self.clock.monotonic().total_seconds()
+            # Further failures, as of a link that is cut, tell nothing new.
+            is_first = not reachability.is_suspect(server_id)
             if reachability.on_connect_failed(server_id, now_s):
                 self._log_reachability(server_id, False)
             self._has_suspects.set()
+            if is_first:
+                failure = ConnectionFailure.NOT_OPENED
+                if isinstance(error, http1.ConnectRefusedError):
+                    failure = ConnectionFailure.REFUSED
+                self.on_server_failure(server_id, now_s, failure)
             raise
+        connection.opened_s = opened_s
+        self._note_connected(server_id, opened_s)
         if reachability.on_connected(server_id):
             self._log_reachability(server_id, True)
         return connection
 
+    def on_server_failure(self, server_id, opened_s, failure):
+        """Suspect that a server has started again, as a connection failed.
+
+        :param server_id: the server.
+        :param opened_s: monotonic time at which the connection was begun to
+            open.
+        :param failure: the :class:`ConnectionFailure`.
+        """
+        service = self.find_service_of(server_id)
+        if service is None or service.warmup_per_s <= 0:
+            return
+        now_s = self.clock.monotonic().total_seconds()
+        if self.fleet.restarts.on_failure(
+            server_id, opened_s, now_s, self._unix_ms()
+        ):
+            self.log_suspected_restart(server_id, failure)
+            self._has_suspects.set()
+            self.on_restart_suspected(server_id, failure)
+
+    def tell_restart(self, server_id):
+        """Tell other entry VMs that a server may have started again.
+
+        :param server_id: the server.
+        """
+        if self.fleet.restarts.tell(server_id):
+            self.exchange.on_restart_news()
+            self.wake_if_urgent()
+
+    def on_restart_answer(self, check, cold_left_s):
+        """Record for how long a server says that it is cold.
+
+        :param check: the ``dispatch.RestartCheck``.
+        :param cold_left_s: the time in seconds; None if it did not say.
+        """
+        if cold_left_s is None:
+            return
+        now_s = self.clock.monotonic().total_seconds()
+        is_news = self.fleet.restarts.on_answer(
+            check, cold_left_s, now_s, self._unix_ms()
+        )
+        self._tell_answer(check.server_id, cold_left_s, is_news)
+
+    def on_inquiry_answer(self, server_id, cold_left_s):
+        """Record for how long a server that nobody suspects says it is cold.
+
+        :param server_id: the server.
+        :param cold_left_s: the time in seconds.
+        """
+        now_s = self.clock.monotonic().total_seconds()
+        is_news = self.fleet.restarts.on_inquiry_answer(
+            server_id, cold_left_s, now_s, self._unix_ms()
+        )
+        self._tell_answer(server_id, cold_left_s, is_news)
+
+    def _tell_answer(self, server_id, cold_left_s, is_news):
+        self._log.write(
+            _events.RESTART_CHECKED,
+            server=server_id,
+            cold_left_s=cold_left_s,
+            is_news=is_news,
+        )
+        if is_news:
+            self.exchange.on_restart_news()
+            self.wake_if_urgent()
+
+    def log_suspected_restart(self, server_id, failure, told_by=""):
+        """Log that a server is suspected to have started again.
+
+        :param server_id: the server.
+        :param failure: the :class:`ConnectionFailure`.
+        :param told_by: id of the entry VM that told it; empty for this one.
+        """
+        view = self.registry.servers.get(server_id)
+        self._log.write(
+            _events.RESTART_SUSPECTED,
+            server=server_id,
+            born_ms=None if view is None else view.record.born_ms,
+            failure=failure.value,
+            told_by=told_by,
+        )
+
+    def find_service_of(self, server_id):
+        """Return the service of a server by the active configuration.
+
+        :param server_id: the server.
+        :returns: ``directives.Service``; None if it is not known.
+        """
+        view = self.registry.servers.get(server_id)
+        if view is None or self.table is None:
+            return None
+        return self.table.configuration.services.get(view.record.service)
+
+    def _note_connected(self, server_id, opened_s):
+        service = self.find_service_of(server_id)
+        if service is None:
+            return
+        self.fleet.restarts.on_connected(
+            server_id,
+            opened_s,
+            service.warmup.total_seconds(),
+            self.clock.monotonic().total_seconds(),
+        )
+
+    def _unix_ms(self):
+        return int(self.clock.wall().timestamp() * 1e3)
+
     def _log_reachability(self, server_id, is_reachable):
         self._log.write(
             _events.REACHABILITY_CHANGED,
@@ -238,6 +368,10 @@
         self._has_suspects.clear()
         await self._has_suspects.wait()
 
+    def wake_on_suspects(self):
+        """End the wait for a connect that fails."""
+        self._has_suspects.set()
+
     def list_unreachable_services(self):
         """List the services of this region whose servers all are unreachable.
 
--- a/buckthorntack/gateway/_subject_watch.py
+++ b/buckthorntack/gateway/_subject_watch.py
@@ -9,7 +9,7 @@
 from buckthorntack.gateway import _events
 
 #: Errors of a connection whose server has not crashed.
-_NO_CRASHES = (http1.UnexpectedResponseError, http1.UnreadResponseError)
+NO_CRASHES = (http1.UnexpectedResponseError, http1.UnreadResponseError)
 
 
 class SubjectWatch:
@@ -113,7 +113,7 @@
         :param attempt: the ``Attempt``.
         :param error: the ``http1.IncompleteResponseError``.
         """
-        is_crash = not isinstance(error, _NO_CRASHES)
+        is_crash = not isinstance(error, NO_CRASHES)
         self._log_lost_connection(attempt, error)
         if not is_crash or attempt.has_continued:
             return
--- a/buckthorntack/http1/__init__.py
+++ b/buckthorntack/http1/__init__.py
@@ -3,6 +3,7 @@
 from buckthorntack.http1._client import Connection
 from buckthorntack.http1._connection_limit import ConnectionLimit
 from buckthorntack.http1._errors import ConnectError
+from buckthorntack.http1._errors import ConnectRefusedError
 from buckthorntack.http1._errors import IncompleteResponseError
 from buckthorntack.http1._errors import UnexpectedResponseError
 from buckthorntack.http1._errors import UnreadResponseError
@@ -43,6 +44,7 @@
     "IncompleteResponseError",
     "ResponseHead",
     "ConnectError",
+    "ConnectRefusedError",
     "Connection",
     "ConnectionLimit",
     "ConnectionPool",
--- a/buckthorntack/http1/_client.py
+++ b/buckthorntack/http1/_client.py
@@ -44,6 +44,10 @@
     def __init__(self, id_header=b""):
         self.id_header = id_header
         self.transport = None
+        #: Monotonic time at which it was begun to open, as its owner notes.
+        self.opened_s = 0.0
+        #: Called without arguments if it is closed while it is idle.
+        self.on_idle_closed = None
         self.idle_since_s = 0.0
         #: Idle time before the current exchange; None on a new connection.
         self.idle_before_s = None
@@ -175,6 +179,8 @@
 
     def connection_lost(self, exc):
         self._is_closing = True
+        if self.on_idle_closed is not None:
+            self.on_idle_closed()
         if self._sending is not None:
             self._sending.set(0)
         if not self._complete:
--- a/buckthorntack/http1/_errors.py
+++ b/buckthorntack/http1/_errors.py
@@ -13,6 +13,12 @@
     run_state = errors.RunState.NOT_RUN
 
 
+class ConnectRefusedError(ConnectError):
+    """The machine of the server says that nothing listens there."""
+
+    number = 1911
+
+
 class IncompleteResponseError(errors.GatewayError):
     """The connection closed or timed out before the response was complete."""
 
--- a/buckthorntack/http1/_pool.py
+++ b/buckthorntack/http1/_pool.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import functools
 import socket
 
 from buckthorntack import events
@@ -25,6 +26,11 @@
 DROPPED_IDLE_RATIO = 0.7
 #: Lower bound of the reduced idle timeout.
 MIN_IDLE_TIMEOUT_S = 0.2
+#: Idle time before which a server that announces no idle timeout closes no
+#: connection unless it ends.
+MIN_EXPECTED_IDLE_S = 1.0
+#: Resolution of the idle timeouts that servers announce.
+TIMEOUT_RESOLUTION_S = 1.0
 #: Time without acknowledgement of sent bytes after which a connection ends
 #: (TCP_USER_TIMEOUT).  Sound servers may be silent for a second or two; that
 #: a link is cut is found sooner, by new connections.
@@ -47,6 +53,9 @@
         self.connect_timeout_s = connect_timeout_s
         self.receive_buffer_bytes = receive_buffer_bytes
         self.id_header = id_header
+        #: Called with the key of a server that closed an idle connection
+        #: well before its idle timeout.
+        self.on_early_close = lambda key: None
         self._idle = collections.defaultdict(list)
         self._idle_timeouts_s = {}
         self._log = events.EventLog("http1")
@@ -99,6 +108,7 @@
             )
             if connection.is_reusable() and is_recent:
                 connection.idle_before_s = idle_before_s
+                connection.on_idle_closed = None
                 return connection
             self._close(key, connection)
         return None
@@ -117,9 +127,23 @@
             self._close(key, connection)
             return
         connection.idle_since_s = asyncio.get_running_loop().time()
+        connection.on_idle_closed = functools.partial(
+            self._on_idle_closed, key, connection
+        )
         idle.append(connection)
 
+    def _on_idle_closed(self, key, connection):
+        connection.on_idle_closed = None
+        timeout_s = connection.server_idle_timeout_s
+        early_s = MIN_EXPECTED_IDLE_S
+        if timeout_s is not None:
+            early_s = timeout_s - TIMEOUT_RESOLUTION_S
+        idle_s = asyncio.get_running_loop().time() - connection.idle_since_s
+        if idle_s < early_s:
+            self.on_early_close(key)
+
     def _close(self, key, connection):
+        connection.on_idle_closed = None
         if connection.is_out_of_sync:
             self._log.write(_events.FOREIGN_ANSWER, server=key)
         connection.close()
@@ -137,6 +161,7 @@
         """
         self._idle_timeouts_s.pop(key, None)
         for connection in self._idle.pop(key, ()):
+            connection.on_idle_closed = None
             connection.close()
 
     def idle_count(self, key):
@@ -179,7 +204,10 @@
             self._log.write(
                 _events.CONNECT_FAILED, address=address, error=repr(error)
             )
-            raise _errors.ConnectError(f"{address}: {error!r}") from None
+            kind = _errors.ConnectError
+            if isinstance(error, ConnectionRefusedError):
+                kind = _errors.ConnectRefusedError
+            raise kind(f"{address}: {error!r}") from None
         except BaseException:
             sock.close()
             raise
--- a/buckthorntack/platform/_configuration.py
+++ b/buckthorntack/platform/_configuration.py
@@ -70,6 +70,7 @@
     name: str
     health_path: NotRequired[str]
     max_conns: NotRequired[int]
+    warmup_s: NotRequired[float]
     warmup_per_s: NotRequired[float]
     engine: NotRequired[_EngineDocument | None]
 
@@ -241,6 +242,7 @@
         max_connections=item.get("max_conns", 0),
         warmup_per_s=_rate(item.get("warmup_per_s", 0.0)),
         engine=profile,
+        warmup=_ms(max(0.0, item.get("warmup_s", 0.0)) * 1e3),
     )
 
 
--- a/buckthorntack/platform/_dialect.py
+++ b/buckthorntack/platform/_dialect.py
@@ -5,6 +5,7 @@
 from expression import Error
 from expression import Ok
 
+from buckthorntack import discovery
 from buckthorntack import dispatch
 from buckthorntack import errors
 from buckthorntack import gateway
@@ -105,6 +106,31 @@
             headers.append((_headers.FETCH, fetch_from.encode()))
         return headers
 
+    def build_health_headers(self, address, timeout_ms):
+        """Return the headers of a request to the health path of a server.
+
+        :param address: IP address and port of the server.
+        :param timeout_ms: time left for the response.
+        """
+        return [
+            (b"Host", address.encode()),
+            (_headers.DEADLINE, str(int(timeout_ms)).encode()),
+        ]
+
+    def parse_health(self, head, server_id):
+        """Parse the head of the response of a server's health path.
+
+        :param head: ``http1.ResponseHead``.
+        :param server_id: id of the server that was asked.
+        """
+        fields = {name.lower(): value for name, value in head.headers}
+        if fields.get(_headers.INSTANCE_ID) != server_id.encode():
+            return None
+        warmup_ms = _number(fields.get(_headers.WARMUP_MS))
+        if warmup_ms is None or not math.isfinite(warmup_ms):
+            return None
+        return min(warmup_ms, discovery.MAX_REMAINING_MS) / 1e3
+
     def build_forward_headers(
         self, request, timeout_ms, last_event_id, caller
     ):
--- a/buckthorntack/platform/_headers.py
+++ b/buckthorntack/platform/_headers.py
@@ -26,6 +26,9 @@
 SERVER_BRITTLE = b"server-brittle"
 #: Id of the server that answers.
 INSTANCE_ID = _PREFIX + b"instance-id"
+#: How long the server stays cold, in milliseconds, in answers of its health
+#: path.
+WARMUP_MS = _PREFIX + b"warmup-ms"
 #: Address of a server whose memory holds parts of the prompt.
 FETCH = b"kv-fetch"
 LAST_EVENT_ID = b"last-event-id"
--- a/buckthorntack/platform/tests/_standins.py
+++ b/buckthorntack/platform/tests/_standins.py
@@ -26,6 +26,7 @@
 LINK_PORT, CONTROL_PORT, FRONT_PORT, DIRECTORY_PORT = 7300, 8300, 8301, 8302
 READY_PORT = 8303
 SERVER_PORT = 9000
+HEALTH_PATH = b"/healthz"
 STAMP = b"X-Buckthorntack-Server-Stamp"
 #: Time between the starts of two incarnations of a server.
 INCARNATION_MS = 1000
@@ -55,6 +56,7 @@
         self.left = 0
         self.crashes = 0
         self.is_down = False
+        self.health_checks = 0
         #: Coroutine function of server, request and reply that answers.
         self.behave = answer_whole
         self.listener = self._bind()
@@ -90,6 +92,10 @@
         if expected not in (None, self.server_id.encode()):
             reply.send(421, self.headers(request), b"")
             return
+        if request.target == HEALTH_PATH:
+            self.health_checks += 1
+            reply.send(200, self.health_headers(), b"")
+            return
         self.requests.append(request)
         try:
             await self.behave(self, request, reply)
@@ -97,6 +103,14 @@
             self.left += 1
             raise
 
+    def health_headers(self):
+        """Header fields of the answers of its health path."""
+        warmup_ms = self.announcement()["warmup_left_ms"]
+        return [
+            (_headers.INSTANCE_ID, self.server_id.encode()),
+            (_headers.WARMUP_MS, str(warmup_ms).encode()),
+        ]
+
     def headers(self, request):
         """Header fields of its answers."""
         request_id = http1.find_header(request.headers, _headers.REQUEST_ID)
--- a/buckthorntack/schema/_generated/discovery.py
+++ b/buckthorntack/schema/_generated/discovery.py
@@ -144,6 +144,17 @@
     first_voters: list[str]
 
 
+class ServerRestart(NamedTuple):
+    """
+    A server that may have started again, or what it told after that.
+    """
+
+    server_id: str
+    version: int
+    is_suspected: bool
+    cold_left_ms: int
+
+
 class ServerLimit(NamedTuple):
     """
     What a backend server said last of the requests that it takes.
@@ -212,3 +223,4 @@
     organisations: list[OrganisationUse] = []
     speeds: list[SpeedSample] = []
     known_speeds: list[SpeedSample] = []
+    restarts: list[ServerRestart] = []
--- a/buckthorntack/schema/messages.py
+++ b/buckthorntack/schema/messages.py
@@ -68,6 +68,7 @@
             "ReplicaEnvelope",
             "ServerLimit",
             "ServerRead",
+            "ServerRestart",
             "ServerUse",
             "SpeedSample",
             "UseReport",
