Soak servers that are back under their old ids

`--cold-returns` of `python -m tools.soak` does: it announces itself at once, late, or while control VMs stand still or are killed; several come back at once, crash again while they are cold, entry VMs are killed around it, connections to sound servers are reset and their links held up. Checked: requests in any second of a warm-up, the share of a sound server 2 s after a reset, and that each caller of an entry VM that runs got an answer.

--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -6,6 +6,7 @@
 import sys
 import tempfile
 
+from tools.soak import _cold_returns
 from tools.soak import _orders
 from tools.soak import _soak
 
@@ -36,6 +37,11 @@
         action="store_true",
         help="orders that are given up, on connections that stay open",
     )
+    parser.add_argument(
+        "--cold-returns",
+        action="store_true",
+        help="servers that crash and are back under their ids, cold",
+    )
     arguments = parser.parse_args()
     seed = arguments.seed
     if seed is None:
@@ -47,6 +53,8 @@
             soak = _orders.soak(
                 seed, arguments.seconds, folder, arguments.kept_calls
             )
+        elif arguments.cold_returns:
+            soak = _cold_returns.soak(seed, arguments.seconds, folder)
         else:
             soak = _soak.soak(
                 seed,
--- a/tools/soak/_promises.py
+++ b/tools/soak/_promises.py
@@ -68,7 +68,7 @@
     """A request that was sent whole and whose answer is not whole.
 
     Its last byte was sent at ``sent_s``; ``deadline_s`` is when the time of
-    its client and its route is over.
+    its client and its route is over; ``status`` is 0 if no answer began.
     """
 
     request_id: str
@@ -76,6 +76,7 @@
     sent_s: float
     ended_s: float
     deadline_s: float
+    status: int = 0
 
     def has_reached_deadline(self):
         """Whether it ended at its deadline, before its caller gave it up."""
--- a/tools/soak/_proxy.py
+++ b/tools/soak/_proxy.py
@@ -37,9 +37,14 @@
         self._server.close()
         self.reset()
 
-    def reset(self):
-        """Reset all open connections."""
+    def reset(self, is_chosen=lambda: True):
+        """Reset open connections.
+
+        :param is_chosen: function that returns whether to reset the next one.
+        """
         for writers in list(self._open):
+            if not is_chosen():
+                continue
             for writer in writers:
                 _reset(writer)
 
--- a/tools/soak/_soak.py
+++ b/tools/soak/_soak.py
@@ -39,6 +39,9 @@
         request must be answered or refused.
     """
 
+    callers = CALLERS
+    recover_s = RECOVER_S
+
     def __init__(
         self,
         seed,
@@ -93,13 +96,12 @@
         public = f"127.{20 + pid % 70}.{pid // 70 % 250}"
         private = f"127.{160 + pid % 70}.{pid // 70 % 250}"
         seeds = [f"{public}.{n}:{_processes.CONTROL}" for n in (1, 2, 3)]
-        zones = list(_processes.ZONES)
-        for number in range(1, 8):
+        for number, zone in enumerate(self._node_zones(), 1):
             role = "control" if number <= 3 else "entry"
             node = _processes.Node(
                 f"{role}-{number}",
                 role,
-                zones[number % 2],
+                zone,
                 f"{public}.{number}",
                 f"{private}.{number}",
                 seeds,
@@ -107,11 +109,11 @@
             )
             self.nodes[node.name] = node
             await self._stack.enter_async_context(node)
-        for number in range(8):
-            await self._add_server(f"s{number}", f"{public}.{100 + number}")
+        for server in self._create_servers(public, private):
+            await self._add_server(server)
         await self._start_operator()
         await asyncio.sleep(SETTLE_S)
-        for number in range(CALLERS):
+        for number in range(self.callers):
             seed = self.rng.getrandbits(32) + number
             for caller in self._callers(seed):
                 running = tasks.running(caller.run())
@@ -161,14 +163,30 @@
     async def __aexit__(self, *exc_info):
         await self._stack.aclose()
 
-    async def _add_server(self, name, ip_address):
-        number = int(name[1:])
-        service = "text" if number % 2 else "desk"
-        zone = list(_processes.ZONES)[number // 2 % 2]
-        server = _traffic.SoakServer(
-            self.book, self._rng(), name, ip_address, service, zone
-        )
-        self.book.zones[name] = zone
+    def _node_zones(self):
+        """Failure domains of the control VMs, then of the entry VMs."""
+        zones = list(_processes.ZONES)
+        return [zones[number % 2] for number in range(1, 8)]
+
+    def _create_servers(self, public, private):
+        """Yield the servers.
+
+        :param public: network of the addresses that others use.
+        :param private: network of those behind proxies.
+        """
+        zones = list(_processes.ZONES)
+        for number in range(8):
+            yield _traffic.SoakServer(
+                self.book,
+                self._rng(),
+                f"s{number}",
+                f"{public}.{100 + number}",
+                "text" if number % 2 else "desk",
+                zones[number // 2 % 2],
+            )
+
+    async def _add_server(self, server):
+        self.book.zones[server.server_id] = server.zone
         self.servers.append(server)
         await self._stack.enter_async_context(server)
         announcing = _traffic.announce(server, self.controls, self._rng())
@@ -206,11 +224,11 @@
         await asyncio.gather(*running)
         for node in self.nodes.values():
             await node.ensure_running()
-        await asyncio.sleep(RECOVER_S)
+        await asyncio.sleep(self.recover_s)
         before = self.book.answers[200]
         streams_before = self._count_streams()
         await asyncio.sleep(2.0)
-        if self.book.answers[200] - before < CALLERS:
+        if self.book.answers[200] - before < self.callers:
             self.book.break_time("nothing is served after the faults")
         if self._has_text_server() and self._count_streams() == streams_before:
             self.book.break_time("no stream is served after the faults")
@@ -230,13 +248,7 @@
 
     async def _inject(self, case, node, hold_s):
         loop = asyncio.get_running_loop()
-        struck = [node]
-        if case == self.herd:
-            struck = [n for n in self.nodes.values() if n.role == node.role]
-        elif case == self.stop_region:
-            struck = [n for n in self.entries if n.zone == node.zone]
-        elif case in (self.drain, self.fail_server, self.silence_server):
-            struck = []
+        struck = self._list_struck(case, node)
         begin_s = loop.time()
         ongoing = (begin_s, math.inf)
         for each in struck:
@@ -247,6 +259,15 @@
             self.faults[each.name].remove(ongoing)
             self.faults[each.name].append((begin_s, loop.time()))
 
+    def _list_struck(self, case, node):
+        if case == self.herd:
+            return [n for n in self.nodes.values() if n.role == node.role]
+        if case == self.stop_region:
+            return [n for n in self.entries if n.zone == node.zone]
+        if case in (self.drain, self.fail_server, self.silence_server):
+            return []
+        return [node]
+
     def is_calm(self, name, begin_s, end_s):
         """Whether no fault struck a node between two times.
 
--- a/tools/soak/_traffic.py
+++ b/tools/soak/_traffic.py
@@ -73,6 +73,10 @@
         self.failing = 0.0
         #: How long it is silent within each answer.
         self.silence_s = 0.0
+        #: Whether it leaves out its announcements.
+        self.is_mute = False
+        #: Set to let it announce itself at once.
+        self.woken = asyncio.Event()
         self.behave = self._work
 
     async def _work(self, server, request, reply):
@@ -273,6 +277,7 @@
                     self._written_s,
                     asyncio.get_running_loop().time(),
                     sent_s + self.patience_s,
+                    status,
                 )
             )
         expected = f"{method} {target} ".encode() + body
@@ -430,8 +435,9 @@
     """
     state = "ready"
     while True:
-        if server.is_down:
-            await asyncio.sleep(POLL_S)
+        server.woken.clear()
+        if server.is_down or server.is_mute:
+            await _wait(server.woken, POLL_S)
             continue
         node = rng.choice(controls)
         server_id = server.server_id
@@ -445,7 +451,13 @@
             if answer.status == 200 and state == "draining":
                 at_s = server.book.drained_at
                 at_s.setdefault(server_id, loop.time())
-        await asyncio.sleep(ANNOUNCE_S)
+        await _wait(server.woken, ANNOUNCE_S)
+
+
+async def _wait(event, seconds):
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(seconds):
+            await event.wait()
 
 
 async def restart(server, rng):
