Renew suspicions of restarts, and ask at the rate of a cold server

Only those with a part of the cold rate ask now, each by its part; the others connect, so that the time of a warm-up ends their suspicion. Checks without an answer become fewer, as they take the slots of requests. - A failure during a suspicion was lost to an answer from before it. It renews the suspicion now; what comes within 0.1 s is of the same end. Servers of its first copy of the registry count as cold until an entry VM that is informed has told all it knows, or they were asked. The end of an idle connection that could still be used is a failure now, unless such ends have told nothing before. - An entry VM that tells nothing itself passed news of others over.

Sound servers: an answer to a request that was sent after the failure, on a connection from before it, ends the suspicion without a health check.

--- a/buckthorntack/dispatch/__init__.py
+++ b/buckthorntack/dispatch/__init__.py
@@ -22,7 +22,6 @@
         "buckthorntack.dispatch._reachability": ("Reachability",),
         "buckthorntack.dispatch._report_ranges": ("set_aside_unsound",),
         "buckthorntack.dispatch._restarts": (
-            "INQUIRY_DELAY_RANGE_S",
             "RestartCheck",
             "RestartWatch",
         ),
--- a/buckthorntack/dispatch/_choice.py
+++ b/buckthorntack/dispatch/_choice.py
@@ -316,8 +316,9 @@
         :param service: its ``directives.Service``.
         :param now_s: monotonic time.
         """
-        limits = _server_rates.RateLimits(cold_per_s=service.warmup_per_s)
-        self.rates.on_request_sent(record.server_id, limits, now_s)
+        if service.warmup_per_s > 0:
+            limits = _server_rates.RateLimits(cold_per_s=service.warmup_per_s)
+            self.rates.on_request_sent(record.server_id, limits, now_s)
 
     def _best_remote(self, request, views, local_best, holders, now_s):
         """Return a candidate in another region that is worth the round trip.
--- a/buckthorntack/dispatch/_exchange.py
+++ b/buckthorntack/dispatch/_exchange.py
@@ -235,6 +235,8 @@
         self._suspected_until_s.pop(sender, None)
         if report.sequence < self._sequences.get(sender, math.inf):
             self._started.add(sender)
+            # It must not wait for the next full report.
+            self._last_reported.pop(sender, None)
         self._sequences[sender] = report.sequence
         self.fleet.speeds.merge_statements(report.known_speeds, now_s)
         self._choose_relay(now_s)
@@ -254,6 +256,8 @@
         if self.fleet.limits.merge(report.limits, now_s):
             self.is_urgent = True
         news = self.fleet.restarts.merge(report.restarts, now_s)
+        if report.is_whole and report.knows_restarts:
+            self.fleet.restarts.on_informed()
         if news:
             self._restart_news.extend(news)
             self.is_urgent = True
@@ -525,6 +529,7 @@
             *sums,
             known_speeds=known_speeds,
             restarts=restarts,
+            knows_restarts=self.fleet.restarts.is_informed,
         )
 
     def _select_uses(self, node_id, scope, total):
--- a/buckthorntack/dispatch/_restarts.py
+++ b/buckthorntack/dispatch/_restarts.py
@@ -15,14 +15,17 @@
 from buckthorntack.schema import messages
 
 #: Time between two checks of a server by one entry VM; as for probes of
-#: unreachable servers.
+#: unreachable servers.  It doubles with each answer that says nothing, as
+#: checks use the rate of requests.
 CHECK_PERIOD_S = 0.5
-#: Time after which an entry VM checks a server that others should check.
+#: Time after which an entry VM connects to a server that others should check.
 PATIENCE_S = 1.0
-#: Shortest time between two inquiries at one server after it has closed idle
-#: connections, and range of the delay of entry VMs that leave it to others.
-INQUIRY_PERIOD_S = 1.0
-INQUIRY_DELAY_RANGE_S = (0.1, 0.3)
+#: Failures of connections that come sooner after another are of the same end.
+SAME_END_S = 0.1
+#: Time that an entry VM which has just started leaves to others to tell what
+#: they know before it asks servers itself, and after which it knows as much.
+START_GRACE_S = 0.2
+START_PERIOD_S = 4.0
 #: Longest time for which a report of another entry VM is on its way.  What
 #: one with a clock ahead tells sooner after a loss may be from before it.
 REPORT_DELAY_S = 0.25
@@ -42,6 +45,16 @@
     version: int
     #: Monotonic time at which it began.
     asked_s: float
+    #: Whether to ask the server; else only to connect to it.
+    asks: bool
+
+
+class _UsualClose(NamedTuple):
+    """End of an idle connection that its server outlived."""
+
+    #: Shortest time for which such a connection was idle.
+    idle_s: float
+    noted_s: float
 
 
 class _State:
@@ -50,9 +63,13 @@
     __slots__ = (
         "check_at_s",
         "cold_until_s",
+        "connected_s",
+        "idle_s",
+        "is_initial",
         "is_suspected",
         "is_told",
         "since_s",
+        "unanswered",
         "unix_ms",
         "version",
     )
@@ -66,9 +83,19 @@
         self.cold_until_s = None
         #: Time of day of a failure seen here; None for no such failure.
         self.unix_ms = None
+        #: Time for which the connection was idle whose end was the failure;
+        #: None for another failure.
+        self.idle_s = None
         #: Whether other entry VMs are told.
         self.is_told = False
+        #: Whether nothing failed, but nothing is known since this entry VM
+        #: started.
+        self.is_initial = False
         self.check_at_s = since_s
+        #: When a connection was begun to open last to find whether it is back.
+        self.connected_s = since_s
+        #: Checks that told nothing.
+        self.unanswered = 0
 
     @property
     def order(self):
@@ -93,8 +120,9 @@
     def __init__(self, is_known=None):
         self._is_known = is_known or (lambda server_id: True)
         self._states = {}
-        #: Time of the last inquiry at a server.
-        self._inquired_s = {}
+        self._usual_closes = {}
+        #: Until when what others know may be missing here.
+        self._starts_until_s = None
 
     def is_cold(self, server_id, now_s):
         """Whether a server may be a start that is cold.
@@ -126,25 +154,31 @@
             for state in self._states.values()
         )
 
-    def on_failure(self, server_id, opened_s, now_s, unix_ms):
+    def on_failure(self, server_id, now_s, unix_ms, idle_s=None):
         """Record that a connection to a server broke, or failed to open.
 
+        A failure renews a suspicion, as it may be of a later end.
+
         :param server_id: the server.
-        :param opened_s: monotonic time at which it was begun to open.
         :param now_s: monotonic time.
         :param unix_ms: time of day in milliseconds.
+        :param idle_s: time for which the connection was idle; None if it
+            carried a request or did not open.
         :returns: whether a start is suspected that was not before.
         """
         known = self._states.get(server_id)
-        if self.is_suspected(server_id, now_s) and (
-            known.cold_until_s is None or opened_s < known.since_s
-        ):
-            # It is away, or this is of the same end.
+        is_known = self.is_suspected(server_id, now_s) and (
+            not known.is_initial
+        )
+        if is_known and now_s - known.since_s < SAME_END_S:
             return False
         state = _State(_next_version(known, unix_ms), True, now_s)
         state.unix_ms = unix_ms
+        state.idle_s = idle_s
+        if is_known:
+            _renew(state, known)
         self._states[server_id] = state
-        return True
+        return not is_known
 
     def on_connected(self, server_id, started_s, warmup_s, now_s):
         """Record a new connection to a server.
@@ -155,71 +189,131 @@
         :param started_s: monotonic time at which it was begun to open.
         :param warmup_s: time for which a start is cold.
         :param now_s: monotonic time.
+        :returns: whether it is the first since the server is suspected.
         """
         state = self._states.get(server_id)
         if (
-            state is not None
-            and state.cold_until_s is None
-            and started_s >= state.since_s
+            state is None
+            or state.cold_until_s is not None
+            or started_s < state.since_s
         ):
-            state.cold_until_s = now_s + warmup_s
+            return False
+        state.cold_until_s = now_s + warmup_s
+        return True
+
+    def on_request_answered(
+        self, server_id, opened_s, sent_s, cold_left_s, now_s
+    ):
+        """Record an answer that only a start from before a failure can give.
+
+        :param server_id: the server.
+        :param opened_s: monotonic time at which the connection was begun to
+            open.
+        :param sent_s: monotonic time at which the request was sent.
+        :param cold_left_s: time for which that start is cold.
+        :param now_s: monotonic time.
+        :returns: whether a suspicion has ended.
+        """
+        known = self._states.get(server_id)
+        if known is None or not known.is_suspected or known.is_initial:
+            return False
+        if not opened_s < known.since_s <= sent_s:
+            return False
+        self._store_answer(server_id, known, cold_left_s, now_s)
+        return True
+
+    def _store_answer(self, server_id, known, cold_left_s, now_s):
+        state = _State(known.version + 1, False, now_s)
+        state.cold_until_s = now_s + cold_left_s
+        state.is_told = True
+        self._states[server_id] = state
+        self._note_answer(server_id, known, cold_left_s, now_s)
 
-    def on_answer(self, check, cold_left_s, now_s, unix_ms):
+    def on_answer(self, check, cold_left_s, now_s):
         """Record how long a server says that it is cold.
 
         :param check: the :class:`RestartCheck`.
-        :param cold_left_s: the time; 0 if it is warm.
+        :param cold_left_s: the time, 0 if it is warm; None if it did not say.
         :param now_s: monotonic time.
-        :param unix_ms: time of day in milliseconds.
         :returns: whether the suspicion has ended; not if there was a newer
             failure meanwhile.
         """
         known = self._states.get(check.server_id)
         if known is None or not known.is_suspected:
             return False
+        if cold_left_s is None:
+            known.unanswered += 1
+            period_s = CHECK_PERIOD_S * 2**known.unanswered
+            known.check_at_s = now_s + period_s
+            return False
         if known.version != check.version or check.asked_s < known.since_s:
+            known.check_at_s = now_s
             return False
-        state = _State(_next_version(known, unix_ms), False, now_s)
-        state.cold_until_s = now_s + cold_left_s
-        state.is_told = True
-        self._states[check.server_id] = state
+        self._store_answer(check.server_id, known, cold_left_s, now_s)
         return True
 
-    def may_inquire(self, server_id, now_s):
-        """Whether a server that closed idle connections shall be asked.
+    @property
+    def is_informed(self):
+        """Whether what other entry VMs know is known here."""
+        return self._starts_until_s is None
 
-        It may have started again at once, so that nobody was refused.  Sound
-        servers close idle connections too, so it does not count as cold
-        meanwhile.
+    def on_start(self, now_s):
+        """Record that this entry VM has started, and knows of no failure.
 
-        :param server_id: the server.
         :param now_s: monotonic time.
         """
-        inquired_s = self._inquired_s.get(server_id, -INQUIRY_PERIOD_S)
-        if now_s - inquired_s < INQUIRY_PERIOD_S:
-            return False
-        if self.is_cold(server_id, now_s):
-            return False
-        self._inquired_s[server_id] = now_s
-        return True
+        self._starts_until_s = now_s + START_PERIOD_S
 
-    def on_inquiry_answer(self, server_id, cold_left_s, now_s, unix_ms):
-        """Record how long a server says that it is cold, unless it is warm.
+    def on_first_record(self, server_id, now_s):
+        """Suspect a server whose record may be of a former start.
 
         :param server_id: the server.
-        :param cold_left_s: the time; 0 if it is warm.
         :param now_s: monotonic time.
-        :param unix_ms: time of day in milliseconds.
-        :returns: whether other entry VMs must know.
         """
-        if cold_left_s <= 0 or self.is_cold(server_id, now_s):
-            return False
-        known = self._states.get(server_id)
-        state = _State(_next_version(known, unix_ms), False, now_s)
-        state.cold_until_s = now_s + cold_left_s
-        state.is_told = True
+        if self.is_informed or server_id in self._states:
+            return
+        state = _State(0, True, now_s)
+        state.is_initial = True
+        state.check_at_s = now_s + START_GRACE_S
         self._states[server_id] = state
-        return True
+
+    def on_informed(self):
+        """Record that another entry VM has told all that it knows."""
+        self._starts_until_s = None
+        for server_id, state in list(self._states.items()):
+            if state.is_initial:
+                del self._states[server_id]
+
+    def is_unknown(self, server_id, now_s):
+        """Whether nothing is known of a server since this entry VM started.
+
+        :param server_id: the server.
+        :param now_s: monotonic time.
+        """
+        state = self._states.get(server_id)
+        return state is not None and state.is_initial and state.is_cold(now_s)
+
+    def is_unusual_close(self, server_id, idle_s):
+        """Whether the end of an idle connection may be that of its server.
+
+        Sound servers close idle connections too: what has once told nothing
+        tells nothing for some time.
+
+        :param server_id: the server.
+        :param idle_s: time for which the connection was idle.
+        """
+        usual = self._usual_closes.get(server_id)
+        return usual is None or idle_s < usual.idle_s
+
+    def _note_answer(self, server_id, known, cold_left_s, now_s):
+        """Note whether an idle connection has ended for another reason."""
+        if known is None or known.idle_s is None or cold_left_s > 0:
+            return
+        usual = self._usual_closes.get(server_id)
+        idle_s = known.idle_s
+        if usual is not None:
+            idle_s = min(idle_s, usual.idle_s)
+        self._usual_closes[server_id] = _UsualClose(idle_s, now_s)
 
     def tell(self, server_id):
         """Let other entry VMs know of a suspicion.
@@ -228,7 +322,7 @@
         :returns: whether they have not been told.
         """
         state = self._states.get(server_id)
-        if state is None or state.is_told:
+        if state is None or state.is_told or state.is_initial:
             return False
         state.is_told = True
         return True
@@ -247,20 +341,29 @@
             if not self._is_known(server_id):
                 continue
             state = _State(message.version, message.is_suspected, now_s)
+            state.is_told = True
             if known is not None and state.order <= known.order:
+                if _is_untold(known) and message.is_suspected:
+                    # Others see it as well.
+                    known.is_told = True
+                    changed.append(server_id)
                 continue
-            state.is_told = True
             if message.is_suspected:
-                state.check_at_s = now_s
+                if self.is_suspected(server_id, now_s):
+                    _renew(state, known)
+                else:
+                    changed.append(server_id)
+                self._states[server_id] = state
             elif _may_be_older(message, known, now_s):
                 known.version = message.version + 1
                 known.is_told = True
                 changed.append(server_id)
-                continue
             else:
-                state.cold_until_s = now_s + message.cold_left_ms / 1e3
-            self._states[server_id] = state
-            changed.append(server_id)
+                cold_left_s = message.cold_left_ms / 1e3
+                state.cold_until_s = now_s + cold_left_s
+                self._states[server_id] = state
+                self._note_answer(server_id, known, cold_left_s, now_s)
+                changed.append(server_id)
         return changed
 
     def list_statements(self, now_s):
@@ -287,11 +390,12 @@
             )
         return statements
 
-    def take_due_checks(self, may_check, now_s):
+    def take_due_checks(self, may_send, now_s):
         """Return the servers to check now, and plan their next checks.
 
-        :param may_check: function that returns whether this entry VM may send
-            requests to a server while it is cold; others check it later.
+        :param may_send: function that returns whether a server may get a
+            request of this entry VM at the rate of a cold one; None if it
+            has no part of that rate.
         :param now_s: monotonic time.
         :returns: list of :class:`RestartCheck`.
         """
@@ -299,13 +403,14 @@
         for server_id, state in self._states.items():
             if not state.is_suspected or not state.is_cold(now_s):
                 continue
-            patience_s = PATIENCE_S
-            if may_check(server_id) or not state.is_told:
-                patience_s = 0.0
-            if now_s < state.check_at_s or now_s < state.since_s + patience_s:
+            may_ask = may_send(server_id)
+            asks = bool(may_ask) and now_s >= state.check_at_s
+            if not asks and not _is_connect_due(state, may_ask, now_s):
                 continue
-            state.check_at_s = now_s + CHECK_PERIOD_S
-            due.append(RestartCheck(server_id, state.version, now_s))
+            state.connected_s = now_s
+            if asks:
+                state.check_at_s = now_s + CHECK_PERIOD_S
+            due.append(RestartCheck(server_id, state.version, now_s, asks))
         return due
 
     def expire(self, now_s):
@@ -316,9 +421,11 @@
         for server_id, state in list(self._states.items()):
             if now_s - state.since_s > KEPT_S and not state.is_cold(now_s):
                 del self._states[server_id]
-        for server_id, inquired_s in list(self._inquired_s.items()):
-            if now_s - inquired_s > INQUIRY_PERIOD_S:
-                del self._inquired_s[server_id]
+        if not self.is_informed and now_s >= self._starts_until_s:
+            self.on_informed()
+        for server_id, usual in list(self._usual_closes.items()):
+            if now_s - usual.noted_s > KEPT_S:
+                del self._usual_closes[server_id]
 
     def remove_server(self, server_id):
         """Delete the state of a server that has gone.
@@ -326,7 +433,29 @@
         :param server_id: the server.
         """
         self._states.pop(server_id, None)
-        self._inquired_s.pop(server_id, None)
+        self._usual_closes.pop(server_id, None)
+
+
+def _renew(state, known):
+    """Keep what the plan of checks needs of a suspicion that is renewed."""
+    state.is_told = state.is_told or known.is_told
+    state.check_at_s = known.check_at_s
+    state.connected_s = known.connected_s
+    state.unanswered = known.unanswered
+
+
+def _is_connect_due(state, may_ask, now_s):
+    """Whether to connect to a server that nobody here has reached since."""
+    if state.cold_until_s is not None:
+        return False
+    patience_s = PATIENCE_S if may_ask is None else CHECK_PERIOD_S
+    return now_s >= max(
+        state.since_s + patience_s, state.connected_s + CHECK_PERIOD_S
+    )
+
+
+def _is_untold(state):
+    return state.is_suspected and not (state.is_told or state.is_initial)
 
 
 def _next_version(known, unix_ms):
--- a/buckthorntack/dispatch/_server_rates.py
+++ b/buckthorntack/dispatch/_server_rates.py
@@ -100,14 +100,18 @@
             rate = _rate_of_limit(limits.named_per_s)
             self._limited.on_request_sent(server_id, rate, self.members, now_s)
 
-    def sends_to_cold(self, server_id):
-        """Whether this entry VM sends to a server while it is cold.
+    def may_ask(self, server_id, cold_per_s, now_s):
+        """Whether a server that may be cold may get a health check now.
 
         :param server_id: the server.
+        :param cold_per_s: requests per second that it takes while cold.
+        :param now_s: monotonic time.
+        :returns: None if this entry VM sends nothing to it while it is cold.
         """
-        return self._cold.is_sender(
-            server_id, self.settings.cold_senders, self.members
-        )
+        rate = self._rate_of_cold_server(cold_per_s)
+        if not self._cold.is_sender(server_id, rate.senders, self.members):
+            return None
+        return self._cold.may_send(server_id, rate, self.members, now_s)
 
     def remove_server(self, server_id):
         """Delete the state of a server.
--- a/buckthorntack/dispatch/tests/test_restarts.py
+++ b/buckthorntack/dispatch/tests/test_restarts.py
@@ -16,14 +16,13 @@
     return dispatch.RestartWatch()
 
 
-def fail(watch, now_s, opened_s=None, server_id="s1"):
-    opened_s = now_s if opened_s is None else opened_s
+def fail(watch, now_s, server_id="s1"):
     unix_ms = UNIX_MS + int(now_s * 1e3)
-    return watch.on_failure(server_id, opened_s, now_s, unix_ms)
+    return watch.on_failure(server_id, now_s, unix_ms)
 
 
 def connect(watch, now_s, server_id="s1"):
-    watch.on_connected(server_id, now_s, WARMUP_S, now_s)
+    return watch.on_connected(server_id, now_s, WARMUP_S, now_s)
 
 
 def ask(watch, now_s):
@@ -32,8 +31,7 @@
 
 
 def answer(watch, check, now_s, cold_left_s=0.0):
-    unix_ms = UNIX_MS + int(now_s * 1e3)
-    return watch.on_answer(check, cold_left_s, now_s, unix_ms)
+    return watch.on_answer(check, cold_left_s, now_s)
 
 
 def test_server_is_not_cold_without_a_failure():
@@ -72,17 +70,35 @@
     fail(watch, 7.0)
     check = ask(watch, 8.0)
     connect(watch, 8.0)
-    assert fail(watch, 8.05)
+    fail(watch, 8.05)
     assert not answer(watch, check, 8.1)
     assert watch.is_cold("s1", 20.0)
 
 
 def test_connections_of_the_same_end_are_one_failure():
     watch = make_watch()
-    assert fail(watch, 7.0, opened_s=3.0)
-    connect(watch, 7.5)
-    assert not fail(watch, 7.6, opened_s=4.0)
-    assert not watch.is_cold("s1", 7.5 + WARMUP_S)
+    assert fail(watch, 7.0)
+    version = ask(watch, 7.0).version
+    assert not fail(watch, 7.0 + 0.9 * _restarts.SAME_END_S)
+    assert connect(watch, 7.1)
+    assert not connect(watch, 7.2)
+    assert ask(watch, 8.0).version == version
+
+
+# Guards against a flood after a second crash that is seen while the first is
+# not cleared up: an answer from between the two ended the suspicion.
+def test_failure_during_a_suspicion_is_newer_than_it():
+    first, second = make_watch(), make_watch()
+    fail(first, 7.0)
+    first.tell("s1")
+    exchange_all(first, second, 7.0)
+    check = ask(first, 7.1)
+    assert answer(first, check, 7.1)
+    fail(second, 7.2)
+    exchange_all(first, second, 7.25)
+    assert second.is_suspected("s1", 7.25)
+    exchange_all(second, first, 7.3)
+    assert first.is_suspected("s1", 7.3)
 
 
 def test_connection_that_was_begun_before_the_failure_shows_no_return():
@@ -153,22 +169,75 @@
     assert not watch.is_cold("s1", 1.0)
 
 
-def test_only_senders_check_at_once():
+def list_checks(watch, may_send, now_s):
+    return watch.take_due_checks(lambda server_id: may_send, now_s)
+
+
+def list_questions(watch, may_send, now_s):
+    checks = list_checks(watch, may_send, now_s)
+    return [check for check in checks if check.asks]
+
+
+# Guards against health checks of all entry VMs at once, which flood the cold
+# server that they shall protect.
+def test_only_entry_vms_with_a_part_of_the_cold_rate_ask():
     watch = make_watch()
-    watch.merge([messages.ServerRestart("s1", 5, True, 0)], 1.0)
+    fail(watch, 7.0)
+    assert list_checks(watch, None, 7.0) == []
+    [check] = list_checks(watch, None, 7.0 + _restarts.PATIENCE_S)
+    assert not check.asks
+    assert list_checks(watch, None, 7.1 + _restarts.PATIENCE_S) == []
 
-    def checks(now_s):
-        return watch.take_due_checks(lambda server_id: False, now_s)
 
-    assert checks(1.0) == []
-    assert [check.server_id for check in checks(1.0 + _restarts.PATIENCE_S)]
-    assert checks(1.1 + _restarts.PATIENCE_S) == []
+def test_check_waits_for_its_part_of_the_cold_rate():
+    watch = make_watch()
+    fail(watch, 7.0)
+    assert list_questions(watch, False, 7.0 + _restarts.PATIENCE_S) == []
+    assert list_questions(watch, True, 7.1 + _restarts.PATIENCE_S)
 
 
-def test_failure_that_only_this_entry_vm_knows_is_checked_at_once():
+# Guards against a server that fails its health path and gets no request, as
+# the checks use up the rate of a cold one.
+def test_checks_without_an_answer_become_fewer():
     watch = make_watch()
     fail(watch, 7.0)
-    assert watch.take_due_checks(lambda server_id: False, 7.0)
+    checks = 0
+    for step in range(300):
+        now_s = 7.0 + step * 0.01
+        for check in list_questions(watch, True, now_s):
+            checks += 1
+            assert not answer(watch, check, now_s, None)
+    assert checks == 2
+
+
+# Guards against a sound server that is throttled for the time of a warm-up, as
+# its health path does not answer.
+@pytest.mark.parametrize("opened_s, sent_s", [(6.0, 6.5), (7.5, 8.0)])
+def test_answers_that_a_later_start_can_give_end_nothing(opened_s, sent_s):
+    watch = make_watch()
+    fail(watch, 7.0)
+    assert not watch.on_request_answered("s1", opened_s, sent_s, 0.0, 8.1)
+    assert watch.is_suspected("s1", 8.1)
+
+
+@pytest.mark.parametrize("cold_left_s", [0.0, 1.5])
+def test_answer_on_a_connection_from_before_the_failure(cold_left_s):
+    watch = make_watch()
+    fail(watch, 7.0)
+    assert watch.on_request_answered("s1", 6.0, 7.5, cold_left_s, 7.6)
+    assert not watch.is_suspected("s1", 7.6)
+    assert watch.is_cold("s1", 7.7) == (cold_left_s > 0)
+
+
+# Guards against news that a relay passes over, as it has a suspicion of its
+# own that it tells nobody.
+def test_news_pass_an_entry_vm_that_tells_nothing_itself():
+    relay, other = make_watch(), make_watch()
+    fail(relay, 7.5)
+    fail(other, 7.0)
+    other.tell("s1")
+    assert exchange_all(other, relay, 7.6) == ["s1"]
+    assert [one.is_suspected for one in relay.list_statements(7.6)] == [True]
 
 
 def test_what_is_over_is_deleted_and_told_no_longer():
@@ -251,23 +320,95 @@
     assert not watch.is_suspected("s1", 9.05)
 
 
-@pytest.mark.parametrize("cold_left_s", [0.0, 2.9])
-def test_inquiry_finds_a_start_that_nobody_noticed(cold_left_s):
+def close_idle(watch, idle_s, now_s):
+    unix_ms = UNIX_MS + int(now_s * 1e3)
+    return watch.is_unusual_close("s1", idle_s) and watch.on_failure(
+        "s1", now_s, unix_ms, idle_s
+    )
+
+
+# Guards against a flood of a server that started again at once while its
+# connections were idle, so that nobody was refused.
+def test_server_that_closes_an_idle_connection_is_suspected():
     watch = make_watch()
-    assert watch.may_inquire("s1", 7.0)
-    assert not watch.may_inquire("s1", 7.5)
-    assert not watch.is_cold("s1", 7.5)
-    unix_ms = UNIX_MS + 7_500
-    is_news = watch.on_inquiry_answer("s1", cold_left_s, 7.5, unix_ms)
-    assert is_news == (cold_left_s > 0)
-    assert watch.is_cold("s1", 7.6) == (cold_left_s > 0)
-    assert len(watch.list_statements(7.6)) == (cold_left_s > 0)
+    assert close_idle(watch, 0.5, 7.0)
+    assert watch.is_cold("s1", 7.0)
 
 
-def test_server_that_counts_as_cold_is_not_inquired():
+@pytest.mark.parametrize("is_told_by_others", [False, True])
+def test_usual_end_of_idle_connections_tells_nothing(is_told_by_others):
     watch = make_watch()
-    fail(watch, 7.0)
-    assert not watch.may_inquire("s1", 7.5)
-    unix_ms = UNIX_MS + 7_500
-    assert not watch.on_inquiry_answer("s1", 1.0, 7.5, unix_ms)
-    assert watch.is_suspected("s1", 7.5)
+    close_idle(watch, 2.0, 7.0)
+    if is_told_by_others:
+        told = messages.ServerRestart("s1", UNIX_MS + 7_020, False, 0)
+        watch.merge([told], 7.1)
+    else:
+        answer(watch, ask(watch, 7.0), 7.1)
+    assert not watch.is_cold("s1", 7.1)
+    assert not close_idle(watch, 2.1, 8.0)
+    assert close_idle(watch, 0.1, 8.0)
+    watch.expire(8.0 + _restarts.KEPT_S)
+    connect(watch, 8.1)
+    assert close_idle(watch, 2.1, 9.0 + _restarts.KEPT_S)
+
+
+def test_second_start_of_a_cold_server_is_suspected():
+    watch = make_watch()
+    close_idle(watch, 0.5, 7.0)
+    assert answer(watch, ask(watch, 7.0), 7.0, 3.0)
+    assert close_idle(watch, 0.5, 9.5)
+    assert watch.is_suspected("s1", 12.0)
+
+
+# Guards against a flood by an entry VM that starts while a server is away, and
+# takes the record of its former start for its state.
+def test_first_records_count_as_cold_until_others_have_told():
+    watch = make_watch()
+    watch.on_start(7.0)
+    watch.on_first_record("s1", 7.0)
+    assert watch.is_cold("s1", 7.1)
+    assert watch.is_unknown("s1", 7.1)
+    assert not watch.list_statements(7.1)
+    watch.on_informed()
+    assert not watch.is_cold("s1", 7.1)
+
+
+def test_what_others_tell_of_a_server_outlives_the_start():
+    watch = make_watch()
+    watch.on_start(7.0)
+    watch.on_first_record("s1", 7.0)
+    watch.merge([messages.ServerRestart("s1", 5, False, 2000)], 7.1)
+    watch.on_informed()
+    assert watch.is_cold("s1", 9.0)
+    assert not watch.is_unknown("s1", 7.1)
+
+
+def test_entry_vm_that_hears_of_no_other_asks_by_itself():
+    watch = make_watch()
+    watch.on_start(7.0)
+    watch.on_first_record("s1", 7.0)
+    assert not watch.take_due_checks(lambda server_id: True, 7.1)
+    check = ask(watch, 7.0 + _restarts.START_GRACE_S)
+    assert answer(watch, check, 7.3)
+    assert not watch.is_cold("s1", 7.3)
+    watch.expire(7.0 + _restarts.START_PERIOD_S)
+    assert watch.is_informed
+
+
+def test_failure_after_the_start_is_told():
+    watch = make_watch()
+    watch.on_start(7.0)
+    watch.on_first_record("s1", 7.0)
+    assert not watch.tell("s1")
+    assert fail(watch, 7.1)
+    assert watch.tell("s1")
+    watch.on_informed()
+    assert watch.is_suspected("s1", 7.2)
+
+
+def test_later_records_are_taken_as_they_are():
+    watch = make_watch()
+    watch.on_start(7.0)
+    watch.on_informed()
+    watch.on_first_record("s1", 7.2)
+    assert not watch.is_cold("s1", 7.2)
--- a/buckthorntack/gateway/_entry.py
+++ b/buckthorntack/gateway/_entry.py
@@ -74,6 +74,9 @@
         settings = self.settings
         enter = self._stack.enter_async_context
         self._stack.enter_context(self.shared_state)
+        self.shared_state.fleet.restarts.on_start(
+            self.clock.monotonic().total_seconds()
+        )
         self.links = await enter(
             transport.PlainLinks(
                 settings.service_address,
@@ -207,6 +210,7 @@
         server_ids = self.shared_state.exchange.take_restart_news()
         if not server_ids:
             return
+        self.shared_state.notify_change()
         now_s = self.clock.monotonic().total_seconds()
         restarts = self.shared_state.fleet.restarts
         for server_id in server_ids:
--- a/buckthorntack/gateway/_reachability_task.py
+++ b/buckthorntack/gateway/_reachability_task.py
@@ -8,7 +8,6 @@
 import datetime
 import functools
 
-from buckthorntack import dispatch
 from buckthorntack import events
 from buckthorntack import http1
 from buckthorntack.gateway import _events
@@ -35,6 +34,14 @@
 MAX_ANSWER_BYTES = 65_536
 
 
+#: Failures that need a packet from the machine of the server, so that the link
+#: of this one is not lost.
+_SEEN_FROM_SERVER = (
+    _shared_state.ConnectionFailure.REFUSED,
+    _shared_state.ConnectionFailure.IDLE,
+)
+
+
 class ReachabilityTask:
     """Connects to servers on behalf of all requests of an entry VM.
 
@@ -108,20 +115,19 @@
         self._update_services()
         return True
 
-    def on_connection_lost(self, server_id, opened_s):
+    def on_connection_lost(self, server_id):
         """Suspect that a server has started again, as a connection broke.
 
         :param server_id: the server.
-        :param opened_s: monotonic time at which it was begun to open.
         """
         self.shared_state.on_server_failure(
-            server_id, opened_s, _shared_state.ConnectionFailure.BROKEN
+            server_id, _shared_state.ConnectionFailure.BROKEN
         )
 
     def _on_restart_suspected(self, server_id, failure):
         """Tell other entry VMs, unless only a link of this one may be lost."""
         tell = functools.partial(self.shared_state.tell_restart, server_id)
-        if failure is _shared_state.ConnectionFailure.REFUSED:
+        if failure in _SEEN_FROM_SERVER:
             tell()
         else:
             self._start(self.call_unless_cut_off(server_id, tell))
@@ -134,50 +140,51 @@
 
     def start_due_checks(self):
         """Ask the servers that may have started again, as far as due."""
-        sends_to_cold = self.shared_state.rates.sends_to_cold
         for check in self.restarts.take_due_checks(
-            sends_to_cold, self._now_s()
+            self._may_ask, self._now_s()
         ):
             self._start(self._check_restart(check))
 
+    def _may_ask(self, server_id):
+        service = self.shared_state.find_service_of(server_id)
+        if service is None or service.warmup_per_s <= 0:
+            return None
+        return self.shared_state.rates.may_ask(
+            server_id, service.warmup_per_s, self._now_s()
+        )
+
     async def _check_restart(self, check):
         """Ask a server that may have started again."""
 
         def is_due():
             return self.restarts.is_suspected(check.server_id, self._now_s())
 
-        cold_left_s = await self._connect_and_ask(check.server_id, is_due)
-        self.shared_state.on_restart_answer(check, cold_left_s)
+        service = self.shared_state.find_service_of(check.server_id)
+        if service is not None and service.warmup_per_s <= 0:
+            self.restarts.remove_server(check.server_id)
+            return
+        cold_left_s = await self._connect_and_ask(
+            check.server_id, check.asks, is_due
+        )
+        if check.asks:
+            self.shared_state.on_restart_answer(check, cold_left_s)
         self._update_services()
 
-    def _on_early_close(self, server_id):
-        """Inquire at a server that closed an idle connection."""
-        service = self.shared_state.find_service_of(server_id)
-        if service is None or service.warmup_per_s <= 0:
-            return
-        if self.restarts.may_inquire(server_id, self._now_s()):
-            self._start(self._inquire(server_id))
+    def _on_early_close(self, server_id, idle_s):
+        """Suspect a server that closed an idle connection.
 
-    async def _inquire(self, server_id):
-        if not self.shared_state.rates.sends_to_cold(server_id):
-            delay_s = self.shared_state.rng.uniform(
-                *dispatch.INQUIRY_DELAY_RANGE_S
+        It may have started again at once, so that nobody was refused.
+        """
+        if self.restarts.is_unusual_close(server_id, idle_s):
+            self.shared_state.on_server_failure(
+                server_id, _shared_state.ConnectionFailure.IDLE, idle_s
             )
-            await self.clock.sleep(datetime.timedelta(seconds=delay_s))
 
-        def is_due():
-            now = self.clock.monotonic()
-            view = self.shared_state.registry.servers[server_id]
-            return not self.shared_state.dispatcher.is_cold(view, now)
-
-        cold_left_s = await self._connect_and_ask(server_id, is_due)
-        if cold_left_s is not None:
-            self.shared_state.on_inquiry_answer(server_id, cold_left_s)
-
-    async def _connect_and_ask(self, server_id, is_due):
+    async def _connect_and_ask(self, server_id, asks, is_due):
         """Return for how long a server says that it is cold.
 
         :param server_id: the server.
+        :param asks: whether to ask it, and not only to connect to it.
         :param is_due: function without arguments that returns whether it is
             still to be asked.
         :returns: time in seconds; None if it was not asked or did not say.
@@ -194,7 +201,7 @@
             return None
         try:
             if (
-                not service.health_path
+                not (asks and service.health_path)
                 or server_id not in self.shared_state.registry.servers
                 or not is_due()
             ):
@@ -204,11 +211,7 @@
             self.shared_state.pool.release(server_id, connection)
 
     async def _ask(self, connection, service, record):
-        """Return how long a server says that it is cold; None if it does not.
-
-        A connection that breaks here says nothing of its start: health paths
-        may be faulty.
-        """
+        """Return how long a server says that it is cold; None if not."""
         dialect = self.shared_state.dialect
         now_s = self._now_s()
         self.shared_state.dispatcher.on_server_asked(record, service, now_s)
--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -562,17 +562,32 @@
         wait_until_s = self._now_s() + self._startup_wait_s(
             self._remaining_s()
         )
-        name = self.service.name
         while self._now_s() < wait_until_s:
-            if any(
-                view.record.state == "ready"
-                for view in self.shared_state.list_servers(name)
-            ):
+            if self._is_server_known():
                 return
             await self.shared_state.wait_for_change(
                 wait_until_s - self._now_s()
             )
 
+    def _is_server_known(self):
+        """Whether there is a server whose state is known.
+
+        Those of this region come first, as long as there are any.
+        """
+        shared_state = self.shared_state
+        ready = [
+            view.record
+            for view in shared_state.list_servers(self.service.name)
+            if view.record.state == "ready"
+        ]
+        region = shared_state.settings.region
+        local = [record for record in ready if record.region == region]
+        restarts, now_s = shared_state.fleet.restarts, self._now_s()
+        return not all(
+            restarts.is_unknown(record.server_id, now_s)
+            for record in local or ready
+        )
+
     async def _retry_until_completed(self):
         await self._wait_for_servers()
         while True:
@@ -1055,9 +1070,7 @@
     async def _on_connection_lost(self, attempt, error):
         attempt.outcome = Outcome.LOST
         if not isinstance(error, _subject_watch.NO_CRASHES):
-            self.handler.reachability.on_connection_lost(
-                attempt.destination, attempt.connection.opened_s
-            )
+            self.handler.reachability.on_connection_lost(attempt.destination)
         await self.watch.on_connection_lost(attempt, error)
         return _results.Unknown(error.detail)
 
@@ -1206,6 +1219,11 @@
             self.shared_state.fleet.on_first_byte(
                 attempt.in_flight, now_s, is_answered
             )
+            self.shared_state.on_request_answered(
+                attempt.destination,
+                connection,
+                attempt.sent_at.total_seconds(),
+            )
             _server_notes.note_server_state(
                 self.handler, self._request_id_text(), attempt, metadata
             )
--- a/buckthorntack/gateway/_shared_state.py
+++ b/buckthorntack/gateway/_shared_state.py
@@ -25,6 +25,8 @@
     """How a connection to a server failed."""
 
     BROKEN = "broken"
+    #: Closed while it was idle.
+    IDLE = "idle"
     REFUSED = "refused"
     NOT_OPENED = "not_opened"
     #: Seen by another entry VM.
@@ -160,7 +162,7 @@
             self.table = directives.RouteTable(configuration)
             self.dispatcher.set_configuration(configuration)
         self.apply_evacuations(index, evacuated)
-        self._notify_change()
+        self.notify_change()
         return True
 
     def apply_evacuations(self, index, evacuated):
@@ -175,9 +177,10 @@
         self.dispatcher.set_evacuated(
             frozenset(evacuated), self.clock.monotonic()
         )
-        self._notify_change()
+        self.notify_change()
 
-    def _notify_change(self):
+    def notify_change(self):
+        """Wake the requests that wait for a change."""
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -233,16 +236,16 @@
             connection = await self.pool.open(address)
         except http1.ConnectError as error:
             now_s = self.clock.monotonic().total_seconds()
-            # Further failures, as of a link that is cut, tell nothing new.
+            # Further timeouts, as of a link that is cut, tell nothing new.
             is_first = not reachability.is_suspect(server_id)
             if reachability.on_connect_failed(server_id, now_s):
                 self._log_reachability(server_id, False)
             self._has_suspects.set()
-            if is_first:
-                failure = ConnectionFailure.NOT_OPENED
-                if isinstance(error, http1.ConnectRefusedError):
-                    failure = ConnectionFailure.REFUSED
-                self.on_server_failure(server_id, now_s, failure)
+            failure = ConnectionFailure.NOT_OPENED
+            if isinstance(error, http1.ConnectRefusedError):
+                failure = ConnectionFailure.REFUSED
+            if is_first or failure is ConnectionFailure.REFUSED:
+                self.on_server_failure(server_id, failure)
             raise
         connection.opened_s = opened_s
         self._note_connected(server_id, opened_s)
@@ -250,20 +253,20 @@
             self._log_reachability(server_id, True)
         return connection
 
-    def on_server_failure(self, server_id, opened_s, failure):
+    def on_server_failure(self, server_id, failure, idle_s=None):
         """Suspect that a server has started again, as a connection failed.
 
         :param server_id: the server.
-        :param opened_s: monotonic time at which the connection was begun to
-            open.
         :param failure: the :class:`ConnectionFailure`.
+        :param idle_s: time for which the connection was idle; None if it
+            carried a request or did not open.
         """
         service = self.find_service_of(server_id)
         if service is None or service.warmup_per_s <= 0:
             return
         now_s = self.clock.monotonic().total_seconds()
         if self.fleet.restarts.on_failure(
-            server_id, opened_s, now_s, self._unix_ms()
+            server_id, now_s, self._unix_ms(), idle_s
         ):
             self.log_suspected_restart(server_id, failure)
             self._has_suspects.set()
@@ -284,25 +287,30 @@
         :param check: the ``dispatch.RestartCheck``.
         :param cold_left_s: the time in seconds; None if it did not say.
         """
-        if cold_left_s is None:
-            return
         now_s = self.clock.monotonic().total_seconds()
-        is_news = self.fleet.restarts.on_answer(
-            check, cold_left_s, now_s, self._unix_ms()
-        )
-        self._tell_answer(check.server_id, cold_left_s, is_news)
+        is_news = self.fleet.restarts.on_answer(check, cold_left_s, now_s)
+        if cold_left_s is not None:
+            self._tell_answer(check.server_id, cold_left_s, is_news)
 
-    def on_inquiry_answer(self, server_id, cold_left_s):
-        """Record for how long a server that nobody suspects says it is cold.
+    def on_request_answered(self, server_id, connection, sent_s):
+        """Record an answer, which may show that a server has not restarted.
 
         :param server_id: the server.
-        :param cold_left_s: the time in seconds.
+        :param connection: the ``http1.Connection``.
+        :param sent_s: monotonic time at which the request was sent.
         """
-        now_s = self.clock.monotonic().total_seconds()
-        is_news = self.fleet.restarts.on_inquiry_answer(
-            server_id, cold_left_s, now_s, self._unix_ms()
-        )
-        self._tell_answer(server_id, cold_left_s, is_news)
+        now = self.clock.monotonic()
+        now_s = now.total_seconds()
+        view = self.registry.servers.get(server_id)
+        if view is None or not self.fleet.restarts.is_suspected(
+            server_id, now_s
+        ):
+            return
+        cold_left_s = max(0.0, (view.cold_until - now).total_seconds())
+        if self.fleet.restarts.on_request_answered(
+            server_id, connection.opened_s, sent_s, cold_left_s, now_s
+        ):
+            self._tell_answer(server_id, cold_left_s, True)
 
     def _tell_answer(self, server_id, cold_left_s, is_news):
         self._log.write(
@@ -314,6 +322,7 @@
         if is_news:
             self.exchange.on_restart_news()
             self.wake_if_urgent()
+            self.notify_change()
 
     def log_suspected_restart(self, server_id, failure, told_by=""):
         """Log that a server is suspected to have started again.
@@ -331,6 +340,21 @@
             told_by=told_by,
         )
 
+    def on_first_records(self, server_ids):
+        """Suspect servers whose records are older than this process.
+
+        :param server_ids: ids of servers from a first copy of the registry.
+        """
+        now_s = self.clock.monotonic().total_seconds()
+        for server_id in server_ids:
+            record = self.registry.servers[server_id].record
+            if record.region == self.settings.region and (
+                record.state == "ready"
+            ):
+                self.fleet.restarts.on_first_record(server_id, now_s)
+        if server_ids:
+            self._has_suspects.set()
+
     def find_service_of(self, server_id):
         """Return the service of a server by the active configuration.
 
@@ -346,12 +370,15 @@
         service = self.find_service_of(server_id)
         if service is None:
             return
-        self.fleet.restarts.on_connected(
+        warmup = service.warmup or self.dispatcher.settings.presumed_cold
+        if self.fleet.restarts.on_connected(
             server_id,
             opened_s,
-            service.warmup.total_seconds(),
+            warmup.total_seconds(),
             self.clock.monotonic().total_seconds(),
-        )
+        ):
+            # Its own link is not lost, so others may be told.
+            self.tell_restart(server_id)
 
     def _unix_ms(self):
         return int(self.clock.wall().timestamp() * 1e3)
@@ -472,7 +499,7 @@
                 self.pool.close_idle(server_id)
         self._by_service = {}
         if server_ids:
-            self._notify_change()
+            self.notify_change()
 
     def _remove_server(self, server_id):
         self._incarnations.pop(server_id, None)
--- a/buckthorntack/http1/_pool.py
+++ b/buckthorntack/http1/_pool.py
@@ -26,11 +26,6 @@
 DROPPED_IDLE_RATIO = 0.7
 #: Lower bound of the reduced idle timeout.
 MIN_IDLE_TIMEOUT_S = 0.2
-#: Idle time before which a server that announces no idle timeout closes no
-#: connection unless it ends.
-MIN_EXPECTED_IDLE_S = 1.0
-#: Resolution of the idle timeouts that servers announce.
-TIMEOUT_RESOLUTION_S = 1.0
 #: Time without acknowledgement of sent bytes after which a connection ends
 #: (TCP_USER_TIMEOUT).  Sound servers may be silent for a second or two; that
 #: a link is cut is found sooner, by new connections.
@@ -54,8 +49,8 @@
         self.receive_buffer_bytes = receive_buffer_bytes
         self.id_header = id_header
         #: Called with the key of a server that closed an idle connection
-        #: well before its idle timeout.
-        self.on_early_close = lambda key: None
+        #: which could still be used, and its idle time.
+        self.on_early_close = lambda key, idle_s: None
         self._idle = collections.defaultdict(list)
         self._idle_timeouts_s = {}
         self._log = events.EventLog("http1")
@@ -134,13 +129,11 @@
 
     def _on_idle_closed(self, key, connection):
         connection.on_idle_closed = None
-        timeout_s = connection.server_idle_timeout_s
-        early_s = MIN_EXPECTED_IDLE_S
-        if timeout_s is not None:
-            early_s = timeout_s - TIMEOUT_RESOLUTION_S
-        idle_s = asyncio.get_running_loop().time() - connection.idle_since_s
-        if idle_s < early_s:
-            self.on_early_close(key)
+        now = asyncio.get_running_loop().time()
+        idle_s = now - connection.idle_since_s
+        timeout_s = self._idle_timeouts_s.get(key, idle_s)
+        if now < _reuse_deadline_s(connection) and idle_s <= timeout_s:
+            self.on_early_close(key, idle_s)
 
     def _close(self, key, connection):
         connection.on_idle_closed = None
--- a/buckthorntack/platform/_dialect.py
+++ b/buckthorntack/platform/_dialect.py
@@ -126,10 +126,13 @@
         fields = {name.lower(): value for name, value in head.headers}
         if fields.get(_headers.INSTANCE_ID) != server_id.encode():
             return None
-        warmup_ms = _number(fields.get(_headers.WARMUP_MS))
-        if warmup_ms is None or not math.isfinite(warmup_ms):
+        try:
+            warmup_ms = float(fields.get(_headers.WARMUP_MS, b""))
+        except ValueError:
+            return None
+        if not 0 <= warmup_ms <= discovery.MAX_REMAINING_MS:
             return None
-        return min(warmup_ms, discovery.MAX_REMAINING_MS) / 1e3
+        return warmup_ms / 1e3
 
     def build_forward_headers(
         self, request, timeout_ms, last_event_id, caller
--- a/buckthorntack/platform/tests/_standins.py
+++ b/buckthorntack/platform/tests/_standins.py
@@ -59,6 +59,8 @@
         self.health_checks = 0
         #: Coroutine function of server, request and reply that answers.
         self.behave = answer_whole
+        #: The same for its health path.
+        self.behave_on_health = tell_warmup
         self.listener = self._bind()
 
     def _bind(self):
@@ -94,7 +96,7 @@
             return
         if request.target == HEALTH_PATH:
             self.health_checks += 1
-            reply.send(200, self.health_headers(), b"")
+            await self.behave_on_health(self, request, reply)
             return
         self.requests.append(request)
         try:
@@ -137,6 +139,11 @@
         return document
 
 
+async def tell_warmup(server, request, reply):
+    """Answer on the health path."""
+    reply.send(200, server.health_headers(), b"")
+
+
 async def answer_whole(server, request, reply):
     """Answer with what was asked."""
     body = request.method + b" " + request.target + b" " + request.body
--- a/buckthorntack/schema/_generated/discovery.py
+++ b/buckthorntack/schema/_generated/discovery.py
@@ -224,3 +224,4 @@
     speeds: list[SpeedSample] = []
     known_speeds: list[SpeedSample] = []
     restarts: list[ServerRestart] = []
+    knows_restarts: bool = False
