Take a server as cold for as long as it said last

Cause: of two ends of a warm-up less than 0.8 s apart the registry took the smaller one, and later ends within 0.8 s were no news. A server that became cold again near the end of its warm-up therefore counted as warm up to 0.8 s too soon, at control VMs and at the entry VMs that follow them. An entry VM that turned to another control VM kept an earlier end than that one went by.

Change: a server counts as cold up to the estimated end and a margin of 0.1 s, which absorbs the milliseconds by which announcements are late. An estimate within the margin is no news and changes nothing; a later one is, and so is one earlier by more than 0.8 s, as after a first announcement that came seconds late. So a registry keeps just the end that its followers were told, and no estimate that is no news exceeds it. What is sent is without the margin, which each receiver adds itself: it does not grow with the number of relays. It is rounded up. A follower takes the later end of the registry that it turns to. Announcements cause at most one change each, and only while a server is cold.

--- a/buckthorntack/discovery/_registry.py
+++ b/buckthorntack/discovery/_registry.py
@@ -11,7 +11,12 @@
 from buckthorntack.schema import messages
 
 _MS = datetime.timedelta(milliseconds=1)
-#: Estimates of the end of a warm-up that differ by less are taken as equal.
+#: Time for which a server counts as cold beyond the estimated end of its
+#: warm-up. Later estimates within it are no news, as announcements are on
+#: their way for milliseconds more or less.
+COLD_MARGIN = datetime.timedelta(milliseconds=100)
+#: An end that is earlier by less is no news: a server may be taken as cold for
+#: longer than it is, but not the other way round.
 COLD_TOLERANCE = datetime.timedelta(milliseconds=800)
 READY = "ready"
 DRAINING = "draining"
@@ -24,6 +29,7 @@
     """A backend server; times are of this node's monotonic clock."""
 
     record: messages.AnnouncedServer
+    #: Estimated end of its warm-up and the margin; 0 for none.
     cold_until: datetime.timedelta
     reclaimed_at: datetime.timedelta | None
     last_heard_at: datetime.timedelta
@@ -86,10 +92,11 @@
             now if known is None or not record.silent else known.last_heard_at,
             0,
         )
-        if known is not None and not _has_changed(view, known):
+        if known is not None and not _has_changed(view, known, now):
             merged = view._replace(
                 record=record._replace(silent=False),
-                cold_until=min(view.cold_until, known.cold_until),
+                # The end that followers have been told.
+                cold_until=known.cold_until,
                 stamp=known.stamp,
             )
             self.servers[record.server_id] = merged
@@ -304,7 +311,8 @@
     def adopt_changes(self, changes, now):
         """Merge the changes of the registry that this one follows.
 
-        Unlike :meth:`merge_changes` it also copies the ``silent`` flags.
+        Unlike :meth:`merge_changes` it also copies the ``silent`` flags, and
+        takes each server as cold for as long as the other registry does.
 
         :param changes: ``RegistryChanges``.
         :param now: monotonic time.
@@ -314,6 +322,12 @@
         for record in changes.servers:
             view = self.servers[record.server_id]
             is_same_incarnation = view.record.born_ms == record.born_ms
+            cold_until = _cold_until(record, now)
+            if is_same_incarnation and cold_until > view.cold_until:
+                # It was told by others; the end that the other registry has
+                # will be no news there.
+                view = view._replace(cold_until=cold_until)
+                self.servers[record.server_id] = view
             if is_same_incarnation and view.record.silent != record.silent:
                 updated = view.record._replace(silent=record.silent)
                 self._store_server(view._replace(record=updated))
@@ -440,7 +454,7 @@
 def _cold_until(record, now):
     if record.cold_left_ms <= 0:
         return datetime.timedelta()
-    return now + record.cold_left_ms * _MS
+    return now + record.cold_left_ms * _MS + COLD_MARGIN
 
 
 def _reclaimed_at(record, known, now):
@@ -454,7 +468,7 @@
     return reclaimed_at
 
 
-def _has_changed(view, known):
+def _has_changed(view, known, now):
     volatile = {
         "sequence": 0,
         "cold_left_ms": 0,
@@ -467,16 +481,21 @@
         return True
     if (view.reclaimed_at is None) != (known.reclaimed_at is None):
         return True
-    return view.cold_until > known.cold_until + COLD_TOLERANCE
+    if view.cold_until > known.cold_until + COLD_MARGIN:
+        return True
+    return max(view.cold_until, now) + COLD_TOLERANCE < known.cold_until
 
 
 def _with_remaining_times(view, now):
-    cold_left = max(datetime.timedelta(), view.cold_until - now)
+    cold_left_ms = 0
+    if view.is_cold(now):
+        # Rounded up; the receiver adds the margin.
+        cold_left_ms = max(1, -((now + COLD_MARGIN - view.cold_until) // _MS))
     left_ms = -1
     if view.reclaimed_at is not None:
         left_ms = max(0, (view.reclaimed_at - now) // _MS)
     return view.record._replace(
-        cold_left_ms=cold_left // _MS, reclaim_left_ms=left_ms
+        cold_left_ms=cold_left_ms, reclaim_left_ms=left_ms
     )
 
 
