Pass on each later end of a warm-up that another registry tells

Cause: the end that a registry tells lacks the margin, but the announcements that it took for no news since may lie within it. A control VM that took the told end for no news as well, as it was within its own margin, counted the server as warm up to 0.1 s before the newest announcement that it had.

Change: for records of other registries the margin absorbs nothing. Registries only send what is news to them, so this adds few messages.

Results: the new test fails before and passes after.

--- a/buckthorntack/discovery/_registry.py
+++ b/buckthorntack/discovery/_registry.py
@@ -71,11 +71,12 @@
         self._leaving = {}
         self._checked_at = now
 
-    def merge_server(self, record, now):
+    def merge_server(self, record, now, is_relayed=False):
         """Merge a server record.
 
         :param record: ``AnnouncedServer``.
         :param now: monotonic time.
+        :param is_relayed: whether it is from another registry.
         :returns: whether followers must be sent the change.
         """
         known = self.servers.get(record.server_id)
@@ -92,7 +93,9 @@
             now if known is None or not record.silent else known.last_heard_at,
             0,
         )
-        if known is not None and not _has_changed(view, known, now):
+        # The margin of another registry is used up by what it heard since.
+        margin = datetime.timedelta() if is_relayed else COLD_MARGIN
+        if known is not None and not _has_changed(view, known, now, margin):
             merged = view._replace(
                 record=record._replace(silent=False),
                 # The end that followers have been told.
@@ -294,7 +297,7 @@
         changed = [
             record.server_id
             for record in changes.servers
-            if self.merge_server(record, now)
+            if self.merge_server(record, now, is_relayed=True)
         ]
         for record in changes.nodes:
             known = self.nodes.get(record.node_id)
@@ -468,7 +471,7 @@
     return reclaimed_at
 
 
-def _has_changed(view, known, now):
+def _has_changed(view, known, now, margin):
     volatile = {
         "sequence": 0,
         "cold_left_ms": 0,
@@ -481,7 +484,7 @@
         return True
     if (view.reclaimed_at is None) != (known.reclaimed_at is None):
         return True
-    if view.cold_until > known.cold_until + COLD_MARGIN:
+    if view.cold_until > known.cold_until + margin:
         return True
     return max(view.cold_until, now) + COLD_TOLERANCE < known.cold_until
 
--- a/buckthorntack/discovery/tests/test_warmup_ends.py
+++ b/buckthorntack/discovery/tests/test_warmup_ends.py
@@ -80,6 +80,16 @@
     assert copy.servers["s1"].is_cold(NOW + 2940 * MS)
 
 
+def test_relayed_end_covers_what_was_no_news_at_its_sender():
+    sender, receiver = make_registry(1), make_registry(2)
+    receiver.merge_server(_records.server(cold_left_ms=2950), NOW)
+    for sequence, left_ms in ((2, 3000), (3, 3090)):
+        record = _records.server(sequence=sequence, cold_left_ms=left_ms)
+        sender.merge_server(record, NOW)
+    receiver.merge_changes(sender.changes_since(0, NOW), NOW)
+    assert receiver.servers["s1"].is_cold(NOW + 3089 * MS)
+
+
 class _Server:
     """A server that may start again or become cold again at any moment."""
 
