Let nothing learnt of a server outlive the start it was learnt of

Cause: a server back under its old id kept what its former start had asked for and what was learnt of that one. - A pause (Retry-After of up to 600 s): the new start got nothing until its end. - The duration of answers, by which waits are expected. - Failures of requests at the former start that were noticed after the new one was known: three ejected the new start, each raised its failure share. - A late answer of the former start, of an entry VM that stood still: its pause held for the new start, and "leaving" marked that as draining for as long as it lived. - Usage: a server that deregisters is forgotten, and requests still at it were subtracted at their end from a new state, which went below zero (-4 running, -68,560 tokens in the test). Under the same id it seemed to have more room than it had, also to the entry VMs that it reported this to.

Change: a new start clears pause, duration and ejection. A request in flight keeps the state that counts it, and the start that it was sent to: later starts learn nothing of it. Pauses and leaving count for the start that says so.

Found harmless, and left: - Usage in flight stays over a start: requests may have reached the new start before it was known, and those of the former one end with their connections. What was forwarded is counted for 0.45 s. - Brittleness is kept on purpose until the new start says otherwise; the hold after a rejection lasts 1 s, and a cold server takes little anyway. per_s is of one incarnation. - Hedging: answers count for 1 s, late requests until they end; both only withhold second sends, and a cold server gets none. - Room at brittle servers: times of sending count for 0.1 s. - Idle connections and their timeouts go with the start; one that is released later has carried a whole answer of a live process, and its end is seen. - Reachability is cleared and found anew by two connects; speeds keep little; prefix caches are cleared, and what others announce late only misleads an estimate until it is evicted. - Quarantine goes by incarnation.

--- a/buckthorntack/dispatch/_fleet.py
+++ b/buckthorntack/dispatch/_fleet.py
@@ -80,7 +80,9 @@
         "held_tokens",
         "server_id",
         "speed_work",
+        "start",
         "started_s",
+        "state",
         "unread_tokens",
     )
 
@@ -100,6 +102,9 @@
         self.started_s = started_s
         self.speed_work = speed_work
         self.has_first_byte = False
+        #: ``ServerState`` that counts it, and its ``start`` at sending.
+        self.state = None
+        self.start = 0
 
 
 class ServerState:
@@ -119,6 +124,21 @@
         self.failure_share_s = 0.0
         self.duration_ms = None
         self.paused_until_s = 0.0
+        #: Number of restarts that this entry VM was told of.
+        self.start = 0
+
+    def on_restarted(self):
+        """Clear what was learnt of the former start.
+
+        Its usage is kept: requests may have reached the new start before it
+        was known here, and those of the former one end soon.
+        """
+        self.start += 1
+        self.cache.clear()
+        self.ejection = routing.Ejection(self.settings)
+        self.failure_share = 0.0
+        self.duration_ms = None
+        self.paused_until_s = 0.0
 
     def pause(self, now_s, pause_s):
         """Send nothing to the server for a time, as it asked for.
@@ -147,10 +167,14 @@
     def learn_outcome(self, flight, outcome, now_s):
         """Update failure share, ejection and duration at the end of a request.
 
+        One that was sent to a former start says nothing of this one.
+
         :param flight: the ``InFlightRequest``.
         :param outcome: the ``Outcome``.
         :param now_s: monotonic time.
         """
+        if flight.start != self.start:
+            return
         weight = self.settings.sample_weight
         failed = outcome in (_outcomes.Outcome.ERROR, _outcomes.Outcome.LOST)
         if outcome not in _SAYING_NOTHING:
@@ -239,10 +263,7 @@
         self.speeds.on_server_restarted(server_id)
         state = self._states.get(server_id)
         if state is not None:
-            state.cache.clear()
-            state.ejection.record_success()
-            state.ejection.until_s = None
-            state.failure_share = 0.0
+            state.on_restarted()
 
     def on_request_sent(self, flight, prompt):
         """Count a request that is sent to a server.
@@ -251,6 +272,7 @@
         :param prompt: ``Prompt`` of the request, or None.
         """
         state = self.state(flight.server_id)
+        flight.state, flight.start = state, state.start
         usage = state.usage
         state.usage = usage._replace(
             waiting=usage.waiting + 1,
@@ -344,7 +366,8 @@
         if flight.has_first_byte:
             return
         flight.has_first_byte = True
-        state = self.state(flight.server_id)
+        # That of a server that has gone is no longer in the fleet.
+        state = flight.state
         usage = state.usage
         state.usage = usage._replace(
             running=usage.running + 1,
@@ -380,7 +403,7 @@
         :param outcome: the ``Outcome``.
         :param now_s: monotonic time.
         """
-        state = self.state(flight.server_id)
+        state = flight.state
         usage = state.usage
         if flight.has_first_byte:
             usage = usage._replace(running=usage.running - 1)
--- a/buckthorntack/gateway/_server_notes.py
+++ b/buckthorntack/gateway/_server_notes.py
@@ -16,6 +16,9 @@
     shared_state = handler.shared_state
     server_id = attempt.destination
     now = handler.clock.monotonic()
+    _note_limits(handler, request_id, attempt, metadata, now)
+    if _has_restarted(shared_state.registry, attempt.incarnation):
+        return
     if metadata.pause_s is not None:
         state = shared_state.fleet.state(server_id)
         state.pause(now.total_seconds(), metadata.pause_s)
@@ -25,7 +28,6 @@
             server=server_id,
             pause_s=metadata.pause_s,
         )
-    _note_limits(handler, request_id, attempt, metadata, now)
     registry = shared_state.registry
     if metadata.is_leaving and registry.mark_server_leaving(server_id, now):
         shared_state.on_servers_changed([server_id])
@@ -34,6 +36,12 @@
         )
 
 
+def _has_restarted(registry, incarnation):
+    """Whether a later start of a server is known."""
+    view = registry.servers.get(incarnation.server_id)
+    return view is not None and view.record.born_ms > incarnation.born_ms
+
+
 def _note_limits(handler, request_id, attempt, metadata, now):
     shared_state = handler.shared_state
     limits = shared_state.fleet.limits
