Spread the senders' slots anew when a server is cold again

Cause: the first slots of the entry VMs that send to a cold server were spread by rank only in its first warm-up. In a later one all slots were long past, so all senders sent at once and then again an interval later: six requests of three senders in a second at 5.1/s. With one view of the members that stays within the bound (10.65); where entry VMs know only half of each other, two such groups sent 12. A restart of the server isn't needed for it, as it may become cold again at any moment.

Change: slots of cold servers are spread anew once one has been unused for 1 s. It only puts requests off, by two thirds of an interval at most, so a server that is cold already gets no further burst. Limits that servers name keep their slots, as those may be in force for long. A sender whose requests come more than a second and an interval apart may be put off each time; the server then has other senders.

Results: test_rate_holds_when_a_server_is_cold_again (3, 6, 12 and 30 entry VMs that know all, nine tenths or half of each other, 3.2 and 5.1 per second): 9 of 72 cases fail before (12, allowed 10.65), none after. test_rate_holds_while_entry_vms_start_anew passes before and after.

--- a/buckthorntack/dispatch/_server_rates.py
+++ b/buckthorntack/dispatch/_server_rates.py
@@ -23,6 +23,11 @@
 REPORT_LAG_S = 0.1
 
 
+#: Time without a request after which the slots of a cold server are spread
+#: anew; it may have been warm meanwhile.  The bound holds for any second.
+COLD_IDLE_S = 1.0
+
+
 class RateLimits(NamedTuple):
     """Requests per second that a server takes of all entry VMs together."""
 
@@ -51,7 +56,9 @@
         self.settings = settings
         #: Entry VMs of this region, this one included.
         self.members = [node_id]
-        self._cold = _shared_rate.SharedRateLimiter(node_id)
+        self._cold = _shared_rate.SharedRateLimiter(
+            node_id, idle_s=COLD_IDLE_S
+        )
         self._limited = _shared_rate.SharedRateLimiter(
             node_id, LIMIT_TOLERANCE
         )
--- a/buckthorntack/dispatch/_shared_rate.py
+++ b/buckthorntack/dispatch/_shared_rate.py
@@ -62,16 +62,20 @@
     Requests of one entry VM have a slot each, an interval apart.  The slots
     follow each other even if requests are late, so that the rate is used,
     but one is moved up by the tolerance at most.  The first slots of the
-    senders are spread over an interval by their rank.
+    senders are spread over an interval by their rank, also after a time in
+    which none was used.
 
     :param node_id: this entry VM.
     :param tolerance: fraction of the interval by which a slot may come early
         after a late request.
+    :param idle_s: time after an unused slot from which slots are spread anew;
+        None for never.
     """
 
-    def __init__(self, node_id, tolerance=0.0):
+    def __init__(self, node_id, tolerance=0.0, idle_s=None):
         self.node_id = node_id
         self.tolerance = tolerance
+        self.idle_s = idle_s
         #: Slot of the last request, by server.
         self._used_s = {}
         self._choices = {}
@@ -90,12 +94,20 @@
         if rank is None:
             return False
         interval_s = _interval_s(rate, members)
-        if server_id not in self._used_s:
+        if self._is_unused(server_id, interval_s, now_s):
             wait_s = rank / rate.per_s
             self._used_s[server_id] = now_s + wait_s - interval_s
         slot_s = self._used_s[server_id] + interval_s
         return now_s >= slot_s + delay * interval_s
 
+    def _is_unused(self, server_id, interval_s, now_s):
+        """Whether no slot was used yet, or for a long time."""
+        used_s = self._used_s.get(server_id)
+        if used_s is None:
+            return True
+        late_s = now_s - used_s - interval_s
+        return self.idle_s is not None and late_s > self.idle_s
+
     def is_sender(self, server_id, senders, members):
         """Whether this entry VM has a part of a server's rate.
 
--- a/buckthorntack/dispatch/tests/test_cold_return.py
+++ b/buckthorntack/dispatch/tests/test_cold_return.py
@@ -1,6 +1,7 @@
 """Total request rate of all entry VMs to cold servers."""
 
 import datetime
+import random
 
 import pytest
 
@@ -57,6 +58,81 @@
     assert most_in_a_second(sent) <= PER_S * OVERRUN + SLACK
 
 
+#: Time from the end of an entry VM until it serves again.
+RESTART_S = 0.7
+
+
+def _list_known(rng, names, known):
+    """Entry VMs that each entry VM knows, itself included."""
+    if known == "halves":
+        return {
+            name: sorted(names[number % 2 :: 2])
+            for number, name in enumerate(names)
+        }
+    missing = {"all": 0.0, "most": 0.1}[known]
+    return {
+        name: [
+            other
+            for other in names
+            if other == name or rng.random() >= missing
+        ]
+        for name in names
+    }
+
+
+def _send_while_cold(rng, known, limits, starts, restarts):
+    """Let entry VMs send as often as they may, for 3 s from each start."""
+    gates = {name: _make_gate(name) for name in known}
+    sent = []
+    for step in range(300 * len(starts)):
+        now_s = starts[step // 300] + step % 300 * 0.01
+        for name in rng.sample(sorted(known), len(known)):
+            ended_s = restarts.get(name, now_s + 1.0)
+            if ended_s <= now_s < ended_s + RESTART_S:
+                gates[name] = _make_gate(name)
+                continue
+            gate = gates[name]
+            gate.members = known[name]
+            if rng.random() < 0.9 and gate.may_send("s1", limits, 0, now_s):
+                gate.on_request_sent("s1", limits, now_s)
+                sent.append(now_s)
+    return sent
+
+
+# Guards against senders that keep the slots of an earlier warm-up, and so all
+# send at once when the server is cold again.
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("per_s", [3.2, 5.1])
+@pytest.mark.parametrize("count", [3, 6, 12, 30])
+@pytest.mark.parametrize("known", ["all", "most", "halves"])
+def test_rate_holds_when_a_server_is_cold_again(known, count, per_s, seed):
+    rng = random.Random(seed)
+    names = [f"10.1.{seed}.{number}:80" for number in range(count)]
+    limits = dispatch.RateLimits(cold_per_s=per_s)
+    sent = _send_while_cold(
+        rng, _list_known(rng, names, known), limits, (0.0, 20.0), {}
+    )
+    assert most_in_a_second(sent) <= per_s * OVERRUN + SLACK
+    for start_s in (0.0, 20.0):
+        in_time = [time for time in sent if start_s <= time < start_s + 3.0]
+        assert len(in_time) > per_s * 0.5 * 3
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("per_s", [3.2, 5.1])
+@pytest.mark.parametrize("count", [3, 6, 12, 30])
+@pytest.mark.parametrize("known", ["all", "most"])
+def test_rate_holds_while_entry_vms_start_anew(known, count, per_s, seed):
+    rng = random.Random(seed)
+    names = [f"10.1.{seed}.{number}:80" for number in range(count)]
+    restarts = {name: rng.uniform(-RESTART_S, 3.0) for name in names}
+    limits = dispatch.RateLimits(cold_per_s=per_s)
+    sent = _send_while_cold(
+        rng, _list_known(rng, names, known), limits, (0.0,), restarts
+    )
+    assert most_in_a_second(sent) <= per_s * OVERRUN + SLACK
+
+
 def test_warm_server_takes_what_a_cold_one_may_not():
     world = _world.World()
     world.add_server("cold", cold_left_ms=3000)
