Ask a server one of whose connections broke before it counts as cold

Cause: a server that breaks single connections was throttled until its health check had its turn behind the requests there.

Change: after a broken connection another one is opened at once. If that is refused or does not open, the server is suspected as before; if it opens, the server is asked and keeps its rate meanwhile. A start that is that quick has an empty queue and answers at once.

test_failing_health_path_throttles_no_longer_than_a_warmup starts from a refused connection now, as a reset alone throttles nothing any more; a new test holds that.

--- a/buckthorntack/dispatch/_restarts.py
+++ b/buckthorntack/dispatch/_restarts.py
@@ -20,6 +20,9 @@
 CHECK_PERIOD_S = 0.5
 #: Time after which an entry VM connects to a server that others should check.
 PATIENCE_S = 1.0
+#: Time in which a server is asked after a connection has broken and another
+#: has opened.
+INQUIRY_S = 1.0
 #: Failures of connections that come sooner after another are of the same end.
 SAME_END_S = 0.1
 #: Time that an entry VM which has just started leaves to others to tell what
@@ -66,6 +69,7 @@
         "connected_s",
         "idle_s",
         "is_initial",
+        "is_mild",
         "is_suspected",
         "is_told",
         "since_s",
@@ -91,6 +95,8 @@
         #: Whether nothing failed, but nothing is known since this entry VM
         #: started.
         self.is_initial = False
+        #: Whether a connection broke, but none was refused.
+        self.is_mild = False
         self.check_at_s = since_s
         #: When a connection was begun to open last to find whether it is back.
         self.connected_s = since_s
@@ -105,6 +111,10 @@
     def is_cold(self, now_s):
         return self.cold_until_s is None or now_s < self.cold_until_s
 
+    def is_in_question(self, now_s):
+        is_asked = self.is_mild and now_s < self.since_s + INQUIRY_S
+        return self.is_suspected and (is_asked or self.is_cold(now_s))
+
 
 class RestartWatch:
     """Suspected restarts of servers.
@@ -145,36 +155,52 @@
         )
 
     def has_suspects(self, now_s):
-        """Whether any server is suspected.
+        """Whether any server is to be checked.
 
         :param now_s: monotonic time.
         """
         return any(
-            state.is_suspected and state.is_cold(now_s)
-            for state in self._states.values()
+            state.is_in_question(now_s) for state in self._states.values()
         )
 
-    def on_failure(self, server_id, now_s, unix_ms, idle_s=None):
+    def is_in_question(self, server_id, now_s):
+        """Whether a server is to be checked.
+
+        :param server_id: the server.
+        :param now_s: monotonic time.
+        """
+        state = self._states.get(server_id)
+        return state is not None and state.is_in_question(now_s)
+
+    def on_failure(
+        self, server_id, now_s, unix_ms, idle_s=None, is_mild=False
+    ):
         """Record that a connection to a server broke, or failed to open.
 
-        A failure renews a suspicion, as it may be of a later end.
+        A failure renews a suspicion, as it may be of a later end.  A server
+        that ends refuses connections for a while, and servers break single
+        connections: if another opens at once, it is only asked.
 
         :param server_id: the server.
         :param now_s: monotonic time.
         :param unix_ms: time of day in milliseconds.
         :param idle_s: time for which the connection was idle; None if it
             carried a request or did not open.
+        :param is_mild: whether a connection broke that carried a request.
         :returns: whether a start is suspected that was not before.
         """
         known = self._states.get(server_id)
         is_known = self.is_suspected(server_id, now_s) and (
             not known.is_initial
         )
+        if is_known and known.is_mild and not is_mild:
+            is_known = False
         if is_known and now_s - known.since_s < SAME_END_S:
             return False
         state = _State(_next_version(known, unix_ms), True, now_s)
         state.unix_ms = unix_ms
         state.idle_s = idle_s
+        state.is_mild = is_mild and not (is_known and not known.is_mild)
         if is_known:
             _renew(state, known)
         self._states[server_id] = state
@@ -198,6 +224,9 @@
             or started_s < state.since_s
         ):
             return False
+        if state.is_mild:
+            state.cold_until_s = now_s
+            return False
         state.cold_until_s = now_s + warmup_s
         return True
 
@@ -322,7 +351,9 @@
         :returns: whether they have not been told.
         """
         state = self._states.get(server_id)
-        if state is None or state.is_told or state.is_initial:
+        if state is None or state.is_told:
+            return False
+        if state.is_initial or state.is_mild:
             return False
         state.is_told = True
         return True
@@ -342,6 +373,11 @@
                 continue
             state = _State(message.version, message.is_suspected, now_s)
             state.is_told = True
+            if _is_mild(known) and message.is_suspected:
+                state.version = max(known.version, message.version)
+                changed.append(server_id)
+                self._states[server_id] = state
+                continue
             if known is not None and state.order <= known.order:
                 if _is_untold(known) and message.is_suspected:
                     # Others see it as well.
@@ -401,7 +437,7 @@
         """
         due = []
         for server_id, state in self._states.items():
-            if not state.is_suspected or not state.is_cold(now_s):
+            if not state.is_in_question(now_s):
                 continue
             may_ask = may_send(server_id)
             asks = bool(may_ask) and now_s >= state.check_at_s
@@ -454,6 +490,10 @@
     )
 
 
+def _is_mild(state):
+    return state is not None and state.is_suspected and state.is_mild
+
+
 def _is_untold(state):
     return state.is_suspected and not (state.is_told or state.is_initial)
 
--- a/buckthorntack/dispatch/tests/test_restarts.py
+++ b/buckthorntack/dispatch/tests/test_restarts.py
@@ -412,3 +412,57 @@
     watch.on_informed()
     watch.on_first_record("s1", 7.2)
     assert not watch.is_cold("s1", 7.2)
+
+
+def break_one(watch, now_s):
+    unix_ms = UNIX_MS + int(now_s * 1e3)
+    return watch.on_failure("s1", now_s, unix_ms, is_mild=True)
+
+
+# Guards against sound servers that lose their share when single connections
+# break, as those that spoil some of their answers.
+def test_server_that_is_reached_after_a_connection_broke_is_only_asked():
+    watch = make_watch()
+    assert break_one(watch, 7.0)
+    assert watch.is_cold("s1", 7.0)
+    assert not connect(watch, 7.01)
+    assert not watch.is_cold("s1", 7.01)
+    assert not watch.tell("s1")
+    [check] = list_questions(watch, True, 7.02)
+    assert answer(watch, check, 7.05, 2.9)
+    assert watch.is_cold("s1", 7.05)
+
+
+def test_refused_connect_after_a_connection_broke_is_a_suspicion():
+    watch = make_watch()
+    break_one(watch, 7.0)
+    assert fail(watch, 7.01)
+    assert watch.tell("s1")
+    connect(watch, 8.0)
+    assert watch.is_cold("s1", 8.0)
+
+
+def test_connection_that_broke_does_not_weaken_a_suspicion():
+    watch = make_watch()
+    fail(watch, 7.0)
+    break_one(watch, 7.5)
+    connect(watch, 8.0)
+    assert watch.is_cold("s1", 8.0)
+
+
+def test_suspicion_of_others_outweighs_a_connection_that_broke():
+    watch, other = make_watch(), make_watch()
+    fail(other, 7.0)
+    other.tell("s1")
+    break_one(watch, 7.1)
+    connect(watch, 7.15)
+    assert exchange_all(other, watch, 7.2) == ["s1"]
+    assert watch.is_suspected("s1", 7.2)
+
+
+def test_questions_after_a_connection_broke_end():
+    watch = make_watch()
+    break_one(watch, 7.0)
+    connect(watch, 7.01)
+    assert watch.has_suspects(7.5)
+    assert not watch.has_suspects(7.0 + _restarts.INQUIRY_S)
--- a/buckthorntack/gateway/_reachability_task.py
+++ b/buckthorntack/gateway/_reachability_task.py
@@ -125,7 +125,14 @@
         )
 
     def _on_restart_suspected(self, server_id, failure):
-        """Tell other entry VMs, unless only a link of this one may be lost."""
+        """Tell other entry VMs, unless only a link of this one may be lost.
+
+        After a connection broke, another one shows whether the server is away.
+        """
+        if failure is _shared_state.ConnectionFailure.BROKEN:
+            self._start(self._probe(server_id))
+            self.start_due_checks()
+            return
         tell = functools.partial(self.shared_state.tell_restart, server_id)
         if failure in _SEEN_FROM_SERVER:
             tell()
@@ -157,7 +164,7 @@
         """Ask a server that may have started again."""
 
         def is_due():
-            return self.restarts.is_suspected(check.server_id, self._now_s())
+            return self.restarts.is_in_question(check.server_id, self._now_s())
 
         service = self.shared_state.find_service_of(check.server_id)
         if service is not None and service.warmup_per_s <= 0:
--- a/buckthorntack/gateway/_shared_state.py
+++ b/buckthorntack/gateway/_shared_state.py
@@ -266,7 +266,11 @@
             return
         now_s = self.clock.monotonic().total_seconds()
         if self.fleet.restarts.on_failure(
-            server_id, now_s, self._unix_ms(), idle_s
+            server_id,
+            now_s,
+            self._unix_ms(),
+            idle_s,
+            failure is ConnectionFailure.BROKEN,
         ):
             self.log_suspected_restart(server_id, failure)
             self._has_suspects.set()
--- a/buckthorntack/http1/_errors.py
+++ b/buckthorntack/http1/_errors.py
@@ -16,7 +16,7 @@
 class ConnectRefusedError(ConnectError):
     """The machine of the server says that nothing listens there."""
 
-    number = 1911
+    number = 1912
 
 
 class IncompleteResponseError(errors.GatewayError):
--- a/buckthorntack/platform/tests/test_restarted_servers.py
+++ b/buckthorntack/platform/tests/test_restarted_servers.py
@@ -181,6 +181,29 @@
     server.behave = _standins.stream(EVENTS)
 
 
+async def refuse_one(world, server):
+    """Refuse the connection of one request, as a server that is away."""
+    server.crash()
+    await world.ask(PATH, "e0", method="POST")
+    await server.start_again()
+
+
+# Guards against a sound server that gets the rate of a cold one when one of
+# its connections is reset, though others open at once.
+def test_sound_server_keeps_its_rate_after_a_reset():
+    async def scenario(world):
+        await set_warmup(world, LONG_WARMUP_S)
+        server = world.servers["s1"]
+        server.behave_on_health = _standins.hang
+        await reset_one(world, server)
+        await world.until(lambda: server.health_checks)
+        assert not any(
+            watch.is_cold("s1", now_s()) for watch in watches(world)
+        )
+
+    test_requests.run(scenario, ("s1", "text"), entries=ZONES)
+
+
 async def until_warm_rate(world, server):
     """Let callers press until a server gets more than a cold one may."""
     times = note_arrivals(server)
@@ -233,7 +256,7 @@
         await set_warmup(world, LONG_WARMUP_S)
         server = world.servers["s1"]
         server.behave_on_health = HEALTH_FAULTS[fault]
-        await reset_one(world, server)
+        await refuse_one(world, server)
         await world.until(lambda: server.health_checks)
         [watch, *_] = watches(world)
         reached_s = now_s()
@@ -260,7 +283,7 @@
         await set_warmup(world, SHORT_WARMUP_S)
         server = world.servers["s1"]
         server.behave_on_health = _standins.answer_with(500)
-        await reset_one(world, server)
+        await refuse_one(world, server)
         await world.until(lambda: server.health_checks)
         await world.until(
             lambda: (
