Find the organisation of a large body that is handed on

Cause: for a body over 64 KiB the listener for forwarded requests looks the organisation up before it reads the body; find_owner left the route out of its call of find_forwarded_caller, which got it when anonymous callers began to be checked. Its tests called the function itself, and none sent a large body over a hop with bounded memory.

Change: the organisation is found by the name that the other entry VM gives, which needs no route; whether its caller may use the route is decided as before, once the request is read.

Evidence: test_large_request_is_served_over_a_hop_between_regions, for a key and for an anonymous caller, failed before (both 400, "User callback error") and passes.

--- a/buckthorntack/gateway/_authorisation.py
+++ b/buckthorntack/gateway/_authorisation.py
@@ -51,10 +51,9 @@
         ``UnknownOrganisationError``; None if the other entry VM does not name
         an organisation, so that the request has to be authorised here.
     """
-    value = http1.find_header(headers, ORGANISATION_HEADER)
-    if value is None:
+    name = _read_organisation_name(headers)
+    if name is None:
         return None
-    name = urllib.parse.unquote(value.decode("latin-1"))
     if not name:
         if table.has_organisations and not route.is_anonymous:
             # The sender has an older or newer configuration.
@@ -70,6 +69,26 @@
     return Ok(Caller(organisation))
 
 
+def find_forwarded_organisation(table, headers):
+    """Find the organisation that another entry VM names, on any route.
+
+    :param table: the ``directives.RouteTable``.
+    :param headers: list of name and value pairs.
+    :returns: the ``directives.Organisation``; None if the other entry VM
+        names none, or one that is not known here.
+    """
+    name = _read_organisation_name(headers)
+    return table.find_organisation(name) if name else None
+
+
+def _read_organisation_name(headers):
+    """Return the name from another entry VM; None if it gives none."""
+    value = http1.find_header(headers, ORGANISATION_HEADER)
+    if value is None:
+        return None
+    return urllib.parse.unquote(value.decode("latin-1"))
+
+
 def write_headers(caller):
     """Return the headers that tell an entry VM the organisation of a request.
 
--- a/buckthorntack/gateway/_memory.py
+++ b/buckthorntack/gateway/_memory.py
@@ -70,10 +70,10 @@
         if table is None or not table.has_organisations:
             return ""
         if self._run_state_header:
-            result = _authorisation.find_forwarded_caller(table, headers)
-            if result is None or result.is_error():
-                return ""
-            return get_owner(result.ok)
+            organisation = _authorisation.find_forwarded_organisation(
+                table, headers
+            )
+            return "" if organisation is None else organisation.name
         request = http1.Request(b"", b"", headers, b"", 0.0)
         read = self._shared_state.dialect.parse_request(request)
         if read.is_error() or read.ok.api_key is None:
--- a/buckthorntack/gateway/tests/test_authorisation.py
+++ b/buckthorntack/gateway/tests/test_authorisation.py
@@ -93,6 +93,16 @@
     assert result.error.status == 503
 
 
+@pytest.mark.parametrize("name", ["depot", "new", None])
+def test_owner_of_a_forwarded_body_is_the_organisation_known_here(name):
+    depot = organisation()
+    caller = _authorisation.Caller(organisation(name) if name else None)
+    found = _authorisation.find_forwarded_organisation(
+        table(depot), _authorisation.write_headers(caller)
+    )
+    assert found is (depot if name == "depot" else None)
+
+
 def test_entry_vm_that_names_none_leaves_it_to_the_key():
     found = _authorisation.find_forwarded_caller(
         table(organisation()), _documents.route(), []
--- a/buckthorntack/platform/tests/test_organisations.py
+++ b/buckthorntack/platform/tests/test_organisations.py
@@ -3,10 +3,14 @@
 import asyncio
 import json
 
+import pytest
+
 from buckthorntack import http1
 from buckthorntack.platform.tests import _standins
 
 SAFE, TALK, OPEN = "/safe/x", "/talk/x", "/open/x"
+#: Larger than a body whose organisation is looked up before it is read.
+LARGE_BODY_BYTES = 100_000
 TENANT = b"x-buckthorntack-tenant"
 
 
@@ -27,7 +31,7 @@
     return configuration
 
 
-def run(scenario, *servers, configuration=None):
+def run(scenario, *servers, configuration=None, **options):
     """Run a scenario after a first configuration with organisations."""
 
     async def begun(world):
@@ -39,7 +43,7 @@
             await world.add_server(*server)
         await scenario(world)
 
-    _standins.run(begun)
+    _standins.run(begun, **options)
 
 
 def seen_by(server):
@@ -84,17 +88,16 @@
     run(scenario, ("s1", "desk"))
 
 
+async def wait_for_other_region(world):
+    """Wait until the entry VM of the north may hand requests over."""
+    fleet = world.nodes["e0"].shared_state.fleet
+    await world.until(lambda: fleet.remote_usage("south", "s1", 0) is not None)
+
+
 # A request that is handed over was authorised by the first entry VM only.
 def test_organisation_is_told_over_a_hop_between_regions():
     async def scenario(world):
-        await world.until(
-            lambda: (
-                world.nodes["e0"].shared_state.fleet.remote_usage(
-                    "south", "s1", 0
-                )
-                is not None
-            )
-        )
+        await wait_for_other_region(world)
         answer = await ask(world, SAFE, "k1")
         assert answer.status == 200
         fields = seen_by(world.servers["s1"])
@@ -104,6 +107,23 @@
     run(scenario, ("s1", "desk", "b1"))
 
 
+# Guards against large bodies that the other region refuses, as it looks their
+# organisation up before it has read them and knows their route.
+@pytest.mark.parametrize(
+    ("path", "key"), [(SAFE, "k1"), (OPEN, None)], ids=["key", "anonymous"]
+)
+def test_large_request_is_served_over_a_hop_between_regions(path, key):
+    async def scenario(world):
+        await wait_for_other_region(world)
+        body = b"x" * LARGE_BODY_BYTES
+        answer = await ask(world, path, key, method="POST", body=body)
+        assert answer.status == 200, answer.body
+        [request] = world.servers["s1"].requests
+        assert request.body == body
+
+    run(scenario, ("s1", "desk", "b1"), memory_mb=200.0)
+
+
 # A resumed stream reaches a second server with the same organisation.
 def test_second_server_of_a_stream_is_told_the_organisation():
     async def scenario(world):
