Answer a fault of the gateway while a request is read as its own

Seen by callers: an exception in what the parser calls was answered with 400 "User callback error", after which no caller sends the request again, and logged as a malformed request; the next entry VM passed that 400 on, as it had no run state. An exception after the parser, as for a chunked body, closed the connection without an answer.

Cause: the parser's HttpParserCallbackError, which wraps exceptions of its callbacks, is a kind of HttpParserError, and was taken for a fault of the request.

Change: an exception while a request is read is logged (reading_failed, with the exception itself) and answered with 500 and the header fields of a refusal, so that another entry VM learns "not run" and the caller gets 503, after which it sends the request again. If the request was whole, how far it got is not known: the connection ends, which promises nothing. 500 is sent as 408, 413 and 503 are, with the rest of the body read on for a moment.

--- a/buckthorntack/http1/_events.py
+++ b/buckthorntack/http1/_events.py
@@ -86,3 +86,10 @@
     " response; the size is what was left.",
     "check for clients that read slowly beside a stop",
 )
+READING_FAILED = events.declare(
+    1911,
+    "reading_failed",
+    logbook.ERROR,
+    "A fault of the gateway kept a request from being read; it was not run.",
+    "report the error",
+)
--- a/buckthorntack/http1/_server.py
+++ b/buckthorntack/http1/_server.py
@@ -44,7 +44,7 @@
 #: longer than requests last.
 SLOW_USER_TIMEOUT_MS = 60_000
 #: Status codes of requests whose clients are sound and still send.
-LINGERING_STATUSES = (408, 413, 503)
+LINGERING_STATUSES = (408, 413, 500, 503)
 #: Time and bytes for which they are read on, as a close with unread bytes
 #: resets the connection and the client may lose the response (RFC 9112,
 #: section 9.6).
@@ -106,7 +106,7 @@
     #: organisation; empty for none.
     find_owner: object
     #: Function of the header fields of a request that returns those of its
-    #: refusal for want of memory.
+    #: refusal, as it is not handled.
     build_refusal_headers: object
 
 
@@ -685,10 +685,19 @@
             self._framing_bytes += len(data)
         if not self._is_reading:
             self._start_reading()
+        try:
+            self._parse_piece(data)
+        except Exception as error:
+            self._on_reading_failed(error)
+
+    def _parse_piece(self, data):
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self._reject(400, "upgrades are not supported")
+        except httptools.HttpParserCallbackError as error:
+            # Raised by a method below, whatever the client sent.
+            raise (error.__context__ or error) from None
         except httptools.HttpParserError as error:
             self._reject(400, f"not HTTP/1.1: {error}")
         self._take_body()
@@ -698,6 +707,21 @@
         elif self._framing_bytes > self.listener.limits().header_bytes:
             self._reject(431, "a chunk line or the trailers are too large")
 
+    def _on_reading_failed(self, error):
+        """Refuse a request that a fault of the gateway kept from being read.
+
+        :param error: the exception.
+        """
+        self.listener.log.write(
+            _events.READING_FAILED, peer=self.peer, error=repr(error)
+        )
+        if self._target:
+            self._reject(500, "internal error", self._build_refusal_headers())
+        else:
+            # It was read whole, and may run by now.
+            self.refused = True
+            self.abort(EndReason.HANDLER_FAILED)
+
     def eof_received(self):
         return False
 
@@ -840,11 +864,13 @@
 
     def _refuse(self, detail):
         """Refuse a request that is not handled, and may be sent again."""
+        self._reject(503, detail, self._build_refusal_headers())
+
+    def _build_refusal_headers(self):
         memory = self.listener.memory
-        headers = ()
-        if memory is not None:
-            headers = memory.build_refusal_headers(self._headers)
-        self._reject(503, detail, headers)
+        if memory is None:
+            return ()
+        return memory.build_refusal_headers(self._headers)
 
     def _check_body_size(self, size_bytes):
         if size_bytes > self.listener.limits().body_bytes:
--- a/buckthorntack/platform/tests/test_organisations.py
+++ b/buckthorntack/platform/tests/test_organisations.py
@@ -124,6 +124,26 @@
     run(scenario, ("s1", "desk", "b1"), memory_mb=200.0)
 
 
+# Guards against a fault of the other region that is passed on as one of the
+# caller, who then gives the request up.
+def test_fault_over_a_hop_is_refused_as_not_run():
+    def fail(headers):
+        raise TypeError("an argument is missing")
+
+    async def scenario(world):
+        await wait_for_other_region(world)
+        listener = world.nodes["e2"].forward_listener
+        listener.memory = listener.memory._replace(find_owner=fail)
+        body = b"x" * LARGE_BODY_BYTES
+        for _ in range(2):
+            answer = await ask(world, SAFE, "k1", method="POST", body=body)
+            assert answer.status == 503, answer.body
+            assert float(answer.headers[b"retry-after"]) > 0
+        assert world.servers["s1"].requests == []
+
+    run(scenario, ("s1", "desk", "b1"), memory_mb=200.0)
+
+
 # A resumed stream reaches a second server with the same organisation.
 def test_second_server_of_a_stream_is_told_the_organisation():
     async def scenario(world):
