Bound the log in memory by bytes, not only by entries

Change: of these entries 16 MiB are kept, four of the largest configurations that an operator may send.

Not held yet: a follower that stands still for 10 s under these changes grows to 406 MB once it goes on. What is sent to it is bounded by messages only.

--- a/buckthorntack/consensus/_entry_log.py
+++ b/buckthorntack/consensus/_entry_log.py
@@ -65,6 +65,14 @@
             end += 1
         return self._entries[start:end]
 
+    def size_bytes(self, first, last):
+        """Total size of the data of an inclusive range.
+
+        :param first: index of the first entry.
+        :param last: index of the last entry.
+        """
+        return sum(len(entry.data) for entry in self.between(first, last))
+
     def append(self, entry):
         """Append an entry.
 
@@ -91,6 +99,23 @@
         self.base_index = index
         self.base_term = term
 
+    def compact_to(self, index, limit_entries, limit_bytes):
+        """Remove entries up to an index, except the newest ones.
+
+        :param index: last index to remove.
+        :param limit_entries: most entries to keep before the index.
+        :param limit_bytes: most bytes of their data.
+        """
+        base_index = index
+        kept_bytes = 0
+        lowest = max(self.base_index, index - limit_entries)
+        while base_index > lowest:
+            kept_bytes += self.size_bytes(base_index, base_index)
+            if kept_bytes > limit_bytes:
+                break
+            base_index -= 1
+        self.compact(base_index)
+
     def restore(self, index, term):
         """Replace all entries by a snapshot.
 
--- a/buckthorntack/consensus/_replica.py
+++ b/buckthorntack/consensus/_replica.py
@@ -211,8 +211,9 @@
         """
         state = self.state
         state.snapshot_index = index
-        compact_index = index - state.timing.kept_entries
-        state.log.compact(compact_index)
+        state.log.compact_to(
+            index, state.timing.kept_entries, state.timing.kept_bytes
+        )
         base = _state.configuration_at(state, index)
         later = [item for item in state.history if item[0] > index]
         state.history = [(index, base), *later]
--- a/buckthorntack/consensus/_timing.py
+++ b/buckthorntack/consensus/_timing.py
@@ -55,5 +55,7 @@
     #: Entries kept in memory before a snapshot, so that followers that are
     #: slightly behind need no snapshot.
     kept_entries: int = 200
+    #: Most bytes of these entries: four of the largest configurations.
+    kept_bytes: int = 16 * 1024 * 1024
     #: Most entries that a learner may lack when it is promoted.
     promotion_lag_entries: int = 16
