Take failures that a clock behind tells, and tell entry VMs that start

- An entry VM that starts anew while its clock is behind told failures with a version below that of an answer that others keep, who passed them over and ended its own suspicion.
A suspicion that was not seen before is news now, whatever its version.
- An entry VM that starts anew heard of suspicions with the next full report only, 0.4 s later, and not at all sooner if it had sent one report before.

--- a/buckthorntack/dispatch/_exchange.py
+++ b/buckthorntack/dispatch/_exchange.py
@@ -233,7 +233,7 @@
         for node_id in (sender, *report.heard):
             self._last_heard_s[node_id] = now_s
         self._suspected_until_s.pop(sender, None)
-        if report.sequence < self._sequences.get(sender, math.inf):
+        if report.sequence <= self._sequences.get(sender, math.inf):
             self._started.add(sender)
             # It must not wait for the next full report.
             self._last_reported.pop(sender, None)
--- a/buckthorntack/dispatch/_restarts.py
+++ b/buckthorntack/dispatch/_restarts.py
@@ -72,6 +72,7 @@
         "is_mild",
         "is_suspected",
         "is_told",
+        "seen",
         "since_s",
         "unanswered",
         "unix_ms",
@@ -90,6 +91,8 @@
         #: Time for which the connection was idle whose end was the failure;
         #: None for another failure.
         self.idle_s = None
+        #: Versions of the suspicions that are known here.
+        self.seen = frozenset()
         #: Whether other entry VMs are told.
         self.is_told = False
         #: Whether nothing failed, but nothing is known since this entry VM
@@ -203,7 +206,7 @@
         state.is_mild = is_mild and not (is_known and not known.is_mild)
         if is_known:
             _renew(state, known)
-        self._states[server_id] = state
+        self._store(server_id, state)
         return not is_known
 
     def on_connected(self, server_id, started_s, warmup_s, now_s):
@@ -251,11 +254,19 @@
         self._store_answer(server_id, known, cold_left_s, now_s)
         return True
 
+    def _store(self, server_id, state):
+        known = self._states.get(server_id)
+        if known is not None:
+            state.seen = known.seen
+        if state.is_suspected:
+            state.seen |= {state.version}
+        self._states[server_id] = state
+
     def _store_answer(self, server_id, known, cold_left_s, now_s):
         state = _State(known.version + 1, False, now_s)
         state.cold_until_s = now_s + cold_left_s
         state.is_told = True
-        self._states[server_id] = state
+        self._store(server_id, state)
         self._note_answer(server_id, known, cold_left_s, now_s)
 
     def on_answer(self, check, cold_left_s, now_s):
@@ -304,7 +315,7 @@
         state = _State(0, True, now_s)
         state.is_initial = True
         state.check_at_s = now_s + START_GRACE_S
-        self._states[server_id] = state
+        self._store(server_id, state)
 
     def on_informed(self):
         """Record that another entry VM has told all that it knows."""
@@ -376,20 +387,30 @@
             if _is_mild(known) and message.is_suspected:
                 state.version = max(known.version, message.version)
                 changed.append(server_id)
-                self._states[server_id] = state
+                self._store(server_id, state)
                 continue
             if known is not None and state.order <= known.order:
-                if _is_untold(known) and message.is_suspected:
+                if not message.is_suspected:
+                    continue
+                if _is_untold(known):
                     # Others see it as well.
                     known.is_told = True
                     changed.append(server_id)
+                elif not known.is_suspected and (
+                    message.version not in known.seen
+                ):
+                    # Told by a clock that is behind.
+                    known.seen |= {message.version}
+                    state.version = known.version + 1
+                    self._store(server_id, state)
+                    changed.append(server_id)
                 continue
             if message.is_suspected:
                 if self.is_suspected(server_id, now_s):
                     _renew(state, known)
                 else:
                     changed.append(server_id)
-                self._states[server_id] = state
+                self._store(server_id, state)
             elif _may_be_older(message, known, now_s):
                 known.version = message.version + 1
                 known.is_told = True
@@ -397,7 +418,7 @@
             else:
                 cold_left_s = message.cold_left_ms / 1e3
                 state.cold_until_s = now_s + cold_left_s
-                self._states[server_id] = state
+                self._store(server_id, state)
                 self._note_answer(server_id, known, cold_left_s, now_s)
                 changed.append(server_id)
         return changed
--- a/buckthorntack/dispatch/tests/test_exchange.py
+++ b/buckthorntack/dispatch/tests/test_exchange.py
@@ -291,3 +291,27 @@
     }
     assert {relays[name] for name in ("vm00", "vm02", "vm04")} == {"vm04"}
     assert {relays[name] for name in ("vm01", "vm03", "vm05")} == {"vm03"}
+
+
+# Guards against an entry VM that starts anew and floods a cold server, as it
+# is not told that the server may have started again.
+def test_entry_vm_that_starts_anew_is_told_of_restarts_at_once():
+    mesh = _Mesh(3)
+    relay = mesh.exchanges["vm00"]
+    restarts = mesh.fleets["vm00"].restarts
+    restarts.on_failure("s", mesh.now_s, 1_700_000_000_000)
+    restarts.tell("s")
+    for _ in range(12):
+        mesh.run_round()
+        last = relay._last_reported["vm02"]
+        if mesh.now_s - last.full_report_s < 0.06:
+            break
+    assert mesh.fleets["vm02"].restarts.is_cold("s", mesh.now_s)
+    domains = {f"vm{n:02}": DOMAINS[n % 2] for n in range(3)}
+    mesh.fleets["vm02"] = dispatch.Fleet(dispatch.DispatchSettings())
+    fresh = dispatch.UsageExchange(mesh.fleets["vm02"], "vm02", "a")
+    fresh.set_members(domains)
+    mesh.exchanges["vm02"] = fresh
+    mesh.run_round(["vm02"])
+    mesh.run_round(["vm00"])
+    assert mesh.fleets["vm02"].restarts.is_cold("s", mesh.now_s)
--- a/buckthorntack/dispatch/tests/test_restarts.py
+++ b/buckthorntack/dispatch/tests/test_restarts.py
@@ -466,3 +466,46 @@
     connect(watch, 7.01)
     assert watch.has_suspects(7.5)
     assert not watch.has_suspects(7.0 + _restarts.INQUIRY_S)
+
+
+# Guards against a failure that is taken for an old one, as the entry VM that
+# saw it has just started and its clock is behind.
+def test_failure_told_by_a_clock_behind_is_newer_than_an_earlier_answer():
+    first, fresh = make_watch(), make_watch()
+    fail(first, 7.0)
+    first.tell("s1")
+    answer(first, ask(first, 7.0), 7.1)
+    fresh.on_failure("s1", 8.0, UNIX_MS + 6_000)
+    fresh.tell("s1")
+    exchange_all(fresh, first, 8.1)
+    exchange_all(first, fresh, 8.3)
+    assert fresh.is_cold("s1", 8.3)
+    assert first.is_cold("s1", 8.4)
+
+
+# Guards against an answer of the former start that replaces one of the next
+# start, as the entry VM that got the former has a clock that is ahead.
+def test_answer_of_a_clock_ahead_is_older_than_one_after_a_later_failure():
+    ahead, sound = make_watch(), make_watch()
+    ahead.on_failure("s1", 7.0, UNIX_MS + 7_500)
+    ahead.tell("s1")
+    check = ask(ahead, 7.0)
+    exchange_all(ahead, sound, 7.01)
+    connect(sound, 7.02)
+    assert answer(ahead, check, 7.05)
+    fail(sound, 7.12)
+    check = ask(sound, 7.13)
+    connect(sound, 7.13)
+    assert answer(sound, check, 7.15, 2.9)
+    exchange_all(ahead, sound, 7.20)
+    assert sound.is_cold("s1", 7.20)
+
+
+# Guards against a check that fails, as a service no longer limits the rate of
+# cold servers.
+def test_check_of_a_service_without_a_rate_is_counted_for_nothing():
+    world = _world.World()
+    world.add_server("s1")
+    record = world.registry.servers["s1"].record
+    service = _documents.service(warmup_per_s=0.0)
+    world.dispatcher.on_server_asked(record, service, world.now_s)
--- a/buckthorntack/platform/tests/test_formats.py
+++ b/buckthorntack/platform/tests/test_formats.py
@@ -404,3 +404,24 @@
         b"x-buckthorntack-deadline-ms",
         b"x-buckthorntack-expect-instance",
     }
+
+
+@pytest.mark.parametrize(
+    ("value", "cold_left_s"),
+    [
+        (b"2900", 2.9),
+        (b"0", 0.0),
+        (b"nan", None),
+        (b"-1", None),
+        (b"inf", None),
+        (b"", None),
+    ],
+)
+def test_warm_up_that_a_health_path_names(value, cold_left_s):
+    headers = [
+        (b"X-Buckthorntack-Instance-Id", b"s1"),
+        (b"X-Buckthorntack-Warmup-Ms", value),
+    ]
+    head = http1.ResponseHead(200, b"", headers, 0, http1.BodyFraming.LENGTH)
+    dialect = _dialect.PlatformDialect()
+    assert dialect.parse_health(head, "s1") == cold_left_s
