Send replicas without a log the state, and little ahead of answers

Timeline: the first new disk starts at 41.93 s, is a learner at 42.27 and is sent all 41 entries of the log, each a configuration in full. It applies entry 8 at 43.4 s, 12 at 44.8, 15 at 47.3, 24 at 53.6: 0.2 to 0.75 s each; the largest are of 0.8 MB as reckoned. The second disk is lost at 46.5 s; one voter of three is left, and nothing can be read again.

Above 4 MiB a link drops messages, and those that go over the other connection to the same VM overtake entries; the follower refuses them, and the leader goes back. While a leader did not know where logs match, it sent a large entry again with each heartbeat.

The price: of entries over 0.5 MB one goes for each round trip. - Chunks between control VMs are of 256 KiB, so at most 2.5 MB/s to one replica at a time, 1 a round trip. Messages, commands and files are as before: builds may run side by side.

--- a/buckthorntack/consensus/_commands.py
+++ b/buckthorntack/consensus/_commands.py
@@ -64,7 +64,7 @@
 
 
 class LoadSnapshot(NamedTuple):
-    """Load the newest snapshot, to be sent to a replica."""
+    """Take a snapshot of what is applied, to be sent to a replica."""
 
     to: str
 
--- a/buckthorntack/consensus/_progress.py
+++ b/buckthorntack/consensus/_progress.py
@@ -33,7 +33,8 @@
         self.probing = True
         #: Whether a probe is sent and not answered yet.
         self.probe_sent = False
-        #: Last entry index of each unacknowledged append request.
+        #: Last entry index of each unacknowledged append request, and the
+        #: bytes of its entries.
         self.in_flight = collections.deque()
         self.transfer = None
         self.snapshot_requested = False
@@ -47,7 +48,7 @@
         self.next_index = max(self.next_index, self.match_index + 1)
         self.probing = False
         self.probe_sent = False
-        while self.in_flight and self.in_flight[0] <= self.match_index:
+        while self.in_flight and self.in_flight[0][0] <= self.match_index:
             self.in_flight.popleft()
 
     def record_mismatch(self, previous_index, hint_index):
@@ -85,15 +86,25 @@
             return not self.probe_sent
         return len(self.in_flight) < window_messages
 
-    def record_sent(self, last_index):
+    def has_room(self, size_bytes, window_bytes):
+        """Whether flow control allows to send entries of a size now.
+
+        :param size_bytes: size of the entries; any fits if it goes alone.
+        :param window_bytes: upper bound on unacknowledged bytes.
+        """
+        sent_bytes = sum(sent for _, sent in self.in_flight)
+        return not sent_bytes or sent_bytes + size_bytes <= window_bytes
+
+    def record_sent(self, last_index, size_bytes):
         """Record that entries were sent.
 
         :param last_index: index of the last sent entry.
+        :param size_bytes: size of the entries.
         """
         if self.probing:
             self.probe_sent = True
             return
-        self.in_flight.append(last_index)
+        self.in_flight.append((last_index, size_bytes))
         self.next_index = last_index + 1
 
     def reset_for_new_disk(self, identity, next_index):
--- a/buckthorntack/consensus/_replica.py
+++ b/buckthorntack/consensus/_replica.py
@@ -195,7 +195,7 @@
         """Start to send the snapshot that a ``LoadSnapshot`` asked for.
 
         :param node: node id of the replica that receives it.
-        :param snapshot: the newest ``storage.Snapshot``.
+        :param snapshot: ``storage.Snapshot`` of what is applied.
         :param now: monotonic time.
         """
         self.state.now = now
--- a/buckthorntack/consensus/_replication.py
+++ b/buckthorntack/consensus/_replication.py
@@ -215,17 +215,30 @@
 
 
 def _send_next_entries(state, node, progress):
-    previous_index = progress.next_index - 1
-    previous_term = state.log.term_at(previous_index)
-    if previous_term is None:
+    first = progress.next_index
+    previous_term = state.log.term_at(first - 1)
+    if previous_term is None or _is_replay_too_long(state, progress):
         _snapshots.request_snapshot(state, node, progress)
         return False
-    entries = state.log.read(progress.next_index, state.timing.message_bytes)
-    _send_append(state, node, previous_index, previous_term, entries)
-    progress.record_sent(entries[-1].index)
+    entries = state.log.read(first, state.timing.message_bytes)
+    size_bytes = sum(len(entry.data) for entry in entries)
+    if not progress.has_room(size_bytes, state.timing.window_bytes):
+        return False
+    if progress.probing and size_bytes > state.timing.probe_bytes:
+        entries, size_bytes = [], 0
+    _send_append(state, node, first - 1, previous_term, entries)
+    progress.record_sent(first - 1 + len(entries), size_bytes)
     return True
 
 
+def _is_replay_too_long(state, progress):
+    """Whether a replica without entries lacks more than it is to replay."""
+    if progress.next_index > 1 or not state.commit_index:
+        return False
+    replayed_bytes = state.log.size_bytes(1, state.commit_index)
+    return replayed_bytes > state.timing.replayed_bytes
+
+
 def _send_heartbeat(state, node, progress):
     previous_index = progress.next_index - 1
     previous_term = state.log.term_at(previous_index)
--- a/buckthorntack/consensus/_snapshots.py
+++ b/buckthorntack/consensus/_snapshots.py
@@ -23,7 +23,7 @@
 
 
 def request_snapshot(state, node, progress):
-    """Have the newest snapshot loaded for a replica that needs one.
+    """Have a snapshot taken for a replica that needs one.
 
     Snapshots are sent to one replica at a time, so that the total rate stays
     bounded when several lag behind.
--- a/buckthorntack/consensus/_task.py
+++ b/buckthorntack/consensus/_task.py
@@ -370,7 +370,7 @@
         for command in collected:
             self._execute(command)
         self._check_transfer()
-        await self._load_snapshots(collected)
+        self._load_snapshots(collected)
         await self._advance_snapshots()
 
     def _take_inputs(self):
@@ -466,7 +466,7 @@
             _events.DISK_HAS_ROOM, group=self.group, node_id=self.node_id
         )
 
-    async def _load_snapshots(self, collected):
+    def _load_snapshots(self, collected):
         receivers = [
             step.to
             for step in collected
@@ -474,7 +474,8 @@
         ]
         if not receivers:
             return
-        snapshot = await asyncio.to_thread(self._store.load_snapshot)
+        # The one on the disk is older, by many large entries at times.
+        snapshot = self._take_snapshot()
         now = self.clock.monotonic()
         for receiver in receivers:
             self._replica.provide_snapshot(receiver, snapshot, now)
@@ -504,9 +505,12 @@
             return False
         return self._snapshot_write is None and entries and (many or large)
 
-    def _start_snapshot(self):
+    def _take_snapshot(self):
         info = self._replica.snapshot_info(self._applied_index)
-        snapshot = storage.Snapshot(info, self.state_machine.snapshot())
+        return storage.Snapshot(info, self.state_machine.snapshot())
+
+    def _start_snapshot(self):
+        snapshot = self._take_snapshot()
         self._snapshot_bytes = self._bytes_since_snapshot
         self._bytes_since_snapshot = 0
         self._snapshot_write = asyncio.create_task(
--- a/buckthorntack/consensus/_timing.py
+++ b/buckthorntack/consensus/_timing.py
@@ -33,8 +33,14 @@
     request_timeout: datetime.timedelta = datetime.timedelta(seconds=6)
     #: Most unacknowledged messages with entries for one follower.
     window_messages: int = 64
+    #: Most bytes of entries in them; a larger entry is on its way alone.  What
+    #: a link has not sent yet holds up heartbeats behind it.
+    window_bytes: int = 1024 * 1024
     #: Most bytes of entries in one message; a larger entry is sent alone.
     message_bytes: int = 64 * 1024
+    #: Most bytes of entries that a leader sends before it knows how far the
+    #: logs match.  They go out again with each heartbeat until the answer.
+    probe_bytes: int = 64 * 1024
     #: Bytes of uncommitted entries at which a leader refuses more commands.
     uncommitted_bytes: int = 16 * 1024 * 1024
     #: Most proposals that may wait at one replica.
@@ -52,6 +58,9 @@
     disk_full_retry: datetime.timedelta = datetime.timedelta(milliseconds=200)
     #: Time from a snapshot for which the disk has no room to the next one.
     snapshot_retry: datetime.timedelta = datetime.timedelta(seconds=5)
+    #: Most bytes of entries that a replica without any is sent; in place of
+    #: more it is sent a snapshot.
+    replayed_bytes: int = 256 * 1024
     #: Entries kept in memory before a snapshot, so that followers that are
     #: slightly behind need no snapshot.
     kept_entries: int = 200
--- a/buckthorntack/consensus/tests/simulation.py
+++ b/buckthorntack/consensus/tests/simulation.py
@@ -13,7 +13,9 @@
 TIMING = consensus.Timing(
     message_bytes=6,
     window_messages=3,
+    window_bytes=12,
     chunk_bytes=16,
+    replayed_bytes=8,
     kept_entries=1,
     promotion_lag_entries=2,
 )
@@ -326,7 +328,9 @@
         )
 
     def _on_LoadSnapshot(self, node, command):  # noqa: N802
-        node.replica.provide_snapshot(command.to, node.disk.snapshot, self.now)
+        info = node.replica.snapshot_info(node.applied_index)
+        snapshot = storage.Snapshot(info, b",".join(node.applied))
+        node.replica.provide_snapshot(command.to, snapshot, self.now)
 
     def _on_Send(self, node, command):  # noqa: N802
         if command.to in self.nodes:
--- a/buckthorntack/consensus/tests/test_log_memory.py
+++ b/buckthorntack/consensus/tests/test_log_memory.py
@@ -42,12 +42,12 @@
         self.command = snapshot
 
 
-def make_task(network, name):
+def make_task(network, name, voters=NAMES):
     """Make a replica task whose disk is in memory."""
     return consensus.ReplicaTask(
         "g",
         name,
-        NAMES,
+        voters,
         f"/{name}",
         NewestCommand(),
         network.sender(name),
--- a/buckthorntack/gateway/_control.py
+++ b/buckthorntack/gateway/_control.py
@@ -44,12 +44,14 @@
 STOP_RETRY_AFTER_MS = 50.0
 #: Version of the messages between nodes that has ``OrderEvacuation``.
 ORDERED_EVACUATIONS_VERSION = 2
-#: Timing of the consensus group; the longest links take 55 ms one way.
+#: Timing of the consensus group; the longest links take 55 ms one way.  The
+#: largest configuration, 4 MiB, is a snapshot of 16 chunks and round trips.
 TIMING = consensus.Timing(
     tick=100 * _MS,
     heartbeat=250 * _MS,
     election_timeout=900 * _MS,
     first_election_timeout=100 * _MS,
+    chunk_bytes=256 * 1024,
 )
 #: Period of the check for membership changes of the consensus group.
 MEMBER_CHECK_PERIOD = 100 * _MS
