Keep what a server said of its warm-up when a connection breaks

A server that had told that it is cold, and had not announced it yet, counted as warm once one of its connections broke and another opened. An entry VM that had just started took a server that it knew nothing of for warm in the same way, and old news of a suspicion were taken for new ones. Found by reading; three tests, which failed before.

--- a/buckthorntack/dispatch/_restarts.py
+++ b/buckthorntack/dispatch/_restarts.py
@@ -74,6 +74,7 @@
         "is_told",
         "seen",
         "since_s",
+        "told_cold_until_s",
         "unanswered",
         "unix_ms",
         "version",
@@ -100,6 +101,9 @@
         self.is_initial = False
         #: Whether a connection broke, but none was refused.
         self.is_mild = False
+        #: Until when the server has said that it is cold, as far as a failure
+        #: that is mild leaves that as it is.
+        self.told_cold_until_s = 0.0
         self.check_at_s = since_s
         #: When a connection was begun to open last to find whether it is back.
         self.connected_s = since_s
@@ -203,7 +207,9 @@
         state = _State(_next_version(known, unix_ms), True, now_s)
         state.unix_ms = unix_ms
         state.idle_s = idle_s
-        state.is_mild = is_mild and not (is_known and not known.is_mild)
+        if is_mild and _may_be_mild(known, now_s):
+            state.is_mild = True
+            state.told_cold_until_s = _told_cold_until(known)
         if is_known:
             _renew(state, known)
         self._store(server_id, state)
@@ -228,7 +234,7 @@
         ):
             return False
         if state.is_mild:
-            state.cold_until_s = now_s
+            state.cold_until_s = max(now_s, state.told_cold_until_s)
             return False
         state.cold_until_s = now_s + warmup_s
         return True
@@ -384,7 +390,8 @@
                 continue
             state = _State(message.version, message.is_suspected, now_s)
             state.is_told = True
-            if _is_mild(known) and message.is_suspected:
+            is_unseen = known is None or message.version not in known.seen
+            if _is_mild(known) and message.is_suspected and is_unseen:
                 state.version = max(known.version, message.version)
                 changed.append(server_id)
                 self._store(server_id, state)
@@ -396,9 +403,7 @@
                     # Others see it as well.
                     known.is_told = True
                     changed.append(server_id)
-                elif not known.is_suspected and (
-                    message.version not in known.seen
-                ):
+                elif not known.is_suspected and is_unseen:
                     # Told by a clock that is behind.
                     known.seen |= {message.version}
                     state.version = known.version + 1
@@ -511,12 +516,29 @@
     )
 
 
+def _may_be_mild(known, now_s):
+    """Whether a connection that broke need not make a server count as cold."""
+    if known is None or known.is_mild or not known.is_suspected:
+        return True
+    return not known.is_cold(now_s)
+
+
+def _told_cold_until(known):
+    if known is None:
+        return 0.0
+    if known.is_mild:
+        return known.told_cold_until_s
+    return known.cold_until_s
+
+
 def _is_mild(state):
     return state is not None and state.is_suspected and state.is_mild
 
 
 def _is_untold(state):
-    return state.is_suspected and not (state.is_told or state.is_initial)
+    return state.is_suspected and not (
+        state.is_told or state.is_initial or state.is_mild
+    )
 
 
 def _next_version(known, unix_ms):
--- a/buckthorntack/dispatch/tests/test_restarts.py
+++ b/buckthorntack/dispatch/tests/test_restarts.py
@@ -509,3 +509,40 @@
     record = world.registry.servers["s1"].record
     service = _documents.service(warmup_per_s=0.0)
     world.dispatcher.on_server_asked(record, service, world.now_s)
+
+
+# Guards against a server that has said that it is cold, and counts as warm
+# once one of its connections breaks and another opens.
+def test_connection_that_broke_does_not_end_what_the_server_said():
+    watch = make_watch()
+    fail(watch, 7.0)
+    answer(watch, ask(watch, 7.0), 7.0, 2.9)
+    break_one(watch, 8.0)
+    connect(watch, 8.01)
+    assert watch.is_cold("s1", 9.8)
+    break_one(watch, 9.0)
+    connect(watch, 9.01)
+    assert watch.is_cold("s1", 9.8)
+    assert not watch.is_cold("s1", 9.95)
+
+
+def test_connection_that_broke_tells_nothing_of_an_unknown_server():
+    watch = make_watch()
+    watch.on_start(7.0)
+    watch.on_first_record("s1", 7.0)
+    break_one(watch, 7.1)
+    connect(watch, 7.11)
+    assert watch.is_cold("s1", 7.2)
+
+
+def test_old_news_are_passed_over_after_a_connection_broke():
+    watch, other = make_watch(), make_watch()
+    fail(other, 7.0)
+    other.tell("s1")
+    suspicion = other.list_statements(7.0)
+    watch.merge(suspicion, 7.0)
+    answer(watch, ask(watch, 7.0), 7.1)
+    break_one(watch, 8.0)
+    connect(watch, 8.01)
+    assert watch.merge(suspicion, 8.1) == []
+    assert not watch.is_cold("s1", 8.1)
