Let other entry VMs ask a server whose connection broke

A server that is back within milliseconds refuses nobody. The question is told like a suspicion, but changes no rate.

--- a/buckthorntack/dispatch/_restarts.py
+++ b/buckthorntack/dispatch/_restarts.py
@@ -370,7 +370,7 @@
         state = self._states.get(server_id)
         if state is None or state.is_told:
             return False
-        if state.is_initial or state.is_mild:
+        if state.is_initial:
             return False
         state.is_told = True
         return True
@@ -391,6 +391,17 @@
             state = _State(message.version, message.is_suspected, now_s)
             state.is_told = True
             is_unseen = known is None or message.version not in known.seen
+            if message.is_mild:
+                if is_unseen and _may_be_mild(known, now_s):
+                    state.version = max(
+                        message.version, known.version if known else 0
+                    )
+                    state.is_mild = True
+                    state.told_cold_until_s = _told_cold_until(known)
+                    state.cold_until_s = max(now_s, state.told_cold_until_s)
+                    self._store(server_id, state)
+                    changed.append(server_id)
+                continue
             if _is_mild(known) and message.is_suspected and is_unseen:
                 state.version = max(known.version, message.version)
                 changed.append(server_id)
@@ -448,6 +459,7 @@
                     state.version,
                     state.is_suspected,
                     int(left_s * 1e3),
+                    state.is_mild,
                 )
             )
         return statements
--- a/buckthorntack/gateway/_reachability_task.py
+++ b/buckthorntack/gateway/_reachability_task.py
@@ -127,10 +127,11 @@
     def _on_restart_suspected(self, server_id, failure):
         """Tell other entry VMs, unless only a link of this one may be lost.
 
-        After a connection broke, another one shows whether the server is away.
+        After a connection broke, another one shows whether the server is away;
+        if it is not, others may have to ask it.
         """
         if failure is _shared_state.ConnectionFailure.BROKEN:
-            self._start(self._probe(server_id))
+            self._start(self._look_again(server_id))
             self.start_due_checks()
             return
         tell = functools.partial(self.shared_state.tell_restart, server_id)
@@ -140,6 +141,10 @@
             self._start(self.call_unless_cut_off(server_id, tell))
         self.start_due_checks()
 
+    async def _look_again(self, server_id):
+        if await self._probe(server_id):
+            self.shared_state.tell_restart(server_id)
+
     def wake(self):
         """Check what other entry VMs have told of servers."""
         self.shared_state.wake_on_suspects()
--- a/buckthorntack/schema/_generated/discovery.py
+++ b/buckthorntack/schema/_generated/discovery.py
@@ -153,6 +153,7 @@
     version: int
     is_suspected: bool
     cold_left_ms: int
+    is_mild: bool = False
 
 
 class ServerLimit(NamedTuple):
