Let any stand-in server announce itself in the soak

The soak of cold returns gave announcements two attributes that only its own servers had, so test_hostile_clients.py failed (AttributeError, at least nine tests). They are Server's now.

--- a/buckthorntack/platform/tests/_standins.py
+++ b/buckthorntack/platform/tests/_standins.py
@@ -56,6 +56,10 @@
         self.left = 0
         self.crashes = 0
         self.is_down = False
+        #: Whether it leaves out its announcements.
+        self.is_mute = False
+        #: Set to let it announce itself at once.
+        self.woken = asyncio.Event()
         self.health_checks = 0
         #: Coroutine function of server, request and reply that answers.
         self.behave = answer_whole
--- a/tools/soak/_traffic.py
+++ b/tools/soak/_traffic.py
@@ -73,10 +73,6 @@
         self.failing = 0.0
         #: How long it is silent within each answer.
         self.silence_s = 0.0
-        #: Whether it leaves out its announcements.
-        self.is_mute = False
-        #: Set to let it announce itself at once.
-        self.woken = asyncio.Event()
         self.behave = self._work
 
     async def _work(self, server, request, reply):
