Take no answer of a later start for one of the start before a failure

An entry VM that connected to a start which had said that it is cold, and then heard of an older failure, took an answer on that connection for one of the start that its record describes, and told all that the server is warm.

The connection must be from before the first failure that is not cleared up, and what the server has said of its warm-up holds on. Three tests, which failed.

--- a/buckthorntack/dispatch/_restarts.py
+++ b/buckthorntack/dispatch/_restarts.py
@@ -67,6 +67,7 @@
         "check_at_s",
         "cold_until_s",
         "connected_s",
+        "first_since_s",
         "idle_s",
         "is_initial",
         "is_mild",
@@ -101,8 +102,10 @@
         self.is_initial = False
         #: Whether a connection broke, but none was refused.
         self.is_mild = False
-        #: Until when the server has said that it is cold, as far as a failure
-        #: that is mild leaves that as it is.
+        #: The same of the first failure of which it is not known whether the
+        #: server has started again.
+        self.first_since_s = since_s
+        #: Until when the start before that said that it is cold.
         self.told_cold_until_s = 0.0
         self.check_at_s = since_s
         #: When a connection was begun to open last to find whether it is back.
@@ -209,7 +212,6 @@
         state.idle_s = idle_s
         if is_mild and _may_be_mild(known, now_s):
             state.is_mild = True
-            state.told_cold_until_s = _told_cold_until(known)
         if is_known:
             _renew(state, known)
         self._store(server_id, state)
@@ -255,8 +257,9 @@
         known = self._states.get(server_id)
         if known is None or not known.is_suspected or known.is_initial:
             return False
-        if not opened_s < known.since_s <= sent_s:
+        if opened_s >= known.first_since_s or sent_s < known.since_s:
             return False
+        cold_left_s = max(cold_left_s, known.told_cold_until_s - now_s)
         self._store_answer(server_id, known, cold_left_s, now_s)
         return True
 
@@ -264,6 +267,12 @@
         known = self._states.get(server_id)
         if known is not None:
             state.seen = known.seen
+        if known is not None and state.is_suspected:
+            state.told_cold_until_s = _told_cold_until(known)
+            if known.is_suspected and (
+                known.is_mild or known.is_cold(state.since_s)
+            ):
+                state.first_since_s = known.first_since_s
         if state.is_suspected:
             state.seen |= {state.version}
         self._states[server_id] = state
@@ -397,8 +406,7 @@
                         message.version, known.version if known else 0
                     )
                     state.is_mild = True
-                    state.told_cold_until_s = _told_cold_until(known)
-                    state.cold_until_s = max(now_s, state.told_cold_until_s)
+                    state.cold_until_s = max(now_s, _told_cold_until(known))
                     self._store(server_id, state)
                     changed.append(server_id)
                 continue
@@ -538,7 +546,7 @@
 def _told_cold_until(known):
     if known is None:
         return 0.0
-    if known.is_mild:
+    if known.is_suspected:
         return known.told_cold_until_s
     return known.cold_until_s
 
--- a/buckthorntack/dispatch/tests/test_restarts.py
+++ b/buckthorntack/dispatch/tests/test_restarts.py
@@ -570,3 +570,28 @@
     exchange_all(other, watch, 7.2)
     connect(watch, 7.3)
     assert watch.is_cold("s1", 7.4)
+
+
+# Guards against the answer of a start that is cold and has not announced
+# itself, which ended a suspicion as if the start before had given it.
+def test_answer_on_a_connection_to_a_start_that_said_it_is_cold():
+    watch = make_watch()
+    fail(watch, 7.0)
+    answer(watch, ask(watch, 8.0), 8.0, 2.9)
+    fail(watch, 9.0)
+    assert watch.on_request_answered("s1", 8.5, 9.2, 0.0, 9.3)
+    assert watch.is_cold("s1", 10.8)
+    assert not watch.is_cold("s1", 10.95)
+
+
+@pytest.mark.parametrize("is_mild", [False, True])
+def test_answer_on_a_connection_from_between_two_failures(is_mild):
+    watch = make_watch()
+    if is_mild:
+        break_one(watch, 7.0)
+    else:
+        fail(watch, 7.0)
+    connect(watch, 8.0)
+    fail(watch, 9.0)
+    assert not watch.on_request_answered("s1", 8.5, 9.2, 0.0, 9.3)
+    assert watch.is_suspected("s1", 9.3)
