Take records that come soon after the start of an entry VM as old, too

A control VM that had just started as well had no record of a server yet, so the first copy of the registry lacked it, and the record of its former start came later and was taken for its state.

--- a/buckthorntack/gateway/_following.py
+++ b/buckthorntack/gateway/_following.py
@@ -230,8 +230,7 @@
                 max(last_stamp, changes.stamp),
             )
         self._log_server_changes(sender, changed)
-        if is_first_copy:
-            self.shared_state.on_first_records(changed)
+        self.shared_state.on_first_records(changed, is_first_copy)
         self.shared_state.on_servers_changed(changed)
         self._update_nodes(changes.nodes)
 
