Let checks go before requests, and keep news that come before the records

Requests leave the next slot to a check that is due, for 1.5 s at most. News of servers without a record are kept after a start.

Each has a test, which failed.

--- a/buckthorntack/dispatch/_choice.py
+++ b/buckthorntack/dispatch/_choice.py
@@ -235,6 +235,12 @@
         return self.fleet.state(view.record.server_id).is_ejected(now_s)
 
     def _can_send(self, request, view, now, now_s):
+        restarts = self.fleet.restarts
+        if request.service.warmup_per_s > 0 and restarts.is_check_due(
+            view.record.server_id, now_s
+        ):
+            # Its answer may end the limit, so it gets the next slot.
+            return False
         return self.rates.may_send(
             view.record.server_id,
             self._limits_of(request, view, now),
--- a/buckthorntack/dispatch/_restarts.py
+++ b/buckthorntack/dispatch/_restarts.py
@@ -18,6 +18,8 @@
 #: unreachable servers.  It doubles with each answer that says nothing, as
 #: checks use the rate of requests.
 CHECK_PERIOD_S = 0.5
+#: Time for which requests leave a slot to a check that waits for one.
+CHECK_PRIORITY_S = 1.5
 #: Time after which an entry VM connects to a server that others should check.
 PATIENCE_S = 1.0
 #: Time in which a server is asked after a connection has broken and another
@@ -143,6 +145,8 @@
         self._usual_closes = {}
         #: Until when what others know may be missing here.
         self._starts_until_s = None
+        #: Until when servers may be told of before their records come.
+        self._takes_unknown_until_s = 0.0
 
     def is_cold(self, server_id, now_s):
         """Whether a server may be a start that is cold.
@@ -318,6 +322,7 @@
         :param now_s: monotonic time.
         """
         self._starts_until_s = now_s + START_PERIOD_S
+        self._takes_unknown_until_s = self._starts_until_s
 
     def on_first_record(self, server_id, now_s):
         """Suspect a server whose record may be of a former start.
@@ -395,7 +400,9 @@
         for message in statements:
             server_id = message.server_id
             known = self._states.get(server_id)
-            if not self._is_known(server_id):
+            if now_s >= self._takes_unknown_until_s and not self._is_known(
+                server_id
+            ):
                 continue
             state = _State(message.version, message.is_suspected, now_s)
             state.is_told = True
@@ -472,6 +479,20 @@
             )
         return statements
 
+    def is_check_due(self, server_id, now_s):
+        """Whether a server that counts as cold is to be asked first.
+
+        :param server_id: the server.
+        :param now_s: monotonic time.
+        """
+        state = self._states.get(server_id)
+        return (
+            state is not None
+            and state.is_suspected
+            and state.is_cold(now_s)
+            and 0 <= now_s - state.check_at_s < CHECK_PRIORITY_S
+        )
+
     def take_due_checks(self, may_send, now_s):
         """Return the servers to check now, and plan their next checks.
 
@@ -501,7 +522,8 @@
         :param now_s: monotonic time.
         """
         for server_id, state in list(self._states.items()):
-            if now_s - state.since_s > KEPT_S and not state.is_cold(now_s):
+            is_over = not (state.is_cold(now_s) and self._is_known(server_id))
+            if now_s - state.since_s > KEPT_S and is_over:
                 del self._states[server_id]
         if not self.is_informed and now_s >= self._starts_until_s:
             self.on_informed()
--- a/buckthorntack/dispatch/tests/test_restarts.py
+++ b/buckthorntack/dispatch/tests/test_restarts.py
@@ -595,3 +595,57 @@
     fail(watch, 9.0)
     assert not watch.on_request_answered("s1", 8.5, 9.2, 0.0, 9.3)
     assert watch.is_suspected("s1", 9.3)
+
+
+# Guards against an entry VM that starts and floods a cold server, as it was
+# told of it before it had its record.
+def test_news_of_servers_without_a_record_are_kept_after_a_start():
+    known = set()
+    watch = dispatch.RestartWatch(known.__contains__)
+    watch.on_start(7.0)
+    told = [messages.ServerRestart("s1", 5, False, 2900)]
+    assert watch.merge(told, 7.1) == ["s1"]
+    watch.on_informed()
+    told = [messages.ServerRestart("s2", 5, True, 0)]
+    assert watch.merge(told, 7.2) == ["s2"]
+    known.update(("s1", "s2"))
+    watch.on_first_record("s1", 7.3)
+    assert watch.is_cold("s1", 7.3)
+    assert watch.is_suspected("s2", 7.3)
+
+
+def test_news_of_servers_that_never_get_a_record_are_deleted():
+    watch = dispatch.RestartWatch(lambda server_id: False)
+    watch.on_start(7.0)
+    watch.merge([messages.ServerRestart("s1", 5, True, 0)], 7.1)
+    watch.expire(7.2 + _restarts.KEPT_S)
+    assert not watch.is_cold("s1", 7.2 + _restarts.KEPT_S)
+
+
+# Guards against a sound server that keeps the rate of a cold one, as requests
+# take each slot that a check waits for.
+def test_requests_leave_the_next_slot_to_a_check():
+    world = _world.World()
+    world.add_server("s1")
+    service = _documents.service(warmup_per_s=PER_S)
+    request = world.make_request(service=service, can_forward=False)
+    restarts = world.fleet.restarts
+    view = world.registry.servers["s1"]
+    fail(restarts, world.now_s)
+    world.dispatcher.on_request_sent(request, view, world.now)
+    asked = []
+    for _ in range(100):
+        world.now += 0.01 * _world.SECOND
+        if isinstance(world.choose(request), dispatch.Serve):
+            world.dispatcher.on_request_sent(request, view, world.now)
+
+        def may_ask(server_id):
+            return world.rates.may_ask(server_id, PER_S, world.now_s)
+
+        for check in restarts.take_due_checks(may_ask, world.now_s):
+            if check.asks:
+                world.dispatcher.on_server_asked(
+                    view.record, service, world.now_s
+                )
+                asked.append(world.now_s)
+    assert asked
