Do not put checks off because connects to a server fail

A server that is away refuses connects; each counted as a check without an answer, so that the next one came after 1, 2 and 4 s, and a sound server that was back kept the rate of a cold one until then. Found by reading; the test failed (next check 1.2 s later than it should be).

--- a/buckthorntack/gateway/_reachability_task.py
+++ b/buckthorntack/gateway/_reachability_task.py
@@ -167,19 +167,11 @@
 
     async def _check_restart(self, check):
         """Ask a server that may have started again."""
-
-        def is_due():
-            return self.restarts.is_in_question(check.server_id, self._now_s())
-
         service = self.shared_state.find_service_of(check.server_id)
         if service is not None and service.warmup_per_s <= 0:
             self.restarts.remove_server(check.server_id)
             return
-        cold_left_s = await self._connect_and_ask(
-            check.server_id, check.asks, is_due
-        )
-        if check.asks:
-            self.shared_state.on_restart_answer(check, cold_left_s)
+        await self._connect_and_ask(check)
         self._update_services()
 
     def _on_early_close(self, server_id, idle_s):
@@ -192,33 +184,30 @@
                 server_id, _shared_state.ConnectionFailure.IDLE, idle_s
             )
 
-    async def _connect_and_ask(self, server_id, asks, is_due):
-        """Return for how long a server says that it is cold.
-
-        :param server_id: the server.
-        :param asks: whether to ask it, and not only to connect to it.
-        :param is_due: function without arguments that returns whether it is
-            still to be asked.
-        :returns: time in seconds; None if it was not asked or did not say.
-        """
+    async def _connect_and_ask(self, check):
+        """Connect to a server, and ask it for how long it is cold."""
+        server_id = check.server_id
         view = self.shared_state.registry.servers.get(server_id)
         service = self.shared_state.find_service_of(server_id)
-        if service is None or view.record.state != "ready" or not is_due():
-            return None
+        if service is None or view.record.state != "ready":
+            return
         try:
             connection = await self.shared_state.open_connection(
                 server_id, view.record.address
             )
         except http1.ConnectError:
-            return None
+            # It says nothing of the health path.
+            return
         try:
-            if (
-                not (asks and service.health_path)
-                or server_id not in self.shared_state.registry.servers
-                or not is_due()
+            if check.asks and self.restarts.is_in_question(
+                server_id, self._now_s()
             ):
-                return None
-            return await self._ask(connection, service, view.record)
+                cold_left_s = None
+                if service.health_path:
+                    cold_left_s = await self._ask(
+                        connection, service, view.record
+                    )
+                self.shared_state.on_restart_answer(check, cold_left_s)
         finally:
             self.shared_state.pool.release(server_id, connection)
 
--- a/buckthorntack/platform/tests/test_restarted_servers.py
+++ b/buckthorntack/platform/tests/test_restarted_servers.py
@@ -297,6 +297,22 @@
     test_requests.run(scenario, ("s1", "text"), entries=ZONES)
 
 
+# Guards against a server that is asked late once it is back, as connects that
+# failed while it was away counted as checks without an answer.
+def test_failed_connects_do_not_put_off_the_next_check():
+    async def scenario(world):
+        await set_warmup(world, LONG_WARMUP_S)
+        server = world.servers["s1"]
+        await crash_under_load(world, server, NEAR)
+        await asyncio.sleep(3 * _restarts.CHECK_PERIOD_S)
+        longest_s = now_s() + 1.5 * _restarts.CHECK_PERIOD_S
+        for watch in watches(world):
+            assert watch.is_cold("s1", now_s())
+            assert watch._states["s1"].check_at_s <= longest_s
+
+    test_requests.run(scenario, ("s1", "text"), entries=ZONES)
+
+
 # Guards against health checks without end, or one for each lost connection.
 @pytest.mark.parametrize(
     ("behave", "checks_each"),
