Write the code of suspected restarts once, and let it read more plainly

No change of behaviour:

- The statements on restarts were turned into a table for each receiver of a round; that is done once a round.
- Checks and probes opened connections by two copies of the same lines.
- The rate of a cold server was worked out in two places of the choice.
- RestartWatch.merge handles each statement by a method of its own.
- Three tests waited by the same lines; their assertions are as before.

--- a/buckthorntack/dispatch/_choice.py
+++ b/buckthorntack/dispatch/_choice.py
@@ -249,15 +249,18 @@
         )
 
     def _limits_of(self, request, view, now):
-        cold_per_s = None
-        if self.is_cold(view, now) and request.service.warmup_per_s > 0:
-            cold_per_s = request.service.warmup_per_s
         return _server_rates.RateLimits(
-            cold_per_s,
+            self._cold_per_s(request, view, now),
             self._named_per_s(view),
             self._room_of(request, view, now.total_seconds()),
         )
 
+    def _cold_per_s(self, request, view, now):
+        """Rate that a server takes as it is cold; None for no such limit."""
+        if self.is_cold(view, now) and request.service.warmup_per_s > 0:
+            return request.service.warmup_per_s
+        return None
+
     def _room_of(self, request, view, now_s):
         """Room at a brittle server; None for any other."""
         server_id = view.record.server_id
@@ -304,8 +307,8 @@
         :param was_cold: whether it counted as cold when it was chosen.
         :param now: monotonic time.
         """
-        cold_per_s = request.service.warmup_per_s
-        if was_cold or cold_per_s <= 0 or not self.is_cold(view, now):
+        cold_per_s = self._cold_per_s(request, view, now)
+        if was_cold or cold_per_s is None:
             return True
         limits = _server_rates.RateLimits(cold_per_s=cold_per_s)
         server_id, now_s = view.record.server_id, now.total_seconds()
--- a/buckthorntack/dispatch/_exchange.py
+++ b/buckthorntack/dispatch/_exchange.py
@@ -82,8 +82,8 @@
 
     uses: dict[str, messages.ServerUse]
     limits: list[messages.ServerLimit]
-    #: Version and kind of what is known of each server's start.
-    restarts: dict[str, tuple[int, bool]]
+    #: What was known of each server's start.
+    restarts: dict[str, messages.ServerRestart]
     #: Monotonic time of the last full report.
     full_report_s: float
 
@@ -354,7 +354,10 @@
             self._heard_list_sent_s = now_s
         due = []
         total = self.fleet.list_total_uses()
-        restarts = self.fleet.restarts.list_statements(now_s)
+        restarts = {
+            statement.server_id: statement
+            for statement in self.fleet.restarts.list_statements(now_s)
+        }
         receivers = self._receivers(now_s)
         self._take_report_tokens(len(receivers), now_s)
         for node_id, scope in receivers:
@@ -487,17 +490,12 @@
         limits = all_limits
         if not is_whole:
             limits = [limit for limit in limits if limit not in last.limits]
-        known_restarts = {
-            restart.server_id: (restart.version, restart.is_suspected)
-            for restart in all_restarts
-        }
-        restarts = all_restarts
+        restarts = list(all_restarts.values())
         if not is_whole:
             restarts = [
                 restart
                 for restart in restarts
-                if last.restarts.get(restart.server_id)
-                != known_restarts[restart.server_id]
+                if _is_news(restart, last.restarts.get(restart.server_id))
             ]
         prompts, reads, sums = self._updates_for(node_id, scope)
         heard = []
@@ -513,7 +511,7 @@
         self._last_reported[node_id] = _Reported(
             uses,
             all_limits,
-            known_restarts,
+            all_restarts,
             now_s if is_whole else full_report_s,
         )
         return messages.UseReport(
@@ -566,6 +564,14 @@
         return prompts, changed, sums
 
 
+def _is_news(restart, last):
+    """Whether a statement tells more than that less time is left."""
+    return last is None or (restart.version, restart.is_suspected) != (
+        last.version,
+        last.is_suspected,
+    )
+
+
 def _domain_sender(domain):
     """Return the sender name of the report for another failure domain."""
     return f"domain {domain}"
--- a/buckthorntack/dispatch/_restarts.py
+++ b/buckthorntack/dispatch/_restarts.py
@@ -382,9 +382,7 @@
         :returns: whether they have not been told.
         """
         state = self._states.get(server_id)
-        if state is None or state.is_told:
-            return False
-        if state.is_initial:
+        if state is None or state.is_told or state.is_initial:
             return False
         state.is_told = True
         return True
@@ -396,63 +394,58 @@
         :param now_s: monotonic time.
         :returns: ids of the servers of which something is new.
         """
-        changed = []
-        for message in statements:
-            server_id = message.server_id
-            known = self._states.get(server_id)
-            if now_s >= self._takes_unknown_until_s and not self._is_known(
-                server_id
-            ):
-                continue
-            state = _State(message.version, message.is_suspected, now_s)
-            state.is_told = True
-            is_unseen = known is None or message.version not in known.seen
-            if message.is_mild:
-                if is_unseen and _may_be_mild(known, now_s):
-                    state.version = max(
-                        message.version, known.version if known else 0
-                    )
-                    state.is_mild = True
-                    state.cold_until_s = max(now_s, _told_cold_until(known))
-                    self._store(server_id, state)
-                    changed.append(server_id)
-                continue
-            if _is_mild(known) and message.is_suspected and is_unseen:
-                state.version = max(known.version, message.version)
-                changed.append(server_id)
-                self._store(server_id, state)
-                continue
-            if known is not None and state.order <= known.order:
-                if not message.is_suspected:
-                    continue
-                if _is_untold(known):
-                    # Others see it as well.
-                    known.is_told = True
-                    changed.append(server_id)
-                elif not known.is_suspected and is_unseen:
-                    # Told by a clock that is behind.
-                    known.seen |= {message.version}
-                    state.version = known.version + 1
-                    self._store(server_id, state)
-                    changed.append(server_id)
-                continue
-            if message.is_suspected:
-                if self.is_suspected(server_id, now_s):
-                    _renew(state, known)
-                else:
-                    changed.append(server_id)
-                self._store(server_id, state)
-            elif _may_be_older(message, known, now_s):
-                known.version = message.version + 1
+        return [
+            message.server_id
+            for message in statements
+            if self._merge_statement(message, now_s)
+        ]
+
+    def _merge_statement(self, message, now_s):
+        """Merge a statement; return whether it is news."""
+        server_id = message.server_id
+        if now_s >= self._takes_unknown_until_s and not self._is_known(
+            server_id
+        ):
+            return False
+        known = self._states.get(server_id)
+        state = _State(message.version, message.is_suspected, now_s)
+        state.is_told = True
+        is_unseen = known is None or message.version not in known.seen
+        if message.is_mild:
+            if not is_unseen or not _may_be_mild(known, now_s):
+                return False
+            state.is_mild = True
+            state.cold_until_s = max(now_s, _told_cold_until(known))
+            if known is not None:
+                state.version = max(known.version, state.version)
+        elif _is_mild(known) and message.is_suspected and is_unseen:
+            state.version = max(known.version, state.version)
+        elif known is not None and state.order <= known.order:
+            if _is_untold(known) and message.is_suspected:
+                # Others see it as well.
                 known.is_told = True
-                changed.append(server_id)
-            else:
-                cold_left_s = message.cold_left_ms / 1e3
-                state.cold_until_s = now_s + cold_left_s
-                self._store(server_id, state)
-                self._note_answer(server_id, known, cold_left_s, now_s)
-                changed.append(server_id)
-        return changed
+                return True
+            if known.is_suspected or not (message.is_suspected and is_unseen):
+                return False
+            # Told by a clock that is behind.
+            known.seen |= {message.version}
+            state.version = known.version + 1
+        elif message.is_suspected:
+            is_known = self.is_suspected(server_id, now_s)
+            if is_known:
+                _renew(state, known)
+            self._store(server_id, state)
+            return not is_known
+        elif _may_be_older(message, known, now_s):
+            known.version = message.version + 1
+            known.is_told = True
+            return True
+        else:
+            cold_left_s = message.cold_left_ms / 1e3
+            state.cold_until_s = now_s + cold_left_s
+            self._note_answer(server_id, known, cold_left_s, now_s)
+        self._store(server_id, state)
+        return True
 
     def list_statements(self, now_s):
         """List what other entry VMs shall know.
--- a/buckthorntack/gateway/_reachability_task.py
+++ b/buckthorntack/gateway/_reachability_task.py
@@ -101,19 +101,25 @@
 
     async def _probe(self, server_id):
         """Open a connection to a server; return whether that succeeds."""
+        connection = await self._connect(server_id)
+        if connection is None:
+            return False
+        self.shared_state.pool.release(server_id, connection)
+        self._update_services()
+        return True
+
+    async def _connect(self, server_id):
+        """Return a new connection to a server; None if that fails."""
         view = self.shared_state.registry.servers.get(server_id)
         if view is None:
             self.reachability.remove_server(server_id)
-            return False
+            return None
         try:
-            connection = await self.shared_state.open_connection(
+            return await self.shared_state.open_connection(
                 server_id, view.record.address
             )
         except http1.ConnectError:
-            return False
-        self.shared_state.pool.release(server_id, connection)
-        self._update_services()
-        return True
+            return None
 
     def on_connection_lost(self, server_id):
         """Suspect that a server has started again, as a connection broke.
@@ -167,13 +173,34 @@
 
     async def _check_restart(self, check):
         """Ask a server that may have started again."""
-        service = self.shared_state.find_service_of(check.server_id)
-        if service is not None and service.warmup_per_s <= 0:
-            self.restarts.remove_server(check.server_id)
+        server_id = check.server_id
+        service = self.shared_state.find_service_of(server_id)
+        if service is None:
+            return
+        if service.warmup_per_s <= 0:
+            self.restarts.remove_server(server_id)
+            return
+        record = self.shared_state.registry.servers[server_id].record
+        if record.state != "ready":
             return
-        await self._connect_and_ask(check)
+        connection = await self._connect(server_id)
+        if connection is not None:
+            try:
+                await self._ask_if_due(check, connection, service, record)
+            finally:
+                self.shared_state.pool.release(server_id, connection)
         self._update_services()
 
+    async def _ask_if_due(self, check, connection, service, record):
+        if not check.asks or not self.restarts.is_in_question(
+            check.server_id, self._now_s()
+        ):
+            return
+        cold_left_s = None
+        if service.health_path:
+            cold_left_s = await self._ask(connection, service, record)
+        self.shared_state.on_restart_answer(check, cold_left_s)
+
     def _on_early_close(self, server_id, idle_s):
         """Suspect a server that closed an idle connection.
 
@@ -184,33 +211,6 @@
                 server_id, _shared_state.ConnectionFailure.IDLE, idle_s
             )
 
-    async def _connect_and_ask(self, check):
-        """Connect to a server, and ask it for how long it is cold."""
-        server_id = check.server_id
-        view = self.shared_state.registry.servers.get(server_id)
-        service = self.shared_state.find_service_of(server_id)
-        if service is None or view.record.state != "ready":
-            return
-        try:
-            connection = await self.shared_state.open_connection(
-                server_id, view.record.address
-            )
-        except http1.ConnectError:
-            # It says nothing of the health path.
-            return
-        try:
-            if check.asks and self.restarts.is_in_question(
-                server_id, self._now_s()
-            ):
-                cold_left_s = None
-                if service.health_path:
-                    cold_left_s = await self._ask(
-                        connection, service, view.record
-                    )
-                self.shared_state.on_restart_answer(check, cold_left_s)
-        finally:
-            self.shared_state.pool.release(server_id, connection)
-
     async def _ask(self, connection, service, record):
         """Return how long a server says that it is cold; None if not."""
         dialect = self.shared_state.dialect
--- a/buckthorntack/platform/tests/test_restarted_servers.py
+++ b/buckthorntack/platform/tests/test_restarted_servers.py
@@ -204,6 +204,15 @@
     test_requests.run(scenario, ("s1", "text"), entries=ZONES)
 
 
+async def until_none_is_cold(world):
+    """Wait until no entry VM takes the server for cold."""
+    await world.until(
+        lambda: (
+            not any(watch.is_cold("s1", now_s()) for watch in watches(world))
+        )
+    )
+
+
 async def until_warm_rate(world, server):
     """Let callers press until a server gets more than a cold one may."""
     times = note_arrivals(server)
@@ -222,13 +231,7 @@
         server = world.servers["s1"]
         await reset_one(world, server)
         await world.until(lambda: server.health_checks)
-        await world.until(
-            lambda: (
-                not any(
-                    watch.is_cold("s1", now_s()) for watch in watches(world)
-                )
-            )
-        )
+        await until_none_is_cold(world)
         await until_warm_rate(world, server)
 
     test_requests.run(scenario, ("s1", "text"), entries=ZONES)
@@ -285,13 +288,7 @@
         server.behave_on_health = _standins.answer_with(500)
         await refuse_one(world, server)
         await world.until(lambda: server.health_checks)
-        await world.until(
-            lambda: (
-                not any(
-                    watch.is_cold("s1", now_s()) for watch in watches(world)
-                )
-            )
-        )
+        await until_none_is_cold(world)
         await until_warm_rate(world, server)
 
     test_requests.run(scenario, ("s1", "text"), entries=ZONES)
@@ -339,13 +336,7 @@
             await world.until(lambda: len(server.requests) >= len(NEAR))
             gate.set()
         await world.until(lambda: server.health_checks)
-        await world.until(
-            lambda: (
-                not any(
-                    watch.is_cold("s1", now_s()) for watch in watches(world)
-                )
-            )
-        )
+        await until_none_is_cold(world)
         await asyncio.sleep(2 * _restarts.CHECK_PERIOD_S)
         assert server.health_checks <= len(ZONES) * checks_each
 
--- a/buckthorntack/storage/_store.py
+++ b/buckthorntack/storage/_store.py
@@ -57,14 +57,6 @@
         """``SnapshotInfo`` of the newest durable snapshot, or None."""
         return self._snapshot
 
-    def load_snapshot(self):
-        """Load the newest snapshot.
-
-        :returns: a ``Snapshot``, or None if there is none.
-        :raises StorageError: the snapshot can't be read.
-        """
-        return self._snapshots.load()
-
     def recover(self, new_identity):
         """Read the data folder, or initialize an empty one.
 
