Tell ends of idle connections apart by their idle time

Cause: once a server had outlived the end of an idle connection, all ends of connections that were idle for at least as long told nothing for 30 s. One that the server closed 1 ms after an answer so hid each later crash that only ended idle connections.

An end now tells nothing only if one with about the same idle time has told nothing: an idle timeout or a close after each answer ends connections of one age, a crash those of any age. Servers that close at random lead to about one question for each age that can be told apart (test).

test_usual_end_of_an_idle_connection_hides_no_crash failed before.

--- a/buckthorntack/dispatch/_restarts.py
+++ b/buckthorntack/dispatch/_restarts.py
@@ -40,6 +40,10 @@
 #: its version is kept; the clocks that versions start from differ by less.
 KEPT_S = 30.0
 TOLD_S = 5.0
+#: Ends of idle connections whose idle times differ by at most this much, or
+#: by this share, have the same reason, as an idle timeout of the server.
+SAME_IDLE_S = 0.05
+SAME_IDLE_SHARE = 0.25
 
 
 class RestartCheck(NamedTuple):
@@ -57,10 +61,18 @@
 class _UsualClose(NamedTuple):
     """End of an idle connection that its server outlived."""
 
-    #: Shortest time for which such a connection was idle.
+    #: Time for which the connection was idle.
     idle_s: float
     noted_s: float
 
+    def has_same_reason(self, idle_s):
+        """Whether another connection ended for the same reason.
+
+        :param idle_s: time for which that one was idle.
+        """
+        tolerance_s = max(SAME_IDLE_S, SAME_IDLE_SHARE * self.idle_s)
+        return abs(idle_s - self.idle_s) <= tolerance_s
+
 
 class _State:
     """What is known of a server since a connection to it failed."""
@@ -356,24 +368,29 @@
     def is_unusual_close(self, server_id, idle_s):
         """Whether the end of an idle connection may be that of its server.
 
-        Sound servers close idle connections too: what has once told nothing
-        tells nothing for some time.
+        Sound servers close idle connections too, at the same age: what has
+        once told nothing tells nothing for some time.  The end of a server
+        closes connections of any age.
 
         :param server_id: the server.
         :param idle_s: time for which the connection was idle.
         """
-        usual = self._usual_closes.get(server_id)
-        return usual is None or idle_s < usual.idle_s
+        return not any(
+            usual.has_same_reason(idle_s)
+            for usual in self._usual_closes.get(server_id, ())
+        )
 
     def _note_answer(self, server_id, known, cold_left_s, now_s):
         """Note whether an idle connection has ended for another reason."""
         if known is None or known.idle_s is None or cold_left_s > 0:
             return
-        usual = self._usual_closes.get(server_id)
-        idle_s = known.idle_s
-        if usual is not None:
-            idle_s = min(idle_s, usual.idle_s)
-        self._usual_closes[server_id] = _UsualClose(idle_s, now_s)
+        others = [
+            usual
+            for usual in self._usual_closes.get(server_id, ())
+            if not usual.has_same_reason(known.idle_s)
+        ]
+        usual = _UsualClose(known.idle_s, now_s)
+        self._usual_closes[server_id] = [*others, usual]
 
     def tell(self, server_id):
         """Let other entry VMs know of a suspicion.
@@ -520,8 +537,13 @@
                 del self._states[server_id]
         if not self.is_informed and now_s >= self._starts_until_s:
             self.on_informed()
-        for server_id, usual in list(self._usual_closes.items()):
-            if now_s - usual.noted_s > KEPT_S:
+        for server_id, closes in list(self._usual_closes.items()):
+            recent = [
+                usual for usual in closes if now_s - usual.noted_s <= KEPT_S
+            ]
+            if recent:
+                self._usual_closes[server_id] = recent
+            else:
                 del self._usual_closes[server_id]
 
     def remove_server(self, server_id):
--- a/buckthorntack/dispatch/tests/test_restarts.py
+++ b/buckthorntack/dispatch/tests/test_restarts.py
@@ -1,5 +1,7 @@
 """Servers that may have started again."""
 
+import random
+
 import pytest
 
 from buckthorntack import dispatch
@@ -10,6 +12,10 @@
 
 WARMUP_S = 3.0
 UNIX_MS = 1_700_000_000_000
+#: Longest time for which a connection is kept idle, in seconds, and number of
+#: reasons for ends of idle connections that can be told apart within it.
+MAX_IDLE_S = 4.0
+MAX_QUESTIONS = 20
 
 
 def make_watch():
@@ -352,6 +358,32 @@
     assert close_idle(watch, 2.1, 9.0 + _restarts.KEPT_S)
 
 
+# Guards against a flood after a crash that ended idle connections only, as one
+# that had ended right after an answer made all of them tell nothing.
+def test_usual_end_of_an_idle_connection_hides_no_crash():
+    watch = make_watch()
+    assert close_idle(watch, 0.001, 7.0)
+    assert answer(watch, ask(watch, 7.0), 7.1)
+    assert not close_idle(watch, 0.003, 7.5)
+    assert close_idle(watch, 0.8, 9.0)
+    assert watch.is_suspected("s1", 9.0)
+
+
+# Guards against a question for each connection that a sound server closes.
+def test_ends_of_idle_connections_lead_to_few_questions():
+    watch = make_watch()
+    rng = random.Random(0)
+    questions = 0
+    for number in range(400):
+        now_s = 7.0 + 0.02 * number
+        if close_idle(
+            watch, rng.choice((rng.uniform(0.0, MAX_IDLE_S), 0.3)), now_s
+        ):
+            questions += 1
+            assert answer(watch, ask(watch, now_s), now_s)
+    assert questions <= MAX_QUESTIONS
+
+
 def test_second_start_of_a_cold_server_is_suspected():
     watch = make_watch()
     close_idle(watch, 0.5, 7.0)
