Take each record of a server for unknown until others have told all

Cause: an entry VM that has started took records of low sequence numbers for news. The time after which all records are news began with the process, not with the first record, and its end made servers warm that nobody had asked.

Each first record now counts as unknown until another entry VM has told all it knows, or the server has been asked, or a start after the first connection must have warmed up. An entry VM with servers that are still unknown does not say that it knows all. Services whose servers are never cold wait for none of it.

Two tests of sound servers began while the entry VMs were still to ask them; they wait for the end of that now and count health checks from there, against the bounds that they had.

--- a/buckthorntack/dispatch/_exchange.py
+++ b/buckthorntack/dispatch/_exchange.py
@@ -527,7 +527,7 @@
             *sums,
             known_speeds=known_speeds,
             restarts=restarts,
-            knows_restarts=self.fleet.restarts.is_informed,
+            knows_restarts=self.fleet.restarts.knows_all(now_s),
         )
 
     def _select_uses(self, node_id, scope, total):
--- a/buckthorntack/dispatch/_restarts.py
+++ b/buckthorntack/dispatch/_restarts.py
@@ -10,6 +10,7 @@
 not notice that it was away.
 """
 
+import math
 from typing import NamedTuple
 
 from buckthorntack.schema import messages
@@ -28,7 +29,8 @@
 #: Failures of connections that come sooner after another are of the same end.
 SAME_END_S = 0.1
 #: Time that an entry VM which has just started leaves to others to tell what
-#: they know before it asks servers itself, and after which it knows as much.
+#: they know before it asks servers itself, and time from its first record
+#: after which it takes records for news.
 START_GRACE_S = 0.2
 START_PERIOD_S = 4.0
 #: Longest time for which a report of another entry VM is on its way.  What
@@ -325,24 +327,40 @@
 
     @property
     def is_informed(self):
-        """Whether what other entry VMs know is known here."""
+        """Whether records tell of the present starts of servers."""
         return self._starts_until_s is None
 
-    def on_start(self, now_s):
-        """Record that this entry VM has started, and knows of no failure.
+    def knows_all(self, now_s):
+        """Whether what other entry VMs know of servers is known here.
 
         :param now_s: monotonic time.
         """
-        self._starts_until_s = now_s + START_PERIOD_S
-        self._takes_unknown_until_s = self._starts_until_s
+        return self.is_informed and not any(
+            state.is_initial and state.is_cold(now_s)
+            for state in self._states.values()
+        )
+
+    def on_start(self):
+        """Record that this entry VM has started, and knows of no failure."""
+        self._starts_until_s = math.inf
+        self._takes_unknown_until_s = math.inf
 
     def on_first_record(self, server_id, now_s):
         """Suspect a server whose record may be of a former start.
 
+        Control VMs that have just started pass on what they are told, so a
+        record may be of a start that has ended at any time until others have
+        told what they know.
+
         :param server_id: the server.
         :param now_s: monotonic time.
         """
-        if self.is_informed or server_id in self._states:
+        if self.is_informed:
+            return
+        if self._starts_until_s == math.inf:
+            self._starts_until_s = now_s + START_PERIOD_S
+            self._takes_unknown_until_s = self._starts_until_s
+        if server_id in self._states:
             return
         state = _State(0, True, now_s)
         state.is_initial = True
@@ -536,7 +554,10 @@
             if now_s - state.since_s > KEPT_S and is_over:
                 del self._states[server_id]
         if not self.is_informed and now_s >= self._starts_until_s:
-            self.on_informed()
+            # Servers that nobody has told of are still to be asked.
+            self._starts_until_s = None
+        if self.is_informed and self._takes_unknown_until_s == math.inf:
+            self._takes_unknown_until_s = now_s + START_PERIOD_S
         for server_id, closes in list(self._usual_closes.items()):
             recent = [
                 usual for usual in closes if now_s - usual.noted_s <= KEPT_S
--- a/buckthorntack/dispatch/tests/test_restarts.py
+++ b/buckthorntack/dispatch/tests/test_restarts.py
@@ -396,7 +396,7 @@
 # takes the record of its former start for its state.
 def test_first_records_count_as_cold_until_others_have_told():
     watch = make_watch()
-    watch.on_start(7.0)
+    watch.on_start()
     watch.on_first_record("s1", 7.0)
     assert watch.is_cold("s1", 7.1)
     assert watch.is_unknown("s1", 7.1)
@@ -407,7 +407,7 @@
 
 def test_what_others_tell_of_a_server_outlives_the_start():
     watch = make_watch()
-    watch.on_start(7.0)
+    watch.on_start()
     watch.on_first_record("s1", 7.0)
     watch.merge([messages.ServerRestart("s1", 5, False, 2000)], 7.1)
     watch.on_informed()
@@ -417,7 +417,7 @@
 
 def test_entry_vm_that_hears_of_no_other_asks_by_itself():
     watch = make_watch()
-    watch.on_start(7.0)
+    watch.on_start()
     watch.on_first_record("s1", 7.0)
     assert not watch.take_due_checks(lambda server_id: True, 7.1)
     check = ask(watch, 7.0 + _restarts.START_GRACE_S)
@@ -425,11 +425,39 @@
     assert not watch.is_cold("s1", 7.3)
     watch.expire(7.0 + _restarts.START_PERIOD_S)
     assert watch.is_informed
+    assert watch.knows_all(7.0 + _restarts.START_PERIOD_S)
+
+
+# Guards against a flood some seconds after the start of an entry VM that heard
+# of no other one, by which time it took each record for news.
+def test_server_that_nobody_has_asked_stays_unknown():
+    watch = make_watch()
+    watch.on_start()
+    watch.on_first_record("s1", 7.0)
+    late_s = 7.0 + _restarts.START_PERIOD_S
+    watch.expire(late_s)
+    assert watch.is_cold("s1", late_s)
+    assert not watch.knows_all(late_s)
+    connect(watch, late_s)
+    assert watch.is_cold("s1", late_s + WARMUP_S - 0.01)
+    assert not watch.is_cold("s1", late_s + WARMUP_S)
+    assert watch.knows_all(late_s + WARMUP_S)
+
+
+# Guards against a flood by an entry VM that had to wait for control VMs, as
+# its time to learn of servers was over when it got their records.
+def test_time_to_learn_of_servers_begins_with_their_records():
+    watch = make_watch()
+    watch.on_start()
+    watch.expire(20.0)
+    watch.on_first_record("s1", 20.0)
+    assert watch.is_cold("s1", 20.1)
+    assert not watch.is_informed
 
 
 def test_failure_after_the_start_is_told():
     watch = make_watch()
-    watch.on_start(7.0)
+    watch.on_start()
     watch.on_first_record("s1", 7.0)
     assert not watch.tell("s1")
     assert fail(watch, 7.1)
@@ -440,7 +468,7 @@
 
 def test_later_records_are_taken_as_they_are():
     watch = make_watch()
-    watch.on_start(7.0)
+    watch.on_start()
     watch.on_informed()
     watch.on_first_record("s1", 7.2)
     assert not watch.is_cold("s1", 7.2)
@@ -559,7 +587,7 @@
 
 def test_connection_that_broke_tells_nothing_of_an_unknown_server():
     watch = make_watch()
-    watch.on_start(7.0)
+    watch.on_start()
     watch.on_first_record("s1", 7.0)
     break_one(watch, 7.1)
     connect(watch, 7.11)
@@ -634,7 +662,7 @@
 def test_news_of_servers_without_a_record_are_kept_after_a_start():
     known = set()
     watch = dispatch.RestartWatch(known.__contains__)
-    watch.on_start(7.0)
+    watch.on_start()
     told = [messages.ServerRestart("s1", 5, False, 2900)]
     assert watch.merge(told, 7.1) == ["s1"]
     watch.on_informed()
@@ -648,7 +676,7 @@
 
 def test_news_of_servers_that_never_get_a_record_are_deleted():
     watch = dispatch.RestartWatch(lambda server_id: False)
-    watch.on_start(7.0)
+    watch.on_start()
     watch.merge([messages.ServerRestart("s1", 5, True, 0)], 7.1)
     watch.expire(7.2 + _restarts.KEPT_S)
     assert not watch.is_cold("s1", 7.2 + _restarts.KEPT_S)
--- a/buckthorntack/gateway/_entry.py
+++ b/buckthorntack/gateway/_entry.py
@@ -74,9 +74,7 @@
         settings = self.settings
         enter = self._stack.enter_async_context
         self._stack.enter_context(self.shared_state)
-        self.shared_state.fleet.restarts.on_start(
-            self.clock.monotonic().total_seconds()
-        )
+        self.shared_state.fleet.restarts.on_start()
         self.links = await enter(
             transport.PlainLinks(
                 settings.service_address,
--- a/buckthorntack/gateway/_following.py
+++ b/buckthorntack/gateway/_following.py
@@ -215,7 +215,6 @@
         """
         now = self.clock.monotonic()
         changes = _records.set_aside_unsound(changes, sender, self._log)
-        is_first_copy = not self._merged_stamps
         epoch, stamp = self._merged_stamps.get(sender, (0, 0))
         if changes.stamp == 0:
             changed = self.registry.merge_changes(changes, now)
@@ -230,7 +229,7 @@
                 max(last_stamp, changes.stamp),
             )
         self._log_server_changes(sender, changed)
-        self.shared_state.on_first_records(changed, is_first_copy)
+        self.shared_state.on_first_records(changed)
         self.shared_state.on_servers_changed(changed)
         self._update_nodes(changes.nodes)
 
--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -572,7 +572,8 @@
     def _is_server_known(self):
         """Whether there is a server whose state is known.
 
-        Those of this region come first, as long as there are any.
+        Those of this region come first, as long as there are any.  Where no
+        server is cold after its start, it does not matter which start it is.
         """
         shared_state = self.shared_state
         ready = [
@@ -583,6 +584,8 @@
         region = shared_state.settings.region
         local = [record for record in ready if record.region == region]
         restarts, now_s = shared_state.fleet.restarts, self._now_s()
+        if ready and self.service.warmup_per_s <= 0:
+            return True
         return not all(
             restarts.is_unknown(record.server_id, now_s)
             for record in local or ready
--- a/buckthorntack/gateway/_shared_state.py
+++ b/buckthorntack/gateway/_shared_state.py
@@ -17,8 +17,6 @@
 
 #: Connect timeout for servers, which are in the same region.
 CONNECT_TIMEOUT_S = 0.6
-#: Sequence numbers of the announcements right after the start of a server.
-FIRST_SEQUENCES = 2
 #: Connect timeout for entry VMs of other regions.
 FORWARD_CONNECT_TIMEOUT_S = 0.8
 
@@ -346,25 +344,18 @@
             told_by=told_by,
         )
 
-    def on_first_records(self, server_ids, is_first_copy):
+    def on_first_records(self, server_ids):
         """Suspect servers whose records may be older than this process.
 
-        After the first copy, those of first announcements tell of a start
-        that is new.
-
         :param server_ids: ids of servers whose records changed.
-        :param is_first_copy: whether they came with the first copy.
         """
         if self.fleet.restarts.is_informed:
             return
         now_s = self.clock.monotonic().total_seconds()
         for server_id in server_ids:
             record = self.registry.servers[server_id].record
-            if (
-                record.region == self.settings.region
-                and record.state == "ready"
-                and (is_first_copy or record.sequence > FIRST_SEQUENCES)
-            ):
+            is_local = record.region == self.settings.region
+            if is_local and record.state == "ready":
                 self.fleet.restarts.on_first_record(server_id, now_s)
                 self._has_suspects.set()
 
--- a/buckthorntack/platform/tests/test_restarted_servers.py
+++ b/buckthorntack/platform/tests/test_restarted_servers.py
@@ -73,6 +73,13 @@
     return [world.nodes[name].shared_state.fleet.restarts for name in names]
 
 
+async def until_known(world):
+    """Wait until no entry VM has still to ask what is left of its start."""
+    await world.until(
+        lambda: all(watch.knows_all(now_s()) for watch in watches(world))
+    )
+
+
 async def set_warmup(world, warmup_s):
     """Publish another warm-up of the service."""
     document = _standins.configuration(2)
@@ -194,6 +201,8 @@
     async def scenario(world):
         await set_warmup(world, LONG_WARMUP_S)
         server = world.servers["s1"]
+        await until_known(world)
+        server.health_checks = 0
         server.behave_on_health = _standins.hang
         await reset_one(world, server)
         await world.until(lambda: server.health_checks)
@@ -326,6 +335,8 @@
     async def scenario(world):
         await set_warmup(world, SHORT_WARMUP_S)
         server = world.servers["s1"]
+        await until_known(world)
+        server.health_checks = 0
         server.behave_on_health = behave
         gate = asyncio.Event()
         server.behave = _standins.reset_after(gate)
@@ -390,6 +401,30 @@
     test_requests.run(scenario, *servers, entries=ZONES)
 
 
+# Guards against an entry VM that starts and takes the first announcement of a
+# start that has ended, which control VMs without state pass on late, for news.
+def test_late_announcement_of_a_former_start_is_no_news():
+    async def scenario(world):
+        note_arrivals(world.servers["s1"])
+        await world.kill("e2")
+        await world.start_entry("e2", "a1")
+        lose_reports(world, "e2")
+        [watch] = watches(world, ("e2",))
+        await world.until(lambda: "s1" in world.nodes["e2"].registry.servers)
+        assert not watch.is_informed
+        returned = _standins.Server("s2", world.ip("s2"), "text")
+        async with returned:
+            late = returned.announcement()
+            returned.crash()
+            until_s = await start_cold(returned)
+            answer = await world.control("c0", "PUT", "/instances/s2", late)
+            assert answer.status == 200
+            most = await press_until(world, returned, until_s, ("e2",))
+        assert most <= MAX_COLD
+
+    test_requests.run(scenario, ("s1", "text"), entries=ZONES)
+
+
 # Guards against a crash that ends connections without requests only, so that
 # the next start is taken for the former one; "again" is one while it is cold.
 @pytest.mark.parametrize("is_again", [False, True])
