Ask servers after their evacuation how long they are cold

Callers saw 502: servers that had become cold during an evacuation and announced it late got 52 requests in a second, 10.5 allowed.

Cause: such servers counted as cold for 2.5 s, two announcement periods, and for what they had announced last after that; announcements may come seconds late.

The end of an evacuation is now a reason to ask its servers, as a lost connection is. All entry VMs learn of it by themselves, so none tells others of the suspicion; an answer that one gets ends it for all. One that has servers still to ask does not say that it knows all, so an entry VM that starts asks them too.

test_servers_are_asked_after_an_evacuation failed before, both cases.

--- a/buckthorntack/dispatch/_restarts.py
+++ b/buckthorntack/dispatch/_restarts.py
@@ -38,6 +38,9 @@
 REPORT_DELAY_S = 0.25
 #: Lead of a clock up to which what its entry VM tells may be taken as newer.
 MAX_CLOCK_LEAD_MS = 50
+#: Longest time by which an entry VM learns later than another one that an
+#: evacuation has ended.
+EVACUATION_LAG_S = 2.0
 #: Time for which other entry VMs are told what a server told, and for which
 #: its version is kept; the clocks that versions start from differ by less.
 KEPT_S = 30.0
@@ -80,12 +83,14 @@
     """What is known of a server since a connection to it failed."""
 
     __slots__ = (
+        "answer_version",
         "check_at_s",
         "cold_until_s",
         "connected_s",
         "first_since_s",
         "idle_s",
         "is_initial",
+        "is_local",
         "is_mild",
         "is_suspected",
         "is_told",
@@ -113,9 +118,13 @@
         self.seen = frozenset()
         #: Whether other entry VMs are told.
         self.is_told = False
-        #: Whether nothing failed, but nothing is known since this entry VM
-        #: started.
+        #: Whether nothing failed, but other entry VMs may know more or learn
+        #: the same by themselves, so that they are not told.
+        self.is_local = False
+        #: Whether that is so since this entry VM started.
         self.is_initial = False
+        #: Lowest version of an answer that ends the suspicion.
+        self.answer_version = 0
         #: Whether a connection broke, but none was refused.
         self.is_mild = False
         #: The same of the first failure of which it is not known whether the
@@ -218,9 +227,7 @@
         :returns: whether a start is suspected that was not before.
         """
         known = self._states.get(server_id)
-        is_known = self.is_suspected(server_id, now_s) and (
-            not known.is_initial
-        )
+        is_known = self.is_suspected(server_id, now_s) and not known.is_local
         if is_known and known.is_mild and not is_mild:
             is_known = False
         if is_known and now_s - known.since_s < SAME_END_S:
@@ -273,7 +280,7 @@
         :returns: whether a suspicion has ended.
         """
         known = self._states.get(server_id)
-        if known is None or not known.is_suspected or known.is_initial:
+        if known is None or not known.is_suspected or known.is_local:
             return False
         if opened_s >= known.first_since_s or sent_s < known.since_s:
             return False
@@ -296,7 +303,8 @@
         self._states[server_id] = state
 
     def _store_answer(self, server_id, known, cold_left_s, now_s):
-        state = _State(known.version + 1, False, now_s)
+        version = max(known.version + 1, known.answer_version)
+        state = _State(version, False, now_s)
         state.cold_until_s = now_s + cold_left_s
         state.is_told = True
         self._store(server_id, state)
@@ -336,7 +344,7 @@
         :param now_s: monotonic time.
         """
         return self.is_informed and not any(
-            state.is_initial and state.is_cold(now_s)
+            state.is_local and state.is_cold(now_s)
             for state in self._states.values()
         )
 
@@ -363,10 +371,36 @@
         if server_id in self._states:
             return
         state = _State(0, True, now_s)
+        state.is_local = True
         state.is_initial = True
         state.check_at_s = now_s + START_GRACE_S
         self._store(server_id, state)
 
+    def on_evacuation_ended(self, server_id, now_s, unix_ms, asks):
+        """Suspect a server that may have become cold during an evacuation.
+
+        All entry VMs learn of the end by themselves, each at another time.
+        What was known of the server before does not tell how cold it is, but
+        an answer that another entry VM gets after the end does.  One that
+        asks nobody itself may have been told that answer already.
+
+        :param server_id: the server.
+        :param now_s: monotonic time.
+        :param unix_ms: time of day in milliseconds.
+        :param asks: whether this entry VM may ask the server.
+        :returns: whether it is suspected now.
+        """
+        known = self._states.get(server_id)
+        if self.is_suspected(server_id, now_s):
+            return False
+        if not asks and _is_answered_since(known, now_s - EVACUATION_LAG_S):
+            return False
+        state = _State(0 if known is None else known.version, True, now_s)
+        state.is_local = True
+        state.answer_version = unix_ms
+        self._store(server_id, state)
+        return True
+
     def on_informed(self):
         """Record that another entry VM has told all that it knows."""
         self._starts_until_s = None
@@ -417,7 +451,7 @@
         :returns: whether they have not been told.
         """
         state = self._states.get(server_id)
-        if state is None or state.is_told or state.is_initial:
+        if state is None or state.is_told or state.is_local:
             return False
         state.is_told = True
         return True
@@ -609,13 +643,21 @@
     return known.cold_until_s
 
 
+def _is_answered_since(state, since_s):
+    return (
+        state is not None
+        and not state.is_suspected
+        and state.since_s >= since_s
+    )
+
+
 def _is_mild(state):
     return state is not None and state.is_suspected and state.is_mild
 
 
 def _is_untold(state):
     return state.is_suspected and not (
-        state.is_told or state.is_initial or state.is_mild
+        state.is_told or state.is_local or state.is_mild
     )
 
 
--- a/buckthorntack/dispatch/tests/test_restarts.py
+++ b/buckthorntack/dispatch/tests/test_restarts.py
@@ -474,6 +474,62 @@
     assert not watch.is_cold("s1", 7.2)
 
 
+def end_evacuation(watch, now_s, asks=True):
+    unix_ms = UNIX_MS + int(now_s * 1e3)
+    return watch.on_evacuation_ended("s1", now_s, unix_ms, asks)
+
+
+# Guards against servers that stay limited after an evacuation at an entry VM
+# which learnt of its end after another one had been answered.
+def test_answer_after_an_evacuation_holds_for_all():
+    first, second = make_watch(), make_watch()
+    fail(second, 1.0)
+    assert answer(second, ask(second, 1.1), 1.2)
+    end_evacuation(first, 40.0)
+    assert answer(first, ask(first, 40.0), 40.1, 2.5)
+    end_evacuation(second, 40.3)
+    assert not exchange_all(second, first, 40.3)
+    assert exchange_all(first, second, 40.3) == ["s1"]
+    assert not second.is_suspected("s1", 40.3)
+    assert second.is_cold("s1", 42.5)
+    assert not second.is_cold("s1", 42.7)
+
+
+# Guards against the same at one that asks nobody, and learns of the end after
+# it was told the answer.
+@pytest.mark.parametrize("asks", [False, True])
+def test_answer_may_be_told_before_the_end_of_an_evacuation(asks):
+    first, second = make_watch(), make_watch()
+    end_evacuation(first, 40.0)
+    assert answer(first, ask(first, 40.0), 40.1, 2.5)
+    exchange_all(first, second, 40.2)
+    late_s = 40.3 + _restarts.EVACUATION_LAG_S
+    assert end_evacuation(second, 40.3, asks) == asks
+    assert end_evacuation(make_watch(), 40.3, asks)
+    assert end_evacuation(second, late_s, asks) != asks
+
+
+# Guards against a flood after an evacuation, as what a server had said of its
+# warm-up before, which others go on telling, was taken for its state.
+def test_answer_from_before_an_evacuation_tells_nothing():
+    first, second = make_watch(), make_watch()
+    fail(first, 7.0)
+    assert answer(first, ask(first, 7.0), 7.1)
+    exchange_all(first, second, 7.2)
+    end_evacuation(second, 9.0)
+    assert not exchange_all(first, second, 9.1)
+    assert second.is_suspected("s1", 9.1)
+
+
+def test_failure_after_an_evacuation_is_told():
+    watch = make_watch()
+    end_evacuation(watch, 7.0)
+    assert not watch.tell("s1")
+    assert not watch.knows_all(7.1)
+    assert fail(watch, 7.2)
+    assert watch.tell("s1")
+
+
 def break_one(watch, now_s):
     unix_ms = UNIX_MS + int(now_s * 1e3)
     return watch.on_failure("s1", now_s, unix_ms, is_mild=True)
--- a/buckthorntack/gateway/_events.py
+++ b/buckthorntack/gateway/_events.py
@@ -290,8 +290,9 @@
     2251,
     "restart_suspected",
     logbook.INFO,
-    "A connection to a server broke or was refused here, or another entry VM"
-    " told so: it may have started again, and counts as cold until it tells.",
+    "A connection to a server broke or was refused here, another entry VM told"
+    " so, or its evacuation has ended: it may have started again, and counts"
+    " as cold until it tells.",
 )
 RESTART_CHECKED = events.declare(
     2252,
--- a/buckthorntack/gateway/_shared_state.py
+++ b/buckthorntack/gateway/_shared_state.py
@@ -31,6 +31,8 @@
     NOT_OPENED = "not_opened"
     #: Seen by another entry VM.
     TOLD = "told"
+    #: None failed, but the server was evacuated, and may be cold since.
+    EVACUATED = "evacuated"
 
 
 class SharedState:
@@ -174,11 +176,39 @@
         if index <= self._evacuations_index:
             return
         self._evacuations_index = index
+        ended = self.dispatcher.evacuated.difference(evacuated)
         self.dispatcher.set_evacuated(
             frozenset(evacuated), self.clock.monotonic()
         )
+        self._suspect_evacuated(ended)
         self.notify_change()
 
+    def _suspect_evacuated(self, failure_domains):
+        """Let servers be asked for how long they are cold.
+
+        :param failure_domains: those whose evacuations have ended.
+        """
+        now_s = self.clock.monotonic().total_seconds()
+        for server_id, view in self.registry.servers.items():
+            record = view.record
+            service = self.find_service_of(server_id)
+            if (
+                record.failure_domain not in failure_domains
+                or record.region != self.settings.region
+                or record.state != "ready"
+                or service is None
+                or service.warmup_per_s <= 0
+            ):
+                continue
+            asks = self.rates.may_ask(server_id, service.warmup_per_s, now_s)
+            if self.fleet.restarts.on_evacuation_ended(
+                server_id, now_s, self._unix_ms(), asks is not None
+            ):
+                self.log_suspected_restart(
+                    server_id, ConnectionFailure.EVACUATED
+                )
+                self._has_suspects.set()
+
     def notify_change(self):
         """Wake the requests that wait for a change."""
         self._changed.set()
--- a/buckthorntack/platform/tests/test_restarted_servers.py
+++ b/buckthorntack/platform/tests/test_restarted_servers.py
@@ -89,8 +89,8 @@
     await world.in_force(2)
 
 
-async def start_cold(server):
-    """Start a server again that is cold and tells it on its health path."""
+def tell_cold(server):
+    """Let a server tell on its health path that it is cold from now on."""
     until_s = now_s() + WARMUP_S
 
     def health_headers():
@@ -101,6 +101,12 @@
         ]
 
     server.health_headers = health_headers
+    return until_s
+
+
+async def start_cold(server):
+    """Start a server again that is cold and tells it on its health path."""
+    until_s = tell_cold(server)
     await server.start_again()
     return until_s
 
@@ -425,6 +431,43 @@
     test_requests.run(scenario, ("s1", "text"), entries=ZONES)
 
 
+async def evacuate(world, method):
+    """Begin or end an evacuation, and wait until entry VMs know."""
+    answer = await world.control("c0", method, "/evacuations/a1")
+    assert answer.status == 200
+    evacuated = {"a1"} if method == "POST" else set()
+    await world.until(
+        lambda: all(
+            world.nodes[name].shared_state.dispatcher.evacuated == evacuated
+            for name in NEAR
+        )
+    )
+
+
+# Guards against a flood of servers that are cold after an evacuation of their
+# failure domain and announce it late, also by an entry VM that starts then.
+@pytest.mark.parametrize("is_started_anew", [False, True])
+def test_servers_are_asked_after_an_evacuation(is_started_anew):
+    async def scenario(world):
+        servers = list(world.servers.values())
+        arrivals = [note_arrivals(server) for server in servers]
+        await until_known(world)
+        await evacuate(world, "POST")
+        until_s = max(tell_cold(server) for server in servers)
+        await evacuate(world, "DELETE")
+        if is_started_anew:
+            await world.kill("e2")
+            await world.start_entry("e2", "a1")
+        async with contextlib.AsyncExitStack() as stack:
+            await press(world, stack, NEAR)
+            await world.until(lambda: now_s() > until_s)
+        for times in arrivals:
+            assert 0 < most_in_a_second(times, 0.0, until_s) <= MAX_COLD
+
+    servers = [("s1", "text"), ("s2", "text")]
+    test_requests.run(scenario, *servers, entries=ZONES)
+
+
 # Guards against a crash that ends connections without requests only, so that
 # the next start is taken for the former one; "again" is one while it is cold.
 @pytest.mark.parametrize("is_again", [False, True])
