Keep the parts of the cold rate of entry VMs that are silent

A cold server gets requests from few entry VMs of its region, by their part of its rate.

Cause: those that are silent did not count as senders, though they still reach the server. They count now until they are gone or forgotten; a cold server whose sender has ended gets less of its rate meanwhile.

test_rate_holds_while_entry_vms_hear_of_no_other failed before for three and eight entry VMs that are alone.

--- a/buckthorntack/dispatch/_server_rates.py
+++ b/buckthorntack/dispatch/_server_rates.py
@@ -56,6 +56,9 @@
         self.settings = settings
         #: Entry VMs of this region, this one included.
         self.members = [node_id]
+        #: The same with those that nobody here hears of, which may still send
+        #: to servers; None if there are none.
+        self.all_members = None
         self._cold = _shared_rate.SharedRateLimiter(
             node_id, idle_s=COLD_IDLE_S
         )
@@ -75,7 +78,7 @@
         if limits.cold_per_s is not None and not self._cold.may_send(
             server_id,
             self._rate_of_cold_server(limits.cold_per_s),
-            self.members,
+            self._senders_to_cold,
             now_s,
         ):
             return False
@@ -100,7 +103,9 @@
         """
         if limits.cold_per_s is not None:
             rate = self._rate_of_cold_server(limits.cold_per_s)
-            self._cold.on_request_sent(server_id, rate, self.members, now_s)
+            self._cold.on_request_sent(
+                server_id, rate, self._senders_to_cold, now_s
+            )
         if limits.room is not None:
             self._rooms.on_request_sent(server_id, now_s)
         if limits.named_per_s is not None:
@@ -116,9 +121,10 @@
         :returns: None if this entry VM sends nothing to it while it is cold.
         """
         rate = self._rate_of_cold_server(cold_per_s)
-        if not self._cold.is_sender(server_id, rate.senders, self.members):
+        members = self._senders_to_cold
+        if not self._cold.is_sender(server_id, rate.senders, members):
             return None
-        return self._cold.may_send(server_id, rate, self.members, now_s)
+        return self._cold.may_send(server_id, rate, members, now_s)
 
     def remove_server(self, server_id):
         """Delete the state of a server.
@@ -129,6 +135,15 @@
         self._limited.remove_server(server_id)
         self._rooms.remove_server(server_id)
 
+    @property
+    def _senders_to_cold(self):
+        """Entry VMs that may have a part of the rate of a cold server.
+
+        One that is cut off from all others still reaches the server, so those
+        that go on do not take over its part.
+        """
+        return self.members if self.all_members is None else self.all_members
+
     def _rate_of_cold_server(self, per_s):
         return _shared_rate.SharedRate(
             per_s * self.settings.cold_rate_share,
--- a/buckthorntack/dispatch/tests/test_cold_return.py
+++ b/buckthorntack/dispatch/tests/test_cold_return.py
@@ -80,7 +80,7 @@
     }
 
 
-def _send_while_cold(rng, known, limits, starts, restarts):
+def _send_while_cold(rng, known, limits, starts, restarts, all_members=None):
     """Let entry VMs send as often as they may, for 3 s from each start."""
     gates = {name: _make_gate(name) for name in known}
     sent = []
@@ -93,6 +93,7 @@
                 continue
             gate = gates[name]
             gate.members = known[name]
+            gate.all_members = all_members
             if rng.random() < 0.9 and gate.may_send("s1", limits, 0, now_s):
                 gate.on_request_sent("s1", limits, now_s)
                 sent.append(now_s)
@@ -133,6 +134,22 @@
     assert most_in_a_second(sent) <= per_s * OVERRUN + SLACK
 
 
+# Guards against entry VMs that are cut off from all others, but not from a
+# cold server, and each take over the parts of those that they do not hear of.
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("per_s", [3.2, 5.1])
+@pytest.mark.parametrize("islands", [1, 3, 8])
+def test_rate_holds_while_entry_vms_hear_of_no_other(islands, per_s, seed):
+    rng = random.Random(seed)
+    names = [f"10.1.{seed}.{number}:80" for number in range(12)]
+    alone = set(rng.sample(names, islands))
+    together = [name for name in names if name not in alone]
+    heard = {name: [name] if name in alone else together for name in names}
+    limits = dispatch.RateLimits(cold_per_s=per_s)
+    sent = _send_while_cold(rng, heard, limits, (0.0,), {}, names)
+    assert most_in_a_second(sent) <= per_s * OVERRUN + SLACK
+
+
 def test_warm_server_takes_what_a_cold_one_may_not():
     world = _world.World()
     world.add_server("cold", cold_left_ms=3000)
--- a/buckthorntack/gateway/_shared_state.py
+++ b/buckthorntack/gateway/_shared_state.py
@@ -604,12 +604,19 @@
         entry_vms = self.registry.nodes_with_role("entry")
         self.budgets.set_members(len(entry_vms))
         own_address = self.settings.service_address
+        local = [
+            record
+            for record in entry_vms
+            if record.region == self.settings.region
+        ]
         members = {
             record.node_id: record.failure_domain
-            for record in entry_vms
-            if record.region == self.settings.region and not record.silent
+            for record in local
+            if not record.silent
         }
         self.rates.members = sorted({*members, own_address})
+        local_ids = {record.node_id for record in local}
+        self.rates.all_members = sorted({*local_ids, own_address})
         means = {
             record.node_id: record.means
             for record in entry_vms
