Log ends of idle connections that tell nothing, and tell more apart

Its log could not tell whether it had lost the only connection before, or had passed over the end of one.

Ends that are passed over are logged now, and an end 30 ms after an answer is no longer taken for one right after it.

--- a/buckthorntack/dispatch/_restarts.py
+++ b/buckthorntack/dispatch/_restarts.py
@@ -47,7 +47,7 @@
 TOLD_S = 5.0
 #: Ends of idle connections whose idle times differ by at most this much, or
 #: by this share, have the same reason, as an idle timeout of the server.
-SAME_IDLE_S = 0.05
+SAME_IDLE_S = 0.01
 SAME_IDLE_SHARE = 0.25
 
 
--- a/buckthorntack/dispatch/tests/test_restarts.py
+++ b/buckthorntack/dispatch/tests/test_restarts.py
@@ -1,5 +1,6 @@
 """Servers that may have started again."""
 
+import math
 import random
 
 import pytest
@@ -13,9 +14,16 @@
 WARMUP_S = 3.0
 UNIX_MS = 1_700_000_000_000
 #: Longest time for which a connection is kept idle, in seconds, and number of
-#: reasons for ends of idle connections that can be told apart within it.
+#: reasons for ends of idle connections that can be told apart within it: up to
+#: the age at which the share is the larger tolerance, and above it.
 MAX_IDLE_S = 4.0
-MAX_QUESTIONS = 20
+SHARE_FROM_S = _restarts.SAME_IDLE_S / _restarts.SAME_IDLE_SHARE
+MAX_QUESTIONS = (
+    1
+    + SHARE_FROM_S / _restarts.SAME_IDLE_S
+    + math.log(MAX_IDLE_S / SHARE_FROM_S)
+    / math.log(1 + _restarts.SAME_IDLE_SHARE)
+)
 
 
 def make_watch():
@@ -360,12 +368,13 @@
 
 # Guards against a flood after a crash that ended idle connections only, as one
 # that had ended right after an answer made all of them tell nothing.
-def test_usual_end_of_an_idle_connection_hides_no_crash():
+@pytest.mark.parametrize("age_s", [0.03, 0.8])
+def test_usual_end_of_an_idle_connection_hides_no_crash(age_s):
     watch = make_watch()
     assert close_idle(watch, 0.001, 7.0)
     assert answer(watch, ask(watch, 7.0), 7.1)
     assert not close_idle(watch, 0.003, 7.5)
-    assert close_idle(watch, 0.8, 9.0)
+    assert close_idle(watch, age_s, 9.0)
     assert watch.is_suspected("s1", 9.0)
 
 
--- a/buckthorntack/gateway/_events.py
+++ b/buckthorntack/gateway/_events.py
@@ -307,6 +307,13 @@
     "A server that may have started again did not answer on its health path.",
     "check the health path of its service",
 )
+USUAL_IDLE_CLOSE = events.declare(
+    2254,
+    "usual_idle_close",
+    logbook.INFO,
+    "A server closed an idle connection at an age at which it has closed one"
+    " before without having started again; nothing is concluded.",
+)
 DIRECTIVE_ORDERED = events.declare(
     2248,
     "directive_ordered",
--- a/buckthorntack/gateway/_reachability_task.py
+++ b/buckthorntack/gateway/_reachability_task.py
@@ -210,6 +210,12 @@
             self.shared_state.on_server_failure(
                 server_id, _shared_state.ConnectionFailure.IDLE, idle_s
             )
+        else:
+            self._log.write(
+                _events.USUAL_IDLE_CLOSE,
+                server=server_id,
+                idle_ms=round(idle_s * 1e3),
+            )
 
     async def _ask(self, connection, service, record):
         """Return how long a server says that it is cold; None if not."""
