--- a/buckthorntack/dispatch/_server_rates.py
+++ b/buckthorntack/dispatch/_server_rates.py
@@ -126,6 +126,16 @@
             return None
         return self._cold.may_send(server_id, rate, members, now_s)
 
+    def on_warm(self, server_id):
+        """Forget what a server got while it may have been cold.
+
+        Health checks use slots of the cold rate.  Once the server has said
+        that it is warm, the next doubt can be cleared up at once.
+
+        :param server_id: the server.
+        """
+        self._cold.remove_server(server_id)
+
     def remove_server(self, server_id):
         """Delete the state of a server.
 
--- a/buckthorntack/dispatch/tests/test_cold_return.py
+++ b/buckthorntack/dispatch/tests/test_cold_return.py
@@ -150,6 +150,18 @@
     assert most_in_a_second(sent) <= per_s * OVERRUN + SLACK
 
 
+# Guards against a sound server that stays limited for most of a second after a
+# reset, as checks waited for slots that checks before them had used.
+def test_doubt_after_a_warm_answer_is_cleared_up_at_once():
+    name = "10.1.0.1:80"
+    gate = _make_gate(name)
+    for now_s in (7.0, 7.01, 7.02):
+        assert gate.may_ask("s1", PER_S, now_s)
+        gate.on_request_sent("s1", COLD, now_s)
+        assert not gate.may_ask("s1", PER_S, now_s)
+        gate.on_warm("s1")
+
+
 def test_warm_server_takes_what_a_cold_one_may_not():
     world = _world.World()
     world.add_server("cold", cold_left_ms=3000)
--- a/buckthorntack/gateway/_entry.py
+++ b/buckthorntack/gateway/_entry.py
@@ -212,6 +212,7 @@
         now_s = self.clock.monotonic().total_seconds()
         restarts = self.shared_state.fleet.restarts
         for server_id in server_ids:
+            self.shared_state.on_restart_told(server_id)
             if restarts.is_suspected(server_id, now_s):
                 self.shared_state.log_suspected_restart(
                     server_id, _shared_state.ConnectionFailure.TOLD, sender
--- a/buckthorntack/gateway/_shared_state.py
+++ b/buckthorntack/gateway/_shared_state.py
@@ -354,10 +354,25 @@
             is_news=is_news,
         )
         if is_news:
+            self.on_restart_told(server_id)
             self.exchange.on_restart_news()
             self.wake_if_urgent()
             self.notify_change()
 
+    def on_restart_told(self, server_id):
+        """Update the rate of a server after news of its warm-up.
+
+        :param server_id: the server.
+        """
+        now = self.clock.monotonic()
+        view = self.registry.servers.get(server_id)
+        is_doubted = self.fleet.restarts.is_in_question(
+            server_id, now.total_seconds()
+        )
+        if view is None or is_doubted or self.dispatcher.is_cold(view, now):
+            return
+        self.rates.on_warm(server_id)
+
     def log_suspected_restart(self, server_id, failure, told_by=""):
         """Log that a server is suspected to have started again.
 
