Let callers of the soak leave connections that have ended

No one was owed an answer there: the check was wrong, and entry VMs had no part in it.

A caller looks now whether its connection has ended, as HTTP clients do, and opens another one, on which the request must be answered. All other checks are as they were.

--- a/tools/soak/_cold_returns.py
+++ b/tools/soak/_cold_returns.py
@@ -333,6 +333,15 @@
         self.proxy.held = set()
 
 
+def _has_ended(reader, writer):
+    """Whether the other side has ended a connection."""
+    return (
+        writer.is_closing()
+        or reader.at_eof()
+        or reader.exception() is not None
+    )
+
+
 class StreamCaller(_traffic.Caller):
     """Sends streams only, on connections that it keeps or not."""
 
@@ -348,6 +357,12 @@
             self._drop()
         return self.rng.uniform(*CALL_PAUSE_S)
 
+    async def _exchange(self, request_id, payload):
+        if self._connection is not None and _has_ended(*self._connection):
+            # Its entry VM closed it, or ended, after the last answer.
+            self._drop()
+        return await super()._exchange(request_id, payload)
+
 
 class ColdReturnsSoak(_soak.Soak):
     """A soak of servers that are back under their old ids.
--- a/tools/soak/tests/test_cold_returns.py
+++ b/tools/soak/tests/test_cold_returns.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from buckthorntack import transport
 from tools.soak import _cold_returns
 from tools.soak import _promises
 
@@ -11,6 +12,7 @@
 #: Of many returns; 2 also has resets and links that are held up.
 SEEDS = [2]
 LIMIT = int(_cold_returns.MAX_IN_A_SECOND)
+PAUSE_S = 0.05
 NONE = _promises.Unanswered("r", "e1", 10.0, 11.0, 14.0)
 
 
@@ -110,3 +112,45 @@
 
     _cold_returns.check_answered(book, journal, are_calm)
     assert bool(book.broken) is is_broken
+
+
+class _Listener:
+    """Answers one request on each connection and ends it."""
+
+    def __init__(self, is_reset):
+        self.is_reset = is_reset
+        self.name = "e1"
+        self.connections = 0
+
+    async def serve(self, reader, writer):
+        self.connections += 1
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+        await writer.drain()
+        if self.is_reset:
+            await asyncio.sleep(PAUSE_S)
+            transport.set_reset_on_close(writer.transport, True)
+        writer.transport.close()
+
+
+# Guards against a caller that writes to a connection whose entry VM was killed
+# before, and counts that as a request without an answer.
+@pytest.mark.parametrize("is_reset", [False, True])
+def test_caller_leaves_a_connection_that_has_ended(is_reset):
+    async def scenario():
+        listener = _Listener(is_reset)
+        server = await asyncio.start_server(listener.serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        listener.direct_address = f"{host}:{port}"
+        book = _promises.Book()
+        caller = _cold_returns.StreamCaller(book, [listener], 1)
+        async with server:
+            for _ in range(3):
+                await caller._one()
+                await asyncio.sleep(3 * PAUSE_S)
+            caller._drop()
+        assert listener.connections == 3
+        assert book.unanswered == []
+        assert book.answers[503] == 3
+
+    asyncio.run(scenario())
