Ask a model engine for its start before it continues a stream

Clients got streams whose events two software versions had written: a server that had started again at another version, and had not announced that, was taken for the start before (KNOWN-RED 21).

Cause: answers to requests tell neither start nor version, and control VMs know of a new start from its announcement only.

An engine that is to continue a stream is now asked for its start on the connection that then carries the request, so that only that start can get it. One of another start, or that does not answer, gets nothing and is suspected to have started again; one whose answer lacks the start is taken as before.

--- a/buckthorntack/gateway/_dialect.py
+++ b/buckthorntack/gateway/_dialect.py
@@ -64,6 +64,8 @@
 
     #: Name of the header that holds the request id, in lower case.
     request_id_header: bytes
+    #: Path at which model engines tell their state.
+    state_path: bytes
 
     def parse_request(self, request):
         """Parse the head of a request.
@@ -119,6 +121,13 @@
             does not say or is another one.
         """
 
+    def parse_start(self, body):
+        """Parse the start of a server from what it tells of its state.
+
+        :param body: the body of its answer.
+        :returns: Unix milliseconds; None if it does not say.
+        """
+
     def build_forward_headers(
         self, request, timeout_ms, last_event_id, caller
     ):
--- a/buckthorntack/gateway/_reachability_task.py
+++ b/buckthorntack/gateway/_reachability_task.py
@@ -11,6 +11,7 @@
 from buckthorntack import events
 from buckthorntack import http1
 from buckthorntack.gateway import _events
+from buckthorntack.gateway import _server_calls
 from buckthorntack.gateway import _shared_state
 
 _MS = datetime.timedelta(milliseconds=1)
@@ -29,9 +30,6 @@
 #: Longest wait for the answer of a server to the question how long it is
 #: cold; it may wait behind requests.
 ANSWER_TIMEOUT = 1000 * _MS
-#: Body bytes of such an answer that are read, so that its connection can be
-#: reused.
-MAX_ANSWER_BYTES = 65_536
 
 
 #: Failures that need a packet from the machine of the server, so that the link
@@ -226,24 +224,16 @@
             record.address, ANSWER_TIMEOUT // _MS
         )
         path = service.health_path.encode()
-        payload = http1.encode_request(b"GET", path, headers, b"")
-        size_bytes = 0
         try:
-            async with asyncio.timeout(ANSWER_TIMEOUT.total_seconds()):
-                connection.send(payload, None)
-                head = await connection.read_head()
-                while data := await connection.read():
-                    size_bytes += len(data)
-                    if size_bytes > MAX_ANSWER_BYTES:
-                        connection.close()
-                        break
+            head, _ = await _server_calls.get(
+                connection, path, headers, ANSWER_TIMEOUT
+            )
         except (TimeoutError, http1.IncompleteResponseError) as error:
             self._log.write(
                 _events.RESTART_UNANSWERED,
                 server=record.server_id,
                 error=repr(error),
             )
-            connection.close()
             return None
         cold_left_s = dialect.parse_health(head, record.server_id)
         if cold_left_s is None:
--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -25,7 +25,9 @@
 from buckthorntack.gateway import _memory
 from buckthorntack.gateway import _patience
 from buckthorntack.gateway import _results
+from buckthorntack.gateway import _server_calls
 from buckthorntack.gateway import _server_notes
+from buckthorntack.gateway import _shared_state
 from buckthorntack.gateway import _stream_origin
 from buckthorntack.gateway import _subject_watch
 
@@ -582,6 +584,8 @@
             for view in shared_state.list_servers(self.service.name)
             if view.record.state == "ready"
         ]
+        if self.service.warmup_per_s <= 0:
+            return bool(ready)
         region = shared_state.settings.region
         local = [record for record in ready if record.region == region]
         restarts, now_s = shared_state.fleet.restarts, self._now_s()
@@ -980,7 +984,11 @@
                 server_id, attempt.server.address, self.metadata.request_id
             )
             if self.origin is not None:
-                doubt = await self._doubt_version(attempt.server)
+                doubt = await self._doubt_version(
+                    attempt.server
+                ) or await self._doubt_start(
+                    attempt.server, attempt.connection
+                )
                 if doubt is not None:
                     return doubt
             state = self.shared_state.fleet.state(server_id)
@@ -1048,6 +1056,34 @@
             "too few control VMs confirm what is known of its server"
         )
 
+    async def _doubt_start(self, server, connection):
+        """Check that a server has announced its present start.
+
+        It is asked on the connection that then carries the request, which
+        only the same start can answer.
+
+        :param server: its ``AnnouncedServer``.
+        :param connection: the ``http1.Connection``.
+        :returns: the result of the attempt if it is in doubt, else None.
+        """
+        if self.service.engine is None or not server.born_ms:
+            return None
+        shared_state = self.shared_state
+        server_id = server.server_id
+        try:
+            born_ms = await _server_calls.get_start(
+                connection, shared_state.dialect, server.address
+            )
+        except (TimeoutError, http1.IncompleteResponseError) as error:
+            reason = f"{server_id} does not tell its start: {error!r}"
+            return _results.NotSent(reason)
+        if born_ms is None or born_ms == server.born_ms:
+            return None
+        shared_state.on_server_failure(
+            server_id, _shared_state.ConnectionFailure.RESTARTED
+        )
+        return _results.NotSent(f"{server_id} has started again")
+
     async def relay_answer(self, attempt, start):
         """Relay a response of a server that has begun.
 
--- a/buckthorntack/gateway/_shared_state.py
+++ b/buckthorntack/gateway/_shared_state.py
@@ -31,6 +31,8 @@
     NOT_OPENED = "not_opened"
     #: Seen by another entry VM.
     TOLD = "told"
+    #: None failed, but the server told of a start that it has not announced.
+    RESTARTED = "restarted"
     #: None failed, but the server was evacuated, and may be cold since.
     EVACUATED = "evacuated"
 
--- a/buckthorntack/platform/_announcements.py
+++ b/buckthorntack/platform/_announcements.py
@@ -64,6 +64,15 @@
 _LEAVE = msgspec.json.Decoder(_Leave)
 
 
+def read_start(content):
+    """Read the start of a server from what it says of itself.
+
+    :param content: a JSON object.
+    :returns: Unix milliseconds; None if it can't be read or does not say.
+    """
+    return _decode(_LEAVE, content).map(_start_of).default_value(None)
+
+
 def read_announcement(server_id, content, regions, unix_time):
     """Read the announcement of a server.
 
@@ -116,7 +125,7 @@
     """
     if not content:
         return Ok(None)
-    return _decode(_LEAVE, content).map(lambda document: document.get("born"))
+    return _decode(_LEAVE, content).map(_start_of)
 
 
 def _decode(decoder, content):
@@ -132,3 +141,7 @@
 def _unreadable(server_id, error):
     text = f"{server_id}: {error}"
     return Error(UnreadableAnnouncementError(text[:MAX_DETAIL_LENGTH]))
+
+
+def _start_of(document):
+    return document.get("born")
--- a/buckthorntack/platform/_dialect.py
+++ b/buckthorntack/platform/_dialect.py
@@ -10,6 +10,7 @@
 from buckthorntack import errors
 from buckthorntack import gateway
 from buckthorntack import http1
+from buckthorntack.platform import _announcements
 from buckthorntack.platform import _configuration
 from buckthorntack.platform import _headers
 
@@ -32,6 +33,7 @@
     """The platform's formats; a ``gateway.Dialect``."""
 
     request_id_header = _headers.REQUEST_ID
+    state_path = b"/report"
 
     def parse_request(self, request):
         """Parse the head of a request.
@@ -134,6 +136,13 @@
             return None
         return warmup_ms / 1e3
 
+    def parse_start(self, body):
+        """Parse the start of a server from the answer at ``state_path``.
+
+        :param body: the body.
+        """
+        return _announcements.read_start(body)
+
     def build_forward_headers(
         self, request, timeout_ms, last_event_id, caller
     ):
--- a/buckthorntack/platform/tests/_standins.py
+++ b/buckthorntack/platform/tests/_standins.py
@@ -27,6 +27,7 @@
 READY_PORT = 8303
 SERVER_PORT = 9000
 HEALTH_PATH = b"/healthz"
+STATE_PATH = b"/report"
 STAMP = b"X-Buckthorntack-Server-Stamp"
 #: Time between the starts of two incarnations of a server.
 INCARNATION_MS = 1000
@@ -65,6 +66,8 @@
         self.behave = answer_whole
         #: The same for its health path.
         self.behave_on_health = tell_warmup
+        #: The same for the path at which engines tell their state.
+        self.behave_on_state = tell_start
         self.listener = self._bind()
 
     def _bind(self):
@@ -102,6 +105,9 @@
             self.health_checks += 1
             await self.behave_on_health(self, request, reply)
             return
+        if request.target == STATE_PATH:
+            await self.behave_on_state(self, request, reply)
+            return
         self.requests.append(request)
         try:
             await self.behave(self, request, reply)
@@ -148,6 +154,12 @@
     reply.send(200, server.health_headers(), b"")
 
 
+async def tell_start(server, request, reply):
+    """Say which start of the server it is, as engines do."""
+    state = {"phase": "both", "busy": False, "born": server.born}
+    reply.send(200, [], json.dumps(state).encode())
+
+
 async def answer_whole(server, request, reply):
     """Answer with what was asked."""
     body = request.method + b" " + request.target + b" " + request.body
--- a/buckthorntack/platform/tests/test_formats.py
+++ b/buckthorntack/platform/tests/test_formats.py
@@ -425,3 +425,18 @@
     head = http1.ResponseHead(200, b"", headers, 0, http1.BodyFraming.LENGTH)
     dialect = _dialect.PlatformDialect()
     assert dialect.parse_health(head, "s1") == cold_left_s
+
+
+@pytest.mark.parametrize(
+    ("body", "born_ms"),
+    [
+        (b'{"phase":"both","born":1786149753265,"runs":[]}', 1786149753265),
+        (b'{"phase":"both"}', None),
+        (b'{"born":"1"}', None),
+        (b'{"born":-1}', None),
+        (b"[]", None),
+        (b"", None),
+    ],
+)
+def test_start_that_a_server_tells(body, born_ms):
+    assert _dialect.PlatformDialect().parse_start(body) == born_ms
--- a/buckthorntack/platform/tests/test_stale_records.py
+++ b/buckthorntack/platform/tests/test_stale_records.py
@@ -399,3 +399,39 @@
         assert not stream.is_joined, (stream.versions, stream.statuses)
 
     test_requests.run(scenario, *SERVERS)
+
+
+def answer_state(status, body):
+    """Behaviour: one fixed answer at the path of the state."""
+
+    async def behave(server, request, reply):
+        reply.send(status, [], body)
+
+    return behave
+
+
+# Guards against streams that go on nowhere, as servers do not say which start
+# they are, or that wait for one which does not answer.
+@pytest.mark.parametrize(
+    ("behave", "is_continued"),
+    [
+        (answer_state(404, b""), True),
+        (answer_state(200, b"not json"), True),
+        (_standins.reset, False),
+        (_standins.hang, False),
+    ],
+)
+def test_stream_goes_on_where_servers_do_not_tell_their_start(
+    behave, is_continued
+):
+    async def scenario(world):
+        stream, task, first, other = await begin(world, "e0")
+        other.behave_on_state = behave
+        go_on_at_once(world)
+        first.crash()
+        await task
+        assert stream.is_complete is is_continued
+        assert bool(other.requests) is is_continued
+        assert not stream.is_joined
+
+    test_requests.run(scenario, *SERVERS)
