Send nothing on a connection that its engine has ended

An engine may end the connection with its answer that tells its start; the request that continues a stream then goes to another connection, and the start is asked there again. The new test holds without the check too, as the stand-in's end arrives later than the request.

--- a/buckthorntack/gateway/_request_handler.py
+++ b/buckthorntack/gateway/_request_handler.py
@@ -1077,12 +1077,14 @@
         except (TimeoutError, http1.IncompleteResponseError) as error:
             reason = f"{server_id} does not tell its start: {error!r}"
             return _results.NotSent(reason)
-        if born_ms is None or born_ms == server.born_ms:
-            return None
-        shared_state.on_server_failure(
-            server_id, _shared_state.ConnectionFailure.RESTARTED
-        )
-        return _results.NotSent(f"{server_id} has started again")
+        if born_ms not in (None, server.born_ms):
+            shared_state.on_server_failure(
+                server_id, _shared_state.ConnectionFailure.RESTARTED
+            )
+            return _results.NotSent(f"{server_id} has started again")
+        if not connection.is_reusable():
+            return _results.NotSent(f"{server_id} ended the connection")
+        return None
 
     async def relay_answer(self, attempt, start):
         """Relay a response of a server that has begun.
--- a/buckthorntack/platform/tests/test_stale_records.py
+++ b/buckthorntack/platform/tests/test_stale_records.py
@@ -435,3 +435,25 @@
         assert not stream.is_joined
 
     test_requests.run(scenario, *SERVERS)
+
+
+# Guards against a request that is written to a connection which its server
+# ends after it has told its start, and that counts as lost.
+def test_stream_goes_on_at_a_server_that_ends_the_connection():
+    async def scenario(world):
+        stream, task, first, other = await begin(world, "e0")
+
+        async def tell_once(server, request, reply):
+            server.behave_on_state = _standins.tell_start
+            state = b'{"born":%d}' % server.born
+            reply.send(200, [(b"Connection", b"close")], state)
+
+        other.behave_on_state = tell_once
+        go_on_at_once(world)
+        first.crash()
+        await task
+        assert stream.is_complete
+        fleet = world.nodes["e0"].shared_state.fleet
+        assert fleet.state(other.server_id).failure_share == 0.0
+
+    test_requests.run(scenario, *SERVERS)
