Only ask a server that has outlived the end of an idle connection

Cause: since ends of idle connections are told apart, a sound server whose connections are reset or closed at many ages counts as cold again and again, for the time of a question each.

A server that has lately outlived such an end is now asked without counting as cold, if another connection opens at once, as after the end of one that carried a request.

test_server_that_has_outlived_the_end_of_a_connection_is_only_asked failed before.

--- a/buckthorntack/dispatch/_restarts.py
+++ b/buckthorntack/dispatch/_restarts.py
@@ -225,7 +225,8 @@
         :param unix_ms: time of day in milliseconds.
         :param idle_s: time for which the connection was idle; None if it
             carried a request or did not open.
-        :param is_mild: whether a connection broke that carried a request.
+        :param is_mild: whether a sound server may cause the failure, as one
+            of a connection that carried a request.
         :returns: whether a start is suspected that was not before.
         """
         known = self._states.get(server_id)
@@ -439,6 +440,13 @@
             for usual in self._usual_closes.get(server_id, ())
         )
 
+    def has_outlived_close(self, server_id):
+        """Whether a server has lately closed an idle connection and gone on.
+
+        :param server_id: the server.
+        """
+        return server_id in self._usual_closes
+
     def _note_answer(self, server_id, known, cold_left_s, now_s):
         """Note whether an idle connection has ended for another reason."""
         if known is None or known.idle_s is None or cold_left_s > 0:
--- a/buckthorntack/gateway/_reachability_task.py
+++ b/buckthorntack/gateway/_reachability_task.py
@@ -128,13 +128,13 @@
             server_id, _shared_state.ConnectionFailure.BROKEN
         )
 
-    def _on_restart_suspected(self, server_id, failure):
+    def _on_restart_suspected(self, server_id, failure, is_mild):
         """Tell other entry VMs, unless only a link of this one may be lost.
 
         After a connection broke, another one shows whether the server is away;
         if it is not, others may have to ask it.
         """
-        if failure is _shared_state.ConnectionFailure.BROKEN:
+        if is_mild:
             self._start(self._look_again(server_id))
             self.start_due_checks()
             return
--- a/buckthorntack/gateway/_shared_state.py
+++ b/buckthorntack/gateway/_shared_state.py
@@ -122,9 +122,10 @@
         self._has_suspects = asyncio.Event()
         self._by_service = {}
         self._incarnations = {}
-        #: Called with a server's id and the ``ConnectionFailure`` once it is
-        #: suspected to have started again.
-        self.on_restart_suspected = lambda server_id, failure: None
+        #: Called with a server's id, the ``ConnectionFailure`` and whether a
+        #: sound server may cause it, once it is suspected to have started
+        #: again.
+        self.on_restart_suspected = lambda server_id, failure, is_mild: None
 
     def __enter__(self):
         return self
@@ -297,16 +298,17 @@
         if service is None or service.warmup_per_s <= 0:
             return
         now_s = self.clock.monotonic().total_seconds()
-        if self.fleet.restarts.on_failure(
-            server_id,
-            now_s,
-            self._unix_ms(),
-            idle_s,
-            failure is ConnectionFailure.BROKEN,
+        restarts = self.fleet.restarts
+        is_mild = failure is ConnectionFailure.BROKEN or (
+            failure is ConnectionFailure.IDLE
+            and restarts.has_outlived_close(server_id)
+        )
+        if restarts.on_failure(
+            server_id, now_s, self._unix_ms(), idle_s, is_mild
         ):
             self.log_suspected_restart(server_id, failure)
             self._has_suspects.set()
-            self.on_restart_suspected(server_id, failure)
+            self.on_restart_suspected(server_id, failure, is_mild)
 
     def tell_restart(self, server_id):
         """Tell other entry VMs that a server may have started again.
--- a/buckthorntack/platform/tests/test_restarted_servers.py
+++ b/buckthorntack/platform/tests/test_restarted_servers.py
@@ -219,6 +219,25 @@
     test_requests.run(scenario, ("s1", "text"), entries=ZONES)
 
 
+# Guards against a sound server that gets the rate of a cold one for a moment
+# each time that it closes an idle connection at another age.
+def test_server_that_has_outlived_the_end_of_a_connection_is_only_asked():
+    async def scenario(world):
+        await until_known(world)
+        await set_warmup(world, LONG_WARMUP_S)
+        server = world.servers["s1"]
+        pool = world.nodes["e0"].shared_state.pool
+        pool.on_early_close("s1", 0.3)
+        await until_none_is_cold(world)
+        server.behave_on_health = _standins.hang
+        server.health_checks = 0
+        pool.on_early_close("s1", 0.8)
+        await world.until(lambda: server.health_checks)
+        await until_none_is_cold(world)
+
+    test_requests.run(scenario, ("s1", "text"), entries=ZONES)
+
+
 async def until_none_is_cold(world):
     """Wait until no entry VM takes the server for cold."""
     await world.until(
