Take a health answer without a warm-up for that of a warm server

Cause: servers name X-Buckthorntack-Warmup-Ms in health answers only while they are cold. Its absence counted as no answer, so that only the time of a warm-up ended a suspicion. Stand-ins name 0, so no test and no soak showed it.

test_health_path_of_a_warm_server_names_no_warm_up failed before.

--- a/buckthorntack/platform/_dialect.py
+++ b/buckthorntack/platform/_dialect.py
@@ -16,6 +16,7 @@
 
 #: Larger counts of tokens are no counts.
 MAX_TOKENS = 10**8
+OK = 200
 MISDIRECTED = 421
 UNAVAILABLE = 503
 
@@ -128,6 +129,9 @@
         fields = {name.lower(): value for name, value in head.headers}
         if fields.get(_headers.INSTANCE_ID) != server_id.encode():
             return None
+        if head.status == OK and _headers.WARMUP_MS not in fields:
+            # Only servers that are cold send it.
+            return 0.0
         try:
             warmup_ms = float(fields.get(_headers.WARMUP_MS, b""))
         except ValueError:
--- a/buckthorntack/platform/tests/test_formats.py
+++ b/buckthorntack/platform/tests/test_formats.py
@@ -427,6 +427,23 @@
     assert dialect.parse_health(head, "s1") == cold_left_s
 
 
+# Guards against sound servers that get the rate of a cold one for a warm-up,
+# as their answers name none once it is over.
+@pytest.mark.parametrize(
+    ("status", "server_id", "cold_left_s"),
+    [(200, b"s1", 0.0), (200, b"s2", None), (503, b"s1", None)],
+)
+def test_health_path_of_a_warm_server_names_no_warm_up(
+    status, server_id, cold_left_s
+):
+    headers = [(b"X-Buckthorntack-Instance-Id", server_id)]
+    head = http1.ResponseHead(
+        status, b"", headers, 0, http1.BodyFraming.LENGTH
+    )
+    dialect = _dialect.PlatformDialect()
+    assert dialect.parse_health(head, "s1") == cold_left_s
+
+
 @pytest.mark.parametrize(
     ("body", "born_ms"),
     [
