--- a/buckthorntack/dispatch/_exchange.py
+++ b/buckthorntack/dispatch/_exchange.py
@@ -40,9 +40,6 @@
 MAX_REPORT_PERIOD_S = 0.2
 #: Time for which a silent relay is not chosen, unless it reports again.
 SUSPICION_S = 3.0
-#: Time for which a relay also reports to entry VMs of its domain that do not
-#: report to it.  They may have missed it while it started again.
-INTRODUCTION_S = 1.2
 #: Period between full reports to the same entry VM; the other reports contain
 #: changes only.
 FULL_REPORT_PERIOD_S = 0.4
@@ -112,9 +109,6 @@
         self._means = {}
         self._relay = ""
         self._relay_since_s = 0.0
-        #: Until when this relay reports to members of its domain that do not
-        #: report to it, by member.
-        self._introductions_s = {}
         #: Former relays that still count the last report of this entry VM.
         self._former_relays = set()
         self._suspected_until_s = {}
@@ -432,7 +426,6 @@
         self._former_relays.discard(node_id)
         self._relay = node_id
         self._relay_since_s = now_s
-        self._introductions_s.clear()
         self._last_reported.clear()
 
     def _receivers(self, now_s):
@@ -447,11 +440,6 @@
         receivers = [(node_id, "region") for node_id in sorted(reporters)]
         if not is_relay:
             return [(self._relay, "own"), *receivers]
-        receivers.extend(
-            (node_id, "region")
-            for node_id in self._domains[self.failure_domain]
-            if node_id not in reporters and self._introduces(node_id, now_s)
-        )
         for domain, node_ids in self._domains.items():
             if domain == self.failure_domain:
                 continue
@@ -463,13 +451,6 @@
                 receivers.append((node_id, "domain"))
         return receivers
 
-    def _introduces(self, node_id, now_s):
-        """Whether a member of this relay's domain is still told of it."""
-        until_s = self._introductions_s.setdefault(
-            node_id, now_s + INTRODUCTION_S
-        )
-        return node_id != self.own_id and now_s < until_s
-
     def _list_heard(self, scope, now_s):
         heard = {self.own_id}
         for node_id, heard_s in self._last_heard_s.items():
