--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -22,6 +22,8 @@
 #: As in deploy/system.toml.
 COMMAND = ("python3", "-S", "-m", "buckthorntack.platform")
 HEARTBEAT_S = 1.2
+#: Port of the links between nodes, counted from the first one.
+LINK_OFFSET = 4
 LIMITS = {
     "max_header_bytes": 16384,
     "max_body_bytes": 4194304,
@@ -83,6 +85,69 @@
     raise CannotRun("no free ports")
 
 
+class Relay:
+    """Relays connections to an address; some may go silent for good.
+
+    :param public: IP address and port that others use.
+    :param private: where the process listens.
+    """
+
+    def __init__(self, public, private):
+        self.public = public
+        self.private = private
+        self._open = set()
+        self._silent = set()
+        self._server = None
+
+    async def start(self):
+        """Accept connections."""
+        host, _, port = self.public.rpartition(":")
+        self._server = await asyncio.start_server(
+            self._serve, host, int(port), backlog=500
+        )
+
+    def stop(self):
+        """Accept no more connections."""
+        if self._server is not None:
+            self._server.close()
+
+    def silence(self):
+        """Let all open connections go silent for good; return how many."""
+        self._silent |= self._open
+        return len(self._open)
+
+    async def _serve(self, reader, writer):
+        host, _, port = self.private.rpartition(":")
+        try:
+            far = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        pair = (writer, far[1])
+        self._open.add(pair)
+        try:
+            await asyncio.gather(
+                self._copy(reader, far[1], pair),
+                self._copy(far[0], writer, pair),
+                return_exceptions=True,
+            )
+        finally:
+            self._open.discard(pair)
+            for one in pair:
+                one.transport.abort()
+
+    async def _copy(self, reader, writer, pair):
+        try:
+            while data := await reader.read(65536):
+                if pair not in self._silent:
+                    writer.write(data)
+                    await writer.drain()
+        finally:
+            # Either side that ends tells the other, unless it is silent.
+            if pair not in self._silent:
+                writer.close()
+
+
 class Node:
     """A process of the system.
 
@@ -102,6 +167,9 @@
         self.folder = pathlib.Path(deployment.folder, name)
         self.process = None
         self.is_first_start = True
+        #: ``Relay`` of the links between nodes; None for no relays.
+        self.link_relay = None
+        self._relays = []
 
     def address(self, service):
         """Return one of its addresses.
@@ -123,11 +191,12 @@
             "failure_domain": self.zone,
             "regions": deployment.zones,
             "ip_address": self.ip_address,
+            "listen_ip": self.private_address() if self._relays else "",
             "service_address": self.address("main"),
             "readiness_address": self.address("readiness") * is_entry,
             "directory_address": self.address("directory") * is_entry,
             "metrics_port": port + 3,
-            "internal_ports": [port + 4, port + 19],
+            "internal_ports": [port + LINK_OFFSET, port + 19],
             "seeds": [n.address("main") for n in deployment.controls],
             "first_start": self.is_first_start,
             "data_folder": "" if is_entry else str(self.folder / "data"),
@@ -144,6 +213,24 @@
             "link_mbps": 1000.0,
         }
 
+    def private_address(self):
+        """Return the IP address that it binds behind its relays."""
+        first, second, third, last = self.ip_address.split(".")
+        return f"{first}.{second}.{int(third) + 100}.{last}"
+
+    async def add_relays(self):
+        """Put relays before all its ports; call it before the first start."""
+        port = self.deployment.port
+        for offset in (0, 1, 2, 4, 5):
+            relay = Relay(
+                f"{self.ip_address}:{port + offset}",
+                f"{self.private_address()}:{port + offset}",
+            )
+            await relay.start()
+            self._relays.append(relay)
+            if offset == LINK_OFFSET:
+                self.link_relay = relay
+
     async def start(self):
         """Start the process."""
         (self.folder / "data").mkdir(parents=True, exist_ok=True)
@@ -174,6 +261,8 @@
 
     async def end(self):
         """Kill the process, if it still runs."""
+        for relay in self._relays:
+            relay.stop()
         if self.process is None:
             return
         self.send_signal(signal.SIGCONT)
@@ -187,9 +276,11 @@
     :param record: the ``Record``.
     :param zones: region of each zone.
     :param entries: number of entry nodes in each zone.
+    :param has_relays: whether a relay stands before each port of each node.
     """
 
-    def __init__(self, record, zones, entries=1):
+    def __init__(self, record, zones, entries=1, has_relays=False):
+        self.has_relays = has_relays
         self.record = record
         self.zones = zones
         self.folder = tempfile.mkdtemp(prefix="review-")
@@ -210,6 +301,9 @@
 
     async def __aenter__(self):
         try:
+            for node in [*self.controls, *self.entries]:
+                if self.has_relays:
+                    await node.add_relays()
             for node in [*self.controls, *self.entries]:
                 await node.start()
         except BaseException:
